--- /dev/null
+++ b/crates/coordination/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder overview.
--- /dev/null
+++ b/crates/state/src/config.rs
@@ -0,0 +1,152 @@
+//! The generated configuration of the mesh.
+//!
+//! Invariants, established by generation and checked again by every proxy: each route
+//! names an existing service and existing tenants; no two routes have the same prefix and a
+//! common method; the share steps of a rollout rise strictly and end at [`Share::ALL`].
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{Millis, RouteName, ServiceName, TenantName, VersionName};
+
+/// The complete configuration of the mesh, as generated from the answers.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct MeshConfig {
+    /// Tenants by name, in the order of the answers.
+    pub tenants: IndexMap<TenantName, TenantConfig>,
+    /// Services by name, in the order of the answers.
+    pub services: IndexMap<ServiceName, ServiceConfig>,
+    /// Routes by name, in the order of the answers.
+    pub routes: IndexMap<RouteName, RouteConfig>,
+}
+
+/// A class of callers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct TenantConfig {
+    /// Relative share of a contended service's slots.
+    pub weight: u32,
+}
+
+/// A service and the way its versions reach traffic.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct ServiceConfig {
+    /// Version that is to receive all traffic. A change of it starts a rollout.
+    pub version: VersionName,
+    /// Services that call this one. Empty if only tenants do.
+    pub callers: Vec<ServiceName>,
+    /// How a change of `version` reaches traffic.
+    pub rollout: RolloutRule,
+    /// Share of endpoints that expired leases and ejection leave in use at least.
+    pub min_endpoints: Share,
+    /// Retries allowed per first attempt, in parts per million.
+    pub retry_budget: Share,
+}
+
+/// How a new version reaches traffic and what counts as bad.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct RolloutRule {
+    /// Shares of traffic, strictly rising, the last one [`Share::ALL`].
+    pub steps: Vec<Share>,
+    /// When the new version must have all traffic.
+    pub finish: FinishTime,
+    /// How long the old version is kept after the new one has all traffic.
+    pub watch: Millis,
+    /// Failure ratio above that of the old version that counts as bad.
+    pub max_extra_failures: Share,
+    /// Latency relative to the old version that counts as bad, in percent (200 is twice as slow).
+    pub max_slowdown_percent: u32,
+    /// Probability that a good version is taken back by chance.
+    pub false_alarm: Share,
+    /// What to do at the finish time when traffic was too low for a decision.
+    pub low_traffic: LowTraffic,
+}
+
+/// When a rollout must be finished.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub enum FinishTime {
+    /// This long after approval.
+    Within(Millis),
+    /// At this point in time, counted from the Unix epoch.
+    By(Millis),
+}
+
+/// Decision at the finish time when there is too little evidence.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub enum LowTraffic {
+    /// Move all traffic to the new version.
+    Finish,
+    /// Stay at the share reached and tell the operator.
+    Stay,
+}
+
+/// Maps a set of requests to a service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct RouteConfig {
+    /// Service that answers.
+    pub service: ServiceName,
+    /// Path prefix, matched at segment boundaries; the longest matching prefix wins.
+    pub prefix: String,
+    /// Methods in upper case. Empty means all methods.
+    pub methods: Vec<String>,
+    /// Whether requests may be run more than once, whatever their method.
+    pub idempotent: bool,
+    /// Tenants that may use the route. Empty means all tenants.
+    pub tenants: Vec<TenantName>,
+    /// Time limit of a call that brings no deadline of its own.
+    pub timeout: Millis,
+}
+
+/// The division of a service's traffic between versions, as proxies enforce it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct TrafficSplit {
+    /// Version that receives the traffic that the candidate does not.
+    pub stable: VersionName,
+    /// New version under rollout, if any.
+    pub candidate: Option<Candidate>,
+    /// Versions that were taken back and receive nothing until they are approved again.
+    pub blocked: Vec<VersionName>,
+}
+
+/// A version that is being rolled out.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Candidate {
+    /// The new version.
+    pub version: VersionName,
+    /// Upper bound of its share of calls over the whole mesh.
+    pub share: Share,
+    /// Number of the rollout, unique in the mesh, so that late reports and grants are recognised.
+    pub rollout: u64,
+}
+
+/// A share in parts per million.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Share(pub u32);
+
+impl Share {
+    /// Nothing.
+    pub const NONE: Self = Self(0);
+    /// The whole.
+    pub const ALL: Self = Self(1_000_000);
+
+    /// Returns the share that `percent` percent make.
+    pub const fn percent(percent: u32) -> Self {
+        Self(percent * 10_000)
+    }
+
+    /// Returns the share as a ratio between 0 and 1.
+    pub fn ratio(self) -> f64 {
+        f64::from(self.0) / f64::from(Self::ALL.0)
+    }
+}
