Add endpoint leases and the version floor

Cause: endpoint state needs an owner and an order across leaders, and a restarted daemon without a disk must not serve an older configuration than before. Conclusion: the decisions hold on a virtual clock; the daemon has to carry their messages.

--- /dev/null
+++ b/crates/coordination/src/leases.rs
@@ -0,0 +1,265 @@
+//! The leader's endpoint table: leases of announced endpoints, drain marks and expiry.
+//!
+//! The table is soft state. It is rebuilt from renewals, so a new leader takes over the copy that
+//! it received as a subscriber and extends every lease by one period (`docs/design.md`,
+//! section 2.2).
+//!
+//! Invariants: the version rises with every change that a proxy can see; an expiry never reduces
+//! a service below the minimum that its configuration sets.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+use sycamoreflow_state::config::Share;
+use sycamoreflow_state::endpoint::Endpoint;
+use sycamoreflow_state::ids::{DaemonId, EndpointVersion, Millis, ServiceName};
+
+#[cfg(test)]
+mod tests;
+
+/// How long an announcement holds without a renewal.
+pub const LEASE: Millis = Millis(6_000);
+
+/// How often a daemon renews its announcements.
+pub const RENEW_INTERVAL: Millis = Millis(2_000);
+
+/// A gap between two ticks above this length means that the leader itself was paused, so that
+/// renewals which arrived meanwhile are still waiting to be read.
+const PAUSE_GAP: Millis = Millis(1_000);
+
+/// How long the number of endpoints before a mass expiry counts towards the minimum kept.
+const BASELINE_PERIOD: Millis = Millis(600_000);
+
+/// Identifies an endpoint in the table.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct EndpointKey {
+    /// Daemon beside the upstream.
+    pub daemon: DaemonId,
+    /// Service of the upstream.
+    pub service: ServiceName,
+}
+
+/// The endpoint table of the leader.
+#[derive(Debug, Default)]
+pub struct Leases {
+    version: EndpointVersion,
+    entries: BTreeMap<EndpointKey, Lease>,
+    baselines: BTreeMap<ServiceName, Baseline>,
+    drained: BTreeSet<DaemonId>,
+    last_tick: Millis,
+}
+
+#[derive(Debug)]
+struct Lease {
+    endpoint: Endpoint,
+    expires: Millis,
+}
+
+/// Size of a service before its latest expiries.
+#[derive(Debug, Default)]
+struct Baseline {
+    endpoints: usize,
+    until: Millis,
+}
+
+/// What a tick did.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Expiries {
+    /// Endpoints whose lease ended and that were removed.
+    pub removed: Vec<EndpointKey>,
+    /// Endpoints whose lease ended and that are kept for the minimum of their service.
+    pub retained: usize,
+}
+
+impl Leases {
+    /// Takes over the table as the leader of `term`, from a copy of the former leader's table.
+    ///
+    /// Every lease is extended by one period: the daemons have had no leader to renew them with.
+    pub fn take_over(&mut self, now: Millis, term: u64, copy: impl IntoIterator<Item = Endpoint>) {
+        self.entries.clear();
+        self.baselines.clear();
+        self.drained.clear();
+        for endpoint in copy {
+            if endpoint.draining {
+                self.drained.insert(endpoint.daemon.clone());
+            }
+            let lease = Lease {
+                endpoint,
+                expires: now.after(LEASE),
+            };
+            self.entries.insert(key_of(&lease.endpoint), lease);
+        }
+        self.version = EndpointVersion { term, seq: 1 };
+        self.last_tick = now;
+    }
+
+    /// Renews the endpoints of `daemon`. An endpoint that is no longer announced is removed at
+    /// once, since its upstream has left in an orderly way. Returns whether proxies see a change.
+    pub fn renew(&mut self, now: Millis, daemon: &DaemonId, announced: &[Endpoint]) -> bool {
+        let mut changed = false;
+        let known: Vec<EndpointKey> = self.keys_of(daemon);
+        for key in known {
+            if announced.iter().any(|endpoint| key_of(endpoint) == key) {
+                continue;
+            }
+            self.remove(&key);
+            changed = true;
+        }
+        for endpoint in announced {
+            if endpoint.daemon != *daemon {
+                continue;
+            }
+            changed |= self.renew_one(now, endpoint);
+        }
+        if announced.is_empty() {
+            self.drained.remove(daemon);
+        }
+        self.note_change(changed);
+        changed
+    }
+
+    /// Marks all endpoints of `daemon` as leaving. Returns whether proxies see a change.
+    pub fn drain(&mut self, daemon: &DaemonId) -> bool {
+        let mut changed = false;
+        for key in self.keys_of(daemon) {
+            let Some(lease) = self.entries.get_mut(&key) else {
+                continue;
+            };
+            changed |= !lease.endpoint.draining;
+            lease.endpoint.draining = true;
+        }
+        if changed {
+            self.drained.insert(daemon.clone());
+        }
+        self.note_change(changed);
+        changed
+    }
+
+    /// Ends leases that were not renewed. `minimum` gives the share of a service's endpoints that
+    /// is kept although their leases have ended.
+    pub fn tick(&mut self, now: Millis, minimum: impl Fn(&ServiceName) -> Share) -> Expiries {
+        let gap = now.since(self.last_tick);
+        self.last_tick = now;
+        if gap > PAUSE_GAP {
+            self.extend_all(gap);
+            return Expiries::default();
+        }
+        let mut expiries = Expiries::default();
+        for (service, ended) in self.ended_by_service(now) {
+            let keep = self.excess_needed(now, &service, ended.len(), &minimum);
+            expiries.retained += keep.min(ended.len());
+            // The most recently renewed endpoints are the most likely ones to be alive.
+            for key in ended.into_iter().skip(keep) {
+                self.entries.remove(&key);
+                expiries.removed.push(key);
+            }
+        }
+        self.note_change(!expiries.removed.is_empty());
+        expiries
+    }
+
+    /// Returns the endpoints in the table.
+    pub fn endpoints(&self) -> impl Iterator<Item = &Endpoint> {
+        self.entries.values().map(|lease| &lease.endpoint)
+    }
+
+    /// Returns the version of the table.
+    pub fn version(&self) -> EndpointVersion {
+        self.version
+    }
+
+    fn renew_one(&mut self, now: Millis, announced: &Endpoint) -> bool {
+        let mut endpoint = announced.clone();
+        // An operator's drain holds until the daemon confirms it or leaves.
+        endpoint.draining |= self.drained.contains(&endpoint.daemon);
+        let lease = Lease {
+            endpoint,
+            expires: now.after(LEASE),
+        };
+        let key = key_of(&lease.endpoint);
+        let Some(known) = self.entries.get_mut(&key) else {
+            self.entries.insert(key, lease);
+            return true;
+        };
+        let changed = known.endpoint != lease.endpoint;
+        *known = lease;
+        changed
+    }
+
+    fn remove(&mut self, key: &EndpointKey) {
+        self.entries.remove(key);
+        if let Some(baseline) = self.baselines.get_mut(&key.service) {
+            baseline.endpoints = baseline.endpoints.saturating_sub(1);
+        }
+    }
+
+    fn keys_of(&self, daemon: &DaemonId) -> Vec<EndpointKey> {
+        let first = EndpointKey {
+            daemon: daemon.clone(),
+            service: ServiceName::from(""),
+        };
+        let keys = self.entries.range(first..).map(|(key, _)| key);
+        keys.take_while(|key| key.daemon == *daemon)
+            .cloned()
+            .collect()
+    }
+
+    fn extend_all(&mut self, by: Millis) {
+        for lease in self.entries.values_mut() {
+            lease.expires = lease.expires.after(by);
+        }
+    }
+
+    /// Returns the endpoints whose lease has ended, most recently renewed first.
+    fn ended_by_service(&self, now: Millis) -> BTreeMap<ServiceName, Vec<EndpointKey>> {
+        let mut ended: BTreeMap<ServiceName, Vec<(Millis, EndpointKey)>> = BTreeMap::new();
+        for (key, lease) in &self.entries {
+            if lease.expires > now {
+                continue;
+            }
+            let of_service = ended.entry(key.service.clone()).or_default();
+            of_service.push((lease.expires, key.clone()));
+        }
+        let sorted = ended.into_iter().map(|(service, mut keys)| {
+            keys.sort_by(|a, b| b.cmp(a));
+            let keys = keys.into_iter().map(|(_, key)| key).collect();
+            (service, keys)
+        });
+        sorted.collect()
+    }
+
+    /// Returns how many ended endpoints of `service` must stay to reach its minimum.
+    fn excess_needed(
+        &mut self,
+        now: Millis,
+        service: &ServiceName,
+        ended: usize,
+        minimum: impl Fn(&ServiceName) -> Share,
+    ) -> usize {
+        let known = self.entries.keys();
+        let total = known.filter(|key| key.service == *service).count();
+        let baseline = self.baselines.entry(service.clone()).or_default();
+        if baseline.until <= now {
+            baseline.endpoints = total;
+            baseline.until = now.after(BASELINE_PERIOD);
+        }
+        baseline.endpoints = baseline.endpoints.max(total);
+        let floor = minimum(service).ratio() * baseline.endpoints as f64;
+        let floor = floor.ceil() as usize;
+        floor.saturating_sub(total - ended)
+    }
+
+    fn note_change(&mut self, changed: bool) {
+        if changed {
+            self.version.seq += 1;
+        }
+    }
+}
+
+fn key_of(endpoint: &Endpoint) -> EndpointKey {
+    EndpointKey {
+        daemon: endpoint.daemon.clone(),
+        service: endpoint.service.clone(),
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/leases/tests.rs
@@ -0,0 +1,122 @@
+use rstest::rstest;
+use sycamoreflow_state::config::Share;
+use sycamoreflow_state::endpoint::Endpoint;
+use sycamoreflow_state::ids::{DaemonId, EndpointVersion, Millis, ServiceName};
+
+use super::{LEASE, Leases};
+
+fn endpoint(daemon: &str) -> Endpoint {
+    Endpoint {
+        daemon: daemon.into(),
+        service: "orders".into(),
+        version: "v1".into(),
+        data_centre: "sfax-a".into(),
+        address: "127.0.0.1:1".parse().expect("valid address"),
+        slots: 9,
+        draining: false,
+    }
+}
+
+fn renew(leases: &mut Leases, now: u64, daemon: &str) -> bool {
+    leases.renew(Millis(now), &DaemonId::from(daemon), &[endpoint(daemon)])
+}
+
+fn half(_: &ServiceName) -> Share {
+    Share::percent(50)
+}
+
+fn none(_: &ServiceName) -> Share {
+    Share::NONE
+}
+
+/// Ticks often enough that no tick counts as a pause of the leader.
+fn tick_until(
+    leases: &mut Leases,
+    from: u64,
+    to: u64,
+    minimum: fn(&ServiceName) -> Share,
+) -> usize {
+    let ticks = (from..=to).step_by(500);
+    ticks
+        .map(|at| leases.tick(Millis(at), minimum).removed.len())
+        .sum()
+}
+
+/// Guards against a version that rises without a change, which would cost every proxy an update.
+#[test]
+fn renew_unchanged() {
+    let mut leases = Leases::default();
+    assert!(renew(&mut leases, 0, "a"));
+    let version = leases.version();
+    assert!(!renew(&mut leases, 1_000, "a"));
+    assert_eq!(leases.version(), version);
+}
+
+/// Guards against endpoints of dead daemons that stay after their lease.
+#[test]
+fn tick_expired_lease() {
+    let mut leases = Leases::default();
+    renew(&mut leases, 0, "a");
+    assert_eq!(tick_until(&mut leases, 0, LEASE.0 - 500, none), 0);
+    assert_eq!(tick_until(&mut leases, LEASE.0, LEASE.0 + 500, none), 1);
+    assert_eq!(leases.endpoints().count(), 0);
+}
+
+/// Guards against a mass expiry that empties a service.
+#[rstest]
+#[case::half_of_nine(9, half as fn(&ServiceName) -> Share, 5)]
+#[case::half_of_two(2, half, 1)]
+#[case::no_minimum(9, none, 0)]
+fn tick_mass_expiry(
+    #[case] count: usize,
+    #[case] minimum: fn(&ServiceName) -> Share,
+    #[case] kept: usize,
+) {
+    let mut leases = Leases::default();
+    for i in 0..count {
+        renew(&mut leases, 0, &format!("d{i}"));
+    }
+    tick_until(&mut leases, 0, 5 * LEASE.0, minimum);
+    assert_eq!(leases.endpoints().count(), kept);
+}
+
+/// Guards against expiries caused by a pause of the leader itself.
+#[test]
+fn tick_after_pause() {
+    let mut leases = Leases::default();
+    leases.tick(Millis(0), none);
+    renew(&mut leases, 0, "a");
+    let expiries = leases.tick(Millis(10 * LEASE.0), none);
+    assert!(expiries.removed.is_empty());
+    assert_eq!(leases.endpoints().count(), 1);
+}
+
+/// Guards against a drain mark that a renewal from before the drain removes again.
+#[test]
+fn drain_then_renew() {
+    let mut leases = Leases::default();
+    renew(&mut leases, 0, "a");
+    assert!(leases.drain(&DaemonId::from("a")));
+    renew(&mut leases, 100, "a");
+    assert!(leases.endpoints().all(|endpoint| endpoint.draining));
+    leases.renew(Millis(200), &DaemonId::from("a"), &[]);
+    renew(&mut leases, 300, "a");
+    assert!(leases.endpoints().all(|endpoint| !endpoint.draining));
+}
+
+/// Guards against a new leader whose versions order before those of the former one.
+#[test]
+fn take_over_later_term() {
+    let mut leases = Leases::default();
+    leases.take_over(Millis(0), 3, []);
+    for i in 0..50 {
+        renew(&mut leases, i, &format!("d{i}"));
+    }
+    let old = leases.version();
+    let copy: Vec<Endpoint> = leases.endpoints().cloned().collect();
+    let mut next = Leases::default();
+    next.take_over(Millis(0), 4, copy);
+    assert!(next.version() > old);
+    assert_eq!(next.version(), EndpointVersion { term: 4, seq: 1 });
+    assert_eq!(next.endpoints().count(), 50);
+}
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -1,1 +1,7 @@
-//! Placeholder overview.
+//! Decision logic of sycamoreflow: replicated log, leases, distribution, routing, rollouts.
+//!
+//! Everything here is sans-I/O: plain structs that take an event and a time and return actions,
+//! so that property tests drive them on a virtual clock (`docs/design.md`, section 3).
+
+pub mod floor;
+pub mod leases;
