Add views, deltas and interests

Proxies must replace their state as a whole and never revert (P1 to P3).

View holds the resources with the hash of each and a digest that is the wrapping sum of the hashes, so a change hashes only the changed resources. Delta is the change between two views of the same interest or a full state. View::apply rejects a delta that is stale, has another base, does not reach the sender's digest or leaves a reference open; the view is then unchanged.

The fields of View are private, since the digest must match the content.

--- a/crates/state/src/ids.rs
+++ b/crates/state/src/ids.rs
@@ -113,6 +113,18 @@
     pub endpoints: EndpointVersion,
 }
 
+impl fmt::Display for EndpointVersion {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.term, self.seq)
+    }
+}
+
+impl fmt::Display for ViewVersion {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.config, self.endpoints)
+    }
+}
+
 impl ViewVersion {
     /// Returns whether both components are at or above those of `other`.
     pub fn is_at_least(&self, other: &Self) -> bool {
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -4,7 +4,10 @@
 //! This is the lowest layer. It performs no I/O, reads no clock and draws no random numbers; see
 //! `docs/design.md`, section 3.
 
+#![cfg_attr(test, allow(clippy::unwrap_used))]
+
 pub mod config;
 pub mod endpoint;
 pub mod ids;
 pub mod verdict;
+pub mod view;
--- /dev/null
+++ b/crates/state/src/view/tests.rs
@@ -0,0 +1,250 @@
+use std::collections::BTreeMap;
+
+use proptest::prelude::*;
+use rstest::rstest;
+
+use super::*;
+use crate::config::{FinishTime, LowTraffic, RolloutRule, Share};
+use crate::ids::{ConfigVersion, EndpointVersion, Millis};
+
+fn version(config: u64, seq: u64) -> ViewVersion {
+    ViewVersion {
+        config: ConfigVersion(config),
+        endpoints: EndpointVersion { term: 1, seq },
+    }
+}
+
+fn service(version: &str) -> Resource {
+    Resource::Service(ServiceConfig {
+        version: version.into(),
+        callers: Vec::new(),
+        rollout: RolloutRule {
+            steps: vec![Share::ALL],
+            finish: FinishTime::Within(Millis(60_000)),
+            watch: Millis(1000),
+            max_extra_failures: Share::percent(1),
+            max_slowdown_percent: 150,
+            false_alarm: Share::percent(1),
+            low_traffic: LowTraffic::Finish,
+        },
+        min_endpoints: Share::percent(50),
+        retry_budget: Share::percent(10),
+    })
+}
+
+fn traffic(version: &str) -> Resource {
+    Resource::Traffic(TrafficSplit {
+        stable: version.into(),
+        candidate: None,
+        blocked: Vec::new(),
+    })
+}
+
+fn endpoint(daemon: &str, service: &str, slots: u32) -> (ResourceKey, Resource) {
+    let resource = Resource::Endpoint(Endpoint {
+        daemon: daemon.into(),
+        service: service.into(),
+        version: "v1".into(),
+        data_centre: "sfax-a".into(),
+        address: ([127, 0, 0, 1], 7000).into(),
+        slots,
+        draining: false,
+    });
+    (
+        ResourceKey::Endpoint(daemon.into(), service.into()),
+        resource,
+    )
+}
+
+fn route(service: &str, tenants: &[&str]) -> Resource {
+    Resource::Route(RouteConfig {
+        service: service.into(),
+        prefix: format!("/{service}"),
+        methods: Vec::new(),
+        idempotent: false,
+        tenants: tenants.iter().map(|&name| name.into()).collect(),
+        timeout: Millis(1000),
+    })
+}
+
+/// A valid view with one tenant, the services named, their routes and the endpoints given.
+fn view(at: ViewVersion, services: &[&str], endpoints: &BTreeMap<u8, (u8, u32)>) -> View {
+    let mut view = View::new(Interest::All);
+    view.set_version(at);
+    let tenant = Resource::Tenant(TenantConfig { weight: 1 });
+    view.insert(ResourceKey::Tenant("grocers".into()), tenant.into());
+    for &name in services {
+        view.insert(ResourceKey::Service(name.into()), service("v1").into());
+        view.insert(ResourceKey::Traffic(name.into()), traffic("v1").into());
+        view.insert(
+            ResourceKey::Route(name.into()),
+            route(name, &["grocers"]).into(),
+        );
+    }
+    for (daemon, (service, slots)) in endpoints {
+        let service = SERVICES[usize::from(*service) % SERVICES.len()];
+        let (key, resource) = endpoint(&format!("d{daemon}"), service, *slots);
+        view.insert(key, resource.into());
+    }
+    view
+}
+
+const SERVICES: [&str; 3] = ["catalogue", "orders", "traceability"];
+
+fn any_view(at: ViewVersion) -> impl Strategy<Value = View> {
+    let services = proptest::sample::subsequence(SERVICES.to_vec(), 0..=3);
+    let endpoints = proptest::collection::btree_map(0..12u8, (0..3u8, 1..4u32), 0..10);
+    (services, endpoints).prop_map(move |(services, endpoints)| view(at, &services, &endpoints))
+}
+
+fn any_interest() -> impl Strategy<Value = Interest> {
+    let services = proptest::sample::subsequence(SERVICES.to_vec(), 0..=3);
+    prop_oneof![
+        Just(Interest::All),
+        services.prop_map(|names| {
+            Interest::Services(names.into_iter().map(ServiceName::from).collect())
+        }),
+    ]
+}
+
+fn recomputed(view: &View) -> Digest {
+    view.iter()
+        .map(|(key, resource)| Digest::of(key, resource))
+        .fold(Digest::default(), Digest::plus)
+}
+
+proptest! {
+    // Guards against deltas that miss a change, and against an incremental digest that drifts.
+    #[test]
+    fn apply_reaches_newer_view(
+        old in any_view(version(3, 3)),
+        new in any_view(version(4, 7)),
+        interest in any_interest(),
+    ) {
+        let (old, new) = (old.restrict(&interest), new.restrict(&interest));
+        let reached = old.apply(&old.delta_to(&new)).unwrap();
+        prop_assert_eq!(&reached, &new);
+        prop_assert_eq!(reached.digest(), recomputed(&new));
+        prop_assert_eq!(&old.apply(&Delta::full(&new)).unwrap(), &new);
+        prop_assert!(new.verify(&interest).is_ok());
+    }
+
+    // Guards against a proxy that reverts to an older version in either component (P1).
+    #[test]
+    fn apply_stale_delta(config in 0..6u64, seq in 0..6u64, full: bool) {
+        let own = view(version(3, 3), &SERVICES, &BTreeMap::new());
+        let other = view(version(config, seq), &SERVICES[..1], &BTreeMap::new());
+        let delta = if full { Delta::full(&other) } else { own.delta_to(&other) };
+        let newer = (config, seq) != (3, 3) && config >= 3 && seq >= 3;
+        prop_assert_eq!(own.apply(&delta).is_ok(), newer);
+    }
+
+    // Guards against a damaged delta being put in force as a whole or in part (P3).
+    #[test]
+    fn apply_corrupted_delta(
+        old in any_view(version(3, 3)),
+        new in any_view(version(4, 4)),
+        at: proptest::sample::Index,
+        drop_removal: bool,
+    ) {
+        let mut delta = old.delta_to(&new);
+        if drop_removal && !delta.removals.is_empty() {
+            delta.removals.remove(at.index(delta.removals.len()));
+        } else if !delta.upserts.is_empty() {
+            delta.upserts.remove(at.index(delta.upserts.len()));
+        } else {
+            delta.digest = delta.digest.plus(Digest::from((0, 1)));
+        }
+        let before = old.clone();
+        prop_assert!(old.apply(&delta).is_err());
+        prop_assert_eq!(old, before);
+    }
+
+    // Guards against types that one of the two encodings cannot represent.
+    #[test]
+    fn encode_round_trip(view in any_view(version(4, 4)), interest in any_interest()) {
+        let view = view.restrict(&interest);
+        let delta = Delta::full(&view);
+        let mut buf = Vec::new();
+        ciborium::into_writer(&(&view, &delta), &mut buf).unwrap();
+        let (view2, delta2): (View, Delta) = ciborium::from_reader(buf.as_slice()).unwrap();
+        prop_assert_eq!((&view2, &delta2), (&view, &delta));
+        let text = serde_json::to_string(&(&view, &delta)).unwrap();
+        let (view3, delta3): (View, Delta) = serde_json::from_str(&text).unwrap();
+        prop_assert_eq!((&view3, &delta3), (&view, &delta));
+    }
+}
+
+// Guards against a delivery that arrives twice being reported as a fault of the sender.
+#[test]
+fn apply_duplicate_delta() {
+    let old = view(version(3, 3), &SERVICES[..1], &BTreeMap::new());
+    let new = view(version(4, 3), &SERVICES, &BTreeMap::new());
+    let delta = old.delta_to(&new);
+    let reached = old.apply(&delta).unwrap();
+    assert!(reached.apply(&delta).unwrap_err().is_duplicate());
+    let other = old.delta_to(&view(version(4, 3), &SERVICES[1..], &BTreeMap::new()));
+    let rejection = reached.apply(&other).unwrap_err();
+    assert!(
+        matches!(rejection, Rejection::DigestMismatch { .. }),
+        "{rejection}"
+    );
+}
+
+// Guards against a change that is applied to a version it was not made for.
+#[test]
+fn apply_other_base() {
+    let base = view(version(2, 3), &SERVICES, &BTreeMap::new());
+    let new = view(version(4, 3), &SERVICES, &BTreeMap::new());
+    let own = view(version(3, 3), &SERVICES, &BTreeMap::new());
+    let rejection = own.apply(&base.delta_to(&new)).unwrap_err();
+    assert!(
+        matches!(rejection, Rejection::OtherBase { .. }),
+        "{rejection}"
+    );
+}
+
+// Guards against routes to resources that the proxy lacks (P2) and against crossed keys.
+#[rstest]
+#[case::service(ResourceKey::Service("orders".into()), None)]
+#[case::traffic(ResourceKey::Traffic("orders".into()), None)]
+#[case::tenant(ResourceKey::Tenant("grocers".into()), None)]
+#[case::kind(ResourceKey::Traffic("orders".into()), Some(service("v1")))]
+#[case::endpoint(
+    ResourceKey::Endpoint("d1".into(), "orders".into()),
+    Some(endpoint("d2", "orders", 1).1)
+)]
+fn apply_invalid_result(#[case] key: ResourceKey, #[case] replacement: Option<Resource>) {
+    let old = view(version(3, 3), &SERVICES, &BTreeMap::new());
+    let mut new = old.clone();
+    new.set_version(version(4, 4));
+    match replacement {
+        Some(resource) => new.insert(key, resource.into()),
+        None => assert!(new.remove(&key)),
+    }
+    let rejection = old.apply(&old.delta_to(&new)).unwrap_err();
+    assert!(matches!(rejection, Rejection::Invalid(_)), "{rejection}");
+    assert!(old.apply(&Delta::full(&new)).is_err());
+    assert!(new.verify(&Interest::All).is_err());
+}
+
+// Guards against a wider interest being served by a change that lacks the new resources.
+#[test]
+fn apply_for_wider_interest() {
+    let all = view(
+        version(3, 3),
+        &SERVICES,
+        &BTreeMap::from([(1, (0, 2)), (2, (1, 2))]),
+    );
+    let narrow = Interest::Services([ServiceName::from("orders")].into());
+    let own = all.restrict(&narrow);
+    assert_eq!(own.endpoints().count(), 1);
+    assert_eq!(own.routes().count(), 3);
+    assert!(own.service(&"catalogue".into()).is_none());
+    let change = own.delta_to(&all);
+    assert_eq!(
+        own.apply_for(&Interest::All, &change),
+        Err(Rejection::InterestChanged)
+    );
+    assert_eq!(own.apply_for(&Interest::All, &Delta::full(&all)), Ok(all));
+}
