--- /dev/null
+++ b/crates/state/src/answers.rs
@@ -0,0 +1,5 @@
+//! The questionnaire that a team answers.
+
+mod problem;
+
+pub use problem::Problem;
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -6,8 +6,10 @@
 
 #![cfg_attr(test, allow(clippy::unwrap_used))]
 
+pub mod answers;
 pub mod config;
 pub mod endpoint;
 pub mod ids;
+pub mod operator;
 pub mod verdict;
 pub mod view;
