Add the questionnaire

A team states its intent in answers.toml and must learn of every mistake in one run, with the line.

Answers::parse walks the TOML document and collects the problems of syntax, keys, types and units with line and field path; a derived deserializer would stop at the first one. Percentages are read exactly in parts per million, durations and RFC 3339 times without a further library. template() gives a commented file, minimal() a short one from names.

--- a/crates/state/src/answers.rs
+++ b/crates/state/src/answers.rs
@@ -1,5 +1,265 @@
-//! The questionnaire that a team answers.
+//! The questionnaire that a team answers, in TOML.
+//!
+//! Parsing checks syntax, keys and types and fills in defaults. It reports all problems at once,
+//! therefore it reads the document itself instead of deriving a deserializer, which would stop at
+//! the first one. What the answers mean together is checked by [`crate::generate`].
+
+use std::collections::BTreeMap;
+
+use crate::config::{
+    FinishTime, LowTraffic, RolloutRule, RouteConfig, ServiceConfig, Share, TenantConfig,
+};
+use crate::ids::{Millis, RouteName, ServiceName, TenantName};
 
 mod problem;
+mod reader;
+pub mod units;
+
+#[cfg(test)]
+mod tests;
 
 pub use problem::Problem;
+use reader::{Reader, Section};
+
+/// Values of everything that the answers may leave out.
+pub mod defaults {
+    use crate::config::{LowTraffic, Share};
+    use crate::ids::Millis;
+
+    /// Weight of a tenant.
+    pub const WEIGHT: u32 = 1;
+    /// Shares of traffic of a new version. The first one bounds the harm of a bad version.
+    pub const STEPS: [Share; 5] = [
+        Share::percent(1),
+        Share::percent(5),
+        Share::percent(25),
+        Share::percent(50),
+        Share::ALL,
+    ];
+    /// Time until a new version has all traffic.
+    pub const FINISH_WITHIN: Millis = Millis(30 * 60_000);
+    /// Time that the old version is kept after that.
+    pub const WATCH: Millis = Millis(10 * 60_000);
+    /// Failures above those of the old version.
+    pub const MAX_EXTRA_FAILURES: Share = Share::percent(1);
+    /// Latency above that of the old version, in percent.
+    pub const MAX_SLOWDOWN_PERCENT: u32 = 50;
+    /// Probability of taking back a good version.
+    pub const FALSE_ALARM: Share = Share::percent(1);
+    /// Decision without enough traffic.
+    pub const LOW_TRAFFIC: LowTraffic = LowTraffic::Finish;
+    /// Endpoints kept in use.
+    pub const MIN_ENDPOINTS: Share = Share::percent(50);
+    /// Retries per first attempt.
+    pub const RETRY_BUDGET: Share = Share::percent(10);
+    /// Time limit of a call.
+    pub const TIMEOUT: Millis = Millis(5000);
+}
+
+/// The answers of a team, with defaults filled in.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Answers {
+    /// Name of the mesh.
+    pub mesh: String,
+    /// Tenants in the order of the file. Names may still occur twice.
+    pub tenants: Vec<(TenantName, TenantConfig)>,
+    /// Services in the order of the file. Names may still occur twice.
+    pub services: Vec<(ServiceName, ServiceConfig)>,
+    /// Routes in the order of the file. Names may still occur twice.
+    pub routes: Vec<(RouteName, RouteConfig)>,
+    file: String,
+    lines: BTreeMap<String, usize>,
+}
+
+impl Answers {
+    /// Parses the text of a file, or returns all problems of syntax, keys and types.
+    pub fn parse(file: &str, text: &str) -> Result<Self, Vec<Problem>> {
+        let mut reader = Reader::new(file, text);
+        let document = reader.document()?;
+        let mut root = Section::root(document.get_ref());
+        let mesh = reader.required(&mut root, "mesh", Reader::text);
+        let tenants = reader.items(&mut root, "tenants", tenant);
+        let services = reader.items(&mut root, "services", service);
+        let routes = reader.items(&mut root, "routes", route);
+        reader.finish(root);
+        let (mut problems, lines) = reader.into_parts();
+        problems.sort_by_key(|problem| problem.line);
+        match mesh {
+            Some(mesh) if problems.is_empty() => Ok(Self {
+                mesh,
+                tenants: named(tenants),
+                services: named(services),
+                routes: named(routes),
+                file: file.to_owned(),
+                lines,
+            }),
+            _ => Err(problems),
+        }
+    }
+
+    /// Returns the name of the file.
+    pub fn file(&self) -> &str {
+        &self.file
+    }
+
+    /// Returns the line of `field`, or of the innermost table around it that the file contains.
+    pub fn line(&self, field: &str) -> Option<usize> {
+        let mut field = field;
+        loop {
+            if let Some(&line) = self.lines.get(field) {
+                return Some(line);
+            }
+            field = &field[..field.rfind('.')?];
+        }
+    }
+}
+
+/// Returns a commented `answers.toml` for a new mesh.
+pub fn template() -> &'static str {
+    include_str!("answers/template.toml")
+}
+
+/// Returns the text of `answers.toml` for a mesh with tenants and services of the names given,
+/// each service with one route. Everything else has its default.
+pub fn minimal(mesh: &str, tenants: &[String], services: &[(String, String)]) -> String {
+    let quoted = |text: &str| toml::Value::from(text).to_string();
+    let mut text = format!("mesh = {}\n", quoted(mesh));
+    for tenant in tenants {
+        text += &format!("\n[[tenants]]\nname = {}\n", quoted(tenant));
+    }
+    for (service, version) in services {
+        let (service, version) = (quoted(service), quoted(version));
+        text += &format!("\n[[services]]\nname = {service}\nversion = {version}\n");
+    }
+    for (service, _) in services {
+        let prefix = quoted(&format!("/{service}"));
+        let service = quoted(service);
+        text += &format!("\n[[routes]]\nname = {service}\nservice = {service}\n");
+        text += &format!("prefix = {prefix}\n");
+    }
+    text
+}
+
+fn named<N: From<String>, T>(items: Vec<(String, T)>) -> Vec<(N, T)> {
+    items
+        .into_iter()
+        .map(|(name, item)| (N::from(name), item))
+        .collect()
+}
+
+fn tenant(reader: &mut Reader<'_>, section: &mut Section<'_, '_>) -> Option<TenantConfig> {
+    let weight = reader.optional(section, "weight", Reader::integer, defaults::WEIGHT);
+    Some(TenantConfig { weight })
+}
+
+fn service(reader: &mut Reader<'_>, section: &mut Section<'_, '_>) -> Option<ServiceConfig> {
+    let version = reader.required(section, "version", Reader::text);
+    let callers = reader.optional(section, "callers", Reader::texts, Vec::new());
+    let min = reader.optional(
+        section,
+        "min-endpoints",
+        Reader::percent,
+        defaults::MIN_ENDPOINTS,
+    );
+    let budget = reader.optional(
+        section,
+        "retry-budget",
+        Reader::percent,
+        defaults::RETRY_BUDGET,
+    );
+    let rollout = match reader.table(section, "rollout") {
+        Some(mut table) => {
+            let rule = rollout(reader, &mut table);
+            reader.finish(table);
+            rule
+        }
+        None => rollout(reader, &mut Section::empty()),
+    };
+    Some(ServiceConfig {
+        version: version?.into(),
+        callers: callers.into_iter().map(ServiceName::from).collect(),
+        rollout,
+        min_endpoints: min,
+        retry_budget: budget,
+    })
+}
+
+fn rollout(reader: &mut Reader<'_>, section: &mut Section<'_, '_>) -> RolloutRule {
+    let steps = reader.optional(section, "steps", Reader::percents, defaults::STEPS.to_vec());
+    let watch = reader.optional(section, "watch", Reader::duration, defaults::WATCH);
+    let failures = reader.optional(
+        section,
+        "max-extra-failures",
+        Reader::percent,
+        defaults::MAX_EXTRA_FAILURES,
+    );
+    let slowdown = reader.optional(
+        section,
+        "max-slowdown",
+        Reader::integer,
+        defaults::MAX_SLOWDOWN_PERCENT,
+    );
+    let alarm = reader.optional(
+        section,
+        "false-alarm",
+        Reader::percent,
+        defaults::FALSE_ALARM,
+    );
+    let low = reader.optional(section, "low-traffic", low_traffic, defaults::LOW_TRAFFIC);
+    RolloutRule {
+        steps,
+        finish: finish_time(reader, section),
+        watch,
+        max_extra_failures: failures,
+        max_slowdown_percent: slowdown.saturating_add(100),
+        false_alarm: alarm,
+        low_traffic: low,
+    }
+}
+
+fn finish_time(reader: &mut Reader<'_>, section: &mut Section<'_, '_>) -> FinishTime {
+    let within = reader.maybe(section, "finish-within", Reader::duration);
+    let by = reader.maybe(section, "finish-by", Reader::time);
+    match (within, by) {
+        (Some(_), Some(by)) => {
+            let field = section.field("finish-by");
+            reader.report_field(
+                &field,
+                "finish-within is given as well".to_owned(),
+                "keep one of finish-within and finish-by",
+            );
+            FinishTime::By(by)
+        }
+        (None, Some(by)) => FinishTime::By(by),
+        (Some(within), None) => FinishTime::Within(within),
+        (None, None) => FinishTime::Within(defaults::FINISH_WITHIN),
+    }
+}
+
+fn low_traffic(value: &reader::Value<'_>) -> Result<LowTraffic, reader::Wrong> {
+    match Reader::text(value)?.as_str() {
+        "finish" => Ok(LowTraffic::Finish),
+        "stay" => Ok(LowTraffic::Stay),
+        other => Err(reader::Wrong {
+            message: format!("{other:?} is no decision"),
+            help: "write \"finish\" or \"stay\"",
+        }),
+    }
+}
+
+fn route(reader: &mut Reader<'_>, section: &mut Section<'_, '_>) -> Option<RouteConfig> {
+    let service = reader.required(section, "service", Reader::text);
+    let prefix = reader.required(section, "prefix", Reader::text);
+    let methods = reader.optional(section, "methods", Reader::texts, Vec::new());
+    let idempotent = reader.optional(section, "idempotent", Reader::boolean, false);
+    let tenants = reader.optional(section, "tenants", Reader::texts, Vec::new());
+    let timeout = reader.optional(section, "timeout", Reader::duration, defaults::TIMEOUT);
+    Some(RouteConfig {
+        service: service?.into(),
+        prefix: prefix?,
+        methods,
+        idempotent,
+        tenants: tenants.into_iter().map(TenantName::from).collect(),
+        timeout,
+    })
+}
