Generate and validate the mesh configuration

Answers that parse may still contradict each other, and a control replica must not rely on the client having checked them.

MeshConfig::validate checks names, references, ranges, share steps, finish times and shadowing routes and returns all problems with field paths. generate() runs it on the configuration made from the answers and adds file and line. Lists without an order are sorted, so equal answers give equal bytes. The line of a name is kept under the path that contains the name.

--- a/crates/state/src/answers.rs
+++ b/crates/state/src/answers.rs
@@ -7,9 +7,9 @@
 use std::collections::BTreeMap;
 
 use crate::config::{
-    FinishTime, LowTraffic, RolloutRule, RouteConfig, ServiceConfig, Share, TenantConfig,
+    FinishTime, LowTraffic, RolloutRule, RouteConfig, ServiceConfig, TenantConfig,
 };
-use crate::ids::{Millis, RouteName, ServiceName, TenantName};
+use crate::ids::{RouteName, ServiceName, TenantName};
 
 mod problem;
 mod reader;
--- a/crates/state/src/answers/reader.rs
+++ b/crates/state/src/answers/reader.rs
@@ -186,8 +186,7 @@
             };
             let name = self.required(&mut item, "name", Self::text);
             if let Some(name) = &name {
-                item.path = format!("{key}.{name}");
-                self.note_line(&item.path, value.span().start);
+                self.name_section(&mut item, format!("{key}.{name}"));
             }
             let content = read(self, &mut item);
             self.finish(item);
@@ -269,6 +268,16 @@
         }
     }
 
+    /// Gives a section the path that contains its name, in place of its position.
+    fn name_section(&mut self, section: &mut Section<'_, '_>, path: String) {
+        let name_line = self.lines.get(&section.field("name")).copied();
+        section.path = path;
+        self.note_line(&section.path, section.span.start);
+        if let Some(line) = name_line {
+            self.lines.entry(section.field("name")).or_insert(line);
+        }
+    }
+
     /// Remembers the line of a field. The first of several entries with one name counts.
     fn note_line(&mut self, field: &str, offset: usize) {
         let line = self.line_at(offset);
--- a/crates/state/src/answers/tests.rs
+++ b/crates/state/src/answers/tests.rs
@@ -2,6 +2,8 @@
 use rstest::rstest;
 
 use super::*;
+use crate::config::Share;
+use crate::ids::Millis;
 
 const FULL: &str = r#"mesh = "sfax"
 
--- /dev/null
+++ b/crates/state/src/generate.rs
@@ -0,0 +1,93 @@
+//! Generation of the mesh configuration from the answers.
+//!
+//! The result depends on the answers only, so the same answers give the same bytes. The time is
+//! used for checks and never becomes part of the result.
+
+use std::fmt::Display;
+
+use indexmap::IndexMap;
+
+use crate::answers::{Answers, Problem};
+use crate::config::MeshConfig;
+use crate::ids::Millis;
+
+mod names;
+mod validate;
+
+#[cfg(test)]
+mod tests;
+
+/// Generates the configuration, or returns all problems in the order of their lines.
+///
+/// `now` counts from the Unix epoch.
+pub fn generate(answers: &Answers, now: Millis) -> Result<MeshConfig, Vec<Problem>> {
+    let mut problems = Vec::new();
+    if let Some(problem) = names::check("mesh", &answers.mesh) {
+        problems.push(problem);
+    }
+    let mut cfg = MeshConfig {
+        tenants: unique("tenants", &answers.tenants, &mut problems),
+        services: unique("services", &answers.services, &mut problems),
+        routes: unique("routes", &answers.routes, &mut problems),
+    };
+    normalise(&mut cfg);
+    problems.extend(cfg.validate(now));
+    if problems.is_empty() {
+        return Ok(cfg);
+    }
+    for problem in &mut problems {
+        problem.file = answers.file().to_owned();
+        problem.line = answers.line(&problem.field);
+    }
+    problems.sort_by_key(|problem| problem.line);
+    Err(problems)
+}
+
+/// Brings lists whose order has no meaning into one order.
+fn normalise(cfg: &mut MeshConfig) {
+    for service in cfg.services.values_mut() {
+        service.callers.sort();
+    }
+    for route in cfg.routes.values_mut() {
+        route.methods.sort();
+        route.tenants.sort();
+    }
+}
+
+fn unique<N, T>(section: &str, items: &[(N, T)], problems: &mut Vec<Problem>) -> IndexMap<N, T>
+where
+    N: Clone + Display + Eq + std::hash::Hash,
+    T: Clone,
+{
+    let mut map = IndexMap::with_capacity(items.len());
+    for (at, (name, item)) in items.iter().enumerate() {
+        if map.contains_key(name) {
+            problems.push(problem(
+                format!("{section}[{at}].name"),
+                format!("{name:?} is given twice", name = name.to_string()),
+                "give every entry a name of its own",
+            ));
+            continue;
+        }
+        map.insert(name.clone(), item.clone());
+    }
+    map
+}
+
+impl MeshConfig {
+    /// Returns the canonical encoding, compact JSON in the order of the configuration.
+    pub fn to_bytes(&self) -> Vec<u8> {
+        serde_json::to_vec(self).expect("a configuration consists of types that JSON can encode")
+    }
+}
+
+/// Makes a problem without a place in a file.
+fn problem(field: String, message: String, help: &str) -> Problem {
+    Problem {
+        file: String::new(),
+        line: None,
+        field,
+        message,
+        help: help.to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/state/src/generate/validate.rs
@@ -0,0 +1,273 @@
+//! Checks of a configuration as a whole.
+//!
+//! The same checks run on generation and at a control replica, which must not rely on a client
+//! having made them. Field paths are those of the answers.
+
+use std::collections::{BTreeMap, HashSet};
+use std::fmt::Display;
+use std::hash::Hash;
+
+use super::{names, problem};
+use crate::answers::{Problem, units};
+use crate::config::{FinishTime, MeshConfig, RolloutRule, RouteConfig, ServiceConfig, Share};
+use crate::ids::{Millis, RouteName, ServiceName};
+
+/// Largest weight of a tenant, so that sums of weights do not overflow.
+const MAX_WEIGHT: u32 = 10_000;
+/// Most share steps of a rollout; each is a new version of the configuration.
+const MAX_STEPS: usize = 32;
+/// Longest time for a rollout or for watching it.
+const MAX_ROLLOUT: Millis = Millis(30 * 86_400_000);
+/// Longest time limit of a call.
+const MAX_TIMEOUT: Millis = Millis(3_600_000);
+/// Largest tolerated probability of taking back a good version.
+const MAX_FALSE_ALARM: Share = Share::percent(20);
+/// Largest tolerated latency relative to the old version, in percent.
+const MAX_SLOWDOWN_PERCENT: u32 = 10_000;
+
+impl MeshConfig {
+    /// Returns all problems of the configuration. `now` counts from the Unix epoch.
+    pub fn validate(&self, now: Millis) -> Vec<Problem> {
+        let mut check = Check {
+            cfg: self,
+            now,
+            problems: Vec::new(),
+        };
+        check.tenants();
+        for (name, service) in &self.services {
+            check.service(name, service);
+        }
+        for (name, route) in &self.routes {
+            check.route(name, route);
+        }
+        check.shadowing();
+        check.problems
+    }
+}
+
+struct Check<'a> {
+    cfg: &'a MeshConfig,
+    now: Millis,
+    problems: Vec<Problem>,
+}
+
+impl Check<'_> {
+    fn report(&mut self, field: String, message: impl Into<String>, help: &str) {
+        self.problems.push(problem(field, message.into(), help));
+    }
+
+    fn tenants(&mut self) {
+        if self.cfg.services.is_empty() {
+            self.report(
+                "services".into(),
+                "there is none",
+                "add at least one service",
+            );
+        }
+        if self.cfg.tenants.is_empty() {
+            self.report("tenants".into(), "there is none", "add at least one tenant");
+        }
+        for (name, tenant) in &self.cfg.tenants {
+            let field = format!("tenants.{name}");
+            self.problems
+                .extend(names::check(&format!("{field}.name"), name.as_str()));
+            if !(1..=MAX_WEIGHT).contains(&tenant.weight) {
+                let message = format!("{} is not a weight", tenant.weight);
+                self.report(format!("{field}.weight"), message, "use 1 to 10000");
+            }
+        }
+    }
+
+    fn service(&mut self, name: &ServiceName, service: &ServiceConfig) {
+        let path = format!("services.{name}");
+        let field = |key: &str| format!("{path}.{key}");
+        self.problems
+            .extend(names::check(&field("name"), name.as_str()));
+        let version = service.version.as_str();
+        self.problems
+            .extend(names::check_version(field("version"), version));
+        self.distinct(&field("callers"), &service.callers);
+        for caller in &service.callers {
+            if !self.cfg.services.contains_key(caller) {
+                let message = format!("there is no service {:?}", caller.as_str());
+                self.report(
+                    field("callers"),
+                    message,
+                    "add the service or remove the caller",
+                );
+            }
+        }
+        self.share_range(
+            field("min-endpoints"),
+            service.min_endpoints,
+            Share::NONE,
+            Share::ALL,
+        );
+        self.share_range(
+            field("retry-budget"),
+            service.retry_budget,
+            Share::NONE,
+            Share::ALL,
+        );
+        self.rollout(&field("rollout"), &service.rollout);
+    }
+
+    fn rollout(&mut self, path: &str, rule: &RolloutRule) {
+        let field = |key: &str| format!("{path}.{key}");
+        self.steps(field("steps"), &rule.steps);
+        self.finish(path, rule.finish);
+        self.duration(field("watch"), rule.watch, MAX_ROLLOUT);
+        let least = Share(1);
+        let failures = rule.max_extra_failures;
+        self.share_range(field("max-extra-failures"), failures, least, Share::ALL);
+        self.share_range(
+            field("false-alarm"),
+            rule.false_alarm,
+            least,
+            MAX_FALSE_ALARM,
+        );
+        if !(101..=MAX_SLOWDOWN_PERCENT).contains(&rule.max_slowdown_percent) {
+            let message = match rule.max_slowdown_percent.checked_sub(100) {
+                Some(slowdown) => format!("{slowdown} is not a usable slowdown"),
+                None => "the new version would have to be faster".to_owned(),
+            };
+            self.report(field("max-slowdown"), message, "use 1 to 9900 percent");
+        }
+    }
+
+    fn steps(&mut self, field: String, steps: &[Share]) {
+        let help = "list rising percentages that end at 100, for example [1, 10, 100]";
+        if steps.first().is_none_or(|first| *first == Share::NONE) {
+            self.report(field.clone(), "the first share must be above zero", help);
+        }
+        if steps.windows(2).any(|pair| pair[0] >= pair[1]) {
+            self.report(field.clone(), "the shares must rise", help);
+        }
+        if steps.last().is_some_and(|last| *last != Share::ALL) {
+            self.report(field.clone(), "the last share must be 100", help);
+        }
+        if steps.len() > MAX_STEPS {
+            self.report(field, "there are too many shares", "use at most 32");
+        }
+    }
+
+    fn finish(&mut self, path: &str, finish: FinishTime) {
+        match finish {
+            FinishTime::Within(duration) => {
+                self.duration(format!("{path}.finish-within"), duration, MAX_ROLLOUT);
+            }
+            FinishTime::By(time) if time <= self.now => {
+                let message = format!("{} is in the past", units::format_time(time));
+                let help = "use a later time, or finish-within";
+                self.report(format!("{path}.finish-by"), message, help);
+            }
+            FinishTime::By(time) if time > self.now.after(MAX_ROLLOUT) => {
+                let message = format!("{} is too far away", units::format_time(time));
+                self.report(format!("{path}.finish-by"), message, "use at most 30 days");
+            }
+            FinishTime::By(_) => {}
+        }
+    }
+
+    fn route(&mut self, name: &RouteName, route: &RouteConfig) {
+        let path = format!("routes.{name}");
+        let field = |key: &str| format!("{path}.{key}");
+        self.problems
+            .extend(names::check(&field("name"), name.as_str()));
+        if !self.cfg.services.contains_key(&route.service) {
+            let message = format!("there is no service {:?}", route.service.as_str());
+            self.report(
+                field("service"),
+                message,
+                "add the service or name another one",
+            );
+        }
+        self.problems
+            .extend(names::check_prefix(field("prefix"), &route.prefix));
+        self.distinct(&field("methods"), &route.methods);
+        for method in &route.methods {
+            if names::is_method(method) {
+                continue;
+            }
+            let message = format!("{method:?} is not a method that can be forwarded");
+            self.report(
+                field("methods"),
+                message,
+                "write methods in upper case, such as GET",
+            );
+        }
+        self.distinct(&field("tenants"), &route.tenants);
+        for tenant in &route.tenants {
+            if self.cfg.tenants.contains_key(tenant) {
+                continue;
+            }
+            let message = format!("there is no tenant {:?}", tenant.as_str());
+            self.report(
+                field("tenants"),
+                message,
+                "add the tenant or remove it here",
+            );
+        }
+        self.duration(field("timeout"), route.timeout, MAX_TIMEOUT);
+    }
+
+    /// Reports routes that can match the same request with the same prefix, since nothing then
+    /// decides between them.
+    fn shadowing(&mut self) {
+        let mut by_prefix: BTreeMap<&str, Vec<(&RouteName, &RouteConfig)>> = BTreeMap::new();
+        for (name, route) in &self.cfg.routes {
+            let same = by_prefix.entry(&route.prefix).or_default();
+            let shadowed = same.iter().find(|(_, other)| share_method(route, other));
+            if let Some((other, _)) = shadowed {
+                let message = format!("route {other} has the same prefix and a common method");
+                let help = "change the prefix, divide the methods, or remove one of the routes";
+                self.problems
+                    .push(problem(format!("routes.{name}.prefix"), message, help));
+            }
+            same.push((name, route));
+        }
+    }
+
+    fn distinct<T: Display + Eq + Hash>(&mut self, field: &str, items: &[T]) {
+        let mut seen = HashSet::with_capacity(items.len());
+        for item in items {
+            if seen.insert(item) {
+                continue;
+            }
+            let message = format!("{:?} is given twice", item.to_string());
+            self.report(field.to_owned(), message, "remove one of them");
+        }
+    }
+
+    fn share_range(&mut self, field: String, share: Share, least: Share, most: Share) {
+        if (least..=most).contains(&share) {
+            return;
+        }
+        let message = format!("{} is out of range", units::format_percent(share));
+        let bound = if least == Share::NONE { "0" } else { "above 0" };
+        let help = format!("use {bound} to {} percent", most.0 / 10_000);
+        self.report(field, message, &help);
+    }
+
+    fn duration(&mut self, field: String, duration: Millis, most: Millis) {
+        if (1..=most.0).contains(&duration.0) {
+            return;
+        }
+        let message = format!("{} is out of range", units::format_duration(duration));
+        let help = format!(
+            "use more than zero and at most {}",
+            units::format_duration(most)
+        );
+        self.report(field, message, &help);
+    }
+}
+
+/// Returns whether some method belongs to both routes. No methods means all.
+fn share_method(one: &RouteConfig, other: &RouteConfig) -> bool {
+    one.methods.is_empty()
+        || other.methods.is_empty()
+        || one
+            .methods
+            .iter()
+            .any(|method| other.methods.contains(method))
+}
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod answers;
 pub mod config;
 pub mod endpoint;
+pub mod generate;
 pub mod ids;
 pub mod operator;
 pub mod verdict;
