Add the difference between two configurations

An operator reads what an approval changes before giving it.

diff() compares tenants, services and routes field by field with the keys and units of the answers; additions come before what uses them and removals last. A changed version is marked as the start of a rollout.

--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod generate;
 pub mod ids;
 pub mod operator;
+pub mod plan;
 pub mod verdict;
 pub mod view;
--- /dev/null
+++ b/crates/state/src/plan.rs
@@ -0,0 +1,232 @@
+//! Difference between two configurations, for operators to read before they approve one.
+
+use std::fmt;
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use crate::answers::units;
+use crate::config::{
+    FinishTime, LowTraffic, MeshConfig, RolloutRule, RouteConfig, ServiceConfig, Share,
+    TenantConfig,
+};
+use crate::view::ResourceKey;
+
+#[cfg(test)]
+mod tests;
+
+/// A change of one tenant, service or route.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Change {
+    /// What happens to it.
+    pub action: Action,
+    /// The tenant, service or route.
+    pub subject: ResourceKey,
+    /// Its fields that differ; for an added one all fields, for a removed one none.
+    pub fields: Vec<FieldChange>,
+}
+
+/// What happens to a tenant, service or route.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Action {
+    /// It is added.
+    Add,
+    /// It is changed.
+    Change,
+    /// It is removed.
+    Remove,
+}
+
+/// A change of a field, with the key and the units of the answers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct FieldChange {
+    /// Key of the field.
+    pub field: String,
+    /// Value before, if there was one.
+    pub from: Option<String>,
+    /// Value after.
+    pub to: String,
+}
+
+impl Change {
+    /// Returns whether the change starts the rollout of a new version.
+    pub fn starts_rollout(&self) -> bool {
+        self.action == Action::Change
+            && matches!(self.subject, ResourceKey::Service(_))
+            && self.fields.iter().any(|change| change.field == VERSION)
+    }
+}
+
+impl fmt::Display for Change {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let sign = match self.action {
+            Action::Add => '+',
+            Action::Change => '~',
+            Action::Remove => '-',
+        };
+        write!(f, "{sign} {}", self.subject)?;
+        for change in &self.fields {
+            write!(f, "\n    {}: ", change.field)?;
+            if let Some(from) = &change.from {
+                write!(f, "{from} -> ")?;
+            }
+            f.write_str(&change.to)?;
+        }
+        if self.starts_rollout() {
+            f.write_str("\n    starts a rollout")?;
+        }
+        Ok(())
+    }
+}
+
+/// Returns the changes from `old` to `new`.
+///
+/// What is added comes before what uses it: tenants, services, routes. Removals come last, in the
+/// reverse order. A different order of entries alone is no change.
+pub fn diff(old: &MeshConfig, new: &MeshConfig) -> Vec<Change> {
+    let old = subjects(old);
+    let new = subjects(new);
+    let mut changes = Vec::new();
+    for (subject, fields) in &new {
+        changes.extend(change(subject, old.get(subject), fields));
+    }
+    for subject in old.keys().rev() {
+        if new.contains_key(subject) {
+            continue;
+        }
+        changes.push(Change {
+            action: Action::Remove,
+            subject: subject.clone(),
+            fields: Vec::new(),
+        });
+    }
+    changes
+}
+
+/// Key of the field whose change starts a rollout.
+const VERSION: &str = "version";
+
+/// Fields of a tenant, service or route as text, with the keys of the answers.
+type Fields = Vec<(&'static str, String)>;
+
+/// Returns tenants, services and routes in this order.
+fn subjects(cfg: &MeshConfig) -> IndexMap<ResourceKey, Fields> {
+    let tenants = cfg
+        .tenants
+        .iter()
+        .map(|(name, tenant)| (ResourceKey::Tenant(name.clone()), tenant_fields(tenant)));
+    let services = cfg
+        .services
+        .iter()
+        .map(|(name, service)| (ResourceKey::Service(name.clone()), service_fields(service)));
+    let routes = cfg
+        .routes
+        .iter()
+        .map(|(name, route)| (ResourceKey::Route(name.clone()), route_fields(route)));
+    tenants.chain(services).chain(routes).collect()
+}
+
+fn change(subject: &ResourceKey, old: Option<&Fields>, new: &Fields) -> Option<Change> {
+    let mut fields = Vec::new();
+    for (at, (field, to)) in new.iter().enumerate() {
+        let from = old.map(|old| &old[at].1);
+        if from == Some(to) {
+            continue;
+        }
+        fields.push(FieldChange {
+            field: (*field).to_owned(),
+            from: from.cloned(),
+            to: to.clone(),
+        });
+    }
+    let action = match old {
+        None => Action::Add,
+        Some(_) if fields.is_empty() => return None,
+        Some(_) => Action::Change,
+    };
+    Some(Change {
+        action,
+        subject: subject.clone(),
+        fields,
+    })
+}
+
+fn tenant_fields(tenant: &TenantConfig) -> Fields {
+    let TenantConfig { weight } = tenant;
+    vec![("weight", weight.to_string())]
+}
+
+fn service_fields(service: &ServiceConfig) -> Fields {
+    // The patterns name every field, so that a new field cannot be left out of plans.
+    let ServiceConfig {
+        version,
+        callers,
+        rollout,
+        min_endpoints,
+        retry_budget,
+    } = service;
+    let RolloutRule {
+        steps,
+        finish,
+        watch,
+        max_extra_failures,
+        max_slowdown_percent,
+        false_alarm,
+        low_traffic,
+    } = rollout;
+    let finish = match *finish {
+        FinishTime::Within(duration) => format!("within {}", units::format_duration(duration)),
+        FinishTime::By(time) => format!("by {}", units::format_time(time)),
+    };
+    let low_traffic = match low_traffic {
+        LowTraffic::Finish => "finish",
+        LowTraffic::Stay => "stay",
+    };
+    let percent = |share: &Share| units::format_percent(*share);
+    vec![
+        (VERSION, version.to_string()),
+        ("callers", list(callers, "none")),
+        ("min-endpoints", percent(min_endpoints)),
+        ("retry-budget", percent(retry_budget)),
+        ("rollout.steps", list(steps.iter().map(percent), "none")),
+        ("rollout.finish", finish),
+        ("rollout.watch", units::format_duration(*watch)),
+        ("rollout.max-extra-failures", percent(max_extra_failures)),
+        (
+            "rollout.max-slowdown",
+            format!("{}%", i64::from(*max_slowdown_percent) - 100),
+        ),
+        ("rollout.false-alarm", percent(false_alarm)),
+        ("rollout.low-traffic", low_traffic.to_owned()),
+    ]
+}
+
+fn route_fields(route: &RouteConfig) -> Fields {
+    let RouteConfig {
+        service,
+        prefix,
+        methods,
+        idempotent,
+        tenants,
+        timeout,
+    } = route;
+    vec![
+        ("service", service.to_string()),
+        ("prefix", prefix.clone()),
+        ("methods", list(methods, "all")),
+        ("idempotent", idempotent.to_string()),
+        ("tenants", list(tenants, "all")),
+        ("timeout", units::format_duration(*timeout)),
+    ]
+}
+
+fn list<T: fmt::Display>(items: impl IntoIterator<Item = T>, empty: &str) -> String {
+    let items: Vec<_> = items.into_iter().map(|item| item.to_string()).collect();
+    if items.is_empty() {
+        return empty.to_owned();
+    }
+    items.join(", ")
+}
