Name the mesh in the configuration response

A client that is given the address of another mesh must refuse to plan or approve there, so the response names the mesh. The checks of names are public for the client's questions; the client also writes the first file itself.

--- a/crates/state/src/answers.rs
+++ b/crates/state/src/answers.rs
@@ -119,27 +119,6 @@
     include_str!("answers/template.toml")
 }
 
-/// Returns the text of `answers.toml` for a mesh with tenants and services of the names given,
-/// each service with one route. Everything else has its default.
-pub fn minimal(mesh: &str, tenants: &[String], services: &[(String, String)]) -> String {
-    let quoted = |text: &str| toml::Value::from(text).to_string();
-    let mut text = format!("mesh = {}\n", quoted(mesh));
-    for tenant in tenants {
-        text += &format!("\n[[tenants]]\nname = {}\n", quoted(tenant));
-    }
-    for (service, version) in services {
-        let (service, version) = (quoted(service), quoted(version));
-        text += &format!("\n[[services]]\nname = {service}\nversion = {version}\n");
-    }
-    for (service, _) in services {
-        let prefix = quoted(&format!("/{service}"));
-        let service = quoted(service);
-        text += &format!("\n[[routes]]\nname = {service}\nservice = {service}\n");
-        text += &format!("prefix = {prefix}\n");
-    }
-    text
-}
-
 fn named<N: From<String>, T>(items: Vec<(String, T)>) -> Vec<(N, T)> {
     items
         .into_iter()
--- a/crates/state/src/answers/tests.rs
+++ b/crates/state/src/answers/tests.rs
@@ -238,19 +238,6 @@
     assert_eq!(units::parse_time(text), Some(Millis(millis)));
 }
 
-// Guards against a first file, made by `init`, that is refused or misread.
-#[test]
-fn minimal_parses() {
-    let services = [
-        ("orders".to_owned(), "v1".to_owned()),
-        ("a\"b".to_owned(), "v2".to_owned()),
-    ];
-    let text = minimal("sfax", &["grocers".to_owned()], &services);
-    let answers = Answers::parse("a", &text).unwrap();
-    assert_eq!(answers.services[1].0.as_str(), "a\"b");
-    assert_eq!(answers.routes[0].1.prefix, "/orders");
-}
-
 fn with_line(line: usize, replacement: &str) -> String {
     let mut lines: Vec<_> = FULL.lines().collect();
     lines[line - 1] = replacement;
--- a/crates/state/src/generate.rs
+++ b/crates/state/src/generate.rs
@@ -11,7 +11,7 @@
 use crate::config::MeshConfig;
 use crate::ids::Millis;
 
-mod names;
+pub mod names;
 mod validate;
 
 #[cfg(test)]
--- a/crates/state/src/generate/names.rs
+++ b/crates/state/src/generate/names.rs
@@ -10,7 +10,7 @@
 
 /// Checks the name of a mesh, tenant, service or route. Names appear in metrics, in paths of the
 /// operator interface and in field paths, so they contain no characters with a meaning there.
-pub(super) fn check(field: &str, name: &str) -> Option<Problem> {
+pub fn check(field: &str, name: &str) -> Option<Problem> {
     let allowed = |b: u8| b.is_ascii_lowercase() || b.is_ascii_digit() || b == b'-';
     let good = is_bounded(name)
         && name.bytes().all(allowed)
@@ -26,14 +26,14 @@
 }
 
 /// Checks the name of a version.
-pub(super) fn check_version(field: String, name: &str) -> Option<Problem> {
+pub fn check_version(field: &str, name: &str) -> Option<Problem> {
     let allowed = |b: u8| b.is_ascii_alphanumeric() || b"._-".contains(&b);
     let good = is_bounded(name)
         && name.bytes().all(allowed)
         && name.starts_with(|c: char| c.is_ascii_alphanumeric());
     (!good).then(|| {
         problem(
-            field,
+            field.to_owned(),
             format!("{name:?} is not a version"),
             "use 1 to 63 letters, digits, dots, underscores and dashes, the first a letter or digit",
         )
@@ -42,7 +42,7 @@
 
 /// Checks a path prefix. Only the canonical form is accepted, so that equal prefixes are equal
 /// texts.
-pub(super) fn check_prefix(field: String, prefix: &str) -> Option<Problem> {
+pub fn check_prefix(field: &str, prefix: &str) -> Option<Problem> {
     let allowed = |b: u8| b.is_ascii_alphanumeric() || b"-._~!$&'()*+,;=:@/".contains(&b);
     let good_segment = |segment: &str| !matches!(segment, "" | "." | "..");
     let good = prefix.len() <= MAX_PREFIX_BYTES
@@ -54,7 +54,7 @@
         };
     (!good).then(|| {
         problem(
-            field,
+            field.to_owned(),
             format!("{prefix:?} is not a path prefix"),
             "begin with /, end without one, and use no empty segments, escapes or queries",
         )
@@ -62,7 +62,7 @@
 }
 
 /// Returns whether a route can accept `method`. `CONNECT` and `TRACE` are not forwarded.
-pub(super) fn is_method(method: &str) -> bool {
+pub fn is_method(method: &str) -> bool {
     is_bounded(method)
         && method.bytes().all(|b| b.is_ascii_uppercase() || b == b'-')
         && !matches!(method, "CONNECT" | "TRACE")
--- a/crates/state/src/generate/validate.rs
+++ b/crates/state/src/generate/validate.rs
@@ -85,7 +85,7 @@
             .extend(names::check(&field("name"), name.as_str()));
         let version = service.version.as_str();
         self.problems
-            .extend(names::check_version(field("version"), version));
+            .extend(names::check_version(&field("version"), version));
         self.distinct(&field("callers"), &service.callers);
         for caller in &service.callers {
             if !self.cfg.services.contains_key(caller) {
@@ -183,7 +183,7 @@
             );
         }
         self.problems
-            .extend(names::check_prefix(field("prefix"), &route.prefix));
+            .extend(names::check_prefix(&field("prefix"), &route.prefix));
         self.distinct(&field("methods"), &route.methods);
         for method in &route.methods {
             if names::is_method(method) {
--- a/crates/state/src/operator.rs
+++ b/crates/state/src/operator.rs
@@ -55,6 +55,8 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct ConfigResponse {
+    /// Name of the mesh. A client refuses answers for another one.
+    pub mesh: String,
     /// Its version. It is zero as long as nothing was approved.
     pub version: ConfigVersion,
     /// Text of the answers that it was generated from.
