Add the command-line client

Operators need to write, check, plan and approve answers and to follow what happens, by hand and from scripts.

init and check work offline. Responses are bounded in bytes and in time, and a body that ends early is refused, since async-h1 checks none of this.

--- /dev/null
+++ b/crates/cli/src/commands.rs
@@ -0,0 +1,127 @@
+//! The commands and their arguments.
+
+use std::path::PathBuf;
+
+use bpaf::{OptionParser, Parser, construct, long, positional};
+
+use crate::exit;
+
+pub mod approve;
+pub mod check;
+pub mod drain;
+pub mod endpoints;
+pub mod history;
+pub mod init;
+pub mod plan;
+pub mod status;
+pub mod watch;
+
+/// A command with its arguments.
+#[derive(Clone, Debug)]
+pub enum Command {
+    /// Write a new answers file.
+    Init(init::Options),
+    /// Check an answers file.
+    Check(check::Options),
+    /// Show what the approval of an answers file would change.
+    Plan(plan::Options),
+    /// Put an answers file in force.
+    Approve(approve::Options),
+    /// Show the state of the mesh.
+    Status(status::Options),
+    /// Wait for a version or a rollout.
+    Watch(watch::Options),
+    /// Show what happened.
+    History(history::Options),
+    /// Show the endpoints.
+    Endpoints(endpoints::Options),
+    /// Give the endpoints at a daemon no new work.
+    Drain(drain::Options),
+}
+
+/// Returns the parser of the command line.
+pub fn parser() -> OptionParser<Command> {
+    let init = command(
+        "init",
+        "Write a new answers file",
+        init::options().map(Command::Init),
+    );
+    let check = command(
+        "check",
+        "List all problems of an answers file",
+        check::options().map(Command::Check),
+    );
+    let plan = command(
+        "plan",
+        "Show what the approval of an answers file would change",
+        plan::options().map(Command::Plan),
+    );
+    let approve = command(
+        "approve",
+        "Put an answers file in force",
+        approve::options().map(Command::Approve),
+    );
+    let status = command(
+        "status",
+        "Show the state of the mesh",
+        status::options().map(Command::Status),
+    );
+    let watch = command(
+        "watch",
+        "Wait until the accepted version is in force everywhere, or until a rollout has ended",
+        watch::options().map(Command::Watch),
+    );
+    let history = command(
+        "history",
+        "Show what happened, in all services or in one",
+        history::options().map(Command::History),
+    );
+    let endpoints = command(
+        "endpoints",
+        "Show the endpoints",
+        endpoints::options().map(Command::Endpoints),
+    );
+    let drain = command(
+        "drain",
+        "Give the endpoints at a daemon no new work",
+        drain::options().map(Command::Drain),
+    );
+    construct!([
+        init, check, plan, approve, status, watch, history, endpoints, drain
+    ])
+    .to_options()
+    .descr("Configures a service mesh from the answers to a questionnaire.")
+    .footer(exit::HELP)
+    .version(env!("CARGO_PKG_VERSION"))
+}
+
+fn command(
+    name: &'static str,
+    descr: &'static str,
+    options: impl Parser<Command> + 'static,
+) -> impl Parser<Command> {
+    options
+        .to_options()
+        .descr(descr)
+        .footer(exit::HELP)
+        .command(name)
+        .help(descr)
+}
+
+/// Returns the parser of `--json`.
+fn json() -> impl Parser<bool> {
+    long("json").help("Print JSON").switch()
+}
+
+/// Returns the parser of the answers file.
+fn file() -> impl Parser<PathBuf> {
+    positional::<PathBuf>("FILE").help("Answers file")
+}
+
+/// Returns the parser of `--service`.
+fn service(help: &'static str) -> impl Parser<Option<String>> {
+    long("service")
+        .help(help)
+        .argument::<String>("SERVICE")
+        .optional()
+}
--- /dev/null
+++ b/crates/cli/src/commands/init.rs
@@ -0,0 +1,94 @@
+//! `init`: writes a new answers file, from questions at a terminal or as a commented template.
+
+use std::fs::OpenOptions;
+use std::io::{ErrorKind, Write};
+use std::path::{Path, PathBuf};
+
+use bpaf::{Parser, construct, long, positional};
+use eyre::WrapErr;
+use sycamoreflow_state::answers::{Answers, template};
+use sycamoreflow_state::generate::generate;
+
+use crate::Io;
+use crate::answers_file::{invalid, now};
+use crate::exit::{Exit, Failure, Result};
+
+mod questions;
+
+/// Arguments of the command.
+#[derive(Clone, Debug)]
+pub struct Options {
+    template: bool,
+    force: bool,
+    file: PathBuf,
+}
+
+/// Returns the parser of the arguments.
+pub fn options() -> impl Parser<Options> {
+    let template = long("template")
+        .help("Write a commented file instead of asking")
+        .switch();
+    let force = long("force").help("Replace the file if it exists").switch();
+    let file = positional::<PathBuf>("FILE")
+        .help("File to write (default answers.toml)")
+        .fallback("answers.toml".into());
+    construct!(Options {
+        template,
+        force,
+        file
+    })
+}
+
+/// Runs the command.
+pub fn run(options: &Options, io: &mut Io<'_>) -> Result {
+    // The check comes before the questions, so that no answers are lost.
+    if !options.force && options.file.exists() {
+        return Err(exists(&options.file));
+    }
+    let text = if options.template {
+        template().to_owned()
+    } else if io.terminal {
+        questions::ask(io)?
+    } else {
+        let message = "the questions need a terminal; use --template to get a file to edit";
+        return Err(Failure::new(Exit::Usage, message));
+    };
+    check(&options.file, &text, io.err)?;
+    write(options, &text)?;
+    writeln!(io.out, "wrote {}", options.file.display())?;
+    Ok(())
+}
+
+fn check(file: &Path, text: &str, err: &mut dyn Write) -> Result {
+    let name = file.display().to_string();
+    let checked = Answers::parse(&name, text).and_then(|answers| generate(&answers, now()));
+    let Err(problems) = checked else {
+        return Ok(());
+    };
+    for problem in &problems {
+        writeln!(err, "{problem}")?;
+    }
+    Err(invalid(&problems))
+}
+
+fn write(options: &Options, text: &str) -> Result {
+    let mut open = OpenOptions::new();
+    open.write(true);
+    if options.force {
+        open.create(true).truncate(true);
+    } else {
+        open.create_new(true);
+    }
+    let result = open
+        .open(&options.file)
+        .and_then(|mut file| file.write_all(text.as_bytes()));
+    match result {
+        Err(e) if e.kind() == ErrorKind::AlreadyExists => Err(exists(&options.file)),
+        result => Ok(result.wrap_err_with(|| format!("cannot write {}", options.file.display()))?),
+    }
+}
+
+fn exists(file: &Path) -> Failure {
+    let message = format!("{} exists; use --force to replace it", file.display());
+    Failure::new(Exit::Failure, message)
+}
--- /dev/null
+++ b/crates/cli/src/commands/init/questions.rs
@@ -0,0 +1,183 @@
+//! The questions of `init`. Each answer is checked when it is given and asked for again if it
+//! cannot be used; everything that is not asked has its default.
+
+use sycamoreflow_state::answers::units;
+use sycamoreflow_state::generate::names;
+
+use crate::Io;
+use crate::exit::{Exit, Failure, Result};
+
+/// Returns what is wrong with an answer.
+type Check<'a> = &'a dyn Fn(&str) -> Option<String>;
+
+/// Asks the questionnaire and returns the text of the answers file.
+pub(super) fn ask(io: &mut Io<'_>) -> Result<String> {
+    let mesh = question(io, "Name of the mesh", None, &name)?;
+    let mut text = format!("mesh = {}\n", quoted(&mesh));
+    let tenants = list(io, "Tenants: who calls? (names, with commas between)", &[])?;
+    for tenant in &tenants {
+        let weight = question(io, &format!("Weight of {tenant}"), Some("1"), &weight)?;
+        text += &format!(
+            "\n[[tenants]]\nname = {}\nweight = {weight}\n",
+            quoted(tenant)
+        );
+    }
+    let services = list(
+        io,
+        "Services: what is called? (names, with commas between)",
+        &[],
+    )?;
+    for name in &services {
+        text += &service(io, name, &services)?;
+    }
+    for name in &services {
+        text += &route(io, name)?;
+    }
+    Ok(text)
+}
+
+fn service(io: &mut Io<'_>, name: &str, services: &[String]) -> Result<String> {
+    let version = question(io, &format!("Version of {name}"), Some("v1"), &version)?;
+    let callers = list(io, &format!("Services that call {name}"), services)?;
+    let finish = question(
+        io,
+        &format!("Time in which a new version of {name} is to get all traffic"),
+        Some("30m"),
+        &duration,
+    )?;
+    let failures = question(
+        io,
+        &format!("Percentage of extra failures that makes a new version of {name} bad"),
+        Some("1"),
+        &percent,
+    )?;
+    let callers: Vec<_> = callers.iter().map(|caller| quoted(caller)).collect();
+    Ok(format!(
+        "\n[[services]]\nname = {}\nversion = {}\ncallers = [{}]\n\n\
+         [services.rollout]\nfinish-within = {}\nmax-extra-failures = {failures}\n",
+        quoted(name),
+        quoted(&version),
+        callers.join(", "),
+        quoted(&finish),
+    ))
+}
+
+fn route(io: &mut Io<'_>, service: &str) -> Result<String> {
+    let default = format!("/{service}");
+    let prefix = question(
+        io,
+        &format!("Path prefix of {service}"),
+        Some(&default),
+        &prefix,
+    )?;
+    let timeout = question(
+        io,
+        &format!("Time limit of a call to {service}"),
+        Some("5s"),
+        &duration,
+    )?;
+    Ok(format!(
+        "\n[[routes]]\nname = {name}\nservice = {name}\nprefix = {}\ntimeout = {}\n",
+        quoted(&prefix),
+        quoted(&timeout),
+        name = quoted(service),
+    ))
+}
+
+/// Asks until the answer passes the check. An empty answer means the default.
+fn question(
+    io: &mut Io<'_>,
+    prompt: &str,
+    default: Option<&str>,
+    check: Check<'_>,
+) -> Result<String> {
+    loop {
+        match default {
+            Some(default) => write!(io.out, "{prompt} [{default}]: ")?,
+            None => write!(io.out, "{prompt}: ")?,
+        }
+        io.out.flush()?;
+        let mut line = String::new();
+        if io.input.read_line(&mut line)? == 0 {
+            return Err(Failure::new(
+                Exit::Failure,
+                "the input ended; nothing was written",
+            ));
+        }
+        let answer = match line.trim() {
+            "" => default.unwrap_or_default(),
+            answer => answer,
+        };
+        match check(answer) {
+            None => return Ok(answer.to_owned()),
+            Some(wrong) => writeln!(io.out, "{wrong}")?,
+        }
+    }
+}
+
+/// Asks for a list of names. If `known` names are given, the list may be empty and contains no
+/// others.
+fn list(io: &mut Io<'_>, prompt: &str, known: &[String]) -> Result<Vec<String>> {
+    let check = |answer: &str| {
+        let items = split(answer);
+        let unknown = items
+            .iter()
+            .find(|item| !known.is_empty() && !known.contains(item));
+        let repeated = (1..items.len()).find(|&at| items[..at].contains(&items[at]));
+        if let Some(item) = unknown {
+            return Some(format!("there is no service {item:?}"));
+        }
+        if let Some(at) = repeated {
+            return Some(format!("{:?} is given twice", items[at]));
+        }
+        if items.is_empty() && known.is_empty() {
+            return Some("at least one is needed".to_owned());
+        }
+        items.iter().find_map(|item| name(item))
+    };
+    let default = (!known.is_empty()).then_some("");
+    let answer = question(io, prompt, default, &check)?;
+    Ok(split(&answer))
+}
+
+fn split(answer: &str) -> Vec<String> {
+    answer
+        .split(',')
+        .map(|item| item.trim().to_owned())
+        .filter(|item| !item.is_empty())
+        .collect()
+}
+
+fn name(answer: &str) -> Option<String> {
+    names::check("", answer).map(|problem| problem.to_string())
+}
+
+fn version(answer: &str) -> Option<String> {
+    names::check_version("", answer).map(|problem| problem.to_string())
+}
+
+fn prefix(answer: &str) -> Option<String> {
+    names::check_prefix("", answer).map(|problem| problem.to_string())
+}
+
+fn weight(answer: &str) -> Option<String> {
+    let good = answer
+        .parse()
+        .is_ok_and(|weight: u32| (1..=10_000).contains(&weight));
+    (!good).then(|| "use a whole number from 1 to 10000".to_owned())
+}
+
+fn duration(answer: &str) -> Option<String> {
+    let good = units::parse_duration(answer).is_some_and(|duration| duration.0 > 0);
+    (!good).then(|| "use a number with a unit of ms, s, m, h or d, for example 30s".to_owned())
+}
+
+fn percent(answer: &str) -> Option<String> {
+    let good = units::parse_percent(answer).is_some_and(|share| share.0 > 0);
+    (!good).then(|| "use a percentage above 0 and up to 100, for example 0.5".to_owned())
+}
+
+/// Quotes a text for TOML. The escapes of a JSON text are valid in TOML.
+fn quoted(text: &str) -> String {
+    serde_json::Value::from(text).to_string()
+}
--- /dev/null
+++ b/crates/cli/src/commands/status.rs
@@ -0,0 +1,103 @@
+//! `status`: shows the state of the mesh.
+
+use std::io::Write;
+
+use bpaf::{Parser, construct};
+use sycamoreflow_state::answers::units;
+use sycamoreflow_state::operator::{ReplicaStatus, RolloutStatus, STATUS_PATH, StatusResponse};
+
+use crate::client::{self, Client};
+use crate::exit::Result;
+use crate::{Io, output};
+
+/// Arguments of the command.
+#[derive(Clone, Debug)]
+pub struct Options {
+    client: client::Options,
+    json: bool,
+}
+
+/// Returns the parser of the arguments.
+pub fn options() -> impl Parser<Options> {
+    let client = client::options();
+    let json = super::json();
+    construct!(Options { client, json })
+}
+
+/// Runs the command.
+pub async fn run(options: &Options, io: &mut Io<'_>) -> Result {
+    let client = Client::new(&options.client)?;
+    let status: StatusResponse = client.get(STATUS_PATH).await?;
+    if options.json {
+        return output::json(io.out, &status);
+    }
+    print(io.out, &status)
+}
+
+fn print(out: &mut dyn Write, status: &StatusResponse) -> Result {
+    writeln!(out, "mesh {}, answered by {}", status.mesh, status.daemon)?;
+    writeln!(out, "{}", convergence(status))?;
+    for rejection in &status.convergence.rejected {
+        writeln!(
+            out,
+            "rejected by {}: {}",
+            rejection.daemon, rejection.reason
+        )?;
+    }
+    writeln!(out, "endpoints version {}", status.endpoints)?;
+    match &status.leader {
+        Some(leader) => writeln!(out, "leader {leader}")?,
+        None => writeln!(out, "no leader")?,
+    }
+    if !status.replicas.is_empty() {
+        writeln!(out, "\nreplicas")?;
+        let rows: Vec<_> = status.replicas.iter().map(replica).collect();
+        output::table(out, &rows)?;
+    }
+    if !status.rollouts.is_empty() {
+        writeln!(out, "\nrollouts")?;
+        let rows: Vec<_> = status.rollouts.iter().map(rollout).collect();
+        output::table(out, &rows)?;
+    }
+    Ok(())
+}
+
+/// Returns a line on how far the accepted version has reached.
+pub fn convergence(status: &StatusResponse) -> String {
+    let progress = &status.convergence;
+    let mut line = format!(
+        "version {}, in force at {} of {} daemons",
+        status.config, progress.in_force, progress.daemons
+    );
+    if let Some(duration) = progress.duration {
+        line += &format!(" after {}", units::format_duration(duration));
+    }
+    line
+}
+
+fn replica(replica: &ReplicaStatus) -> [String; 4] {
+    let role = if replica.voter { "voter" } else { "non-voting" };
+    let state = if replica.reachable {
+        "reachable"
+    } else {
+        "unreachable"
+    };
+    [
+        format!("  {}", replica.daemon),
+        role.to_owned(),
+        state.to_owned(),
+        format!("log {}", replica.log_index),
+    ]
+}
+
+/// Returns the columns of a rollout.
+pub fn rollout(rollout: &RolloutStatus) -> [String; 6] {
+    [
+        format!("  {}", rollout.service),
+        format!("{} -> {}", rollout.from, rollout.to),
+        rollout.phase.as_str().to_owned(),
+        units::format_percent(rollout.share),
+        format!("by {}", units::format_time(rollout.finish)),
+        rollout.reason.clone().unwrap_or_default(),
+    ]
+}
--- /dev/null
+++ b/crates/cli/src/commands/watch.rs
@@ -0,0 +1,183 @@
+//! `watch`: waits until a version is in force everywhere, or until a rollout has ended.
+
+use std::time::{Duration, Instant};
+
+use async_std::task::sleep;
+use bpaf::{Parser, construct, long};
+use sycamoreflow_state::ids::ConfigVersion;
+use sycamoreflow_state::operator::{RolloutPhase, RolloutStatus, STATUS_PATH, StatusResponse};
+
+use super::status;
+use crate::client::{self, Client};
+use crate::exit::{Exit, Failure, Result};
+use crate::{Io, output};
+
+/// Pause between two reads of the state.
+const POLL_PAUSE: Duration = Duration::from_millis(500);
+/// Time for which an outage is tolerated once the state was read, since rollouts outlast the
+/// election of a leader and a restart of a daemon.
+const OUTAGE_LIMIT: Duration = Duration::from_secs(60);
+
+/// Arguments of the command.
+#[derive(Clone, Debug)]
+pub struct Options {
+    client: client::Options,
+    service: Option<String>,
+    version: Option<u64>,
+    timeout: Option<u64>,
+    json: bool,
+}
+
+/// Returns the parser of the arguments.
+pub fn options() -> impl Parser<Options> {
+    let client = client::options();
+    let service = super::service("Wait for the rollout of this service");
+    let version = long("version")
+        .help("Wait for this version, as `approve` prints it (default: the accepted one)")
+        .argument::<u64>("VERSION")
+        .optional();
+    let timeout = long("timeout")
+        .help("Give up after this time")
+        .argument::<u64>("SECONDS")
+        .optional();
+    let json = super::json();
+    construct!(Options {
+        client,
+        service,
+        version,
+        timeout,
+        json
+    })
+}
+
+/// Runs the command.
+pub async fn run(options: &Options, io: &mut Io<'_>) -> Result {
+    let client = Client::new(&options.client)?;
+    let start = Instant::now();
+    let mut watch = Watch {
+        target: options.version.map(ConfigVersion),
+        approved: options.version.map(ConfigVersion).unwrap_or_default(),
+        service: options.service.clone(),
+        newest: ConfigVersion::default(),
+    };
+    let mut shown = String::new();
+    let mut last_answer: Option<Instant> = None;
+    loop {
+        let status = match client.get::<StatusResponse>(STATUS_PATH).await {
+            Ok(status) => Some(status),
+            Err(failure) if failure.exit != Exit::Unreachable => return Err(failure),
+            Err(_) if last_answer.is_some_and(|at| at.elapsed() < OUTAGE_LIMIT) => None,
+            Err(failure) => return Err(failure),
+        };
+        if let Some(status) = status {
+            last_answer = Some(Instant::now());
+            if let Some(observed) = watch.observe(&status) {
+                if observed.line != shown {
+                    print(options, io, &status, &observed.line)?;
+                    shown = observed.line;
+                }
+                if let Some(end) = observed.end {
+                    return end;
+                }
+            }
+        }
+        let limit = options.timeout.map(Duration::from_secs);
+        if limit.is_some_and(|limit| start.elapsed() >= limit) {
+            return Err(Failure::new(Exit::Failure, "the time to wait is over"));
+        }
+        sleep(POLL_PAUSE).await;
+    }
+}
+
+fn print(options: &Options, io: &mut Io<'_>, status: &StatusResponse, line: &str) -> Result {
+    if options.json {
+        output::json(io.out, status)?;
+    } else {
+        writeln!(io.out, "{line}")?;
+    }
+    io.out.flush()?;
+    Ok(())
+}
+
+struct Watch {
+    target: Option<ConfigVersion>,
+    /// Rollouts that were approved before this version are not the one waited for.
+    approved: ConfigVersion,
+    service: Option<String>,
+    newest: ConfigVersion,
+}
+
+struct Observed {
+    line: String,
+    end: Option<Result>,
+}
+
+impl Watch {
+    /// Returns what `status` says, or `None` if it is older than what was seen before.
+    fn observe(&mut self, status: &StatusResponse) -> Option<Observed> {
+        if status.config < self.newest {
+            return None;
+        }
+        self.newest = status.config;
+        let target = *self.target.get_or_insert(status.config);
+        match &self.service {
+            Some(service) => Some(observe_rollout(service, target, self.approved, status)),
+            None => Some(observe_version(target, status)),
+        }
+    }
+}
+
+fn observe_version(target: ConfigVersion, status: &StatusResponse) -> Observed {
+    let progress = &status.convergence;
+    let everywhere = progress.daemons > 0 && progress.in_force >= progress.daemons;
+    let end = if status.config < target {
+        None
+    } else if let Some(rejection) = progress.rejected.first() {
+        let message = format!("rejected by {}: {}", rejection.daemon, rejection.reason);
+        Some(Err(Failure::new(Exit::Failure, message)))
+    } else {
+        everywhere.then_some(Ok(()))
+    };
+    Observed {
+        line: status::convergence(status),
+        end,
+    }
+}
+
+fn observe_rollout(
+    service: &str,
+    target: ConfigVersion,
+    approved: ConfigVersion,
+    status: &StatusResponse,
+) -> Observed {
+    let latest = status
+        .rollouts
+        .iter()
+        .filter(|rollout| rollout.service.as_str() == service && rollout.approved >= approved)
+        .max_by_key(|rollout| rollout.rollout);
+    let Some(rollout) = latest else {
+        let end = (status.config >= target).then(|| {
+            let message = format!("there is no rollout of service {service}");
+            Err(Failure::new(Exit::Failure, message))
+        });
+        let line = format!("no rollout of service {service} yet");
+        return Observed { line, end };
+    };
+    let line = status::rollout(rollout).join("  ").trim().to_owned();
+    let end = match rollout.phase {
+        _ if status.config < target => None,
+        RolloutPhase::Done => Some(Ok(())),
+        RolloutPhase::TakenBack => Some(Err(taken_back(rollout))),
+        RolloutPhase::Planned | RolloutPhase::Moving | RolloutPhase::Watching => None,
+    };
+    Observed { line, end }
+}
+
+fn taken_back(rollout: &RolloutStatus) -> Failure {
+    let reason = rollout.reason.as_deref().unwrap_or("no reason is known");
+    let message = format!(
+        "{} of {} was taken back: {reason}",
+        rollout.to, rollout.service
+    );
+    Failure::new(Exit::TakenBack, message)
+}
--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,75 @@
+//! The command-line client of sycamoreflow: one module per command.
+//!
+//! `init` and `check` work offline. The other commands use the operator interface of a daemon
+//! ([`sycamoreflow_state::operator`]).
+
+#![cfg_attr(test, allow(clippy::unwrap_used))]
+
+use std::ffi::OsString;
+use std::io::{BufRead, Write};
+
+pub mod answers_file;
+pub mod client;
+pub mod commands;
+pub mod exit;
+pub mod http;
+pub mod output;
+
+use commands::Command;
+use exit::Exit;
+
+/// The streams of the process.
+pub struct Io<'a> {
+    /// Whether the input is a terminal.
+    pub terminal: bool,
+    /// Standard input.
+    pub input: &'a mut dyn BufRead,
+    /// Standard output, for data.
+    pub out: &'a mut dyn Write,
+    /// Standard error, for messages.
+    pub err: &'a mut dyn Write,
+}
+
+/// Runs the command in `args`, which do not include the name of the program, and returns the exit
+/// code.
+pub fn run(args: &[OsString], io: &mut Io<'_>) -> u8 {
+    let args = bpaf::Args::from(args).set_name("sycamoreflow");
+    let command = match commands::parser().run_inner(args) {
+        Ok(command) => command,
+        Err(bpaf::ParseFailure::Stderr(doc)) => {
+            let message = doc.monochrome(true);
+            // Nothing is left to tell if the standard error stream is closed.
+            let _ = writeln!(io.err, "error: {message}");
+            return Exit::Usage.code();
+        }
+        Err(bpaf::ParseFailure::Stdout(doc, full)) => {
+            let _ = writeln!(io.out, "{}", doc.monochrome(full));
+            return 0;
+        }
+        Err(bpaf::ParseFailure::Completion(text)) => {
+            let _ = write!(io.out, "{text}");
+            return 0;
+        }
+    };
+    match async_std::task::block_on(execute(command, io)) {
+        Ok(()) => 0,
+        Err(failure) => {
+            let _ = writeln!(io.err, "error: {failure}");
+            failure.exit.code()
+        }
+    }
+}
+
+async fn execute(command: Command, io: &mut Io<'_>) -> exit::Result {
+    match command {
+        Command::Init(options) => commands::init::run(&options, io),
+        Command::Check(options) => commands::check::run(&options, io),
+        Command::Plan(options) => commands::plan::run(&options, io).await,
+        Command::Approve(options) => commands::approve::run(&options, io).await,
+        Command::Status(options) => commands::status::run(&options, io).await,
+        Command::Watch(options) => commands::watch::run(&options, io).await,
+        Command::History(options) => commands::history::run(&options, io).await,
+        Command::Endpoints(options) => commands::endpoints::run(&options, io).await,
+        Command::Drain(options) => commands::drain::run(&options, io).await,
+    }
+}
--- /dev/null
+++ b/crates/cli/tests/cli/main.rs
@@ -0,0 +1,44 @@
+//! Tests of the commands, in process, against a stand-in for the operator interface.
+
+#![allow(clippy::unwrap_used)]
+
+mod offline;
+mod online;
+mod stand_in;
+mod watch;
+
+use std::ffi::OsString;
+
+use sycamoreflow_cli::{Io, run};
+
+/// What a command left behind.
+#[derive(Debug)]
+struct Ran {
+    code: u8,
+    out: String,
+    err: String,
+}
+
+/// Runs a command with `input` at a terminal.
+fn run_with(args: &[&str], input: &str) -> Ran {
+    let args: Vec<_> = args.iter().map(OsString::from).collect();
+    let (mut out, mut err) = (Vec::new(), Vec::new());
+    let code = run(
+        &args,
+        &mut Io {
+            terminal: !input.is_empty(),
+            input: &mut input.as_bytes(),
+            out: &mut out,
+            err: &mut err,
+        },
+    );
+    Ran {
+        code,
+        out: String::from_utf8(out).unwrap(),
+        err: String::from_utf8(err).unwrap(),
+    }
+}
+
+fn run_quiet(args: &[&str]) -> Ran {
+    run_with(args, "")
+}
--- /dev/null
+++ b/crates/cli/tests/cli/online.rs
@@ -0,0 +1,235 @@
+use std::fs;
+
+use rstest::rstest;
+use serde_json::{Value, json};
+use sycamoreflow_state::answers::{Answers, template};
+use sycamoreflow_state::endpoint::Endpoint;
+use sycamoreflow_state::generate::generate;
+use sycamoreflow_state::ids::{ConfigVersion, EndpointVersion, Millis};
+use sycamoreflow_state::operator::{
+    ApproveResponse, ConfigResponse, DrainResponse, EndpointsResponse, ErrorCode, ErrorResponse,
+    HistoryEntry, HistoryEvent, HistoryResponse,
+};
+
+use crate::stand_in::{Files, Reply, StandIn, closed_address};
+
+fn config_in_force(mesh: &str) -> Reply {
+    let answers = Answers::parse("a", template()).unwrap();
+    Reply::ok(&ConfigResponse {
+        mesh: mesh.to_owned(),
+        version: ConfigVersion(7),
+        answers: template().to_owned(),
+        config: generate(&answers, Millis(0)).unwrap(),
+    })
+}
+
+fn approved() -> Reply {
+    Reply::ok(&ApproveResponse {
+        version: ConfigVersion(8),
+        repeated: false,
+        rollouts: vec!["catalogue".into()],
+    })
+}
+
+fn error(code: ErrorCode) -> Reply {
+    let mut body = ErrorResponse::new(code, "refused");
+    body.current = Some(ConfigVersion(9));
+    Reply::Json(code.status(), serde_json::to_value(body).unwrap())
+}
+
+fn files() -> Files {
+    Files::new(&template().replace("\"v1\"", "\"v2\""))
+}
+
+// Guards against a plan that hides the rollout, and against an approval based on another version
+// than the one that the operator saw.
+#[test]
+fn plan_then_approve() {
+    let files = files();
+    let server = StandIn::start(vec![config_in_force("example"), approved()]);
+    let ran = files.run("plan", &[server.address], &[]);
+    assert_eq!(ran.code, 0, "{ran:?}");
+    assert!(
+        ran.out.contains("version: v1 -> v2\n    starts a rollout"),
+        "{ran:?}"
+    );
+    let ran = files.run("approve", &[server.address], &["--json"]);
+    assert_eq!(ran.code, 0, "{ran:?}");
+    let out: Value = serde_json::from_str(&ran.out).unwrap();
+    assert_eq!(out["version"], 8);
+    let received = server.received();
+    assert!(
+        received[1].head.starts_with("POST /v1/approve HTTP/1.1"),
+        "{received:?}"
+    );
+    assert!(received[1].head.contains("Bearer secret"), "{received:?}");
+    assert_eq!(received[1].body["base"], 7);
+    assert_eq!(
+        received[1].body["config"]["services"]["catalogue"]["version"],
+        "v2"
+    );
+    assert_eq!(out["request-id"], received[1].body["request-id"]);
+    let ran = files.run("approve", &[server.address], &[]);
+    assert_eq!(ran.code, 2, "the plan is used up: {ran:?}");
+}
+
+// Guards against an approval that takes effect twice because a resend carries another id: within
+// one command, in a second command, and with the options that the error message names.
+#[test]
+fn approve_lost_response() {
+    let files = files();
+    let server = StandIn::start(vec![config_in_force("example"), Reply::Close]);
+    assert_eq!(files.run("plan", &[server.address], &[]).code, 0);
+    let ran = files.run("approve", &[server.address, server.address], &[]);
+    assert_eq!(ran.code, 5, "{ran:?}");
+    files.run("approve", &[server.address], &[]);
+    let received = server.received();
+    assert_eq!(received.len(), 4);
+    let id = received[1].body["request-id"].as_str().unwrap();
+    assert_eq!(received[2].body, received[1].body);
+    assert_eq!(received[3].body, received[1].body);
+    assert!(
+        ran.err.contains(&format!("--base 7 --request-id {id}")),
+        "{ran:?}"
+    );
+    let server = StandIn::start(vec![config_in_force("example"), approved()]);
+    let ran = files.run(
+        "approve",
+        &[server.address],
+        &["--base", "7", "--request-id", id],
+    );
+    assert_eq!(ran.code, 0, "{ran:?}");
+    assert_eq!(server.received()[1].body, received[1].body);
+}
+
+// Guards against answers being approved that are not those of the plan or of the mesh.
+#[test]
+fn approve_other_answers() {
+    let files = files();
+    let server = StandIn::start(vec![config_in_force("example")]);
+    assert_eq!(files.run("plan", &[server.address], &[]).code, 0);
+    fs::write(files.answers(), template()).unwrap();
+    let ran = files.run("approve", &[server.address], &[]);
+    assert_eq!(ran.code, 2, "{ran:?}");
+    let other = StandIn::start(vec![config_in_force("other")]);
+    assert_eq!(files.run("plan", &[other.address], &[]).code, 1);
+    assert_eq!(
+        files
+            .run("approve", &[other.address], &["--base", "7"])
+            .code,
+        1
+    );
+    assert_eq!(other.received().len(), 2);
+    fs::write(files.answers(), "mesh = 1").unwrap();
+    assert_eq!(
+        files
+            .run("approve", &[server.address], &["--base", "7"])
+            .code,
+        4
+    );
+}
+
+// Guards against scripts that cannot tell the kinds of failures apart, and against a request that
+// is repeated although every daemon would refuse it.
+#[rstest]
+#[case::conflict(error(ErrorCode::Conflict), 3, 1)]
+#[case::invalid(error(ErrorCode::Invalid), 4, 1)]
+#[case::unauthorized(error(ErrorCode::Unauthorized), 1, 1)]
+#[case::reused(error(ErrorCode::RequestIdReused), 1, 1)]
+#[case::unavailable(error(ErrorCode::Unavailable), 5, 2)]
+#[case::internal(Reply::Json(500, Value::Null), 5, 2)]
+#[case::close(Reply::Close, 5, 2)]
+#[case::not_json(Reply::Json(200, json!("yes")), 5, 2)]
+#[case::short(
+    Reply::Raw(b"HTTP/1.1 200 OK\r\ncontent-length: 90\r\n\r\n{\"version\":".to_vec()), 5, 2
+)]
+#[case::endless_head(Reply::Raw(b"HTTP/1.1 200 OK\r\nx: ".repeat(1 << 20)), 5, 2)]
+#[case::large(
+    Reply::Raw([
+        b"HTTP/1.1 200 OK\r\ncontent-length: 20000000\r\n\r\n".to_vec(),
+        vec![b' '; 20_000_000],
+    ].concat()),
+    5,
+    2
+)]
+fn drain_failure(#[case] reply: Reply, #[case] code: u8, #[case] requests: usize) {
+    let server = StandIn::start(vec![reply]);
+    let addresses = [server.address, server.address];
+    let ran = files().run_without_file("drain", &addresses, &["d1"]);
+    assert_eq!(ran.code, code, "{ran:?}");
+    assert_eq!(server.received().len(), requests);
+}
+
+// Guards against one silent or closed daemon that makes the command useless.
+#[test]
+fn drain_next_address() {
+    let silent = StandIn::start(vec![Reply::Silent]);
+    let good = StandIn::start(vec![Reply::ok(&DrainResponse {
+        version: EndpointVersion { term: 2, seq: 5 },
+        endpoints: 1,
+    })]);
+    let addresses = [closed_address(), silent.address, good.address];
+    let ran = files().run_without_file("drain", &addresses, &["d1"]);
+    assert_eq!(ran.code, 0, "{ran:?}");
+    assert_eq!(
+        ran.out,
+        "endpoints draining at d1: 1, endpoints version 2.5\n"
+    );
+    assert_eq!(
+        good.received()[0].body,
+        json!({ "daemon": "d1", "draining": true })
+    );
+    let ran = files().run_without_file("drain", &[good.address], &["--undo", "d1"]);
+    assert_eq!(ran.code, 0, "{ran:?}");
+    assert_eq!(good.received()[1].body["draining"], false);
+}
+
+// Guards against a selection that is not sent or not applied.
+#[test]
+fn history_and_endpoints_of_service() {
+    let history = HistoryResponse {
+        entries: vec![HistoryEntry {
+            version: ConfigVersion(8),
+            at: Millis(1_796_374_800_000),
+            service: Some("orders".into()),
+            event: HistoryEvent::TakenBack {
+                to: "v2".into(),
+                reason: "failures".to_owned(),
+            },
+        }],
+    };
+    let server = StandIn::start(vec![Reply::ok(&history)]);
+    let ran = files().run_without_file("history", &[server.address], &["a&b"]);
+    assert_eq!(
+        ran.out,
+        "2026-12-04T09:00:00Z  version 8  orders  v2 taken back: failures\n"
+    );
+    assert!(
+        server.received()[0]
+            .head
+            .starts_with("GET /v1/history?service=a%26b HTTP")
+    );
+    let endpoint = |service: &str| Endpoint {
+        daemon: "d1".into(),
+        service: service.into(),
+        version: "v1".into(),
+        data_centre: "sfax-a".into(),
+        address: ([127, 0, 0, 1], 7000).into(),
+        slots: 9,
+        draining: true,
+    };
+    let server = StandIn::start(vec![Reply::ok(&EndpointsResponse {
+        version: EndpointVersion::default(),
+        endpoints: vec![endpoint("orders"), endpoint("catalogue")],
+    })]);
+    let args = ["--service", "catalogue"];
+    let ran = files().run_without_file("endpoints", &[server.address], &args);
+    assert_eq!(
+        ran.out,
+        "catalogue  v1  d1  sfax-a  127.0.0.1:7000  9 slots  draining\n"
+    );
+    let args = ["--service", "catalogue", "--json"];
+    let ran = files().run_without_file("endpoints", &[server.address], &args);
+    let out: EndpointsResponse = serde_json::from_str(&ran.out).unwrap();
+    assert_eq!(out.endpoints, [endpoint("catalogue")]);
+}
--- /dev/null
+++ b/crates/cli/tests/cli/stand_in.rs
@@ -0,0 +1,156 @@
+//! A stand-in for the operator interface that gives prepared replies.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+use serde::Serialize;
+use serde_json::Value;
+use tempfile::TempDir;
+
+use crate::{Ran, run_quiet};
+
+/// The reply to one request.
+#[derive(Clone)]
+pub(crate) enum Reply {
+    Json(u16, Value),
+    Raw(Vec<u8>),
+    Close,
+    Silent,
+}
+
+impl Reply {
+    pub(crate) fn ok(body: &impl Serialize) -> Self {
+        Self::Json(200, serde_json::to_value(body).unwrap())
+    }
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct Received {
+    pub(crate) head: String,
+    pub(crate) body: Value,
+}
+
+/// A server that gives its replies in turn and then repeats the last one.
+pub(crate) struct StandIn {
+    pub(crate) address: SocketAddr,
+    received: Arc<Mutex<Vec<Received>>>,
+}
+
+impl StandIn {
+    pub(crate) fn start(replies: Vec<Reply>) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let received = Arc::new(Mutex::new(Vec::new()));
+        let log = received.clone();
+        thread::spawn(move || {
+            for (at, stream) in listener.incoming().enumerate() {
+                let reply = replies[at.min(replies.len() - 1)].clone();
+                answer(stream.unwrap(), reply, &log);
+            }
+        });
+        Self { address, received }
+    }
+
+    pub(crate) fn received(&self) -> Vec<Received> {
+        self.received.lock().unwrap().clone()
+    }
+}
+
+fn answer(stream: TcpStream, reply: Reply, log: &Mutex<Vec<Received>>) {
+    let mut reader = BufReader::new(stream);
+    let (mut head, mut length) = (String::new(), 0);
+    loop {
+        let mut line = String::new();
+        reader.read_line(&mut line).unwrap();
+        if let Some(value) = line.to_ascii_lowercase().strip_prefix("content-length:") {
+            length = value.trim().parse().unwrap();
+        }
+        if line.trim().is_empty() {
+            break;
+        }
+        head += &line;
+    }
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body).unwrap();
+    let body = serde_json::from_slice(&body).unwrap_or(Value::Null);
+    log.lock().unwrap().push(Received { head, body });
+    let mut stream = reader.into_inner();
+    match reply {
+        Reply::Json(status, body) => {
+            let body = body.to_string();
+            let head = format!(
+                "HTTP/1.1 {status} X\r\ncontent-length: {}\r\n\r\n",
+                body.len()
+            );
+            stream
+                .write_all(format!("{head}{body}").as_bytes())
+                .unwrap();
+        }
+        // The client may close the connection before it has received everything.
+        Reply::Raw(bytes) => drop(stream.write_all(&bytes)),
+        Reply::Close => {}
+        Reply::Silent => {
+            thread::spawn(move || {
+                thread::sleep(Duration::from_secs(30));
+                drop(stream);
+            });
+        }
+    }
+}
+
+/// A directory with an answers file and a token file.
+pub(crate) struct Files {
+    dir: TempDir,
+}
+
+impl Files {
+    pub(crate) fn new(answers: &str) -> Self {
+        let dir = TempDir::new().unwrap();
+        std::fs::write(dir.path().join("answers.toml"), answers).unwrap();
+        std::fs::write(dir.path().join("token"), "secret\n").unwrap();
+        Self { dir }
+    }
+
+    pub(crate) fn answers(&self) -> PathBuf {
+        self.dir.path().join("answers.toml")
+    }
+
+    /// Runs a command on the answers file against the addresses.
+    pub(crate) fn run(&self, command: &str, addresses: &[SocketAddr], args: &[&str]) -> Ran {
+        let file = self.answers();
+        let args = [args, &[file.to_str().unwrap()]].concat();
+        self.run_without_file(command, addresses, &args)
+    }
+
+    /// Runs a command that has no answers file against the addresses.
+    pub(crate) fn run_without_file(
+        &self,
+        command: &str,
+        addresses: &[SocketAddr],
+        args: &[&str],
+    ) -> Ran {
+        let addresses: Vec<_> = addresses.iter().map(ToString::to_string).collect();
+        let addresses = addresses.join(",");
+        let token = self.dir.path().join("token");
+        let connection = [
+            "--address",
+            &addresses,
+            "--token-file",
+            token.to_str().unwrap(),
+        ];
+        let wait = ["--wait", "0"];
+        run_quiet(&[&[command], &connection[..], &wait[..], args].concat())
+    }
+}
+
+/// Returns an address at which nothing listens.
+pub(crate) fn closed_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap()
+}
