Restrict a delta at the cost of the change

A replica sends each distinct interest of its subscribers its own delta. Restricting both views costs a walk over the whole mesh per interest.

View::restrict_delta filters one delta and updates the digest of the restricted view from the hashes of the changed entries.

--- a/crates/state/src/view.rs
+++ b/crates/state/src/view.rs
@@ -146,6 +146,9 @@
 }
 
 /// The resources that a proxy holds, at one version.
+///
+/// A deserialized view has a digest of its own content and is not verified; a receiver calls
+/// [`View::verify`] before it uses one, or applies [`Delta::full`] instead.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(into = "ViewParts", from = "ViewParts")]
 pub struct View {
--- a/crates/state/src/view/delta.rs
+++ b/crates/state/src/view/delta.rs
@@ -78,6 +78,48 @@
         }
     }
 
+    /// Returns the part of `delta` that `interest` wants. `delta` is the change from this view to
+    /// `newer`, and `digest` that of the part of this view that `interest` wants.
+    ///
+    /// The result equals the change between the two restricted views, but its cost depends on the
+    /// size of the change and not on the size of the mesh. A replica does this for each distinct
+    /// interest of its subscribers.
+    pub fn restrict_delta(
+        &self,
+        newer: &Self,
+        delta: &Delta,
+        interest: &Interest,
+        mut digest: Digest,
+    ) -> Delta {
+        let upserts: Vec<_> = delta
+            .upserts
+            .iter()
+            .filter(|(key, _)| interest.wants(key))
+            .cloned()
+            .collect();
+        let removals: Vec<_> = delta
+            .removals
+            .iter()
+            .filter(|key| interest.wants(key))
+            .cloned()
+            .collect();
+        for key in upserts.iter().map(|(key, _)| key).chain(&removals) {
+            if let Some(old) = self.entries.get(key) {
+                digest = digest.minus(old.hash);
+            }
+            if let Some(new) = newer.entries.get(key) {
+                digest = digest.plus(new.hash);
+            }
+        }
+        Delta {
+            from: delta.from,
+            to: delta.to,
+            upserts,
+            removals,
+            digest,
+        }
+    }
+
     /// Returns the view after `delta`, or rejects the delta as a whole.
     pub fn apply(&self, delta: &Delta) -> Result<Self> {
         self.check_version(delta)?;
--- a/crates/state/src/view/tests.rs
+++ b/crates/state/src/view/tests.rs
@@ -129,6 +129,19 @@
         prop_assert!(new.verify(&interest).is_ok());
     }
 
+    // Guards against subscribers that receive another change than the one of their own view, which
+    // they would reject for its digest.
+    #[test]
+    fn restrict_delta_equals_delta_of_restricted(
+        old in any_view(version(3, 3)),
+        new in any_view(version(4, 7)),
+        interest in any_interest(),
+    ) {
+        let own = old.restrict(&interest);
+        let delta = old.restrict_delta(&new, &old.delta_to(&new), &interest, own.digest());
+        prop_assert_eq!(delta, own.delta_to(&new.restrict(&interest)));
+    }
+
     // Guards against a proxy that reverts to an older version in either component (P1).
     #[test]
     fn apply_stale_delta(config in 0..6u64, seq in 0..6u64, full: bool) {
@@ -246,5 +259,9 @@
         own.apply_for(&Interest::All, &change),
         Err(Rejection::InterestChanged)
     );
+    assert_eq!(
+        View::from_full(&Interest::All, &change),
+        Err(Rejection::InterestChanged)
+    );
     assert_eq!(own.apply_for(&Interest::All, &Delta::full(&all)), Ok(all));
 }
