--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -6,8 +6,12 @@
 
 #![cfg_attr(test, allow(clippy::unwrap_used))]
 
+pub mod answers;
 pub mod config;
 pub mod endpoint;
+pub mod generate;
 pub mod ids;
+pub mod operator;
+pub mod plan;
 pub mod verdict;
 pub mod view;
