--- a/crates/coordination/src/raft.rs
+++ b/crates/coordination/src/raft.rs
@@ -14,37 +14,109 @@
 //! - A group is founded only when all replicas in the settings are reachable with empty logs, so
 //!   a replica with an empty disk cannot found a second group beside an existing one.
 
+mod durability;
+mod election;
+mod faults;
+mod follower;
+mod formation;
+mod leader;
+mod log;
+mod members;
 pub mod message;
+mod reads;
+mod replication;
 mod types;
 
-use rand::SeedableRng;
+#[cfg(test)]
+mod tests;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use sycamoreflow_state::ids::{DaemonId, Millis};
 
+use durability::Durability;
+use faults::{Fault, Faults};
+use leader::Leader;
+use log::Log;
+use message::{Body, Message};
+use reads::ForwardedReads;
+
 pub use types::*;
 
 /// Longest time between two ticks, in milliseconds.
 pub const TICK_MS: u64 = 50;
 /// Largest command, in bytes. With its frame it stays below the limit of a link frame of 4 MiB.
 pub const MAX_ENTRY_BYTES: usize = 2 * 1024 * 1024;
+/// Time between two heartbeats of a leader.
+const HEARTBEAT: Millis = Millis(150);
+/// Shortest time without a leader before an election. With the longest one and a retry it keeps
+/// the time without a leader below 2 s.
+const ELECTION_MIN: Millis = Millis(800);
+/// Longest time without a leader before an election.
+const ELECTION_MAX: Millis = Millis(1400);
+/// Shortest and longest duration of a round of pre-votes or votes.
+const ROUND_MS: std::ops::Range<u64> = 200..500;
+/// Time without a quorum after which a leader steps down.
+const QUORUM_TIMEOUT: Millis = Millis(1500);
 
 /// A control replica's part in the replicated log.
 #[derive(Debug)]
 pub struct Raft {
-    id: DaemonId,
+    me: Peer,
     initial: Vec<DaemonId>,
     hard: HardState,
-    log: LogState,
+    log: Log,
+    members: Membership,
+    /// Index of the entry that holds `members`, or 0.
+    members_index: u64,
+    /// Last entry that is known to be committed. All entries up to it have been output.
+    commit: u64,
+    part: Part,
+    leader: Option<DaemonId>,
+    leader_heard: Millis,
+    /// When a replica other than the leader acts without having heard from a leader.
+    deadline: Millis,
+    /// Replicas on empty disks that answered a probe, with the time of the answer.
+    fresh: BTreeMap<DaemonId, (Incarnation, Millis)>,
+    next_probe: Millis,
+    /// Members that another replica named.
+    contacts: Vec<DaemonId>,
+    /// Snapshot that is being received.
+    incoming: Option<follower::Incoming>,
+    durability: Durability,
+    reads: ForwardedReads,
+    outputs: Vec<Output>,
+    announced: (Standing, u64, Option<DaemonId>),
+    announced_members: Membership,
+    faults: Faults,
     rng: ChaCha8Rng,
     now: Millis,
 }
 
+/// What a replica does at present.
+#[derive(Debug)]
+enum Part {
+    Follower,
+    PreCandidate {
+        votes: BTreeSet<DaemonId>,
+    },
+    Candidate {
+        votes: BTreeSet<DaemonId>,
+        own_vote: u64,
+    },
+    Leader(Box<Leader>),
+}
+
 impl Raft {
     /// Starts a replica from what storage holds.
     ///
     /// `initial` are the replicas in the settings, with this one. They matter until the replica
     /// belongs to a group; from then on the membership in the log counts. The machine must be at
-    /// the state of the snapshot in `log`; later entries are applied by outputs.
+    /// the state of the snapshot in `log`; later entries are applied by outputs. `seed` must
+    /// differ between starts, since it also makes the numbers of forwarded reads unique.
     pub fn new(
         id: DaemonId,
         initial: Vec<DaemonId>,
@@ -53,29 +125,377 @@
         seed: u64,
         now: Millis,
     ) -> Self {
-        Self {
+        let log = Log::new(log);
+        let (members, members_index) = log.members_at(log.last().index);
+        let me = Peer {
             id,
-            initial,
+            incarnation: hard.incarnation,
+        };
+        let mut raft = Self {
+            me,
+            initial: sorted(initial),
+            commit: log.snapshot().map_or(0, |snapshot| snapshot.index),
+            durability: Durability::new(log.last().index),
             hard,
             log,
+            members,
+            members_index,
+            part: Part::Follower,
+            leader: None,
+            leader_heard: now,
+            deadline: now,
+            fresh: BTreeMap::new(),
+            next_probe: now,
+            contacts: Vec::new(),
+            incoming: None,
+            reads: ForwardedReads::default(),
+            outputs: Vec::new(),
+            announced: (Standing::Unformed, 0, None),
+            announced_members: Membership::default(),
+            faults: Faults::default(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             now,
-        }
+        };
+        raft.reset_deadline();
+        raft
     }
 
     /// Processes one event and returns what must be done.
     ///
     /// `now` counts from any origin and should not decrease; a pause of the clock is harmless.
     pub fn step(&mut self, now: Millis, input: Input) -> Vec<Output> {
-        self.now = now;
-        let _ = (
-            &self.id,
-            &self.initial,
-            &self.hard,
-            &self.log,
-            &mut self.rng,
-            input,
+        self.now = self.now.max(now);
+        match input {
+            Input::Tick => self.on_tick(),
+            Input::Message { from, message } => self.on_message(from, message),
+            Input::Propose { token, data } => self.on_propose(token, data),
+            Input::Synced { seq } => self.on_synced(seq),
+            Input::ReadIndex { token } => self.on_read(token),
+            Input::ChangeMembers { token, change } => self.on_change(token, change),
+            Input::SnapshotSaved(snapshot) => self.on_snapshot_saved(snapshot),
+            Input::TransferLeadership => self.on_transfer(),
+        }
+        self.finish()
+    }
+
+    /// Returns the part of this replica.
+    pub fn standing(&self) -> Standing {
+        match &self.part {
+            _ if self.members.group == GroupId::NONE => Standing::Unformed,
+            Part::Leader(_) => Standing::Leader,
+            Part::PreCandidate { .. } => Standing::PreCandidate,
+            Part::Candidate { .. } => Standing::Candidate,
+            Part::Follower if self.members.is_voter(&self.me) => Standing::Follower,
+            Part::Follower => Standing::Learner,
+        }
+    }
+
+    /// Returns the current term.
+    pub fn term(&self) -> u64 {
+        self.hard.term
+    }
+
+    /// Returns the leader, if known.
+    pub fn leader(&self) -> Option<&DaemonId> {
+        self.leader.as_ref()
+    }
+
+    /// Returns the index of the last committed entry.
+    pub fn commit(&self) -> u64 {
+        self.commit
+    }
+
+    /// Returns the membership in force.
+    pub fn members(&self) -> &Membership {
+        &self.members
+    }
+
+    /// Returns the bytes of the entries that no snapshot contains, to decide when to save one.
+    pub fn bytes_after_snapshot(&self) -> usize {
+        self.log.bytes_after_snapshot()
+    }
+
+    /// Combines the machine's encoded state after the committed entry `index` with the term and
+    /// membership of that entry. Returns `None` if the log does not reach back that far.
+    pub fn snapshot_at(&self, index: u64, data: Vec<u8>) -> Option<Snapshot> {
+        if index > self.commit || index == 0 {
+            return None;
+        }
+        let term = self.log.term_at(index)?;
+        let (members, _) = self.log.members_at(index);
+        Some(Snapshot {
+            index,
+            term,
+            members,
+            data,
+        })
+    }
+
+    fn on_tick(&mut self) {
+        self.expire_reads();
+        self.probe();
+        if matches!(self.part, Part::Leader(_)) {
+            self.tick_leader();
+            return;
+        }
+        if self.now < self.deadline {
+            return;
+        }
+        self.leader = None;
+        if self.members.is_voter(&self.me) {
+            self.start_pre_vote();
+            return;
+        }
+        self.reset_deadline();
+    }
+
+    fn on_message(&mut self, from: DaemonId, message: Message) {
+        let meant_for_other_disk = message.to.is_some_and(|to| to != self.me.incarnation);
+        if from == self.me.id || meant_for_other_disk || !self.accepts_group(&message) {
+            return;
+        }
+        let peer = Peer {
+            id: from,
+            incarnation: message.incarnation,
+        };
+        match message.body {
+            Body::Probe { fresh } => self.on_probe(peer, fresh),
+            Body::ProbeAnswer {
+                fresh,
+                initial,
+                members,
+            } => self.on_probe_answer(peer, fresh, initial, members),
+            Body::Found { members } => self.on_found(members),
+            Body::PreVote { last } => self.on_pre_vote(peer, message.term, last),
+            Body::ReadIndex { token } => self.on_forwarded_read(peer, token),
+            Body::ReadIndexAnswer { token, index } => self.on_read_answer(token, index),
+            body => self.on_term_message(peer, message.term, body),
+        }
+    }
+
+    /// A replica without a group takes part in a group only when it is addressed by its disk.
+    fn accepts_group(&self, message: &Message) -> bool {
+        let own = self.members.group;
+        if self.has_fault(Fault::ReplacedDiskVotes) {
+            return true;
+        }
+        match &message.body {
+            Body::Probe { .. } | Body::ProbeAnswer { .. } => true,
+            Body::AppendAnswer { .. } | Body::SnapshotAnswer { .. } => {
+                message.group == own || message.group == GroupId::NONE
+            }
+            Body::Found { .. } | Body::Append { .. } | Body::SnapshotChunk { .. } => {
+                message.group == own || (own == GroupId::NONE && message.to.is_some())
+            }
+            _ => message.group == own && own != GroupId::NONE,
+        }
+    }
+
+    /// Handles the messages whose term counts.
+    fn on_term_message(&mut self, peer: Peer, term: u64, body: Body) {
+        let from_member = self.members.member(&peer).is_some() || self.replaced_disk_counts();
+        let is_answer = matches!(
+            body,
+            Body::VoteAnswer { .. }
+                | Body::PreVoteAnswer { .. }
+                | Body::AppendAnswer { .. }
+                | Body::SnapshotAnswer { .. }
         );
-        Vec::new()
+        if is_answer && !from_member {
+            return;
+        }
+        if term > self.hard.term {
+            self.become_follower(term, None);
+        }
+        if let Body::PreVoteAnswer { term, granted } = body {
+            // The term of the answering replica may be lower than that of the asking one.
+            self.on_pre_vote_answer(peer, term, granted);
+            return;
+        }
+        if term < self.hard.term {
+            self.refuse_old_term(peer, body);
+            return;
+        }
+        match body {
+            Body::Vote { last } => self.on_vote(peer, last),
+            Body::VoteAnswer { granted } => self.on_vote_answer(peer, granted),
+            Body::Append {
+                prev,
+                entries,
+                commit,
+                round,
+            } => self.on_append(peer, prev, entries, commit, round),
+            Body::AppendAnswer {
+                prev,
+                result,
+                round,
+            } => self.on_append_answer(peer, prev, result, round),
+            Body::SnapshotChunk {
+                last,
+                members,
+                total,
+                offset,
+                data,
+                round,
+            } => {
+                let head = follower::ChunkHead {
+                    last,
+                    members,
+                    total,
+                    offset,
+                };
+                self.on_chunk(peer, head, &data, round);
+            }
+            Body::SnapshotAnswer {
+                index,
+                received,
+                round,
+            } => self.on_chunk_answer(peer, index, received, round),
+            Body::TimeoutNow => self.on_timeout_now(),
+            _ => {}
+        }
+    }
+
+    /// Tells the sender of an old request about the current term.
+    fn refuse_old_term(&mut self, peer: Peer, body: Body) {
+        let answer = match body {
+            Body::Vote { .. } => Body::VoteAnswer { granted: false },
+            Body::Append { prev, round, .. } => Body::AppendAnswer {
+                prev: prev.index,
+                result: message::AppendResult::Conflict {
+                    term: None,
+                    index: prev.index,
+                },
+                round,
+            },
+            Body::SnapshotChunk { last, round, .. } => Body::SnapshotAnswer {
+                index: last.index,
+                received: 0,
+                round,
+            },
+            _ => return,
+        };
+        self.send_to_peer(peer, answer);
+    }
+
+    fn on_synced(&mut self, seq: u64) {
+        self.durability.on_synced(seq, &mut self.outputs);
+        self.count_own_vote();
+        self.advance_commit();
+    }
+
+    fn on_snapshot_saved(&mut self, snapshot: Arc<Snapshot>) {
+        let known = self.log.snapshot().map_or(0, |known| known.index);
+        if snapshot.index > self.commit || snapshot.index <= known {
+            return;
+        }
+        self.log.compact(snapshot);
+    }
+
+    fn become_follower(&mut self, term: u64, leader: Option<DaemonId>) {
+        if term > self.hard.term {
+            self.hard.term = term;
+            self.hard.vote = None;
+            self.persist_hard_state();
+        }
+        if let Part::Leader(state) = std::mem::replace(&mut self.part, Part::Follower) {
+            self.refuse_leader_reads(*state);
+        }
+        self.leader = leader;
+        self.reset_deadline();
+    }
+
+    fn persist_hard_state(&mut self) {
+        self.durability.pending.hard_state = Some(self.hard.clone());
+    }
+
+    /// Appends an entry that storage will write in this step.
+    fn append_entry(&mut self, entry: SharedEntry) {
+        if let Payload::Members(members) = &entry.payload {
+            self.members = members.clone();
+            self.members_index = entry.index;
+        }
+        self.durability.pending.entries.push(entry.clone());
+        self.log.append(entry);
+    }
+
+    /// Outputs the entries up to `index` as committed.
+    fn commit_to(&mut self, index: u64) {
+        let end = index.min(self.log.last().index);
+        while self.commit < end {
+            let next = self.commit + 1;
+            let Some(entry) = self.log.get(next) else {
+                break;
+            };
+            let entry = entry.clone();
+            self.commit = next;
+            self.outputs.push(Output::Apply { index: next, entry });
+        }
+        self.answer_waiting_reads();
+    }
+
+    fn reset_deadline(&mut self) {
+        let wait = self.rng.random_range(ELECTION_MIN.0..ELECTION_MAX.0);
+        self.deadline = self.now.after(Millis(wait));
+    }
+
+    fn message(&self, to: Option<Incarnation>, body: Body) -> Message {
+        Message {
+            group: self.members.group,
+            incarnation: self.me.incarnation,
+            to,
+            term: self.hard.term,
+            body,
+        }
+    }
+
+    /// Sends a message that promises nothing about the disk.
+    fn send(&mut self, to: DaemonId, body: Body) {
+        let incarnation = self.members.members.get(&to).map(|m| m.incarnation);
+        let message = self.message(incarnation, body);
+        self.outputs.push(Output::Send { to, message });
+    }
+
+    /// Answers the sender of a message, with nothing promised about the disk.
+    fn send_to_peer(&mut self, peer: Peer, body: Body) {
+        let message = self.message(Some(peer.incarnation), body);
+        let to = peer.id;
+        self.outputs.push(Output::Send { to, message });
+    }
+
+    /// Sends a message after everything written up to the end of this step is synced.
+    fn send_after_sync(&mut self, peer: Peer, body: Body) {
+        if self.has_fault(Fault::AcknowledgeBeforeSync) {
+            self.send_to_peer(peer, body);
+            return;
+        }
+        let message = self.message(Some(peer.incarnation), body);
+        self.durability.outgoing.push((peer.id, message));
+    }
+
+    fn finish(&mut self) -> Vec<Output> {
+        let mut outputs = std::mem::take(&mut self.outputs);
+        self.durability.finish(self.log.last().index, &mut outputs);
+        let current = (self.standing(), self.hard.term, self.leader.clone());
+        if self.announced != current {
+            self.announced = current.clone();
+            let (standing, term, leader) = current;
+            outputs.push(Output::LeadershipChanged {
+                standing,
+                term,
+                leader,
+            });
+        }
+        if self.announced_members != self.members {
+            self.announced_members = self.members.clone();
+            outputs.push(Output::MembersChanged(self.members.clone()));
+        }
+        outputs
     }
 }
+
+fn sorted(mut ids: Vec<DaemonId>) -> Vec<DaemonId> {
+    ids.sort();
+    ids.dedup();
+    ids
+}
--- /dev/null
+++ b/crates/coordination/src/raft/follower.rs
@@ -0,0 +1,197 @@
+//! How a follower or learner takes over entries and snapshots from the leader.
+
+use std::sync::Arc;
+
+use sycamoreflow_state::ids::Millis;
+
+use super::message::{AppendResult, Body, LogEnd};
+use super::types::{Membership, Output, Payload, Peer, SharedEntry, Snapshot};
+use super::{Part, Raft};
+
+/// Largest snapshot that is accepted, in bytes.
+const MAX_SNAPSHOT_BYTES: u64 = 256 * 1024 * 1024;
+
+/// What a piece of a snapshot says about the whole.
+#[derive(Debug, PartialEq)]
+pub(super) struct ChunkHead {
+    pub(super) last: LogEnd,
+    pub(super) members: Membership,
+    pub(super) total: u64,
+    pub(super) offset: u64,
+}
+
+/// A snapshot that is being received. Pieces of different leaders are never mixed.
+#[derive(Debug)]
+pub(super) struct Incoming {
+    from: Peer,
+    term: u64,
+    last: LogEnd,
+    total: u64,
+    data: Vec<u8>,
+}
+
+impl Raft {
+    pub(super) fn on_append(
+        &mut self,
+        peer: Peer,
+        prev: LogEnd,
+        entries: Vec<SharedEntry>,
+        commit: u64,
+        round: u64,
+    ) {
+        if !self.follow(&peer) || !is_contiguous(prev, &entries) {
+            return;
+        }
+        let end = prev.index + entries.len() as u64;
+        let result = if end <= self.commit {
+            // All that was sent is committed here, so it equals the leader's log.
+            AppendResult::Matched(self.commit)
+        } else if prev.index >= self.commit && self.log.term_at(prev.index) != Some(prev.term) {
+            let (term, index) = self.log.conflict(prev.index);
+            AppendResult::Conflict { term, index }
+        } else {
+            self.take_entries(entries);
+            self.commit_to(commit.min(end));
+            AppendResult::Matched(end)
+        };
+        let body = Body::AppendAnswer {
+            prev: prev.index,
+            result,
+            round,
+        };
+        self.send_after_sync(peer, body);
+    }
+
+    /// Follows the sender as the leader of the current term.
+    fn follow(&mut self, peer: &Peer) -> bool {
+        if matches!(self.part, Part::Leader(_)) {
+            return false;
+        }
+        self.become_follower(self.hard.term, Some(peer.id.clone()));
+        self.leader_heard = self.now;
+        true
+    }
+
+    /// Appends the entries that the log lacks. What conflicts with them is removed first.
+    fn take_entries(&mut self, entries: Vec<SharedEntry>) {
+        for entry in entries {
+            if entry.index <= self.commit || self.log.term_at(entry.index) == Some(entry.term) {
+                continue;
+            }
+            if entry.index <= self.log.last().index {
+                self.remove_entries_from(entry.index);
+            }
+            self.append_entry(entry);
+        }
+    }
+
+    fn remove_entries_from(&mut self, index: u64) {
+        self.log.truncate_from(index);
+        self.durability.truncate_from(index);
+        (self.members, self.members_index) = self.log.members_at(self.log.last().index);
+    }
+
+    pub(super) fn on_chunk(&mut self, peer: Peer, head: ChunkHead, data: &[u8], round: u64) {
+        if !self.follow(&peer) {
+            return;
+        }
+        if head.last.index <= self.commit {
+            self.acknowledge_snapshot(peer, self.commit, round);
+            return;
+        }
+        let received = self.take_chunk(&peer, &head, data);
+        if received < head.total {
+            let body = Body::SnapshotAnswer {
+                index: head.last.index,
+                received,
+                round,
+            };
+            self.send_to_peer(peer, body);
+            return;
+        }
+        let Some(incoming) = self.incoming.take() else {
+            return;
+        };
+        self.install(Snapshot {
+            index: head.last.index,
+            term: head.last.term,
+            members: head.members,
+            data: incoming.data,
+        });
+        self.acknowledge_snapshot(peer, head.last.index, round);
+    }
+
+    fn acknowledge_snapshot(&mut self, peer: Peer, index: u64, round: u64) {
+        let body = Body::AppendAnswer {
+            prev: index,
+            result: AppendResult::Matched(index),
+            round,
+        };
+        self.send_after_sync(peer, body);
+    }
+
+    /// Adds a piece and returns the number of bytes received without a gap.
+    fn take_chunk(&mut self, peer: &Peer, head: &ChunkHead, data: &[u8]) -> u64 {
+        if head.total > MAX_SNAPSHOT_BYTES {
+            return 0;
+        }
+        let continues = self.incoming.as_ref().is_some_and(|incoming| {
+            incoming.from == *peer
+                && incoming.term == self.hard.term
+                && incoming.last == head.last
+                && incoming.total == head.total
+        });
+        if !continues {
+            self.incoming = None;
+        }
+        let incoming = self.incoming.get_or_insert_with(|| Incoming {
+            from: peer.clone(),
+            term: self.hard.term,
+            last: head.last,
+            total: head.total,
+            data: Vec::new(),
+        });
+        let received = incoming.data.len() as u64;
+        if head.offset == received && received + data.len() as u64 <= head.total {
+            incoming.data.extend_from_slice(data);
+        }
+        incoming.data.len() as u64
+    }
+
+    fn install(&mut self, snapshot: Snapshot) {
+        let snapshot = Arc::new(snapshot);
+        let keeps_rest = self.log.term_at(snapshot.index) == Some(snapshot.term);
+        if !keeps_rest {
+            self.durability.truncate_from(snapshot.index + 1);
+        }
+        self.commit = snapshot.index;
+        self.log.install(snapshot.clone());
+        (self.members, self.members_index) = self.log.members_at(self.log.last().index);
+        self.durability.pending.snapshot = Some(snapshot.clone());
+        self.outputs.push(Output::InstallSnapshot(snapshot));
+        self.answer_waiting_reads();
+    }
+
+    /// Returns the time since a leader was heard from.
+    pub(super) fn silence(&self) -> Millis {
+        self.now.since(self.leader_heard)
+    }
+}
+
+/// Returns whether the entries follow `prev` without gaps, with terms that never fall.
+fn is_contiguous(prev: LogEnd, entries: &[SharedEntry]) -> bool {
+    let mut end = prev;
+    for entry in entries {
+        let next = end.index.checked_add(1) == Some(entry.index);
+        let large =
+            matches!(&entry.payload, Payload::Data(data) if data.len() > super::MAX_ENTRY_BYTES);
+        if !next || entry.term < end.term || large {
+            return false;
+        }
+        end = LogEnd {
+            term: entry.term,
+            index: entry.index,
+        };
+    }
+    true
+}
--- /dev/null
+++ b/crates/coordination/src/raft/formation.rs
@@ -0,0 +1,146 @@
+//! Founding of a group and the first contact of replicas that are not members.
+//!
+//! A replica on an empty disk cannot know whether its group exists. It asks all replicas in its
+//! settings. Only if each of them answers that its log is empty too does the one with the lowest
+//! name found the group. A member of an existing group answers otherwise, and its leader
+//! re-admits the asking replica.
+
+use std::sync::Arc;
+
+use sycamoreflow_state::ids::{DaemonId, Millis};
+
+use super::Raft;
+use super::message::Body;
+use super::types::{Entry, GroupId, Member, Membership, Output, Payload, Peer, Role};
+
+/// Time between two rounds of probes.
+const PROBE_INTERVAL: Millis = Millis(500);
+/// Age up to which an answer counts for founding a group.
+const FRESH_VALID: Millis = Millis(2000);
+/// Time without a leader after which a member asks to be admitted again.
+const UNSERVED_TIMEOUT: Millis = Millis(3000);
+
+impl Raft {
+    /// Contacts the others while no leader serves this replica.
+    pub(super) fn probe(&mut self) {
+        // A replica on an old disk believes that it is a member, but no leader addresses it.
+        let served = self.leader.is_some() || self.silence() < UNSERVED_TIMEOUT;
+        let formed = self.members.group != GroupId::NONE;
+        if (formed && served) || self.now < self.next_probe {
+            return;
+        }
+        self.next_probe = self.now.after(PROBE_INTERVAL);
+        self.found_if_all_fresh();
+        let members = self.members.members.keys();
+        let mut known: Vec<DaemonId> = members.chain(&self.initial).cloned().collect();
+        known.extend(self.contacts.iter().cloned());
+        known.sort();
+        known.dedup();
+        for id in known {
+            if id == self.me.id {
+                continue;
+            }
+            let fresh = self.is_fresh();
+            let message = self.message(None, Body::Probe { fresh });
+            self.outputs.push(Output::Send { to: id, message });
+        }
+    }
+
+    fn is_fresh(&self) -> bool {
+        self.log.is_empty() && self.members.group == GroupId::NONE
+    }
+
+    pub(super) fn on_probe(&mut self, peer: Peer, fresh: bool) {
+        self.note_stranger(peer.clone());
+        if let Some(members) = self.founding_for(&peer).filter(|_| fresh) {
+            // Sent only once it is on this disk: nobody is in a group that its founder forgets.
+            self.send_after_sync(peer, Body::Found { members });
+            return;
+        }
+        let body = Body::ProbeAnswer {
+            fresh: self.is_fresh(),
+            initial: self.initial.clone(),
+            members: self.members.members.keys().cloned().collect(),
+        };
+        self.send_to_peer(peer, body);
+    }
+
+    pub(super) fn on_probe_answer(
+        &mut self,
+        peer: Peer,
+        fresh: bool,
+        initial: Vec<DaemonId>,
+        members: Vec<DaemonId>,
+    ) {
+        self.note_fresh(&peer, fresh, initial);
+        if self.members.member(&self.me).is_none() {
+            self.contacts = members;
+        }
+        self.found_if_all_fresh();
+    }
+
+    /// Replicas with other settings never found a group together.
+    fn note_fresh(&mut self, peer: &Peer, fresh: bool, initial: Vec<DaemonId>) {
+        if fresh && initial == self.initial {
+            let answer = (peer.incarnation, self.now);
+            self.fresh.insert(peer.id.clone(), answer);
+            return;
+        }
+        self.fresh.remove(&peer.id);
+    }
+
+    fn found_if_all_fresh(&mut self) {
+        let founds = self.initial.first() == Some(&self.me.id);
+        if !founds || !self.is_fresh() {
+            return;
+        }
+        let mut members = Membership {
+            group: GroupId(self.me.incarnation.0),
+            ..Membership::default()
+        };
+        for id in &self.initial {
+            let answer = self.fresh.get(id);
+            let valid = answer.filter(|(_, at)| self.now.since(*at) < FRESH_VALID);
+            let incarnation = match valid {
+                _ if *id == self.me.id => self.me.incarnation,
+                Some((incarnation, _)) => *incarnation,
+                None => return,
+            };
+            let role = Role::Voter;
+            members
+                .members
+                .insert(id.clone(), Member { incarnation, role });
+        }
+        self.found(members);
+    }
+
+    /// Returns the first membership of the group, if it contains the replica on this disk.
+    fn founding_for(&self, peer: &Peer) -> Option<Membership> {
+        match &self.log.get(1)?.payload {
+            Payload::Members(members) => members.member(peer).map(|_| members.clone()),
+            _ => None,
+        }
+    }
+
+    pub(super) fn on_found(&mut self, members: Membership) {
+        if self.is_fresh() && members.member(&self.me).is_some() {
+            self.found(members);
+        }
+    }
+
+    /// Starts the log with the first membership. The entry is the same at every member, and is
+    /// therefore committed from the start.
+    fn found(&mut self, members: Membership) {
+        if self.hard.term == 0 {
+            self.hard.term = 1;
+            self.persist_hard_state();
+        }
+        self.append_entry(Arc::new(Entry {
+            index: 1,
+            term: 1,
+            payload: Payload::Members(members),
+        }));
+        self.commit_to(1);
+        self.reset_deadline();
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/raft/leader.rs
@@ -0,0 +1,300 @@
+//! What only a leader does: proposals, commit, heartbeats and hand-over.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+use sycamoreflow_state::ids::{DaemonId, Millis};
+
+use super::faults::Fault;
+use super::message::Body;
+use super::reads::LeaderRead;
+use super::replication::Progress;
+use super::types::{Entry, Incarnation, Output, Payload, Peer, Refusal, Token};
+use super::{HEARTBEAT, MAX_ENTRY_BYTES, Part, QUORUM_TIMEOUT, Raft};
+
+/// Uncommitted entries beyond which proposals are refused.
+const MAX_UNCOMMITTED_ENTRIES: u64 = 1024;
+/// Uncommitted bytes beyond which proposals are refused.
+const MAX_UNCOMMITTED_BYTES: usize = 16 * 1024 * 1024;
+/// Time after which a hand-over that has not led to an election is given up.
+const TRANSFER_TIMEOUT: Millis = Millis(1000);
+
+/// State of a leader.
+#[derive(Debug)]
+pub(super) struct Leader {
+    pub(super) progress: BTreeMap<DaemonId, Progress>,
+    /// First entry of the leader's term. Nothing is committed by counting before it.
+    pub(super) term_start: u64,
+    /// Number of the latest round of heartbeats.
+    pub(super) round: u64,
+    /// Latest round that a quorum has answered.
+    pub(super) confirmed: u64,
+    pub(super) reads: VecDeque<LeaderRead>,
+    next_heartbeat: Millis,
+    transfer: Option<Transfer>,
+    /// Replicas that are not members as they are, with the disk and the time of their probe.
+    pub(super) strangers: BTreeMap<DaemonId, (Incarnation, Millis)>,
+}
+
+#[derive(Debug)]
+struct Transfer {
+    to: DaemonId,
+    until: Millis,
+    sent: bool,
+}
+
+impl Raft {
+    pub(super) fn become_leader(&mut self) {
+        let term_start = self.log.last().index + 1;
+        self.leader = Some(self.me.id.clone());
+        self.part = Part::Leader(Box::new(Leader {
+            progress: BTreeMap::new(),
+            term_start,
+            round: 0,
+            confirmed: 0,
+            reads: VecDeque::new(),
+            next_heartbeat: self.now,
+            transfer: None,
+            strangers: BTreeMap::new(),
+        }));
+        self.append_as_leader(Payload::Noop);
+        self.update_progress();
+        self.heartbeat();
+    }
+
+    /// Appends an entry of the own term and returns its index.
+    pub(super) fn append_as_leader(&mut self, payload: Payload) -> u64 {
+        let index = self.log.last().index + 1;
+        self.append_entry(Arc::new(Entry {
+            index,
+            term: self.hard.term,
+            payload,
+        }));
+        index
+    }
+
+    /// Makes the progress table match the membership.
+    pub(super) fn update_progress(&mut self) {
+        let next = self.log.last().index;
+        let Part::Leader(state) = &mut self.part else {
+            return;
+        };
+        let members = &self.members.members;
+        state.progress.retain(|id, progress| {
+            let member = members.get(id);
+            member.is_some_and(|member| member.incarnation == progress.incarnation)
+        });
+        for (id, member) in members {
+            if *id == self.me.id || state.progress.contains_key(id) {
+                continue;
+            }
+            let progress = Progress::new(member.incarnation, next, self.now);
+            state.progress.insert(id.clone(), progress);
+        }
+    }
+
+    pub(super) fn on_propose(&mut self, token: Token, data: Vec<u8>) {
+        if let Some(refusal) = self.proposal_refusal(data.len()) {
+            self.reject(token, refusal);
+            return;
+        }
+        let index = self.append_as_leader(Payload::Data(data));
+        self.accept(token, index);
+    }
+
+    fn proposal_refusal(&self, bytes: usize) -> Option<Refusal> {
+        let Part::Leader(state) = &self.part else {
+            return Some(Refusal::NotLeader);
+        };
+        if state.transfer.is_some() {
+            return Some(Refusal::NotReady);
+        }
+        if bytes > MAX_ENTRY_BYTES {
+            return Some(Refusal::TooLarge);
+        }
+        let last = self.log.last().index;
+        let uncommitted = (self.commit + 1..=last).filter_map(|index| self.log.get(index));
+        let pending: usize = uncommitted.map(|entry| entry.payload.bytes()).sum();
+        let full = last - self.commit >= MAX_UNCOMMITTED_ENTRIES
+            || pending + bytes > MAX_UNCOMMITTED_BYTES;
+        full.then_some(Refusal::Overloaded)
+    }
+
+    pub(super) fn reject(&mut self, token: Token, refusal: Refusal) {
+        let leader = self.leader.clone();
+        self.outputs.push(Output::ProposalRejected {
+            token,
+            refusal,
+            leader,
+        });
+    }
+
+    /// Reports an appended entry to its proposer and sends it to the members.
+    pub(super) fn accept(&mut self, token: Token, index: u64) {
+        let term = self.hard.term;
+        self.outputs
+            .push(Output::ProposalAccepted { token, index, term });
+        self.replicate_to_all();
+        self.advance_commit();
+    }
+
+    /// Commits the entries that a quorum has on disk, if the last of them is of the own term.
+    ///
+    /// An entry of an older term that is on a quorum can still be replaced by a later leader, so
+    /// such entries are committed only together with one of the own term.
+    pub(super) fn advance_commit(&mut self) {
+        let Part::Leader(state) = &self.part else {
+            return;
+        };
+        let own = if self.has_fault(Fault::AcknowledgeBeforeSync) {
+            self.log.last().index
+        } else {
+            self.durability.durable()
+        };
+        let mut matched: Vec<u64> = Vec::new();
+        for id in self.members.voters() {
+            let progress = state
+                .progress
+                .get(id)
+                .map_or(0, |progress| progress.matched);
+            matched.push(if *id == self.me.id { own } else { progress });
+        }
+        matched.sort_unstable_by(|a, b| b.cmp(a));
+        let Some(&index) = matched.get(self.members.quorum() - 1) else {
+            return;
+        };
+        let own_term = self.log.term_at(index) == Some(self.hard.term);
+        if index > self.commit && (own_term || self.has_fault(Fault::CommitOlderTerm)) {
+            self.commit_to(index);
+            self.confirm_reads();
+            self.announce_commit();
+        }
+    }
+
+    /// Lets the members apply at once what would otherwise wait for the next heartbeat.
+    fn announce_commit(&mut self) {
+        if self.commit < self.log.last().index {
+            return;
+        }
+        let Part::Leader(state) = &self.part else {
+            return;
+        };
+        let ids: Vec<DaemonId> = state.progress.keys().cloned().collect();
+        for id in ids {
+            self.replicate(&id, true);
+        }
+    }
+
+    pub(super) fn tick_leader(&mut self) {
+        if !self.hears_quorum() {
+            self.become_follower(self.hard.term, None);
+            return;
+        }
+        let now = self.now;
+        let Part::Leader(state) = &mut self.part else {
+            return;
+        };
+        let read_waits = state
+            .reads
+            .back()
+            .is_some_and(|read| read.round > state.round);
+        let due = now >= state.next_heartbeat || read_waits;
+        if state
+            .transfer
+            .as_ref()
+            .is_some_and(|transfer| now >= transfer.until)
+        {
+            state.transfer = None;
+        }
+        if due {
+            self.heartbeat();
+        }
+        self.maintain_members();
+    }
+
+    fn hears_quorum(&self) -> bool {
+        let Part::Leader(state) = &self.part else {
+            return false;
+        };
+        let mut heard = 0;
+        for id in self.members.voters() {
+            let recent = state
+                .progress
+                .get(id)
+                .is_some_and(|progress| self.now.since(progress.heard) < QUORUM_TIMEOUT);
+            if recent || *id == self.me.id {
+                heard += 1;
+            }
+        }
+        heard >= self.members.quorum()
+    }
+
+    /// Starts a new round: a message to each member, to be answered.
+    pub(super) fn heartbeat(&mut self) {
+        let next = self.now.after(HEARTBEAT);
+        let Part::Leader(state) = &mut self.part else {
+            return;
+        };
+        state.round += 1;
+        state.next_heartbeat = next;
+        for progress in state.progress.values_mut() {
+            progress.waiting = false;
+        }
+        let ids: Vec<DaemonId> = state.progress.keys().cloned().collect();
+        for id in ids {
+            self.replicate(&id, true);
+        }
+        self.confirm_reads();
+    }
+
+    pub(super) fn on_transfer(&mut self) {
+        let now = self.now;
+        let Part::Leader(state) = &mut self.part else {
+            return;
+        };
+        let mut best: Option<(&DaemonId, u64)> = None;
+        for id in self.members.voters() {
+            let Some(progress) = state.progress.get(id) else {
+                continue;
+            };
+            let recent = now.since(progress.heard) < QUORUM_TIMEOUT;
+            if recent && best.is_none_or(|(_, matched)| progress.matched > matched) {
+                best = Some((id, progress.matched));
+            }
+        }
+        state.transfer = best.map(|(id, _)| Transfer {
+            to: id.clone(),
+            until: now.after(TRANSFER_TIMEOUT),
+            sent: false,
+        });
+        self.continue_transfer();
+    }
+
+    /// Lets the chosen voter hold an election once it has the whole log.
+    pub(super) fn continue_transfer(&mut self) {
+        let last = self.log.last().index;
+        let Part::Leader(state) = &mut self.part else {
+            return;
+        };
+        let Some(transfer) = &mut state.transfer else {
+            return;
+        };
+        let matched = state.progress.get(&transfer.to).map_or(0, |p| p.matched);
+        if transfer.sent || matched < last {
+            return;
+        }
+        transfer.sent = true;
+        let to = transfer.to.clone();
+        self.send(to, Body::TimeoutNow);
+    }
+
+    /// Returns whether the replica is a member on this disk, and its progress.
+    pub(super) fn progress_mut(&mut self, peer: &Peer) -> Option<&mut Progress> {
+        let by_name = self.replaced_disk_counts();
+        let Part::Leader(state) = &mut self.part else {
+            return None;
+        };
+        let progress = state.progress.get_mut(&peer.id)?;
+        (by_name || progress.incarnation == peer.incarnation).then_some(progress)
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/raft/log.rs
@@ -0,0 +1,198 @@
+//! The part of the log that is kept in memory.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use super::message::LogEnd;
+use super::types::{LogState, Membership, Payload, SharedEntry, Snapshot};
+
+/// Entries kept behind a snapshot, so that a replica that is slightly behind needs no snapshot.
+const TRAILING_ENTRIES: u64 = 512;
+/// Bytes kept behind a snapshot.
+const TRAILING_BYTES: usize = 4 * 1024 * 1024;
+
+/// Entries after `base`, without gaps, and the latest snapshot.
+///
+/// Invariant: `base` is at or before the end of the snapshot, so every entry is in one of them.
+#[derive(Debug)]
+pub(super) struct Log {
+    base: LogEnd,
+    entries: VecDeque<SharedEntry>,
+    bytes: usize,
+    snapshot: Option<Arc<Snapshot>>,
+}
+
+impl Log {
+    pub(super) fn new(state: LogState) -> Self {
+        let base = state.snapshot.as_deref().map_or(LogEnd::START, end_of);
+        let mut log = Self {
+            base,
+            entries: VecDeque::new(),
+            bytes: 0,
+            snapshot: state.snapshot,
+        };
+        for entry in state.entries {
+            if entry.index == log.last().index + 1 {
+                log.append(entry);
+            }
+        }
+        log
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.last() == LogEnd::START
+    }
+
+    /// Returns the bytes of the entries that no snapshot contains.
+    pub(super) fn bytes_after_snapshot(&self) -> usize {
+        let from = self.snapshot.as_ref().map_or(0, |snapshot| snapshot.index) + 1;
+        let kept_behind = self.entries.iter().take_while(|entry| entry.index < from);
+        let behind: usize = kept_behind.map(|entry| entry.payload.bytes()).sum();
+        self.bytes - behind
+    }
+
+    pub(super) fn snapshot(&self) -> Option<&Arc<Snapshot>> {
+        self.snapshot.as_ref()
+    }
+
+    pub(super) fn base(&self) -> LogEnd {
+        self.base
+    }
+
+    pub(super) fn last(&self) -> LogEnd {
+        let Some(entry) = self.entries.back() else {
+            return self.base;
+        };
+        LogEnd {
+            term: entry.term,
+            index: entry.index,
+        }
+    }
+
+    pub(super) fn get(&self, index: u64) -> Option<&SharedEntry> {
+        let offset = index.checked_sub(self.base.index + 1)?;
+        self.entries.get(usize::try_from(offset).ok()?)
+    }
+
+    /// Returns the term of the entry, or `None` if it is not known.
+    pub(super) fn term_at(&self, index: u64) -> Option<u64> {
+        if index == self.base.index {
+            return Some(self.base.term);
+        }
+        self.get(index).map(|entry| entry.term)
+    }
+
+    /// Returns entries from `from` on: up to `max_entries`, and up to `max_bytes` after the first.
+    pub(super) fn slice(
+        &self,
+        from: u64,
+        max_bytes: usize,
+        max_entries: usize,
+    ) -> Vec<SharedEntry> {
+        let mut entries = Vec::new();
+        let mut bytes = 0;
+        let mut index = from;
+        while let Some(entry) = self.get(index) {
+            bytes += entry.payload.bytes();
+            if entries.len() >= max_entries || (!entries.is_empty() && bytes > max_bytes) {
+                break;
+            }
+            entries.push(entry.clone());
+            index += 1;
+        }
+        entries
+    }
+
+    pub(super) fn append(&mut self, entry: SharedEntry) {
+        debug_assert_eq!(entry.index, self.last().index + 1);
+        self.bytes += entry.payload.bytes();
+        self.entries.push_back(entry);
+    }
+
+    pub(super) fn truncate_from(&mut self, index: u64) {
+        while self
+            .entries
+            .back()
+            .is_some_and(|entry| entry.index >= index)
+        {
+            let removed = self.entries.pop_back();
+            self.bytes -= removed.map_or(0, |entry| entry.payload.bytes());
+        }
+    }
+
+    /// Takes over a snapshot of the own machine and drops entries that are far behind it.
+    pub(super) fn compact(&mut self, snapshot: Arc<Snapshot>) {
+        let end = snapshot.index;
+        self.snapshot = Some(snapshot);
+        let mut behind = self.bytes - self.bytes_after_snapshot();
+        while let Some(entry) = self.entries.front() {
+            let far = entry.index + TRAILING_ENTRIES <= end || behind > TRAILING_BYTES;
+            if entry.index > end || !far {
+                break;
+            }
+            let bytes = entry.payload.bytes();
+            self.base = LogEnd {
+                term: entry.term,
+                index: entry.index,
+            };
+            behind -= bytes.min(behind);
+            self.bytes -= bytes;
+            self.entries.pop_front();
+        }
+    }
+
+    /// Takes over a snapshot of the leader. Entries after it stay if the log contains its end.
+    pub(super) fn install(&mut self, snapshot: Arc<Snapshot>) {
+        let end = end_of(&snapshot);
+        if self.term_at(end.index) != Some(end.term) {
+            self.entries.clear();
+            self.bytes = 0;
+            self.base = end;
+        }
+        self.compact(snapshot);
+    }
+
+    /// Returns where the follower's log first may differ, for an entry that it does not have.
+    pub(super) fn conflict(&self, index: u64) -> (Option<u64>, u64) {
+        let Some(term) = self.term_at(index) else {
+            return (None, self.last().index + 1);
+        };
+        let mut first = index;
+        while first > self.base.index + 1 && self.term_at(first - 1) == Some(term) {
+            first -= 1;
+        }
+        (Some(term), first)
+    }
+
+    /// Returns the last index at or before `from` whose entry is of `term`.
+    pub(super) fn last_of_term(&self, term: u64, from: u64) -> Option<u64> {
+        let mut index = from.min(self.last().index);
+        while self.term_at(index)? > term {
+            index = index.checked_sub(1)?;
+        }
+        (self.term_at(index)? == term).then_some(index)
+    }
+
+    /// Returns the membership as of `index` and the index of its entry, which is 0 if it stems
+    /// from a snapshot.
+    pub(super) fn members_at(&self, index: u64) -> (Membership, u64) {
+        for entry in self.entries.iter().rev() {
+            if entry.index > index {
+                continue;
+            }
+            if let Payload::Members(members) = &entry.payload {
+                return (members.clone(), entry.index);
+            }
+        }
+        let snapshot = self.snapshot.as_ref();
+        (snapshot.map(|s| s.members.clone()).unwrap_or_default(), 0)
+    }
+}
+
+/// Returns the position of the last entry of a snapshot.
+pub(super) fn end_of(snapshot: &Snapshot) -> LogEnd {
+    LogEnd {
+        term: snapshot.term,
+        index: snapshot.index,
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/raft/members.rs
@@ -0,0 +1,163 @@
+//! Changes of the membership, one at a time.
+
+use sycamoreflow_state::ids::{DaemonId, Millis};
+
+use super::types::{
+    Incarnation, Member, MemberChange, Membership, Payload, Peer, Refusal, Role, Token,
+};
+use super::{Part, Raft};
+
+/// Time without a sign of the old disk after which a replica on a new disk is re-admitted. Two
+/// processes that run under one name therefore do not displace each other in turn.
+const REPLACEMENT_SILENCE: Millis = Millis(1000);
+/// Age beyond which a probe no longer counts as a sign of life.
+const PROBE_VALID: Millis = Millis(3000);
+/// Non-members that a leader remembers.
+const MAX_STRANGERS: usize = 64;
+
+impl Raft {
+    pub(super) fn on_change(&mut self, token: Token, change: MemberChange) {
+        let next = match self.next_members(change) {
+            Ok(next) => next,
+            Err(refusal) => {
+                self.reject(token, refusal);
+                return;
+            }
+        };
+        let index = self.append_members(next);
+        self.accept(token, index);
+    }
+
+    fn append_members(&mut self, members: Membership) -> u64 {
+        let index = self.append_as_leader(Payload::Members(members));
+        self.update_progress();
+        index
+    }
+
+    /// A change is allowed only when the previous one is committed, and so is an entry of the
+    /// own term. Otherwise two leaders could decide with quorums that share no voter.
+    fn change_refusal(&self) -> Option<Refusal> {
+        let Part::Leader(state) = &self.part else {
+            return Some(Refusal::NotLeader);
+        };
+        if self.commit < state.term_start {
+            return Some(Refusal::NotReady);
+        }
+        (self.members_index > self.commit).then_some(Refusal::ChangePending)
+    }
+
+    fn next_members(&self, change: MemberChange) -> Result<Membership, Refusal> {
+        if let Some(refusal) = self.change_refusal() {
+            return Err(refusal);
+        }
+        let mut next = self.members.clone();
+        match change {
+            MemberChange::AddLearner { id, promote } => {
+                if next.members.contains_key(&id) {
+                    return Err(Refusal::InvalidChange);
+                }
+                let incarnation = self.stranger(&id).ok_or(Refusal::UnknownReplica)?;
+                let role = Role::Learner { promote };
+                next.members.insert(id, Member { incarnation, role });
+            }
+            MemberChange::Promote { id } => {
+                let member = next.members.get_mut(&id).ok_or(Refusal::UnknownReplica)?;
+                if member.role == Role::Voter {
+                    return Err(Refusal::InvalidChange);
+                }
+                if !self.has_caught_up(&id) {
+                    return Err(Refusal::NotCaughtUp);
+                }
+                member.role = Role::Voter;
+            }
+            MemberChange::Remove { id } => {
+                if id == self.me.id {
+                    return Err(Refusal::InvalidChange);
+                }
+                next.members.remove(&id).ok_or(Refusal::UnknownReplica)?;
+            }
+        }
+        Ok(next)
+    }
+
+    /// Remembers a replica that is not a member on its present disk.
+    pub(super) fn note_stranger(&mut self, peer: Peer) {
+        let now = self.now;
+        if self.members.member(&peer).is_some() {
+            return;
+        }
+        let Part::Leader(state) = &mut self.part else {
+            return;
+        };
+        let strangers = &mut state.strangers;
+        strangers.retain(|_, (_, at)| now.since(*at) < PROBE_VALID);
+        if strangers.len() < MAX_STRANGERS || strangers.contains_key(&peer.id) {
+            strangers.insert(peer.id, (peer.incarnation, now));
+        }
+    }
+
+    fn stranger(&self, id: &DaemonId) -> Option<Incarnation> {
+        let Part::Leader(state) = &self.part else {
+            return None;
+        };
+        let (incarnation, at) = state.strangers.get(id)?;
+        (self.now.since(*at) < PROBE_VALID).then_some(*incarnation)
+    }
+
+    fn has_caught_up(&self, id: &DaemonId) -> bool {
+        let Part::Leader(state) = &self.part else {
+            return false;
+        };
+        state.progress.get(id).is_some_and(|progress| {
+            progress.matched >= self.commit && self.now.since(progress.heard) < REPLACEMENT_SILENCE
+        })
+    }
+
+    /// Re-admits replicas whose disks were replaced, and promotes learners that have caught up.
+    pub(super) fn maintain_members(&mut self) {
+        if self.change_refusal().is_some() {
+            return;
+        }
+        let next = self.replacement().or_else(|| self.promotion());
+        if let Some(next) = next {
+            self.append_members(next);
+            self.replicate_to_all();
+            self.advance_commit();
+        }
+    }
+
+    fn replacement(&self) -> Option<Membership> {
+        let Part::Leader(state) = &self.part else {
+            return None;
+        };
+        for (id, member) in &self.members.members {
+            let silent = state
+                .progress
+                .get(id)
+                .is_some_and(|progress| self.now.since(progress.heard) >= REPLACEMENT_SILENCE);
+            let Some(incarnation) = self.stranger(id).filter(|_| silent) else {
+                continue;
+            };
+            if incarnation == member.incarnation {
+                continue;
+            }
+            let promote = matches!(member.role, Role::Voter | Role::Learner { promote: true });
+            let role = Role::Learner { promote };
+            let mut next = self.members.clone();
+            next.members
+                .insert(id.clone(), Member { incarnation, role });
+            return Some(next);
+        }
+        None
+    }
+
+    fn promotion(&self) -> Option<Membership> {
+        for (id, member) in &self.members.members {
+            if member.role == (Role::Learner { promote: true }) && self.has_caught_up(id) {
+                let change = MemberChange::Promote { id: id.clone() };
+                return self.next_members(change).ok();
+            }
+        }
+        None
+    }
+}
--- a/crates/coordination/src/raft/message.rs
+++ b/crates/coordination/src/raft/message.rs
@@ -32,6 +32,11 @@
     pub index: u64,
 }
 
+impl LogEnd {
+    /// End of an empty log.
+    pub const START: Self = Self { term: 0, index: 0 };
+}
+
 /// Result of an append.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case")]
@@ -55,8 +60,6 @@
     Probe {
         /// Whether the sender's log is empty.
         fresh: bool,
-        /// Replicas in the sender's settings.
-        initial: Vec<DaemonId>,
     },
     /// Answer to a probe.
     ProbeAnswer {
--- /dev/null
+++ b/crates/coordination/src/raft/reads.rs
@@ -0,0 +1,241 @@
+//! Linearizable reads: the leader confirms by a round of heartbeats that it still leads.
+
+use std::collections::{BTreeSet, VecDeque};
+
+use rand::RngExt;
+use sycamoreflow_state::ids::Millis;
+
+use super::faults::Fault;
+use super::leader::Leader;
+use super::message::Body;
+use super::types::{Output, Peer, Refusal, Token};
+use super::{Part, QUORUM_TIMEOUT, Raft};
+
+/// Reads that may wait at once at one replica.
+const MAX_READS: usize = 4096;
+
+/// Who asked for a read.
+#[derive(Clone, Debug)]
+enum Reader {
+    Local(Token),
+    Remote(Peer, Token),
+}
+
+/// A read that waits at the leader.
+#[derive(Debug)]
+pub(super) struct LeaderRead {
+    reader: Reader,
+    /// Index that the read must see.
+    index: u64,
+    /// Round that must be confirmed. It starts after the read arrived.
+    pub(super) round: u64,
+    at: Millis,
+}
+
+/// Reads that this replica has asked the leader to confirm.
+#[derive(Debug, Default)]
+pub(super) struct ForwardedReads {
+    waiting: VecDeque<ForwardedRead>,
+}
+
+#[derive(Debug)]
+struct ForwardedRead {
+    token: Token,
+    /// Number in the message, drawn at random: an answer to a read from before a restart must
+    /// not confirm a later read.
+    wire: Token,
+    at: Millis,
+    index: Option<u64>,
+}
+
+impl Raft {
+    pub(super) fn on_read(&mut self, token: Token) {
+        if matches!(self.part, Part::Leader(_)) {
+            self.add_leader_read(Reader::Local(token));
+            return;
+        }
+        let Some(leader) = self.leader.clone() else {
+            self.refuse_read(token, Refusal::NotLeader);
+            return;
+        };
+        if self.reads.waiting.len() >= MAX_READS {
+            self.refuse_read(token, Refusal::Overloaded);
+            return;
+        }
+        let wire = Token(self.rng.random());
+        self.reads.waiting.push_back(ForwardedRead {
+            token,
+            wire,
+            at: self.now,
+            index: None,
+        });
+        self.send(leader, Body::ReadIndex { token: wire });
+    }
+
+    pub(super) fn on_forwarded_read(&mut self, peer: Peer, token: Token) {
+        if self.members.member(&peer).is_none() {
+            return;
+        }
+        if !matches!(self.part, Part::Leader(_)) {
+            self.send_to_peer(peer, Body::ReadIndexAnswer { token, index: None });
+            return;
+        }
+        self.add_leader_read(Reader::Remote(peer, token));
+    }
+
+    /// The read must see everything committed by now. Until an entry of the own term is
+    /// committed the leader does not know what that is, but all of it precedes that entry.
+    fn add_leader_read(&mut self, reader: Reader) {
+        let at = self.now;
+        let commit = self.commit;
+        if self.has_fault(Fault::UnconfirmedReads) {
+            self.complete_read(reader, commit);
+            return;
+        }
+        let Part::Leader(state) = &mut self.part else {
+            return;
+        };
+        if state.reads.len() >= MAX_READS {
+            self.refuse_reader(reader, Refusal::Overloaded);
+            return;
+        }
+        let round = state.round + 1;
+        state.reads.push_back(LeaderRead {
+            reader,
+            index: commit.max(state.term_start),
+            round,
+            at,
+        });
+        // Reads that arrive while a round is under way share the next one.
+        if state.confirmed == state.round {
+            self.heartbeat();
+        }
+    }
+
+    /// Completes the reads whose round was answered by a quorum and whose index is applied.
+    pub(super) fn confirm_reads(&mut self) {
+        let Part::Leader(state) = &mut self.part else {
+            return;
+        };
+        let mut rounds: Vec<u64> = Vec::new();
+        for id in self.members.voters() {
+            let answered = state.progress.get(id).map_or(0, |progress| progress.round);
+            rounds.push(if *id == self.me.id {
+                state.round
+            } else {
+                answered
+            });
+        }
+        rounds.sort_unstable_by(|a, b| b.cmp(a));
+        let confirmed = rounds.get(self.members.quorum() - 1).copied().unwrap_or(0);
+        state.confirmed = state.confirmed.max(confirmed);
+        let mut ready = Vec::new();
+        while let Some(read) = state.reads.pop_front() {
+            if read.round > state.confirmed || read.index > self.commit {
+                state.reads.push_front(read);
+                break;
+            }
+            ready.push(read);
+        }
+        let next_round = state.confirmed == state.round
+            && state
+                .reads
+                .back()
+                .is_some_and(|read| read.round > state.round);
+        for read in ready {
+            self.complete_read(read.reader, read.index);
+        }
+        if next_round {
+            self.heartbeat();
+        }
+    }
+
+    fn complete_read(&mut self, reader: Reader, index: u64) {
+        match reader {
+            Reader::Local(token) => self.outputs.push(Output::ReadReady { token, index }),
+            Reader::Remote(peer, token) => {
+                let index = Some(index);
+                self.send_to_peer(peer, Body::ReadIndexAnswer { token, index });
+            }
+        }
+    }
+
+    fn refuse_reader(&mut self, reader: Reader, refusal: Refusal) {
+        match reader {
+            Reader::Local(token) => self.refuse_read(token, refusal),
+            Reader::Remote(peer, token) => {
+                self.send_to_peer(peer, Body::ReadIndexAnswer { token, index: None });
+            }
+        }
+    }
+
+    fn refuse_read(&mut self, token: Token, refusal: Refusal) {
+        let leader = self.leader.clone();
+        self.outputs.push(Output::ReadRefused {
+            token,
+            refusal,
+            leader,
+        });
+    }
+
+    /// Refuses everything that a former leader has not confirmed.
+    pub(super) fn refuse_leader_reads(&mut self, state: Leader) {
+        for read in state.reads {
+            self.refuse_reader(read.reader, Refusal::NotLeader);
+        }
+    }
+
+    pub(super) fn on_read_answer(&mut self, wire: Token, index: Option<u64>) {
+        let mut reads = self.reads.waiting.iter_mut();
+        let Some(read) = reads.find(|read| read.wire == wire) else {
+            return;
+        };
+        if index.is_some() {
+            read.index = read.index.or(index);
+            self.answer_waiting_reads();
+            return;
+        }
+        let token = read.token;
+        self.reads.waiting.retain(|read| read.wire != wire);
+        self.refuse_read(token, Refusal::NotLeader);
+    }
+
+    /// Completes confirmed reads that the machine has caught up with.
+    pub(super) fn answer_waiting_reads(&mut self) {
+        let commit = self.commit;
+        let outputs = &mut self.outputs;
+        self.reads.waiting.retain(|read| {
+            let Some(index) = read.index.filter(|index| *index <= commit) else {
+                return true;
+            };
+            let token = read.token;
+            outputs.push(Output::ReadReady { token, index });
+            false
+        });
+    }
+
+    /// Refuses reads that were not confirmed in time.
+    pub(super) fn expire_reads(&mut self) {
+        let now = self.now;
+        let is_late = |at: Millis| now.since(at) >= QUORUM_TIMEOUT;
+        let mut late = BTreeSet::new();
+        self.reads.waiting.retain(|read| {
+            if is_late(read.at) {
+                late.insert(read.token);
+            }
+            !is_late(read.at)
+        });
+        let mut late_here = Vec::new();
+        if let Part::Leader(state) = &mut self.part {
+            while state.reads.front().is_some_and(|read| is_late(read.at)) {
+                late_here.extend(state.reads.pop_front());
+            }
+        }
+        for token in late {
+            self.refuse_read(token, Refusal::TimedOut);
+        }
+        for read in late_here {
+            self.refuse_reader(read.reader, Refusal::TimedOut);
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/raft/replication.rs
@@ -0,0 +1,248 @@
+//! How a leader brings each member's log up to its own.
+
+use std::sync::Arc;
+
+use sycamoreflow_state::ids::{DaemonId, Millis};
+
+use super::log::end_of;
+use super::message::{AppendResult, Body, LogEnd};
+use super::types::{Incarnation, Peer, Snapshot};
+use super::{Part, Raft};
+
+/// Bytes of entries in one message; a single entry may be larger.
+const MAX_APPEND_BYTES: usize = 512 * 1024;
+/// Entries in one message.
+const MAX_APPEND_ENTRIES: usize = 256;
+/// Entries sent ahead of the acknowledged ones.
+const MAX_IN_FLIGHT: u64 = 256;
+/// Bytes in one piece of a snapshot.
+pub(super) const CHUNK_BYTES: usize = 256 * 1024;
+/// Time after which a piece of a snapshot without an answer is sent again.
+const CHUNK_TIMEOUT: Millis = Millis(1000);
+
+/// What the leader knows about a member.
+#[derive(Debug)]
+pub(super) struct Progress {
+    pub(super) incarnation: Incarnation,
+    /// The member's log is known to equal the leader's up to here, on disk.
+    pub(super) matched: u64,
+    /// Next entry to send.
+    next: u64,
+    mode: Mode,
+    /// Nothing is sent until an answer or the next round of heartbeats.
+    pub(super) waiting: bool,
+    pub(super) heard: Millis,
+    pub(super) round: u64,
+}
+
+#[derive(Debug)]
+enum Mode {
+    /// Finds the place where the logs agree, one message at a time.
+    Searching,
+    /// Sends entries ahead of the answers.
+    Streaming,
+    /// Sends a snapshot, one piece at a time.
+    Snapshot {
+        snapshot: Arc<Snapshot>,
+        offset: u64,
+        /// When the piece at `offset` was sent, until it is answered.
+        sent: Option<Millis>,
+    },
+}
+
+impl Progress {
+    pub(super) fn new(incarnation: Incarnation, next: u64, now: Millis) -> Self {
+        Self {
+            incarnation,
+            matched: 0,
+            next: next.max(1),
+            mode: Mode::Searching,
+            waiting: false,
+            heard: now,
+            round: 0,
+        }
+    }
+}
+
+impl Raft {
+    pub(super) fn replicate_to_all(&mut self) {
+        let Part::Leader(state) = &self.part else {
+            return;
+        };
+        let ids: Vec<DaemonId> = state.progress.keys().cloned().collect();
+        for id in ids {
+            self.replicate(&id, false);
+        }
+    }
+
+    /// Sends what the member lacks, and with `heartbeat` at least one message.
+    pub(super) fn replicate(&mut self, id: &DaemonId, heartbeat: bool) {
+        let mut send_empty = heartbeat;
+        while let Some(body) = self.next_message(id, send_empty) {
+            send_empty = false;
+            self.send(id.clone(), body);
+        }
+    }
+
+    fn next_message(&mut self, id: &DaemonId, send_empty: bool) -> Option<Body> {
+        let last = self.log.last().index;
+        let base = self.log.base();
+        let now = self.now;
+        let Part::Leader(state) = &mut self.part else {
+            return None;
+        };
+        let round = state.round;
+        let progress = state.progress.get_mut(id)?;
+        if progress.next <= base.index && !matches!(progress.mode, Mode::Snapshot { .. }) {
+            progress.mode = Mode::Snapshot {
+                snapshot: self.log.snapshot()?.clone(),
+                offset: 0,
+                sent: None,
+            };
+        }
+        let mut max_entries = 0;
+        match &mut progress.mode {
+            Mode::Snapshot {
+                snapshot,
+                offset,
+                sent,
+            } => {
+                if sent.is_none_or(|sent| now.since(sent) >= CHUNK_TIMEOUT) {
+                    *sent = Some(now);
+                    return Some(chunk(snapshot, *offset, round));
+                }
+                return send_empty.then_some(Body::Append {
+                    prev: LogEnd::START,
+                    entries: Vec::new(),
+                    commit: 0,
+                    round,
+                });
+            }
+            Mode::Searching if progress.waiting && !send_empty => return None,
+            Mode::Searching => progress.waiting = true,
+            Mode::Streaming => {
+                let in_flight = progress.next - progress.matched;
+                if progress.next <= last && in_flight <= MAX_IN_FLIGHT {
+                    max_entries = MAX_APPEND_ENTRIES;
+                } else if !send_empty {
+                    return None;
+                }
+            }
+        }
+        let index = progress.next - 1;
+        let term = self.log.term_at(index)?;
+        let entries = self.log.slice(progress.next, MAX_APPEND_BYTES, max_entries);
+        progress.next += entries.len() as u64;
+        Some(Body::Append {
+            prev: LogEnd { term, index },
+            entries,
+            commit: self.commit,
+            round,
+        })
+    }
+
+    pub(super) fn on_append_answer(
+        &mut self,
+        peer: Peer,
+        prev: u64,
+        result: AppendResult,
+        round: u64,
+    ) {
+        if !self.note_answer(&peer, round) {
+            return;
+        }
+        match result {
+            AppendResult::Matched(index) => self.on_matched(&peer, index),
+            AppendResult::Conflict { term, index } => self.on_conflict(&peer, prev, term, index),
+        }
+        self.replicate(&peer.id, false);
+        self.advance_commit();
+        self.confirm_reads();
+        self.continue_transfer();
+    }
+
+    /// Notes that the member answered in this term. Returns whether it is a member.
+    fn note_answer(&mut self, peer: &Peer, round: u64) -> bool {
+        let now = self.now;
+        let Some(progress) = self.progress_mut(peer) else {
+            return false;
+        };
+        progress.heard = now;
+        progress.round = progress.round.max(round);
+        true
+    }
+
+    fn on_matched(&mut self, peer: &Peer, index: u64) {
+        let last = self.log.last().index;
+        let Some(progress) = self.progress_mut(peer) else {
+            return;
+        };
+        if index > last {
+            return;
+        }
+        progress.matched = progress.matched.max(index);
+        progress.next = progress.next.max(progress.matched + 1);
+        match &progress.mode {
+            Mode::Snapshot { snapshot, .. } if progress.matched < snapshot.index => return,
+            Mode::Streaming => {}
+            Mode::Searching | Mode::Snapshot { .. } => {
+                progress.mode = Mode::Streaming;
+                progress.next = progress.matched + 1;
+            }
+        }
+        progress.waiting = false;
+    }
+
+    fn on_conflict(&mut self, peer: &Peer, prev: u64, term: Option<u64>, index: u64) {
+        let back = term.and_then(|term| self.log.last_of_term(term, prev));
+        let Some(progress) = self.progress_mut(peer) else {
+            return;
+        };
+        let outdated = prev <= progress.matched || prev >= progress.next;
+        if outdated || matches!(progress.mode, Mode::Snapshot { .. }) {
+            return;
+        }
+        // All entries of a term that the leader does not have are skipped at once.
+        let next = back
+            .filter(|back| *back >= index)
+            .map_or(index, |back| back + 1);
+        progress.next = next.min(prev).max(progress.matched + 1);
+        progress.mode = Mode::Searching;
+        progress.waiting = false;
+    }
+
+    pub(super) fn on_chunk_answer(&mut self, peer: Peer, index: u64, received: u64, round: u64) {
+        if !self.note_answer(&peer, round) {
+            return;
+        }
+        if let Some(progress) = self.progress_mut(&peer)
+            && let Mode::Snapshot {
+                snapshot,
+                offset,
+                sent,
+            } = &mut progress.mode
+            && snapshot.index == index
+            && received <= snapshot.data.len() as u64
+            && received != *offset
+        {
+            *offset = received;
+            *sent = None;
+        }
+        self.replicate(&peer.id, false);
+        self.confirm_reads();
+    }
+}
+
+fn chunk(snapshot: &Snapshot, offset: u64, round: u64) -> Body {
+    let start = usize::try_from(offset).unwrap_or(usize::MAX);
+    let start = start.min(snapshot.data.len());
+    let end = (start + CHUNK_BYTES).min(snapshot.data.len());
+    Body::SnapshotChunk {
+        last: end_of(snapshot),
+        members: snapshot.members.clone(),
+        total: snapshot.data.len() as u64,
+        offset: start as u64,
+        data: snapshot.data[start..end].to_vec(),
+        round,
+    }
+}
