Add the replicated state machine

Approvals are checked against the latest approval, not against the latest version: steps of rollouts raise the version too and must not make the base of an operator outdated. Outcomes are kept for 24 h of log time, at most 65,536 of them; the resend of a forgotten request receives a conflict.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -3,4 +3,5 @@
 //! No module reads a clock, opens a socket or draws unseeded random numbers; see
 //! `docs/design.md`, section 3.
 
+pub mod machine;
 pub mod raft;
--- /dev/null
+++ b/crates/coordination/src/machine.rs
@@ -0,0 +1,419 @@
+//! The replicated state machine: accepted configuration, rollouts, key holders and the outcomes
+//! of operators' requests.
+//!
+//! [`ControlState::apply`] depends on the state and the command only, so all replicas reach the
+//! same state. Invariants:
+//! - [`ConfigVersion`] rises by one with each change of what proxies enforce, and never falls.
+//! - Of the approvals made on one base, at most one is accepted.
+//! - A resent request receives the first outcome and has no further effect.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+use sycamoreflow_state::config::MeshConfig;
+use sycamoreflow_state::ids::{ConfigVersion, Millis, RequestId, ServiceName};
+use sycamoreflow_state::view::{KeyHolder, KeyHolders, Resource, ResourceKey, config_resources};
+
+mod check;
+mod history;
+mod requests;
+mod rollout;
+
+#[cfg(test)]
+mod tests;
+
+use check::check_key_holders;
+use history::History;
+use requests::Requests;
+use rollout::{ApprovalEffect, RolloutCommand, Rollouts};
+
+pub use check::check_config;
+pub use history::{HistoryEvent, HistoryRecord, MAX_HISTORY};
+pub use requests::{MAX_OUTCOMES, OUTCOME_RETENTION};
+
+/// An error of the encoding of commands or snapshots.
+pub type CodecError = Box<dyn std::error::Error + Send + Sync>;
+
+/// A change of the replicated state.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+#[expect(
+    clippy::large_enum_variant,
+    reason = "commands are not kept; almost all are approvals"
+)]
+pub enum Command {
+    /// Accepts a configuration.
+    Approve {
+        /// Identifier that the operator's client chose.
+        request: RequestId,
+        /// Version that the operator saw.
+        base: ConfigVersion,
+        /// Who asks, to be named to others.
+        operator: String,
+        /// Text of the answers.
+        answers: String,
+        /// Configuration generated from the answers.
+        config: MeshConfig,
+        /// Time at the leader, counted from the Unix epoch.
+        at: Millis,
+    },
+    /// Changes a rollout.
+    Rollout(RolloutCommand),
+    /// Sets the group of key holders of a service.
+    SetKeyHolders {
+        /// Service.
+        service: ServiceName,
+        /// Number of the group, one above that of the group it replaces.
+        epoch: u64,
+        /// The holders. At most one differs from the group before.
+        daemons: Vec<KeyHolder>,
+    },
+    /// Nothing.
+    Noop,
+}
+
+impl Command {
+    /// Encodes the command for the log.
+    pub fn encode(&self) -> Result<Vec<u8>, CodecError> {
+        let mut buf = Vec::new();
+        ciborium::into_writer(self, &mut buf)?;
+        Ok(buf)
+    }
+
+    /// Decodes a command from the log.
+    pub fn decode(buf: &[u8]) -> Result<Self, CodecError> {
+        Ok(ciborium::from_reader(buf)?)
+    }
+
+    /// Returns the problems that keep the command out of the log.
+    pub fn problems(&self) -> Vec<String> {
+        match self {
+            Self::Approve { config, .. } => check_config(config),
+            Self::SetKeyHolders { daemons, .. } => check_key_holders(daemons),
+            Self::Rollout(_) | Self::Noop => Vec::new(),
+        }
+    }
+}
+
+/// Result of a command.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub enum Outcome {
+    /// The configuration was accepted.
+    Approved {
+        /// Version at which it came into force.
+        version: ConfigVersion,
+        /// Services whose rollout started.
+        rollouts: Vec<ServiceName>,
+        /// Whether this is the outcome of an earlier request with the same identifier.
+        repeated: bool,
+    },
+    /// Another approval was accepted after the base, or the base does not exist yet.
+    Conflict {
+        /// Version at the time of the first request with this identifier.
+        current: ConfigVersion,
+        /// Operator of the latest approval at that time. Empty if there was none.
+        by: String,
+        /// Whether this is the outcome of an earlier request with the same identifier.
+        repeated: bool,
+    },
+    /// The configuration or the key holders are unusable. Nothing changed.
+    Invalid {
+        /// What is wrong.
+        problems: Vec<String>,
+    },
+    /// The request identifier was used for another request.
+    RequestIdReused,
+    /// The command was applied.
+    Done {
+        /// Version after the command.
+        version: ConfigVersion,
+        /// Whether the command changed what proxies enforce.
+        changed: bool,
+    },
+    /// The command does not fit the state. Nothing changed.
+    Refused {
+        /// Why.
+        reason: String,
+    },
+}
+
+/// The configuration in force.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Approved {
+    /// Version at which it came into force. Zero if nothing was approved.
+    pub version: ConfigVersion,
+    /// Who approved it.
+    pub operator: String,
+    /// When it was approved.
+    pub at: Millis,
+    /// Text of the answers.
+    pub answers: String,
+    /// Configuration.
+    pub config: MeshConfig,
+}
+
+/// The replicated state.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct ControlState {
+    applied: u64,
+    version: ConfigVersion,
+    approved: Approved,
+    rollouts: Rollouts,
+    key_holders: BTreeMap<ServiceName, KeyHolders>,
+    /// Highest epoch of a service that was removed. Groups of a service that returns start above
+    /// it, so that claims of the earlier groups are not taken for theirs.
+    removed_epoch: u64,
+    requests: Requests,
+    history: History,
+}
+
+impl ControlState {
+    /// Applies the command of the log entry `index`.
+    ///
+    /// An entry that was applied before is refused without effect.
+    pub fn apply(&mut self, index: u64, command: &Command) -> Outcome {
+        if index <= self.applied {
+            return refused(format!("entry {index} was applied before"));
+        }
+        self.applied = index;
+        match command {
+            Command::Approve { .. } => self.apply_approval(command),
+            Command::Rollout(rollout) => self.apply_rollout(rollout),
+            Command::SetKeyHolders {
+                service,
+                epoch,
+                daemons,
+            } => self.apply_key_holders(service, *epoch, daemons),
+            Command::Noop => self.done(false),
+        }
+    }
+
+    fn apply_approval(&mut self, command: &Command) -> Outcome {
+        let Command::Approve {
+            request,
+            base,
+            operator,
+            answers,
+            config,
+            at,
+        } = command
+        else {
+            return self.done(false);
+        };
+        if let Some(outcome) = self.requests.find(request, *base, answers) {
+            return outcome;
+        }
+        let problems = check_config(config);
+        if !problems.is_empty() {
+            return Outcome::Invalid { problems };
+        }
+        // Steps of rollouts raise the version too; they do not make an operator's base outdated.
+        let outcome = if *base < self.approved.version || *base > self.version {
+            Outcome::Conflict {
+                current: self.version,
+                by: self.approved.operator.clone(),
+                repeated: false,
+            }
+        } else {
+            self.accept(request, operator, answers, config, *at)
+        };
+        self.requests
+            .remember(request.clone(), *base, answers, &outcome, *at);
+        outcome
+    }
+
+    fn accept(
+        &mut self,
+        request: &RequestId,
+        operator: &str,
+        answers: &str,
+        config: &MeshConfig,
+        at: Millis,
+    ) -> Outcome {
+        let rollouts = started(self.rollouts.approve(config, at));
+        self.drop_key_holders(config);
+        self.version.0 += 1;
+        self.approved = Approved {
+            version: self.version,
+            operator: operator.to_owned(),
+            at,
+            answers: answers.to_owned(),
+            config: config.clone(),
+        };
+        let event = HistoryEvent::Approved {
+            request: request.clone(),
+            operator: operator.to_owned(),
+        };
+        self.history
+            .add(self.version, self.requests.time(at), event);
+        Outcome::Approved {
+            version: self.version,
+            rollouts,
+            repeated: false,
+        }
+    }
+
+    fn drop_key_holders(&mut self, config: &MeshConfig) {
+        let removed_epoch = &mut self.removed_epoch;
+        self.key_holders.retain(|service, holders| {
+            let stays = config.services.contains_key(service);
+            if !stays {
+                *removed_epoch = (*removed_epoch).max(holders.epoch);
+            }
+            stays
+        });
+    }
+
+    fn apply_rollout(&mut self, command: &RolloutCommand) -> Outcome {
+        let changed = match self.rollouts.apply(command) {
+            Ok(changed) => changed,
+            Err(conflict) => {
+                return refused(format!("the rollout does not allow it: {conflict:?}"));
+            }
+        };
+        if changed {
+            self.version.0 += 1;
+            let event = HistoryEvent::Rollout(command.clone());
+            self.history
+                .add(self.version, self.requests.time(Millis(0)), event);
+        }
+        self.done(changed)
+    }
+
+    fn apply_key_holders(
+        &mut self,
+        service: &ServiceName,
+        epoch: u64,
+        daemons: &[KeyHolder],
+    ) -> Outcome {
+        let problems = check_key_holders(daemons);
+        if !problems.is_empty() {
+            return Outcome::Invalid { problems };
+        }
+        if !self.approved.config.services.contains_key(service) {
+            return refused(format!("there is no service {service}"));
+        }
+        let group = self.key_holders.get(service);
+        let last_epoch = group.map_or(self.removed_epoch, |group| group.epoch);
+        if epoch != last_epoch + 1 {
+            return refused(format!("the present epoch is {last_epoch}"));
+        }
+        let stays = |holder: &&KeyHolder| daemons.iter().any(|new| new.daemon == holder.daemon);
+        let removed = group.map_or(0, |group| {
+            group.daemons.len() - group.daemons.iter().filter(stays).count()
+        });
+        // Two of three holders must remain, because a record is on two of them at least.
+        if removed > 1 {
+            return refused("more than one holder would be replaced".to_owned());
+        }
+        let daemons = daemons.to_vec();
+        let holders = KeyHolders { epoch, daemons };
+        self.key_holders.insert(service.clone(), holders);
+        self.version.0 += 1;
+        let event = HistoryEvent::KeyHolders {
+            service: service.clone(),
+            epoch,
+        };
+        self.history
+            .add(self.version, self.requests.time(Millis(0)), event);
+        self.done(true)
+    }
+
+    fn done(&self, changed: bool) -> Outcome {
+        Outcome::Done {
+            version: self.version,
+            changed,
+        }
+    }
+
+    /// Returns the index of the last applied entry.
+    pub fn applied(&self) -> u64 {
+        self.applied
+    }
+
+    /// Notes a log entry without a command, so that `applied` follows the log.
+    pub fn skip(&mut self, index: u64) {
+        self.applied = self.applied.max(index);
+    }
+
+    /// Returns the version of what proxies enforce.
+    pub fn version(&self) -> ConfigVersion {
+        self.version
+    }
+
+    /// Returns the configuration in force.
+    pub fn approved(&self) -> &Approved {
+        &self.approved
+    }
+
+    /// Returns the rollouts.
+    pub fn rollouts(&self) -> &Rollouts {
+        &self.rollouts
+    }
+
+    /// Returns the key holders of a service.
+    pub fn key_holders(&self, service: &ServiceName) -> Option<&KeyHolders> {
+        self.key_holders.get(service)
+    }
+
+    /// Yields the latest events, the oldest one first.
+    pub fn history(&self) -> impl Iterator<Item = &HistoryRecord> {
+        self.history.iter()
+    }
+
+    /// Returns the remembered outcome of a request, so that a resend needs no log entry.
+    pub fn outcome(
+        &self,
+        request: &RequestId,
+        base: ConfigVersion,
+        answers: &str,
+    ) -> Option<Outcome> {
+        self.requests.find(request, base, answers)
+    }
+
+    /// Returns all that proxies enforce, except endpoints.
+    pub fn resources(&self) -> Vec<(ResourceKey, Resource)> {
+        let mut resources: Vec<_> = config_resources(&self.approved.config).collect();
+        for service in self.approved.config.services.keys() {
+            if let Some(split) = self.rollouts.traffic(service) {
+                let key = ResourceKey::Traffic(service.clone());
+                resources.push((key, Resource::Traffic(split)));
+            }
+            if let Some(holders) = self.key_holders.get(service) {
+                let key = ResourceKey::KeyHolders(service.clone());
+                resources.push((key, Resource::KeyHolders(holders.clone())));
+            }
+        }
+        resources
+    }
+
+    /// Encodes the state for a snapshot.
+    pub fn encode(&self) -> Result<Vec<u8>, CodecError> {
+        let mut buf = Vec::new();
+        ciborium::into_writer(self, &mut buf)?;
+        Ok(buf)
+    }
+
+    /// Decodes the state of a snapshot.
+    pub fn decode(buf: &[u8]) -> Result<Self, CodecError> {
+        Ok(ciborium::from_reader(buf)?)
+    }
+}
+
+/// Returns the services whose rollout an approval has started.
+fn started(effects: Vec<ApprovalEffect>) -> Vec<ServiceName> {
+    let mut services = Vec::new();
+    for effect in effects {
+        if let ApprovalEffect::Started { service, .. } = effect {
+            services.push(service);
+        }
+    }
+    services
+}
+
+fn refused(reason: String) -> Outcome {
+    Outcome::Refused { reason }
+}
--- /dev/null
+++ b/crates/coordination/src/machine/check.rs
@@ -0,0 +1,109 @@
+//! Checks that keep unusable content out of the log.
+
+use std::collections::BTreeSet;
+
+use sycamoreflow_state::config::{MeshConfig, RouteConfig, ServiceConfig, Share};
+use sycamoreflow_state::ids::{RouteName, ServiceName};
+use sycamoreflow_state::view::KeyHolder;
+
+/// Holders of the keys of a service. A record is kept on a majority of them.
+const MAX_KEY_HOLDERS: usize = 3;
+
+/// Returns what would make the configuration unusable for a proxy.
+///
+/// It covers the references between resources and the invariants of
+/// [`sycamoreflow_state::config`]. The checks that give advice to operators are made on generation.
+pub fn check_config(config: &MeshConfig) -> Vec<String> {
+    let mut problems = Vec::new();
+    for (name, tenant) in &config.tenants {
+        if tenant.weight == 0 {
+            problems.push(format!("tenant {name} has the weight 0"));
+        }
+    }
+    for (name, service) in &config.services {
+        check_service(config, name, service, &mut problems);
+    }
+    for (name, route) in &config.routes {
+        check_route(config, name, route, &mut problems);
+    }
+    check_shadowing(config, &mut problems);
+    problems
+}
+
+fn check_service(
+    config: &MeshConfig,
+    name: &ServiceName,
+    service: &ServiceConfig,
+    problems: &mut Vec<String>,
+) {
+    for caller in &service.callers {
+        if !config.services.contains_key(caller) {
+            problems.push(format!("service {name} names the unknown caller {caller}"));
+        }
+    }
+    let steps = &service.rollout.steps;
+    let rising = steps.windows(2).all(|pair| pair[0] < pair[1]);
+    if !rising || steps.last() != Some(&Share::ALL) {
+        problems.push(format!(
+            "the steps of service {name} do not rise to the whole"
+        ));
+    }
+    if service.min_endpoints > Share::ALL {
+        problems.push(format!("service {name} has a share above the whole"));
+    }
+}
+
+fn check_route(
+    config: &MeshConfig,
+    name: &RouteName,
+    route: &RouteConfig,
+    problems: &mut Vec<String>,
+) {
+    if !config.services.contains_key(&route.service) {
+        let service = &route.service;
+        problems.push(format!(
+            "route {name} leads to the unknown service {service}"
+        ));
+    }
+    for tenant in &route.tenants {
+        if !config.tenants.contains_key(tenant) {
+            problems.push(format!("route {name} names the unknown tenant {tenant}"));
+        }
+    }
+    if !route.prefix.starts_with('/') {
+        problems.push(format!("the prefix of route {name} does not start with /"));
+    }
+}
+
+fn check_shadowing(config: &MeshConfig, problems: &mut Vec<String>) {
+    let mut seen = BTreeSet::new();
+    let mut any_method = BTreeSet::new();
+    let mut with_method = BTreeSet::new();
+    for (name, route) in &config.routes {
+        let prefix = route.prefix.as_str();
+        let shadowed = if route.methods.is_empty() {
+            any_method.insert(prefix);
+            !seen.insert((prefix, "")) || with_method.contains(prefix)
+        } else {
+            with_method.insert(prefix);
+            let mut methods = route.methods.iter();
+            any_method.contains(prefix) || methods.any(|m| !seen.insert((prefix, m.as_str())))
+        };
+        if shadowed {
+            problems.push(format!("route {name} covers requests of another route"));
+        }
+    }
+}
+
+/// Returns what would make a group of key holders unusable.
+pub(super) fn check_key_holders(daemons: &[KeyHolder]) -> Vec<String> {
+    let distinct: BTreeSet<_> = daemons.iter().map(|holder| &holder.daemon).collect();
+    let mut problems = Vec::new();
+    if distinct.len() != daemons.len() {
+        problems.push("a daemon is named twice".to_owned());
+    }
+    if daemons.is_empty() || daemons.len() > MAX_KEY_HOLDERS {
+        problems.push(format!("a group has 1 to {MAX_KEY_HOLDERS} holders"));
+    }
+    problems
+}
--- /dev/null
+++ b/crates/coordination/src/machine/requests.rs
@@ -0,0 +1,97 @@
+//! Outcomes of operators' requests, so that a resend receives the first outcome.
+//!
+//! Outcomes are kept for [`OUTCOME_RETENTION`] of log time, the highest time in any approval, and
+//! at most [`MAX_OUTCOMES`] of them; beyond that the oldest ones are forgotten. The resend of a
+//! forgotten request receives a conflict, because its base is older than the approval that it made
+//! or lost against. It is never accepted a second time.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+use sycamoreflow_state::ids::{ConfigVersion, Millis, RequestId};
+
+use super::Outcome;
+
+/// Time for which an outcome is kept.
+pub const OUTCOME_RETENTION: Millis = Millis(24 * 3_600_000);
+/// Outcomes kept at most. The planned rate is 45,000 changes a day.
+pub const MAX_OUTCOMES: usize = 65_536;
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+struct Remembered {
+    /// Hash of base and answers. The configuration follows from the answers, and its encoding may
+    /// differ between releases.
+    content: [u8; 32],
+    outcome: Outcome,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub(super) struct Requests {
+    outcomes: BTreeMap<RequestId, Remembered>,
+    /// Requests in the order in which their outcomes were remembered, with the log time.
+    order: VecDeque<(Millis, RequestId)>,
+    time: Millis,
+}
+
+impl Requests {
+    /// Returns the log time, given the time of an entry.
+    pub(super) fn time(&self, at: Millis) -> Millis {
+        self.time.max(at)
+    }
+
+    pub(super) fn find(
+        &self,
+        request: &RequestId,
+        base: ConfigVersion,
+        answers: &str,
+    ) -> Option<Outcome> {
+        let remembered = self.outcomes.get(request)?;
+        if remembered.content != content(base, answers) {
+            return Some(Outcome::RequestIdReused);
+        }
+        Some(as_repeated(&remembered.outcome))
+    }
+
+    pub(super) fn remember(
+        &mut self,
+        request: RequestId,
+        base: ConfigVersion,
+        answers: &str,
+        outcome: &Outcome,
+        at: Millis,
+    ) {
+        self.time = self.time(at);
+        while let Some((since, oldest)) = self.order.front() {
+            let expired = self.time.since(*since) > OUTCOME_RETENTION;
+            if !expired && self.order.len() < MAX_OUTCOMES {
+                break;
+            }
+            self.outcomes.remove(oldest);
+            self.order.pop_front();
+        }
+        let remembered = Remembered {
+            content: content(base, answers),
+            outcome: outcome.clone(),
+        };
+        self.outcomes.insert(request.clone(), remembered);
+        self.order.push_back((self.time, request));
+    }
+}
+
+fn content(base: ConfigVersion, answers: &str) -> [u8; 32] {
+    let mut hash = Sha256::new();
+    hash.update(base.0.to_le_bytes());
+    hash.update(answers.as_bytes());
+    hash.finalize().into()
+}
+
+fn as_repeated(outcome: &Outcome) -> Outcome {
+    let mut outcome = outcome.clone();
+    if let Outcome::Approved { repeated, .. } | Outcome::Conflict { repeated, .. } = &mut outcome {
+        *repeated = true;
+    }
+    outcome
+}
