--- a/crates/coordination/src/raft.rs
+++ b/crates/coordination/src/raft.rs
@@ -217,6 +217,13 @@
         &self.members
     }
 
+    /// Returns the replicas of the settings that this one waits for before a group can be founded:
+    /// those that have not answered with an empty log and with the same settings.
+    pub fn waiting_for(&self) -> Vec<DaemonId> {
+        let missing = |id: &&DaemonId| **id != self.me.id && !self.fresh.contains_key(*id);
+        self.initial.iter().filter(missing).cloned().collect()
+    }
+
     /// Returns the bytes of the entries that no snapshot contains, to decide when to save one.
     pub fn bytes_after_snapshot(&self) -> usize {
         self.log.bytes_after_snapshot()
--- a/crates/transport/src/storage.rs
+++ b/crates/transport/src/storage.rs
@@ -21,7 +21,9 @@
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
-use sycamoreflow_coordination::raft::{HardState, Incarnation, LogState, Snapshot, Write};
+use sycamoreflow_coordination::raft::{
+    HardState, Incarnation, LogState, SharedEntry, Snapshot, Write,
+};
 
 mod files;
 mod frame;
@@ -210,7 +212,7 @@
     }
 
     /// Executes writes in order and returns when all of them are synced. Several writes cost one
-    /// sync of the log.
+    /// sync of the log. The call blocks.
     pub fn execute(&mut self, writes: &[Write]) -> Result<()> {
         self.guard(|storage| {
             for write in writes {
@@ -220,7 +222,8 @@
         })
     }
 
-    /// Saves a snapshot of the own machine and removes the segments that it replaces.
+    /// Saves a snapshot of the own machine and removes the segments that it replaces. The call
+    /// blocks.
     pub fn save_snapshot(&mut self, snapshot: &Snapshot) -> Result<()> {
         self.guard(|storage| {
             storage.segments.sync(&mut storage.files)?;
@@ -249,14 +252,25 @@
         if let Some(snapshot) = &write.snapshot {
             self.replace_snapshot(snapshot)?;
         }
-        self.check_order(write)?;
-        self.segments.append(&mut self.files, &write.entries)
+        // A snapshot may have been saved before the write of the entries that it contains.
+        let contained = |entry: &SharedEntry| entry.index <= self.snapshot_index;
+        let contained = write
+            .entries
+            .iter()
+            .take_while(|entry| contained(entry))
+            .count();
+        let entries = match self.segments.next() {
+            None => &write.entries[contained..],
+            Some(_) => &write.entries,
+        };
+        self.check_order(entries)?;
+        self.segments.append(&mut self.files, entries)
     }
 
     /// Entries must continue the log, or the snapshot if there is no log.
-    fn check_order(&self, write: &Write) -> Result<()> {
+    fn check_order(&self, entries: &[SharedEntry]) -> Result<()> {
         let expected = self.segments.next().unwrap_or(self.snapshot_index + 1);
-        match write.entries.first() {
+        match entries.first() {
             Some(entry) if entry.index != expected => Err(StorageError::OutOfOrder {
                 index: entry.index,
                 expected,
--- a/crates/transport/src/storage/segments.rs
+++ b/crates/transport/src/storage/segments.rs
@@ -17,8 +17,8 @@
 const PREFIX: &str = "log-";
 /// Length at which a new segment is begun, in bytes.
 pub(super) const SEGMENT_BYTES: usize = 8 * 1024 * 1024;
-/// Longest segment that is read: one that was extended by one batch of proposals.
-const MAX_SEGMENT_BYTES: u64 = 64 * 1024 * 1024;
+/// Longest segment that is read, in bytes. The last entry of a segment may exceed its length.
+const MAX_SEGMENT_BYTES: u64 = 16 * 1024 * 1024;
 
 #[derive(Debug)]
 struct Segment {
--- a/crates/transport/src/storage/tests.rs
+++ b/crates/transport/src/storage/tests.rs
@@ -167,6 +167,20 @@
     assert_eq!(count(), 5);
 }
 
+/// Guards against a refusal when a snapshot overtakes the writes of its entries.
+#[test]
+fn execute_after_snapshot() {
+    let folder = TempDir::new().unwrap();
+    let mut storage = open(folder.path()).unwrap().storage;
+    storage.execute(&[append(1, 4, 1)]).unwrap();
+    storage.save_snapshot(&snapshot(6, 1)).unwrap();
+    storage
+        .execute(&[append(5, 6, 1), append(7, 9, 1)])
+        .unwrap();
+    drop(storage);
+    assert_eq!(indices(&open(folder.path()).unwrap().log), pairs(7, 9, 1));
+}
+
 /// Guards against two processes on one folder.
 #[test]
 fn open_twice() {
--- a/crates/transport/src/storage/tests/damage.rs
+++ b/crates/transport/src/storage/tests/damage.rs
@@ -82,6 +82,54 @@
     }
 }
 
+fn large(from: u64, to: u64) -> Write {
+    let mut write = Write::default();
+    for index in from..=to {
+        let payload = Payload::Data(vec![index as u8; 700]);
+        let term = 1;
+        write.entries.push(Arc::new(Entry {
+            index,
+            term,
+            payload,
+        }));
+    }
+    write
+}
+
+/// Guards against a lost sector of synced entries that is taken for a torn tail, and against a torn
+/// batch that prevents a start because its later part reached the disk.
+#[test]
+fn open_zeroed_sector() {
+    let folder = TempDir::new().unwrap();
+    let path = folder.path().join(LAST_SEGMENT);
+    let opened = Storage::open(folder.path(), Incarnation(7), Files::default());
+    let mut storage = opened.unwrap().storage;
+    storage.execute(&[large(1, 3)]).unwrap();
+    storage.execute(&[large(4, 6)]).unwrap();
+    let synced = fs::metadata(&path).unwrap().len() as usize;
+    storage.execute(&[large(7, 12)]).unwrap();
+    drop(storage);
+    let content = fs::read(&path).unwrap();
+    let mut torn = 0;
+    for start in (0..content.len()).step_by(512) {
+        let mut changed = content.clone();
+        let end = (start + 512).min(content.len());
+        changed[start..end].fill(0);
+        let opened = change(folder.path(), LAST_SEGMENT, &changed);
+        if start < synced {
+            assert!(
+                matches!(opened, Err(StorageError::Damaged { .. })),
+                "{start}"
+            );
+            continue;
+        }
+        let found = indices(&opened.unwrap().log);
+        assert!(found.len() >= 6 && pairs(1, 12, 1).starts_with(&found));
+        torn += 1;
+    }
+    assert!(torn >= 8);
+}
+
 /// Guards against a cut in a segment that is not the last one, which no crash explains.
 #[test]
 fn open_cut_earlier_segment() {
