--- a/crates/coordination/src/raft.rs
+++ b/crates/coordination/src/raft.rs
@@ -13,6 +13,20 @@
 //!   after it has caught up.
 //! - A group is founded only when all replicas in the settings are reachable with empty logs, so
 //!   a replica with an empty disk cannot found a second group beside an existing one.
+//!
+//! Duties of the caller:
+//! - Give [`Input::Tick`] every [`TICK_MS`], and execute the outputs in order.
+//! - Execute writes and snapshots in the order in which they were output or made, stop the replica
+//!   if one fails, and then give [`Input::Synced`] or [`Input::SnapshotSaved`].
+//! - When [`Raft::bytes_after_snapshot`] is large, encode the machine, combine it by
+//!   [`Raft::snapshot_at`] with the index that the machine has applied, and save the result.
+//! - Keep [`Output::ProposalAccepted`] until the entry with its index is applied. If that entry has
+//!   another term, or the replica stopped before, the proposal may or may not be committed, and is
+//!   sent again with the same request id.
+//!
+//! Limitation: a group of which a majority of disks is lost at once stays stopped, because the
+//! remaining replicas cannot know what was committed. The same holds if the disk of a voter
+//! is lost while a removal is being committed that makes this voter part of every majority.
 
 mod dispatch;
 mod durability;
--- a/crates/coordination/src/raft/durability.rs
+++ b/crates/coordination/src/raft/durability.rs
@@ -7,6 +7,9 @@
 use super::message::Message;
 use super::types::{Output, Write};
 
+/// Messages held back at most. If a disk hangs, the oldest ones are dropped, as a link may do.
+const MAX_HELD: usize = 4096;
+
 #[derive(Debug)]
 pub(super) struct Durability {
     /// The write of the current step.
@@ -75,6 +78,9 @@
                 outputs.push(Output::Send { to, message });
                 continue;
             }
+            if self.held.len() >= MAX_HELD {
+                self.held.pop_front();
+            }
             self.held.push_back((self.issued, to, message));
         }
     }
--- a/crates/coordination/src/raft/formation.rs
+++ b/crates/coordination/src/raft/formation.rs
@@ -81,7 +81,7 @@
 
     /// Replicas with other settings never found a group together.
     fn note_fresh(&mut self, peer: &Peer, fresh: bool, initial: Vec<DaemonId>) {
-        if fresh && initial == self.initial {
+        if fresh && initial == self.initial && initial.contains(&peer.id) {
             let answer = (peer.incarnation, self.now);
             self.fresh.insert(peer.id.clone(), answer);
             return;
--- a/crates/coordination/src/raft/leader.rs
+++ b/crates/coordination/src/raft/leader.rs
@@ -9,7 +9,9 @@
 use super::message::Body;
 use super::reads::LeaderRead;
 use super::replication::Progress;
-use super::types::{Entry, Incarnation, Membership, Output, Payload, Peer, Refusal, Token};
+use super::types::{
+    Entry, Incarnation, Membership, Output, Payload, Peer, Refusal, ReplicaProgress, Token,
+};
 use super::{HEARTBEAT, MAX_ENTRY_BYTES, Part, QUORUM_TIMEOUT, Raft};
 
 /// Uncommitted entries beyond which proposals are refused.
@@ -44,6 +46,27 @@
 }
 
 impl Raft {
+    /// Returns what this replica knows about the members, or nothing if it does not lead.
+    pub fn replicas(&self) -> Vec<ReplicaProgress> {
+        let Part::Leader(state) = &self.part else {
+            return Vec::new();
+        };
+        let mut replicas = Vec::new();
+        for (id, member) in &self.members.members {
+            let progress = state.progress.get(id);
+            let recent = progress.is_some_and(|p| self.now.since(p.heard) < QUORUM_TIMEOUT);
+            let own = *id == self.me.id;
+            let durable = self.durability.durable();
+            replicas.push(ReplicaProgress {
+                id: id.clone(),
+                role: member.role,
+                reachable: recent || own,
+                matched: progress.map_or(durable, |progress| progress.matched),
+            });
+        }
+        replicas
+    }
+
     pub(super) fn become_leader(&mut self) {
         let term_start = self.log.last().index + 1;
         self.leader = Some(self.me.id.clone());
--- a/crates/coordination/src/raft/tests.rs
+++ b/crates/coordination/src/raft/tests.rs
@@ -1,5 +1,6 @@
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
+mod clients;
 mod damage;
 mod disk;
 mod events;
--- a/crates/coordination/src/raft/tests/damage.rs
+++ b/crates/coordination/src/raft/tests/damage.rs
@@ -1,6 +1,7 @@
 //! Messages that no correct replica sends.
 
 use proptest::prelude::*;
+use rstest::rstest;
 use sycamoreflow_state::ids::Millis;
 
 use super::sim::Sim;
@@ -85,6 +86,54 @@
     ]
 }
 
+fn empty_chunk() -> Body {
+    Body::SnapshotChunk {
+        last: LogEnd::START,
+        members: Membership::default(),
+        total: 0,
+        offset: 0,
+        data: Vec::new(),
+        round: 0,
+    }
+}
+
+fn empty_append() -> Body {
+    Body::Append {
+        prev: LogEnd::START,
+        entries: Vec::new(),
+        commit: 0,
+        round: 0,
+    }
+}
+
+/// Guards against memory reserved for a length that is only claimed. `empty` is the header of the
+/// empty value in the message, and `claiming` that of a value with a length of 8 bytes.
+#[rstest]
+#[case::bytes(empty_chunk(), 0x40, 0x5b)]
+#[case::entries(empty_append(), 0x80, 0x9b)]
+fn decode_claimed_length(
+    #[case] body: Body,
+    #[case] empty: u8,
+    #[case] claiming: u8,
+    #[values(1 << 40, u64::MAX)] length: u64,
+) {
+    let message = Message {
+        group: GroupId(1),
+        incarnation: Incarnation(1),
+        to: None,
+        term: 1,
+        body,
+    };
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&message, &mut bytes).unwrap();
+    let at = bytes.iter().position(|byte| *byte == empty).unwrap();
+    let mut claimed = bytes[..at].to_vec();
+    claimed.push(claiming);
+    claimed.extend_from_slice(&length.to_be_bytes());
+    claimed.extend_from_slice(&bytes[at + 1..]);
+    assert!(ciborium::from_reader::<Message, _>(claimed.as_slice()).is_err());
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(100))]
 
--- a/crates/coordination/src/raft/tests/sim.rs
+++ b/crates/coordination/src/raft/tests/sim.rs
@@ -9,7 +9,6 @@
 
 use super::disk::{Disk, Operation};
 use super::oracle::Oracle;
-use crate::machine::tests::approve;
 use crate::machine::{Command, ControlState};
 use crate::raft::faults::Fault;
 use crate::raft::message::{Body, Message};
@@ -44,7 +43,7 @@
     pub(super) base: ConfigVersion,
     pub(super) answers: String,
     pub(super) done: bool,
-    sent: Millis,
+    pub(super) sent: Millis,
 }
 
 /// What the links do to messages.
@@ -73,12 +72,12 @@
     /// Entries after this one are taken out of messages.
     pub(super) last_sent: Option<u64>,
     network: BTreeMap<(Millis, u64), (usize, usize, Message)>,
-    sequence: u64,
+    pub(super) sequence: u64,
     next_incarnation: u64,
-    proposals: BTreeMap<Token, usize>,
-    reads: BTreeMap<Token, u64>,
+    pub(super) proposals: BTreeMap<Token, usize>,
+    pub(super) reads: BTreeMap<Token, u64>,
     fault: Option<Fault>,
-    rng: ChaCha8Rng,
+    pub(super) rng: ChaCha8Rng,
 }
 
 impl Sim {
@@ -425,60 +424,6 @@
         }
     }
 
-    /// Lets an operator approve on the version that replica `index` has applied.
-    pub(super) fn approve(&mut self, index: usize) -> usize {
-        let base = self.nodes[index].machine.version();
-        self.approve_on(base, index)
-    }
-
-    pub(super) fn approve_on(&mut self, base: ConfigVersion, index: usize) -> usize {
-        let number = self.requests.len();
-        self.requests.push(Request {
-            id: format!("r{number}").into(),
-            base,
-            answers: format!("v{number}"),
-            done: false,
-            sent: self.now,
-        });
-        self.submit(number, index);
-        number
-    }
-
-    /// Sends a request, for the first time or again.
-    pub(super) fn submit(&mut self, number: usize, index: usize) {
-        let request = &mut self.requests[number];
-        request.sent = self.now;
-        let command = approve(
-            request.id.as_str(),
-            request.base.0,
-            &request.answers,
-            self.now.0,
-        );
-        let data = command.encode().unwrap();
-        let token = self.next_token();
-        self.proposals.insert(token, number);
-        self.input(index, Input::Propose { token, data });
-    }
-
-    fn resend_requests(&mut self) {
-        let late =
-            |request: &Request| !request.done && self.now.since(request.sent) >= Millis(1500);
-        let late: Vec<usize> = (0..self.requests.len())
-            .filter(|number| late(&self.requests[*number]))
-            .collect();
-        for number in late {
-            let index = self.rng.random_range(0..self.nodes.len());
-            self.submit(number, index);
-        }
-    }
-
-    /// Reads at a replica. The result must contain everything acknowledged by now.
-    pub(super) fn read(&mut self, index: usize) {
-        let token = self.next_token();
-        self.reads.insert(token, self.oracle.acknowledged_index);
-        self.input(index, Input::ReadIndex { token });
-    }
-
     fn check_read(&mut self, index: usize, token: Token, at: u64) {
         let Some(floor) = self.reads.remove(&token) else {
             return;
@@ -491,11 +436,6 @@
             self.oracle.report(text);
         }
     }
-
-    pub(super) fn next_token(&mut self) -> Token {
-        self.sequence += 1;
-        Token(self.sequence)
-    }
 }
 
 impl Node {
--- a/crates/coordination/src/raft/types.rs
+++ b/crates/coordination/src/raft/types.rs
@@ -377,3 +377,16 @@
     /// The membership in force changed.
     MembersChanged(Membership),
 }
+
+/// What the leader knows about a member.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReplicaProgress {
+    /// Replica.
+    pub id: DaemonId,
+    /// Part in the group.
+    pub role: Role,
+    /// Whether it was heard from lately.
+    pub reachable: bool,
+    /// Last entry that it is known to have on disk.
+    pub matched: u64,
+}
