--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -6,3 +6,5 @@
 pub mod distribution;
 pub mod floor;
 pub mod leases;
+pub mod machine;
+pub mod raft;
--- /dev/null
+++ b/crates/coordination/src/raft.rs
@@ -0,0 +1,403 @@
+//! A replicated log without I/O.
+//!
+//! [`Raft::step`] takes an event and the time, and returns what the caller must do. The algorithm
+//! is Raft with pre-vote, quorum check, read index, learners, single membership changes, chunked
+//! snapshots and leadership transfer.
+//!
+//! Invariants:
+//! - A message that promises something about the disk (a vote, an acknowledgement) leaves only
+//!   after the write it depends on was reported as synced. The leader counts itself towards a
+//!   commit under the same condition.
+//! - A voter is a replica on a given disk ([`Peer`]). A replica whose disk was replaced is
+//!   re-admitted as a learner in place of the old voter, and becomes a voter by a second change
+//!   after it has caught up.
+//! - A group is founded only when all replicas in the settings are reachable with empty logs, so
+//!   a replica with an empty disk cannot found a second group beside an existing one.
+//!
+//! Duties of the caller:
+//! - Give [`Input::Tick`] every [`TICK_MS`], and execute the outputs in order.
+//! - Execute writes and snapshots in the order in which they were output or made, stop the replica
+//!   if one fails, and then give [`Input::Synced`] or [`Input::SnapshotSaved`].
+//! - When [`Raft::bytes_after_snapshot`] is large, encode the machine, combine it by
+//!   [`Raft::snapshot_at`] with the index that the machine has applied, and save the result.
+//! - Keep [`Output::ProposalAccepted`] until the entry with its index is applied. If that entry has
+//!   another term, or the replica stopped before, the proposal may or may not be committed, and is
+//!   sent again with the same request id.
+//!
+//! Limitation: a group of which a majority of disks is lost at once stays stopped, because the
+//! remaining replicas cannot know what was committed. The same holds if the disk of a voter
+//! is lost while a removal is being committed that makes this voter part of every majority.
+
+mod dispatch;
+mod durability;
+mod election;
+mod faults;
+mod follower;
+mod formation;
+mod leader;
+mod log;
+mod members;
+pub mod message;
+mod reads;
+mod replication;
+mod types;
+
+#[cfg(test)]
+mod tests;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use sycamoreflow_state::ids::{DaemonId, Millis};
+
+use durability::Durability;
+use faults::{Fault, Faults};
+use leader::Leader;
+use log::Log;
+use message::{Body, Message};
+use reads::ForwardedReads;
+
+pub use types::*;
+
+/// Longest time between two ticks, in milliseconds.
+pub const TICK_MS: u64 = 50;
+/// Largest command, in bytes. With its frame it stays below the limit of a link frame of 4 MiB.
+pub const MAX_ENTRY_BYTES: usize = 2 * 1024 * 1024;
+/// Time between two heartbeats of a leader.
+const HEARTBEAT: Millis = Millis(150);
+/// Shortest time without a leader before an election. With the longest one and a retry it keeps
+/// the time without a leader below 2 s.
+const ELECTION_MIN: Millis = Millis(800);
+/// Longest time without a leader before an election.
+const ELECTION_MAX: Millis = Millis(1400);
+/// Shortest and longest duration of a round of pre-votes or votes.
+const ROUND_MS: std::ops::Range<u64> = 200..500;
+/// How often the duration of a vote is doubled after votes without a result. Disks that take
+/// 1 s to sync would otherwise prevent every election.
+const MAX_ROUND_DOUBLINGS: u32 = 3;
+/// Time without a quorum after which a leader steps down.
+const QUORUM_TIMEOUT: Millis = Millis(1500);
+
+/// A control replica's part in the replicated log.
+#[derive(Debug)]
+pub struct Raft {
+    me: Peer,
+    initial: Vec<DaemonId>,
+    hard: HardState,
+    log: Log,
+    members: Membership,
+    /// Index of the entry that holds `members`, or 0.
+    members_index: u64,
+    /// Last entry that is known to be committed. All entries up to it have been output.
+    commit: u64,
+    part: Part,
+    leader: Option<DaemonId>,
+    leader_heard: Millis,
+    /// When a replica other than the leader acts without having heard from a leader.
+    deadline: Millis,
+    /// Votes that ended without a result since there was a leader.
+    failed_votes: u32,
+    /// Replicas on empty disks that answered a probe, with the time of the answer.
+    fresh: BTreeMap<DaemonId, (Incarnation, Millis)>,
+    next_probe: Millis,
+    /// Members that another replica named.
+    contacts: Vec<DaemonId>,
+    /// Snapshot that is being received.
+    incoming: Option<follower::Incoming>,
+    durability: Durability,
+    reads: ForwardedReads,
+    outputs: Vec<Output>,
+    announced: (Standing, u64, Option<DaemonId>),
+    announced_members: Membership,
+    faults: Faults,
+    rng: ChaCha8Rng,
+    now: Millis,
+}
+
+/// What a replica does at present.
+#[derive(Debug)]
+enum Part {
+    Follower,
+    PreCandidate {
+        votes: BTreeSet<DaemonId>,
+    },
+    Candidate {
+        votes: BTreeSet<DaemonId>,
+        own_vote: u64,
+    },
+    Leader(Box<Leader>),
+}
+
+impl Raft {
+    /// Starts a replica from what storage holds.
+    ///
+    /// `initial` are the replicas in the settings, with this one. They matter until the replica
+    /// belongs to a group; from then on the membership in the log counts. The machine must be at
+    /// the state of the snapshot in `log`; later entries are applied by outputs. `seed` must
+    /// differ between starts, since it also makes the numbers of forwarded reads unique.
+    pub fn new(
+        id: DaemonId,
+        initial: Vec<DaemonId>,
+        hard: HardState,
+        log: LogState,
+        seed: u64,
+        now: Millis,
+    ) -> Self {
+        let log = Log::new(log);
+        let (members, members_index) = log.members_at(log.last().index);
+        let me = Peer {
+            id,
+            incarnation: hard.incarnation,
+        };
+        let mut raft = Self {
+            me,
+            initial: sorted(initial),
+            commit: log.snapshot().map_or(0, |snapshot| snapshot.index),
+            durability: Durability::new(log.last().index),
+            hard,
+            log,
+            members,
+            members_index,
+            part: Part::Follower,
+            leader: None,
+            leader_heard: now,
+            deadline: now,
+            failed_votes: 0,
+            fresh: BTreeMap::new(),
+            next_probe: now,
+            contacts: Vec::new(),
+            incoming: None,
+            reads: ForwardedReads::default(),
+            outputs: Vec::new(),
+            announced: (Standing::Unformed, 0, None),
+            announced_members: Membership::default(),
+            faults: Faults::default(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            now,
+        };
+        raft.reset_deadline();
+        raft
+    }
+
+    /// Processes one event and returns what must be done.
+    ///
+    /// `now` counts from any origin and should not decrease; a pause of the clock is harmless.
+    pub fn step(&mut self, now: Millis, input: Input) -> Vec<Output> {
+        self.now = self.now.max(now);
+        match input {
+            Input::Tick => self.on_tick(),
+            Input::Message { from, message } => self.on_message(from, message),
+            Input::Propose { token, data } => self.on_propose(token, data),
+            Input::Synced { seq } => self.on_synced(seq),
+            Input::ReadIndex { token } => self.on_read(token),
+            Input::ChangeMembers { token, change } => self.on_change(token, change),
+            Input::SnapshotSaved(snapshot) => self.on_snapshot_saved(snapshot),
+            Input::TransferLeadership => self.on_transfer(),
+        }
+        self.finish()
+    }
+
+    /// Returns the part of this replica.
+    pub fn standing(&self) -> Standing {
+        match &self.part {
+            _ if self.members.group == GroupId::NONE => Standing::Unformed,
+            Part::Leader(_) => Standing::Leader,
+            Part::PreCandidate { .. } => Standing::PreCandidate,
+            Part::Candidate { .. } => Standing::Candidate,
+            Part::Follower if self.members.is_voter(&self.me) => Standing::Follower,
+            Part::Follower => Standing::Learner,
+        }
+    }
+
+    /// Returns the current term.
+    pub fn term(&self) -> u64 {
+        self.hard.term
+    }
+
+    /// Returns the leader, if known.
+    pub fn leader(&self) -> Option<&DaemonId> {
+        self.leader.as_ref()
+    }
+
+    /// Returns the index of the last committed entry.
+    pub fn commit(&self) -> u64 {
+        self.commit
+    }
+
+    /// Returns the membership in force.
+    pub fn members(&self) -> &Membership {
+        &self.members
+    }
+
+    /// Returns the replicas of the settings that this one waits for before a group can be founded:
+    /// those that have not answered with an empty log and with the same settings.
+    pub fn waiting_for(&self) -> Vec<DaemonId> {
+        let missing = |id: &&DaemonId| **id != self.me.id && !self.fresh.contains_key(*id);
+        self.initial.iter().filter(missing).cloned().collect()
+    }
+
+    /// Returns the bytes of the entries that no snapshot contains, to decide when to save one.
+    pub fn bytes_after_snapshot(&self) -> usize {
+        self.log.bytes_after_snapshot()
+    }
+
+    /// Combines the machine's encoded state after the committed entry `index` with the term and
+    /// membership of that entry. Returns `None` if the log does not reach back that far.
+    pub fn snapshot_at(&self, index: u64, data: Vec<u8>) -> Option<Snapshot> {
+        if index > self.commit || index == 0 {
+            return None;
+        }
+        let term = self.log.term_at(index)?;
+        let (members, _) = self.log.members_at(index);
+        Some(Snapshot {
+            index,
+            term,
+            members,
+            data,
+        })
+    }
+
+    fn on_tick(&mut self) {
+        self.expire_reads();
+        self.probe();
+        if matches!(self.part, Part::Leader(_)) {
+            self.tick_leader();
+            return;
+        }
+        if self.now < self.deadline {
+            return;
+        }
+        self.leader = None;
+        if self.members.is_voter(&self.me) {
+            self.start_pre_vote();
+            return;
+        }
+        self.reset_deadline();
+    }
+
+    fn on_synced(&mut self, seq: u64) {
+        self.durability.on_synced(seq, &mut self.outputs);
+        self.count_own_vote();
+        self.advance_commit();
+    }
+
+    fn on_snapshot_saved(&mut self, snapshot: Arc<Snapshot>) {
+        let known = self.log.snapshot().map_or(0, |known| known.index);
+        if snapshot.index > self.commit || snapshot.index <= known {
+            return;
+        }
+        self.log.compact(snapshot);
+    }
+
+    fn become_follower(&mut self, term: u64, leader: Option<DaemonId>) {
+        if term > self.hard.term {
+            self.hard.term = term;
+            self.hard.vote = None;
+            self.persist_hard_state();
+        }
+        if let Part::Leader(state) = std::mem::replace(&mut self.part, Part::Follower) {
+            self.refuse_leader_reads(*state);
+        }
+        if leader.is_some() {
+            self.failed_votes = 0;
+        }
+        self.leader = leader;
+        self.reset_deadline();
+    }
+
+    fn persist_hard_state(&mut self) {
+        self.durability.pending.hard_state = Some(self.hard.clone());
+    }
+
+    /// Appends an entry that storage will write in this step.
+    fn append_entry(&mut self, entry: SharedEntry) {
+        if let Payload::Members(members) = &entry.payload {
+            self.members = members.clone();
+            self.members_index = entry.index;
+        }
+        self.durability.pending.entries.push(entry.clone());
+        self.log.append(entry);
+    }
+
+    /// Outputs the entries up to `index` as committed.
+    fn commit_to(&mut self, index: u64) {
+        let end = index.min(self.log.last().index);
+        while self.commit < end {
+            let next = self.commit + 1;
+            let Some(entry) = self.log.get(next) else {
+                break;
+            };
+            let entry = entry.clone();
+            self.commit = next;
+            self.outputs.push(Output::Apply { index: next, entry });
+        }
+        self.answer_waiting_reads();
+    }
+
+    fn reset_deadline(&mut self) {
+        let wait = self.rng.random_range(ELECTION_MIN.0..ELECTION_MAX.0);
+        self.deadline = self.now.after(Millis(wait));
+    }
+
+    fn message(&self, to: Option<Incarnation>, body: Body) -> Message {
+        Message {
+            group: self.members.group,
+            incarnation: self.me.incarnation,
+            to,
+            term: self.hard.term,
+            body,
+        }
+    }
+
+    /// Sends a message that promises nothing about the disk.
+    fn send(&mut self, to: DaemonId, body: Body) {
+        let incarnation = self.members.members.get(&to).map(|m| m.incarnation);
+        let message = self.message(incarnation, body);
+        self.outputs.push(Output::Send { to, message });
+    }
+
+    /// Answers the sender of a message, with nothing promised about the disk.
+    fn send_to_peer(&mut self, peer: Peer, body: Body) {
+        let message = self.message(Some(peer.incarnation), body);
+        let to = peer.id;
+        self.outputs.push(Output::Send { to, message });
+    }
+
+    /// Sends a message after everything written up to the end of this step is synced.
+    fn send_after_sync(&mut self, peer: Peer, body: Body) {
+        if self.has_fault(Fault::AcknowledgeBeforeSync) {
+            self.send_to_peer(peer, body);
+            return;
+        }
+        let message = self.message(Some(peer.incarnation), body);
+        self.durability.outgoing.push((peer.id, message));
+    }
+
+    fn finish(&mut self) -> Vec<Output> {
+        let mut outputs = std::mem::take(&mut self.outputs);
+        self.durability.finish(self.log.last().index, &mut outputs);
+        let current = (self.standing(), self.hard.term, self.leader.clone());
+        if self.announced != current {
+            self.announced = current.clone();
+            let (standing, term, leader) = current;
+            outputs.push(Output::LeadershipChanged {
+                standing,
+                term,
+                leader,
+            });
+        }
+        if self.announced_members != self.members {
+            self.announced_members = self.members.clone();
+            outputs.push(Output::MembersChanged(self.members.clone()));
+        }
+        outputs
+    }
+}
+
+fn sorted(mut ids: Vec<DaemonId>) -> Vec<DaemonId> {
+    ids.sort();
+    ids.dedup();
+    ids
+}
--- /dev/null
+++ b/crates/coordination/src/raft/tests.rs
@@ -0,0 +1,40 @@
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+mod clients;
+mod damage;
+mod disk;
+mod events;
+mod faults;
+mod oracle;
+mod scenarios;
+mod sim;
+
+use proptest::prelude::*;
+
+use events::{events, run_events};
+use sim::Sim;
+
+proptest! {
+    /// Guards against lost or reordered history, two leaders in a term, two winners on a base,
+    /// changed outcomes, stale reads and a group that does not recover.
+    #[test]
+    fn step_any_faults_three(seed in any::<u64>(), list in events(60)) {
+        let mut sim = Sim::formed(3, seed, None);
+        prop_assert_eq!(run_events(&mut sim, &list), Ok(()));
+    }
+
+    /// As above, with two hosts that may fail.
+    #[test]
+    fn step_any_faults_five(seed in any::<u64>(), list in events(60)) {
+        let mut sim = Sim::formed(5, seed, None);
+        prop_assert_eq!(run_events(&mut sim, &list), Ok(()));
+    }
+
+    /// As above, with members that are removed and admitted again while other faults occur.
+    #[test]
+    fn step_any_faults_and_removals(seed in any::<u64>(), list in events(60)) {
+        let mut sim = Sim::formed(5, seed, None);
+        sim.removes = true;
+        prop_assert_eq!(run_events(&mut sim, &list), Ok(()));
+    }
+}
