Add the codec, the link handshake and the messages of calls

Daemons need authenticated links and a bounded codec before any conversation can be written. Frames are CBOR of at most 4 MiB; decoding limits nesting to 64 and never allocates by a declared length. The handshake proves the mesh key by HMAC-SHA256 in both directions over role, purpose, names and nonces. Bodies and header values are byte strings.

--- /dev/null
+++ b/crates/protocol/src/call.rs
@@ -0,0 +1,106 @@
+//! Messages of the conversation by which an entry daemon runs requests at an owner daemon.
+//!
+//! Many calls share a link. Answers may arrive in any order and are matched by [`Call::id`].
+
+use serde::{Deserialize, Serialize};
+use serde_bytes::ByteBuf;
+use sycamoreflow_state::ids::{RouteName, ServiceName, TenantName, VersionName};
+use sycamoreflow_state::verdict::Failure;
+
+#[cfg(test)]
+mod tests;
+
+/// Headers in their order, with values as raw bytes.
+pub type Headers = Vec<(String, ByteBuf)>;
+
+/// Message from the daemon that calls.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub enum CallRequest {
+    /// Runs a request.
+    Call(Box<Call>),
+    /// Withdraws a request.
+    Cancel(Cancel),
+}
+
+/// A request to run at the upstream beside the receiving daemon.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Call {
+    /// Number of the call, unique on its link for the life of the link.
+    pub id: u64,
+    /// Time left until the caller's deadline, in milliseconds.
+    pub remaining_ms: u32,
+    /// Service that is called.
+    pub service: ServiceName,
+    /// Version that is called. A daemon beside another version refuses the call.
+    pub version: VersionName,
+    /// Route that matched the request.
+    pub route: RouteName,
+    /// Tenant that the request counts against.
+    pub tenant: TenantName,
+    /// Number of earlier sends of the same request.
+    pub attempt: u32,
+    /// Idempotency key, if the caller gave one.
+    pub key: Option<String>,
+    /// Fingerprint of the request, by which requests that crash upstreams are recognised.
+    pub fingerprint: Option<u64>,
+    /// Request line and headers.
+    pub head: RequestHead,
+    /// Whole body of the request.
+    #[serde(with = "serde_bytes")]
+    pub body: Vec<u8>,
+}
+
+/// Request line and headers of a request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct RequestHead {
+    /// Method in upper case.
+    pub method: String,
+    /// Path and query as the caller sent them.
+    pub path_and_query: String,
+    /// End-to-end headers.
+    pub headers: Headers,
+}
+
+/// Withdraws a call. The receiver stops the work and sends no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Cancel {
+    /// Number of the call.
+    pub id: u64,
+}
+
+/// Result of a call, sent by the daemon that received it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct CallReply {
+    /// Number of the call that is answered.
+    pub id: u64,
+    /// What came of it.
+    pub result: CallResult,
+}
+
+/// What came of a call.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub enum CallResult {
+    /// The upstream answered.
+    Answer(Answer),
+    /// There is no answer; the failure says whether the request may have run.
+    Refused(Failure),
+}
+
+/// The whole response of an upstream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// End-to-end headers.
+    pub headers: Headers,
+    /// Whole body of the response.
+    #[serde(with = "serde_bytes")]
+    pub body: Vec<u8>,
+}
--- /dev/null
+++ b/crates/protocol/src/codec/tests.rs
@@ -0,0 +1,50 @@
+use proptest::prelude::*;
+use serde_bytes::ByteBuf;
+
+use super::*;
+use crate::call::{CallReply, CallRequest};
+use crate::handshake::{Challenge, Hello, Proof, Welcome};
+
+/// Guards against frames that the receiving link would refuse.
+#[test]
+fn encode_above_bound() {
+    let body = ByteBuf::from(vec![0; MAX_FRAME_BYTES]);
+    assert_eq!(encode(&body), Err(CodecError::TooLarge));
+}
+
+/// Guards against a second message smuggled behind the first.
+#[test]
+fn decode_trailing_bytes() {
+    assert_eq!(decode::<u8>(&[1, 2]), Err(CodecError::TrailingBytes));
+}
+
+/// Guards against trusting a declared length: the frame claims 4 GiB and holds none of it.
+#[test]
+fn decode_claimed_length() {
+    let frame = [0x5a, 0xff, 0xff, 0xff, 0xff];
+    assert_eq!(decode::<ByteBuf>(&frame), Err(CodecError::Truncated));
+    let frame = [0x9b, 0, 0, 1, 0, 0, 0, 0, 0];
+    assert_eq!(decode::<Vec<u64>>(&frame), Err(CodecError::Truncated));
+}
+
+/// Guards against exhausting the stack with nested arrays, also in ignored fields.
+#[test]
+fn decode_deep_nesting() {
+    let frame = vec![0x81; 1_000_000];
+    assert!(decode::<serde::de::IgnoredAny>(&frame).is_err());
+    assert!(decode::<ciborium::Value>(&frame).is_err());
+}
+
+proptest! {
+    /// Guards against panics on bytes from a faulty or hostile peer.
+    #[test]
+    fn decode_arbitrary_bytes(frame in proptest::collection::vec(any::<u8>(), 0..512)) {
+        let _ = decode::<CallRequest>(&frame);
+        let _ = decode::<CallReply>(&frame);
+        let _ = decode::<Hello>(&frame);
+        let _ = decode::<Challenge>(&frame);
+        let _ = decode::<Proof>(&frame);
+        let _ = decode::<Welcome>(&frame);
+        let _ = decode::<ciborium::Value>(&frame);
+    }
+}
--- /dev/null
+++ b/crates/protocol/src/handshake/tests.rs
@@ -0,0 +1,115 @@
+use proptest::prelude::*;
+use rstest::rstest;
+
+use super::*;
+use crate::codec;
+
+const KEY: &str = "a key of the mesh for tests";
+
+fn identity(mesh: &str, daemon: &str, key: &str) -> Identity {
+    Identity {
+        mesh: mesh.into(),
+        daemon: daemon.into(),
+        key: MeshKey::new(key).unwrap(),
+    }
+}
+
+/// Runs a handshake between `a` and `b`; `alter` may change the messages on their way.
+fn run(
+    a: &Identity,
+    b: &Identity,
+    alter: impl Fn(&mut Hello, &mut Challenge, &mut Proof, &mut Welcome),
+) -> Result<(DaemonId, DaemonId)> {
+    let mut spare = (
+        Proof { mac: [0; 32] },
+        Welcome { mac: [0; 32] },
+        Challenge {
+            daemon: "x".into(),
+            nonce: [0; 32],
+        },
+    );
+    let (initiator, mut hello) = Initiator::start(a, Purpose::Calls, [1; 32]);
+    alter(&mut hello, &mut spare.2, &mut spare.0, &mut spare.1);
+    let (responder, mut challenge) = Responder::challenge(b, hello.clone(), [2; 32])?;
+    alter(&mut hello, &mut challenge, &mut spare.0, &mut spare.1);
+    let (awaiting, mut proof) = initiator.prove(challenge.clone())?;
+    alter(&mut hello, &mut challenge, &mut proof, &mut spare.1);
+    let (seen_by_b, _, mut welcome) = responder.finish(&proof)?;
+    alter(&mut hello, &mut challenge, &mut proof, &mut welcome);
+    let seen_by_a = awaiting.finish(&welcome)?;
+    Ok((seen_by_a, seen_by_b))
+}
+
+/// Guards against daemons of one mesh that cannot talk to each other.
+#[test]
+fn handshake_same_key() {
+    let (a, b) = (identity("m", "a", KEY), identity("m", "b", KEY));
+    let peers = run(&a, &b, |_, _, _, _| {}).unwrap();
+    assert_eq!(peers, ("b".into(), "a".into()));
+}
+
+/// Guards against strangers: another key, another mesh, or a claimed id that the proof lacks.
+#[rstest]
+#[case::key(
+    identity("m", "a", "another key of the mesh"),
+    HandshakeError::BadProof
+)]
+#[case::mesh(identity("n", "a", KEY), HandshakeError::OtherMesh)]
+#[case::empty_id(identity("m", "", KEY), HandshakeError::BadName)]
+fn handshake_stranger(#[case] a: Identity, #[case] error: HandshakeError) {
+    let b = identity("m", "b", KEY);
+    assert_eq!(run(&a, &b, |_, _, _, _| {}), Err(error));
+}
+
+/// Guards against altered messages: every field must be covered by the proofs.
+#[rstest]
+#[case::purpose(|h: &mut Hello, _: &mut Challenge, _: &mut Proof, _: &mut Welcome| h.purpose = Purpose::Raft)]
+#[case::daemon(|h: &mut Hello, _: &mut Challenge, _: &mut Proof, _: &mut Welcome| h.daemon = "c".into())]
+#[case::nonce(|h: &mut Hello, _: &mut Challenge, _: &mut Proof, _: &mut Welcome| h.nonce[0] ^= 1)]
+#[case::responder(|_: &mut Hello, c: &mut Challenge, _: &mut Proof, _: &mut Welcome| c.daemon = "c".into())]
+#[case::challenge(|_: &mut Hello, c: &mut Challenge, _: &mut Proof, _: &mut Welcome| c.nonce[31] ^= 1)]
+#[case::proof(|_: &mut Hello, _: &mut Challenge, p: &mut Proof, _: &mut Welcome| p.mac[0] ^= 1)]
+#[case::welcome(|_: &mut Hello, _: &mut Challenge, _: &mut Proof, w: &mut Welcome| w.mac[0] ^= 1)]
+#[case::reflected(|_: &mut Hello, _: &mut Challenge, p: &mut Proof, w: &mut Welcome| w.mac = p.mac)]
+fn handshake_altered(#[case] alter: impl Fn(&mut Hello, &mut Challenge, &mut Proof, &mut Welcome)) {
+    let (a, b) = (identity("m", "a", KEY), identity("m", "b", KEY));
+    assert_eq!(run(&a, &b, alter), Err(HandshakeError::BadProof));
+}
+
+/// Guards against the key appearing in logs.
+#[test]
+fn debug_hides_key() {
+    let (a, b) = (identity("m", "a", KEY), identity("m", "b", KEY));
+    let (initiator, hello) = Initiator::start(&a, Purpose::Calls, [1; 32]);
+    let (responder, _) = Responder::challenge(&b, hello, [2; 32]).unwrap();
+    let text = format!("{a:?} {initiator:?} {responder:?}");
+    assert!(!text.contains(KEY));
+    assert!(!text.contains(&format!("{:?}", KEY.as_bytes())));
+}
+
+/// Guards against keys that can be guessed.
+#[test]
+fn key_too_short() {
+    assert_eq!(
+        MeshKey::new("short").unwrap_err(),
+        HandshakeError::KeyTooShort
+    );
+}
+
+proptest! {
+    /// Guards against a stranger who is let in, or a panic, on arbitrary bytes in place of the
+    /// messages of an initiator.
+    #[test]
+    fn handshake_arbitrary_bytes(
+        first in proptest::collection::vec(any::<u8>(), 0..256),
+        mac in any::<[u8; 32]>(),
+    ) {
+        let b = identity("m", "b", KEY);
+        let (_, hello) = Initiator::start(&identity("m", "a", KEY), Purpose::Calls, [1; 32]);
+        let hello = codec::decode::<Hello>(&first).unwrap_or(hello);
+        if let Ok((responder, _)) = Responder::challenge(&b, hello, [2; 32]) {
+            let outcome = responder.finish(&Proof { mac });
+            prop_assert!(outcome.is_err());
+        }
+    }
+}
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -1,1 +1,13 @@
-//! Placeholder overview.
+//! Messages between the processes of sycamoreflow and their codec.
+//!
+//! - [`codec`]: CBOR frames of bounded size.
+//! - [`handshake`]: mutual proof of knowledge of the mesh key.
+//! - [`call`]: messages by which an entry daemon runs requests at an owner daemon.
+//!
+//! This layer performs no I/O and reads no clock; see `docs/design.md`, section 3.
+
+#![cfg_attr(test, allow(clippy::unwrap_used))]
+
+pub mod call;
+pub mod codec;
+pub mod handshake;
