Add authenticated links and multiplexed calls

Daemons talk over WebSocket links that are usable only after both ends have proved the mesh key. Sends are queued up to a bound of frames and bytes and refused beyond it; a writer task writes whatever is queued and then flushes once. Both ends ping, and a link on which nothing was heard for the silence limit ends. Frames above 64 KiB go out in fragments, which bounds the write buffer. CallClient matches answers by id and drops late, repeated and unknown ones.

--- /dev/null
+++ b/crates/transport/src/call_link.rs
@@ -0,0 +1,293 @@
+//! Many calls in flight on one link.
+//!
+//! [`CallClient`] sends calls and matches answers by id: an answer with an unknown or already
+//! answered id is dropped and counted, and never given to another call. [`serve`] runs the calls
+//! that arrive on a link.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::future::Future;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use async_std::future::timeout;
+use async_std::task;
+use futures::channel::oneshot;
+use futures::future::{AbortHandle, Abortable};
+use parking_lot::Mutex;
+use sycamoreflow_protocol::call::{Answer, Call, CallReply, CallRequest, CallResult, Cancel};
+use sycamoreflow_protocol::codec;
+use sycamoreflow_state::verdict::{Failure, Reason};
+
+use crate::link::{LinkError, Peer, Receiver, SendError, Sender};
+
+#[cfg(test)]
+mod tests;
+
+/// Result of a call.
+pub type Result<T> = std::result::Result<T, Failure>;
+
+/// Sends calls over a link. The link closes when the client is dropped.
+pub struct CallClient {
+    shared: Arc<ClientShared>,
+}
+
+struct ClientShared {
+    sender: Sender,
+    next_id: AtomicU64,
+    /// Calls that wait for an answer; `None` once the link has ended.
+    pending: Mutex<Option<HashMap<u64, oneshot::Sender<CallResult>>>>,
+    dropped_answers: AtomicU64,
+}
+
+impl CallClient {
+    /// Starts a client on a link that was opened for calls.
+    pub fn start(sender: Sender, receiver: Receiver) -> Self {
+        let shared = Arc::new(ClientShared {
+            sender,
+            next_id: AtomicU64::new(1),
+            pending: Mutex::new(Some(HashMap::new())),
+            dropped_answers: AtomicU64::new(0),
+        });
+        task::spawn(dispatch_replies(shared.clone(), receiver));
+        Self { shared }
+    }
+
+    /// Runs a call at the other end. The id and the remaining time of `call` are set here.
+    ///
+    /// Dropping the future withdraws the call.
+    ///
+    /// # Errors
+    ///
+    /// The verdict is `NotRun` if the call was never queued for writing or the other end says so.
+    /// It is `MayHaveRun` if the link ended or the deadline passed after the call was queued.
+    pub async fn call(&self, mut call: Call, deadline: Instant) -> Result<Answer> {
+        let remaining = deadline.saturating_duration_since(Instant::now());
+        if remaining.is_zero() {
+            return Err(Failure::not_run(Reason::DeadlineExceeded));
+        }
+        call.id = self.shared.next_id.fetch_add(1, Ordering::Relaxed);
+        call.remaining_ms = whole_millis(remaining);
+        let answer = self.shared.register(call.id)?;
+        let mut withdrawal = Withdrawal {
+            shared: &self.shared,
+            id: call.id,
+            queued: false,
+        };
+        let request = CallRequest::Call(Box::new(call));
+        self.shared
+            .sender
+            .send(&request)
+            .map_err(refused_by_queue)?;
+        withdrawal.queued = true;
+        match timeout(remaining, answer).await {
+            Ok(Ok(CallResult::Answer(answer))) => Ok(answer),
+            Ok(Ok(CallResult::Refused(failure))) => Err(failure),
+            Ok(Err(_)) => Err(Failure::may_have_run(Reason::ConnectionLost)),
+            Err(_) => Err(Failure::may_have_run(Reason::DeadlineExceeded)),
+        }
+    }
+
+    /// Returns whether the link has ended. All further calls fail as not run.
+    pub fn is_closed(&self) -> bool {
+        self.shared.sender.is_closed()
+    }
+
+    /// Returns the number of calls that wait for an answer.
+    pub fn in_flight(&self) -> usize {
+        self.shared.pending.lock().as_ref().map_or(0, HashMap::len)
+    }
+
+    /// Returns the number of answers that matched no waiting call and were dropped.
+    pub fn dropped_answers(&self) -> u64 {
+        self.shared.dropped_answers.load(Ordering::Relaxed)
+    }
+
+    /// Returns the sending half, for its peer and byte counters.
+    pub fn sender(&self) -> &Sender {
+        &self.shared.sender
+    }
+}
+
+impl fmt::Debug for CallClient {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("CallClient")
+            .field("peer", self.shared.sender.peer())
+            .field("in_flight", &self.in_flight())
+            .finish_non_exhaustive()
+    }
+}
+
+impl Drop for CallClient {
+    fn drop(&mut self) {
+        self.shared.sender.close();
+    }
+}
+
+impl ClientShared {
+    fn register(&self, id: u64) -> Result<oneshot::Receiver<CallResult>> {
+        let (tx, rx) = oneshot::channel();
+        let mut pending = self.pending.lock();
+        let Some(pending) = pending.as_mut() else {
+            return Err(Failure::not_run(Reason::ConnectionLost));
+        };
+        pending.insert(id, tx);
+        Ok(rx)
+    }
+
+    fn take(&self, id: u64) -> Option<oneshot::Sender<CallResult>> {
+        self.pending.lock().as_mut()?.remove(&id)
+    }
+
+    fn deliver(&self, reply: CallReply) {
+        let Some(waiting) = self.take(reply.id) else {
+            self.dropped_answers.fetch_add(1, Ordering::Relaxed);
+            return;
+        };
+        // Fails if the call is withdrawn at this moment; then nobody wants the answer.
+        let _ = waiting.send(reply.result);
+    }
+}
+
+/// Forgets a call when its future ends, and withdraws it if it is still unanswered.
+struct Withdrawal<'a> {
+    shared: &'a ClientShared,
+    id: u64,
+    queued: bool,
+}
+
+impl Drop for Withdrawal<'_> {
+    fn drop(&mut self) {
+        let unanswered = self.shared.take(self.id).is_some();
+        if !unanswered || !self.queued {
+            return;
+        }
+        let cancel = CallRequest::Cancel(Cancel { id: self.id });
+        // If the queue is full, the call runs on until its deadline and its answer is dropped.
+        let _ = self.shared.sender.send(&cancel);
+    }
+}
+
+async fn dispatch_replies(shared: Arc<ClientShared>, mut receiver: Receiver) {
+    while let Ok(reply) = receiver.receive::<CallReply>().await {
+        shared.deliver(reply);
+    }
+    // Calls are refused from here on; those that wait are told that the link is lost.
+    shared.sender.close();
+    shared.pending.lock().take();
+}
+
+fn whole_millis(duration: Duration) -> u32 {
+    u32::try_from(duration.as_millis())
+        .unwrap_or(u32::MAX)
+        .max(1)
+}
+
+fn refused_by_queue(error: SendError) -> Failure {
+    Failure::not_run(match error {
+        SendError::Full => Reason::Overloaded,
+        SendError::Closed => Reason::ConnectionLost,
+        SendError::Codec(_) => Reason::BadRequest,
+    })
+}
+
+/// Serves the calls that arrive on a link until the link ends, and returns why it ended.
+///
+/// At most `max_in_flight` calls run at once; further ones are refused as not run. The future of
+/// a call is dropped when the caller withdraws it or the link ends.
+pub async fn serve<H, F>(
+    sender: Sender,
+    mut receiver: Receiver,
+    max_in_flight: usize,
+    handler: H,
+) -> LinkError
+where
+    H: Fn(Call, Peer) -> F,
+    F: Future<Output = CallResult> + Send + 'static,
+{
+    let running = Running::default();
+    loop {
+        let request = match receiver.receive::<CallRequest>().await {
+            Ok(request) => request,
+            Err(error) => return error,
+        };
+        let call = match request {
+            CallRequest::Call(call) => *call,
+            CallRequest::Cancel(cancel) => {
+                running.abort(cancel.id);
+                continue;
+            }
+        };
+        let id = call.id;
+        if running.len() >= max_in_flight {
+            let overloaded = CallResult::Refused(Failure::not_run(Reason::Overloaded));
+            task::spawn(reply(sender.clone(), id, overloaded));
+            continue;
+        }
+        let Some(registration) = running.add(id) else {
+            return LinkError::Protocol("call id is in use".into());
+        };
+        let work = handler(call, sender.peer().clone());
+        let calls = running.calls.clone();
+        let sender = sender.clone();
+        task::spawn(async move {
+            let outcome = Abortable::new(work, registration).await;
+            calls.lock().remove(&id);
+            if let Ok(result) = outcome {
+                reply(sender, id, result).await;
+            }
+        });
+    }
+}
+
+async fn reply(sender: Sender, id: u64, result: CallResult) {
+    let reply = CallReply { id, result };
+    if let Err(SendError::Codec(_)) = sender.send_waiting(&reply).await {
+        let unsendable = CallReply {
+            id,
+            result: CallResult::Refused(Failure::may_have_run(Reason::BadAnswer)),
+        };
+        // Fails only if the link has ended.
+        let _ = sender.send_waiting(&unsendable).await;
+    }
+}
+
+/// Calls that run for one link; they are aborted when it is dropped.
+#[derive(Default)]
+struct Running {
+    calls: Arc<Mutex<HashMap<u64, AbortHandle>>>,
+}
+
+impl Running {
+    fn len(&self) -> usize {
+        self.calls.lock().len()
+    }
+
+    fn add(&self, id: u64) -> Option<futures::future::AbortRegistration> {
+        let (handle, registration) = AbortHandle::new_pair();
+        let mut calls = self.calls.lock();
+        if calls.contains_key(&id) {
+            return None;
+        }
+        calls.insert(id, handle);
+        Some(registration)
+    }
+
+    fn abort(&self, id: u64) {
+        if let Some(handle) = self.calls.lock().remove(&id) {
+            handle.abort();
+        }
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        for handle in self.calls.lock().values() {
+            handle.abort();
+        }
+    }
+}
+
+/// Largest body of a call or an answer, so that it fits into a frame with its headers.
+pub const MAX_BODY_BYTES: usize = codec::MAX_FRAME_BYTES - 256 * 1024;
--- /dev/null
+++ b/crates/transport/src/link/queue.rs
@@ -0,0 +1,134 @@
+//! Bounded queue between the senders and the writer task of a link.
+
+use std::collections::VecDeque;
+use std::future::poll_fn;
+use std::task::{Context, Poll, Waker};
+
+use bytes::Bytes;
+use parking_lot::Mutex;
+
+use super::SendError;
+
+/// Queue of encoded frames.
+///
+/// Frames count against the bounds until they are written, so a batch that the writer has taken
+/// and cannot write yet still holds back senders.
+pub(super) struct SendQueue {
+    max_frames: usize,
+    max_bytes: usize,
+    state: Mutex<State>,
+}
+
+#[derive(Default)]
+struct State {
+    frames: VecDeque<Bytes>,
+    held_frames: usize,
+    held_bytes: usize,
+    closed: bool,
+    writer: Option<Waker>,
+    waiting: Vec<Waker>,
+}
+
+impl SendQueue {
+    pub(super) fn new(max_frames: usize, max_bytes: usize) -> Self {
+        Self {
+            max_frames,
+            max_bytes,
+            state: Mutex::default(),
+        }
+    }
+
+    pub(super) fn push(&self, frame: Bytes) -> Result<(), SendError> {
+        let mut state = self.state.lock();
+        self.try_push(&mut state, &frame)?;
+        let writer = state.writer.take();
+        drop(state);
+        if let Some(writer) = writer {
+            writer.wake();
+        }
+        Ok(())
+    }
+
+    pub(super) async fn push_waiting(&self, frame: Bytes) -> Result<(), SendError> {
+        poll_fn(|cx| {
+            let mut state = self.state.lock();
+            match self.try_push(&mut state, &frame) {
+                Err(SendError::Full) => {
+                    state.waiting.push(cx.waker().clone());
+                    Poll::Pending
+                }
+                Err(error) => Poll::Ready(Err(error)),
+                Ok(()) => {
+                    let writer = state.writer.take();
+                    drop(state);
+                    if let Some(writer) = writer {
+                        writer.wake();
+                    }
+                    Poll::Ready(Ok(()))
+                }
+            }
+        })
+        .await
+    }
+
+    fn try_push(&self, state: &mut State, frame: &Bytes) -> Result<(), SendError> {
+        if state.closed {
+            return Err(SendError::Closed);
+        }
+        let fits = state.held_bytes + frame.len() <= self.max_bytes || state.held_frames == 0;
+        if state.held_frames >= self.max_frames || !fits {
+            return Err(SendError::Full);
+        }
+        state.held_frames += 1;
+        state.held_bytes += frame.len();
+        state.frames.push_back(frame.clone());
+        Ok(())
+    }
+
+    /// Moves all queued frames into the empty `batch`. Returns false if the queue is closed and
+    /// empty.
+    pub(super) fn poll_take(
+        &self,
+        cx: &mut Context<'_>,
+        batch: &mut VecDeque<Bytes>,
+    ) -> Poll<bool> {
+        let mut state = self.state.lock();
+        if !state.frames.is_empty() {
+            std::mem::swap(&mut state.frames, batch);
+            return Poll::Ready(true);
+        }
+        if state.closed {
+            return Poll::Ready(false);
+        }
+        state.writer = Some(cx.waker().clone());
+        Poll::Pending
+    }
+
+    /// Returns whether frames are queued that the writer has not taken.
+    pub(super) fn has_frames(&self) -> bool {
+        !self.state.lock().frames.is_empty()
+    }
+
+    /// Tells the queue that a frame of `bytes` bytes was written.
+    pub(super) fn release(&self, bytes: usize) {
+        let mut state = self.state.lock();
+        state.held_frames -= 1;
+        state.held_bytes -= bytes;
+        let waiting = std::mem::take(&mut state.waiting);
+        drop(state);
+        waiting.into_iter().for_each(Waker::wake);
+    }
+
+    pub(super) fn close(&self) {
+        let mut state = self.state.lock();
+        state.closed = true;
+        let writer = state.writer.take();
+        let waiting = std::mem::take(&mut state.waiting);
+        drop(state);
+        writer.into_iter().chain(waiting).for_each(Waker::wake);
+    }
+
+    pub(super) fn is_closed(&self) -> bool {
+        self.state.lock().closed
+    }
+}
--- /dev/null
+++ b/crates/transport/src/link/receiver.rs
@@ -0,0 +1,157 @@
+//! Receiving half of a link.
+
+use std::fmt;
+use std::future::{Future, poll_fn};
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+
+use async_std::task::sleep;
+use async_tungstenite::WebSocketReceiver;
+use async_tungstenite::tungstenite::Message;
+use bytes::Bytes;
+use futures::StreamExt;
+use serde::de::DeserializeOwned;
+use sycamoreflow_protocol::codec;
+
+use super::open::web_socket_error;
+use super::stream::LinkSocket;
+use super::{Limits, LinkError, Peer, Result, Shared};
+
+/// Receiving half of a link. The link ends when it is dropped.
+pub struct Receiver {
+    ws: WebSocketReceiver<LinkSocket>,
+    shared: Arc<Shared>,
+    silence: Silence,
+}
+
+/// Time since the peer was last heard.
+///
+/// The timer is set again only when it fires, about once per silence limit, since a link that
+/// carries many messages would otherwise set a timer for each of them.
+struct Silence {
+    limit: Duration,
+    timer: Pin<Box<dyn Future<Output = ()> + Send + Sync>>,
+    received: u64,
+    heard_at: Instant,
+}
+
+impl Silence {
+    fn new(limit: Duration, received: u64) -> Self {
+        Self {
+            limit,
+            timer: Box::pin(sleep(limit)),
+            received,
+            heard_at: Instant::now(),
+        }
+    }
+
+    /// Notes that the peer was heard, with `received` bytes read so far.
+    fn heard(&mut self, received: u64) {
+        self.received = received;
+        self.heard_at = Instant::now();
+    }
+
+    /// Is ready when nothing was heard for the limit. `received` is the number of bytes read.
+    fn poll_exceeded(&mut self, cx: &mut Context<'_>, received: u64) -> Poll<()> {
+        while self.timer.as_mut().poll(cx).is_ready() {
+            // A large message may arrive for longer than the limit.
+            if self.received != received {
+                self.heard(received);
+            }
+            let elapsed = self.heard_at.elapsed();
+            if elapsed >= self.limit {
+                return Poll::Ready(());
+            }
+            self.timer = Box::pin(sleep(self.limit - elapsed));
+        }
+        Poll::Pending
+    }
+}
+
+impl Receiver {
+    pub(super) fn new(
+        ws: WebSocketReceiver<LinkSocket>,
+        shared: Arc<Shared>,
+        limits: &Limits,
+    ) -> Self {
+        let silence = Silence::new(limits.silence, shared.socket.received());
+        Self {
+            ws,
+            shared,
+            silence,
+        }
+    }
+
+    /// Receives the next message.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the link has ended, the peer is silent or the message cannot be decoded. After
+    /// [`LinkError::Codec`] the link is still open.
+    pub async fn receive<T: DeserializeOwned>(&mut self) -> Result<T> {
+        let frame = self.receive_encoded().await?;
+        codec::decode(&frame).map_err(LinkError::Codec)
+    }
+
+    /// Receives the next message without decoding it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the link has ended or the peer is silent.
+    pub async fn receive_encoded(&mut self) -> Result<Bytes> {
+        let outcome = self.next_frame().await;
+        if outcome.is_err() {
+            self.shared.abort();
+        }
+        outcome
+    }
+
+    async fn next_frame(&mut self) -> Result<Bytes> {
+        loop {
+            let message = poll_fn(|cx| self.poll_message(cx)).await?;
+            match message {
+                Message::Binary(frame) => return Ok(frame),
+                Message::Close(_) => return Err(LinkError::Closed),
+                Message::Ping(_) | Message::Pong(_) => continue,
+                _ => return Err(LinkError::Protocol("text message".into())),
+            }
+        }
+    }
+
+    fn poll_message(&mut self, cx: &mut Context<'_>) -> Poll<Result<Message>> {
+        match self.ws.poll_next_unpin(cx) {
+            Poll::Ready(Some(message)) => {
+                self.silence.heard(self.shared.socket.received());
+                Poll::Ready(message.map_err(web_socket_error))
+            }
+            Poll::Ready(None) => Poll::Ready(Err(LinkError::Closed)),
+            Poll::Pending => {
+                let received = self.shared.socket.received();
+                let exceeded = self.silence.poll_exceeded(cx, received);
+                exceeded.map(|()| Err(LinkError::Silent))
+            }
+        }
+    }
+
+    /// Returns the other end.
+    pub fn peer(&self) -> &Peer {
+        &self.shared.peer
+    }
+}
+
+impl Drop for Receiver {
+    fn drop(&mut self) {
+        // The writer task finishes the queued frames and then ends the link.
+        self.shared.queue.close();
+    }
+}
+
+impl fmt::Debug for Receiver {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Receiver")
+            .field("peer", self.peer())
+            .finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/crates/transport/src/link/tests.rs
@@ -0,0 +1,265 @@
+use async_std::net::{TcpListener, TcpStream};
+use async_std::task;
+use futures::{AsyncReadExt, AsyncWriteExt, SinkExt, StreamExt, join};
+use rstest::rstest;
+use sycamoreflow_protocol::codec::MAX_FRAME_BYTES;
+
+use super::*;
+
+pub(crate) const KEY: &str = "a key of the mesh for tests";
+
+pub(crate) fn identity(mesh: &str, daemon: &str, key: &str) -> Identity {
+    Identity {
+        mesh: mesh.into(),
+        daemon: daemon.into(),
+        key: MeshKey::new(key).unwrap(),
+    }
+}
+
+/// Limits short enough for tests.
+pub(crate) fn limits() -> Limits {
+    Limits {
+        handshake: Duration::from_millis(300),
+        ping_interval: Duration::from_millis(50),
+        silence: Duration::from_millis(200),
+        write_stall: Duration::from_millis(300),
+        ..Limits::default()
+    }
+}
+
+pub(crate) type Ends = ((Sender, Receiver), (Sender, Receiver));
+
+/// Opens a link on loopback and returns the initiator's and the responder's end.
+pub(crate) async fn open(client: &Limits, server: &Limits) -> Ends {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (a, b) = (identity("m", "a", KEY), identity("m", "b", KEY));
+    let accepting = async {
+        let (stream, _) = listener.accept().await.unwrap();
+        accept(stream, &b, server).await.unwrap()
+    };
+    let (opened, (peer, purpose, sender, receiver)) =
+        join!(connect(address, &a, Purpose::Calls, client), accepting);
+    assert_eq!((peer.daemon.as_str(), purpose), ("a", Purpose::Calls));
+    (opened.unwrap(), (sender, receiver))
+}
+
+async fn attempt(client: Identity, server: Identity) -> (LinkError, LinkError) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let accepting = async {
+        let (stream, _) = listener.accept().await.unwrap();
+        accept(stream, &server, &limits()).await.unwrap_err()
+    };
+    let limits = limits();
+    let connecting = connect(address, &client, Purpose::Calls, &limits);
+    let (connected, accepted) = join!(connecting, accepting);
+    (connected.unwrap_err(), accepted)
+}
+
+/// Guards against messages lost, altered or reordered, also when they need several fragments.
+#[async_std::test]
+async fn send_both_ways() {
+    let ((a_tx, mut a_rx), (b_tx, mut b_rx)) = open(&limits(), &limits()).await;
+    assert_eq!(a_rx.peer().daemon.as_str(), "b");
+    let large = serde_bytes::ByteBuf::from(vec![7; MAX_FRAME_BYTES - 100]);
+    a_tx.send("first").unwrap();
+    a_tx.send(&large).unwrap();
+    b_tx.send_encoded(codec::encode(&3_u32).unwrap()).unwrap();
+    assert_eq!(b_rx.receive::<String>().await.unwrap(), "first");
+    let received: serde_bytes::ByteBuf = b_rx.receive().await.unwrap();
+    assert_eq!(received, large);
+    assert_eq!(a_rx.receive::<u32>().await.unwrap(), 3);
+    assert!(a_tx.bytes().sent > large.len() as u64);
+    assert_eq!(a_tx.bytes().sent, b_tx.bytes().received);
+}
+
+/// Guards against strangers that are let in, on either side.
+#[rstest]
+#[case::key(
+    identity("m", "a", "another key of the mesh"),
+    HandshakeError::BadProof
+)]
+#[case::mesh(identity("other", "a", KEY), HandshakeError::OtherMesh)]
+#[async_std::test]
+async fn accept_stranger(#[case] stranger: Identity, #[case] error: HandshakeError) {
+    let server = identity("m", "b", KEY);
+    let (_, accepted) = attempt(stranger, server).await;
+    assert_eq!(accepted, LinkError::Handshake(error));
+}
+
+/// Guards against an initiator that trusts a responder without the key.
+#[async_std::test]
+async fn connect_to_stranger() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let impostor = task::spawn(async move {
+        use sycamoreflow_protocol::handshake::{Challenge, Welcome};
+        let (stream, _) = listener.accept().await.unwrap();
+        let mut ws = async_tungstenite::accept_async(stream).await.unwrap();
+        let challenge = Challenge {
+            daemon: "b".into(),
+            nonce: [0; 32],
+        };
+        let welcome = Welcome { mac: [0; 32] };
+        let replies = [codec::encode(&challenge), codec::encode(&welcome)];
+        for reply in replies {
+            let _ = ws.next().await;
+            let message = async_tungstenite::tungstenite::Message::binary(reply.unwrap());
+            SinkExt::send(&mut ws, message).await.unwrap();
+        }
+    });
+    let a = identity("m", "a", KEY);
+    let outcome = connect(address, &a, Purpose::Calls, &limits()).await;
+    let error = LinkError::Handshake(HandshakeError::BadProof);
+    assert_eq!(outcome.unwrap_err(), error);
+    impostor.await;
+}
+
+/// Guards against a peer that sends garbage, or nothing, in place of the handshake and holds a
+/// connection or memory by it.
+#[rstest]
+#[case::nothing(Vec::new())]
+#[case::text(b"hello\r\n\r\n".to_vec())]
+#[case::binary(vec![0x82, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff])]
+#[case::endless_upgrade([b"GET /link HTTP/1.1\r\nx: ".to_vec(), vec![b'a'; 1 << 20]].concat())]
+#[async_std::test]
+async fn accept_garbage(#[case] bytes: Vec<u8>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let writing = async {
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        let _ = stream.write_all(&bytes).await;
+        let _ = stream.read(&mut [0; 64]).await;
+    };
+    let accepting = async {
+        let (stream, _) = listener.accept().await.unwrap();
+        let started = std::time::Instant::now();
+        assert!(
+            accept(stream, &identity("m", "b", KEY), &limits())
+                .await
+                .is_err()
+        );
+        assert!(started.elapsed() < Duration::from_secs(1));
+    };
+    join!(writing, accepting);
+}
+
+/// Guards against messages that a stranger sends in place of its proof.
+#[async_std::test]
+async fn accept_message_before_proof() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let stranger = async {
+        use async_tungstenite::tungstenite::Message;
+        use sycamoreflow_protocol::handshake::Initiator;
+        let stream = TcpStream::connect(address).await.unwrap();
+        let (mut ws, _) = async_tungstenite::client_async("ws://x/link", stream)
+            .await
+            .unwrap();
+        let a = identity("m", "a", KEY);
+        let (_, hello) = Initiator::start(&a, Purpose::Calls, [1; 32]);
+        for frame in [codec::encode(&hello), codec::encode("a message")] {
+            let message = Message::binary(frame.unwrap());
+            SinkExt::send(&mut ws, message).await.unwrap();
+        }
+        let _ = ws.next().await;
+        assert!(!matches!(ws.next().await, Some(Ok(Message::Binary(_)))));
+    };
+    let accepting = async {
+        let (stream, _) = listener.accept().await.unwrap();
+        accept(stream, &identity("m", "b", KEY), &limits()).await
+    };
+    let ((), accepted) = join!(stranger, accepting);
+    assert!(matches!(accepted, Err(LinkError::Codec(_))));
+}
+
+/// Guards against idle links that are taken for dead.
+#[async_std::test]
+async fn receive_idle_link() {
+    let ((a_tx, mut a_rx), (b_tx, mut b_rx)) = open(&limits(), &limits()).await;
+    let idle = limits().silence * 3;
+    let a_waits = async_std::future::timeout(idle, a_rx.receive::<u32>());
+    let b_waits = async_std::future::timeout(idle, b_rx.receive::<u32>());
+    let (a_outcome, b_outcome) = join!(a_waits, b_waits);
+    assert!(a_outcome.is_err() && b_outcome.is_err());
+    assert!(!a_tx.is_closed() && !b_tx.is_closed());
+}
+
+/// Guards against links that are kept after their peer has gone silent.
+#[async_std::test]
+async fn receive_silent_peer() {
+    let mute = Limits {
+        ping_interval: Duration::from_secs(60),
+        ..limits()
+    };
+    // Neither end of this link is received from at `b`, so `b` answers no ping either.
+    let ((a_tx, mut a_rx), _b) = open(&limits(), &mute).await;
+    let started = std::time::Instant::now();
+    assert_eq!(a_rx.receive::<u32>().await, Err(LinkError::Silent));
+    assert!(started.elapsed() < limits().silence * 2);
+    assert_eq!(a_tx.send(&1), Err(SendError::Closed));
+}
+
+/// Guards against a send queue that grows without bound while the peer reads nothing, and against
+/// a link that stays open for ever in that state.
+#[async_std::test]
+async fn send_peer_stops_reading() {
+    let bounded = Limits {
+        queue_frames: 64,
+        queue_bytes: 4 * 1024 * 1024,
+        silence: Duration::from_secs(60),
+        ..limits()
+    };
+    let ((a_tx, mut a_rx), _b) = open(&bounded, &limits()).await;
+    let frame = Bytes::from(codec::encode(&serde_bytes::ByteBuf::from(vec![0; 1 << 20])).unwrap());
+    let mut accepted = 0;
+    let started = std::time::Instant::now();
+    let refusal = loop {
+        match a_tx.send_encoded(frame.clone()) {
+            Ok(()) => accepted += 1,
+            Err(refusal) => break refusal,
+        }
+        task::sleep(Duration::from_millis(1)).await;
+    };
+    assert_eq!(refusal, SendError::Full);
+    assert!(accepted < 100, "{accepted} MiB accepted");
+    assert!(a_rx.receive::<u32>().await.is_err());
+    assert_eq!(a_tx.send(&1), Err(SendError::Closed));
+    assert!(started.elapsed() < Duration::from_secs(5));
+}
+
+/// Guards against frames that are refused by the peer's size bound and end the link.
+#[async_std::test]
+async fn send_too_large() {
+    let ((a_tx, _a_rx), _b) = open(&limits(), &limits()).await;
+    let outcome = a_tx.send_encoded(vec![0; MAX_FRAME_BYTES + 1]);
+    assert_eq!(outcome, Err(SendError::Codec(CodecError::TooLarge)));
+}
+
+/// Guards against queued frames that are lost when the sender is dropped.
+#[async_std::test]
+async fn drop_sender_with_queue() {
+    let ((a_tx, _a_rx), (_b_tx, mut b_rx)) = open(&limits(), &limits()).await;
+    for number in 0..100_u32 {
+        a_tx.send(&number).unwrap();
+    }
+    drop(a_tx);
+    for number in 0..100_u32 {
+        assert_eq!(b_rx.receive::<u32>().await, Ok(number));
+    }
+    assert_eq!(b_rx.receive::<u32>().await, Err(LinkError::Closed));
+}
+
+/// Guards against a malformed message that is passed on, or that hides those behind it.
+#[async_std::test]
+async fn receive_malformed() {
+    let ((a_tx, _a_rx), (_b_tx, mut b_rx)) = open(&limits(), &limits()).await;
+    a_tx.send_encoded(vec![0xff]).unwrap();
+    a_tx.send(&5_u32).unwrap();
+    assert!(matches!(
+        b_rx.receive::<u32>().await,
+        Err(LinkError::Codec(_))
+    ));
+    assert_eq!(b_rx.receive::<u32>().await, Ok(5));
+}
--- /dev/null
+++ b/crates/transport/src/link/writer.rs
@@ -0,0 +1,145 @@
+//! Writer task of a link: writes queued frames in order and pings.
+
+use std::collections::VecDeque;
+use std::future::poll_fn;
+use std::sync::Arc;
+use std::task::Poll;
+use std::time::Duration;
+
+use async_std::future::timeout;
+use async_std::stream::{Interval, interval};
+use async_tungstenite::WebSocketSender;
+use async_tungstenite::tungstenite::protocol::frame::Frame;
+use async_tungstenite::tungstenite::protocol::frame::coding::{Data, OpCode};
+use async_tungstenite::tungstenite::{Error as WsError, Message};
+use bytes::Bytes;
+use futures::{SinkExt, StreamExt};
+
+use super::stream::LinkSocket;
+use super::{Limits, Shared};
+
+/// Frames above this size are sent in fragments. This bounds the write buffer of a link, which
+/// never shrinks, and lets pings pass between the fragments.
+const FRAGMENT_BYTES: usize = 64 * 1024;
+
+enum Wake {
+    Frames,
+    Ping,
+    Closed,
+}
+
+/// Writes until the link closes. An error ends the link.
+pub(super) async fn run(ws: WebSocketSender<LinkSocket>, shared: Arc<Shared>, limits: Limits) {
+    let mut writer = Writer {
+        ws,
+        shared,
+        ticks: interval(limits.ping_interval),
+        stall: limits.write_stall,
+    };
+    if writer.write_all().await.is_ok() {
+        // The peer may be gone already; the link ends either way.
+        let _ = timeout(writer.stall, writer.ws.send(Message::Close(None))).await;
+    }
+    writer.shared.abort();
+}
+
+struct Writer {
+    ws: WebSocketSender<LinkSocket>,
+    shared: Arc<Shared>,
+    ticks: Interval,
+    stall: Duration,
+}
+
+impl Writer {
+    async fn write_all(&mut self) -> Result<(), WsError> {
+        let mut batch = VecDeque::new();
+        loop {
+            match self.next_wake(&mut batch).await {
+                Wake::Closed => return Ok(()),
+                Wake::Ping => self.feed(Message::Ping(Bytes::new())).await?,
+                Wake::Frames => self.write_batch(&mut batch).await?,
+            }
+            // Frames queued in the meantime are written before the flush, so that they share it.
+            if self.shared.queue.has_frames() {
+                continue;
+            }
+            self.flush().await?;
+        }
+    }
+
+    async fn next_wake(&mut self, batch: &mut VecDeque<Bytes>) -> Wake {
+        poll_fn(|cx| {
+            // Pings go first, so that a steady load of frames does not delay them.
+            if self.ticks.poll_next_unpin(cx).is_ready() {
+                return Poll::Ready(Wake::Ping);
+            }
+            match self.shared.queue.poll_take(cx, batch) {
+                Poll::Ready(true) => Poll::Ready(Wake::Frames),
+                Poll::Ready(false) => Poll::Ready(Wake::Closed),
+                Poll::Pending => Poll::Pending,
+            }
+        })
+        .await
+    }
+
+    async fn write_batch(&mut self, batch: &mut VecDeque<Bytes>) -> Result<(), WsError> {
+        while let Some(frame) = batch.pop_front() {
+            let length = frame.len();
+            self.write_frame(frame).await?;
+            self.shared.queue.release(length);
+        }
+        Ok(())
+    }
+
+    async fn write_frame(&mut self, mut frame: Bytes) -> Result<(), WsError> {
+        if frame.len() <= FRAGMENT_BYTES {
+            return self.feed(Message::Binary(frame)).await;
+        }
+        let mut opcode = OpCode::Data(Data::Binary);
+        while !frame.is_empty() {
+            let fragment = frame.split_to(FRAGMENT_BYTES.min(frame.len()));
+            let message = Frame::message(fragment, opcode, frame.is_empty());
+            self.feed(Message::Frame(message)).await?;
+            opcode = OpCode::Data(Data::Continue);
+        }
+        Ok(())
+    }
+
+    async fn feed(&mut self, message: Message) -> Result<(), WsError> {
+        self.ready().await?;
+        self.ws.start_send_unpin(message)
+    }
+
+    /// Waits until earlier messages have left the write buffer, if the socket is blocked.
+    async fn ready(&mut self) -> Result<(), WsError> {
+        self.progress(Step::Ready).await
+    }
+
+    async fn flush(&mut self) -> Result<(), WsError> {
+        self.progress(Step::Flush).await
+    }
+
+    /// Runs a step; fails when the peer takes no byte for the stall limit.
+    async fn progress(&mut self, step: Step) -> Result<(), WsError> {
+        loop {
+            let before = self.shared.socket.sent();
+            let ws = &mut self.ws;
+            let attempt = poll_fn(|cx| match step {
+                Step::Ready => ws.poll_ready_unpin(cx),
+                Step::Flush => ws.poll_flush_unpin(cx),
+            });
+            if let Ok(outcome) = timeout(self.stall, attempt).await {
+                return outcome;
+            }
+            if self.shared.socket.sent() == before {
+                return Err(WsError::Io(std::io::ErrorKind::TimedOut.into()));
+            }
+        }
+    }
+}
+
+#[derive(Clone, Copy)]
+enum Step {
+    Ready,
+    Flush,
+}
