Add the HTTP server for callers

hyper resolves some ambiguous requests silently, for example it drops a Content-Length beside Transfer-Encoding, which lets a caller smuggle a request past a proxy. A guard between the socket and hyper now tracks the framing of every request, rejects what is ambiguous (400), oversized (413, 431) or late (408), and cuts callers that stop reading. A rejection waits until earlier pipelined requests are answered. A drain answers what is on its way with connection: close before it closes idle connections.

--- /dev/null
+++ b/crates/transport/src/http.rs
@@ -0,0 +1,14 @@
+//! HTTP/1.1 for callers, upstreams and operators.
+//!
+//! Bodies are buffered whole, up to a bound (`docs/design.md`, section 2.8).
+//!
+//! - [`server`]: accepts requests of callers.
+//! - [`headers`]: hop-by-hop headers, and conversion to and from the messages of calls.
+
+pub mod headers;
+
+pub mod server;
+
+mod adapter;
+mod framing;
+mod guard;
--- /dev/null
+++ b/crates/transport/src/http/framing.rs
@@ -0,0 +1,264 @@
+//! Strict tracking of the framing of requests in a byte stream, sans I/O.
+//!
+//! HTTP libraries resolve some ambiguous requests silently: hyper drops a `Content-Length` that
+//! accompanies `Transfer-Encoding`, and both hyper and async-h1 accept lists of codings. A proxy
+//! or upstream that resolves them differently sees other request boundaries, which allows a
+//! caller to smuggle a request. The tracker sees every byte before the library does and rejects
+//! what is ambiguous.
+
+use std::time::Duration;
+
+use self::chunked::Chunked;
+
+mod chunked;
+#[cfg(test)]
+mod tests;
+
+/// Size limits of a request.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct FramingLimits {
+    pub(super) max_head_bytes: usize,
+    pub(super) max_headers: usize,
+    pub(super) max_body_bytes: u64,
+}
+
+/// Why a request is rejected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Violation {
+    /// The head is malformed or its framing is ambiguous.
+    Malformed,
+    /// The request did not arrive in time.
+    TimedOut,
+    /// The body exceeds its bound.
+    BodyTooLarge,
+    /// The head exceeds its bound in bytes or headers.
+    HeadTooLarge,
+}
+
+impl Violation {
+    /// Returns the HTTP status and its reason phrase.
+    pub(super) fn status(self) -> (u16, &'static str) {
+        match self {
+            Self::Malformed => (400, "Bad Request"),
+            Self::TimedOut => (408, "Request Timeout"),
+            Self::BodyTooLarge => (413, "Content Too Large"),
+            Self::HeadTooLarge => (431, "Request Header Fields Too Large"),
+        }
+    }
+}
+
+/// Where in the stream of requests the last byte was.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Position {
+    BetweenRequests,
+    InHead,
+    InBody,
+}
+
+impl Position {
+    /// Returns the time that the position may last.
+    pub(super) fn limit(self, idle: Duration, head: Duration, body: Duration) -> Duration {
+        match self {
+            Self::BetweenRequests => idle,
+            Self::InHead => head,
+            Self::InBody => body,
+        }
+    }
+}
+
+/// Tracks the requests in a stream.
+#[derive(Debug)]
+pub(super) struct RequestFraming {
+    limits: FramingLimits,
+    state: State,
+    /// Bytes of the head that is being read.
+    head: Vec<u8>,
+    /// Where the current line of the head starts.
+    line_start: usize,
+    completed: u64,
+}
+
+#[derive(Debug)]
+enum State {
+    Head,
+    Body { remaining: u64 },
+    Chunked(Chunked),
+}
+
+impl RequestFraming {
+    pub(super) fn new(limits: FramingLimits) -> Self {
+        Self {
+            limits,
+            state: State::Head,
+            head: Vec::new(),
+            line_start: 0,
+            completed: 0,
+        }
+    }
+
+    /// Returns the number of requests that were seen whole.
+    pub(super) fn completed(&self) -> u64 {
+        self.completed
+    }
+
+    pub(super) fn position(&self) -> Position {
+        match self.state {
+            State::Head if self.head.is_empty() => Position::BetweenRequests,
+            State::Head => Position::InHead,
+            State::Body { .. } | State::Chunked(_) => Position::InBody,
+        }
+    }
+
+    /// Takes the next bytes of the stream. Returns how many of them may be passed on, and the
+    /// violation that ends the stream there.
+    pub(super) fn push(&mut self, bytes: &[u8]) -> (usize, Option<Violation>) {
+        let mut accepted = 0;
+        while accepted < bytes.len() {
+            match self.push_part(&bytes[accepted..]) {
+                Ok(count) => accepted += count,
+                Err(violation) => return (accepted, Some(violation)),
+            }
+        }
+        (accepted, None)
+    }
+
+    /// Takes bytes of one head or body and returns how many.
+    fn push_part(&mut self, bytes: &[u8]) -> Result<usize, Violation> {
+        match &mut self.state {
+            State::Head => self.push_head(bytes),
+            State::Body { remaining } => {
+                let count = (*remaining).min(bytes.len() as u64);
+                *remaining -= count;
+                if *remaining == 0 {
+                    self.finish_request();
+                }
+                Ok(count as usize)
+            }
+            State::Chunked(chunked) => {
+                let (count, done) = chunked.push(bytes)?;
+                if done {
+                    self.finish_request();
+                }
+                Ok(count)
+            }
+        }
+    }
+
+    fn push_head(&mut self, bytes: &[u8]) -> Result<usize, Violation> {
+        let mut taken = 0;
+        while let Some(offset) = bytes[taken..].iter().position(|byte| *byte == b'\n') {
+            self.head.extend_from_slice(&bytes[taken..=taken + offset]);
+            taken += offset + 1;
+            self.check_head_size()?;
+            let line = &self.head[self.line_start..];
+            // Libraries accept a bare line feed, others don't, so it is ambiguous.
+            if !line.ends_with(b"\r\n") {
+                return Err(Violation::Malformed);
+            }
+            let is_empty = line.len() == 2;
+            if !is_empty {
+                self.line_start = self.head.len();
+                continue;
+            }
+            if self.line_start > 0 {
+                self.finish_head()?;
+                return Ok(taken);
+            }
+            // An empty line before the request line is skipped, as RFC 9112 recommends.
+            self.head.clear();
+        }
+        self.head.extend_from_slice(&bytes[taken..]);
+        self.check_head_size()?;
+        Ok(bytes.len())
+    }
+
+    fn check_head_size(&self) -> Result<(), Violation> {
+        if self.head.len() > self.limits.max_head_bytes {
+            return Err(Violation::HeadTooLarge);
+        }
+        Ok(())
+    }
+
+    fn finish_head(&mut self) -> Result<(), Violation> {
+        self.state = read_head(&self.head, &self.limits)?;
+        self.head.clear();
+        self.line_start = 0;
+        if matches!(self.state, State::Head) {
+            self.finish_request();
+        }
+        Ok(())
+    }
+
+    fn finish_request(&mut self) {
+        self.state = State::Head;
+        self.completed += 1;
+    }
+}
+
+/// Validates a whole head and returns the state that its body starts in.
+fn read_head(head: &[u8], limits: &FramingLimits) -> Result<State, Violation> {
+    let mut headers = vec![httparse::EMPTY_HEADER; limits.max_headers];
+    let mut request = httparse::Request::new(&mut headers);
+    match request.parse(head) {
+        Ok(httparse::Status::Complete(length)) if length == head.len() => {}
+        Err(httparse::Error::TooManyHeaders) => return Err(Violation::HeadTooLarge),
+        _ => return Err(Violation::Malformed),
+    }
+    if request.method == Some("CONNECT") {
+        return Err(Violation::Malformed);
+    }
+    let is_http_11 = request.version == Some(1);
+    let length = content_length(request.headers)?;
+    let chunked = is_chunked(request.headers)?;
+    let hosts = values(request.headers, "host").count();
+    if hosts > 1 || (is_http_11 && hosts == 0) {
+        return Err(Violation::Malformed);
+    }
+    match (length, chunked) {
+        (Some(_), true) => Err(Violation::Malformed),
+        (None, true) if !is_http_11 => Err(Violation::Malformed),
+        (None, true) => Ok(State::Chunked(Chunked::new(limits.max_body_bytes))),
+        (Some(length), false) if length > limits.max_body_bytes => Err(Violation::BodyTooLarge),
+        (Some(remaining), false) if remaining > 0 => Ok(State::Body { remaining }),
+        _ => Ok(State::Head),
+    }
+}
+
+fn values<'a>(
+    headers: &'a [httparse::Header<'a>],
+    name: &'a str,
+) -> impl Iterator<Item = &'a [u8]> {
+    headers
+        .iter()
+        .filter(move |header| header.name.eq_ignore_ascii_case(name))
+        .map(|header| header.value.trim_ascii())
+}
+
+fn content_length(headers: &[httparse::Header<'_>]) -> Result<Option<u64>, Violation> {
+    let mut length = None;
+    for value in values(headers, "content-length") {
+        let value = parse_digits(value).ok_or(Violation::Malformed)?;
+        if length.is_some_and(|earlier| earlier != value) {
+            return Err(Violation::Malformed);
+        }
+        length = Some(value);
+    }
+    Ok(length)
+}
+
+/// Parses digits alone; `str::parse` would accept a sign.
+fn parse_digits(text: &[u8]) -> Option<u64> {
+    if text.is_empty() || !text.iter().all(u8::is_ascii_digit) {
+        return None;
+    }
+    std::str::from_utf8(text).ok()?.parse().ok()
+}
+
+fn is_chunked(headers: &[httparse::Header<'_>]) -> Result<bool, Violation> {
+    let mut values = values(headers, "transfer-encoding");
+    match (values.next(), values.next()) {
+        (None, _) => Ok(false),
+        (Some(value), None) if value.eq_ignore_ascii_case(b"chunked") => Ok(true),
+        _ => Err(Violation::Malformed),
+    }
+}
--- /dev/null
+++ b/crates/transport/src/http/server/tests.rs
@@ -0,0 +1,355 @@
+use std::sync::Mutex;
+use std::time::Instant;
+
+use async_std::task::{sleep, spawn};
+use futures::future::join_all;
+use futures::{AsyncReadExt, AsyncWriteExt, join};
+use http::StatusCode;
+use rstest::rstest;
+
+use super::*;
+
+/// Limits short enough for tests.
+pub(crate) fn limits() -> Limits {
+    Limits {
+        max_head_bytes: 8 * 1024,
+        max_headers: 20,
+        max_body_bytes: 64 * 1024,
+        idle_time: Duration::from_millis(400),
+        head_time: Duration::from_millis(200),
+        body_time: Duration::from_millis(200),
+        write_stall: Duration::from_millis(200),
+        drain_idle: Duration::from_millis(100),
+        ..Limits::default()
+    }
+}
+
+pub(crate) async fn start<H, F>(limits: Limits, handler: H) -> ServerHandle
+where
+    H: Fn(Request<Bytes>) -> F + Send + Sync + 'static,
+    F: Future<Output = Response<Bytes>> + Send + 'static,
+{
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    serve(listener, limits, handler).unwrap()
+}
+
+/// Answers with the method, the path and the body of the request.
+pub(crate) async fn echo(request: Request<Bytes>) -> Response<Bytes> {
+    let head = format!("{} {} ", request.method(), request.uri());
+    Response::new([head.as_bytes(), request.body()].concat().into())
+}
+
+async fn read_all(mut stream: TcpStream) -> String {
+    let mut text = Vec::new();
+    // An error is a reset after the answer, which ends it like a close does.
+    let _ = stream.read_to_end(&mut text).await;
+    String::from_utf8_lossy(&text).into_owned()
+}
+
+/// Sends raw bytes and returns all that comes back until the server closes.
+async fn exchange(server: &ServerHandle, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(server.local_addr()).await.unwrap();
+    stream.write_all(bytes).await.unwrap();
+    read_all(stream).await
+}
+
+const CLOSE: &str = "host: a\r\nconnection: close\r\n";
+
+/// Guards against bodies that are lost or altered on their way to the handler.
+#[rstest]
+#[case::length("content-length: 3\r\n\r\nabc")]
+#[case::chunked("transfer-encoding: chunked\r\n\r\n1\r\na\r\n2\r\nbc\r\n0\r\n\r\n")]
+#[async_std::test]
+async fn serve_body(#[case] rest: &str) {
+    let server = start(limits(), echo).await;
+    let request = format!("POST /x HTTP/1.1\r\n{CLOSE}{rest}");
+    let answer = exchange(&server, request.as_bytes()).await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert!(answer.ends_with("\r\n\r\nPOST /x abc"), "{answer}");
+}
+
+/// Guards against request smuggling and header injection: the request must not reach the handler.
+#[rstest]
+#[case::two_lengths("content-length: 3\r\ncontent-length: 4\r\n\r\nabcd")]
+#[case::sign("content-length: +5\r\n\r\nabcde")]
+#[case::both("content-length: 5\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n")]
+#[case::codings("transfer-encoding: gzip, chunked\r\n\r\n0\r\n\r\n")]
+#[case::control("x: a\x01b\r\n\r\n")]
+#[case::chunk("transfer-encoding: chunked\r\n\r\n3\nabc\r\n0\r\n\r\n")]
+#[async_std::test]
+async fn serve_ambiguous(#[case] rest: &str) {
+    let server = start(limits(), |_| async { panic!("the handler was called") }).await;
+    let smuggled = "GET /smuggled HTTP/1.1\r\nhost: a\r\n\r\n";
+    let request = format!("POST / HTTP/1.1\r\nhost: a\r\n{rest}{smuggled}");
+    let answer = exchange(&server, request.as_bytes()).await;
+    assert!(answer.starts_with("HTTP/1.1 400"), "{answer}");
+    assert_eq!(answer.matches("HTTP/1.1").count(), 1, "{answer}");
+}
+
+/// Guards against requests that hold memory or a connection without bound. The caller must learn
+/// why it was rejected, although it may still be sending.
+#[rstest]
+#[case::head(format!("GET /{} HTTP/1.1\r\n", "a".repeat(9000)), 431)]
+#[case::headers(format!("GET / HTTP/1.1\r\nhost: a\r\n{}\r\n", "a: b\r\n".repeat(30)), 431)]
+#[case::body(format!("PUT / HTTP/1.1\r\nhost: a\r\ncontent-length: 70000\r\n\r\n{}", "a".repeat(70000)), 413)]
+#[case::chunks(format!("PUT / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\nfffff\r\n{}", "a".repeat(70000)), 413)]
+#[case::slow_head("GET / HTTP/1.1\r\nhost:".into(), 408)]
+#[case::slow_body("PUT / HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\nabc".into(), 408)]
+#[case::slow_chunk("PUT / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n3\r\na".into(), 408)]
+#[async_std::test]
+async fn serve_beyond_limit(#[case] request: String, #[case] status: u16) {
+    let server = start(limits(), |_| async { panic!("the handler was called") }).await;
+    let started = Instant::now();
+    let answer = exchange(&server, request.as_bytes()).await;
+    let expected = format!("HTTP/1.1 {status}");
+    assert!(answer.starts_with(&expected), "{answer}");
+    assert!(started.elapsed() < Duration::from_secs(1));
+}
+
+/// Guards against a sender that keeps its connection by sending a byte now and then.
+#[async_std::test]
+async fn serve_slow_sender() {
+    let server = start(limits(), echo).await;
+    let mut stream = TcpStream::connect(server.local_addr()).await.unwrap();
+    let started = Instant::now();
+    let mut sent = 0;
+    while stream.write_all(b"G").await.is_ok() && started.elapsed() < Duration::from_secs(3) {
+        sent += 1;
+        sleep(Duration::from_millis(20)).await;
+    }
+    assert!(sent < 60, "{sent} bytes in {:?}", started.elapsed());
+}
+
+/// Guards against an idle connection that is kept for ever, and against an answer on it that
+/// nobody asked for.
+#[async_std::test]
+async fn serve_idle_connection() {
+    let server = start(limits(), echo).await;
+    assert_eq!(exchange(&server, b"").await, "");
+    while server.connections() > 0 {
+        sleep(Duration::from_millis(1)).await;
+    }
+}
+
+/// Guards against a short body that is handed to the handler as whole.
+#[async_std::test]
+async fn serve_short_body() {
+    let server = start(limits(), |_| async { panic!("the handler was called") }).await;
+    let mut stream = TcpStream::connect(server.local_addr()).await.unwrap();
+    let request = b"PUT / HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\nabc";
+    stream.write_all(request).await.unwrap();
+    stream.shutdown(std::net::Shutdown::Write).unwrap();
+    assert_eq!(read_all(stream).await, "");
+}
+
+/// Guards against pipelined requests that run at the same time, or whose bytes or answers mix.
+#[async_std::test]
+async fn serve_pipelined() {
+    let running = Arc::new(AtomicUsize::new(0));
+    let server = start(limits(), move |request| {
+        let running = running.clone();
+        async move {
+            assert_eq!(running.fetch_add(1, Ordering::SeqCst), 0);
+            sleep(Duration::from_millis(20)).await;
+            running.fetch_sub(1, Ordering::SeqCst);
+            echo(request).await
+        }
+    })
+    .await;
+    let first = "POST /1 HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\n\r\nabc";
+    let second =
+        "POST /2 HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n1\r\nd\r\n0\r\n\r\n";
+    let bad = "GET /3 HTTP/1.1\r\nhost: a\r\ncontent-length: x\r\n\r\n";
+    let answer = exchange(&server, [first, second, bad].concat().as_bytes()).await;
+    let answers: Vec<_> = answer.split("HTTP/1.1 ").skip(1).collect();
+    assert_eq!(answers.len(), 3, "{answer}");
+    assert!(answers[0].starts_with("200") && answers[0].ends_with("\r\n\r\nPOST /1 abc"));
+    assert!(answers[1].starts_with("200") && answers[1].ends_with("\r\n\r\nPOST /2 d"));
+    assert!(answers[2].starts_with("400"));
+}
+
+/// Guards against work that goes on after its caller has gone.
+#[async_std::test]
+async fn serve_caller_gone() {
+    struct Dropped(channel::Sender<()>);
+    impl Drop for Dropped {
+        fn drop(&mut self) {
+            self.0.close();
+        }
+    }
+    let (started_tx, started) = channel::unbounded();
+    let (dropped_tx, dropped) = channel::bounded(1);
+    let server = start(limits(), move |_| {
+        let guard = Dropped(dropped_tx.clone());
+        let started = started_tx.clone();
+        async move {
+            let _guard = guard;
+            started.send(()).await.unwrap();
+            std::future::pending().await
+        }
+    })
+    .await;
+    let mut stream = TcpStream::connect(server.local_addr()).await.unwrap();
+    stream
+        .write_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+        .await
+        .unwrap();
+    started.recv().await.unwrap();
+    drop(stream);
+    let waiting = timeout(Duration::from_secs(2), closed(&dropped));
+    assert!(waiting.await.is_ok());
+}
+
+/// Guards against a caller that takes no byte of its response and keeps its connection for ever.
+#[async_std::test]
+async fn serve_caller_stops_reading() {
+    let large = Bytes::from(vec![b'a'; 32 << 20]);
+    let server = start(limits(), move |_| {
+        let large = large.clone();
+        async move { Response::new(large) }
+    })
+    .await;
+    let mut stream = TcpStream::connect(server.local_addr()).await.unwrap();
+    stream
+        .write_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+        .await
+        .unwrap();
+    let started = Instant::now();
+    while server.connections() == 0 {
+        sleep(Duration::from_millis(1)).await;
+    }
+    while server.connections() > 0 {
+        assert!(started.elapsed() < Duration::from_secs(3));
+        sleep(Duration::from_millis(5)).await;
+    }
+    drop(stream);
+}
+
+/// Guards against responses whose headers contradict their bodies.
+#[rstest]
+#[case::length("GET", 200, "content-length: 3")]
+#[case::head("HEAD", 200, "content-length: 77")]
+#[case::no_content("GET", 204, "")]
+#[async_std::test]
+async fn serve_response_framing(#[case] method: &str, #[case] status: u16, #[case] header: &str) {
+    let server = start(limits(), move |_| async move {
+        let response = Response::builder()
+            .status(status)
+            .header("content-length", "77")
+            .header("transfer-encoding", "chunked")
+            .header("connection", "x-private")
+            .header("x-private", "1");
+        response.body(Bytes::from_static(b"abc")).unwrap()
+    })
+    .await;
+    let request = format!("{method} / HTTP/1.1\r\n{CLOSE}\r\n");
+    let answer = exchange(&server, request.as_bytes()).await;
+    let (head, body) = answer.split_once("\r\n\r\n").unwrap();
+    assert!(head.contains(header), "{answer}");
+    assert!(
+        !head.contains("x-private") && !head.contains("chunked"),
+        "{answer}"
+    );
+    let expected = if header.ends_with('3') { "abc" } else { "" };
+    assert_eq!(body, expected);
+}
+
+/// Guards against requests that a graceful stop cuts: callers keep the server busy while it
+/// drains, and each request that was sent must be answered whole.
+#[async_std::test]
+async fn drain_under_load() {
+    let server = Arc::new(
+        start(limits(), |request| async move {
+            sleep(Duration::from_millis(3)).await;
+            echo(request).await
+        })
+        .await,
+    );
+    let address = server.local_addr();
+    let outcomes = Arc::new(Mutex::new((0, 0)));
+    let callers = (0..40).map(|number| {
+        let outcomes = outcomes.clone();
+        spawn(async move {
+            let mut stream = TcpStream::connect(address).await.unwrap();
+            loop {
+                // A pause between requests leaves some connections idle when the drain starts.
+                sleep(Duration::from_millis(number % 7)).await;
+                let whole = request_once(&mut stream).await;
+                let mut outcomes = outcomes.lock().unwrap();
+                match whole {
+                    Some(_) => outcomes.0 += 1,
+                    None => outcomes.1 += 1,
+                }
+                if whole != Some(false) {
+                    return;
+                }
+            }
+        })
+    });
+    let callers = join_all(callers);
+    let draining = async {
+        sleep(Duration::from_millis(100)).await;
+        server.drain(Duration::from_secs(3)).await
+    };
+    let (_, drained) = join!(callers, draining);
+    assert_eq!(drained, Drained { cut_connections: 0 });
+    let (whole, cut) = *outcomes.lock().unwrap();
+    assert!(whole > 100, "only {whole} requests");
+    assert_eq!(cut, 0, "{cut} of {} requests cut", whole + cut);
+    assert!(TcpStream::connect(address).await.is_err());
+}
+
+/// Sends a request; returns whether the server closes the connection after it, or `None` if the
+/// response is not whole.
+async fn request_once(stream: &mut TcpStream) -> Option<bool> {
+    stream
+        .write_all(b"GET /x HTTP/1.1\r\nhost: a\r\n\r\n")
+        .await
+        .ok()?;
+    let mut text = Vec::new();
+    let mut buf = [0; 1024];
+    while !text.ends_with(b"GET /x ") {
+        let count = stream.read(&mut buf).await.ok()?;
+        if count == 0 {
+            return None;
+        }
+        text.extend_from_slice(&buf[..count]);
+    }
+    let text = String::from_utf8(text).ok()?;
+    Some(text.contains("connection: close"))
+}
+
+/// Guards against a drain that never returns.
+#[async_std::test]
+async fn drain_beyond_limit() {
+    let server = start(limits(), |_| std::future::pending()).await;
+    let mut stream = TcpStream::connect(server.local_addr()).await.unwrap();
+    stream
+        .write_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+        .await
+        .unwrap();
+    sleep(Duration::from_millis(50)).await;
+    let drained = server.drain(Duration::from_millis(200)).await;
+    assert_eq!(drained, Drained { cut_connections: 1 });
+    assert_eq!(read_all(stream).await, "");
+}
+
+/// Guards against more connections than the bound, and against a bound that never opens again.
+#[async_std::test]
+async fn serve_connection_bound() {
+    let bounded = Limits {
+        max_connections: 1,
+        ..limits()
+    };
+    let server = start(bounded, echo).await;
+    let first = TcpStream::connect(server.local_addr()).await.unwrap();
+    let request = format!("GET /2 HTTP/1.1\r\n{CLOSE}\r\n");
+    let second = exchange(&server, request.as_bytes());
+    let freeing = async {
+        sleep(Duration::from_millis(100)).await;
+        assert_eq!(server.connections(), 1);
+        drop(first);
+    };
+    let (answer, ()) = join!(second, freeing);
+    assert!(answer.starts_with(&format!("HTTP/1.1 {}", StatusCode::OK.as_u16())));
+}
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -2,8 +2,10 @@
 //!
 //! - [`link`]: authenticated WebSocket links between daemons.
 //! - [`call_link`]: many calls in flight on one link.
+//! - [`http`]: HTTP/1.1 for callers, upstreams and operators.
 
 #![cfg_attr(test, allow(clippy::unwrap_used))]
 
 pub mod call_link;
+pub mod http;
 pub mod link;
