Add the HTTP client with verdicts and a connection pool

The owner role needs to know for every failure whether the upstream may have run the request. The client counts the bytes written and reports NotRun only if there were none. The request's own future drives the connection, which saves a task switch and closes the connection when the future is dropped. Pooled connections are checked before use; when one goes silent and a probe connects, idle ones not used since are discarded.

--- a/crates/transport/src/http.rs
+++ b/crates/transport/src/http.rs
@@ -3,8 +3,10 @@
 //! Bodies are buffered whole, up to a bound (`docs/design.md`, section 2.8).
 //!
 //! - [`server`]: accepts requests of callers.
+//! - [`client`]: sends requests to upstreams, with a verdict for every failure.
 //! - [`headers`]: hop-by-hop headers, and conversion to and from the messages of calls.
 
+pub mod client;
 pub mod headers;
 
 pub mod server;
--- /dev/null
+++ b/crates/transport/src/http/client/connection.rs
@@ -0,0 +1,278 @@
+//! One connection to an upstream.
+
+use std::future::{Future, poll_fn};
+use std::io;
+use std::net::SocketAddr;
+use std::pin::{Pin, pin};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::task::{Context, Poll, ready};
+
+use async_std::net::TcpStream;
+use bytes::{Bytes, BytesMut};
+use futures::io::{AsyncRead, AsyncWrite};
+use http::header::TRANSFER_ENCODING;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Incoming};
+use hyper::client::conn::http1;
+use sycamoreflow_state::verdict::{Failure, Reason};
+
+use super::Limits;
+use crate::http::adapter::HyperIo;
+use crate::http::headers::remove_hop_by_hop;
+
+/// hyper's buffer for a head must be at least this large.
+const MIN_HYPER_BUFFER: usize = 8 * 1024;
+
+type Driver = http1::Connection<HyperIo<CountedStream>, Full<Bytes>>;
+
+/// Why an exchange has no answer.
+pub(super) enum Lost {
+    /// The connection had ended before hyper took the request.
+    Unsent(Box<Request<Full<Bytes>>>),
+    /// The exchange failed; whether bytes were written is in [`Traffic`].
+    Failed(Reason),
+}
+
+/// A connection that carries one request at a time.
+pub(super) struct Connection {
+    pub(super) address: SocketAddr,
+    sender: http1::SendRequest<Full<Bytes>>,
+    /// `None` once the connection has ended.
+    driver: Option<Pin<Box<Driver>>>,
+    counters: Arc<Counters>,
+}
+
+#[derive(Default)]
+struct Counters {
+    read: AtomicU64,
+    written: AtomicU64,
+}
+
+/// Bytes that a connection carries from a point in time on.
+pub(super) struct Traffic {
+    counters: Arc<Counters>,
+    read_before: u64,
+    written_before: u64,
+}
+
+impl Traffic {
+    pub(super) fn has_read_since_start(&self) -> bool {
+        self.counters.read.load(Ordering::Relaxed) != self.read_before
+    }
+
+    /// Makes the failure of an exchange, which did not run if no byte of it was written.
+    pub(super) fn failure(&self, reason: Reason) -> Failure {
+        if self.counters.written.load(Ordering::Relaxed) == self.written_before {
+            return Failure::not_run(reason);
+        }
+        Failure::may_have_run(reason)
+    }
+}
+
+impl Connection {
+    /// Opens a connection; returns `None` if the address cannot be reached.
+    pub(super) async fn open(address: SocketAddr, limits: &Limits) -> Option<Self> {
+        let stream = TcpStream::connect(address).await.ok()?;
+        stream.set_nodelay(true).ok()?;
+        let counters = Arc::new(Counters::default());
+        let stream = CountedStream {
+            stream,
+            counters: counters.clone(),
+        };
+        let (sender, driver) = http1::Builder::new()
+            .max_headers(limits.max_headers)
+            .max_buf_size(limits.max_head_bytes.max(MIN_HYPER_BUFFER))
+            .handshake(HyperIo(stream))
+            .await
+            .ok()?;
+        Some(Self {
+            address,
+            sender,
+            driver: Some(Box::pin(driver)),
+            counters,
+        })
+    }
+
+    pub(super) fn traffic(&self) -> Traffic {
+        Traffic {
+            counters: self.counters.clone(),
+            read_before: self.counters.read.load(Ordering::Relaxed),
+            written_before: self.counters.written.load(Ordering::Relaxed),
+        }
+    }
+
+    /// Returns whether an idle connection can take a request: it has neither ended nor received
+    /// bytes that nobody asked for.
+    pub(super) async fn is_alive(&mut self) -> bool {
+        poll_fn(|cx| {
+            self.drive(cx);
+            Poll::Ready(())
+        })
+        .await;
+        self.is_reusable()
+    }
+
+    /// Returns whether the connection is open and has no exchange in progress.
+    pub(super) fn is_reusable(&self) -> bool {
+        self.driver.is_some() && self.sender.is_ready()
+    }
+
+    /// Sends a request and reads the whole answer. Dropping the future closes the connection.
+    pub(super) async fn exchange(
+        mut self,
+        request: Request<Full<Bytes>>,
+        limits: &Limits,
+    ) -> Result<(Response<Bytes>, Self), Lost> {
+        let answer = pin!(self.sender.try_send_request(request));
+        let driver = &mut self.driver;
+        let response = run(driver, answer).await.map_err(|mut error| {
+            let reason = reason(error.error());
+            match error.take_message() {
+                Some(request) => Lost::Unsent(Box::new(request)),
+                None => Lost::Failed(reason),
+            }
+        })?;
+        let (mut parts, body) = response.into_parts();
+        let is_upgrade = parts.status == StatusCode::SWITCHING_PROTOCOLS;
+        if is_upgrade || !has_known_coding(&parts) {
+            return Err(Lost::Failed(Reason::BadAnswer));
+        }
+        let body = pin!(read_body(body, limits.max_body_bytes));
+        let body = run(driver, body).await.map_err(Lost::Failed)?;
+        // Lets the driver see the end of the exchange, after which it takes the next one.
+        self.is_alive().await;
+        remove_hop_by_hop(&mut parts.headers);
+        parts.extensions.clear();
+        Ok((Response::from_parts(parts, body), self))
+    }
+
+    fn drive(&mut self, cx: &mut Context<'_>) {
+        poll_driver(&mut self.driver, cx);
+    }
+}
+
+fn poll_driver(driver: &mut Option<Pin<Box<Driver>>>, cx: &mut Context<'_>) {
+    let Some(active) = driver else {
+        return;
+    };
+    // The exchange reports an error of the connection; an idle one is simply not used again.
+    if active.as_mut().poll(cx).is_ready() {
+        *driver = None;
+    }
+}
+
+/// Waits for a future that depends on the connection, and drives the connection meanwhile.
+async fn run<F: Future + Unpin>(driver: &mut Option<Pin<Box<Driver>>>, mut future: F) -> F::Output {
+    poll_fn(|cx| {
+        if let Poll::Ready(output) = Pin::new(&mut future).poll(cx) {
+            return Poll::Ready(output);
+        }
+        poll_driver(driver, cx);
+        Pin::new(&mut future).poll(cx)
+    })
+    .await
+}
+
+async fn read_body(mut body: Incoming, max_bytes: usize) -> Result<Bytes, Reason> {
+    if body.size_hint().lower() > max_bytes as u64 {
+        return Err(Reason::BadAnswer);
+    }
+    let mut first = Bytes::new();
+    let mut rest = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| reason(&error))?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if first.len() + rest.len() + data.len() > max_bytes {
+            return Err(Reason::BadAnswer);
+        }
+        if first.is_empty() {
+            first = data;
+            continue;
+        }
+        rest.extend_from_slice(&data);
+    }
+    if rest.is_empty() {
+        return Ok(first);
+    }
+    Ok(Bytes::from([&first[..], &rest].concat()))
+}
+
+/// Returns whether the transfer coding of an answer is one that hyper removes. With any other,
+/// the body would be passed on in its coded form.
+fn has_known_coding(parts: &http::response::Parts) -> bool {
+    let mut codings = parts.headers.get_all(TRANSFER_ENCODING).iter();
+    match (codings.next(), codings.next()) {
+        (None, _) => true,
+        (Some(coding), None) => coding.as_bytes().eq_ignore_ascii_case(b"chunked"),
+        _ => false,
+    }
+}
+
+fn reason(error: &hyper::Error) -> Reason {
+    if error.is_parse() {
+        return Reason::BadAnswer;
+    }
+    Reason::ConnectionLost
+}
+
+/// Socket that counts its bytes.
+struct CountedStream {
+    stream: TcpStream,
+    counters: Arc<Counters>,
+}
+
+impl CountedStream {
+    fn count_written(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        let count = ready!(written)?;
+        self.counters
+            .written
+            .fetch_add(count as u64, Ordering::Relaxed);
+        Poll::Ready(Ok(count))
+    }
+}
+
+impl AsyncRead for CountedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let count = ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        self.counters
+            .read
+            .fetch_add(count as u64, Ordering::Relaxed);
+        Poll::Ready(Ok(count))
+    }
+}
+
+impl AsyncWrite for CountedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.count_written(written)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.count_written(written)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_close(cx)
+    }
+}
--- /dev/null
+++ b/crates/transport/src/http/client/pool.rs
@@ -0,0 +1,135 @@
+//! Idle connections by address.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use parking_lot::Mutex;
+
+use super::connection::Connection;
+
+/// Time between two sweeps over all addresses.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Idle connections, bounded in number per address and in age.
+pub(super) struct Pool {
+    max_idle: usize,
+    idle_time: Duration,
+    state: Mutex<State>,
+}
+
+#[derive(Default)]
+struct State {
+    addresses: HashMap<SocketAddr, AddressPool>,
+    swept_at: Option<Instant>,
+}
+
+#[derive(Default)]
+struct AddressPool {
+    /// Ordered by the time they were put here, the newest last.
+    idle: Vec<Idle>,
+    is_probing: bool,
+}
+
+struct Idle {
+    connection: Connection,
+    since: Instant,
+}
+
+impl Pool {
+    pub(super) fn new(max_idle: usize, idle_time: Duration) -> Self {
+        Self {
+            max_idle,
+            idle_time,
+            state: Mutex::default(),
+        }
+    }
+
+    /// Takes the connection that was used last, since it is the least likely to have ended.
+    pub(super) fn take(&self, address: SocketAddr) -> Option<Connection> {
+        let now = Instant::now();
+        let aged;
+        let mut state = self.state.lock();
+        let pool = state.addresses.get_mut(&address)?;
+        let newest = pool.idle.pop()?;
+        if now.duration_since(newest.since) < self.idle_time {
+            return Some(newest.connection);
+        }
+        // The others are older still. They are closed after the lock is released.
+        aged = std::mem::take(&mut pool.idle);
+        drop(state);
+        drop(aged);
+        None
+    }
+
+    pub(super) fn put(&self, connection: Connection) {
+        let mut state = self.state.lock();
+        let now = Instant::now();
+        let pool = state.addresses.entry(connection.address).or_default();
+        pool.idle.push(Idle {
+            connection,
+            since: now,
+        });
+        let excess = pool.idle.len().saturating_sub(self.max_idle);
+        let closed: Vec<_> = pool.idle.drain(..excess).collect();
+        let due = state
+            .swept_at
+            .is_none_or(|at| now.saturating_duration_since(at) >= SWEEP_INTERVAL);
+        drop(state);
+        drop(closed);
+        if due {
+            self.close_aged(now);
+        }
+    }
+
+    pub(super) fn close_aged(&self, now: Instant) {
+        let mut closed = Vec::new();
+        let mut state = self.state.lock();
+        state.swept_at = Some(now);
+        state.addresses.retain(|_, pool| {
+            let is_aged = |idle: &Idle| now.saturating_duration_since(idle.since) >= self.idle_time;
+            let aged = pool.idle.iter().take_while(|idle| is_aged(idle)).count();
+            closed.extend(pool.idle.drain(..aged));
+            !pool.idle.is_empty() || pool.is_probing
+        });
+        drop(state);
+        drop(closed);
+    }
+
+    /// Discards the idle connections that were last used before `time`.
+    pub(super) fn discard_unused_since(&self, address: SocketAddr, time: Instant) {
+        let mut state = self.state.lock();
+        let Some(pool) = state.addresses.get_mut(&address) else {
+            return;
+        };
+        let unused = pool
+            .idle
+            .iter()
+            .take_while(|idle| idle.since < time)
+            .count();
+        let discarded: Vec<_> = pool.idle.drain(..unused).collect();
+        drop(state);
+        drop(discarded);
+    }
+
+    /// Returns whether no other probe of the address is running, and notes that one is.
+    pub(super) fn start_probe(&self, address: SocketAddr) -> bool {
+        let mut state = self.state.lock();
+        let pool = state.addresses.entry(address).or_default();
+        !std::mem::replace(&mut pool.is_probing, true)
+    }
+
+    pub(super) fn finish_probe(&self, address: SocketAddr) {
+        if let Some(pool) = self.state.lock().addresses.get_mut(&address) {
+            pool.is_probing = false;
+        }
+    }
+
+    pub(super) fn count(&self, address: SocketAddr) -> usize {
+        let state = self.state.lock();
+        state
+            .addresses
+            .get(&address)
+            .map_or(0, |pool| pool.idle.len())
+    }
+}
--- a/crates/transport/src/http/server/tests.rs
+++ b/crates/transport/src/http/server/tests.rs
@@ -29,7 +29,7 @@
     H: Fn(Request<Bytes>) -> F + Send + Sync + 'static,
     F: Future<Output = Response<Bytes>> + Send + 'static,
 {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let listener = crate::listen::listen(([127, 0, 0, 1], 0).into()).unwrap();
     serve(listener, limits, handler).unwrap()
 }
 
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`link`]: authenticated WebSocket links between daemons.
 //! - [`call_link`]: many calls in flight on one link.
+//! - [`listen`]: listening sockets.
 //! - [`http`]: HTTP/1.1 for callers, upstreams and operators.
 
 #![cfg_attr(test, allow(clippy::unwrap_used))]
@@ -9,3 +10,4 @@
 pub mod call_link;
 pub mod http;
 pub mod link;
+pub mod listen;
