Add the operator interface server

async-h1 buffers a line of a head without limit, drains unread bodies without bound and hands on short bodies. Operator and announcement routes are now served from a stream that applies the framing tracker of the HTTP server, reads a whole body before its route runs, checks the bearer token before the body and allows one request per connection.

--- /dev/null
+++ b/crates/transport/src/http/operator.rs
@@ -0,0 +1,299 @@
+//! Serves a `tide` application over a bounded stream, one request per connection.
+//!
+//! async-h1 buffers a line of a head without limit, drains unread bodies without bound and passes
+//! short bodies on as whole. Here it reads through a stream that bounds the head, the request and
+//! the time, and that fails when a request ends early. A body is read whole before its route
+//! runs. The bearer token is checked before the body is read. Errors are JSON objects with a
+//! field `error`.
+
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_h1::server::Encoder;
+use async_std::channel;
+use async_std::future::timeout;
+use async_std::net::{TcpListener, TcpStream};
+use async_std::task;
+use futures::AsyncReadExt;
+use futures::AsyncWriteExt;
+use futures::future::{Either, select};
+use hmac::{Hmac, KeyInit, Mac};
+use http_types::headers::{AUTHORIZATION, CONNECTION, WWW_AUTHENTICATE};
+use http_types::{Body, Method, Request, Response, StatusCode, mime};
+use sha2::Sha256;
+
+use self::stream::BoundedStream;
+use super::framing::{FramingLimits, Violation};
+use super::server::linger;
+
+mod stream;
+#[cfg(test)]
+mod tests;
+
+/// Time to wait after the system refused a new connection, for example for lack of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+const MAX_HEADERS: usize = 100;
+
+/// Size and time limits of an operator interface.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// Largest number of connections. Further ones wait in the accept queue of the system.
+    pub max_connections: usize,
+    /// Largest head of a request in bytes. async-h1 accepts no more than 8 KiB.
+    pub max_head_bytes: usize,
+    /// Largest request in bytes, with its head.
+    pub max_request_bytes: usize,
+    /// Time limit for reading a request.
+    pub read_time: Duration,
+    /// Time limit for running a request and writing its response.
+    pub answer_time: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            max_connections: 64,
+            max_head_bytes: 16 * 1024,
+            max_request_bytes: 4 * 1024 * 1024,
+            read_time: Duration::from_secs(10),
+            answer_time: Duration::from_secs(30),
+        }
+    }
+}
+
+/// The token that operators present. Its `Debug` output hides it.
+#[derive(Clone)]
+pub struct BearerToken {
+    /// Keyed hash of the token under a random key. Comparing hashes of fixed length in constant
+    /// time reveals neither the token nor its length.
+    hash: Hmac<Sha256>,
+    expected: [u8; 32],
+}
+
+impl BearerToken {
+    /// Makes a token from its text.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the system has no random numbers.
+    pub fn new(token: &str) -> io::Result<Self> {
+        let mut key = [0; 32];
+        getrandom::fill(&mut key).map_err(|_| io::Error::from(io::ErrorKind::Other))?;
+        let hash = Hmac::new_from_slice(&key).expect("HMAC-SHA256 accepts keys of every length");
+        let expected = hash
+            .clone()
+            .chain_update(token)
+            .finalize()
+            .into_bytes()
+            .into();
+        Ok(Self { hash, expected })
+    }
+
+    fn matches(&self, presented: &str) -> bool {
+        let hash = self.hash.clone().chain_update(presented);
+        hash.verify_slice(&self.expected).is_ok()
+    }
+}
+
+impl fmt::Debug for BearerToken {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("BearerToken(..)")
+    }
+}
+
+/// A running operator interface. It stops accepting when it is dropped; requests in progress are
+/// finished within their time limits.
+#[derive(Debug)]
+pub struct OperatorHandle {
+    address: SocketAddr,
+    stop: channel::Sender<()>,
+}
+
+impl OperatorHandle {
+    /// Returns the address that the interface listens on.
+    pub fn local_addr(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+impl Drop for OperatorHandle {
+    fn drop(&mut self) {
+        self.stop.close();
+    }
+}
+
+struct Context<S> {
+    app: tide::Server<S>,
+    token: Option<BearerToken>,
+    limits: Limits,
+}
+
+/// Serves an application on a listener until the handle is dropped. Without a token, every
+/// request is allowed; this is meant for interfaces on the loopback address.
+///
+/// # Errors
+///
+/// Fails if the address of the listener cannot be read.
+pub fn serve<S>(
+    listener: TcpListener,
+    app: tide::Server<S>,
+    token: Option<BearerToken>,
+    limits: Limits,
+) -> io::Result<OperatorHandle>
+where
+    S: Clone + Send + Sync + 'static,
+{
+    let address = listener.local_addr()?;
+    let (stop, stopped) = channel::bounded(1);
+    let context = Arc::new(Context { app, token, limits });
+    task::spawn(accept_all(listener, context, stopped));
+    Ok(OperatorHandle { address, stop })
+}
+
+async fn accept_all<S>(
+    listener: TcpListener,
+    context: Arc<Context<S>>,
+    stopped: channel::Receiver<()>,
+) where
+    S: Clone + Send + Sync + 'static,
+{
+    let semaphore = Arc::new(async_lock::Semaphore::new(context.limits.max_connections));
+    let accepting = async {
+        loop {
+            let permit = semaphore.acquire_arc().await;
+            let Ok((stream, _)) = listener.accept().await else {
+                task::sleep(ACCEPT_PAUSE).await;
+                continue;
+            };
+            let context = context.clone();
+            task::spawn(async move {
+                context.serve_connection(stream).await;
+                drop(permit);
+            });
+        }
+    };
+    let accepting = std::pin::pin!(accepting);
+    let stopped = std::pin::pin!(stopped.recv());
+    if let Either::Left((never, _)) = select(accepting, stopped).await {
+        never
+    }
+}
+
+impl<S: Clone + Send + Sync + 'static> Context<S> {
+    async fn serve_connection(&self, stream: TcpStream) {
+        // Fails only if the connection has already ended.
+        let _ = stream.set_nodelay(true);
+        let limits = &self.limits;
+        let bounded = BoundedStream::new(
+            stream.clone(),
+            FramingLimits {
+                max_head_bytes: limits.max_head_bytes,
+                max_headers: MAX_HEADERS,
+                max_body_bytes: limits
+                    .max_request_bytes
+                    .saturating_sub(limits.max_head_bytes) as u64,
+            },
+        );
+        let reading = timeout(limits.read_time, self.read(&bounded)).await;
+        let answer = async {
+            let (response, method) = match reading {
+                Ok(Ok(Some(request))) => {
+                    let method = request.method();
+                    (self.run(request).await, method)
+                }
+                Ok(Ok(None)) => return,
+                Ok(Err(response)) => (response, Method::Get),
+                Err(_) => (violation_response(Violation::TimedOut), Method::Get),
+            };
+            // Fails if the peer is gone.
+            let _ = write(&stream, response, method).await;
+            linger(&stream).await;
+        };
+        // After the time limit the connection is closed; the peer sees a response cut short.
+        let _ = timeout(limits.answer_time, answer).await;
+    }
+
+    /// Reads a whole request; returns `None` if the peer closes without one.
+    async fn read(&self, stream: &BoundedStream) -> Result<Option<Request>, Response> {
+        let decoded = async_h1::server::decode(stream.clone()).await;
+        let Some((mut request, _)) = decoded.map_err(|_| stream.rejection())? else {
+            // async-h1 reports an end within the head like one before it.
+            return match stream.has_read() {
+                true => Err(stream.rejection()),
+                false => Ok(None),
+            };
+        };
+        if !self.is_allowed(&request) {
+            return Err(unauthorized());
+        }
+        let mut body = Vec::new();
+        let mut reader = request.take_body();
+        let read = reader.read_to_end(&mut body).await;
+        // async-h1 may report a whole body although the stream failed within it.
+        if read.is_err() || !stream.is_whole() {
+            return Err(stream.rejection());
+        }
+        let mime = reader.mime().clone();
+        let mut body = Body::from_bytes(body);
+        body.set_mime(mime);
+        request.set_body(body);
+        Ok(Some(request))
+    }
+
+    fn is_allowed(&self, request: &Request) -> bool {
+        let Some(token) = &self.token else {
+            return true;
+        };
+        let Some(values) = request.header(AUTHORIZATION) else {
+            return false;
+        };
+        let (scheme, presented) = match values.as_str().split_once(' ') {
+            Some(parts) => parts,
+            None => return false,
+        };
+        scheme.eq_ignore_ascii_case("bearer") && token.matches(presented.trim())
+    }
+
+    async fn run(&self, request: Request) -> Response {
+        let response: Response = match self.app.respond(request).await {
+            Ok(response) => response,
+            Err(error) => error_response(error.status(), error.status().canonical_reason()),
+        };
+        let is_error = response.status().is_client_error() || response.status().is_server_error();
+        if is_error && response.is_empty() == Some(true) {
+            return error_response(response.status(), response.status().canonical_reason());
+        }
+        response
+    }
+}
+
+fn error_response(status: StatusCode, error: &str) -> Response {
+    let mut response = Response::new(status);
+    response.set_body(serde_json::json!({ "error": error }).to_string());
+    response.set_content_type(mime::JSON);
+    response
+}
+
+fn unauthorized() -> Response {
+    let error = "a valid bearer token is required";
+    let mut response = error_response(StatusCode::Unauthorized, error);
+    response.insert_header(WWW_AUTHENTICATE, "Bearer");
+    response
+}
+
+fn violation_response(violation: Violation) -> Response {
+    let (status, reason) = violation.status();
+    let status = StatusCode::try_from(status).unwrap_or(StatusCode::BadRequest);
+    error_response(status, reason)
+}
+
+async fn write(mut stream: &TcpStream, mut response: Response, method: Method) -> io::Result<()> {
+    response.insert_header(CONNECTION, "close");
+    let mut encoder = Encoder::new(response, method);
+    futures::io::copy(&mut encoder, &mut stream).await?;
+    stream.flush().await
+}
--- a/crates/transport/src/http/server.rs
+++ b/crates/transport/src/http/server.rs
@@ -23,6 +23,7 @@
 use http::{Request, Response};
 
 use self::connection::Connection;
+pub(super) use self::connection::linger;
 
 mod connection;
 #[cfg(test)]
