Set time limits without a system call per request

The runtime's timers notify its reactor whenever one is set; a call over both hops sets five. Limits now go to a shared map whose task sleeps until the earliest deadline, which a later limit does not disturb.

--- a/crates/transport/src/call_link.rs
+++ b/crates/transport/src/call_link.rs
@@ -11,7 +11,6 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
-use async_std::future::timeout;
 use async_std::task;
 use futures::channel::oneshot;
 use futures::future::{AbortHandle, Abortable};
@@ -21,6 +20,7 @@
 use sycamoreflow_state::verdict::{Failure, Reason};
 
 use crate::link::{LinkError, Peer, Receiver, SendError, Sender};
+use crate::timer::before;
 
 #[cfg(test)]
 mod tests;
@@ -81,11 +81,11 @@
             .send(&request)
             .map_err(refused_by_queue)?;
         withdrawal.queued = true;
-        match timeout(remaining, answer).await {
-            Ok(Ok(CallResult::Answer(answer))) => Ok(answer),
-            Ok(Ok(CallResult::Refused(failure))) => Err(failure),
-            Ok(Err(_)) => Err(Failure::may_have_run(Reason::ConnectionLost)),
-            Err(_) => Err(Failure::may_have_run(Reason::DeadlineExceeded)),
+        match before(deadline, answer).await {
+            Some(Ok(CallResult::Answer(answer))) => Ok(answer),
+            Some(Ok(CallResult::Refused(failure))) => Err(failure),
+            Some(Err(_)) => Err(Failure::may_have_run(Reason::ConnectionLost)),
+            None => Err(Failure::may_have_run(Reason::DeadlineExceeded)),
         }
     }
 
--- a/crates/transport/src/http/client.rs
+++ b/crates/transport/src/http/client.rs
@@ -26,6 +26,7 @@
 use self::connection::{Connection, Lost, Traffic};
 use self::pool::Pool;
 use super::headers::remove_hop_by_hop;
+use crate::timer;
 
 mod connection;
 mod pool;
@@ -150,8 +151,7 @@
         let traffic = connection.traffic();
         let exchange = pin!(connection.exchange(request, &self.shared.limits));
         let watched = self.watch(exchange, address, is_pooled, sent_at, &traffic);
-        let remaining = deadline.saturating_duration_since(sent_at);
-        let Ok(outcome) = timeout(remaining, watched).await else {
+        let Some(outcome) = timer::before(deadline, watched).await else {
             // The connection is not driven any more, so nothing is written from here on.
             if is_pooled {
                 self.suspect(address, sent_at, &traffic);
@@ -183,7 +183,7 @@
         if !is_pooled {
             return exchange.await;
         }
-        let silence = pin!(task::sleep(self.shared.limits.silence));
+        let silence = timer::sleep(self.shared.limits.silence);
         let exchange = match select(exchange, silence).await {
             Either::Left((outcome, _)) => return outcome,
             Either::Right(((), exchange)) => exchange,
--- a/crates/transport/src/http/guard.rs
+++ b/crates/transport/src/http/guard.rs
@@ -8,11 +8,11 @@
 use std::time::{Duration, Instant};
 
 use async_std::net::TcpStream;
-use async_std::task::sleep;
 use futures::io::{AsyncRead, AsyncWrite};
 use parking_lot::Mutex;
 
 use super::framing::{FramingLimits, Position, RequestFraming, Violation};
+use crate::timer::{Sleep, sleep_until};
 
 /// Time limits of a guarded stream.
 #[derive(Clone, Copy, Debug)]
@@ -59,13 +59,11 @@
     }
 }
 
-type Timer = Pin<Box<dyn Future<Output = ()> + Send + Sync>>;
-
 /// A timer that is set again only if it would fire too late, since most deadlines are replaced
 /// by a later one before they pass.
 #[derive(Default)]
 struct Alarm {
-    armed: Option<(Instant, Timer)>,
+    armed: Option<(Instant, Sleep)>,
 }
 
 impl Alarm {
@@ -73,15 +71,14 @@
         loop {
             if let Some((at, timer)) = &mut self.armed
                 && *at <= deadline
-                && timer.as_mut().poll(cx).is_pending()
+                && Pin::new(timer).poll(cx).is_pending()
             {
                 return Poll::Pending;
             }
-            let left = deadline.saturating_duration_since(Instant::now());
-            if left.is_zero() {
+            if Instant::now() >= deadline {
                 return Poll::Ready(());
             }
-            self.armed = Some((deadline, Box::pin(sleep(left))));
+            self.armed = Some((deadline, sleep_until(deadline)));
         }
     }
 }
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -11,3 +11,5 @@
 pub mod http;
 pub mod link;
 pub mod listen;
+
+mod timer;
--- a/crates/transport/src/link/receiver.rs
+++ b/crates/transport/src/link/receiver.rs
@@ -7,7 +7,6 @@
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
-use async_std::task::sleep;
 use async_tungstenite::WebSocketReceiver;
 use async_tungstenite::tungstenite::Message;
 use bytes::Bytes;
@@ -18,6 +17,7 @@
 use super::open::web_socket_error;
 use super::stream::LinkSocket;
 use super::{Limits, LinkError, Peer, Result, Shared};
+use crate::timer::{Sleep, sleep};
 
 /// Receiving half of a link. The link ends when it is dropped.
 pub struct Receiver {
@@ -32,7 +32,7 @@
 /// carries many messages would otherwise set a timer for each of them.
 struct Silence {
     limit: Duration,
-    timer: Pin<Box<dyn Future<Output = ()> + Send + Sync>>,
+    timer: Sleep,
     received: u64,
     heard_at: Instant,
 }
@@ -41,7 +41,7 @@
     fn new(limit: Duration, received: u64) -> Self {
         Self {
             limit,
-            timer: Box::pin(sleep(limit)),
+            timer: sleep(limit),
             received,
             heard_at: Instant::now(),
         }
@@ -55,7 +55,7 @@
 
     /// Is ready when nothing was heard for the limit. `received` is the number of bytes read.
     fn poll_exceeded(&mut self, cx: &mut Context<'_>, received: u64) -> Poll<()> {
-        while self.timer.as_mut().poll(cx).is_ready() {
+        while Pin::new(&mut self.timer).poll(cx).is_ready() {
             // A large message may arrive for longer than the limit.
             if self.received != received {
                 self.heard(received);
@@ -64,7 +64,7 @@
             if elapsed >= self.limit {
                 return Poll::Ready(());
             }
-            self.timer = Box::pin(sleep(self.limit - elapsed));
+            self.timer = sleep(self.limit - elapsed);
         }
         Poll::Pending
     }
--- /dev/null
+++ b/crates/transport/src/timer.rs
@@ -0,0 +1,196 @@
+//! Timers for time limits that rarely pass.
+//!
+//! The runtime's timers notify its reactor whenever one is set, which costs a system call per
+//! request and limit. Here a task per shard sleeps until the earliest deadline that it knows.
+//! Most limits are set to a later time than that and are removed before it, so they cost an
+//! insertion and a removal in a map.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::future::{Future, poll_fn};
+use std::pin::Pin;
+use std::sync::OnceLock;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::task::{Context, Poll, Waker};
+use std::time::{Duration, Instant};
+
+use async_std::task;
+use parking_lot::Mutex;
+
+#[cfg(test)]
+mod tests;
+
+/// Number of independent sets of timers, so that threads seldom wait for each other.
+const SHARDS: usize = 8;
+
+type Key = (Instant, u64);
+
+#[derive(Default)]
+struct Shard {
+    state: Mutex<State>,
+}
+
+#[derive(Default)]
+struct State {
+    timers: BTreeMap<Key, Waker>,
+    /// When the shard's task wakes by itself; `None` if it waits for a first timer.
+    armed_for: Option<Instant>,
+    task: Option<Waker>,
+}
+
+fn shard(index: usize) -> &'static Shard {
+    static ALL: OnceLock<[Shard; SHARDS]> = OnceLock::new();
+    let all = ALL.get_or_init(|| {
+        for index in 0..SHARDS {
+            task::spawn(run(index));
+        }
+        Default::default()
+    });
+    &all[index]
+}
+
+/// Returns the shard of the current thread.
+fn own_shard() -> usize {
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    thread_local! {
+        static OWN: usize = NEXT.fetch_add(1, Ordering::Relaxed) % SHARDS;
+    }
+    OWN.with(|own| *own)
+}
+
+/// Wakes the timers of a shard, for ever.
+async fn run(index: usize) {
+    let shard = shard(index);
+    let mut sleeping: Pin<Box<dyn Future<Output = ()> + Send>> = Box::pin(std::future::pending());
+    poll_fn(|cx| {
+        loop {
+            let earliest = shard.wake_due(cx);
+            if let Some(earliest) = earliest {
+                let left = earliest.saturating_duration_since(Instant::now());
+                sleeping = Box::pin(task::sleep(left));
+            }
+            if earliest.is_none() || sleeping.as_mut().poll(cx).is_pending() {
+                return Poll::<()>::Pending;
+            }
+        }
+    })
+    .await;
+}
+
+impl Shard {
+    /// Wakes the timers that are due and returns the earliest one left.
+    fn wake_due(&self, cx: &mut Context<'_>) -> Option<Instant> {
+        let mut state = self.state.lock();
+        let later = state.timers.split_off(&(Instant::now(), u64::MAX));
+        let due = std::mem::replace(&mut state.timers, later);
+        let earliest = state.timers.first_key_value().map(|((at, _), _)| *at);
+        state.armed_for = earliest;
+        state.task = Some(cx.waker().clone());
+        drop(state);
+        due.into_values().for_each(Waker::wake);
+        earliest
+    }
+
+    fn set(&self, key: Key, waker: Waker) {
+        let mut state = self.state.lock();
+        state.timers.insert(key, waker);
+        if state.armed_for.is_some_and(|at| at <= key.0) {
+            return;
+        }
+        state.armed_for = Some(key.0);
+        let task = state.task.take();
+        drop(state);
+        if let Some(task) = task {
+            task.wake();
+        }
+    }
+
+    fn remove(&self, key: Key) {
+        self.state.lock().timers.remove(&key);
+    }
+}
+
+/// Is ready when a point in time has come.
+pub(crate) struct Sleep {
+    deadline: Instant,
+    set: Option<SetTimer>,
+}
+
+struct SetTimer {
+    shard: usize,
+    id: u64,
+    waker: Waker,
+}
+
+/// Waits until `deadline`.
+pub(crate) fn sleep_until(deadline: Instant) -> Sleep {
+    Sleep {
+        deadline,
+        set: None,
+    }
+}
+
+/// Waits for `duration`.
+pub(crate) fn sleep(duration: Duration) -> Sleep {
+    sleep_until(Instant::now() + duration)
+}
+
+/// Waits for a future until `deadline`; returns `None` if it is not ready by then.
+pub(crate) async fn before<F: Future>(deadline: Instant, future: F) -> Option<F::Output> {
+    let mut future = std::pin::pin!(future);
+    let mut sleep = sleep_until(deadline);
+    poll_fn(|cx| {
+        if let Poll::Ready(output) = future.as_mut().poll(cx) {
+            return Poll::Ready(Some(output));
+        }
+        Pin::new(&mut sleep).poll(cx).map(|()| None)
+    })
+    .await
+}
+
+impl Sleep {
+    fn unset(&mut self) {
+        if let Some(set) = self.set.take() {
+            shard(set.shard).remove((self.deadline, set.id));
+        }
+    }
+}
+
+impl Future for Sleep {
+    type Output = ();
+
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
+        static NEXT_ID: AtomicU64 = AtomicU64::new(0);
+        if Instant::now() >= self.deadline {
+            self.unset();
+            return Poll::Ready(());
+        }
+        let is_set = |set: &SetTimer| set.waker.will_wake(cx.waker());
+        if self.set.as_ref().is_some_and(is_set) {
+            return Poll::Pending;
+        }
+        self.unset();
+        let set = SetTimer {
+            shard: own_shard(),
+            id: NEXT_ID.fetch_add(1, Ordering::Relaxed),
+            waker: cx.waker().clone(),
+        };
+        shard(set.shard).set((self.deadline, set.id), set.waker.clone());
+        self.set = Some(set);
+        Poll::Pending
+    }
+}
+
+impl Drop for Sleep {
+    fn drop(&mut self) {
+        self.unset();
+    }
+}
+
+impl fmt::Debug for Sleep {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Sleep")
+            .field("deadline", &self.deadline)
+            .finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/crates/transport/src/timer/tests.rs
@@ -0,0 +1,43 @@
+use futures::future::join_all;
+
+use super::*;
+
+/// Guards against timers that fire early, late or never, also when an earlier one is set after a
+/// later one.
+#[async_std::test]
+async fn sleep_many() {
+    let started = Instant::now();
+    let sleeps = (0..200_u64).map(|number| {
+        let duration = Duration::from_millis(200 - number);
+        task::spawn(async move {
+            sleep(duration).await;
+            (duration, started.elapsed())
+        })
+    });
+    for (duration, elapsed) in join_all(sleeps).await {
+        assert!(elapsed >= duration);
+        assert!(
+            elapsed < duration + Duration::from_millis(100),
+            "{elapsed:?}"
+        );
+    }
+}
+
+/// Guards against a timer that is lost when its task moves to another waker.
+#[async_std::test]
+async fn sleep_other_waker() {
+    let mut sleep = sleep(Duration::from_millis(50));
+    let mut cx = Context::from_waker(Waker::noop());
+    assert!(Pin::new(&mut sleep).poll(&mut cx).is_pending());
+    task::spawn(sleep).await;
+}
+
+/// Guards against futures that are cut before their limit or kept beyond it.
+#[async_std::test]
+async fn before_deadline() {
+    let soon = Instant::now() + Duration::from_millis(30);
+    assert_eq!(before(soon, std::future::pending::<()>()).await, None);
+    let late = Instant::now() + Duration::from_secs(60);
+    let ready = before(late, sleep(Duration::from_millis(10))).await;
+    assert_eq!(ready, Some(()));
+}
