--- /dev/null
+++ b/crates/coordination/src/retry.rs
@@ -0,0 +1,156 @@
+//! Retries at the entry daemon: a budget per route and the decision for one request.
+
+use sycamoreflow_state::config::Share;
+use sycamoreflow_state::ids::{DaemonId, Millis};
+use sycamoreflow_state::verdict::{Failure, Reason, Verdict};
+
+/// Tokens are counted in millionths, the unit of [`Share`].
+const TOKEN: u64 = Share::ALL.0 as u64;
+/// Millionths of a token that one token per second makes in a millisecond.
+const TOKEN_PER_MS: u64 = TOKEN / 1_000;
+
+/// Settings of a [`RetryBudget`].
+#[derive(Clone, Copy, Debug)]
+pub struct BudgetConfig {
+    /// Retries allowed per first send.
+    pub per_first_send: Share,
+    /// Retries allowed per second in addition, so that a quiet route can retry at all.
+    pub per_second: u64,
+    /// Largest number of retries that can be saved up.
+    pub burst: u64,
+}
+
+impl Default for BudgetConfig {
+    fn default() -> Self {
+        Self {
+            per_first_send: Share::percent(10),
+            per_second: 10,
+            burst: 50,
+        }
+    }
+}
+
+/// Token bucket that limits the retries of one route.
+#[derive(Clone, Debug)]
+pub struct RetryBudget {
+    cfg: BudgetConfig,
+    tokens: u64,
+    refilled: Option<Millis>,
+}
+
+impl RetryBudget {
+    /// Makes a full budget.
+    pub fn new(cfg: BudgetConfig) -> Self {
+        Self {
+            cfg,
+            tokens: cfg.burst * TOKEN,
+            refilled: None,
+        }
+    }
+
+    /// Records the first send of a request.
+    pub fn first_send(&mut self) {
+        self.add(u64::from(self.cfg.per_first_send.0));
+    }
+
+    /// Takes the allowance of one retry, or returns `false` if there is none.
+    pub fn withdraw(&mut self, now: Millis) -> bool {
+        self.refill(now);
+        if self.tokens < TOKEN {
+            return false;
+        }
+        self.tokens -= TOKEN;
+        true
+    }
+
+    fn refill(&mut self, now: Millis) {
+        let last = self.refilled.unwrap_or(now);
+        let rate = self.cfg.per_second.saturating_mul(TOKEN_PER_MS);
+        self.add(now.since(last).0.saturating_mul(rate));
+        self.refilled = Some(last.max(now));
+    }
+
+    fn add(&mut self, amount: u64) {
+        let limit = self.cfg.burst * TOKEN;
+        self.tokens = self.tokens.saturating_add(amount).min(limit);
+    }
+}
+
+/// What to do after a failed attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Next {
+    /// Send the request again.
+    Retry,
+    /// Answer the caller with this failure, whose verdict covers all attempts.
+    GiveUp(Failure),
+}
+
+/// The attempts of one request at the entry daemon.
+#[derive(Clone, Debug)]
+pub struct Attempts {
+    idempotent: bool,
+    deadline: Millis,
+    max_attempts: usize,
+    tried: Vec<DaemonId>,
+    verdict: Verdict,
+}
+
+impl Attempts {
+    /// Makes the state of a request that has not been sent. `deadline` is the caller's.
+    pub fn new(idempotent: bool, deadline: Millis, max_attempts: usize) -> Self {
+        Self {
+            idempotent,
+            deadline,
+            max_attempts,
+            tried: Vec::new(),
+            verdict: Verdict::NotRun,
+        }
+    }
+
+    /// Picks the endpoint of the next attempt and records it as tried.
+    ///
+    /// `choose` receives the endpoints to avoid and is typically [`crate::routing::Router::choose`].
+    /// Endpoints that were tried are offered again only if there is no other.
+    pub fn pick(
+        &mut self,
+        mut choose: impl FnMut(&[DaemonId]) -> Option<DaemonId>,
+    ) -> Option<DaemonId> {
+        let id = choose(&self.tried).or_else(|| choose(&[]))?;
+        self.tried.push(id.clone());
+        Some(id)
+    }
+
+    /// Decides what follows a failed attempt.
+    pub fn failed(&mut self, now: Millis, failure: Failure, budget: &mut RetryBudget) -> Next {
+        self.verdict = self.verdict.max(failure.verdict);
+        let allowed = self.may_send_again(failure)
+            && self.tried.len() < self.max_attempts
+            && now < self.deadline
+            && budget.withdraw(now);
+        if allowed {
+            return Next::Retry;
+        }
+        Next::GiveUp(self.failure(failure.reason))
+    }
+
+    /// Returns the failure to answer with for `reason`, with the verdict over all attempts.
+    pub fn failure(&self, reason: Reason) -> Failure {
+        Failure {
+            verdict: self.verdict,
+            reason,
+        }
+    }
+
+    fn may_send_again(&self, failure: Failure) -> bool {
+        let retryable = !matches!(
+            failure.reason,
+            Reason::BadRequest | Reason::CrashesUpstreams | Reason::TenantRefused | Reason::NoRoute
+        );
+        let safe = match self.verdict {
+            Verdict::NotRun => true,
+            Verdict::MayHaveRun => self.idempotent,
+            Verdict::Ran => false,
+        };
+        retryable && safe
+    }
+}
--- a/crates/state/src/ids.rs
+++ b/crates/state/src/ids.rs
@@ -141,3 +141,16 @@
         Self(self.0.saturating_add(duration.0))
     }
 }
+
+/// A duration in microseconds, for service times that are shorter than a millisecond.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Micros(pub u64);
+
+impl From<Millis> for Micros {
+    fn from(duration: Millis) -> Self {
+        Self(duration.0.saturating_mul(1_000))
+    }
+}
