Choose endpoints by expected completion time

A router samples two candidates from the own and two from the other data centres, and takes the one with the lowest expected completion: learned latency with clipped outliers, own calls in flight, failure ratio and the time without any answer. Reported load counts only while it correlates with observed latency. Estimates are kept for 32 endpoints per version.

--- a/crates/coordination/src/routing.rs
+++ b/crates/coordination/src/routing.rs
@@ -1,12 +1,35 @@
 //! Endpoint selection at the entry daemon.
+//!
+//! A [`Router`] chooses the endpoint with the lowest expected completion time among a few random
+//! candidates. The expectation rests on observed latencies and the daemon's own calls in flight;
+//! reported load changes it only as far as observed latencies have followed the reports. Estimates
+//! are kept for a bounded subset of each version's endpoints. One choice in a while goes to an
+//! endpoint outside of the subset, so every endpoint receives load even from few entry daemons.
+//!
+//! The same data centre is preferred by cost alone: observed latencies of other data centres
+//! contain the hop, and unobserved endpoints there start with the hop added.
 
-use std::collections::BTreeMap;
+mod estimate;
+mod report;
+mod subset;
+#[cfg(test)]
+mod tests;
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use sycamoreflow_state::endpoint::Endpoint;
 use sycamoreflow_state::ids::{DaemonId, DataCentre, Micros, Millis, VersionName};
 
+use estimate::Estimate;
+use report::{Report, Trust};
+
+/// Latency expected of a service before the first observation.
+const FIRST_GUESS: Micros = Micros(1_000);
+/// Weight of one sample in the latency expected of an unobserved endpoint.
+const PRIOR_WEIGHT: f64 = 0.05;
+/// A sample counts for at most this multiple of the latency expected of unobserved endpoints.
+const PRIOR_OUTLIER_FACTOR: f64 = 3.0;
+
 /// Settings of a [`Router`].
 #[derive(Clone, Debug)]
 pub struct RouterConfig {
@@ -20,6 +43,54 @@
     pub seed: u64,
 }
 
+/// Parameters of the policy. The defaults were chosen with `examples/load.rs`.
+#[derive(Clone, Debug)]
+pub struct Tuning {
+    /// Endpoints per version that estimates are kept for.
+    pub subset: usize,
+    /// Random candidates per choice from each of the own and the other data centres.
+    pub choices: usize,
+    /// Weight of one sample in an estimate.
+    pub sample_weight: f64,
+    /// Time in which an estimate loses most of its weight.
+    pub memory: Millis,
+    /// Time in which the share of an endpoint that was added later rises to its full value.
+    pub slow_start: Millis,
+    /// One choice in this number goes to an endpoint outside of the subset.
+    pub outside_every: u32,
+    /// Cost of each own call in flight, relative to the latency estimate.
+    pub queue_cost: f64,
+    /// Whether the cost of a call in flight is divided by the endpoint's slots.
+    pub queue_by_slots: bool,
+    /// Whether reported load is considered.
+    pub use_reports: bool,
+}
+
+impl Default for Tuning {
+    fn default() -> Self {
+        Self {
+            subset: 32,
+            choices: 2,
+            sample_weight: 0.2,
+            memory: Millis(10_000),
+            slow_start: Millis(10_000),
+            outside_every: 32,
+            queue_cost: 1.0,
+            queue_by_slots: false,
+            use_reports: true,
+        }
+    }
+}
+
+impl Tuning {
+    fn queue_weight(&self, slots: u32) -> f64 {
+        if self.queue_by_slots {
+            return self.queue_cost / f64::from(slots.max(1));
+        }
+        self.queue_cost
+    }
+}
+
 /// How a call ended, as far as the choice of endpoints is concerned.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallResult {
@@ -45,63 +116,340 @@
 /// Chooses the endpoints of one service for one entry daemon.
 #[derive(Debug)]
 pub struct Router {
+    cfg: RouterConfig,
+    tuning: Tuning,
     rng: ChaCha8Rng,
-    endpoints: BTreeMap<DaemonId, (Endpoint, bool)>,
+    /// Sorted by identifier.
+    members: Vec<Member>,
+    groups: Vec<Group>,
+    /// Latency in microseconds expected of an unobserved endpoint in the own data centre.
+    prior: f64,
+    trust: Trust,
+}
+
+#[derive(Clone, Debug)]
+struct Member {
+    id: DaemonId,
+    version: VersionName,
+    slots: u32,
+    draining: bool,
+    local: bool,
+    available: bool,
+    /// Whether the endpoint is in the subset that estimates are kept for.
+    tracked: bool,
+    /// When a cold endpoint was added; `None` for one that counts as warm.
+    added: Option<Millis>,
+    estimate: Estimate,
+    report: Report,
+}
+
+/// The endpoints of one version as indices into the members.
+#[derive(Debug)]
+struct Group {
+    version: VersionName,
+    local: Vec<usize>,
+    remote: Vec<usize>,
+    outside: Vec<usize>,
+    /// Position of the latest choice from `outside`, which is used in turn.
+    next_outside: usize,
 }
 
 impl Router {
     /// Makes a router without endpoints.
     pub fn new(cfg: RouterConfig) -> Self {
+        Self::with_tuning(cfg, Tuning::default())
+    }
+
+    /// Makes a router without endpoints that uses other parameters than the default ones.
+    pub fn with_tuning(cfg: RouterConfig, tuning: Tuning) -> Self {
         Self {
             rng: ChaCha8Rng::seed_from_u64(cfg.seed),
-            endpoints: BTreeMap::new(),
+            cfg,
+            tuning,
+            members: Vec::new(),
+            groups: Vec::new(),
+            prior: FIRST_GUESS.0 as f64,
+            trust: Trust::default(),
         }
     }
 
     /// Replaces the endpoints. Estimates and in-flight counts of those that remain are kept.
-    pub fn set_endpoints(&mut self, _now: Millis, endpoints: &[Endpoint]) {
-        self.endpoints = endpoints
+    ///
+    /// An endpoint that was added to a non-empty set, or whose version changed, counts as cold.
+    pub fn set_endpoints(&mut self, now: Millis, endpoints: &[Endpoint]) {
+        let first = self.members.is_empty();
+        let mut members: Vec<Member> = endpoints
             .iter()
-            .map(|e| (e.daemon.clone(), (e.clone(), true)))
+            .map(|endpoint| self.updated_member(now, endpoint, first))
             .collect();
+        members.sort_by(|a, b| a.id.cmp(&b.id));
+        members.dedup_by(|a, b| a.id == b.id);
+        self.members = members;
+        self.rebuild_groups();
     }
 
     /// Marks an endpoint as ejected (`false`) or returned (`true`).
     ///
     /// Ejected endpoints are chosen only if there is no other.
     pub fn set_available(&mut self, id: &DaemonId, available: bool) {
-        if let Some((_, flag)) = self.endpoints.get_mut(id) {
-            *flag = available;
+        if let Some(index) = self.find(id) {
+            self.members[index].available = available;
         }
     }
 
     /// Chooses an endpoint of `version` that is neither draining nor in `exclude`.
     pub fn choose(
         &mut self,
-        _now: Millis,
+        now: Millis,
         version: &VersionName,
         exclude: &[DaemonId],
     ) -> Option<DaemonId> {
-        let usable: Vec<&DaemonId> = self
-            .endpoints
-            .values()
-            .filter(|(e, _)| e.version == *version && !e.draining && !exclude.contains(&e.daemon))
-            .map(|(e, _)| &e.daemon)
-            .collect();
-        if usable.is_empty() {
-            return None;
-        }
-        let index = self.rng.random_range(0..usable.len());
-        Some(usable[index].clone())
+        let group = self.groups.iter().position(|g| g.version == *version)?;
+        let index = self
+            .choose_outside(group, exclude)
+            .or_else(|| self.choose_in_subset(now, group, exclude))
+            .or_else(|| self.choose_any(group, exclude))?;
+        Some(self.members[index].id.clone())
     }
 
     /// Records that a call was sent to `id`.
-    pub fn started(&mut self, _now: Millis, _id: &DaemonId) {}
+    pub fn started(&mut self, now: Millis, id: &DaemonId) {
+        if let Some(index) = self.find(id) {
+            self.members[index].estimate.started(now);
+        }
+    }
 
     /// Records that a call sent to `id` ended. Each call of [`Router::started`] is followed by
     /// exactly one call of this function.
-    pub fn finished(&mut self, _now: Millis, _id: &DaemonId, _outcome: Outcome) {}
+    pub fn finished(&mut self, now: Millis, id: &DaemonId, outcome: Outcome) {
+        let Some(index) = self.find(id) else {
+            return;
+        };
+        if !self.members[index].tracked {
+            self.members[index].estimate.ended(now);
+            return;
+        }
+        let prior = self.prior_of(&self.members[index]);
+        if outcome.result == CallResult::Success {
+            self.learn_shared(now, index, outcome.latency, prior);
+        }
+        let member = &mut self.members[index];
+        member.estimate.finished(now, outcome, prior, &self.tuning);
+    }
 
     /// Records the number of requests in flight that the endpoint's daemon reports.
-    pub fn reported(&mut self, _now: Millis, _id: &DaemonId, _in_flight: u32) {}
+    pub fn reported(&mut self, now: Millis, id: &DaemonId, in_flight: u32) {
+        if let Some(index) = self.find(id).filter(|i| self.members[*i].tracked) {
+            self.members[index].report.update(now, in_flight);
+        }
+    }
+
+    /// Returns the time in which a call sent to `id` now is expected to be answered.
+    pub fn expected(&self, now: Millis, id: &DaemonId) -> Option<Micros> {
+        let index = self.find(id)?;
+        Some(Micros(self.cost(now, index) as u64))
+    }
+
+    /// Returns the number of own calls in flight to `id`.
+    pub fn in_flight(&self, id: &DaemonId) -> u32 {
+        self.find(id)
+            .map_or(0, |index| self.members[index].estimate.in_flight())
+    }
+
+    fn updated_member(&self, now: Millis, endpoint: &Endpoint, first: bool) -> Member {
+        let local = endpoint.data_centre == self.cfg.data_centre;
+        let known = self.find(&endpoint.daemon).map(|i| &self.members[i]);
+        if let Some(old) = known.filter(|old| old.version == endpoint.version) {
+            return Member {
+                slots: endpoint.slots,
+                draining: endpoint.draining,
+                local,
+                ..old.clone()
+            };
+        }
+        Member {
+            id: endpoint.daemon.clone(),
+            version: endpoint.version.clone(),
+            slots: endpoint.slots,
+            draining: endpoint.draining,
+            local,
+            available: true,
+            tracked: true,
+            added: (!first).then_some(now),
+            estimate: Estimate::default(),
+            report: Report::default(),
+        }
+    }
+
+    fn rebuild_groups(&mut self) {
+        let mut versions: Vec<VersionName> =
+            self.members.iter().map(|m| m.version.clone()).collect();
+        versions.sort();
+        versions.dedup();
+        self.groups = versions.into_iter().map(|v| self.group(v)).collect();
+        for member in &mut self.members {
+            member.tracked = true;
+        }
+        for index in self.groups.iter().flat_map(|g| &g.outside) {
+            let member = &mut self.members[*index];
+            member.tracked = false;
+            member.estimate.forget();
+            member.report = Report::default();
+        }
+    }
+
+    fn group(&self, version: VersionName) -> Group {
+        let usable = |local: bool| -> Vec<usize> {
+            let of_group = |m: &Member| m.version == version && !m.draining && m.local == local;
+            (0..self.members.len())
+                .filter(|i| of_group(&self.members[*i]))
+                .collect()
+        };
+        let rank = |index: usize| subset::rank(&self.cfg.daemon, &self.members[index].id);
+        let (mut local, mut remote) = (usable(true), usable(false));
+        let for_remote = remote.len().min(self.tuning.subset / 2);
+        let mut outside = subset::split(&mut local, self.tuning.subset - for_remote, rank);
+        let left = self.tuning.subset - local.len();
+        outside.extend(subset::split(&mut remote, left, rank));
+        Group {
+            version,
+            local,
+            remote,
+            next_outside: self.cfg.seed as usize % outside.len().max(1),
+            outside,
+        }
+    }
+
+    fn choose_outside(&mut self, group: usize, exclude: &[DaemonId]) -> Option<usize> {
+        let group = &mut self.groups[group];
+        if group.outside.is_empty() || !self.rng.random_ratio(1, self.tuning.outside_every) {
+            return None;
+        }
+        group.next_outside = (group.next_outside + 1) % group.outside.len();
+        let index = group.outside[group.next_outside];
+        self.usable(index, exclude).then_some(index)
+    }
+
+    fn choose_in_subset(
+        &mut self,
+        now: Millis,
+        group: usize,
+        exclude: &[DaemonId],
+    ) -> Option<usize> {
+        let mut best: Option<(f64, usize)> = None;
+        for local in [true, false] {
+            for index in self.candidates(now, group, local, exclude) {
+                let cost = self.cost(now, index);
+                if best.is_none_or(|(lowest, _)| cost < lowest) {
+                    best = Some((cost, index));
+                }
+            }
+        }
+        best.map(|(_, index)| index)
+    }
+
+    /// Draws random usable members without replacement. Cold ones are passed over with a
+    /// probability that falls while they warm up, unless there is no other.
+    fn candidates(
+        &mut self,
+        now: Millis,
+        group: usize,
+        local: bool,
+        exclude: &[DaemonId],
+    ) -> Vec<usize> {
+        let group = &self.groups[group];
+        let part = if local { &group.local } else { &group.remote };
+        let mut pool: Vec<usize> = part
+            .iter()
+            .copied()
+            .filter(|index| self.usable(*index, exclude))
+            .collect();
+        let mut drawn = Vec::with_capacity(self.tuning.choices);
+        while drawn.len() < self.tuning.choices && !pool.is_empty() {
+            let index = pool.swap_remove(self.rng.random_range(0..pool.len()));
+            let ramp = self.ramp(now, index);
+            if ramp < 1.0 && !self.rng.random_bool(ramp) {
+                continue;
+            }
+            drawn.push(index);
+        }
+        drawn
+    }
+
+    /// Chooses at random without regard to estimates, warmth and, in the end, ejection.
+    fn choose_any(&mut self, group: usize, exclude: &[DaemonId]) -> Option<usize> {
+        let group = &self.groups[group];
+        let all = || {
+            let parts = [&group.local, &group.remote, &group.outside];
+            parts.into_iter().flatten().copied()
+        };
+        let mut pool: Vec<usize> = all().filter(|i| self.usable(*i, exclude)).collect();
+        if pool.is_empty() {
+            pool = all()
+                .filter(|i| !exclude.contains(&self.members[*i].id))
+                .collect();
+        }
+        if pool.is_empty() {
+            return None;
+        }
+        Some(pool[self.rng.random_range(0..pool.len())])
+    }
+
+    fn usable(&self, index: usize, exclude: &[DaemonId]) -> bool {
+        let member = &self.members[index];
+        member.available && !exclude.contains(&member.id)
+    }
+
+    /// Returns the probability with which a member takes part in a choice.
+    fn ramp(&self, now: Millis, index: usize) -> f64 {
+        let Some(added) = self.members[index].added else {
+            return 1.0;
+        };
+        let warm = now.since(added).0 as f64 / self.tuning.slow_start.0.max(1) as f64;
+        warm.clamp(0.05, 1.0)
+    }
+
+    fn cost(&self, now: Millis, index: usize) -> f64 {
+        let member = &self.members[index];
+        let prior = self.prior_of(member);
+        let expected = member
+            .estimate
+            .expected(now, prior, member.slots, &self.tuning);
+        if !self.tuning.use_reports {
+            return expected;
+        }
+        expected * self.trust.factor(now, &member.report)
+    }
+
+    /// Updates what is learned over all endpoints of the service.
+    fn learn_shared(&mut self, now: Millis, index: usize, latency: Micros, prior: f64) {
+        let member = &self.members[index];
+        let latency = latency.0 as f64;
+        if member.estimate.samples() > 0 {
+            let known = member
+                .estimate
+                .latency_at(now, prior, &self.tuning)
+                .max(1.0);
+            self.trust.observe(now, &member.report, latency / known);
+        }
+        let hop = self.hop_of(member);
+        let sample = (latency - hop).clamp(1.0, self.prior * PRIOR_OUTLIER_FACTOR);
+        self.prior += (sample - self.prior) * PRIOR_WEIGHT;
+    }
+
+    fn prior_of(&self, member: &Member) -> f64 {
+        self.prior + self.hop_of(member)
+    }
+
+    /// Returns the round trip in microseconds that the place of the member adds to each call.
+    fn hop_of(&self, member: &Member) -> f64 {
+        if member.local {
+            return 0.0;
+        }
+        2.0 * self.cfg.hop.0 as f64
+    }
+
+    fn find(&self, id: &DaemonId) -> Option<usize> {
+        self.members.binary_search_by(|m| m.id.cmp(id)).ok()
+    }
 }
