Admit calls by exact slots, an adaptive limit and fair tenant shares

Tenants share slots by weighted slot time and the queue by weight, so a burst can fill neither against another tenant. A drain refuses new calls and still starts queued ones.

--- a/crates/coordination/src/admission.rs
+++ b/crates/coordination/src/admission.rs
@@ -1,10 +1,29 @@
 //! Admission control at the daemon beside the upstream.
+//!
+//! The daemon counts the calls that it has sent to the upstream, so a slot is never given twice
+//! and a refusal proves that the call did not run (`docs/design.md`, section 2.4). The limit falls
+//! below the announced slots while the upstream sheds or slows down. Calls beyond the limit wait in
+//! a short queue that tenants share by weight; calls beyond the queue are refused at once.
+//!
+//! Slots are not reserved: a tenant alone may use all of them, and a second tenant receives the
+//! next ones that become free until it has its share.
 
-use std::collections::BTreeSet;
+mod limit;
+mod queue;
+#[cfg(test)]
+mod tests;
+
+use std::collections::BTreeMap;
 
 use sycamoreflow_state::ids::{Micros, Millis, TenantName};
 use sycamoreflow_state::verdict::{Failure, Reason};
 
+use limit::Limit;
+use queue::{Queue, Waiting};
+
+/// Slot time charged at least for each call, so that calls that fail at once are not free.
+const MIN_CHARGE: f64 = 100.0;
+
 /// Identifier of a call at the owner daemon, unique among its unfinished calls.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct CallId(pub u64);
@@ -71,67 +90,135 @@
 #[derive(Debug)]
 pub struct Admission {
     cfg: AdmissionConfig,
-    running: BTreeSet<CallId>,
+    limit: Limit,
+    running: BTreeMap<CallId, Running>,
+    queue: Queue,
     draining: bool,
 }
 
+/// A call at the upstream.
+#[derive(Clone, Debug)]
+struct Running {
+    tenant: TenantName,
+    started: Millis,
+    /// Slot time in microseconds that the tenant was charged at the start.
+    charge: f64,
+}
+
+impl Running {
+    /// Returns the slot time that the call has used beyond its charge.
+    fn overrun(&self, now: Millis) -> f64 {
+        let used = Micros::from(now.since(self.started)).0 as f64;
+        (used - self.charge).max(0.0)
+    }
+}
+
 impl Admission {
     /// Makes the admission state of an idle upstream.
     pub fn new(cfg: AdmissionConfig) -> Self {
         Self {
+            limit: Limit::new(cfg.slots),
             cfg,
-            running: BTreeSet::new(),
+            running: BTreeMap::new(),
+            queue: Queue::default(),
             draining: false,
         }
     }
 
     /// Decides about a new call of `tenant` that is of no use to its caller after `deadline`.
+    ///
+    /// An identifier that is in use is refused, since two calls cannot share a slot.
     pub fn offer(
         &mut self,
         now: Millis,
         id: CallId,
-        _tenant: &TenantName,
+        tenant: &TenantName,
         deadline: Millis,
     ) -> Decision {
-        if self.draining {
-            return Decision::Refused(Failure::not_run(Reason::Draining));
+        if let Some(reason) = self.refusal(now, id, deadline) {
+            return Decision::Refused(Failure::not_run(reason));
         }
-        if deadline <= now {
-            return Decision::Refused(Failure::not_run(Reason::DeadlineExceeded));
+        self.queue.enter(tenant, self.weight(tenant));
+        if self.queue.len() == 0 && self.running.len() < self.limit.get() {
+            self.start(now, id, tenant);
+            return Decision::Start;
         }
-        if self.running.len() >= self.cfg.slots as usize {
+        let capacity = self.limit.get() * self.cfg.queue_per_slot as usize;
+        if !self.queue.has_room(tenant, capacity) {
+            self.queue.leave(tenant);
             return Decision::Refused(Failure::not_run(Reason::Overloaded));
         }
-        self.running.insert(id);
-        Decision::Start
+        let waiting = Waiting {
+            id,
+            deadline,
+            until: deadline.min(now.after(self.cfg.max_wait)),
+        };
+        self.queue.push(tenant, waiting);
+        Decision::Queued
     }
 
     /// Frees the slot of a started call and returns the calls that leave the queue.
-    pub fn finish(&mut self, _now: Millis, id: CallId, _result: UpstreamResult) -> Vec<Released> {
-        self.running.remove(&id);
-        Vec::new()
+    pub fn finish(&mut self, now: Millis, id: CallId, result: UpstreamResult) -> Vec<Released> {
+        let count = self.running.len();
+        let Some(call) = self.running.remove(&id) else {
+            return self.tick(now);
+        };
+        let held = Micros::from(now.since(call.started));
+        let used = match result {
+            UpstreamResult::Answered(latency) => latency,
+            _ => held,
+        };
+        let difference = (used.0 as f64).max(MIN_CHARGE) - call.charge;
+        self.queue.finished(&call.tenant, difference);
+        match result {
+            UpstreamResult::Answered(latency) => self.limit.answered(now, latency, count),
+            UpstreamResult::Shed => self.limit.shed(now),
+            UpstreamResult::Failed | UpstreamResult::Abandoned => {}
+        }
+        let released = self.tick(now);
+        self.queue.leave(&call.tenant);
+        released
     }
 
     /// Removes a call from the queue and returns whether it was queued.
     ///
     /// A started call keeps its slot until [`Admission::finish`], since the upstream may still run
     /// it.
-    pub fn cancel(&mut self, _id: CallId) -> bool {
-        false
+    pub fn cancel(&mut self, id: CallId) -> bool {
+        self.queue.remove(id)
     }
 
-    /// Returns the queued calls whose time has run out. Call it every few milliseconds while
-    /// [`Admission::queued`] is not zero.
-    pub fn tick(&mut self, _now: Millis) -> Vec<Released> {
-        Vec::new()
+    /// Returns the queued calls whose time has run out or that have a slot now. Call it every few
+    /// milliseconds while [`Admission::queued`] is not zero.
+    pub fn tick(&mut self, now: Millis) -> Vec<Released> {
+        let mut released = Vec::new();
+        for waiting in self.queue.expire(now) {
+            let reason = if waiting.deadline <= now {
+                Reason::DeadlineExceeded
+            } else {
+                Reason::Overloaded
+            };
+            released.push(Released::Refused(waiting.id, Failure::not_run(reason)));
+        }
+        while self.running.len() < self.limit.get() {
+            let running = &self.running;
+            let Some((tenant, waiting)) = self.queue.pop(|name| overrun(running, name, now)) else {
+                break;
+            };
+            self.start(now, waiting.id, &tenant);
+            released.push(Released::Start(waiting.id));
+        }
+        released
     }
 
     /// Changes the announced number of slots and the weights of the tenants.
     pub fn configure(&mut self, cfg: AdmissionConfig) {
+        self.limit.set_slots(cfg.slots);
         self.cfg = cfg;
     }
 
-    /// Refuses new calls from now on. Queued calls are still started.
+    /// Refuses new calls from now on. Queued calls are still started: they wait for at most
+    /// [`AdmissionConfig::max_wait`], and refusing them would interrupt accepted work.
     pub fn drain(&mut self) {
         self.draining = true;
     }
@@ -148,6 +235,46 @@
 
     /// Returns the number of queued calls.
     pub fn queued(&self) -> usize {
-        0
+        self.queue.len()
     }
+
+    /// Returns the number of calls that may run at once at present.
+    pub fn limit(&self) -> usize {
+        self.limit.get()
+    }
+
+    fn refusal(&self, now: Millis, id: CallId, deadline: Millis) -> Option<Reason> {
+        if self.draining {
+            return Some(Reason::Draining);
+        }
+        if deadline <= now {
+            return Some(Reason::DeadlineExceeded);
+        }
+        let in_use = self.running.contains_key(&id) || self.queue.contains(id);
+        in_use.then_some(Reason::BadRequest)
+    }
+
+    fn start(&mut self, now: Millis, id: CallId, tenant: &TenantName) {
+        let charge = (self.limit.recent_latency().0 as f64).max(MIN_CHARGE);
+        self.queue.started(tenant, charge);
+        let call = Running {
+            tenant: tenant.clone(),
+            started: now,
+            charge,
+        };
+        self.running.insert(id, call);
+    }
+
+    fn weight(&self, tenant: &TenantName) -> u32 {
+        let mut weights = self.cfg.weights.iter();
+        weights
+            .find(|(name, _)| name == tenant)
+            .map_or(1, |(_, weight)| *weight)
+    }
+}
+
+/// Returns the slot time that the running calls of `tenant` have used beyond their charges.
+fn overrun(running: &BTreeMap<CallId, Running>, tenant: &TenantName, now: Millis) -> f64 {
+    let calls = running.values().filter(|call| call.tenant == *tenant);
+    calls.map(|call| call.overrun(now)).sum()
 }
--- /dev/null
+++ b/crates/coordination/src/admission/limit.rs
@@ -0,0 +1,90 @@
+//! The number of calls that the upstream is given at once.
+
+use sycamoreflow_state::ids::{Micros, Millis};
+
+/// Factor on the limit when the upstream refuses a call.
+const SHED_FACTOR: f64 = 0.8;
+/// Factor on the limit when answers become slow.
+const SLOW_FACTOR: f64 = 0.9;
+/// Ratio of recent to usual latency that counts as slow.
+const SLOW_RATIO: f64 = 3.0;
+/// Slowness alone never takes the limit below this share of the slots, since slow answers have
+/// other causes than too many calls at once, and a low limit does not cure those.
+const SLOW_FLOOR: f64 = 0.5;
+/// Weight of one answer in the recent latency.
+const RECENT_WEIGHT: f64 = 0.1;
+/// Weight of one answer in the usual latency. Lasting slowness becomes usual after some hundred
+/// answers, and the limit rises again.
+const USUAL_WEIGHT: f64 = 0.005;
+/// Time between two reductions. Calls that were sent under the old limit say nothing about the new
+/// one.
+const REDUCTION_INTERVAL: Millis = Millis(50);
+
+/// Limit between one and the announced slots, reduced by factors and raised step by step.
+#[derive(Clone, Debug)]
+pub(super) struct Limit {
+    slots: u32,
+    limit: f64,
+    recent: f64,
+    usual: f64,
+    reduced: Option<Millis>,
+}
+
+impl Limit {
+    pub(super) fn new(slots: u32) -> Self {
+        let slots = slots.max(1);
+        Self {
+            slots,
+            limit: f64::from(slots),
+            recent: 0.0,
+            usual: 0.0,
+            reduced: None,
+        }
+    }
+
+    /// Returns the number of calls that may run at once.
+    pub(super) fn get(&self) -> usize {
+        self.limit as usize
+    }
+
+    /// Returns the mean latency of recent answers.
+    pub(super) fn recent_latency(&self) -> Micros {
+        Micros(self.recent as u64)
+    }
+
+    pub(super) fn set_slots(&mut self, slots: u32) {
+        let slots = slots.max(1);
+        let scale = f64::from(slots) / f64::from(self.slots);
+        self.limit = (self.limit * scale).clamp(1.0, f64::from(slots));
+        self.slots = slots;
+    }
+
+    pub(super) fn shed(&mut self, now: Millis) {
+        self.reduce(now, SHED_FACTOR, 1.0);
+    }
+
+    /// Records an answer that arrived while `running` calls, including the answered one, ran.
+    pub(super) fn answered(&mut self, now: Millis, latency: Micros, running: usize) {
+        let latency = latency.0 as f64;
+        if self.usual == 0.0 {
+            (self.recent, self.usual) = (latency, latency);
+        }
+        let sample = latency.min(self.recent * 10.0 + 1_000.0);
+        self.recent += (sample - self.recent) * RECENT_WEIGHT;
+        self.usual += (sample - self.usual) * USUAL_WEIGHT;
+        if self.recent > self.usual * SLOW_RATIO {
+            self.reduce(now, SLOW_FACTOR, f64::from(self.slots) * SLOW_FLOOR);
+        } else if running >= self.get() {
+            self.limit = (self.limit + 1.0 / self.limit).min(f64::from(self.slots));
+        }
+    }
+
+    fn reduce(&mut self, now: Millis, factor: f64, floor: f64) {
+        let waits = |reduced| now.since(reduced) < REDUCTION_INTERVAL;
+        if self.limit <= floor || self.reduced.is_some_and(waits) {
+            return;
+        }
+        self.limit = (self.limit * factor).max(floor).max(1.0);
+        self.reduced = Some(now);
+    }
+}
