--- a/crates/coordination/src/retry.rs
+++ b/crates/coordination/src/retry.rs
@@ -1,4 +1,12 @@
 //! Retries at the entry daemon: a budget per route and the decision for one request.
+//!
+//! A request is sent again only if no earlier attempt makes that unsafe: the decision uses the
+//! maximum of the verdicts of all attempts, so a later refusal never hides an attempt that may have
+//! run (`docs/design.md`, section 2.5). The budget bounds the load that retries add when a whole
+//! service fails.
+
+#[cfg(test)]
+mod tests;
 
 use sycamoreflow_state::config::Share;
 use sycamoreflow_state::ids::{DaemonId, Millis};
@@ -110,12 +118,16 @@
     /// Picks the endpoint of the next attempt and records it as tried.
     ///
     /// `choose` receives the endpoints to avoid and is typically [`crate::routing::Router::choose`].
-    /// Endpoints that were tried are offered again only if there is no other.
+    /// An endpoint that was tried is used again only if there is no other, and the latest one only
+    /// if it is the only one.
     pub fn pick(
         &mut self,
         mut choose: impl FnMut(&[DaemonId]) -> Option<DaemonId>,
     ) -> Option<DaemonId> {
-        let id = choose(&self.tried).or_else(|| choose(&[]))?;
+        let latest = &self.tried[self.tried.len().saturating_sub(1)..];
+        let id = choose(&self.tried)
+            .or_else(|| choose(latest))
+            .or_else(|| choose(&[]))?;
         self.tried.push(id.clone());
         Some(id)
     }
@@ -133,6 +145,16 @@
         Next::GiveUp(self.failure(failure.reason))
     }
 
+    /// Returns the verdict over all failed attempts.
+    pub fn verdict(&self) -> Verdict {
+        self.verdict
+    }
+
+    /// Returns the endpoints that the request was sent to, in order.
+    pub fn tried(&self) -> &[DaemonId] {
+        &self.tried
+    }
+
     /// Returns the failure to answer with for `reason`, with the verdict over all attempts.
     pub fn failure(&self, reason: Reason) -> Failure {
         Failure {
@@ -142,6 +164,7 @@
     }
 
     fn may_send_again(&self, failure: Failure) -> bool {
+        // Another endpoint would refuse the request for the same reason.
         let retryable = !matches!(
             failure.reason,
             Reason::BadRequest | Reason::CrashesUpstreams | Reason::TenantRefused | Reason::NoRoute
