Run keyed requests at most once

Sends claim a key at a majority of three holders. Copy requests fence the claims of older group epochs. A random model of sends, holders and a faulty network checks every run; with each of four deliberate faults its oracle objects.

--- /dev/null
+++ b/crates/coordination/src/dedup/claim.rs
@@ -0,0 +1,420 @@
+//! The entry daemon's side of one send with an idempotency key.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde_bytes::ByteBuf;
+use sycamoreflow_state::ids::{DaemonId, Millis};
+use sycamoreflow_state::verdict::{Failure, Reason, Verdict};
+
+use super::{ClaimId, ClaimReply, Grant, Group, Key, KeyReply, KeyRequest, SendId};
+use crate::fingerprint::Fingerprint;
+
+/// Time to wait for the replies of all holders, and between two sends of the same message.
+const ROUND_TIMEOUT: Millis = Millis(100);
+/// Shortest and longest time between two rounds.
+const BACKOFF: (Millis, Millis) = (Millis(5), Millis(200));
+/// Sends of a message that the caller's response does not wait for.
+const SETTLE_SENDS: u32 = 5;
+
+/// What the daemon has to do for a claim.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Send the message to a holder and pass its reply to [`KeyClaim::reply`].
+    Send(DaemonId, KeyRequest),
+    /// Forward the request, then call [`KeyClaim::answered`] or [`KeyClaim::failed`].
+    Run,
+    /// Return this answer to the caller. It may be that of an earlier send.
+    Return(ByteBuf),
+    /// Return this failure to the caller. Its verdict covers all sends with the key that ended
+    /// before this one began.
+    GiveUp(Failure),
+}
+
+/// One send of a request with an idempotency key.
+///
+/// Call [`KeyClaim::tick`] every few milliseconds until [`KeyClaim::is_done`]; that may be later
+/// than the response to the caller.
+#[derive(Debug)]
+pub struct KeyClaim {
+    key: Key,
+    id: ClaimId,
+    fingerprint: Fingerprint,
+    group: Group,
+    deadline: Millis,
+    rng: ChaCha8Rng,
+    /// Whether another send with the key was seen.
+    contended: bool,
+    /// Whether a majority had no claim of another send in some round, which proves that no send
+    /// that ended before this one began has run.
+    unclaimed: bool,
+    state: State,
+}
+
+#[derive(Debug)]
+enum State {
+    New,
+    /// Waits for replies to the current round until the given time.
+    Claiming(Millis, BTreeMap<DaemonId, ClaimReply>),
+    /// Waits for the start of the next round.
+    BackingOff(Millis),
+    Running,
+    /// Stores the answer at a majority.
+    Completing(Delivery, ByteBuf),
+    /// The caller has its response; the holders are still told about the end.
+    Settling(Delivery),
+    Done,
+}
+
+/// Repeated sending of one message to the holders.
+#[derive(Debug)]
+struct Delivery {
+    request: KeyRequest,
+    missing: BTreeSet<DaemonId>,
+    next_send: Millis,
+    sends: u32,
+}
+
+impl KeyClaim {
+    /// Makes the state of a send. `deadline` is the caller's and must be far shorter than the
+    /// retention of the holders; `seed` spreads the rounds of competing sends.
+    pub fn new(
+        key: Key,
+        send: SendId,
+        fingerprint: Fingerprint,
+        group: Group,
+        deadline: Millis,
+        seed: u64,
+    ) -> Self {
+        Self {
+            key,
+            id: ClaimId { send, round: 0 },
+            fingerprint,
+            group,
+            deadline,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            contended: false,
+            unclaimed: false,
+            state: State::New,
+        }
+    }
+
+    /// Returns whether there is nothing left to do.
+    pub fn is_done(&self) -> bool {
+        matches!(self.state, State::Done)
+    }
+
+    /// Starts the first round.
+    pub fn start(&mut self, now: Millis) -> Vec<Action> {
+        self.begin_round(now)
+    }
+
+    /// Follows a change of the holders.
+    pub fn set_group(&mut self, now: Millis, group: Group) -> Vec<Action> {
+        if group.epoch <= self.group.epoch {
+            return Vec::new();
+        }
+        let old = std::mem::replace(&mut self.group, group);
+        match &mut self.state {
+            State::Claiming(..) => {
+                let mut actions = self.to_all(&old, &self.release());
+                actions.extend(self.begin_round(now));
+                actions
+            }
+            State::Completing(delivery, _) => {
+                delivery.missing = self.group.holders.iter().cloned().collect();
+                delivery.resend(now)
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    /// Takes the reply of a holder.
+    pub fn reply(&mut self, now: Millis, from: &DaemonId, reply: KeyReply) -> Vec<Action> {
+        if !self.group.holders.contains(from) {
+            return Vec::new();
+        }
+        match (&mut self.state, reply) {
+            (State::Claiming(_, replies), KeyReply::Claim(id, reply)) if id == self.id => {
+                replies.insert(from.clone(), reply);
+                let complete = replies.len() == self.group.holders.len();
+                self.evaluate(now, complete)
+            }
+            (State::Completing(delivery, _), KeyReply::Stored(id)) if id == self.id => {
+                delivery.missing.remove(from);
+                self.return_stored()
+            }
+            (State::Settling(delivery), KeyReply::Done(id) | KeyReply::Stored(id))
+                if id == self.id =>
+            {
+                delivery.missing.remove(from);
+                if delivery.missing.is_empty() {
+                    self.state = State::Done;
+                }
+                Vec::new()
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    /// Advances timeouts, the next round, and the deadline.
+    pub fn tick(&mut self, now: Millis) -> Vec<Action> {
+        let late = now >= self.deadline;
+        match &mut self.state {
+            State::Claiming(until, _) if *until <= now || late => self.evaluate(now, true),
+            State::BackingOff(_) if late => self.give_up(now, self.unresolved()),
+            State::BackingOff(until) if *until <= now => self.begin_round(now),
+            // The answer is known to be that of this request. Withholding it for lack of holders
+            // would only hide it; the claim still excludes a second run.
+            State::Completing(_, answer) if late => {
+                let answer = answer.clone();
+                self.settle();
+                vec![Action::Return(answer)]
+            }
+            State::Completing(delivery, _) => delivery.resend_if_due(now),
+            State::Settling(delivery) if delivery.sends >= SETTLE_SENDS => {
+                self.state = State::Done;
+                Vec::new()
+            }
+            State::Settling(delivery) => delivery.resend_if_due(now),
+            _ => Vec::new(),
+        }
+    }
+
+    /// Records the answer of the request after [`Action::Run`].
+    pub fn answered(&mut self, now: Millis, answer: Vec<u8>) -> Vec<Action> {
+        let answer = ByteBuf::from(answer);
+        let request = KeyRequest::Complete {
+            key: self.key.clone(),
+            claim: self.id.clone(),
+            fingerprint: self.fingerprint,
+            answer: answer.clone(),
+        };
+        let mut delivery = Delivery::new(request, &self.group);
+        let actions = delivery.resend(now);
+        self.state = State::Completing(delivery, answer);
+        actions
+    }
+
+    /// Records the failure of the request, over all attempts, after [`Action::Run`].
+    pub fn failed(&mut self, now: Millis, failure: Failure) -> Vec<Action> {
+        self.give_up(now, failure)
+    }
+
+    fn begin_round(&mut self, now: Millis) -> Vec<Action> {
+        if now >= self.deadline {
+            return self.give_up(now, self.unresolved());
+        }
+        self.id.round += 1;
+        self.state = State::Claiming(now.after(ROUND_TIMEOUT), BTreeMap::new());
+        let request = KeyRequest::Claim {
+            key: self.key.clone(),
+            claim: self.id.clone(),
+            fingerprint: self.fingerprint,
+            epoch: self.group.epoch,
+        };
+        self.to_all(&self.group, &request)
+    }
+
+    /// Decides about the round. Refusals are decided only when the round is `complete`, since the
+    /// reply of one more holder may show that the request has run.
+    fn evaluate(&mut self, now: Millis, complete: bool) -> Vec<Action> {
+        let State::Claiming(_, replies) = &self.state else {
+            return Vec::new();
+        };
+        let replies: Vec<(&DaemonId, &ClaimReply)> = replies.iter().collect();
+        let other = |r: &ClaimReply| matches!(r, ClaimReply::Running | ClaimReply::Unresolved);
+        self.contended |= replies.iter().any(|(_, reply)| other(reply));
+        let free = |r: &ClaimReply| matches!(r, ClaimReply::Full | ClaimReply::Granted(_));
+        let count = replies.iter().filter(|(_, reply)| free(reply)).count();
+        self.unclaimed |= count >= self.group.majority();
+        let finished = replies.iter().find_map(|(_, reply)| match reply {
+            ClaimReply::Finished(answer) => Some(answer.clone()),
+            _ => None,
+        });
+        if let Some(answer) = finished {
+            return self.return_earlier(now, answer);
+        }
+        if now < self.deadline && has_majority(&replies, self.group.majority()) {
+            self.state = State::Running;
+            return vec![Action::Run];
+        }
+        if !complete {
+            return Vec::new();
+        }
+        if let Some(failure) = self.refusal(&replies) {
+            return self.give_up(now, failure);
+        }
+        if now >= self.deadline {
+            return self.give_up(now, self.unresolved());
+        }
+        let wait = self.backoff();
+        self.state = State::BackingOff(now.after(wait));
+        self.to_all(&self.group, &self.release())
+    }
+
+    /// Returns the failure that a majority of the replies makes certain.
+    fn refusal(&self, replies: &[(&DaemonId, &ClaimReply)]) -> Option<Failure> {
+        let majority = |matches: fn(&ClaimReply) -> bool| {
+            let count = replies.iter().filter(|(_, reply)| matches(reply)).count();
+            count >= self.group.majority()
+        };
+        if majority(|reply| matches!(reply, ClaimReply::Unresolved)) {
+            return Some(Failure::may_have_run(Reason::KeyUnresolved));
+        }
+        if majority(|reply| matches!(reply, ClaimReply::OtherRequest)) {
+            return Some(Failure::not_run(Reason::BadRequest));
+        }
+        let full = |reply: &ClaimReply| matches!(reply, ClaimReply::Full);
+        if self.unclaimed && !self.contended && replies.iter().any(|(_, reply)| full(reply)) {
+            return Some(Failure::not_run(Reason::Overloaded));
+        }
+        None
+    }
+
+    /// Returns the failure of a send that could not find out whether an earlier one ran.
+    fn unresolved(&self) -> Failure {
+        if self.contended {
+            return Failure::may_have_run(Reason::KeyUnresolved);
+        }
+        if self.unclaimed {
+            return Failure::not_run(Reason::DeadlineExceeded);
+        }
+        Failure::may_have_run(Reason::KeyHoldersUnavailable)
+    }
+
+    fn return_earlier(&mut self, now: Millis, answer: Option<ByteBuf>) -> Vec<Action> {
+        let response = match answer {
+            Some(answer) => Action::Return(answer),
+            None => Action::GiveUp(Failure {
+                verdict: Verdict::Ran,
+                reason: Reason::KeyUnresolved,
+            }),
+        };
+        let mut actions = vec![response];
+        actions.extend(self.begin_settling(now, self.release()));
+        actions
+    }
+
+    fn return_stored(&mut self) -> Vec<Action> {
+        let State::Completing(delivery, answer) = &self.state else {
+            return Vec::new();
+        };
+        let stored = self.group.holders.len() - delivery.missing.len();
+        if stored < self.group.majority() {
+            return Vec::new();
+        }
+        let answer = answer.clone();
+        self.settle();
+        vec![Action::Return(answer)]
+    }
+
+    fn give_up(&mut self, now: Millis, failure: Failure) -> Vec<Action> {
+        let ran = matches!(self.state, State::Running) && failure.verdict != Verdict::NotRun;
+        let request = if ran {
+            KeyRequest::Abandon {
+                key: self.key.clone(),
+                claim: self.id.clone(),
+            }
+        } else {
+            self.release()
+        };
+        let mut actions = vec![Action::GiveUp(failure)];
+        actions.extend(self.begin_settling(now, request));
+        actions
+    }
+
+    fn begin_settling(&mut self, now: Millis, request: KeyRequest) -> Vec<Action> {
+        let mut delivery = Delivery::new(request, &self.group);
+        let actions = delivery.resend(now);
+        self.state = State::Settling(delivery);
+        actions
+    }
+
+    /// Goes on with the delivery of the answer after the caller has it.
+    fn settle(&mut self) {
+        let state = std::mem::replace(&mut self.state, State::Done);
+        if let State::Completing(delivery, _) = state
+            && !delivery.missing.is_empty()
+        {
+            self.state = State::Settling(delivery);
+        }
+    }
+
+    fn release(&self) -> KeyRequest {
+        KeyRequest::Release {
+            key: self.key.clone(),
+            claim: self.id.clone(),
+        }
+    }
+
+    fn to_all(&self, group: &Group, request: &KeyRequest) -> Vec<Action> {
+        let holders = group.holders.iter();
+        holders
+            .map(|id| Action::Send(id.clone(), request.clone()))
+            .collect()
+    }
+
+    fn backoff(&mut self) -> Millis {
+        let (shortest, longest) = BACKOFF;
+        let doublings = self.id.round.min(16);
+        let limit = shortest.0.saturating_mul(1 << doublings).min(longest.0);
+        Millis(self.rng.random_range(shortest.0..=limit))
+    }
+}
+
+impl Delivery {
+    fn new(request: KeyRequest, group: &Group) -> Self {
+        Self {
+            request,
+            missing: group.holders.iter().cloned().collect(),
+            next_send: Millis(0),
+            sends: 0,
+        }
+    }
+
+    fn resend(&mut self, now: Millis) -> Vec<Action> {
+        self.next_send = now.after(ROUND_TIMEOUT);
+        self.sends += 1;
+        let missing = self.missing.iter();
+        missing
+            .map(|id| Action::Send(id.clone(), self.request.clone()))
+            .collect()
+    }
+
+    fn resend_if_due(&mut self, now: Millis) -> Vec<Action> {
+        if now < self.next_send {
+            return Vec::new();
+        }
+        self.resend(now)
+    }
+}
+
+/// Returns whether `majority` holders have granted the claim in incarnations that are consistent
+/// with each other: no holder had restarted and copied from another one before that one's grant.
+///
+/// It is enough that one holder and `majority - 1` others are consistent pairwise; with three
+/// holders that is any pair.
+fn has_majority(replies: &[(&DaemonId, &ClaimReply)], majority: usize) -> bool {
+    let grants: Vec<(&DaemonId, &Grant)> = replies
+        .iter()
+        .filter_map(|(id, reply)| match reply {
+            ClaimReply::Granted(grant) => Some((*id, grant)),
+            _ => None,
+        })
+        .collect();
+    let consistent_with = |a: &(&DaemonId, &Grant)| {
+        let consistent = |b: &&(&DaemonId, &Grant)| is_current(a, b.1) && is_current(b, a.1);
+        grants.iter().filter(consistent).count()
+    };
+    grants
+        .iter()
+        .any(|grant| consistent_with(grant) >= majority)
+}
+
+/// Returns whether `other` knows no later incarnation of the holder than that of its grant.
+fn is_current(grant: &(&DaemonId, &Grant), other: &Grant) -> bool {
+    let latest = other.known.get(grant.0);
+    latest.is_none_or(|boot| *boot <= grant.1.boot)
+}
--- /dev/null
+++ b/crates/coordination/src/dedup/holder.rs
@@ -0,0 +1,379 @@
+//! A key holder's side of idempotency keys.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde_bytes::ByteBuf;
+use sycamoreflow_state::ids::{DaemonId, Millis};
+
+use super::records::Records;
+use super::{
+    Claim, ClaimId, ClaimReply, CopyPage, CopyRequest, Grant, Group, Key, KeyReply, KeyRequest,
+    SendId, StoredResult,
+};
+use crate::fingerprint::Fingerprint;
+
+/// Most records in one page of a copy. Claims and keys are short, so the page stays far below the
+/// frame limit of 4 MiB.
+const PAGE_RECORDS: usize = 1_000;
+/// Most bytes of answers in one page of a copy. One answer may exceed it alone.
+const PAGE_BYTES: usize = 1 << 20;
+
+/// Settings of a [`KeyHolder`].
+#[derive(Clone, Copy, Debug)]
+pub struct HolderConfig {
+    /// Time that a record is kept after its latest change. It must be far longer than the longest
+    /// deadline of a request.
+    pub retention: Millis,
+    /// Most records. New keys are refused beyond it.
+    pub max_records: usize,
+    /// Most bytes of stored answers. Beyond it, results are stored without their answers and new
+    /// keys are refused.
+    pub max_answer_bytes: usize,
+}
+
+impl Default for HolderConfig {
+    /// Two service groups of the target scale: 1% of 1.6 million calls/s with keys makes 11,000
+    /// records per service and retention period.
+    fn default() -> Self {
+        Self {
+            retention: Millis(600_000),
+            max_records: 22_000,
+            max_answer_bytes: 8 << 20,
+        }
+    }
+}
+
+/// The key records of one service at one holder.
+#[derive(Debug)]
+pub struct KeyHolder {
+    me: DaemonId,
+    boot: u64,
+    group: Group,
+    /// Epoch of the claims that are granted. It is ahead of the group after a copy request of a
+    /// later epoch.
+    epoch: u64,
+    cfg: HolderConfig,
+    records: Records,
+    /// Latest known incarnations of other holders.
+    known: BTreeMap<DaemonId, u64>,
+    /// Latest known incarnations of claimers.
+    claimers: BTreeMap<DaemonId, u64>,
+    copying: Option<Copying>,
+}
+
+/// Progress of a holder without its records.
+#[derive(Debug)]
+struct Copying {
+    since: Millis,
+    /// The other holders and the last key copied from each.
+    missing: BTreeMap<DaemonId, Option<Key>>,
+}
+
+impl KeyHolder {
+    /// Makes a holder of a group that has had no records: the first group of a service, whose
+    /// creation this process has observed. In any other case use [`KeyHolder::without_records`].
+    ///
+    /// `boot` is the incarnation of this process. It must be higher than that of any earlier
+    /// process of the same daemon; the wall clock at the start serves well.
+    pub fn first_group(me: DaemonId, boot: u64, group: Group, cfg: HolderConfig) -> Self {
+        Self {
+            me,
+            boot,
+            epoch: group.epoch,
+            group,
+            cfg,
+            records: Records::default(),
+            known: BTreeMap::new(),
+            claimers: BTreeMap::new(),
+            copying: None,
+        }
+    }
+
+    /// Makes a holder after a restart of its process, or one that joins an existing group. It
+    /// grants nothing until it has the records of the others.
+    pub fn without_records(
+        now: Millis,
+        me: DaemonId,
+        boot: u64,
+        group: Group,
+        cfg: HolderConfig,
+    ) -> Self {
+        let mut holder = Self::first_group(me, boot, group, cfg);
+        holder.copying = Some(holder.all_missing(now));
+        holder
+    }
+
+    /// Returns whether the holder has all records and grants claims. The leader must not change
+    /// another holder of the group before.
+    pub fn is_ready(&self) -> bool {
+        self.copying.is_none()
+    }
+
+    /// Returns the epoch of the claims that the holder grants.
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// Returns the number of records.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Returns whether there are no records.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Follows a change of the group. Older groups are ignored.
+    pub fn set_group(&mut self, group: Group) {
+        if group.epoch <= self.group.epoch {
+            return;
+        }
+        self.epoch = self.epoch.max(group.epoch);
+        self.group = group;
+        if let Some(since) = self.copying.as_ref().map(|c| c.since) {
+            self.copying = Some(self.all_missing(since));
+        }
+    }
+
+    /// Answers a message of a claimer or of another holder.
+    pub fn handle(&mut self, now: Millis, request: &KeyRequest) -> KeyReply {
+        self.tick(now);
+        let expires = now.after(self.cfg.retention);
+        match request {
+            KeyRequest::Claim {
+                key,
+                claim,
+                fingerprint,
+                epoch,
+            } => {
+                let reply = self.claim(now, key, claim, *fingerprint, *epoch);
+                KeyReply::Claim(claim.clone(), reply)
+            }
+            KeyRequest::Complete {
+                key,
+                claim,
+                fingerprint,
+                answer,
+            } => {
+                let result = StoredResult {
+                    fingerprint: *fingerprint,
+                    answer: self.has_room(answer).then(|| answer.clone()),
+                };
+                self.records.update(key, expires, |r| r.finish(result));
+                KeyReply::Stored(claim.clone())
+            }
+            KeyRequest::Release { key, claim } => {
+                self.records.amend(key, |record| record.withdraw(claim));
+                KeyReply::Done(claim.clone())
+            }
+            KeyRequest::Abandon { key, claim } => {
+                self.records.amend(key, |record| {
+                    let own = |c: &&mut Claim| c.id.send == claim.send;
+                    let claims = record.claims.iter_mut().filter(own);
+                    claims.for_each(|c| c.abandoned = true);
+                });
+                KeyReply::Done(claim.clone())
+            }
+            KeyRequest::Copy(copy) => self.copy(now, copy),
+        }
+    }
+
+    /// Records that the entry daemon is gone, so that resends of its requests need not wait.
+    ///
+    /// It is safe if the daemon only seems gone: its claims still exclude others, and its answers
+    /// are still stored.
+    pub fn claimer_lost(&mut self, daemon: &DaemonId) {
+        self.records.amend_claims(|claim| {
+            claim.abandoned |= claim.id.send.daemon == *daemon;
+        });
+    }
+
+    /// Drops expired records, and ends the wait of a holder whose lost records have expired.
+    pub fn tick(&mut self, now: Millis) {
+        self.records.expire(now);
+        let expired = |c: &Copying| now.since(c.since) >= self.cfg.retention;
+        if self.copying.as_ref().is_some_and(expired) {
+            self.copying = None;
+        }
+    }
+
+    /// Returns the copy requests to send, repeatedly, until the holder is ready.
+    pub fn copy_requests(&self) -> Vec<(DaemonId, KeyRequest)> {
+        let Some(copying) = &self.copying else {
+            return Vec::new();
+        };
+        let missing = copying.missing.iter();
+        missing
+            .map(|(id, after)| (id.clone(), self.copy_request(after)))
+            .collect()
+    }
+
+    /// Records a page of `from`'s records and returns the request for the next one.
+    pub fn copied(&mut self, now: Millis, from: &DaemonId, page: &CopyPage) -> Option<KeyRequest> {
+        let copying = self.copying.as_mut()?;
+        let position = copying.missing.get_mut(from)?;
+        if page.epoch != self.group.epoch || page.after != *position {
+            return None;
+        }
+        for (key, record) in &page.records {
+            self.records.merge(now, key, record);
+        }
+        for (holder, boot) in &page.known {
+            learn(&mut self.known, holder, *boot);
+        }
+        learn(&mut self.known, from, page.boot);
+        if page.more {
+            *position = page.records.last().map(|(key, _)| key.clone());
+            let after = position.clone();
+            return Some(self.copy_request(&after));
+        }
+        copying.missing.remove(from);
+        if copying.missing.is_empty() {
+            self.copying = None;
+        }
+        None
+    }
+
+    fn claim(
+        &mut self,
+        now: Millis,
+        key: &Key,
+        id: &ClaimId,
+        fingerprint: Fingerprint,
+        epoch: u64,
+    ) -> ClaimReply {
+        if epoch != self.epoch {
+            return ClaimReply::OtherEpoch(self.epoch);
+        }
+        self.abandon_earlier_boots(&id.send);
+        if let Some(reply) = self.conflict(key, id, fingerprint) {
+            return reply;
+        }
+        if !self.is_ready() {
+            return ClaimReply::NotReady;
+        }
+        let new = self.records.get(key).is_none();
+        if new && self.is_full() {
+            return ClaimReply::Full;
+        }
+        let expires = now.after(self.cfg.retention);
+        self.records.update(key, expires, |record| {
+            record.withdraw(id);
+            record.claims.push(Claim {
+                id: id.clone(),
+                fingerprint,
+                abandoned: false,
+            });
+        });
+        ClaimReply::Granted(Grant {
+            boot: self.boot,
+            known: self.known.clone(),
+        })
+    }
+
+    /// Returns why the record of `key` excludes the claim, if it does.
+    fn conflict(&self, key: &Key, id: &ClaimId, fingerprint: Fingerprint) -> Option<ClaimReply> {
+        let record = self.records.get(key)?;
+        if let Some(result) = &record.result {
+            let same = result.fingerprint == fingerprint;
+            let finished = || ClaimReply::Finished(result.answer.clone());
+            return Some(if same {
+                finished()
+            } else {
+                ClaimReply::OtherRequest
+            });
+        }
+        // A later round of the same send shows that this one is a late copy.
+        let excludes = |c: &&Claim| c.id.send != id.send || c.id.round > id.round;
+        let others: Vec<&Claim> = record.claims.iter().filter(excludes).collect();
+        if others.is_empty() {
+            return None;
+        }
+        // A claim of the same request takes precedence, since that request may have run.
+        let same: Vec<&&Claim> = others
+            .iter()
+            .filter(|c| c.fingerprint == fingerprint)
+            .collect();
+        if same.is_empty() {
+            return Some(ClaimReply::OtherRequest);
+        }
+        let unresolved = same.iter().all(|c| c.abandoned);
+        Some(if unresolved {
+            ClaimReply::Unresolved
+        } else {
+            ClaimReply::Running
+        })
+    }
+
+    /// Marks the claims that the claimer made before its restart.
+    fn abandon_earlier_boots(&mut self, send: &SendId) {
+        let known = self.claimers.insert(send.daemon.clone(), send.boot);
+        match known {
+            Some(boot) if boot == send.boot => return,
+            // A late message of an earlier incarnation.
+            Some(boot) if boot > send.boot => {
+                self.claimers.insert(send.daemon.clone(), boot);
+                return;
+            }
+            _ => {}
+        }
+        let earlier = |s: &SendId| s.daemon == send.daemon && s.boot < send.boot;
+        self.records
+            .amend_claims(|claim| claim.abandoned |= earlier(&claim.id.send));
+    }
+
+    fn copy(&mut self, now: Millis, request: &CopyRequest) -> KeyReply {
+        if request.epoch < self.epoch {
+            return KeyReply::CannotCopy;
+        }
+        // Fences the claims of the older epoch before the records are read.
+        self.epoch = request.epoch;
+        learn(&mut self.known, &request.holder, request.boot);
+        if !self.is_ready() {
+            return KeyReply::CannotCopy;
+        }
+        let after = request.after.as_ref();
+        let (records, more) = self.records.page(now, after, PAGE_RECORDS, PAGE_BYTES);
+        KeyReply::Page(CopyPage {
+            epoch: self.epoch,
+            boot: self.boot,
+            known: self.known.clone(),
+            after: request.after.clone(),
+            records,
+            more,
+        })
+    }
+
+    fn copy_request(&self, after: &Option<Key>) -> KeyRequest {
+        KeyRequest::Copy(CopyRequest {
+            epoch: self.group.epoch,
+            holder: self.me.clone(),
+            boot: self.boot,
+            after: after.clone(),
+        })
+    }
+
+    fn all_missing(&self, since: Millis) -> Copying {
+        let others: BTreeSet<&DaemonId> = self.group.holders.iter().collect();
+        let others = others.into_iter().filter(|id| **id != self.me);
+        Copying {
+            since,
+            missing: others.map(|id| (id.clone(), None)).collect(),
+        }
+    }
+
+    fn is_full(&self) -> bool {
+        self.records.len() >= self.cfg.max_records
+            || self.records.answer_bytes() >= self.cfg.max_answer_bytes
+    }
+
+    fn has_room(&self, answer: &ByteBuf) -> bool {
+        self.records.answer_bytes() + answer.len() <= self.cfg.max_answer_bytes
+    }
+}
+
+fn learn(known: &mut BTreeMap<DaemonId, u64>, holder: &DaemonId, boot: u64) {
+    let entry = known.entry(holder.clone()).or_default();
+    *entry = boot.max(*entry);
+}
--- /dev/null
+++ b/crates/coordination/src/dedup/tests/model.rs
@@ -0,0 +1,387 @@
+//! Sends and holders on a network that loses, repeats and reorders messages, with an oracle that
+//! watches every run.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use rand::{Rng, RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use sycamoreflow_state::verdict::{Failure, Reason, Verdict};
+
+use super::super::*;
+use super::{fingerprint, key};
+
+/// A deliberate fault, to prove that the oracle notices it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Fault {
+    None,
+    /// A restarted holder grants at once.
+    GrantAfterRestart,
+    /// The grant of one holder counts for all.
+    SingleHolder,
+    /// Holders accept claims of older epochs.
+    NoEpochs,
+    /// A claimer that did not win releases its claim and runs all the same.
+    RunWithoutMajority,
+}
+
+struct Send {
+    claim: KeyClaim,
+    daemon: DaemonId,
+    alive: bool,
+    /// Index of its run.
+    run: Option<usize>,
+    /// Runs that had happened before the send started.
+    seen: usize,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Run {
+    Running,
+    Refused,
+    Ran,
+}
+
+#[derive(Clone)]
+enum Message {
+    Request {
+        to: DaemonId,
+        from: Party,
+        request: KeyRequest,
+    },
+    Reply {
+        to: Party,
+        from: DaemonId,
+        reply: KeyReply,
+    },
+}
+
+#[derive(Clone)]
+enum Party {
+    Send(usize),
+    Holder(DaemonId, u64),
+}
+
+pub(super) struct Model {
+    rng: ChaCha8Rng,
+    fault: Fault,
+    now: Millis,
+    boots: u64,
+    group: Group,
+    holders: BTreeMap<DaemonId, (u64, KeyHolder)>,
+    sends: Vec<Send>,
+    runs: Vec<Run>,
+    messages: Vec<Message>,
+    violation: Option<String>,
+    pub(super) returned: usize,
+}
+
+const HOLDERS: [&str; 5] = ["h0", "h1", "h2", "h3", "h4"];
+
+impl Model {
+    pub(super) fn new(seed: u64, fault: Fault) -> Self {
+        let group = Group {
+            epoch: 1,
+            holders: HOLDERS[..3].iter().map(|h| DaemonId::from(*h)).collect(),
+        };
+        let cfg = HolderConfig::default();
+        let first = |id: &DaemonId| KeyHolder::first_group(id.clone(), 1, group.clone(), cfg);
+        Self {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            fault,
+            now: Millis(1_000),
+            boots: 1,
+            holders: group
+                .holders
+                .iter()
+                .map(|id| (id.clone(), (1, first(id))))
+                .collect(),
+            group,
+            sends: Vec::new(),
+            runs: Vec::new(),
+            messages: Vec::new(),
+            violation: None,
+            returned: 0,
+        }
+    }
+
+    /// Takes random steps and returns what the oracle objects to.
+    pub(super) fn run(&mut self, steps: usize) -> Option<String> {
+        for _ in 0..steps {
+            self.step();
+            if self.violation.is_some() {
+                break;
+            }
+        }
+        self.violation.take()
+    }
+
+    fn step(&mut self) {
+        match self.rng.random_range(0..100) {
+            0..55 => self.deliver(),
+            55..62 => self.start(),
+            62..80 => self.tick(),
+            80..86 => self.finish(),
+            86 => self.kill_claimer(),
+            87 => self.restart_holder(),
+            88 => self.change_group(),
+            89..93 => self.announce_group(),
+            _ => self.copy(),
+        }
+    }
+
+    fn deliver(&mut self) {
+        if self.messages.is_empty() {
+            return;
+        }
+        let index = self.rng.random_range(0..self.messages.len());
+        let message = self.messages.swap_remove(index);
+        let fate = self.rng.random_range(0..100);
+        if fate < 5 {
+            return;
+        }
+        if fate < 10 {
+            self.messages.push(message.clone());
+        }
+        match message {
+            Message::Request { to, from, request } => self.deliver_request(to, from, request),
+            Message::Reply { to, from, reply } => self.deliver_reply(to, from, reply),
+        }
+    }
+
+    fn deliver_request(&mut self, to: DaemonId, from: Party, mut request: KeyRequest) {
+        let Some((_, holder)) = self.holders.get_mut(&to) else {
+            return;
+        };
+        if let (Fault::NoEpochs, KeyRequest::Claim { epoch, .. }) = (self.fault, &mut request) {
+            *epoch = holder.epoch();
+        }
+        let reply = holder.handle(self.now, &request);
+        let granted = matches!(&reply, KeyReply::Claim(_, ClaimReply::Granted(_)));
+        if self.fault == Fault::SingleHolder && granted {
+            for other in self.group.holders.clone() {
+                self.send_reply(from.clone(), other, reply.clone());
+            }
+        }
+        self.send_reply(from, to, reply);
+    }
+
+    fn send_reply(&mut self, to: Party, from: DaemonId, reply: KeyReply) {
+        self.messages.push(Message::Reply { to, from, reply });
+    }
+
+    fn deliver_reply(&mut self, to: Party, from: DaemonId, reply: KeyReply) {
+        match to {
+            Party::Send(index) => {
+                let send = &mut self.sends[index];
+                if send.alive {
+                    let actions = send.claim.reply(self.now, &from, reply);
+                    self.apply(index, actions);
+                }
+            }
+            Party::Holder(id, boot) => {
+                let KeyReply::Page(page) = reply else { return };
+                let Some((current, holder)) = self.holders.get_mut(&id) else {
+                    return;
+                };
+                if *current != boot {
+                    return;
+                }
+                if let Some(request) = holder.copied(self.now, &from, &page) {
+                    let from_party = Party::Holder(id, boot);
+                    self.messages.push(Message::Request {
+                        to: from,
+                        from: from_party,
+                        request,
+                    });
+                }
+            }
+        }
+    }
+
+    fn start(&mut self) {
+        if self
+            .sends
+            .iter()
+            .filter(|s| s.alive && !s.claim.is_done())
+            .count()
+            >= 4
+        {
+            return;
+        }
+        let daemon: DaemonId = format!("e{}", self.rng.random_range(0..3)).into();
+        let id = SendId {
+            daemon: daemon.clone(),
+            boot: 1,
+            seq: self.sends.len() as u64,
+        };
+        let deadline = self.now.after(Millis(self.rng.random_range(50..3_000)));
+        let (group, seed) = (self.group.clone(), self.rng.next_u64());
+        let mut claim = KeyClaim::new(key("k"), id, fingerprint("f"), group, deadline, seed);
+        let actions = claim.start(self.now);
+        self.sends.push(Send {
+            claim,
+            daemon,
+            alive: true,
+            run: None,
+            seen: self.runs.len(),
+        });
+        self.apply(self.sends.len() - 1, actions);
+    }
+
+    fn tick(&mut self) {
+        self.now = self.now.after(Millis(self.rng.random_range(0..40)));
+        for index in 0..self.sends.len() {
+            if self.sends[index].alive && self.rng.random_bool(0.7) {
+                let actions = self.sends[index].claim.tick(self.now);
+                self.apply(index, actions);
+            }
+        }
+    }
+
+    fn finish(&mut self) {
+        let running = |r: &Run| *r == Run::Running;
+        let owner = |s: &Send| s.alive && s.run.is_some_and(|run| running(&self.runs[run]));
+        let Some(index) = self.sends.iter().position(owner) else {
+            return;
+        };
+        let run = self.sends[index].run.unwrap();
+        let claim = &mut self.sends[index].claim;
+        let actions = match self.rng.random_range(0..4) {
+            0 => {
+                self.runs[run] = Run::Refused;
+                claim.failed(self.now, Failure::not_run(Reason::Overloaded))
+            }
+            1 => {
+                self.runs[run] = Run::Ran;
+                claim.failed(self.now, Failure::may_have_run(Reason::ConnectionLost))
+            }
+            _ => {
+                self.runs[run] = Run::Ran;
+                claim.answered(self.now, vec![run as u8])
+            }
+        };
+        self.apply(index, actions);
+    }
+
+    fn kill_claimer(&mut self) {
+        let victim: DaemonId = format!("e{}", self.rng.random_range(0..3)).into();
+        for send in self.sends.iter_mut().filter(|s| s.daemon == victim) {
+            send.alive = false;
+        }
+        for (_, holder) in self.holders.values_mut() {
+            holder.claimer_lost(&victim);
+        }
+    }
+
+    fn restart_holder(&mut self) {
+        let ready = self.holders.values().all(|(_, holder)| holder.is_ready());
+        if !ready && self.rng.random_bool(0.7) {
+            return;
+        }
+        let id = self.group.holders[self.rng.random_range(0..3)].clone();
+        self.add_holder(id);
+    }
+
+    fn add_holder(&mut self, id: DaemonId) {
+        self.boots += 1;
+        let (boot, group, cfg) = (self.boots, self.group.clone(), HolderConfig::default());
+        let holder = if self.fault == Fault::GrantAfterRestart {
+            KeyHolder::first_group(id.clone(), boot, group, cfg)
+        } else {
+            KeyHolder::without_records(self.now, id.clone(), boot, group, cfg)
+        };
+        self.holders.insert(id, (boot, holder));
+    }
+
+    /// Replaces one holder, as the leader does when all holders are ready.
+    fn change_group(&mut self) {
+        let members = self.group.holders.iter();
+        let ready = |id: &DaemonId| self.holders.get(id).is_some_and(|(_, h)| h.is_ready());
+        if !members.clone().all(ready) {
+            return;
+        }
+        let members: BTreeSet<DaemonId> = members.cloned().collect();
+        let spare = HOLDERS
+            .map(DaemonId::from)
+            .into_iter()
+            .find(|id| !members.contains(id));
+        let replaced = self.rng.random_range(0..3);
+        self.group.epoch += 1;
+        self.group.holders[replaced] = spare.unwrap();
+        self.add_holder(self.group.holders[replaced].clone());
+    }
+
+    fn announce_group(&mut self) {
+        let group = self.group.clone();
+        for (id, (_, holder)) in &mut self.holders {
+            if group.holders.contains(id) && self.rng.random_bool(0.3) {
+                holder.set_group(group.clone());
+            }
+        }
+        for index in 0..self.sends.len() {
+            if self.sends[index].alive && self.rng.random_bool(0.3) {
+                let actions = self.sends[index].claim.set_group(self.now, group.clone());
+                self.apply(index, actions);
+            }
+        }
+    }
+
+    fn copy(&mut self) {
+        for (id, (boot, holder)) in &self.holders {
+            for (to, request) in holder.copy_requests() {
+                let from = Party::Holder(id.clone(), *boot);
+                self.messages.push(Message::Request { to, from, request });
+            }
+        }
+    }
+
+    fn apply(&mut self, index: usize, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send(to, request) => {
+                    let from = Party::Send(index);
+                    self.messages.push(Message::Request { to, from, request });
+                }
+                Action::Run => self.begin_run(index),
+                Action::Return(answer) => {
+                    self.returned += 1;
+                    let run = usize::from(answer[0]);
+                    if self.runs.get(run) != Some(&Run::Ran) {
+                        self.object("an answer of a run that did not finish");
+                    }
+                }
+                Action::GiveUp(failure) => self.check_failure(index, failure),
+            }
+        }
+    }
+
+    fn begin_run(&mut self, index: usize) {
+        if self.runs.iter().any(|run| *run != Run::Refused) {
+            self.object("a second run");
+        }
+        self.sends[index].run = Some(self.runs.len());
+        self.runs.push(Run::Running);
+    }
+
+    /// A verdict covers the runs that began before the send and the send's own run.
+    fn check_failure(&mut self, index: usize, failure: Failure) {
+        let send = &self.sends[index];
+        let mut covered = self.runs[..send.seen]
+            .iter()
+            .chain(send.run.map(|r| &self.runs[r]));
+        let ran = covered.any(|run| *run != Run::Refused);
+        let has_run = send.run.is_some();
+        if failure.verdict == Verdict::NotRun && ran {
+            self.object("a verdict not-run of a request that ran");
+        }
+        let unrun = self.fault == Fault::RunWithoutMajority && !has_run;
+        if unrun && failure.reason == Reason::KeyUnresolved {
+            self.begin_run(index);
+        }
+    }
+
+    fn object(&mut self, what: &str) {
+        self.violation
+            .get_or_insert_with(|| format!("{what} at {:?}", self.now));
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/fingerprint.rs
@@ -0,0 +1,38 @@
+//! Fingerprints that recognise a request that is sent again.
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+use sycamoreflow_state::ids::TenantName;
+
+use crate::dedup::Key;
+
+/// SHA-256 of the tenant, method, path and body of a request.
+///
+/// Headers are left out: clients and proxies change some of them with every send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Fingerprint([u8; 32]);
+
+impl Fingerprint {
+    /// Computes the fingerprint of a request. `path` includes the query.
+    pub fn of(tenant: &TenantName, method: &str, path: &str, body: &[u8]) -> Self {
+        let tenant = tenant.as_str().as_bytes();
+        Self::hash(&[tenant, method.as_bytes(), path.as_bytes(), body])
+    }
+
+    /// Computes the fingerprint that stands for all sends with an idempotency key.
+    pub fn of_key(key: &Key) -> Self {
+        let scope = [key.service.as_str(), key.tenant.as_str(), &key.key];
+        Self::hash(&scope.map(str::as_bytes))
+    }
+
+    fn hash(parts: &[&[u8]]) -> Self {
+        let mut hasher = Sha256::new();
+        for part in parts {
+            // The length keeps parts apart whose bytes could move from one to the next.
+            hasher.update((part.len() as u64).to_le_bytes());
+            hasher.update(part);
+        }
+        Self(hasher.finalize().into())
+    }
+}
