Refuse requests that have crashed two upstreams

Blame is exchanged as mergeable reports. Requests that shared an upstream are cleared by any completion; suspects run one at a time per upstream, and blame that several requests share refuses them for 60 s only.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod fingerprint;
 pub mod retry;
 pub mod routing;
+pub mod suspect;
--- /dev/null
+++ b/crates/coordination/src/suspect.rs
@@ -0,0 +1,399 @@
+//! Requests that crash upstreams.
+//!
+//! A request in flight when its upstream died is suspect: it is blamed for that crash. Suspects are
+//! not retried by the entry daemon, and an upstream runs one of them at a time, so that a second
+//! crash points at one request. After two crashes in the mesh a request is refused everywhere.
+//!
+//! Requests that only shared the upstream are cleared by completion: a request that crashes every
+//! upstream never completes. A completion clears all blame that the daemon knows of, and a request
+//! that completed shortly before is not blamed at all. Blame also decays. A crash that several
+//! requests shared refuses for [`SHARED_PERIOD`] only; after that the request runs isolated, and
+//! either completes or crashes alone, which refuses it for [`BLAME_PERIOD`].
+//!
+//! Daemons exchange blame in [`SuspectReport`]s. Each crash has an identifier and counts once, a
+//! clearance is a mark on the identifier, and of two expiry times the earlier one wins. Merging is
+//! therefore idempotent, commutative and associative, and any relay may repeat or reorder reports.
+
+#[cfg(test)]
+mod tests;
+
+use std::collections::{BTreeMap, VecDeque};
+
+use serde::{Deserialize, Serialize};
+use sycamoreflow_state::ids::{DaemonId, Millis};
+use sycamoreflow_state::verdict::{Failure, Reason};
+
+use crate::fingerprint::Fingerprint;
+
+/// Crashes after which a request is refused.
+const MAX_CRASHES: usize = 2;
+/// Time for which a crash counts.
+pub const BLAME_PERIOD: Millis = Millis(600_000);
+/// Time for which crashes that several requests shared are enough to refuse them.
+pub const SHARED_PERIOD: Millis = Millis(60_000);
+/// Time for which a completion protects a request from blame.
+const COMPLETION_PERIOD: Millis = Millis(10_000);
+/// Most completions that are remembered: the rate of one upstream at the target scale, about 800/s,
+/// over [`COMPLETION_PERIOD`].
+const MAX_COMPLETIONS: usize = 8_192;
+/// Most requests with blame. A rack of 40 upstreams with 9 slots makes 360 at once.
+const MAX_REQUESTS: usize = 4_096;
+/// Most crashes that are kept per request.
+const MAX_BLAMES: usize = 8;
+/// Entries that expire sooner are not reported, so that daemons do not revive them for each other.
+const MIN_REPORTED: Millis = Millis(1_000);
+
+/// Identifier of the death of an upstream.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct CrashId {
+    /// Daemon beside the upstream.
+    pub daemon: DaemonId,
+    /// Incarnation of the daemon.
+    pub boot: u64,
+    /// Number of the crash within the incarnation.
+    pub seq: u64,
+}
+
+/// Blame of one request for one crash, as daemons exchange it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct SuspectEntry {
+    /// The request.
+    pub request: Fingerprint,
+    /// The crash.
+    pub crash: CrashId,
+    /// Time until the entry expires.
+    pub remaining: Millis,
+    /// Whether the request was the only one, or the only suspect, in flight.
+    pub alone: bool,
+    /// Whether the request has completed since.
+    pub cleared: bool,
+}
+
+/// Blame that other daemons should know.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct SuspectReport {
+    /// The entries.
+    pub entries: Vec<SuspectEntry>,
+}
+
+/// What is known about a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// No blame.
+    Clear,
+    /// To be run isolated and not retried.
+    Suspect,
+    /// To be refused as not run.
+    Refused,
+}
+
+/// Blamed requests, and the requests in flight at the upstream beside the daemon.
+#[derive(Debug)]
+pub struct Suspects {
+    daemon: DaemonId,
+    boot: u64,
+    crashes: u64,
+    requests: BTreeMap<Fingerprint, Blames>,
+    in_flight: BTreeMap<Fingerprint, InFlight>,
+    completions: Completions,
+}
+
+type Blames = BTreeMap<CrashId, Blame>;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Blame {
+    expires: Millis,
+    alone: bool,
+    cleared: bool,
+    reported: bool,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct InFlight {
+    count: usize,
+    /// Whether the request was suspect when it started.
+    suspect: bool,
+}
+
+impl Suspects {
+    /// Makes the state of a daemon that knows of no crash. `boot` is its incarnation, which rises
+    /// with every restart.
+    pub fn new(daemon: DaemonId, boot: u64) -> Self {
+        Self {
+            daemon,
+            boot,
+            crashes: 0,
+            requests: BTreeMap::new(),
+            in_flight: BTreeMap::new(),
+            completions: Completions::default(),
+        }
+    }
+
+    /// Returns what is known about a request. Entry daemons check it before every send.
+    pub fn standing(&self, now: Millis, request: &Fingerprint) -> Standing {
+        let Some(blames) = self.requests.get(request) else {
+            return Standing::Clear;
+        };
+        let counting = blames.values().filter(|b| !b.cleared && b.expires > now);
+        let (mut total, mut alone, mut fresh) = (0, 0, 0);
+        for blame in counting {
+            total += 1;
+            alone += usize::from(blame.alone);
+            fresh += usize::from(blame.is_fresh(now));
+        }
+        if total == 0 {
+            return Standing::Clear;
+        }
+        if total >= MAX_CRASHES && (alone > 0 || fresh >= MAX_CRASHES) {
+            return Standing::Refused;
+        }
+        Standing::Suspect
+    }
+
+    /// Starts a request at the upstream beside the daemon, or refuses it as not run.
+    ///
+    /// # Errors
+    ///
+    /// The request has crashed too many upstreams, or it is suspect while another suspect is in
+    /// flight.
+    pub fn start(&mut self, now: Millis, request: Fingerprint) -> Result<(), Failure> {
+        let standing = self.standing(now, &request);
+        if standing == Standing::Refused {
+            return Err(Failure::not_run(Reason::CrashesUpstreams));
+        }
+        let suspect = standing == Standing::Suspect;
+        if suspect && self.in_flight.values().any(|running| running.suspect) {
+            return Err(Failure::not_run(Reason::Overloaded));
+        }
+        let running = self.in_flight.entry(request).or_default();
+        running.count += 1;
+        running.suspect |= suspect;
+        Ok(())
+    }
+
+    /// Records the end of a started request. `completed` states that a whole answer arrived.
+    pub fn finish(&mut self, now: Millis, request: Fingerprint, completed: bool) {
+        if let Some(running) = self.in_flight.get_mut(&request) {
+            running.count -= 1;
+            if running.count == 0 {
+                self.in_flight.remove(&request);
+            }
+        }
+        if completed {
+            self.completed(now, request);
+        }
+    }
+
+    /// Records that a request completed at any upstream, which clears it of all known blame.
+    pub fn completed(&mut self, now: Millis, request: Fingerprint) {
+        self.completions.record(now, request);
+        if let Some(blames) = self.requests.get_mut(&request) {
+            blames.values_mut().for_each(Blame::clear);
+        }
+    }
+
+    /// Records the unplanned death of the upstream beside the daemon.
+    ///
+    /// Returns the failure of each request that was in flight. Those that are suspect now fail with
+    /// [`Reason::CrashesUpstreams`], which is not retried.
+    pub fn crashed(&mut self, now: Millis) -> Vec<(Fingerprint, Failure)> {
+        self.crashes += 1;
+        let crash = CrashId {
+            daemon: self.daemon.clone(),
+            boot: self.boot,
+            seq: self.crashes,
+        };
+        let in_flight = std::mem::take(&mut self.in_flight);
+        let suspects = in_flight.values().filter(|r| r.suspect).count();
+        let only_one = in_flight.len() == 1;
+        let mut failures = Vec::new();
+        for (request, running) in in_flight {
+            let blame = Blame {
+                expires: now.after(BLAME_PERIOD),
+                alone: only_one || (running.suspect && suspects == 1),
+                cleared: false,
+                reported: false,
+            };
+            self.blame(now, request, crash.clone(), blame);
+            let reason = match self.standing(now, &request) {
+                Standing::Clear => Reason::ConnectionLost,
+                Standing::Suspect | Standing::Refused => Reason::CrashesUpstreams,
+            };
+            failures.push((request, Failure::may_have_run(reason)));
+        }
+        failures
+    }
+
+    /// Takes over what another daemon reports. It may be repeated and reordered.
+    pub fn merge(&mut self, now: Millis, report: &SuspectReport) {
+        for entry in &report.entries {
+            let blame = Blame {
+                expires: now.after(entry.remaining.min(BLAME_PERIOD)),
+                alone: entry.alone,
+                cleared: entry.cleared,
+                reported: false,
+            };
+            self.blame(now, entry.request, entry.crash.clone(), blame);
+        }
+    }
+
+    /// Returns what changed since the previous call, at most `limit` entries. The rest follows in
+    /// the next report.
+    pub fn report(&mut self, now: Millis, limit: usize) -> SuspectReport {
+        self.entries(now, limit, |blame| {
+            !std::mem::replace(&mut blame.reported, true)
+        })
+    }
+
+    /// Returns all that is known, for a daemon that has just joined.
+    pub fn snapshot(&mut self, now: Millis) -> SuspectReport {
+        self.entries(now, usize::MAX, |_| true)
+    }
+
+    /// Drops expired blame. Call it about once per second.
+    pub fn tick(&mut self, now: Millis) {
+        self.requests.retain(|_, blames| {
+            blames.retain(|_, blame| blame.expires > now);
+            !blames.is_empty()
+        });
+        self.completions.expire(now);
+    }
+
+    /// Returns the number of requests with blame, including cleared ones.
+    pub fn len(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Returns whether no request has blame.
+    pub fn is_empty(&self) -> bool {
+        self.requests.is_empty()
+    }
+
+    fn blame(&mut self, now: Millis, request: Fingerprint, crash: CrashId, mut blame: Blame) {
+        if blame.expires <= now {
+            return;
+        }
+        blame.cleared |= self.completions.contains(now, &request);
+        self.make_room(&request);
+        let blames = self.requests.entry(request).or_default();
+        if let Some(known) = blames.get_mut(&crash) {
+            known.merge(blame);
+            return;
+        }
+        if blames.len() >= MAX_BLAMES {
+            // A cleared crash no longer counts, so another one takes its place.
+            let Some(cleared) = blames
+                .iter()
+                .find(|(_, b)| b.cleared)
+                .map(|(id, _)| id.clone())
+            else {
+                return;
+            };
+            blames.remove(&cleared);
+        }
+        blames.insert(crash, blame);
+    }
+
+    /// Drops the request whose blame ends first if there is no room for a new one.
+    fn make_room(&mut self, request: &Fingerprint) {
+        if self.requests.len() < MAX_REQUESTS || self.requests.contains_key(request) {
+            return;
+        }
+        let end = |blames: &Blames| blames.values().map(|b| b.expires).max();
+        let first = self.requests.iter().min_by_key(|(_, blames)| end(blames));
+        if let Some(first) = first.map(|(request, _)| *request) {
+            self.requests.remove(&first);
+        }
+    }
+
+    fn entries(
+        &mut self,
+        now: Millis,
+        limit: usize,
+        mut select: impl FnMut(&mut Blame) -> bool,
+    ) -> SuspectReport {
+        let mut entries = Vec::new();
+        for (request, blames) in &mut self.requests {
+            for (crash, blame) in blames {
+                let remaining = blame.expires.since(now);
+                if entries.len() >= limit || remaining < MIN_REPORTED || !select(blame) {
+                    continue;
+                }
+                entries.push(SuspectEntry {
+                    request: *request,
+                    crash: crash.clone(),
+                    remaining,
+                    alone: blame.alone,
+                    cleared: blame.cleared,
+                });
+            }
+        }
+        SuspectReport { entries }
+    }
+}
+
+impl Blame {
+    fn is_fresh(&self, now: Millis) -> bool {
+        let until = Millis(self.expires.0 + SHARED_PERIOD.0);
+        until > now.after(BLAME_PERIOD)
+    }
+
+    fn clear(&mut self) {
+        self.reported &= self.cleared;
+        self.cleared = true;
+    }
+
+    fn merge(&mut self, other: Self) {
+        let marks = (self.alone, self.cleared);
+        self.alone |= other.alone;
+        self.cleared |= other.cleared;
+        // Delays on the way only make the other daemon's expiry time later than the true one.
+        self.expires = self.expires.min(other.expires);
+        self.reported &= marks == (self.alone, self.cleared);
+    }
+}
+
+/// Requests that completed recently, in the order of their completion.
+#[derive(Debug, Default)]
+struct Completions {
+    times: BTreeMap<Fingerprint, Millis>,
+    order: VecDeque<(Millis, Fingerprint)>,
+}
+
+impl Completions {
+    fn record(&mut self, now: Millis, request: Fingerprint) {
+        self.expire(now);
+        if self.times.insert(request, now) == Some(now) {
+            return;
+        }
+        self.order.push_back((now, request));
+        if self.order.len() > MAX_COMPLETIONS {
+            self.drop_first();
+        }
+    }
+
+    fn contains(&self, now: Millis, request: &Fingerprint) -> bool {
+        let time = self.times.get(request);
+        time.is_some_and(|time| now.since(*time) < COMPLETION_PERIOD)
+    }
+
+    fn expire(&mut self, now: Millis) {
+        let expired = |(time, _): &(Millis, Fingerprint)| now.since(*time) >= COMPLETION_PERIOD;
+        while self.order.front().is_some_and(expired) {
+            self.drop_first();
+        }
+    }
+
+    fn drop_first(&mut self) {
+        let Some((time, request)) = self.order.pop_front() else {
+            return;
+        };
+        // A later completion of the same request has its own entry.
+        if self.times.get(&request) == Some(&time) {
+            self.times.remove(&request);
+        }
+    }
+}
