Check the request path against an oracle

Random worlds of four daemons run requests through routing, admission, ejection, retries, keys and suspects with lost and crossed answers, crashes, restarts, broken links and drains. With each of five deliberate faults the oracle objects.

--- /dev/null
+++ b/crates/coordination/tests/request_path/main.rs
@@ -0,0 +1,54 @@
+//! Requests through fake daemons and upstreams, with crashes, lost and crossed answers, resends
+//! through other daemons, restarts of holders and drains, checked against an oracle.
+
+mod entry;
+mod oracle;
+mod owner;
+mod world;
+
+use proptest::prelude::*;
+use rstest::rstest;
+
+use world::{Fault, World};
+
+const STEPS: usize = 600;
+
+/// Proves that the oracle notices each deliberate fault.
+#[rstest]
+#[case::retry_after_may_have_run(Fault::RetryAfterMayHaveRun)]
+#[case::claim_at_one_holder(Fault::ClaimAtOneHolder)]
+#[case::restarted_holder_grants(Fault::RestartedHolderGrants)]
+#[case::latest_verdict_only(Fault::LatestVerdictOnly)]
+#[case::crossed_answers(Fault::CrossedAnswers)]
+fn oracle_detects_fault(#[case] fault: Fault) {
+    let found = (0..20_000).find_map(|seed| World::new(seed, fault).run(STEPS).violation);
+    assert!(found.is_some(), "the oracle does not notice {fault:?}");
+}
+
+/// Guards against a world in which requests do not run, so that the checks have nothing to check.
+#[test]
+fn world_covers_cases() {
+    let mut total = oracle::Counts::default();
+    for seed in 0..300 {
+        let end = World::new(seed, Fault::None).run(STEPS);
+        assert_eq!(end.violation, None, "seed {seed}");
+        total.add(&end.counts);
+    }
+    assert!(total.answered > 1_000, "{total:?}");
+    assert!(total.not_run > 60, "{total:?}");
+    assert!(total.may_have_run > 300, "{total:?}");
+    assert!(total.earlier_answers > 50, "{total:?}");
+    assert!(total.crashing_refused > 8, "{total:?}");
+    assert!(total.retries > 300, "{total:?}");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(1_500))]
+
+    /// Guards against false verdicts, second runs of non-idempotent requests, and answers that
+    /// belong to another request.
+    #[test]
+    fn verdicts_hold(seed: u64) {
+        prop_assert_eq!(World::new(seed, Fault::None).run(STEPS).violation, None);
+    }
+}
--- /dev/null
+++ b/crates/coordination/tests/request_path/oracle.rs
@@ -0,0 +1,151 @@
+//! Counts the runs of every request and checks every response.
+
+use sycamoreflow_state::verdict::{Failure, Reason, Verdict};
+
+/// A request as its caller means it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Request {
+    pub(crate) idempotent: bool,
+    pub(crate) keyed: bool,
+    pub(crate) crashing: bool,
+}
+
+/// What a caller receives.
+#[derive(Clone, Debug)]
+pub(crate) enum Response {
+    /// An answer, which names the request that it belongs to.
+    Answer(usize),
+    Failure(Failure),
+}
+
+#[derive(Debug)]
+struct Send {
+    request: usize,
+    /// Number of runs of all requests when the send began.
+    began: usize,
+    responded: bool,
+}
+
+#[derive(Debug)]
+struct Run {
+    request: usize,
+    send: usize,
+}
+
+/// How often the cases occurred.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Counts {
+    pub(crate) answered: usize,
+    pub(crate) not_run: usize,
+    pub(crate) may_have_run: usize,
+    pub(crate) earlier_answers: usize,
+    pub(crate) crashing_refused: usize,
+    pub(crate) retries: usize,
+}
+
+impl Counts {
+    pub(crate) fn add(&mut self, other: &Self) {
+        self.answered += other.answered;
+        self.not_run += other.not_run;
+        self.may_have_run += other.may_have_run;
+        self.earlier_answers += other.earlier_answers;
+        self.crashing_refused += other.crashing_refused;
+        self.retries += other.retries;
+    }
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct Oracle {
+    pub(crate) requests: Vec<Request>,
+    sends: Vec<Send>,
+    runs: Vec<Run>,
+    pub(crate) violation: Option<String>,
+    pub(crate) counts: Counts,
+}
+
+impl Oracle {
+    /// Records that a caller sends `request` and returns the number of the send.
+    pub(crate) fn send(&mut self, request: usize) -> usize {
+        self.sends.push(Send {
+            request,
+            began: self.runs.len(),
+            responded: false,
+        });
+        self.sends.len() - 1
+    }
+
+    pub(crate) fn request_of(&self, send: usize) -> Request {
+        self.requests[self.sends[send].request]
+    }
+
+    pub(crate) fn request_number(&self, send: usize) -> usize {
+        self.sends[send].request
+    }
+
+    /// Records that an upstream runs a send. Without a key each send is a request of its own.
+    pub(crate) fn run(&mut self, send: usize) {
+        let number = self.sends[send].request;
+        let request = self.requests[number];
+        let again = self.runs.iter().any(|run| {
+            let same = if request.keyed {
+                run.request == number
+            } else {
+                run.send == send
+            };
+            same && !request.idempotent
+        });
+        if again {
+            self.object(format!("request {number} runs twice, now by send {send}"));
+        }
+        self.runs.push(Run {
+            request: number,
+            send,
+        });
+    }
+
+    pub(crate) fn respond(&mut self, send: usize, response: &Response) {
+        if std::mem::replace(&mut self.sends[send].responded, true) {
+            self.object(format!("second response to send {send}"));
+        }
+        match response {
+            Response::Answer(request) => self.check_answer(send, *request),
+            Response::Failure(failure) => self.check_failure(send, *failure),
+        }
+    }
+
+    fn check_answer(&mut self, send: usize, request: usize) {
+        self.counts.answered += 1;
+        if request != self.sends[send].request {
+            self.object(format!(
+                "send {send} received the answer of request {request}"
+            ));
+        }
+        if !self.runs.iter().any(|run| run.request == request) {
+            self.object(format!("an answer to request {request}, which did not run"));
+        }
+        let own = self.runs.iter().any(|run| run.send == send);
+        self.counts.earlier_answers += usize::from(!own);
+    }
+
+    /// A verdict `NotRun` covers the send itself and, with a key, all runs before the send began.
+    fn check_failure(&mut self, send: usize, failure: Failure) {
+        if failure.verdict != Verdict::NotRun {
+            self.counts.may_have_run += 1;
+            return;
+        }
+        self.counts.not_run += 1;
+        self.counts.crashing_refused += usize::from(failure.reason == Reason::CrashesUpstreams);
+        let Send { request, began, .. } = self.sends[send];
+        let keyed = self.requests[request].keyed;
+        let earlier = keyed && self.runs[..began].iter().any(|run| run.request == request);
+        if earlier || self.runs.iter().any(|run| run.send == send) {
+            self.object(format!(
+                "send {send} of request {request} ran, verdict not-run"
+            ));
+        }
+    }
+
+    fn object(&mut self, what: String) {
+        self.violation.get_or_insert(what);
+    }
+}
