--- a/crates/coordination/src/routing.rs
+++ b/crates/coordination/src/routing.rs
@@ -175,7 +175,8 @@
 
     /// Replaces the endpoints. Estimates and in-flight counts of those that remain are kept.
     ///
-    /// An endpoint that was added to a non-empty set, or whose version changed, counts as cold.
+    /// An endpoint that was added to a non-empty set, whose version changed, or that returns from
+    /// draining counts as cold.
     pub fn set_endpoints(&mut self, now: Millis, endpoints: &[Endpoint]) {
         let first = self.members.is_empty();
         let mut members: Vec<Member> = endpoints
@@ -259,13 +260,19 @@
     fn updated_member(&self, now: Millis, endpoint: &Endpoint, first: bool) -> Member {
         let local = endpoint.data_centre == self.cfg.data_centre;
         let known = self.find(&endpoint.daemon).map(|i| &self.members[i]);
-        if let Some(old) = known.filter(|old| old.version == endpoint.version) {
-            return Member {
-                slots: endpoint.slots,
-                draining: endpoint.draining,
-                local,
-                ..old.clone()
-            };
+        let mut estimate = Estimate::default();
+        if let Some(old) = known {
+            let returns = old.draining && !endpoint.draining;
+            if old.version == endpoint.version && !returns {
+                return Member {
+                    slots: endpoint.slots,
+                    draining: endpoint.draining,
+                    local,
+                    ..old.clone()
+                };
+            }
+            estimate = old.estimate.clone();
+            estimate.forget();
         }
         Member {
             id: endpoint.daemon.clone(),
@@ -276,7 +283,7 @@
             available: true,
             tracked: true,
             added: (!first).then_some(now),
-            estimate: Estimate::default(),
+            estimate,
             report: Report::default(),
         }
     }
--- a/crates/coordination/src/routing/tests.rs
+++ b/crates/coordination/src/routing/tests.rs
@@ -162,6 +162,20 @@
     assert!(count(&late, 3) > 150, "{late:?}");
 }
 
+/// Guards against an upstream that restarted under the same version and receives its full share
+/// before it is warm.
+#[test]
+fn choose_slow_starts_endpoint_after_drain() {
+    let mut router = local_router(3);
+    let mut endpoints: Vec<Endpoint> = (0..3).map(|i| endpoint(i, "a")).collect();
+    endpoints[0].draining = true;
+    router.set_endpoints(Millis(0), &endpoints);
+    endpoints[0].draining = false;
+    router.set_endpoints(Millis(0), &endpoints);
+    let counts = run(&mut router, 0, 1_000, |_, _| success(1_000));
+    assert!(count(&counts, 0) < 80, "{counts:?}");
+}
+
 /// Guards against trust in reports that observed latencies do not bear out, and against reports
 /// that are ignored although they do.
 #[rstest]
