Measure the request path policy on a virtual clock

The example load runs the routing, admission, ejection, retry and suspect structs against modelled upstreams, with round robin, random and least reported load as baselines. Baselines share admission, ejection and retries, so the figures compare endpoint selection alone.

--- /dev/null
+++ b/crates/coordination/examples/load.rs
@@ -0,0 +1,119 @@
+//! Measures the request path policy on a virtual clock against simpler endpoint selection.
+//!
+//! Many entry daemons send calls through the real routing, admission, ejection, retry and suspect
+//! structs to modelled upstreams. It is a bench for the policy, not a simulator of a cluster.
+
+#[path = "load/policy.rs"]
+mod policy;
+#[path = "load/scenario.rs"]
+mod scenario;
+#[path = "load/sim.rs"]
+mod sim;
+#[path = "load/stats.rs"]
+mod stats;
+#[path = "load/upstream.rs"]
+mod upstream;
+
+use bpaf::{OptionParser, Parser, construct, long};
+
+use policy::{Kind, parse_tuning};
+use scenario::{Mesh, SCENARIOS, Scenario};
+use sim::Sim;
+use stats::{Row, print_table};
+
+#[derive(Clone, Debug)]
+struct Options {
+    seed: u64,
+    scenario: Option<String>,
+    json: bool,
+    scale: Option<usize>,
+    set: Vec<String>,
+    policy: Option<String>,
+}
+
+fn options() -> OptionParser<Options> {
+    let seed = long("seed")
+        .help("Seed of all random choices")
+        .argument("SEED")
+        .fallback(1);
+    let scenario = long("scenario")
+        .help("Scenario to run; all if absent")
+        .argument("NAME")
+        .optional();
+    let json = long("json").help("Print JSON only").switch();
+    let scale = long("scale")
+        .help("Multiple of the current size of each deployment; 1 and 10 if absent")
+        .argument("FACTOR")
+        .optional();
+    let set = long("set")
+        .help("Change of one parameter of the learned policy, such as choices=3")
+        .argument("KEY=VALUE")
+        .many();
+    let policy = long("policy")
+        .help("Policy to run; all if absent")
+        .argument("NAME")
+        .optional();
+    construct!(Options {
+        seed,
+        scenario,
+        json,
+        scale,
+        set,
+        policy
+    })
+    .to_options()
+    .descr("Measures the request path policy on a virtual clock.")
+}
+
+fn main() -> Result<(), String> {
+    let options = options().run();
+    let tuning = parse_tuning(&options.set)?;
+    let scales = options.scale.map_or(vec![1, 10], |scale| vec![scale]);
+    let wanted = |scenario: &&Scenario| match &options.scenario {
+        Some(name) => scenario.name == *name,
+        None => true,
+    };
+    let scenarios: Vec<&Scenario> = SCENARIOS.iter().filter(wanted).collect();
+    if scenarios.is_empty() {
+        let names: Vec<&str> = SCENARIOS.iter().map(|s| s.name).collect();
+        return Err(format!("unknown scenario; known are {}", names.join(", ")));
+    }
+    let mut rows: Vec<Row> = Vec::new();
+    for scenario in scenarios {
+        for mesh in Mesh::all(&scales) {
+            for kind in scenario.policies() {
+                if options
+                    .policy
+                    .as_ref()
+                    .is_some_and(|name| name != kind.name())
+                {
+                    continue;
+                }
+                let sim = Sim::new(scenario, &mesh, kind, &tuning, options.seed);
+                rows.push(sim.run());
+            }
+        }
+    }
+    if !options.json {
+        print_table(&rows);
+    }
+    let json = serde_json::to_string(&rows).map_err(|error| error.to_string())?;
+    println!("{json}");
+    Ok(())
+}
+
+impl Scenario {
+    /// Returns the policies to compare. The last one differs only in the handling of crashes.
+    fn policies(&self) -> Vec<Kind> {
+        let mut kinds = vec![
+            Kind::Learned,
+            Kind::RoundRobin,
+            Kind::Random,
+            Kind::LeastReported,
+        ];
+        if self.crashing {
+            kinds.push(Kind::WithoutSuspects);
+        }
+        kinds
+    }
+}
--- /dev/null
+++ b/crates/coordination/examples/load/scenario.rs
@@ -0,0 +1,131 @@
+//! The deployments and what happens to them.
+
+use sycamoreflow_state::ids::Micros;
+
+/// Mean service time of an upstream of normal speed.
+pub(crate) const SERVICE_TIME: Micros = Micros(8_000);
+/// Length of a run.
+pub(crate) const DURATION: Micros = Micros(15_000_000);
+
+/// One service of a deployment.
+#[derive(Clone, Debug)]
+pub(crate) struct Mesh {
+    pub(crate) name: String,
+    pub(crate) endpoints: usize,
+    pub(crate) slots: u32,
+    /// Daemons that calls enter through.
+    pub(crate) entries: usize,
+    /// One-way latency between data centres.
+    pub(crate) hop: Micros,
+}
+
+impl Mesh {
+    /// Returns the largest service of each deployment at each scale.
+    pub(crate) fn all(scales: &[usize]) -> Vec<Self> {
+        let sfax = ("sfax", 3, 9, 9, 500);
+        let amman = ("amman", 4, 6, 10, 1_000);
+        let mut meshes = Vec::new();
+        for scale in scales {
+            for (name, endpoints, slots, entries, hop) in [sfax, amman] {
+                meshes.push(Self {
+                    name: format!("{name} x{scale}"),
+                    endpoints: endpoints * scale,
+                    slots,
+                    entries: entries * scale,
+                    hop: Micros(hop),
+                });
+            }
+        }
+        meshes
+    }
+}
+
+/// What is special about the endpoints and the load of a run.
+#[derive(Clone, Debug)]
+pub(crate) struct Scenario {
+    pub(crate) name: &'static str,
+    /// Offered load relative to the capacity at normal speed.
+    pub(crate) load: f64,
+    /// Factors on the service time, assigned to the endpoints in turn.
+    pub(crate) slowness: &'static [f64],
+    /// Whether one endpoint in three reports no load at all times.
+    pub(crate) misleading: bool,
+    /// Factor on the service time of the first endpoint after one third of the run.
+    pub(crate) first_slows: f64,
+    /// Whether the first endpoint goes silent after one third of the run.
+    pub(crate) first_dies: bool,
+    /// Whether a third more endpoints join cold after one third of the run.
+    pub(crate) joins: bool,
+    /// Share of the load that the second tenant adds in a burst; 0 for one tenant.
+    pub(crate) burst: f64,
+    /// Whether a caller sends a request that kills every upstream that runs it, again and again.
+    pub(crate) crashing: bool,
+    /// Whether all endpoints restart, a few at a time.
+    pub(crate) restarts: bool,
+}
+
+const PLAIN: Scenario = Scenario {
+    name: "plain",
+    load: 0.6,
+    slowness: &[1.0],
+    misleading: false,
+    first_slows: 1.0,
+    first_dies: false,
+    joins: false,
+    burst: 0.0,
+    crashing: false,
+    restarts: false,
+};
+
+pub(crate) const SCENARIOS: &[Scenario] = &[
+    PLAIN,
+    Scenario {
+        name: "mixed-speeds",
+        load: 0.5,
+        slowness: &[0.5, 1.0, 2.0],
+        ..PLAIN
+    },
+    Scenario {
+        name: "misleading-load",
+        slowness: &[1.5, 1.0, 1.0],
+        misleading: true,
+        load: 0.5,
+        ..PLAIN
+    },
+    Scenario {
+        name: "slow-endpoint",
+        load: 0.4,
+        first_slows: 10.0,
+        ..PLAIN
+    },
+    Scenario {
+        name: "dead-endpoint",
+        load: 0.4,
+        first_dies: true,
+        ..PLAIN
+    },
+    Scenario {
+        name: "cold-starts",
+        load: 0.7,
+        joins: true,
+        ..PLAIN
+    },
+    Scenario {
+        name: "overload",
+        load: 0.5,
+        burst: 1.5,
+        ..PLAIN
+    },
+    Scenario {
+        name: "crashing-request",
+        load: 0.4,
+        crashing: true,
+        ..PLAIN
+    },
+    Scenario {
+        name: "rolling-restart",
+        load: 0.4,
+        restarts: true,
+        ..PLAIN
+    },
+];
