--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -3,8 +3,15 @@
 //! Everything here is sans-I/O: plain structs that take an event and a time and return actions,
 //! so that property tests drive them on a virtual clock (`docs/design.md`, section 3).
 
+pub mod admission;
+pub mod dedup;
 pub mod distribution;
+pub mod ejection;
+pub mod fingerprint;
 pub mod floor;
 pub mod leases;
 pub mod machine;
 pub mod raft;
+pub mod retry;
+pub mod routing;
+pub mod suspect;
