--- /dev/null
+++ b/crates/coordination/src/rollout.rs
@@ -0,0 +1,441 @@
+//! The replicated part of rollouts: which version is stable, which one is moving, at which step.
+//!
+//! [`Rollouts`] is changed only by log entries and is deterministic. Results of an approval:
+//!
+//! | approved version of a service | result |
+//! | --- | --- |
+//! | first approval of the service | the version has all traffic at once |
+//! | the same as in the approval before | no effect, also if it was taken back meanwhile |
+//! | another version, nothing running | a rollout from the stable version starts |
+//! | another version during a rollout | the running rollout is taken back, traffic returns to the stable version, and a rollout from there starts |
+//! | the stable version during a rollout | the running rollout is taken back |
+//! | the stable version, nothing running | no effect; a taken-back version can then be approved anew |
+//! | service removed | a running rollout is taken back; the service has no traffic split any more |
+//!
+//! An unchanged version never restarts a taken-back one, since an unrelated change would
+//! otherwise bring a bad version back. To approve it anew, an operator approves the stable version
+//! and then the other one again, or uses [`Rollouts::approve_anew`].
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+use sycamoreflow_state::config::{
+    Candidate, FinishTime, MeshConfig, ServiceConfig, Share, TrafficSplit,
+};
+use sycamoreflow_state::ids::{Millis, ServiceName, VersionName};
+use sycamoreflow_state::rollout::{
+    Rollout, RolloutHistory, RolloutPhase, StepRecord, TakeBackReason,
+};
+
+#[cfg(test)]
+mod tests;
+
+/// Ended rollouts kept per service for the history.
+pub const HISTORY_PER_SERVICE: usize = 32;
+/// Taken-back versions listed per service. Older ones receive nothing either, since only the
+/// stable version and the candidate ever do.
+pub const MAX_BLOCKED: usize = 16;
+
+/// A change of a rollout, decided by the leader and written to the log.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct RolloutCommand {
+    /// Number of the rollout.
+    pub rollout: u64,
+    /// Step at which the decision was taken.
+    pub step: u32,
+    /// When the decision was taken, counted from the Unix epoch.
+    pub at: Millis,
+    /// The change.
+    pub action: RolloutAction,
+}
+
+/// The kinds of change.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub enum RolloutAction {
+    /// Enter the next step.
+    Advance,
+    /// Give all traffic back to the old version.
+    TakeBack(TakeBackReason),
+    /// End the watch period.
+    Finish,
+}
+
+/// Why a command has no effect.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub enum RolloutConflict {
+    /// No running or remembered rollout has this number.
+    UnknownRollout,
+    /// The rollout is at another step, so the command is a repeat or came too early.
+    WrongStep {
+        /// The step at which it is.
+        actual: u32,
+    },
+    /// The rollout has reached a final phase.
+    Ended(RolloutPhase),
+    /// The action doesn't fit the phase.
+    WrongPhase(RolloutPhase),
+    /// The watch period isn't over.
+    WatchNotOver {
+        /// When it ends.
+        until: Millis,
+    },
+}
+
+/// What an approval did to a service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub enum ApprovalEffect {
+    /// The first approval of the service: its version has all traffic.
+    Introduced {
+        /// The service.
+        service: ServiceName,
+        /// Its version.
+        version: VersionName,
+    },
+    /// A rollout started.
+    Started {
+        /// The service.
+        service: ServiceName,
+        /// Number of the rollout.
+        rollout: u64,
+    },
+    /// A running rollout was taken back.
+    TakenBack {
+        /// The service.
+        service: ServiceName,
+        /// Number of the rollout.
+        rollout: u64,
+    },
+    /// The approved version was taken back earlier and stays so, because it is unchanged.
+    StillTakenBack {
+        /// The service.
+        service: ServiceName,
+        /// The version without traffic.
+        version: VersionName,
+    },
+    /// The service was removed.
+    Removed {
+        /// The service.
+        service: ServiceName,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+struct ServiceState {
+    stable: VersionName,
+    approved: ServiceConfig,
+    blocked: Vec<VersionName>,
+    running: Option<u64>,
+}
+
+/// All rollouts of the mesh, as replicated.
+///
+/// Invariants: each service has at most one running rollout; a rollout in a final phase never
+/// changes; the stable version changes only when a rollout is done.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Rollouts {
+    last_number: u64,
+    services: BTreeMap<ServiceName, ServiceState>,
+    rollouts: BTreeMap<u64, Rollout>,
+}
+
+impl Rollouts {
+    /// Takes over an approved configuration; see the table in the module overview.
+    pub fn approve(&mut self, config: &MeshConfig, at: Millis) -> Vec<ApprovalEffect> {
+        let mut effects = self.remove_missing(config, at);
+        for (name, service) in &config.services {
+            self.approve_service(name, service, at, &mut effects);
+        }
+        effects
+    }
+
+    /// Starts a rollout of the approved version of `service` again after it was taken back.
+    /// Returns its number, or `None` if that version wasn't taken back.
+    pub fn approve_anew(&mut self, service: &ServiceName, at: Millis) -> Option<u64> {
+        let state = self.services.get(service)?;
+        if !state.blocked.contains(&state.approved.version) {
+            return None;
+        }
+        self.start(service, at)
+    }
+
+    /// Applies a command from the log. Returns whether what proxies enforce has changed.
+    ///
+    /// A repeat has no effect: `Ok(false)` for a take-back of a rollout that is taken back
+    /// already, else a conflict. A take-back is accepted at a later step than the one at which it
+    /// was decided, since the evidence against the version still holds.
+    pub fn apply(&mut self, command: &RolloutCommand) -> Result<bool, RolloutConflict> {
+        let rollout = self
+            .rollouts
+            .get_mut(&command.rollout)
+            .ok_or(RolloutConflict::UnknownRollout)?;
+        let repeated = matches!(command.action, RolloutAction::TakeBack(_))
+            && rollout.phase == RolloutPhase::TakenBack;
+        if repeated {
+            return Ok(false);
+        }
+        if rollout.phase.is_final() {
+            return Err(RolloutConflict::Ended(rollout.phase));
+        }
+        check_step(rollout, command)?;
+        let at = command.at.max(rollout.step_entered());
+        match &command.action {
+            RolloutAction::Advance => advance(rollout, at)?,
+            RolloutAction::TakeBack(reason) => self.take_back(command.rollout, reason.clone(), at),
+            RolloutAction::Finish => {
+                check_watch(rollout, at)?;
+                self.finish(command.rollout, at);
+            }
+        }
+        Ok(true)
+    }
+
+    /// Returns the division of the service's traffic that proxies enforce.
+    pub fn traffic(&self, service: &ServiceName) -> Option<TrafficSplit> {
+        let state = self.services.get(service)?;
+        let running = state.running.and_then(|number| self.rollouts.get(&number));
+        Some(TrafficSplit {
+            stable: state.stable.clone(),
+            candidate: running.map(|rollout| Candidate {
+                version: rollout.to.clone(),
+                share: rollout.share(),
+                rollout: rollout.number,
+            }),
+            blocked: state.blocked.clone(),
+        })
+    }
+
+    /// Returns the rollouts in progress, by number.
+    pub fn running(&self) -> impl Iterator<Item = &Rollout> {
+        self.services
+            .values()
+            .filter_map(|state| self.rollouts.get(&state.running?))
+    }
+
+    /// Returns the rollout with this number, if it is running or remembered.
+    pub fn get(&self, number: u64) -> Option<&Rollout> {
+        self.rollouts.get(&number)
+    }
+
+    /// Returns the services that have a traffic split.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceName> {
+        self.services.keys()
+    }
+
+    /// Returns what the operator sees of a service, or `None` if nothing is known of it.
+    pub fn history(&self, service: &ServiceName) -> Option<RolloutHistory> {
+        let state = self.services.get(service);
+        let of_service = |rollout: &&Rollout| rollout.service == *service;
+        let rollouts: Vec<Rollout> = self.rollouts.values().filter(of_service).cloned().collect();
+        if state.is_none() && rollouts.is_empty() {
+            return None;
+        }
+        Some(RolloutHistory {
+            service: service.clone(),
+            stable: state.map(|state| state.stable.clone()),
+            blocked: state.map_or_else(Vec::new, |state| state.blocked.clone()),
+            rollouts,
+        })
+    }
+
+    fn remove_missing(&mut self, config: &MeshConfig, at: Millis) -> Vec<ApprovalEffect> {
+        let missing: Vec<ServiceName> = self
+            .services
+            .keys()
+            .filter(|name| !config.services.contains_key(*name))
+            .cloned()
+            .collect();
+        let mut effects = Vec::new();
+        for service in missing {
+            let running = self.services.get(&service).and_then(|state| state.running);
+            if let Some(number) = running {
+                self.take_back(number, TakeBackReason::ServiceRemoved, at);
+                effects.push(ApprovalEffect::TakenBack {
+                    service: service.clone(),
+                    rollout: number,
+                });
+            }
+            self.services.remove(&service);
+            effects.push(ApprovalEffect::Removed { service });
+        }
+        effects
+    }
+
+    fn approve_service(
+        &mut self,
+        name: &ServiceName,
+        config: &ServiceConfig,
+        at: Millis,
+        effects: &mut Vec<ApprovalEffect>,
+    ) {
+        let Some(state) = self.services.get_mut(name) else {
+            self.introduce(name, config);
+            effects.push(ApprovalEffect::Introduced {
+                service: name.clone(),
+                version: config.version.clone(),
+            });
+            return;
+        };
+        let changed = state.approved.version != config.version;
+        state.approved = config.clone();
+        if !changed {
+            if state.blocked.contains(&config.version) {
+                effects.push(ApprovalEffect::StillTakenBack {
+                    service: name.clone(),
+                    version: config.version.clone(),
+                });
+            }
+            return;
+        }
+        let back_to_stable = state.stable == config.version;
+        if let Some(number) = state.running {
+            let reason = if back_to_stable {
+                TakeBackReason::Withdrawn
+            } else {
+                TakeBackReason::Superseded {
+                    by: config.version.clone(),
+                }
+            };
+            self.take_back(number, reason, at);
+            effects.push(ApprovalEffect::TakenBack {
+                service: name.clone(),
+                rollout: number,
+            });
+        }
+        if back_to_stable {
+            return;
+        }
+        if let Some(rollout) = self.start(name, at) {
+            effects.push(ApprovalEffect::Started {
+                service: name.clone(),
+                rollout,
+            });
+        }
+    }
+
+    fn introduce(&mut self, name: &ServiceName, config: &ServiceConfig) {
+        let state = ServiceState {
+            stable: config.version.clone(),
+            approved: config.clone(),
+            blocked: Vec::new(),
+            running: None,
+        };
+        self.services.insert(name.clone(), state);
+    }
+
+    fn start(&mut self, service: &ServiceName, at: Millis) -> Option<u64> {
+        let state = self.services.get_mut(service)?;
+        self.last_number += 1;
+        let number = self.last_number;
+        let to = state.approved.version.clone();
+        state.blocked.retain(|version| *version != to);
+        state.running = Some(number);
+        let finish_by = match state.approved.rollout.finish {
+            FinishTime::Within(duration) => at.after(duration),
+            FinishTime::By(time) => time,
+        };
+        let rollout = Rollout {
+            number,
+            service: service.clone(),
+            from: state.stable.clone(),
+            to,
+            phase: RolloutPhase::Planned,
+            step: 0,
+            started: at,
+            finish_by,
+            ended: None,
+            reason: None,
+            steps: Vec::new(),
+            rule: state.approved.rollout.clone(),
+        };
+        self.rollouts.insert(number, rollout);
+        self.drop_old_history(service);
+        Some(number)
+    }
+
+    fn take_back(&mut self, number: u64, reason: TakeBackReason, at: Millis) {
+        let Some(rollout) = self.rollouts.get_mut(&number) else {
+            return;
+        };
+        rollout.phase = RolloutPhase::TakenBack;
+        rollout.reason = Some(reason);
+        rollout.ended = Some(at);
+        let Some(state) = self.services.get_mut(&rollout.service) else {
+            return;
+        };
+        state.running = None;
+        state.blocked.retain(|version| *version != rollout.to);
+        state.blocked.push(rollout.to.clone());
+        if state.blocked.len() > MAX_BLOCKED {
+            state.blocked.remove(0);
+        }
+    }
+
+    fn finish(&mut self, number: u64, at: Millis) {
+        let Some(rollout) = self.rollouts.get_mut(&number) else {
+            return;
+        };
+        rollout.phase = RolloutPhase::Done;
+        rollout.ended = Some(at);
+        if let Some(state) = self.services.get_mut(&rollout.service) {
+            state.running = None;
+            state.stable = rollout.to.clone();
+        }
+    }
+
+    fn drop_old_history(&mut self, service: &ServiceName) {
+        let ended: Vec<u64> = self
+            .rollouts
+            .values()
+            .filter(|rollout| rollout.service == *service && rollout.phase.is_final())
+            .map(|rollout| rollout.number)
+            .collect();
+        let excess = ended.len().saturating_sub(HISTORY_PER_SERVICE);
+        for number in &ended[..excess] {
+            self.rollouts.remove(number);
+        }
+    }
+}
+
+fn check_step(rollout: &Rollout, command: &RolloutCommand) -> Result<(), RolloutConflict> {
+    let fits = match command.action {
+        RolloutAction::TakeBack(_) => command.step <= rollout.step,
+        RolloutAction::Advance | RolloutAction::Finish => command.step == rollout.step,
+    };
+    if fits {
+        return Ok(());
+    }
+    Err(RolloutConflict::WrongStep {
+        actual: rollout.step,
+    })
+}
+
+fn advance(rollout: &mut Rollout, at: Millis) -> Result<(), RolloutConflict> {
+    let share = rollout
+        .next_share()
+        .ok_or(RolloutConflict::WrongPhase(rollout.phase))?;
+    rollout.steps.push(StepRecord { at, share });
+    rollout.step += 1;
+    let last = rollout.next_share().is_none() || share == Share::ALL;
+    rollout.phase = if last {
+        RolloutPhase::Watching
+    } else {
+        RolloutPhase::Moving
+    };
+    Ok(())
+}
+
+fn check_watch(rollout: &Rollout, at: Millis) -> Result<(), RolloutConflict> {
+    let until = rollout
+        .watch_until()
+        .ok_or(RolloutConflict::WrongPhase(rollout.phase))?;
+    if at < until {
+        return Err(RolloutConflict::WatchNotOver { until });
+    }
+    Ok(())
+}
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod config;
 pub mod endpoint;
 pub mod ids;
+pub mod rollout;
 pub mod verdict;
