--- a/crates/coordination/src/rollout/tests.rs
+++ b/crates/coordination/src/rollout/tests.rs
@@ -1,1 +1,356 @@
+#![allow(clippy::unwrap_used)]
 
+use proptest::prelude::*;
+use proptest::test_runner::{RngAlgorithm, TestRng, TestRunner};
+use rstest::rstest;
+use sycamoreflow_state::config::{LowTraffic, RolloutRule};
+
+use super::*;
+
+const WATCH: Millis = Millis(1000);
+
+fn service_config(version: &str) -> ServiceConfig {
+    ServiceConfig {
+        version: version.into(),
+        callers: Vec::new(),
+        rollout: RolloutRule {
+            steps: vec![Share::percent(1), Share::percent(10), Share::ALL],
+            finish: FinishTime::Within(Millis(60_000)),
+            watch: WATCH,
+            max_extra_failures: Share::percent(1),
+            max_slowdown_percent: 200,
+            false_alarm: Share::percent(1),
+            low_traffic: LowTraffic::Finish,
+        },
+        min_endpoints: Share::percent(50),
+        retry_budget: Share::percent(10),
+    }
+}
+
+fn mesh(version: Option<&str>) -> MeshConfig {
+    let mut config = MeshConfig::default();
+    if let Some(version) = version {
+        config
+            .services
+            .insert("orders".into(), service_config(version));
+    }
+    config
+}
+
+fn orders() -> ServiceName {
+    "orders".into()
+}
+
+fn command(rollout: u64, step: u32, at: u64, action: RolloutAction) -> RolloutCommand {
+    RolloutCommand {
+        rollout,
+        step,
+        at: Millis(at),
+        action,
+    }
+}
+
+fn started() -> Rollouts {
+    let mut rollouts = Rollouts::default();
+    rollouts.approve(&mesh(Some("v1")), Millis(0));
+    rollouts.approve(&mesh(Some("v2")), Millis(10));
+    rollouts
+}
+
+fn advanced(steps: u32) -> Rollouts {
+    let mut rollouts = started();
+    for step in 0..steps {
+        let at = 20 + u64::from(step);
+        let result = rollouts.apply(&command(1, step, at, RolloutAction::Advance));
+        assert_eq!(result, Ok(true));
+    }
+    rollouts
+}
+
+fn candidate_share(rollouts: &Rollouts) -> Option<Share> {
+    Some(rollouts.traffic(&orders())?.candidate?.share)
+}
+
+/// Guards against a first version that waits for steps although there is nothing to compare with.
+#[test]
+fn approve_first_version() {
+    let mut rollouts = Rollouts::default();
+    let effects = rollouts.approve(&mesh(Some("v1")), Millis(0));
+    let introduced = ApprovalEffect::Introduced {
+        service: orders(),
+        version: "v1".into(),
+    };
+    assert_eq!(effects, [introduced]);
+    let split = rollouts.traffic(&orders()).unwrap();
+    assert_eq!(split.stable, "v1".into());
+    assert_eq!(split.candidate, None);
+}
+
+/// Guards against an old version that goes before the watch period is over.
+#[test]
+fn finish_after_watch() {
+    let mut rollouts = advanced(3);
+    let split = rollouts.traffic(&orders()).unwrap();
+    assert_eq!(split.stable, "v1".into());
+    assert_eq!(candidate_share(&rollouts), Some(Share::ALL));
+    let early = rollouts.apply(&command(1, 3, 500, RolloutAction::Finish));
+    let until = Millis(22).after(WATCH);
+    assert_eq!(early, Err(RolloutConflict::WatchNotOver { until }));
+    let finish = command(1, 3, until.0, RolloutAction::Finish);
+    assert_eq!(rollouts.apply(&finish), Ok(true));
+    assert_eq!(rollouts.traffic(&orders()).unwrap().stable, "v2".into());
+    let repeat = rollouts.apply(&finish);
+    assert_eq!(repeat, Err(RolloutConflict::Ended(RolloutPhase::Done)));
+}
+
+/// Guards against undefined results of approvals that meet a running rollout, in each phase.
+#[rstest]
+#[case::withdrawn_planned(0, Some("v1"), Some(TakeBackReason::Withdrawn), None)]
+#[case::withdrawn_watching(3, Some("v1"), Some(TakeBackReason::Withdrawn), None)]
+#[case::superseded_moving(2, Some("v3"), Some(TakeBackReason::Superseded { by: "v3".into() }), Some("v3"))]
+#[case::superseded_watching(3, Some("v3"), Some(TakeBackReason::Superseded { by: "v3".into() }), Some("v3"))]
+#[case::unchanged(2, Some("v2"), None, Some("v2"))]
+#[case::removed(2, None, Some(TakeBackReason::ServiceRemoved), None)]
+fn approve_during_rollout(
+    #[case] steps: u32,
+    #[case] version: Option<&str>,
+    #[case] reason: Option<TakeBackReason>,
+    #[case] candidate: Option<&str>,
+) {
+    let mut rollouts = advanced(steps);
+    rollouts.approve(&mesh(version), Millis(100));
+    assert_eq!(rollouts.get(1).unwrap().reason, reason);
+    let split = rollouts.traffic(&orders());
+    assert_eq!(split.is_some(), version.is_some());
+    let actual = split.as_ref().and_then(|split| split.candidate.as_ref());
+    assert_eq!(
+        actual.map(|candidate| &candidate.version),
+        candidate.map(VersionName::from).as_ref()
+    );
+    if let Some(split) = &split {
+        assert_eq!(split.stable, "v1".into());
+    }
+}
+
+/// Guards against an unrelated approval that restarts a version that was taken back.
+#[test]
+fn approve_unchanged_after_take_back() {
+    let mut rollouts = advanced(1);
+    let back = command(1, 1, 50, RolloutAction::TakeBack(TakeBackReason::Withdrawn));
+    assert_eq!(rollouts.apply(&back), Ok(true));
+    assert_eq!(rollouts.apply(&back), Ok(false));
+    let effects = rollouts.approve(&mesh(Some("v2")), Millis(100));
+    assert!(matches!(
+        effects[..],
+        [ApprovalEffect::StillTakenBack { .. }]
+    ));
+    let split = rollouts.traffic(&orders()).unwrap();
+    assert_eq!(split.candidate, None);
+    assert_eq!(split.blocked, ["v2".into()]);
+}
+
+/// Guards against a taken-back version that can never be approved again.
+#[rstest]
+#[case::through_stable(false)]
+#[case::explicit(true)]
+fn approve_anew(#[case] explicit: bool) {
+    let mut rollouts = advanced(2);
+    let back = RolloutAction::TakeBack(TakeBackReason::Withdrawn);
+    rollouts.apply(&command(1, 2, 50, back)).unwrap();
+    if explicit {
+        assert_eq!(rollouts.approve_anew(&orders(), Millis(60)), Some(2));
+    } else {
+        rollouts.approve(&mesh(Some("v1")), Millis(60));
+        rollouts.approve(&mesh(Some("v2")), Millis(70));
+    }
+    assert_eq!(candidate_share(&rollouts), Some(Share::NONE));
+    assert!(rollouts.traffic(&orders()).unwrap().blocked.is_empty());
+    assert_eq!(rollouts.get(2).unwrap().step, 0);
+    assert_eq!(rollouts.approve_anew(&orders(), Millis(80)), None);
+}
+
+/// Guards against a take-back that is lost because the rollout advanced in between.
+#[test]
+fn apply_take_back_after_advance() {
+    let mut rollouts = advanced(2);
+    let back = RolloutAction::TakeBack(TakeBackReason::Withdrawn);
+    assert_eq!(rollouts.apply(&command(1, 1, 50, back.clone())), Ok(true));
+    let mut ahead = advanced(1);
+    let result = ahead.apply(&command(1, 2, 50, back));
+    assert_eq!(result, Err(RolloutConflict::WrongStep { actual: 1 }));
+}
+
+/// Guards against histories that grow without bound.
+#[test]
+fn history_bounded() {
+    let mut rollouts = started();
+    for n in 0..100 {
+        rollouts.approve(&mesh(Some(&format!("w{n}"))), Millis(n));
+    }
+    let history = rollouts.history(&orders()).unwrap();
+    assert_eq!(history.rollouts.len(), HISTORY_PER_SERVICE + 1);
+    assert_eq!(history.blocked.len(), MAX_BLOCKED);
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Approve(usize),
+    ApproveAnew,
+    /// A leader proposes from what it has seen, which may be an old state.
+    Propose {
+        leader: usize,
+        action: usize,
+    },
+    /// A leader catches up with the log.
+    CatchUp(usize),
+    /// A proposal is applied, perhaps again and out of order.
+    Apply(prop::sample::Index),
+}
+
+fn events() -> impl Strategy<Value = Vec<Event>> {
+    let event = prop_oneof![
+        1 => (0usize..5).prop_map(Event::Approve),
+        1 => Just(Event::ApproveAnew),
+        6 => (0usize..3, 0usize..8).prop_map(|(leader, action)| Event::Propose { leader, action }),
+        4 => (0usize..3).prop_map(Event::CatchUp),
+        8 => any::<prop::sample::Index>().prop_map(Event::Apply),
+    ];
+    prop::collection::vec(event, 1..120)
+}
+
+fn propose(seen: &Rollouts, action: usize, at: u64) -> Option<RolloutCommand> {
+    let rollout = seen.running().next()?;
+    let action = match action {
+        0 => RolloutAction::TakeBack(TakeBackReason::Withdrawn),
+        1 | 2 => RolloutAction::Finish,
+        _ => RolloutAction::Advance,
+    };
+    Some(command(rollout.number, rollout.step, at, action))
+}
+
+/// Returns what is wrong with one transition, without use of the code under test.
+fn violation(before: &Rollouts, after: &Rollouts, approval: bool) -> Option<String> {
+    for old in before.rollouts.values() {
+        let Some(new) = after.rollouts.get(&old.number) else {
+            continue;
+        };
+        if old.phase.is_final() && old != new {
+            return Some(format!("final rollout {} changed", old.number));
+        }
+        if new.step > old.step + 1 || new.step < old.step {
+            return Some(format!("jump from step {} to {}", old.step, new.step));
+        }
+        if new.phase == RolloutPhase::Done
+            && old.phase != RolloutPhase::Done
+            && new.ended.unwrap() < new.steps.last().unwrap().at.after(new.rule.watch)
+        {
+            return Some("done before the watch period was over".to_owned());
+        }
+    }
+    for (name, state) in &after.services {
+        let split = after.traffic(name).unwrap();
+        if let Some(candidate) = &split.candidate
+            && (split.blocked.contains(&candidate.version) || candidate.version == split.stable)
+        {
+            return Some("blocked or stable version is a candidate".to_owned());
+        }
+        let was_blocked = before
+            .services
+            .get(name)
+            .map_or(&[][..], |old| &old.blocked);
+        let unblocked = was_blocked.iter().any(|v| !state.blocked.contains(v));
+        if unblocked && !approval && state.blocked.len() < MAX_BLOCKED {
+            return Some("taken back is not final".to_owned());
+        }
+    }
+    None
+}
+
+/// Runs events against `apply` and returns the first violation.
+fn run(events: &[Event], apply: impl Fn(&mut Rollouts, &RolloutCommand)) -> Option<String> {
+    let versions = [Some("v1"), Some("v2"), Some("v3"), Some("v2"), None];
+    let mut rollouts = started();
+    let mut leaders = vec![rollouts.clone(); 3];
+    let mut proposals = Vec::new();
+    for (time, event) in events.iter().enumerate() {
+        let at = 100 + 300 * time as u64;
+        let before = rollouts.clone();
+        let mut approval = false;
+        match event {
+            Event::Approve(choice) => {
+                approval = true;
+                rollouts.approve(&mesh(versions[*choice]), Millis(at));
+            }
+            Event::ApproveAnew => {
+                approval = true;
+                rollouts.approve_anew(&orders(), Millis(at));
+            }
+            Event::Propose { leader, action } => {
+                proposals.extend(propose(&leaders[*leader], *action, at));
+            }
+            Event::CatchUp(leader) => leaders[*leader] = rollouts.clone(),
+            Event::Apply(index) if !proposals.is_empty() => {
+                apply(&mut rollouts, index.get(&proposals));
+            }
+            Event::Apply(_) => {}
+        }
+        let found = violation(&before, &rollouts, approval);
+        if found.is_some() {
+            return found;
+        }
+    }
+    None
+}
+
+fn runner(cases: u32) -> TestRunner {
+    let config = ProptestConfig {
+        cases,
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    };
+    TestRunner::new_with_rng(config, TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]))
+}
+
+/// Guards against jumps, repeats and revivals when commands of several leaders arrive repeated and
+/// out of order.
+#[test]
+fn apply_arbitrary_commands() {
+    let result = runner(2000).run(&events(), |events| {
+        let found = run(&events, |rollouts, command| {
+            let before = rollouts.clone();
+            let changed = rollouts.apply(command);
+            let split_changed = before.traffic(&orders()) != rollouts.traffic(&orders());
+            assert_eq!(changed.unwrap_or(false), split_changed);
+        });
+        prop_assert_eq!(found, None);
+        Ok(())
+    });
+    result.unwrap();
+}
+
+/// Guards against a check above that cannot fail: two faulty ways to apply are noticed.
+#[rstest]
+#[case::step_ignored(|rollouts: &mut Rollouts, command: &RolloutCommand| {
+    let Some(rollout) = rollouts.get(command.rollout) else { return };
+    let mut command = command.clone();
+    command.step = rollout.step;
+    for _ in 0..2 {
+        let _ = rollouts.apply(&command);
+        command.step += 1;
+    }
+})]
+#[case::taken_back_revived(|rollouts: &mut Rollouts, command: &RolloutCommand| {
+    if let Some(rollout) = rollouts.rollouts.get_mut(&command.rollout)
+        && rollout.phase == RolloutPhase::TakenBack
+    {
+        rollout.phase = RolloutPhase::Moving;
+    }
+    let _ = rollouts.apply(command);
+})]
+fn apply_broken_variant(#[case] broken: fn(&mut Rollouts, &RolloutCommand)) {
+    let result = runner(2000).run(&events(), |events| {
+        prop_assert_eq!(run(&events, broken), None);
+        Ok(())
+    });
+    assert!(result.is_err());
+}
