Add exact shares with pooled remainders and cumulative credits

Units are ceded to the leader of one term, so that a later leader never grants what an earlier one has granted.

--- a/crates/coordination/src/shares.rs
+++ b/crates/coordination/src/shares.rs
@@ -1,9 +1,41 @@
 //! Exact shares: the calls that a candidate receives never exceed share × calls over the mesh.
+//!
+//! Amounts are in units of a millionth of a call. Each call earns `share` units at its entry
+//! daemon, and each send to the candidate costs [`CALL`]. A daemon that sees too few calls to earn
+//! a whole one soon cedes its units to the leader, which pools them and grants whole-call credits.
+//! Units are conserved: they are earned once, and then spent, ceded or lost, but never doubled.
+//!
+//! - Accounts are cumulative, so lost, repeated and reordered reports and grants change nothing.
+//! - Units are ceded to the leader of one term. A later leader never grants them, because it cannot
+//!   know which of them the earlier one has granted; they are lost.
+//! - A restarted daemon has a new incarnation and starts without units. Credits of its earlier
+//!   incarnation are lost.
+//! - The share identifies the step, since shares rise strictly. Credits of an earlier step are lost.
+//! - A credit that isn't used in time is ceded back. Expiry counts from its receipt, so it needs no
+//!   common clock, and safety doesn't depend on it.
+//!
+//! A retry is sent to the stable version below [`Share::ALL`], and earns nothing.
+
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 
 use serde::{Deserialize, Serialize};
 use sycamoreflow_state::config::{Share, TrafficSplit};
 use sycamoreflow_state::ids::{DaemonId, Millis, VersionName};
 
+#[cfg(test)]
+mod tests;
+
+/// Units of one call.
+pub const CALL: u64 = 1_000_000;
+/// A daemon that has earned no whole call for this long cedes its units. Daemons that earn calls
+/// faster need no grants.
+pub const CEDE_AFTER: Millis = Millis(2_000);
+/// How long a credit may be used. It covers ten calls at the mean interval of a daemon that sees
+/// two calls a second, and returns credits from idle daemons within a few reports.
+pub const CREDIT_VALIDITY: Millis = Millis(5_000);
+/// A daemon whose last report is older is granted nothing.
+pub const MAX_REPORT_AGE: Millis = Millis(3_000);
+
 /// Whether a send is the first attempt of a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Attempt {
@@ -15,9 +47,12 @@
 
 /// A daemon's account of one service's rollout, as it is reported to the leader.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(from = "(u64, u32, u64, u64, u64)", into = "(u64, u32, u64, u64, u64)")]
+#[serde(
+    from = "(u64, u32, u64, u64, u64, u64)",
+    into = "(u64, u32, u64, u64, u64, u64)"
+)]
 pub struct ShareReport {
-    /// Term of the leader to which the units below were ceded.
+    /// Term of the leader to which the units below were ceded, or 0 before one is known.
     pub term: u64,
     /// Share in parts per million, which identifies the step at the daemon.
     pub share: u32,
@@ -25,23 +60,27 @@
     pub calls: u64,
     /// Calls sent to the candidate since the share is in force here.
     pub candidate: u64,
-    /// Units (millionths of a call) ceded to the leader of `term` at this share.
+    /// Units ceded to the leader of `term` at this share.
     pub ceded: u64,
+    /// Credits received from the leader of `term` at this share.
+    pub credits: u64,
 }
 
-impl From<(u64, u32, u64, u64, u64)> for ShareReport {
-    fn from((term, share, calls, candidate, ceded): (u64, u32, u64, u64, u64)) -> Self {
+impl From<(u64, u32, u64, u64, u64, u64)> for ShareReport {
+    fn from(fields: (u64, u32, u64, u64, u64, u64)) -> Self {
+        let (term, share, calls, candidate, ceded, credits) = fields;
         Self {
             term,
             share,
             calls,
             candidate,
             ceded,
+            credits,
         }
     }
 }
 
-impl From<ShareReport> for (u64, u32, u64, u64, u64) {
+impl From<ShareReport> for (u64, u32, u64, u64, u64, u64) {
     fn from(report: ShareReport) -> Self {
         (
             report.term,
@@ -49,12 +88,13 @@
             report.calls,
             report.candidate,
             report.ceded,
+            report.credits,
         )
     }
 }
 
 /// Whole-call credits for a daemon. The count is cumulative, so that a lost, repeated or late
-/// grant is harmless.
+/// grant is harmless. A grant without credits tells the daemon the term.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case")]
 pub struct Grant {
@@ -74,56 +114,207 @@
 
 /// The account of one service at an entry daemon.
 #[derive(Clone, Debug)]
-pub struct ShareCounter {}
+pub struct ShareCounter {
+    incarnation: u64,
+    rollout: u64,
+    stopped: Option<u64>,
+    comparing: bool,
+    balance: u64,
+    earned_at: Millis,
+    unused: VecDeque<Credits>,
+    account: ShareReport,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Credits {
+    count: u64,
+    expires: Millis,
+}
 
 impl ShareCounter {
     /// Starts an account. `incarnation` differs between any two starts of the daemon.
     pub fn new(incarnation: u64) -> Self {
-        let _ = incarnation;
-        Self {}
+        Self {
+            incarnation,
+            rollout: 0,
+            stopped: None,
+            comparing: false,
+            balance: 0,
+            earned_at: Millis(0),
+            unused: VecDeque::new(),
+            account: ShareReport::default(),
+        }
     }
 
     /// Chooses the version for one send and counts it.
     pub fn pick(&mut self, now: Millis, split: &TrafficSplit, attempt: Attempt) -> VersionName {
-        let _ = (now, attempt);
+        let Some(candidate) = &split.candidate else {
+            return split.stable.clone();
+        };
+        self.enter(now, candidate.rollout, candidate.share);
+        let excluded = self.stopped == Some(candidate.rollout)
+            || split.blocked.contains(&candidate.version)
+            || candidate.share == Share::NONE;
+        if !excluded && self.takes_candidate(now, attempt) {
+            self.account.candidate += 1;
+            return candidate.version.clone();
+        }
         split.stable.clone()
     }
 
     /// Returns the allowance of a send to the candidate that did not leave this daemon.
     pub fn unsent(&mut self, rollout: u64) {
-        let _ = rollout;
+        if rollout != self.rollout || self.account.candidate == 0 {
+            return;
+        }
+        self.account.candidate -= 1;
+        if self.account.share < Share::ALL.0 {
+            self.balance += CALL;
+        }
     }
 
     /// Stops all traffic from this daemon to the candidate of `rollout`.
     pub fn stop(&mut self, rollout: u64) {
-        let _ = rollout;
+        self.stopped = Some(rollout);
+    }
+
+    /// Sets whether every second call goes to the stable version while the candidate has all
+    /// traffic, so that a fault of the candidate can be told from one that hits both.
+    pub fn compare(&mut self, comparing: bool) {
+        self.comparing = comparing;
     }
 
     /// Cedes what cannot be used here and returns the account for the report.
     pub fn report(&mut self, now: Millis) -> ShareReport {
-        let _ = now;
-        ShareReport::default()
+        self.drop_expired(now);
+        let idle = now.since(self.earned_at) >= CEDE_AFTER;
+        if self.account.term > 0 && idle {
+            self.account.ceded += self.balance;
+            self.balance = 0;
+        }
+        self.account
     }
 
     /// Takes credits. Returns whether the grant was meant for this account.
     pub fn grant(&mut self, now: Millis, grant: &Grant) -> bool {
-        let _ = (now, grant);
-        false
+        if grant.incarnation != self.incarnation || grant.term < self.account.term {
+            return false;
+        }
+        if grant.term > self.account.term {
+            self.account.term = grant.term;
+            self.account.ceded = 0;
+            self.account.credits = 0;
+        }
+        if grant.rollout != self.rollout || grant.share != self.account.share {
+            return false;
+        }
+        let count = grant.credits.saturating_sub(self.account.credits);
+        if count > 0 {
+            self.account.credits = grant.credits;
+            let expires = now.after(grant.valid_for);
+            self.unused.push_back(Credits { count, expires });
+        }
+        true
+    }
+
+    fn enter(&mut self, now: Millis, rollout: u64, share: Share) {
+        if rollout == self.rollout && share.0 == self.account.share {
+            return;
+        }
+        if rollout != self.rollout {
+            self.rollout = rollout;
+            self.balance = 0;
+            self.comparing = false;
+        }
+        self.earned_at = now;
+        self.unused.clear();
+        self.account = ShareReport {
+            term: self.account.term,
+            share: share.0,
+            ..ShareReport::default()
+        };
+    }
+
+    fn takes_candidate(&mut self, now: Millis, attempt: Attempt) -> bool {
+        if self.account.share == Share::ALL.0 {
+            self.account.calls += u64::from(attempt == Attempt::First);
+            return !(self.comparing && self.account.calls.is_multiple_of(2));
+        }
+        if attempt == Attempt::Retry {
+            return false;
+        }
+        self.account.calls += 1;
+        self.balance += u64::from(self.account.share);
+        if self.balance >= CALL {
+            self.balance -= CALL;
+            self.earned_at = now;
+            return true;
+        }
+        self.take_credit(now)
+    }
+
+    fn take_credit(&mut self, now: Millis) -> bool {
+        self.drop_expired(now);
+        let Some(credits) = self.unused.front_mut() else {
+            return false;
+        };
+        credits.count -= 1;
+        if credits.count == 0 {
+            self.unused.pop_front();
+        }
+        true
+    }
+
+    fn drop_expired(&mut self, now: Millis) {
+        while let Some(credits) = self.unused.front()
+            && credits.expires <= now
+        {
+            self.account.ceded += credits.count * CALL;
+            self.unused.pop_front();
+        }
     }
 }
 
-/// The leader's pool of one rollout.
+/// The leader's pool of one rollout at one share.
 #[derive(Clone, Debug)]
-pub struct CreditPool {}
+pub struct CreditPool {
+    term: u64,
+    rollout: u64,
+    share: Share,
+    accounts: BTreeMap<(DaemonId, u64), PoolAccount>,
+    ceded: u64,
+    granted: u64,
+}
+
+#[derive(Clone, Debug, Default)]
+struct PoolAccount {
+    ceded: u64,
+    calls: u64,
+    calls_at_grant: u64,
+    granted: u64,
+    reported_at: Millis,
+    resend: bool,
+}
 
 impl CreditPool {
     /// Starts an empty pool for a rollout at a share.
     pub fn new(term: u64, rollout: u64, share: Share) -> Self {
-        let _ = (term, rollout, share);
-        Self {}
+        Self {
+            term,
+            rollout,
+            share,
+            accounts: BTreeMap::new(),
+            ceded: 0,
+            granted: 0,
+        }
     }
 
-    /// Takes in a daemon's account.
+    /// Returns the share for which this pool grants.
+    pub fn share(&self) -> Share {
+        self.share
+    }
+
+    /// Takes in a daemon's account. Accounts of another share are ignored.
     pub fn report(
         &mut self,
         now: Millis,
@@ -131,12 +322,69 @@
         incarnation: u64,
         report: &ShareReport,
     ) {
-        let _ = (now, daemon, incarnation, report);
+        if report.share != self.share.0 || report.term > self.term {
+            return;
+        }
+        let account = self
+            .accounts
+            .entry((daemon.clone(), incarnation))
+            .or_default();
+        account.calls = account.calls.max(report.calls);
+        account.reported_at = now;
+        if report.term < self.term {
+            account.resend = true;
+            return;
+        }
+        account.resend = report.credits < account.granted;
+        if report.ceded > account.ceded {
+            self.ceded += report.ceded - account.ceded;
+            account.ceded = report.ceded;
+        }
     }
 
-    /// Returns the grants to send now.
+    /// Returns the grants to send now. Credits go to the daemons with the most calls since their
+    /// last one, since these will use them soonest.
     pub fn grants(&mut self, now: Millis) -> Vec<(DaemonId, Grant)> {
-        let _ = now;
-        Vec::new()
+        let available = self.ceded.saturating_sub(self.granted * CALL) / CALL;
+        let mut waiting: BinaryHeap<(u64, (DaemonId, u64))> = self
+            .accounts
+            .iter()
+            .filter(|(_, account)| now.since(account.reported_at) < MAX_REPORT_AGE)
+            .filter(|(_, account)| account.calls > account.calls_at_grant)
+            .map(|(key, account)| (account.calls - account.calls_at_grant, key.clone()))
+            .collect();
+        for _ in 0..available {
+            let Some((_, key)) = waiting.pop() else {
+                break;
+            };
+            let Some(account) = self.accounts.get_mut(&key) else {
+                continue;
+            };
+            self.granted += 1;
+            account.granted += 1;
+            account.calls_at_grant = account.calls;
+            account.resend = true;
+        }
+        self.take_messages()
+    }
+
+    fn take_messages(&mut self) -> Vec<(DaemonId, Grant)> {
+        let (term, rollout, share) = (self.term, self.rollout, self.share.0);
+        let mut messages = Vec::new();
+        for ((daemon, incarnation), account) in &mut self.accounts {
+            if !std::mem::take(&mut account.resend) {
+                continue;
+            }
+            let grant = Grant {
+                term,
+                incarnation: *incarnation,
+                rollout,
+                share,
+                credits: account.granted,
+                valid_for: CREDIT_VALIDITY,
+            };
+            messages.push((daemon.clone(), grant));
+        }
+        messages
     }
 }
