Add evidence, the sequential comparison of versions and the local cut-off

The test multiplies, batch by batch, a factor whose expectation is at most 1 under the null hypothesis whatever the common failure probability is, and may therefore be looked at after each batch. Two faulty variants are noticed.

--- /dev/null
+++ b/crates/coordination/src/evidence/comparison.rs
@@ -0,0 +1,352 @@
+//! The comparison of a candidate with the stable version over routes and endpoints.
+//!
+//! The false-alarm rate α is divided among several e-processes by weights that add up to one:
+//! half for failures and half for slowness; in each, half for all routes together and half for
+//! single routes. The n-th route that is seen has the weight 1 / (n (n + 1)), so the number of
+//! routes need not be known.
+//!
+//! - Failures: bad calls are failures and refusals. They must not come from one group of endpoints
+//!   alone, since that is a bad host and not a bad version.
+//! - Slowness: a call of the candidate is slow if it takes longer than the permitted slowdown times
+//!   a quantile of the stable version. Most groups of endpoints must be slow, since the others may
+//!   be on slower hosts. The first calls of the candidate don't count, since its endpoints are cold.
+
+use indexmap::IndexMap;
+use sycamoreflow_state::config::{RolloutRule, Share};
+use sycamoreflow_state::ids::{Millis, RouteName};
+use sycamoreflow_state::rollout::{BadRatio, TakeBackReason};
+
+use super::histogram::{Histogram, shift};
+use super::sequential::{Batch, EProcess, LogFactors, log_sum};
+use super::{Counts, GROUPS, RouteEvidence};
+
+/// Calls per endpoint of the candidate that don't count as slow, for caches to fill.
+pub const COLD_CALLS: u64 = 30;
+/// Shares of the stable version's calls above the thresholds of slowness. The wider one finds a
+/// shift of all calls, the narrower one a longer tail.
+const SLOW_TAILS: [f64; 2] = [0.25, 0.05];
+/// Calls of the stable version on a route before its quantiles are used.
+const MIN_QUANTILE_CALLS: u64 = 100;
+/// A batch is closed at this ratio of stable to candidate calls, or at this number of stable
+/// calls. More calls would add little, since the factors are limited by the ratio.
+const CLOSE_RATIO: u64 = 20;
+const CLOSE_CALLS: u64 = 10;
+/// A batch with calls of both versions is closed at this age.
+const CLOSE_AGE: Millis = Millis(10_000);
+/// A batch with calls of one version only is dropped at this age, since its calls are too far
+/// apart to have met the same conditions.
+const DROP_AGE: Millis = Millis(30_000);
+/// Part of the bad calls that may come from one group of endpoints.
+const MAX_GROUP_PART: f64 = 0.8;
+/// Calls from which on a group of endpoints can vouch that the others are bad by themselves.
+const MIN_GROUP_CALLS: u64 = 5;
+
+#[derive(Clone, Copy, Debug)]
+struct Rules {
+    margin: f64,
+    slow_shift: u8,
+    refusals_are_bad: bool,
+}
+
+/// The comparison of one rollout.
+#[derive(Clone, Debug)]
+pub struct Comparison {
+    rules: Rules,
+    log_alpha: f64,
+    all: Tests,
+    routes: IndexMap<RouteName, RouteState>,
+    candidate_calls: u64,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Tests {
+    bad: EProcess,
+    slow: [[EProcess; SLOW_TAILS.len()]; GROUPS],
+    totals: Totals,
+    slow_totals: Batch,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Totals {
+    calls: [u64; GROUPS],
+    bad: [u64; GROUPS],
+    stable_calls: u64,
+    stable_bad: u64,
+}
+
+#[derive(Clone, Debug, Default)]
+struct RouteState {
+    tests: Tests,
+    pending: RouteEvidence,
+    opened: Millis,
+    stable_latency: Histogram,
+}
+
+impl Comparison {
+    /// Starts without evidence, with the false-alarm rate of the rule.
+    pub fn new(rule: &RolloutRule) -> Self {
+        Self {
+            rules: Rules {
+                margin: rule.max_extra_failures.ratio(),
+                slow_shift: shift(rule.max_slowdown_percent),
+                refusals_are_bad: true,
+            },
+            log_alpha: rule.false_alarm.max(Share(1)).ratio().ln(),
+            all: Tests::default(),
+            routes: IndexMap::new(),
+            candidate_calls: 0,
+        }
+    }
+
+    /// Starts a comparison that counts only failures, with a false-alarm rate of its own.
+    pub fn of_failures(rule: &RolloutRule, false_alarm: f64) -> Self {
+        let mut comparison = Self::new(rule);
+        comparison.log_alpha = false_alarm.ln();
+        comparison.rules.refusals_are_bad = false;
+        comparison
+    }
+
+    /// Adds new calls of a route.
+    pub fn add(&mut self, now: Millis, route: &RouteName, calls: &RouteEvidence) {
+        if calls.is_empty() {
+            return;
+        }
+        self.candidate_calls += calls.candidate_calls();
+        let state = match self.routes.get_mut(route) {
+            Some(state) => state,
+            None => self.routes.entry(route.clone()).or_default(),
+        };
+        if state.pending.is_empty() {
+            state.opened = now;
+        }
+        state.pending.merge(calls);
+    }
+
+    /// Closes the batches that are due. It is called at fixed times, since times that depend on
+    /// the outcome of calls would bias the test. `endpoints` is the candidate's number.
+    pub fn close_batches(&mut self, now: Millis, endpoints: u32) {
+        let warm = self.candidate_calls >= COLD_CALLS * u64::from(endpoints);
+        for state in self.routes.values_mut() {
+            let candidate = state.pending.candidate_calls();
+            let stable = state.pending.stable.calls;
+            let age = now.since(state.opened);
+            if candidate > 0 && stable > 0 {
+                let full = stable >= CLOSE_RATIO * candidate || stable >= CLOSE_CALLS;
+                if full || age >= CLOSE_AGE {
+                    self.all.multiply(&state.close(&self.rules, warm));
+                }
+            } else if age >= DROP_AGE || (stable == 0 && age >= CLOSE_AGE) {
+                state.stable_latency.merge(&state.pending.stable_latency);
+                state.pending = RouteEvidence::default();
+            }
+        }
+    }
+
+    /// Returns the candidate's calls that have been added.
+    pub fn candidate_calls(&self) -> u64 {
+        self.candidate_calls
+    }
+
+    /// Returns the logarithm of the evidence against the candidate in units of that which is
+    /// sufficient: 1 condemns it, 0 and less says nothing.
+    pub fn suspicion(&self) -> f64 {
+        self.log_bad().max(self.log_slow()) / -self.log_alpha
+    }
+
+    /// Returns why the candidate is bad, if the evidence suffices.
+    pub fn verdict(&self) -> Option<TakeBackReason> {
+        if self.log_bad() >= -self.log_alpha && !self.all.totals.concentrated() {
+            return Some(TakeBackReason::Failures(self.bad_ratio()));
+        }
+        if self.log_slow() >= -self.log_alpha {
+            return Some(TakeBackReason::Slow(self.slow_ratio()));
+        }
+        None
+    }
+
+    fn log_bad(&self) -> f64 {
+        let half = 0.5_f64.ln();
+        half + self.log_weighted(|tests| tests.bad.log_value())
+    }
+
+    /// Returns the value that most groups reach. By Markov's inequality at least half of the groups
+    /// exceed a bound at most twice as often as a single one does, hence the factor of a half more.
+    fn log_slow(&self) -> f64 {
+        let used: Vec<usize> = (0..GROUPS)
+            .filter(|group| self.all.totals.calls[*group] > 0)
+            .collect();
+        if used.is_empty() {
+            return f64::NEG_INFINITY;
+        }
+        let value = |group: usize| self.log_weighted(|tests| tests.log_slow(group));
+        let mut values: Vec<f64> = used.iter().map(|group| value(*group)).collect();
+        values.sort_by(|a, b| b.total_cmp(a));
+        0.25_f64.ln() + values[used.len() / 2]
+    }
+
+    fn log_weighted(&self, value: impl Fn(&Tests) -> f64) -> f64 {
+        let half = 0.5_f64.ln();
+        let routes = self.routes.values().enumerate().map(|(index, state)| {
+            let n = index as f64 + 1.0;
+            half - (n * (n + 1.0)).ln() + value(&state.tests)
+        });
+        let logs: Vec<f64> = routes.chain([half + value(&self.all)]).collect();
+        log_sum(logs.into_iter())
+    }
+
+    /// Returns the tests with the highest value: those of a route, or of all routes.
+    fn strongest(&self, value: impl Fn(&Tests) -> f64) -> (Option<RouteName>, &Tests) {
+        let mut strongest = (None, &self.all);
+        for (route, state) in &self.routes {
+            if value(&state.tests) > value(strongest.1) {
+                strongest = (Some(route.clone()), &state.tests);
+            }
+        }
+        strongest
+    }
+
+    fn bad_ratio(&self) -> BadRatio {
+        let (route, tests) = self.strongest(|tests| tests.bad.log_value());
+        let totals = &tests.totals;
+        let calls = totals.calls.iter().sum();
+        BadRatio {
+            route,
+            candidate: share(totals.bad.iter().sum(), calls),
+            stable: share(totals.stable_bad, totals.stable_calls),
+            calls,
+        }
+    }
+
+    fn slow_ratio(&self) -> BadRatio {
+        let sum = |tests: &Tests| (0..GROUPS).map(|group| tests.log_slow(group)).sum::<f64>();
+        let (route, tests) = self.strongest(sum);
+        let totals = &tests.slow_totals;
+        BadRatio {
+            route,
+            candidate: share(totals.candidate_bad, totals.candidate_calls),
+            stable: share(totals.stable_bad, totals.stable_calls),
+            calls: totals.candidate_calls,
+        }
+    }
+}
+
+impl Tests {
+    fn log_slow(&self, group: usize) -> f64 {
+        let weight = -(SLOW_TAILS.len() as f64).ln();
+        let logs = self.slow[group].map(|process| process.log_value() + weight);
+        log_sum(logs.into_iter())
+    }
+
+    fn multiply(&mut self, factors: &Factors) {
+        self.bad.multiply(&factors.bad);
+        self.totals.add(&factors.totals);
+        self.slow_totals.add(&factors.slow_totals);
+        for (processes, factors) in self.slow.iter_mut().zip(&factors.slow) {
+            for (process, factors) in processes.iter_mut().zip(factors) {
+                process.multiply(factors);
+            }
+        }
+    }
+}
+
+impl Totals {
+    fn of(calls: &RouteEvidence, refusals_are_bad: bool) -> Self {
+        let bad = |counts: &Counts| {
+            let refused = if refusals_are_bad { counts.refusals } else { 0 };
+            counts.failures + refused
+        };
+        let mut totals = Self {
+            stable_calls: calls.stable.calls,
+            stable_bad: bad(&calls.stable),
+            ..Self::default()
+        };
+        for (group, counts) in calls.candidate.iter().enumerate().take(GROUPS) {
+            totals.calls[group] = counts.calls;
+            totals.bad[group] = bad(counts);
+        }
+        totals
+    }
+
+    fn add(&mut self, other: &Self) {
+        for group in 0..GROUPS {
+            self.calls[group] += other.calls[group];
+            self.bad[group] += other.bad[group];
+        }
+        self.stable_calls += other.stable_calls;
+        self.stable_bad += other.stable_bad;
+    }
+
+    fn batch(&self) -> Batch {
+        Batch {
+            candidate_calls: self.calls.iter().sum(),
+            candidate_bad: self.bad.iter().sum(),
+            stable_calls: self.stable_calls,
+            stable_bad: self.stable_bad,
+        }
+    }
+
+    /// Returns whether one of several groups of endpoints has nearly all bad calls.
+    fn concentrated(&self) -> bool {
+        let used = self.calls.iter().filter(|calls| **calls >= MIN_GROUP_CALLS);
+        let most = self.bad.iter().copied().max().unwrap_or(0);
+        let all: u64 = self.bad.iter().sum();
+        used.count() > 1 && most as f64 > MAX_GROUP_PART * all as f64
+    }
+}
+
+/// What a closed batch says.
+struct Factors {
+    bad: LogFactors,
+    slow: [[LogFactors; SLOW_TAILS.len()]; GROUPS],
+    totals: Totals,
+    slow_totals: Batch,
+}
+
+impl RouteState {
+    /// Takes the pending calls as a batch.
+    fn close(&mut self, rules: &Rules, warm: bool) -> Factors {
+        let calls = std::mem::take(&mut self.pending);
+        let totals = Totals::of(&calls, rules.refusals_are_bad);
+        let mut factors = Factors {
+            bad: totals.batch().log_factors(rules.margin),
+            slow: Default::default(),
+            totals,
+            slow_totals: Batch::default(),
+        };
+        if warm && self.stable_latency.total() >= MIN_QUANTILE_CALLS {
+            self.compare_latency(&calls, rules.slow_shift, &mut factors);
+        }
+        self.stable_latency.merge(&calls.stable_latency);
+        self.tests.multiply(&factors);
+        factors
+    }
+
+    /// The thresholds come from the calls before this batch, as the test requires.
+    fn compare_latency(&self, calls: &RouteEvidence, slow_shift: u8, factors: &mut Factors) {
+        for (tail, share) in SLOW_TAILS.iter().enumerate() {
+            let threshold = self.stable_latency.upper_bucket(*share);
+            let stable = Batch {
+                stable_calls: calls.stable_latency.total(),
+                stable_bad: calls.stable_latency.above(threshold),
+                ..Batch::default()
+            };
+            let mut total = stable;
+            for (group, latency) in calls.candidate_latency.iter().enumerate().take(GROUPS) {
+                let batch = Batch {
+                    candidate_calls: latency.total(),
+                    candidate_bad: latency.above(threshold.saturating_add(slow_shift)),
+                    ..stable
+                };
+                factors.slow[group][tail] = batch.log_factors(0.0);
+                total.candidate_calls += batch.candidate_calls;
+                total.candidate_bad += batch.candidate_bad;
+            }
+            factors.slow_totals = total;
+        }
+    }
+}
+
+fn share(part: u64, whole: u64) -> Share {
+    let ratio = part as f64 / whole.max(1) as f64;
+    Share((ratio * f64::from(Share::ALL.0)) as u32)
+}
--- /dev/null
+++ b/crates/coordination/src/evidence/recorder.rs
@@ -0,0 +1,231 @@
+//! The evidence that an entry daemon collects, and its local cut-off.
+
+use indexmap::IndexMap;
+use sycamoreflow_state::config::{Candidate, RolloutRule, Share, TrafficSplit};
+use sycamoreflow_state::ids::{Millis, RouteName};
+
+use super::comparison::Comparison;
+use super::histogram::{Histogram, bucket, shift};
+use super::{CallOutcome, FinishedCall, RolloutEvidence, RouteEvidence};
+use crate::shares::ShareReport;
+
+/// Probability that a daemon cuts a good version off during one rollout. It is far below usual
+/// false-alarm rates of the whole mesh, since thousands of daemons decide independently.
+pub const LOCAL_FALSE_ALARM: f64 = 1e-4;
+/// Interval at which the local cut-off looks at the evidence.
+pub const LOCAL_INTERVAL: Millis = Millis(200);
+/// Encoded bytes of evidence per service in a report, unless the caller sets another budget. It
+/// leaves most of 3 KB/s to the other messages of a daemon.
+pub const DEFAULT_BUDGET: usize = 600;
+/// Routes counted per service. Calls of further routes are counted under the last one.
+const MAX_ROUTES: usize = 64;
+
+/// The evidence of one service at an entry daemon, with its local cut-off.
+#[derive(Clone, Debug, Default)]
+pub struct EvidenceRecorder {
+    rollout: Option<u64>,
+    share: Share,
+    routes: IndexMap<RouteName, RouteEvidence>,
+    next_route: usize,
+    cut_off: LocalCutoff,
+    change: ChangeDetector,
+}
+
+impl EvidenceRecorder {
+    /// Starts without evidence.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Counts a finished call. Returns the rollout that is to be stopped here, if the candidate is
+    /// clearly bad. Calls are not counted after that.
+    pub fn record(
+        &mut self,
+        now: Millis,
+        split: &TrafficSplit,
+        rule: &RolloutRule,
+        call: &FinishedCall<'_>,
+    ) -> Option<u64> {
+        let candidate = split.candidate.as_ref()?;
+        self.enter(now, candidate, rule);
+        let to_candidate = *call.version == candidate.version;
+        let counted = to_candidate || *call.version == split.stable;
+        if !counted || self.cut_off.active {
+            return None;
+        }
+        self.route(call.route).record(call, to_candidate);
+        self.change.record(rule, call, to_candidate);
+        let cut = self.cut_off.record(now, call, to_candidate);
+        cut.then_some(candidate.rollout)
+    }
+
+    /// Returns whether the candidate has been cut off here.
+    pub fn is_cut_off(&self, rollout: u64) -> bool {
+        self.rollout == Some(rollout) && self.cut_off.active
+    }
+
+    /// Returns whether some calls are to go to the stable version although the candidate has all
+    /// traffic, since the candidate does worse than the stable version did; see
+    /// [`ShareCounter::compare`](crate::shares::ShareCounter::compare).
+    pub fn wants_comparison(&self) -> bool {
+        self.share == Share::ALL && self.change.suspicious
+    }
+
+    /// Returns the evidence for the report, or `None` if no rollout is known here.
+    pub fn report(&mut self, shares: ShareReport) -> Option<RolloutEvidence> {
+        self.report_within(shares, DEFAULT_BUDGET)
+    }
+
+    /// Returns the evidence that fits into `budget` encoded bytes. Routes that don't fit take their
+    /// turn in the next reports; counts are cumulative, so nothing is lost by that.
+    pub fn report_within(&mut self, shares: ShareReport, budget: usize) -> Option<RolloutEvidence> {
+        let rollout = self.rollout?;
+        let mut routes = IndexMap::new();
+        let mut size = 0;
+        for _ in 0..self.routes.len() {
+            let index = self.next_route % self.routes.len();
+            let Some((route, evidence)) = self.routes.get_index(index) else {
+                break;
+            };
+            size += evidence.encoded_size() + route.as_str().len();
+            if size > budget && !routes.is_empty() {
+                break;
+            }
+            routes.insert(route.clone(), evidence.clone());
+            self.next_route = index + 1;
+        }
+        Some(RolloutEvidence {
+            rollout,
+            share: self.share,
+            shares,
+            cut_off: self.cut_off.active,
+            routes,
+        })
+    }
+
+    fn enter(&mut self, now: Millis, candidate: &Candidate, rule: &RolloutRule) {
+        if self.rollout != Some(candidate.rollout) {
+            *self = Self {
+                rollout: Some(candidate.rollout),
+                share: candidate.share,
+                cut_off: LocalCutoff::new(now, rule),
+                ..Self::default()
+            };
+        }
+        if self.share != candidate.share {
+            self.share = candidate.share;
+            self.routes.clear();
+        }
+    }
+
+    fn route(&mut self, name: &RouteName) -> &mut RouteEvidence {
+        let known = self.routes.get_index_of(name);
+        let index = known.unwrap_or_else(|| {
+            if self.routes.len() < MAX_ROUTES {
+                self.routes
+                    .insert_full(name.clone(), RouteEvidence::default())
+                    .0
+            } else {
+                MAX_ROUTES - 1
+            }
+        });
+        &mut self.routes[index]
+    }
+}
+
+/// Stops the candidate at one daemon on evidence of this daemon alone, before the leader decides.
+///
+/// It counts failures only: refused calls have not run and are sent elsewhere, and slowness takes
+/// more evidence than one daemon has.
+#[derive(Clone, Debug, Default)]
+struct LocalCutoff {
+    comparison: Option<Comparison>,
+    recent: IndexMap<RouteName, RouteEvidence>,
+    next_look: Millis,
+    active: bool,
+}
+
+impl LocalCutoff {
+    fn new(now: Millis, rule: &RolloutRule) -> Self {
+        Self {
+            comparison: Some(Comparison::of_failures(rule, LOCAL_FALSE_ALARM)),
+            recent: IndexMap::new(),
+            next_look: now.after(LOCAL_INTERVAL),
+            active: false,
+        }
+    }
+
+    /// Counts a call. Returns whether it made the cut-off active.
+    fn record(&mut self, now: Millis, call: &FinishedCall<'_>, to_candidate: bool) -> bool {
+        if now >= self.next_look {
+            self.look(now);
+        }
+        if self.recent.len() < MAX_ROUTES || self.recent.contains_key(call.route) {
+            let recent = self.recent.entry(call.route.clone()).or_default();
+            recent.count(call, to_candidate);
+        }
+        self.active
+    }
+
+    fn look(&mut self, now: Millis) {
+        self.next_look = now.after(LOCAL_INTERVAL);
+        let Some(comparison) = &mut self.comparison else {
+            return;
+        };
+        for (route, calls) in self.recent.drain(..) {
+            comparison.add(now, &route, &calls);
+        }
+        comparison.close_batches(now, 0);
+        self.active = comparison.verdict().is_some();
+    }
+}
+
+/// Notices that the candidate does worse than the stable version did before. It only asks for a
+/// comparison, so it needs no bound on false alarms.
+///
+/// Both sums are of the CUSUM kind: they rise by bad calls, fall by the permitted number, and stay
+/// above zero.
+#[derive(Clone, Debug, Default)]
+struct ChangeDetector {
+    stable_calls: u64,
+    stable_bad: u64,
+    stable_latency: Histogram,
+    bad: f64,
+    slow: f64,
+    suspicious: bool,
+}
+
+/// Calls per permitted bad call, relative to the ratio that is permitted.
+const ALLOWANCE: f64 = 1.2;
+/// Sum at which a comparison begins. It ends when both sums are down to zero.
+const SUSPICIOUS: f64 = 3.0;
+/// Upper bound of the sums, which limits how long a comparison lasts after a fault.
+const MAX_SUM: f64 = 8.0;
+/// Share of calls that may exceed the threshold of slowness.
+const SLOW_TAIL: f64 = 0.05;
+
+impl ChangeDetector {
+    fn record(&mut self, rule: &RolloutRule, call: &FinishedCall<'_>, to_candidate: bool) {
+        let bad = call.outcome != CallOutcome::Succeeded;
+        if !to_candidate {
+            self.stable_calls += 1;
+            self.stable_bad += u64::from(bad);
+            self.stable_latency.record(call.latency_us);
+            return;
+        }
+        let usual = self.stable_bad as f64 / self.stable_calls.max(1) as f64;
+        let permitted = usual + rule.max_extra_failures.ratio();
+        let threshold = self.stable_latency.upper_bucket(SLOW_TAIL);
+        let limit = threshold.saturating_add(shift(rule.max_slowdown_percent));
+        let slow = self.stable_calls > 0 && bucket(call.latency_us) > limit;
+        self.bad = cusum(self.bad, bad, permitted);
+        self.slow = cusum(self.slow, slow, SLOW_TAIL);
+        let highest = self.bad.max(self.slow);
+        self.suspicious = highest >= SUSPICIOUS || (self.suspicious && highest > 0.0);
+    }
+}
+
+fn cusum(sum: f64, bad: bool, permitted: f64) -> f64 {
+    let step = f64::from(u8::from(bad)) - ALLOWANCE * permitted;
+    (sum + step).clamp(0.0, MAX_SUM)
+}
--- /dev/null
+++ b/crates/coordination/src/evidence/tests.rs
@@ -0,0 +1,301 @@
+#![allow(clippy::unwrap_used)]
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+use sycamoreflow_state::config::{Candidate, FinishTime, LowTraffic, RolloutRule, TrafficSplit};
+use sycamoreflow_state::rollout::TakeBackReason;
+
+use super::comparison::Comparison;
+use super::recorder::DEFAULT_BUDGET;
+use super::sequential::{Batch, EProcess};
+use super::*;
+
+fn rule() -> RolloutRule {
+    RolloutRule {
+        steps: vec![Share::percent(1), Share::ALL],
+        finish: FinishTime::Within(Millis(600_000)),
+        watch: Millis(60_000),
+        max_extra_failures: Share::percent(1),
+        max_slowdown_percent: 200,
+        false_alarm: Share::percent(5),
+        low_traffic: LowTraffic::Finish,
+    }
+}
+
+/// How a simulated mesh behaves.
+#[derive(Clone, Copy)]
+struct Case {
+    /// Calls per second and route.
+    calls: u64,
+    share: f64,
+    routes: usize,
+    /// Failure probability by second and version.
+    failure: fn(u64, bool, usize) -> f64,
+    /// Factor of the latency by version and endpoint.
+    slowdown: fn(bool, usize) -> f64,
+    seconds: u64,
+}
+
+const GOOD: Case = Case {
+    calls: 100,
+    share: 0.05,
+    routes: 3,
+    failure: |_, _, _| 0.002,
+    slowdown: |_, _| 1.0,
+    seconds: 120,
+};
+
+struct Detection {
+    reason: TakeBackReason,
+    candidate_calls: u64,
+}
+
+/// Runs one mesh until a verdict or the end.
+fn run(case: &Case, seed: u64) -> Option<Detection> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut comparison = Comparison::new(&rule());
+    let (stable, candidate) = (VersionName::from("v1"), VersionName::from("v2"));
+    for second in 0..case.seconds {
+        let now = Millis(second * 1000);
+        for index in 0..case.routes {
+            let route = RouteName::from(format!("r{index}"));
+            let mut calls = RouteEvidence::default();
+            for _ in 0..case.calls {
+                let new = rng.random_bool(case.share);
+                let endpoint = rng.random_range(0..3);
+                let failed = rng.random_bool((case.failure)(second, new, index));
+                let spread: f64 = rng.random_range(0.5..1.0);
+                let tail = if rng.random_bool(0.05) { 4.0 } else { 1.0 };
+                let latency = 10_000.0 * spread * tail * (case.slowdown)(new, endpoint);
+                let call = FinishedCall {
+                    route: &route,
+                    version: if new { &candidate } else { &stable },
+                    endpoint,
+                    outcome: if failed {
+                        CallOutcome::Failed
+                    } else {
+                        CallOutcome::Succeeded
+                    },
+                    latency_us: latency as u64,
+                };
+                calls.record(&call, new);
+            }
+            comparison.add(now, &route, &calls);
+        }
+        comparison.close_batches(now, 3);
+        if let Some(reason) = comparison.verdict() {
+            let candidate_calls = comparison.candidate_calls();
+            return Some(Detection {
+                reason,
+                candidate_calls,
+            });
+        }
+    }
+    None
+}
+
+/// Guards against good versions that are taken back more often than the false-alarm rate says,
+/// also when failures or overload hit both versions, or one host is slow or fails.
+///
+/// The bound of 5% plus three standard deviations of 400 runs is 8.2%, which is 33 runs.
+#[rstest]
+#[case::steady(GOOD)]
+#[case::at_margin(Case { failure: |_, new, _| if new { 0.012 } else { 0.002 }, ..GOOD })]
+#[case::half_share(Case { share: 0.5, ..GOOD })]
+#[case::both_fail(Case { failure: |t, _, _| if t % 40 > 30 { 0.7 } else { 0.002 }, ..GOOD })]
+#[case::both_fail_fast_change(Case { failure: |t, _, _| if t % 2 == 0 { 0.3 } else { 0.0 }, ..GOOD })]
+#[case::low_traffic(Case { calls: 2, share: 0.1, seconds: 600, ..GOOD })]
+#[case::permitted_slowdown(Case { slowdown: |new, _| if new { 1.6 } else { 1.0 }, ..GOOD })]
+#[case::slow_host(Case { slowdown: |new, e| if new && e == 0 { 8.0 } else { 1.0 }, ..GOOD })]
+fn verdict_good_version(#[case] case: Case) {
+    let alarms = (0..400).filter(|seed| run(&case, *seed).is_some()).count();
+    println!("{alarms} of 400");
+    assert!(alarms <= 33, "{alarms} of 400");
+}
+
+/// Guards against bad versions that are noticed late or not at all. The bound is that of the
+/// candidate's calls up to the verdict, at the median of 40 runs.
+#[rstest]
+#[case::all_fail(Case { failure: |_, new, _| if new { 1.0 } else { 0.002 }, ..GOOD }, 20, false)]
+#[case::fifth_fails(Case { failure: |_, new, _| if new { 0.2 } else { 0.002 }, ..GOOD }, 80, false)]
+#[case::three_percent(Case { failure: |_, new, _| if new { 0.03 } else { 0.0 }, seconds: 600, ..GOOD }, 2_000, false)]
+#[case::one_route(Case { failure: |_, new, r| if new && r == 1 { 0.5 } else { 0.002 }, routes: 8, ..GOOD }, 300, false)]
+#[case::three_times_slower(Case { slowdown: |new, _| if new { 3.0 } else { 1.0 }, ..GOOD }, 300, true)]
+fn verdict_bad_version(#[case] case: Case, #[case] bound: u64, #[case] slow: bool) {
+    let mut calls = Vec::new();
+    for seed in 0..40 {
+        let found = run(&case, seed).unwrap();
+        assert_eq!(matches!(found.reason, TakeBackReason::Slow(_)), slow);
+        calls.push(found.candidate_calls);
+    }
+    calls.sort_unstable();
+    println!("median {} worst {}", calls[20], calls[39]);
+    assert!(calls[20] <= bound, "{} calls", calls[20]);
+}
+
+/// Guards against a verdict that doesn't name the route to which the failures are confined.
+#[test]
+fn verdict_names_route() {
+    let case = Case {
+        failure: |_, new, r| if new && r == 1 { 0.5 } else { 0.002 },
+        routes: 8,
+        ..GOOD
+    };
+    let found = run(&case, 1).unwrap();
+    let TakeBackReason::Failures(ratio) = found.reason else {
+        panic!("not because of failures");
+    };
+    assert_eq!(ratio.route, Some("r1".into()));
+    assert!(ratio.candidate > Share::percent(20));
+}
+
+/// Returns how often the e-process exceeds its bound when both versions fail alike.
+fn alarms_of(factors: fn(&Batch) -> [f64; 8]) -> usize {
+    let alarm = |seed: u64| {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut process = EProcess::default();
+        (0..200).any(|second| {
+            let p = if second % 20 < 5 { 0.4 } else { 0.01 };
+            let mut count = |calls| (0..calls).filter(|_| rng.random_bool(p)).count() as u64;
+            let batch = Batch {
+                candidate_calls: 10,
+                candidate_bad: count(10),
+                stable_calls: 90,
+                stable_bad: count(90),
+            };
+            process.multiply(&factors(&batch));
+            process.log_value() > 20.0_f64.ln()
+        })
+    };
+    (0..400).filter(|seed| alarm(*seed)).count()
+}
+
+/// Guards against a check of false alarms that cannot fail: tests that ignore the stable version,
+/// or look at a fixed-size test after each batch, are noticed.
+#[test]
+fn log_factors_broken_variant() {
+    assert!(alarms_of(|batch| batch.log_factors(0.0)) <= 33);
+    let stable_ignored = alarms_of(|batch| {
+        let none = Batch {
+            stable_bad: 0,
+            ..*batch
+        };
+        none.log_factors(0.01)
+    });
+    assert!(stable_ignored > 33, "{stable_ignored}");
+    let not_compensated = alarms_of(|batch| batch.log_factors(0.0).map(|log| log + 0.1));
+    assert!(not_compensated > 33, "{not_compensated}");
+}
+
+fn split(share: Share) -> TrafficSplit {
+    TrafficSplit {
+        stable: "v1".into(),
+        candidate: Some(Candidate {
+            version: "v2".into(),
+            share,
+            rollout: 1,
+        }),
+        blocked: Vec::new(),
+    }
+}
+
+/// Records `seconds` of calls at a daemon with 30 calls/s, and returns after how many failed calls
+/// of the candidate it was cut off.
+fn record(recorder: &mut EvidenceRecorder, seed: u64, failure: [f64; 2]) -> Option<u64> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let split = split(Share::percent(5));
+    let mut failed_calls = 0;
+    for n in 0..9_000_u64 {
+        let new = n % 20 == 0;
+        let failed = rng.random_bool(failure[usize::from(new)]);
+        failed_calls += u64::from(failed && new);
+        let call = FinishedCall {
+            route: &RouteName::from(format!("/route/number/{}", rng.random_range(0..3))),
+            version: &VersionName::from(if new { "v2" } else { "v1" }),
+            endpoint: rng.random_range(0..3),
+            outcome: if failed {
+                CallOutcome::Failed
+            } else {
+                CallOutcome::Succeeded
+            },
+            latency_us: rng.random_range(2_000..40_000),
+        };
+        if recorder
+            .record(Millis(n * 33), &split, &rule(), &call)
+            .is_some()
+        {
+            return Some(failed_calls);
+        }
+    }
+    None
+}
+
+/// Guards against a daemon that sends many calls to a version that fails all of them.
+#[test]
+fn cut_off_failing_version() {
+    for seed in 0..40 {
+        let mut recorder = EvidenceRecorder::new();
+        let failed = record(&mut recorder, seed, [0.002, 1.0]).unwrap();
+        assert!(failed <= 12, "{failed} failed calls");
+        assert!(recorder.is_cut_off(1));
+    }
+}
+
+/// Guards against daemons that cut a good version off by chance or because of a common failure.
+#[rstest]
+#[case::steady([0.002, 0.002])]
+#[case::common_failure([0.6, 0.6])]
+fn cut_off_good_version(#[case] failure: [f64; 2]) {
+    let cut = |seed: &u64| record(&mut EvidenceRecorder::new(), *seed, failure).is_some();
+    assert_eq!((0..200).filter(cut).count(), 0);
+}
+
+/// Guards against reports that use up the bytes of a daemon, and against routes that are never
+/// reported because of the budget.
+#[test]
+fn report_size() {
+    let mut recorder = EvidenceRecorder::new();
+    record(&mut recorder, 1, [0.01, 0.01]);
+    let mut reported = std::collections::BTreeSet::new();
+    for _ in 0..4 {
+        let evidence = recorder.report(ShareReport::default()).unwrap();
+        reported.extend(evidence.routes.keys().cloned());
+        let report = EvidenceReport {
+            incarnation: u64::MAX,
+            rollouts: vec![evidence],
+        };
+        let mut bytes = Vec::new();
+        ciborium::into_writer(&report, &mut bytes).unwrap();
+        println!("{} bytes", bytes.len());
+        assert!(bytes.len() <= DEFAULT_BUDGET + 100, "{}", bytes.len());
+        let decoded: EvidenceReport = ciborium::from_reader(&bytes[..]).unwrap();
+        assert_eq!(decoded, report);
+    }
+    assert_eq!(reported.len(), 3);
+}
+
+/// Guards against a comparison that is never asked for when a version turns bad at full share, and
+/// one that never ends.
+#[test]
+fn wants_comparison_at_full_share() {
+    let mut recorder = EvidenceRecorder::new();
+    record(&mut recorder, 1, [0.002, 0.002]);
+    let all = split(Share::ALL);
+    let mut send = |outcome, count: u64| {
+        let call = FinishedCall {
+            route: &"r".into(),
+            version: &"v2".into(),
+            endpoint: 0,
+            outcome,
+            latency_us: 5_000,
+        };
+        for n in 0..count {
+            recorder.record(Millis(400_000 + n), &all, &rule(), &call);
+        }
+        recorder.wants_comparison()
+    };
+    assert!(!send(CallOutcome::Succeeded, 100));
+    assert!(send(CallOutcome::Failed, 5));
+    assert!(!send(CallOutcome::Succeeded, 1_000));
+}
