--- /dev/null
+++ b/crates/coordination/examples/rollouts/scenario.rs
@@ -0,0 +1,154 @@
+//! What happens to a version in each scenario.
+
+/// What an upstream sees of a call.
+pub(crate) struct Moment {
+    /// Whether the call goes to the new version.
+    pub(crate) new: bool,
+    /// Route of the call, below [`ROUTES`].
+    pub(crate) route: usize,
+    /// Milliseconds since the new version has traffic.
+    pub(crate) age: u64,
+    /// Calls of the new version in the last second.
+    pub(crate) load: u64,
+}
+
+/// Routes of the service.
+pub(crate) const ROUTES: usize = 3;
+/// Failure probability of calls without a fault.
+const USUAL: f64 = 0.001;
+
+/// A scenario.
+#[derive(Clone, Copy)]
+pub(crate) struct Scenario {
+    /// Name for `--scenario`.
+    pub(crate) name: &'static str,
+    /// Whether the new version is to be taken back.
+    pub(crate) bad: bool,
+    /// Failure probability of a call.
+    pub(crate) failure: fn(&Moment) -> f64,
+    /// Factor of the new version's latency.
+    pub(crate) slowdown: f64,
+    /// Whether the leader is lost two seconds after each step.
+    pub(crate) leader_lost: bool,
+    /// Whether all daemons restart every 40 s.
+    pub(crate) herd: bool,
+}
+
+const GOOD: Scenario = Scenario {
+    name: "good",
+    bad: false,
+    failure: |_| USUAL,
+    slowdown: 1.0,
+    leader_lost: false,
+    herd: false,
+};
+
+const LATE: Scenario = Scenario {
+    name: "fails-after-60s",
+    bad: true,
+    failure: |call| {
+        if call.new && call.age >= 60_000 {
+            1.0
+        } else {
+            USUAL
+        }
+    },
+    ..GOOD
+};
+
+/// All scenarios.
+pub(crate) const SCENARIOS: [Scenario; 14] = [
+    GOOD,
+    Scenario {
+        name: "fails-at-once",
+        bad: true,
+        failure: |call| if call.new { 1.0 } else { USUAL },
+        ..GOOD
+    },
+    LATE,
+    Scenario {
+        name: "fails-after-280s",
+        failure: |call| {
+            if call.new && call.age >= 280_000 {
+                1.0
+            } else {
+                USUAL
+            }
+        },
+        ..LATE
+    },
+    Scenario {
+        name: "fails-under-load",
+        bad: true,
+        failure: |call| {
+            if call.new && call.load > 40 {
+                0.5
+            } else {
+                USUAL
+            }
+        },
+        ..GOOD
+    },
+    Scenario {
+        name: "fails-on-one-route",
+        bad: true,
+        failure: |call| {
+            if call.new && call.route == 1 {
+                0.5
+            } else {
+                USUAL
+            }
+        },
+        ..GOOD
+    },
+    Scenario {
+        name: "three-times-slower",
+        bad: true,
+        slowdown: 3.0,
+        ..GOOD
+    },
+    Scenario {
+        name: "fails-2-percent",
+        bad: true,
+        failure: |call| if call.new { 0.02 + USUAL } else { USUAL },
+        ..GOOD
+    },
+    Scenario {
+        name: "both-fail",
+        failure: |call| {
+            if call.age % 80_000 >= 60_000 {
+                0.4
+            } else {
+                USUAL
+            }
+        },
+        ..GOOD
+    },
+    Scenario {
+        name: "leader-lost-good",
+        leader_lost: true,
+        ..GOOD
+    },
+    Scenario {
+        name: "leader-lost-late",
+        leader_lost: true,
+        ..LATE
+    },
+    Scenario {
+        name: "herd-good",
+        herd: true,
+        ..GOOD
+    },
+    Scenario {
+        name: "herd-fails-at-once",
+        bad: true,
+        failure: |call| if call.new { 1.0 } else { USUAL },
+        herd: true,
+        ..GOOD
+    },
+    Scenario {
+        name: "herd-late",
+        herd: true,
+        ..LATE
+    },
+];
