Drop one-sided batches of evidence early and close small ones

Cause: at full share a batch collected calls of the new version for 10 s, so that the first calls of a comparison were diluted by earlier good ones. Change: a batch with ten calls of the candidate and none of the stable version is dropped. Two scenarios that turn bad while watched are new.

--- a/crates/coordination/examples/rollouts/scenario.rs
+++ b/crates/coordination/examples/rollouts/scenario.rs
@@ -26,8 +26,8 @@
     pub(crate) bad: bool,
     /// Failure probability of a call.
     pub(crate) failure: fn(&Moment) -> f64,
-    /// Factor of the new version's latency.
-    pub(crate) slowdown: f64,
+    /// Factor of the new version's latency by the time since it has traffic.
+    pub(crate) slowdown: fn(u64) -> f64,
     /// Whether the leader is lost two seconds after each step.
     pub(crate) leader_lost: bool,
     /// Whether all daemons restart every 40 s.
@@ -38,7 +38,7 @@
     name: "good",
     bad: false,
     failure: |_| USUAL,
-    slowdown: 1.0,
+    slowdown: |_| 1.0,
     leader_lost: false,
     herd: false,
 };
@@ -57,7 +57,7 @@
 };
 
 /// All scenarios.
-pub(crate) const SCENARIOS: [Scenario; 14] = [
+pub(crate) const SCENARIOS: [Scenario; 16] = [
     GOOD,
     Scenario {
         name: "fails-at-once",
@@ -77,6 +77,23 @@
         },
         ..LATE
     },
+    Scenario {
+        name: "fails-while-watched",
+        failure: |call| {
+            if call.new && call.age >= 310_000 {
+                1.0
+            } else {
+                USUAL
+            }
+        },
+        ..LATE
+    },
+    Scenario {
+        name: "slow-while-watched",
+        slowdown: |age| if age >= 310_000 { 3.0 } else { 1.0 },
+        bad: true,
+        ..GOOD
+    },
     Scenario {
         name: "fails-under-load",
         bad: true,
@@ -104,7 +121,7 @@
     Scenario {
         name: "three-times-slower",
         bad: true,
-        slowdown: 3.0,
+        slowdown: |_| 3.0,
         ..GOOD
     },
     Scenario {
--- a/crates/coordination/examples/rollouts/world.rs
+++ b/crates/coordination/examples/rollouts/world.rs
@@ -226,7 +226,7 @@
         }
         if new {
             self.count_candidate();
-            latency *= self.scenario.slowdown;
+            latency *= (self.scenario.slowdown)(self.now - self.first_call.unwrap_or(self.now));
             self.endpoint_calls[endpoint] += 1;
             if self.endpoint_calls[endpoint] <= COLD_CALLS {
                 latency *= 5.0;
@@ -354,6 +354,7 @@
             .record(Millis(self.now), &entry.split, &rule, &finished);
         if let Some(rollout) = cut {
             entry.counter.stop(rollout);
+            self.outcome.cut_off_daemons += 1;
         }
     }
 
@@ -415,7 +416,6 @@
         } else {
             leader.tick(now, &self.rollouts, capacity)
         };
-        self.outcome.cut_off_daemons = self.outcome.cut_off_daemons.max(leader.cut_off(1));
         let grants = leader.grants(now);
         for command in commands {
             self.later(COMMIT_DELAY, Event::Commit(Box::new(command)));
--- a/crates/coordination/src/evidence/comparison.rs
+++ b/crates/coordination/src/evidence/comparison.rs
@@ -31,10 +31,15 @@
 /// calls. More calls would add little, since the factors are limited by the ratio.
 const CLOSE_RATIO: u64 = 20;
 const CLOSE_CALLS: u64 = 10;
+/// A smaller batch is closed at this number of stable calls if their ratio to those of the
+/// candidate is near that of all calls of the route, since waiting would not raise it.
+const SMALL_CALLS: u64 = 3;
+const NEAR: f64 = 0.8;
 /// A batch with calls of both versions is closed at this age.
 const CLOSE_AGE: Millis = Millis(10_000);
 /// A batch with calls of one version only is dropped at this age, since its calls are too far
-/// apart to have met the same conditions.
+/// apart to have met the same conditions. It is dropped at [`CLOSE_CALLS`] calls of the candidate
+/// too: at full share they would dilute the calls of a comparison that begins later.
 const DROP_AGE: Millis = Millis(30_000);
 /// Part of the bad calls that may come from one group of endpoints.
 const MAX_GROUP_PART: f64 = 0.8;
@@ -131,11 +136,10 @@
             let stable = state.pending.stable.calls;
             let age = now.since(state.opened);
             if candidate > 0 && stable > 0 {
-                let full = stable >= CLOSE_RATIO * candidate || stable >= CLOSE_CALLS;
-                if full || age >= CLOSE_AGE {
+                if state.is_full() || age >= CLOSE_AGE {
                     self.all.multiply(&state.close(&self.rules, warm));
                 }
-            } else if age >= DROP_AGE || (stable == 0 && age >= CLOSE_AGE) {
+            } else if age >= DROP_AGE || candidate >= CLOSE_CALLS {
                 state.stable_latency.merge(&state.pending.stable_latency);
                 state.pending = RouteEvidence::default();
             }
@@ -303,6 +307,19 @@
 }
 
 impl RouteState {
+    /// Decides by the numbers of calls alone, never by their outcome, which would bias the test.
+    fn is_full(&self) -> bool {
+        let stable = self.pending.stable.calls;
+        let candidate = self.pending.candidate_calls();
+        let ratio = stable as f64 / candidate as f64;
+        let totals = &self.tests.totals;
+        let all: u64 = totals.calls.iter().sum();
+        let usual = totals.stable_calls as f64 / all as f64;
+        stable >= CLOSE_RATIO * candidate
+            || stable >= CLOSE_CALLS
+            || (stable >= SMALL_CALLS && ratio >= NEAR * usual)
+    }
+
     /// Takes the pending calls as a batch.
     fn close(&mut self, rules: &Rules, warm: bool) -> Factors {
         let calls = std::mem::take(&mut self.pending);
