--- a/crates/coordination/src/shares.rs
+++ b/crates/coordination/src/shares.rs
@@ -33,6 +33,9 @@
 /// How long a credit may be used. It covers ten calls at the mean interval of a daemon that sees
 /// two calls a second, and returns credits from idle daemons within a few reports.
 pub const CREDIT_VALIDITY: Millis = Millis(5_000);
+/// Calls per call of the candidate during a comparison at full share. The evidence per call is about
+/// the same as with every second call, and the candidate receives half as many.
+pub const COMPARED_PART: u64 = 4;
 /// A daemon whose last report is older is granted nothing.
 pub const MAX_REPORT_AGE: Millis = Millis(3_000);
 
@@ -178,7 +181,7 @@
         self.stopped = Some(rollout);
     }
 
-    /// Sets whether every second call goes to the stable version while the candidate has all
+    /// Sets whether only one call in [`COMPARED_PART`] goes to the candidate while it has all
     /// traffic, so that a fault of the candidate can be told from one that hits both.
     pub fn compare(&mut self, comparing: bool) {
         self.comparing = comparing;
@@ -238,7 +241,7 @@
     fn takes_candidate(&mut self, now: Millis, attempt: Attempt) -> bool {
         if self.account.share == Share::ALL.0 {
             self.account.calls += u64::from(attempt == Attempt::First);
-            return !(self.comparing && self.account.calls.is_multiple_of(2));
+            return !self.comparing || self.account.calls.is_multiple_of(COMPARED_PART);
         }
         if attempt == Attempt::Retry {
             return false;
--- a/crates/coordination/src/shares/tests.rs
+++ b/crates/coordination/src/shares/tests.rs
@@ -375,13 +375,13 @@
 
 /// Guards against a full share that is not full, and a comparison that compares with nothing.
 #[rstest]
-#[case::all(false, 10)]
-#[case::comparing(true, 5)]
+#[case::all(false, 12)]
+#[case::comparing(true, 3)]
 fn pick_full_share(#[case] comparing: bool, #[case] expected: usize) {
     let mut counter = ShareCounter::new(1);
     counter.pick(Millis(0), &split(Share::ALL.0), Attempt::First);
     counter.compare(comparing);
-    let to_candidate = (0..10)
+    let to_candidate = (0..12)
         .map(|_| counter.pick(Millis(1), &split(Share::ALL.0), Attempt::First))
         .filter(|version| *version == "v2".into())
         .count();
