Let the sequential test restart at any time

Cause: the product of factors sinks while a version is good, so a version that turned bad late had to make up for that first; a version that became three times slower while watched was never noticed. Change: the average includes products that start later, with weights that add up to at most one, which keeps the bound on false alarms.

--- a/crates/coordination/src/evidence/comparison.rs
+++ b/crates/coordination/src/evidence/comparison.rs
@@ -12,7 +12,7 @@
 //!   be on slower hosts. The first calls of the candidate don't count, since its endpoints are cold.
 
 use indexmap::IndexMap;
-use sycamoreflow_state::config::{RolloutRule, Share};
+use sycamoreflow_state::config::{FinishTime, RolloutRule, Share};
 use sycamoreflow_state::ids::{Millis, RouteName};
 use sycamoreflow_state::rollout::{BadRatio, TakeBackReason};
 
@@ -45,6 +45,8 @@
 const MAX_GROUP_PART: f64 = 0.8;
 /// Calls from which on a group of endpoints can vouch that the others are bad by themselves.
 const MIN_GROUP_CALLS: u64 = 5;
+/// Assumed duration of a rollout that is to finish by a point in time.
+const DEFAULT_DURATION: Millis = Millis(600_000);
 
 #[derive(Clone, Copy, Debug)]
 struct Rules {
@@ -58,6 +60,8 @@
 pub struct Comparison {
     rules: Rules,
     log_alpha: f64,
+    horizon: Millis,
+    started: Option<Millis>,
     all: Tests,
     routes: IndexMap<RouteName, RouteState>,
     candidate_calls: u64,
@@ -97,6 +101,8 @@
                 refusals_are_bad: true,
             },
             log_alpha: rule.false_alarm.max(Share(1)).ratio().ln(),
+            horizon: horizon(rule),
+            started: None,
             all: Tests::default(),
             routes: IndexMap::new(),
             candidate_calls: 0,
@@ -130,6 +136,8 @@
     /// Closes the batches that are due. It is called at fixed times, since times that depend on
     /// the outcome of calls would bias the test. `endpoints` is the candidate's number.
     pub fn close_batches(&mut self, now: Millis, endpoints: u32) {
+        let elapsed = now.since(*self.started.get_or_insert(now)).0 as f64;
+        let progress = elapsed / (elapsed + self.horizon.0 as f64);
         let warm = self.candidate_calls >= COLD_CALLS * u64::from(endpoints);
         for state in self.routes.values_mut() {
             let candidate = state.pending.candidate_calls();
@@ -137,7 +145,8 @@
             let age = now.since(state.opened);
             if candidate > 0 && stable > 0 {
                 if state.is_full() || age >= CLOSE_AGE {
-                    self.all.multiply(&state.close(&self.rules, warm));
+                    let factors = state.close(&self.rules, warm, progress);
+                    self.all.multiply(&factors, progress);
                 }
             } else if age >= DROP_AGE || candidate >= CLOSE_CALLS {
                 state.stable_latency.merge(&state.pending.stable_latency);
@@ -241,13 +250,13 @@
         log_sum(logs.into_iter())
     }
 
-    fn multiply(&mut self, factors: &Factors) {
-        self.bad.multiply(&factors.bad);
+    fn multiply(&mut self, factors: &Factors, progress: f64) {
+        self.bad.multiply(&factors.bad, progress);
         self.totals.add(&factors.totals);
         self.slow_totals.add(&factors.slow_totals);
         for (processes, factors) in self.slow.iter_mut().zip(&factors.slow) {
             for (process, factors) in processes.iter_mut().zip(factors) {
-                process.multiply(factors);
+                process.multiply(factors, progress);
             }
         }
     }
@@ -321,7 +330,7 @@
     }
 
     /// Takes the pending calls as a batch.
-    fn close(&mut self, rules: &Rules, warm: bool) -> Factors {
+    fn close(&mut self, rules: &Rules, warm: bool, progress: f64) -> Factors {
         let calls = std::mem::take(&mut self.pending);
         let totals = Totals::of(&calls, rules.refusals_are_bad);
         let mut factors = Factors {
@@ -334,7 +343,7 @@
             self.compare_latency(&calls, rules.slow_shift, &mut factors);
         }
         self.stable_latency.merge(&calls.stable_latency);
-        self.tests.multiply(&factors);
+        self.tests.multiply(&factors, progress);
         factors
     }
 
@@ -363,6 +372,16 @@
     }
 }
 
+/// Returns the time over which changes are expected. Half of the weight of late starts is spent
+/// within it. It is a guess where the rule names a point in time, since the clocks differ.
+fn horizon(rule: &RolloutRule) -> Millis {
+    let moving = match rule.finish {
+        FinishTime::Within(duration) => duration,
+        FinishTime::By(_) => DEFAULT_DURATION,
+    };
+    moving.after(rule.watch).max(Millis(1))
+}
+
 fn share(part: u64, whole: u64) -> Share {
     let ratio = part as f64 / whole.max(1) as f64;
     Share((ratio * f64::from(Share::ALL.0)) as u32)
--- a/crates/coordination/src/evidence/sequential.rs
+++ b/crates/coordination/src/evidence/sequential.rs
@@ -15,7 +15,10 @@
 //! Ville's inequality it ever reaches 1/α with a probability of at most α, so it may be looked at
 //! after every batch. Failures that hit both versions alike raise `f0` with `f1` and cancel.
 //!
-//! An average over several λ has the same property and needs no guess of the effect's size.
+//! An average over several λ has the same property and needs no guess of the effect's size. So has
+//! an average over the time from which the factors are multiplied, with weights that add up to at
+//! most 1. It is needed because the product sinks while the candidate is good, by more than later
+//! failures could soon make up for.
 
 /// The values of λ: the small ones find small effects in many calls, the large ones find total
 /// failures within three or four calls.
@@ -64,17 +67,33 @@
     }
 }
 
-/// The running product of factors, averaged over λ.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+/// The running product of factors, averaged over λ and over the time at which it starts.
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct EProcess {
     log_products: LogFactors,
+    progress: f64,
+}
+
+/// Weight of the product that starts at the beginning, since many bad versions are bad at once.
+const FIRST_START: f64 = 0.5;
+
+impl Default for EProcess {
+    fn default() -> Self {
+        Self {
+            log_products: [FIRST_START.ln(); LAMBDAS.len()],
+            progress: 0.0,
+        }
+    }
 }
 
 impl EProcess {
-    /// Multiplies the factors of a batch in.
-    pub fn multiply(&mut self, factors: &LogFactors) {
+    /// Multiplies the factors of a batch in. `progress` rises from 0 to at most 1 with time and
+    /// must not depend on outcomes; its increase is the weight of the products that start here.
+    pub fn multiply(&mut self, factors: &LogFactors, progress: f64) {
+        let start = (1.0 - FIRST_START) * (progress - self.progress).max(0.0);
+        self.progress = self.progress.max(progress);
         for (product, factor) in self.log_products.iter_mut().zip(factors) {
-            *product += factor;
+            *product = log_sum([*product, start.ln()].into_iter()) + factor;
         }
     }
 
--- a/crates/coordination/src/evidence/tests.rs
+++ b/crates/coordination/src/evidence/tests.rs
@@ -46,6 +46,11 @@
     seconds: 120,
 };
 
+const LATE: Case = Case {
+    share: 0.15,
+    ..GOOD
+};
+
 struct Detection {
     reason: TakeBackReason,
     candidate_calls: u64,
@@ -134,6 +139,31 @@
     assert!(calls[20] <= bound, "{} calls", calls[20]);
 }
 
+/// Guards against a version that turns bad late and profits from its good time before. The bound is
+/// in seconds after the change, with 45 calls/s of the candidate.
+#[rstest]
+#[case::fails(Case { failure: |t, new, _| if new && t >= 400 { 1.0 } else { 0.002 }, ..LATE }, 2)]
+#[case::tenth_fails(Case { failure: |t, new, _| if new && t >= 400 { 0.1 } else { 0.002 }, ..LATE }, 15)]
+fn verdict_late_change(#[case] case: Case, #[case] bound: u64) {
+    for seed in 0..10 {
+        assert!(
+            run(
+                &Case {
+                    seconds: 400,
+                    ..case
+                },
+                seed
+            )
+            .is_none()
+        );
+        let until = Case {
+            seconds: 400 + bound,
+            ..case
+        };
+        assert!(run(&until, seed).is_some(), "seed {seed}");
+    }
+}
+
 /// Guards against a verdict that doesn't name the route to which the failures are confined.
 #[test]
 fn verdict_names_route() {
@@ -164,7 +194,7 @@
                 stable_calls: 90,
                 stable_bad: count(90),
             };
-            process.multiply(&factors(&batch));
+            process.multiply(&factors(&batch), second as f64 / 400.0);
             process.log_value() > 20.0_f64.ln()
         })
     };
