Ask for a comparison also when all calls shift

Cause: the daemon noticed slowness only in the slowest 5% of calls. Change: it also watches the slowest 25%.

--- a/crates/coordination/src/evidence/recorder.rs
+++ b/crates/coordination/src/evidence/recorder.rs
@@ -183,7 +183,7 @@
 /// Notices that the candidate does worse than the stable version did before. It only asks for a
 /// comparison, so it needs no bound on false alarms.
 ///
-/// Both sums are of the CUSUM kind: they rise by bad calls, fall by the permitted number, and stay
+/// The sums are of the CUSUM kind: they rise by bad calls, fall by the permitted number, and stay
 /// above zero.
 #[derive(Clone, Debug, Default)]
 struct ChangeDetector {
@@ -191,18 +191,19 @@
     stable_bad: u64,
     stable_latency: Histogram,
     bad: f64,
-    slow: f64,
+    slow: [f64; SLOW_TAILS.len()],
     suspicious: bool,
 }
 
 /// Calls per permitted bad call, relative to the ratio that is permitted.
 const ALLOWANCE: f64 = 1.2;
-/// Sum at which a comparison begins. It ends when both sums are down to zero.
+/// Sum at which a comparison begins. It ends when all sums are down to zero.
 const SUSPICIOUS: f64 = 3.0;
 /// Upper bound of the sums, which limits how long a comparison lasts after a fault.
 const MAX_SUM: f64 = 8.0;
-/// Share of calls that may exceed the threshold of slowness.
-const SLOW_TAIL: f64 = 0.05;
+/// Shares of calls that may exceed the thresholds of slowness: one for a shift of all calls, which
+/// shows within few calls, and one for a longer tail.
+const SLOW_TAILS: [f64; 2] = [0.25, 0.05];
 
 impl ChangeDetector {
     fn record(&mut self, rule: &RolloutRule, call: &FinishedCall<'_>, to_candidate: bool) {
@@ -215,12 +216,15 @@
         }
         let usual = self.stable_bad as f64 / self.stable_calls.max(1) as f64;
         let permitted = usual + rule.max_extra_failures.ratio();
-        let threshold = self.stable_latency.upper_bucket(SLOW_TAIL);
-        let limit = threshold.saturating_add(shift(rule.max_slowdown_percent));
-        let slow = self.stable_calls > 0 && bucket(call.latency_us) > limit;
         self.bad = cusum(self.bad, bad, permitted);
-        self.slow = cusum(self.slow, slow, SLOW_TAIL);
-        let highest = self.bad.max(self.slow);
+        let mut highest = self.bad;
+        for (sum, tail) in self.slow.iter_mut().zip(SLOW_TAILS) {
+            let threshold = self.stable_latency.upper_bucket(tail);
+            let limit = threshold.saturating_add(shift(rule.max_slowdown_percent));
+            let slow = self.stable_calls > 0 && bucket(call.latency_us) > limit;
+            *sum = cusum(*sum, slow, tail);
+            highest = highest.max(*sum);
+        }
         self.suspicious = highest >= SUSPICIOUS || (self.suspicious && highest > 0.0);
     }
 }
