--- a/crates/coordination/src/evidence/tests.rs
+++ b/crates/coordination/src/evidence/tests.rs
@@ -333,3 +333,29 @@
     assert!(send(CallOutcome::Failed, 5));
     assert!(!send(CallOutcome::Succeeded, 1_000));
 }
+
+/// Guards against a good version that is taken back because one of its hosts is bad, and against a
+/// bad version that is excused by the same rule.
+#[rstest]
+#[case::one_host([50, 0, 0], false)]
+#[case::all_hosts([17, 17, 16], true)]
+fn verdict_failing_host(#[case] failures: [u64; 3], #[case] condemned: bool) {
+    let group = |failures| Counts {
+        calls: 50,
+        failures,
+        refusals: 0,
+    };
+    let calls = RouteEvidence {
+        stable: Counts {
+            calls: 3_000,
+            ..Counts::default()
+        },
+        candidate: failures.map(group).to_vec(),
+        candidate_latency: vec![histogram::Histogram::default(); 3],
+        ..RouteEvidence::default()
+    };
+    let mut comparison = Comparison::new(&rule());
+    comparison.add(Millis(0), &"r".into(), &calls);
+    comparison.close_batches(Millis(1_000), 3);
+    assert_eq!(comparison.verdict().is_some(), condemned);
+}
