Connect the state machine with rollouts and choose key holders

Cause: the replicated state machine had a stand-in for rollouts, the operator bodies had a second type for phases, and nobody named the daemons that hold idempotency keys. Change: the machine uses the rollout module; operator bodies name who approved and which daemons are missing; HolderWatch chooses three holders in different data centres and replaces them one at a time; drain marks can be taken away again. Conclusion: one type for each concept, and a group of holders never loses two members at once.

--- a/crates/cli/src/commands/approve.rs
+++ b/crates/cli/src/commands/approve.rs
@@ -23,6 +23,7 @@
     client: client::Options,
     base: Option<u64>,
     request_id: Option<String>,
+    operator: Option<String>,
     json: bool,
     file: PathBuf,
 }
@@ -42,12 +43,17 @@
             "use 1 to 64 letters, digits and dashes",
         )
         .optional();
+    let operator = long("operator")
+        .help("Your name, shown to other operators (default: $USER)")
+        .argument::<String>("NAME")
+        .optional();
     let json = super::json();
     let file = super::file();
     construct!(Options {
         client,
         base,
         request_id,
+        operator,
         json,
         file
     })
@@ -64,6 +70,7 @@
     let request = ApproveRequest {
         request_id: request_id.clone(),
         base,
+        operator: operator_name(options),
         answers: file.text,
         config: file.config,
     };
@@ -97,6 +104,13 @@
     Ok(())
 }
 
+/// Returns the name that other operators see.
+fn operator_name(options: &Options) -> String {
+    let from_environment = || std::env::var("USER").ok();
+    let name = options.operator.clone().or_else(from_environment);
+    name.unwrap_or_else(|| "unknown".to_owned())
+}
+
 /// Returns base and request id of an approval with `--base`, after a check of the mesh, which
 /// `plan` makes otherwise.
 async fn explicit(
--- a/crates/cli/src/commands/history.rs
+++ b/crates/cli/src/commands/history.rs
@@ -57,7 +57,10 @@
 
 fn describe(event: &HistoryEvent) -> String {
     match event {
-        HistoryEvent::Approved { request_id } => format!("approved by request {request_id}"),
+        HistoryEvent::Approved {
+            request_id,
+            operator,
+        } => format!("approved by {operator}, request {request_id}"),
         HistoryEvent::RolloutStarted { from, to } => format!("rollout {from} -> {to} started"),
         HistoryEvent::ShareChanged { to, share } => {
             format!("share of {to} is {}", units::format_percent(*share))
--- a/crates/cli/tests/cli/watch.rs
+++ b/crates/cli/tests/cli/watch.rs
@@ -24,6 +24,7 @@
             daemons: 3,
             in_force,
             duration: None,
+            missing: Vec::new(),
             rejected: Vec::new(),
         },
         rollouts: Vec::new(),
--- a/crates/coordination/src/leases.rs
+++ b/crates/coordination/src/leases.rs
@@ -119,18 +119,21 @@
         changed
     }
 
-    /// Marks all endpoints of `daemon` as leaving. Returns whether proxies see a change.
-    pub fn drain(&mut self, daemon: &DaemonId) -> bool {
+    /// Marks all endpoints of `daemon` as leaving, or takes the mark away. Returns whether proxies
+    /// see a change.
+    pub fn set_draining(&mut self, daemon: &DaemonId, draining: bool) -> bool {
+        if draining {
+            self.drained.insert(daemon.clone());
+        } else {
+            self.drained.remove(daemon);
+        }
         let mut changed = false;
         for key in self.keys_of(daemon) {
             let Some(lease) = self.entries.get_mut(&key) else {
                 continue;
             };
-            changed |= !lease.endpoint.draining;
-            lease.endpoint.draining = true;
-        }
-        if changed {
-            self.drained.insert(daemon.clone());
+            changed |= lease.endpoint.draining != draining;
+            lease.endpoint.draining = draining;
         }
         self.note_change(changed);
         changed
--- a/crates/coordination/src/leases/tests.rs
+++ b/crates/coordination/src/leases/tests.rs
@@ -96,7 +96,7 @@
 fn drain_then_renew() {
     let mut leases = Leases::default();
     renew(&mut leases, 0, "a");
-    assert!(leases.drain(&DaemonId::from("a")));
+    assert!(leases.set_draining(&DaemonId::from("a"), true));
     renew(&mut leases, 100, "a");
     assert!(leases.endpoints().all(|endpoint| endpoint.draining));
     leases.renew(Millis(200), &DaemonId::from("a"), &[]);
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod evidence;
 pub mod fingerprint;
 pub mod floor;
+pub mod key_holders;
 pub mod leases;
 pub mod machine;
 pub mod pacing;
--- a/crates/coordination/src/machine.rs
+++ b/crates/coordination/src/machine.rs
@@ -17,15 +17,14 @@
 mod check;
 mod history;
 mod requests;
-mod rollout;
 
 #[cfg(test)]
 pub(crate) mod tests;
 
+use crate::rollout::{ApprovalEffect, RolloutCommand, Rollouts};
 use check::check_key_holders;
 use history::History;
 use requests::Requests;
-use rollout::{ApprovalEffect, RolloutCommand, Rollouts};
 
 pub use check::check_config;
 pub use history::{HistoryEvent, HistoryRecord, MAX_HISTORY};
--- a/crates/coordination/src/machine/history.rs
+++ b/crates/coordination/src/machine/history.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use sycamoreflow_state::ids::{ConfigVersion, Millis, RequestId, ServiceName};
 
-use super::rollout::RolloutCommand;
+use crate::rollout::RolloutCommand;
 
 /// Records kept. Older ones are dropped.
 pub const MAX_HISTORY: usize = 1024;
--- a/crates/state/src/operator.rs
+++ b/crates/state/src/operator.rs
@@ -12,6 +12,8 @@
     ConfigVersion, DaemonId, EndpointVersion, Millis, RequestId, ServiceName, VersionName,
 };
 
+pub use crate::rollout::RolloutPhase;
+
 /// `POST`, [`ApproveRequest`] to [`ApproveResponse`].
 pub const APPROVE_PATH: &str = "/v1/approve";
 /// `GET`, [`StatusResponse`].
@@ -33,6 +35,8 @@
     pub request_id: RequestId,
     /// Version that the operator saw. The request is refused if another one is in force.
     pub base: ConfigVersion,
+    /// Who approves, to be named to others.
+    pub operator: String,
     /// Text of the answers.
     pub answers: String,
     /// Configuration generated from the answers.
@@ -111,6 +115,9 @@
     pub in_force: u64,
     /// Time from acceptance until it was in force everywhere, once it is.
     pub duration: Option<Millis>,
+    /// Daemons that do not have the accepted version in force yet.
+    #[serde(default)]
+    pub missing: Vec<DaemonId>,
     /// Daemons that rejected the accepted version, with the reason.
     pub rejected: Vec<RejectedBy>,
 }
@@ -125,40 +132,6 @@
     pub reason: String,
 }
 
-/// Phase of a rollout.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum RolloutPhase {
-    /// It has not started to move traffic.
-    Planned,
-    /// Traffic is being moved.
-    Moving,
-    /// The new version has all traffic and is being watched.
-    Watching,
-    /// The new version is the stable one.
-    Done,
-    /// The new version was taken back.
-    TakenBack,
-}
-
-impl RolloutPhase {
-    /// Returns whether the phase is a last one.
-    pub fn is_final(self) -> bool {
-        matches!(self, Self::Done | Self::TakenBack)
-    }
-
-    /// Returns the name of the phase.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::Planned => "planned",
-            Self::Moving => "moving",
-            Self::Watching => "watching",
-            Self::Done => "done",
-            Self::TakenBack => "taken-back",
-        }
-    }
-}
-
 /// State of a rollout.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -213,6 +186,8 @@
     Approved {
         /// Identifier of the request.
         request_id: RequestId,
+        /// Who approved it.
+        operator: String,
     },
     /// A rollout started.
     RolloutStarted {
--- a/crates/state/src/view.rs
+++ b/crates/state/src/view.rs
@@ -317,6 +317,28 @@
         })
     }
 
+    /// Returns all tenants with their names.
+    pub fn tenants(&self) -> impl Iterator<Item = (&TenantName, &TenantConfig)> {
+        self.iter().filter_map(|entry| match entry {
+            (ResourceKey::Tenant(name), resource) => match resource.as_ref() {
+                Resource::Tenant(tenant) => Some((name, tenant)),
+                _ => None,
+            },
+            _ => None,
+        })
+    }
+
+    /// Returns all services with their names.
+    pub fn services(&self) -> impl Iterator<Item = (&ServiceName, &ServiceConfig)> {
+        self.iter().filter_map(|entry| match entry {
+            (ResourceKey::Service(name), resource) => match resource.as_ref() {
+                Resource::Service(service) => Some((name, service)),
+                _ => None,
+            },
+            _ => None,
+        })
+    }
+
     /// Returns all endpoints.
     pub fn endpoints(&self) -> impl Iterator<Item = &Endpoint> {
         self.iter()
