--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -1,8 +1,13 @@
-//! Sockets and files of sycamoreflow.
+//! Sockets of sycamoreflow.
+//!
+//! - [`link`]: authenticated WebSocket links between daemons.
+//! - [`call_link`]: many calls in flight on one link.
+//! - [`listen`]: listening sockets.
+//! - [`http`]: HTTP/1.1 for callers, upstreams and operators.
 
-mod timer;
 pub mod call_link;
 pub mod http;
 pub mod link;
 pub mod listen;
 pub mod storage;
+mod timer;
