--- /dev/null
+++ b/crates/daemon/src/announce_api.rs
@@ -0,0 +1,122 @@
+//! The interface for the upstream on this host, and for whoever reads the metrics.
+//!
+//! It listens on a loopback address and needs no token: who can reach it runs on this host.
+
+use std::sync::Arc;
+
+use async_std::channel::Sender;
+use metrics_exporter_prometheus::PrometheusHandle;
+use serde::Serialize;
+use sycamoreflow_state::endpoint::Announcement;
+use sycamoreflow_state::ids::ServiceName;
+use sycamoreflow_state::operator::{ErrorCode, ErrorResponse};
+use tide::{Request, Response, StatusCode};
+
+use crate::proxy::Proxy;
+
+/// Path of announcements.
+pub const ANNOUNCEMENT_PATH: &str = "/v1/announcement";
+/// Path of the metrics in text form.
+pub const METRICS_PATH: &str = "/metrics";
+/// Path that answers 200 once the daemon has a view in force, else 503.
+pub const READY_PATH: &str = "/ready";
+
+/// Most slots that an upstream may announce.
+const MAX_SLOTS: u32 = 100_000;
+
+/// What the routes share.
+#[derive(Clone)]
+pub struct AnnounceState {
+    /// The request path of this daemon.
+    pub proxy: Arc<Proxy>,
+    /// Wakes the subscription when the endpoints have changed.
+    pub endpoints_changed: Sender<()>,
+    /// The metrics of this process.
+    pub metrics: Option<PrometheusHandle>,
+}
+
+/// Answer to an announcement.
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "kebab-case")]
+struct Announced {
+    renew_within_ms: u64,
+}
+
+/// Makes the routes.
+pub fn app(state: AnnounceState) -> tide::Server<AnnounceState> {
+    let mut app = tide::with_state(state);
+    app.at(ANNOUNCEMENT_PATH).put(announce).delete(withdraw);
+    app.at(METRICS_PATH).get(render_metrics);
+    app.at(READY_PATH).get(ready);
+    app
+}
+
+async fn announce(mut req: Request<AnnounceState>) -> tide::Result {
+    let announcement: Announcement = match req.body_json().await {
+        Ok(announcement) => announcement,
+        Err(error) => return refuse(&format!("the announcement is malformed: {error}")),
+    };
+    if let Some(problem) = problem_of(&announcement) {
+        return refuse(problem);
+    }
+    let state = req.state();
+    if state.proxy.owner().announce(announcement) {
+        // A wake-up that is waiting already is enough.
+        let _ = state.endpoints_changed.try_send(());
+    }
+    let answer = Announced {
+        renew_within_ms: crate::proxy::owner::ANNOUNCEMENT_LEASE.0,
+    };
+    let mut response = Response::new(StatusCode::Ok);
+    response.set_body(tide::Body::from_json(&answer)?);
+    Ok(response)
+}
+
+/// Ends the announcement of the service named by the query `service`. Its upstream gets no new
+/// work; what it runs finishes.
+async fn withdraw(req: Request<AnnounceState>) -> tide::Result {
+    let pair = req.url().query_pairs().find(|(name, _)| name == "service");
+    let Some(service) = pair.map(|(_, value)| ServiceName::from(value.as_ref())) else {
+        return refuse("name the service: DELETE /v1/announcement?service=NAME");
+    };
+    if !req.state().proxy.owner().withdraw(&service) {
+        return refuse("the service is not announced at this daemon");
+    }
+    let _ = req.state().endpoints_changed.try_send(());
+    Ok(Response::new(StatusCode::NoContent))
+}
+
+async fn render_metrics(req: Request<AnnounceState>) -> tide::Result {
+    let Some(metrics) = &req.state().metrics else {
+        return Ok(Response::new(StatusCode::NotFound));
+    };
+    let mut response = Response::new(StatusCode::Ok);
+    response.set_content_type("text/plain; version=0.0.4");
+    response.set_body(metrics.render());
+    Ok(response)
+}
+
+async fn ready(req: Request<AnnounceState>) -> tide::Result {
+    let status = match req.state().proxy.view() {
+        Some(_) => StatusCode::Ok,
+        None => StatusCode::ServiceUnavailable,
+    };
+    Ok(Response::new(status))
+}
+
+fn problem_of(announcement: &Announcement) -> Option<&'static str> {
+    if announcement.slots == 0 || announcement.slots > MAX_SLOTS {
+        return Some("slots: must be between 1 and 100000");
+    }
+    if announcement.service.as_str().is_empty() || announcement.version.as_str().is_empty() {
+        return Some("service and version: must not be empty");
+    }
+    None
+}
+
+fn refuse(message: &str) -> tide::Result {
+    let mut response = Response::new(StatusCode::BadRequest);
+    let body = ErrorResponse::new(ErrorCode::BadRequest, message);
+    response.set_body(tide::Body::from_json(&body)?);
+    Ok(response)
+}
--- /dev/null
+++ b/crates/daemon/src/control.rs
@@ -0,0 +1,135 @@
+//! The control replica of a daemon: replicated log, state machine, distribution to subscribers.
+
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::mpsc;
+use std::thread::{self, JoinHandle};
+
+use async_std::task;
+use eyre::WrapErr;
+use sycamoreflow_coordination::machine::ControlState;
+use sycamoreflow_coordination::raft::{Incarnation, Raft};
+use sycamoreflow_protocol::handshake::Identity;
+use sycamoreflow_state::ids::DaemonId;
+use sycamoreflow_transport::link::{self, Receiver, Sender};
+use sycamoreflow_transport::storage::{Files, Storage};
+
+use crate::clock;
+use crate::settings::{ControlSettings, Settings};
+
+pub mod hub;
+pub mod leader;
+pub mod operator_api;
+pub mod peers;
+pub mod replica;
+pub mod sessions;
+pub mod status;
+
+use hub::Hub;
+use peers::Peers;
+use replica::{Event, Replica, Start};
+
+/// A running control replica.
+#[derive(Debug)]
+pub struct Control {
+    hub: Arc<Hub>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Control {
+    /// Opens the data folder and starts the replica.
+    ///
+    /// # Errors
+    ///
+    /// If the data folder can't be used; the message says what to do.
+    pub fn start(
+        settings: &Settings,
+        control: &ControlSettings,
+        identity: &Identity,
+        limits: &link::Limits,
+        seed: u64,
+    ) -> eyre::Result<Self> {
+        let (tx, rx) = mpsc::channel();
+        let hub = Arc::new(Hub::new(control.joins_per_second, tx));
+        let peers = Arc::new(Peers::new(&settings.control_replicas, identity, limits));
+        let start = open(&control.data, &identity.daemon, &control.voters, seed)?;
+        let replica = Replica::new(start, hub.clone(), peers.clone());
+        peers.start();
+        task::spawn(peers.follow(hub.clone()));
+        let thread = thread::Builder::new()
+            .name("control-replica".into())
+            .spawn(move || replica.run(&rx))
+            .wrap_err("can't start the thread of the control replica")?;
+        Ok(Self {
+            hub,
+            thread: Some(thread),
+        })
+    }
+
+    /// Returns what the parts of the replica share.
+    pub fn hub(&self) -> &Arc<Hub> {
+        &self.hub
+    }
+
+    /// Serves a subscriber or a following replica.
+    pub fn serve_subscriber(&self, tx: Sender, rx: Receiver) {
+        task::spawn(sessions::serve(self.hub.clone(), tx, rx));
+    }
+
+    /// Serves another replica.
+    pub fn serve_peer(&self, tx: Sender, rx: Receiver) {
+        task::spawn(peers::serve(self.hub.clone(), tx, rx));
+    }
+
+    /// Hands over the lead, if this replica has it, so that a planned stop causes no election.
+    pub fn transfer_leadership(&self) {
+        self.hub.send(Event::TransferLeadership);
+    }
+
+    /// Ends the replica and waits until its storage is closed.
+    pub fn stop(&mut self) {
+        self.hub.send(Event::Stop);
+        if let Some(thread) = self.thread.take() {
+            // A panic of the thread has been reported by the panic hook.
+            let _ = thread.join();
+        }
+    }
+}
+
+impl Drop for Control {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+fn open(data: &Path, id: &DaemonId, voters: &[DaemonId], seed: u64) -> eyre::Result<Start> {
+    let opened = Storage::open(data, Incarnation(seed.max(1)), Files::default())
+        .wrap_err_with(|| format!("data folder {}", data.display()))?;
+    if opened.cut_bytes > 0 {
+        let bytes = opened.cut_bytes;
+        tracing::info!(bytes, "torn tail of the log cut off");
+    }
+    let mut state = ControlState::default();
+    let mut snapshot_index = 0;
+    if let Some(snapshot) = &opened.log.snapshot {
+        state = ControlState::decode(&snapshot.data)
+            .map_err(|error| eyre::eyre!("the snapshot can't be decoded: {error}"))?;
+        state.skip(snapshot.index);
+        snapshot_index = snapshot.index;
+    }
+    let raft = Raft::new(
+        id.clone(),
+        voters.to_vec(),
+        opened.hard_state,
+        opened.log,
+        seed,
+        clock::now(),
+    );
+    Ok(Start {
+        id: id.clone(),
+        raft,
+        storage: opened.storage,
+        state,
+        snapshot: snapshot_index,
+    })
+}
--- /dev/null
+++ b/crates/daemon/src/control/leader.rs
@@ -0,0 +1,284 @@
+//! The soft state of the leader: leases, convergence and the pace of rollouts. A new leader starts
+//! it anew.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use std::sync::Arc;
+use sycamoreflow_coordination::evidence::REPORT_INTERVAL;
+use sycamoreflow_coordination::key_holders::HolderWatch;
+use sycamoreflow_coordination::leases::{LEASE, Leases};
+use sycamoreflow_coordination::machine::{Command, ControlState};
+use sycamoreflow_coordination::pacing::{Capacity, Pacer};
+use sycamoreflow_coordination::shares::Grant;
+use sycamoreflow_protocol::replica::{Content, Forwarded};
+use sycamoreflow_state::config::Share;
+use sycamoreflow_state::endpoint::Endpoint;
+use sycamoreflow_state::ids::{
+    ConfigVersion, DaemonId, Millis, ServiceName, VersionName, ViewVersion,
+};
+use sycamoreflow_state::operator::{Convergence, RejectedBy};
+use sycamoreflow_state::view::{Interest, Resource, ResourceKey, View};
+
+/// The soft state of the leader of one term.
+#[derive(Debug)]
+pub struct Leader {
+    leases: Leases,
+    pacer: Pacer,
+    holders: HolderWatch,
+    daemons: BTreeMap<DaemonId, DaemonState>,
+    accepted: Accepted,
+    view: View,
+    dirty: bool,
+    last_pace: Millis,
+}
+
+/// What the leader knows of a subscriber.
+#[derive(Debug, Default)]
+struct DaemonState {
+    last_seen: Millis,
+    in_force: ViewVersion,
+    rejected: Option<(ViewVersion, String)>,
+}
+
+/// The accepted version whose convergence is measured.
+#[derive(Clone, Copy, Debug, Default)]
+struct Accepted {
+    version: ConfigVersion,
+    at: Millis,
+    everywhere_after: Option<Millis>,
+}
+
+impl Leader {
+    /// Takes over from the view that this replica distributed as a follower.
+    pub fn new(now: Millis, term: u64, followed: &View) -> Self {
+        let mut leases = Leases::default();
+        leases.take_over(now, term, followed.endpoints().cloned());
+        Self {
+            leases,
+            pacer: Pacer::new(term),
+            holders: HolderWatch::default(),
+            daemons: BTreeMap::new(),
+            accepted: Accepted::default(),
+            view: followed.clone(),
+            dirty: true,
+            last_pace: now,
+        }
+    }
+
+    /// Takes in a message of a subscriber.
+    pub fn take(&mut self, now: Millis, unix_now: Millis, forwarded: Forwarded) {
+        let daemon = forwarded.daemon;
+        let state = self.daemons.entry(daemon.clone()).or_default();
+        match forwarded.content {
+            Content::Renew(endpoints) => {
+                state.last_seen = now;
+                self.dirty |= self.leases.renew(now, &daemon, &endpoints);
+            }
+            Content::InForce(version) => {
+                state.in_force = version;
+                state.rejected = None;
+                self.note_convergence(now);
+            }
+            Content::Rejected { version, reason } => state.rejected = Some((version, reason)),
+            Content::Report(report) => self.pacer.report(unix_now, &daemon, &report),
+            Content::Drain(draining) => {
+                self.dirty |= self.leases.set_draining(&daemon, draining);
+            }
+        }
+    }
+
+    /// Notes that the replicated state has changed.
+    pub fn note_applied(&mut self) {
+        self.dirty = true;
+    }
+
+    /// Ends leases and forgets daemons that are gone.
+    pub fn tick(&mut self, now: Millis, state: &ControlState) {
+        let services = &state.approved().config.services;
+        let minimum = |service: &ServiceName| {
+            let service = services.get(service);
+            service.map_or(Share::NONE, |service| service.min_endpoints)
+        };
+        let expiries = self.leases.tick(now, minimum);
+        if !expiries.removed.is_empty() {
+            let count = expiries.removed.len() as u64;
+            metrics::counter!("sycamoreflow_lease_expiries_total").increment(count);
+            tracing::info!(count, "leases ended without renewal");
+            self.dirty = true;
+        }
+        metrics::gauge!("sycamoreflow_endpoints_retained").set(expiries.retained as f64);
+        self.daemons
+            .retain(|_, daemon| now.since(daemon.last_seen) <= LEASE);
+        self.note_convergence(now);
+    }
+
+    /// Returns the commands that the leader has to propose now.
+    pub fn decide(&mut self, now: Millis, unix_now: Millis, state: &ControlState) -> Vec<Command> {
+        if now.since(self.last_pace) < REPORT_INTERVAL {
+            return Vec::new();
+        }
+        self.last_pace = now;
+        let leases = &self.leases;
+        let capacity = |service: &ServiceName, version: &VersionName| {
+            capacity_of(leases.endpoints(), service, version)
+        };
+        let steps = self.pacer.tick(unix_now, state.rollouts(), capacity);
+        let mut commands: Vec<Command> = steps.into_iter().map(Command::Rollout).collect();
+        let endpoints: Vec<&Endpoint> = self.leases.endpoints().collect();
+        for service in state.approved().config.services.keys() {
+            let current = state.key_holders(service);
+            let Some(next) = self.holders.next_group(now, service, current, &endpoints) else {
+                continue;
+            };
+            commands.push(Command::SetKeyHolders {
+                service: service.clone(),
+                epoch: next.epoch,
+                daemons: next.daemons,
+            });
+        }
+        commands
+    }
+
+    /// Returns the grants that are to be sent now.
+    pub fn grants(&mut self, unix_now: Millis) -> Vec<(DaemonId, Grant)> {
+        self.pacer.grants(unix_now)
+    }
+
+    /// Returns the view to publish if it has changed since the last call.
+    pub fn publication(&mut self, now: Millis, state: &ControlState) -> Option<View> {
+        if !self.dirty {
+            return None;
+        }
+        self.dirty = false;
+        if state.approved().version > self.accepted.version {
+            self.accepted = Accepted {
+                version: state.approved().version,
+                at: now,
+                everywhere_after: None,
+            };
+        }
+        self.replace_config(state);
+        self.replace_endpoints();
+        self.view.set_version(ViewVersion {
+            config: state.version(),
+            endpoints: self.leases.version(),
+        });
+        Some(self.view.clone())
+    }
+
+    /// Returns the version of the endpoint table and its endpoints.
+    pub fn leases(&self) -> &Leases {
+        &self.leases
+    }
+
+    /// Returns the pace of rollouts.
+    pub fn pacer(&self) -> &Pacer {
+        &self.pacer
+    }
+
+    /// Returns how far the accepted version has come.
+    pub fn convergence(&self) -> Convergence {
+        let version = self.accepted.version;
+        let in_force = self.daemons.values();
+        let in_force = in_force.filter(|daemon| daemon.in_force.config >= version);
+        let rejected = self.daemons.iter().filter_map(|(daemon, state)| {
+            let (_, reason) = state.rejected.as_ref()?;
+            Some(RejectedBy {
+                daemon: daemon.clone(),
+                reason: reason.clone(),
+            })
+        });
+        let missing = self.daemons.iter();
+        let missing = missing.filter(|(_, daemon)| daemon.in_force.config < version);
+        Convergence {
+            daemons: self.daemons.len() as u64,
+            in_force: in_force.count() as u64,
+            duration: self.accepted.everywhere_after,
+            missing: missing.map(|(daemon, _)| daemon.clone()).collect(),
+            rejected: rejected.collect(),
+        }
+    }
+
+    fn note_convergence(&mut self, now: Millis) {
+        let accepted = &mut self.accepted;
+        let is_open = accepted.version > ConfigVersion(0) && accepted.everywhere_after.is_none();
+        if !is_open || self.daemons.is_empty() {
+            return;
+        }
+        let mut daemons = self.daemons.values();
+        if !daemons.all(|daemon| daemon.in_force.config >= accepted.version) {
+            return;
+        }
+        let after = now.since(accepted.at);
+        accepted.everywhere_after = Some(after);
+        metrics::histogram!("sycamoreflow_convergence_seconds").record(after.0 as f64 / 1_000.0);
+        tracing::info!(version = %accepted.version, milliseconds = after.0, "in force everywhere");
+    }
+
+    fn replace_config(&mut self, state: &ControlState) {
+        let resources = state.resources();
+        let keep: BTreeSet<&ResourceKey> = resources.iter().map(|(key, _)| key).collect();
+        let stale: Vec<ResourceKey> = self
+            .view
+            .iter()
+            .map(|(key, _)| key)
+            .filter(|key| !matches!(key, ResourceKey::Endpoint(..)) && !keep.contains(key))
+            .cloned()
+            .collect();
+        for key in stale {
+            self.view.remove(&key);
+        }
+        for (key, resource) in resources {
+            replace(&mut self.view, key, resource);
+        }
+    }
+
+    fn replace_endpoints(&mut self) {
+        let mut keep = BTreeSet::new();
+        for endpoint in self.leases.endpoints() {
+            let key = ResourceKey::Endpoint(endpoint.daemon.clone(), endpoint.service.clone());
+            let resource = Resource::Endpoint(endpoint.clone());
+            replace(&mut self.view, key.clone(), resource);
+            keep.insert(key);
+        }
+        let stale: Vec<ResourceKey> = self
+            .view
+            .iter()
+            .map(|(key, _)| key)
+            .filter(|key| matches!(key, ResourceKey::Endpoint(..)) && !keep.contains(key))
+            .cloned()
+            .collect();
+        for key in stale {
+            self.view.remove(&key);
+        }
+    }
+}
+
+/// Replaces a resource if it differs, since every insertion costs a hash.
+fn replace(view: &mut View, key: ResourceKey, resource: Resource) {
+    if view.get(&key).is_some_and(|known| **known == resource) {
+        return;
+    }
+    view.insert(key, Arc::new(resource));
+}
+
+fn capacity_of<'a>(
+    endpoints: impl Iterator<Item = &'a Endpoint>,
+    service: &ServiceName,
+    version: &VersionName,
+) -> Capacity {
+    let mut capacity = Capacity::default();
+    for endpoint in endpoints {
+        if endpoint.service != *service || endpoint.version != *version || endpoint.draining {
+            continue;
+        }
+        capacity.endpoints += 1;
+        capacity.slots += endpoint.slots;
+    }
+    capacity
+}
+
+/// Returns the interest of a replica that follows the leader.
+pub fn follower_interest() -> Interest {
+    Interest::All
+}
--- /dev/null
+++ b/crates/daemon/src/control/operator_api.rs
@@ -0,0 +1,261 @@
+//! The operator interface of a control replica. Paths and bodies are those of
+//! [`sycamoreflow_state::operator`].
+
+use std::sync::Arc;
+
+use futures::channel::oneshot;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use sycamoreflow_coordination::machine::{Command, Outcome};
+use sycamoreflow_protocol::replica::Content;
+use sycamoreflow_state::ids::{DaemonId, ServiceName};
+use sycamoreflow_state::operator::{
+    APPROVE_PATH, ApproveRequest, ApproveResponse, CONFIG_PATH, ConfigResponse, DRAIN_PATH,
+    DrainRequest, DrainResponse, ENDPOINTS_PATH, EndpointsResponse, ErrorCode, ErrorResponse,
+    HISTORY_PATH, STATUS_PATH,
+};
+use tide::{Request, Response, StatusCode};
+
+use crate::clock;
+use crate::control::hub::Hub;
+use crate::control::replica::{Event, Replica, Unavailable};
+use crate::control::status;
+
+/// Result of an operator's request.
+type Result<T> = std::result::Result<T, ErrorResponse>;
+
+/// What the routes of the operator interface share.
+#[derive(Clone, Debug)]
+pub struct OperatorState {
+    /// The replica.
+    pub hub: Arc<Hub>,
+    /// Name of the mesh.
+    pub mesh: String,
+    /// This daemon.
+    pub daemon: DaemonId,
+}
+
+/// Makes the routes of the operator interface.
+pub fn app(state: OperatorState) -> tide::Server<OperatorState> {
+    let mut app = tide::with_state(state);
+    app.at(APPROVE_PATH).post(|req| answer(req, approve));
+    app.at(STATUS_PATH).get(|req| answer(req, get_status));
+    app.at(CONFIG_PATH).get(|req| answer(req, get_config));
+    app.at(HISTORY_PATH).get(|req| answer(req, get_history));
+    app.at(ENDPOINTS_PATH).get(|req| answer(req, get_endpoints));
+    app.at(DRAIN_PATH).post(|req| answer(req, drain));
+    app
+}
+
+async fn answer<T, F>(
+    req: Request<OperatorState>,
+    handler: impl FnOnce(Request<OperatorState>) -> F,
+) -> tide::Result
+where
+    T: Serialize,
+    F: Future<Output = Result<T>>,
+{
+    match handler(req).await {
+        Ok(body) => respond(200, &body),
+        Err(error) => respond(error.code.status(), &error),
+    }
+}
+
+fn respond<T: Serialize>(status: u16, body: &T) -> tide::Result {
+    let status = StatusCode::try_from(status).unwrap_or(StatusCode::InternalServerError);
+    let mut response = Response::new(status);
+    response.set_body(tide::Body::from_json(body)?);
+    Ok(response)
+}
+
+async fn approve(mut req: Request<OperatorState>) -> Result<ApproveResponse> {
+    let body: ApproveRequest = read_body(&mut req).await?;
+    let command = Command::Approve {
+        request: body.request_id,
+        base: body.base,
+        operator: body.operator,
+        answers: body.answers,
+        config: body.config,
+        at: clock::unix_now(),
+    };
+    let problems = command.problems();
+    if !problems.is_empty() {
+        return Err(invalid(&problems));
+    }
+    let (tx, rx) = oneshot::channel();
+    let sent = req.state().hub.send(Event::Propose(Box::new(command), tx));
+    let outcome = match rx.await {
+        Ok(outcome) if sent => outcome.map_err(|error| unavailable(&error))?,
+        _ => return Err(stopped()),
+    };
+    match outcome {
+        Outcome::Approved {
+            version,
+            rollouts,
+            repeated,
+        } => {
+            metrics::counter!("sycamoreflow_approvals_total").increment(1);
+            Ok(ApproveResponse {
+                version,
+                repeated,
+                rollouts,
+            })
+        }
+        Outcome::Conflict { current, by, .. } => {
+            let message = format!(
+                "version {current}, approved by {by}, is in force; run `sycamoreflow plan` again"
+            );
+            let mut error = ErrorResponse::new(ErrorCode::Conflict, message);
+            error.current = Some(current);
+            Err(error)
+        }
+        Outcome::Invalid { problems } => Err(invalid(&problems)),
+        Outcome::RequestIdReused => Err(ErrorResponse::new(
+            ErrorCode::RequestIdReused,
+            "the request identifier was used for another request; use a new one",
+        )),
+        Outcome::Refused { reason } => Err(ErrorResponse::new(ErrorCode::Unavailable, reason)),
+        Outcome::Done { .. } => Err(stopped()),
+    }
+}
+
+async fn get_status(
+    req: Request<OperatorState>,
+) -> Result<sycamoreflow_state::operator::StatusResponse> {
+    let mesh = req.state().mesh.clone();
+    let daemon = req.state().daemon.clone();
+    let read = move |replica: &Replica| status::status(replica, mesh, daemon);
+    read_leader(&req.state().hub, read).await
+}
+
+async fn get_config(req: Request<OperatorState>) -> Result<ConfigResponse> {
+    let mesh = req.state().mesh.clone();
+    let read = move |replica: &Replica| {
+        let approved = replica.state().approved();
+        ConfigResponse {
+            mesh,
+            version: approved.version,
+            answers: approved.answers.clone(),
+            config: approved.config.clone(),
+        }
+    };
+    self::read(&req.state().hub, read).await
+}
+
+async fn get_history(
+    req: Request<OperatorState>,
+) -> Result<sycamoreflow_state::operator::HistoryResponse> {
+    let service = req
+        .url()
+        .query_pairs()
+        .find(|(name, _)| name == "service")
+        .map(|(_, value)| ServiceName::from(value.as_ref()));
+    let read = move |replica: &Replica| status::history(replica.state(), service.as_ref());
+    self::read(&req.state().hub, read).await
+}
+
+async fn get_endpoints(req: Request<OperatorState>) -> Result<EndpointsResponse> {
+    let view = req.state().hub.view();
+    Ok(EndpointsResponse {
+        version: view.version().endpoints,
+        endpoints: view.endpoints().cloned().collect(),
+    })
+}
+
+async fn drain(mut req: Request<OperatorState>) -> Result<DrainResponse> {
+    let body: DrainRequest = read_body(&mut req).await?;
+    let hub = req.state().hub.clone();
+    let known = |hub: &Hub| {
+        let view = hub.view();
+        let of_daemon = view.endpoints().filter(|e| e.daemon == body.daemon);
+        of_daemon.count() as u64
+    };
+    if known(&hub) == 0 {
+        let message = format!("no endpoint at daemon {}", body.daemon);
+        return Err(ErrorResponse::new(ErrorCode::NotFound, message));
+    }
+    let read = |replica: &Replica| replica.leader().is_some();
+    read_leader(&hub, read).await?;
+    hub.forward(&body.daemon, Content::Drain(body.draining));
+    // The mark is visible once the leader has published it, within some ticks.
+    for _ in 0..100 {
+        let view = hub.view();
+        let mut of_daemon = view.endpoints().filter(|e| e.daemon == body.daemon);
+        if of_daemon.all(|e| e.draining == body.draining) {
+            return Ok(DrainResponse {
+                version: view.version().endpoints,
+                endpoints: known(&hub),
+            });
+        }
+        async_std::task::sleep(std::time::Duration::from_millis(20)).await;
+    }
+    let message = "the mark was not published in time; send the request again";
+    Err(ErrorResponse::new(ErrorCode::Unavailable, message))
+}
+
+/// Reads the state of this replica once a quorum has confirmed that it is current.
+async fn read<T: Send + 'static>(
+    hub: &Hub,
+    read: impl FnOnce(&Replica) -> T + Send + 'static,
+) -> Result<T> {
+    let (tx, rx) = oneshot::channel();
+    let event = Event::Read(Box::new(move |replica| {
+        let _ = tx.send(replica.map(read));
+    }));
+    if !hub.send(event) {
+        return Err(stopped());
+    }
+    match rx.await {
+        Ok(result) => result.map_err(|error| unavailable(&error)),
+        Err(_) => Err(stopped()),
+    }
+}
+
+/// Reads what only the leader knows.
+async fn read_leader<T: Send + 'static>(
+    hub: &Hub,
+    read: impl FnOnce(&Replica) -> T + Send + 'static,
+) -> Result<T> {
+    let checked = move |replica: &Replica| {
+        if replica.leader().is_none() {
+            return Err(Unavailable {
+                refusal: None,
+                leader: replica.leader_id().cloned(),
+            });
+        }
+        Ok(read(replica))
+    };
+    self::read(hub, checked)
+        .await?
+        .map_err(|error| unavailable(&error))
+}
+
+async fn read_body<T: DeserializeOwned>(req: &mut Request<OperatorState>) -> Result<T> {
+    req.body_json().await.map_err(|error| {
+        let message = format!("the body is malformed: {error}");
+        ErrorResponse::new(ErrorCode::BadRequest, message)
+    })
+}
+
+fn invalid(problems: &[String]) -> ErrorResponse {
+    let message = format!(
+        "the configuration is refused as a whole:\n{}",
+        problems.join("\n")
+    );
+    ErrorResponse::new(ErrorCode::Invalid, message)
+}
+
+fn unavailable(error: &Unavailable) -> ErrorResponse {
+    let message = match &error.leader {
+        Some(leader) => format!("this replica does not lead the control group; ask {leader}"),
+        None => "the control group has no quorum at present; try again".to_owned(),
+    };
+    ErrorResponse::new(ErrorCode::Unavailable, message)
+}
+
+fn stopped() -> ErrorResponse {
+    ErrorResponse::new(
+        ErrorCode::Unavailable,
+        "this replica is stopping; ask another one",
+    )
+}
--- /dev/null
+++ b/crates/daemon/src/control/peers.rs
@@ -0,0 +1,163 @@
+//! Links between control replicas, and the follower's copy of the leader's view.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::channel;
+use async_std::task;
+use futures::FutureExt;
+use parking_lot::Mutex;
+use sycamoreflow_protocol::distribution::{FromReplica, FromSubscriber};
+use sycamoreflow_protocol::handshake::{Identity, Purpose};
+use sycamoreflow_protocol::replica::ReplicaMessage;
+use sycamoreflow_state::ids::DaemonId;
+use sycamoreflow_transport::link::{self, Receiver, Sender};
+
+use crate::control::hub::Hub;
+use crate::control::replica::Event;
+use crate::settings::ReplicaAddress;
+
+/// Wait before a failed link is opened again. The replicated log repeats what was lost.
+const RECONNECT_INTERVAL: Duration = Duration::from_millis(200);
+
+/// The other replicas of the group.
+#[derive(Debug)]
+pub struct Peers {
+    identity: Identity,
+    limits: link::Limits,
+    addresses: BTreeMap<DaemonId, ReplicaAddress>,
+    links: Mutex<BTreeMap<DaemonId, Sender>>,
+    leader: Mutex<Option<DaemonId>>,
+    leader_changed: (channel::Sender<()>, channel::Receiver<()>),
+}
+
+impl Peers {
+    /// Makes the links' owner without opening them.
+    pub fn new(replicas: &[ReplicaAddress], identity: &Identity, limits: &link::Limits) -> Self {
+        let others = replicas.iter().filter(|r| r.daemon != identity.daemon);
+        Self {
+            identity: identity.clone(),
+            limits: limits.clone(),
+            addresses: others.map(|r| (r.daemon.clone(), r.clone())).collect(),
+            links: Mutex::default(),
+            leader: Mutex::default(),
+            leader_changed: channel::bounded(1),
+        }
+    }
+
+    /// Sends a message, or loses it if there is no link.
+    pub fn send(&self, to: &DaemonId, message: &ReplicaMessage) {
+        let link = self.links.lock().get(to).cloned();
+        let Some(link) = link else {
+            return;
+        };
+        if link.send(message).is_err() {
+            metrics::counter!("sycamoreflow_replica_messages_lost_total").increment(1);
+        }
+    }
+
+    /// Sends a message to all other replicas.
+    pub fn send_to_all(&self, message: &ReplicaMessage) {
+        for to in self.addresses.keys() {
+            self.send(to, message);
+        }
+    }
+
+    /// Notes the leader, whose view this replica follows.
+    pub fn set_leader(&self, leader: Option<DaemonId>) {
+        *self.leader.lock() = leader;
+        let _ = self.leader_changed.0.try_send(());
+    }
+
+    /// Returns the address of a replica.
+    pub fn address(&self, daemon: &DaemonId) -> Option<&ReplicaAddress> {
+        self.addresses.get(daemon)
+    }
+
+    /// Keeps the links to all other replicas open.
+    pub fn start(self: &Arc<Self>) {
+        for address in self.addresses.values() {
+            task::spawn(self.clone().keep_link(address.clone()));
+        }
+    }
+
+    async fn keep_link(self: Arc<Self>, address: ReplicaAddress) {
+        loop {
+            let opened =
+                link::connect(address.link, &self.identity, Purpose::Raft, &self.limits).await;
+            if let Ok((tx, mut rx)) = opened
+                && tx.peer().daemon == address.daemon
+            {
+                self.links.lock().insert(address.daemon.clone(), tx);
+                // The other replica sends over its own link; this one only tells when it breaks.
+                while rx.receive_encoded().await.is_ok() {}
+                self.links.lock().remove(&address.daemon);
+            }
+            task::sleep(RECONNECT_INTERVAL).await;
+        }
+    }
+
+    /// Follows the view of the leader, whoever it is.
+    pub async fn follow(self: Arc<Self>, hub: Arc<Hub>) {
+        loop {
+            let leader = self.leader.lock().clone();
+            let address = leader.and_then(|leader| self.address(&leader).cloned());
+            let changed = self.leader_changed.1.recv().fuse();
+            let following = self.follow_one(&hub, address).fuse();
+            futures::pin_mut!(changed, following);
+            futures::select! {
+                _ = changed => {}
+                () = following => task::sleep(RECONNECT_INTERVAL).await,
+            }
+        }
+    }
+
+    async fn follow_one(&self, hub: &Hub, address: Option<ReplicaAddress>) {
+        let Some(address) = address else {
+            // This replica leads, or knows no leader: there is nothing to follow.
+            return futures::future::pending().await;
+        };
+        let opened = link::connect(
+            address.link,
+            &self.identity,
+            Purpose::Distribution,
+            &self.limits,
+        );
+        let Ok((tx, mut rx)) = opened.await else {
+            return;
+        };
+        let view = hub.view();
+        let have = (!view.is_empty()).then(|| view.version());
+        if tx.send(&FromSubscriber::Follow { have }).is_err() {
+            return;
+        }
+        while let Ok(message) = rx.receive::<FromReplica>().await {
+            let FromReplica::Update(delta) = message else {
+                return;
+            };
+            if let Err(reason) = hub.publish_delta(&delta) {
+                tracing::warn!(%reason, "view of the leader rejected");
+                return;
+            }
+        }
+    }
+}
+
+/// Hands the messages of another replica to this one until the link ends.
+pub async fn serve(hub: Arc<Hub>, tx: Sender, mut rx: Receiver) {
+    let from = tx.peer().daemon.clone();
+    while let Ok(message) = rx.receive::<ReplicaMessage>().await {
+        let event = match message {
+            ReplicaMessage::Raft(message) => Event::Raft {
+                from: from.clone(),
+                message,
+            },
+            ReplicaMessage::Forward(messages) => Event::Forwarded(messages),
+            ReplicaMessage::Grants(grants) => Event::Grants(grants),
+        };
+        if !hub.send(event) {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/control/sessions.rs
@@ -0,0 +1,165 @@
+//! Serves one subscriber of a control replica.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use async_std::future::timeout;
+use async_std::task;
+use futures::FutureExt;
+use sycamoreflow_protocol::distribution::{FromReplica, FromSubscriber};
+use sycamoreflow_protocol::replica::Content;
+use sycamoreflow_state::ids::{ConfigVersion, DaemonId, ViewVersion};
+use sycamoreflow_state::view::Interest;
+use sycamoreflow_transport::link::{Receiver, SendError, Sender};
+
+use crate::control::hub::{Hub, Registration, SessionCommand};
+
+/// How long a subscriber may take to say what it wants.
+const SUBSCRIBE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// How long an admission waits for the published view to reach the confirmed version.
+const CATCH_UP_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Result of a part of a session.
+type Result<T> = std::result::Result<T, SendError>;
+
+/// What a session knows of its subscriber.
+struct Session {
+    hub: Arc<Hub>,
+    daemon: DaemonId,
+    tx: Sender,
+    interest: Interest,
+    have: Option<ViewVersion>,
+}
+
+/// Serves a subscriber until its link ends or the replica loses its quorum.
+pub async fn serve(hub: Arc<Hub>, tx: Sender, mut rx: Receiver) {
+    let daemon = tx.peer().daemon.clone();
+    let first = timeout(SUBSCRIBE_TIMEOUT, rx.receive::<FromSubscriber>()).await;
+    let (interest, have, endpoints) = match first {
+        Ok(Ok(FromSubscriber::Subscribe {
+            interest,
+            have,
+            endpoints,
+        })) => (interest, have, endpoints),
+        Ok(Ok(FromSubscriber::Follow { have })) => return serve_follower(hub, tx, rx, have).await,
+        _ => return,
+    };
+    let refusal = match hub.admit() {
+        Ok(()) => admission(&hub).await.err(),
+        Err(wait) => {
+            metrics::counter!("sycamoreflow_joins_deferred_total").increment(1);
+            Some(FromReplica::RetryAfter(wait))
+        }
+    };
+    if let Some(refusal) = refusal {
+        let _ = tx.send_waiting(&refusal).await;
+        return;
+    }
+    hub.forward(&daemon, Content::Renew(endpoints));
+    let mut session = Session {
+        hub,
+        daemon,
+        tx,
+        interest,
+        have,
+    };
+    // The subscriber is told why by the end of its link.
+    let _ = session.run(rx).await;
+}
+
+/// Sends the published view to another replica until its link ends or this replica no longer leads.
+async fn serve_follower(hub: Arc<Hub>, tx: Sender, rx: Receiver, have: Option<ViewVersion>) {
+    let daemon = tx.peer().daemon.clone();
+    let mut session = Session {
+        hub,
+        daemon,
+        tx,
+        interest: Interest::All,
+        have,
+    };
+    let registration = session.hub.register(&session.daemon);
+    let _ = session.follow(&registration, rx).await;
+}
+
+/// Returns when the published view has reached what a quorum confirms, or the refusal.
+async fn admission(hub: &Hub) -> std::result::Result<ConfigVersion, FromReplica> {
+    let floor = hub.confirm().await.ok_or(FromReplica::NoQuorum)?;
+    let limit = Instant::now() + CATCH_UP_TIMEOUT;
+    while hub.view().version().config < floor {
+        if Instant::now() > limit {
+            return Err(FromReplica::NoQuorum);
+        }
+        task::sleep(Duration::from_millis(5)).await;
+    }
+    Ok(floor)
+}
+
+impl Session {
+    async fn run(&mut self, rx: Receiver) -> Result<()> {
+        let registration = self.hub.register(&self.daemon);
+        let floor = self.hub.view().version().config;
+        self.tx.send(&FromReplica::Admitted { floor })?;
+        self.follow(&registration, rx).await
+    }
+
+    async fn follow(&mut self, registration: &Registration, mut rx: Receiver) -> Result<()> {
+        self.send_update()?;
+        loop {
+            let command = registration.commands.recv().fuse();
+            let message = rx.receive::<FromSubscriber>().fuse();
+            futures::pin_mut!(command, message);
+            futures::select! {
+                command = command => {
+                    let Ok(command) = command else { return Ok(()) };
+                    if !self.execute(command)? {
+                        return Ok(());
+                    }
+                }
+                message = message => {
+                    let Ok(message) = message else { return Ok(()) };
+                    self.take(message)?;
+                }
+            }
+        }
+    }
+
+    /// Executes a command of the replica. Returns whether the session goes on.
+    fn execute(&mut self, command: SessionCommand) -> Result<bool> {
+        match command {
+            SessionCommand::Changed => self.send_update()?,
+            SessionCommand::Grant(grant) => self.tx.send(&FromReplica::Grants(vec![grant]))?,
+            SessionCommand::NoQuorum => {
+                self.tx.send(&FromReplica::NoQuorum)?;
+                return Ok(false);
+            }
+        }
+        Ok(true)
+    }
+
+    fn take(&mut self, message: FromSubscriber) -> Result<()> {
+        let content = match message {
+            FromSubscriber::Renew(endpoints) => Content::Renew(endpoints),
+            FromSubscriber::InForce(version) => Content::InForce(version),
+            FromSubscriber::Rejected { version, reason } => Content::Rejected { version, reason },
+            FromSubscriber::Report(report) => Content::Report(report),
+            FromSubscriber::Follow { .. } => return Ok(()),
+            FromSubscriber::Interest(interest) | FromSubscriber::Subscribe { interest, .. } => {
+                self.interest = interest;
+                self.have = None;
+                return self.send_update();
+            }
+        };
+        self.hub.forward(&self.daemon, content);
+        Ok(())
+    }
+
+    fn send_update(&mut self) -> Result<()> {
+        let Some((frame, to)) = self.hub.update_for(&self.interest, self.have) else {
+            return Ok(());
+        };
+        self.tx.send_encoded(frame)?;
+        self.have = Some(to);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/control/status.rs
@@ -0,0 +1,144 @@
+//! What operators see of a control replica.
+
+use sycamoreflow_coordination::machine::{self, ControlState};
+use sycamoreflow_coordination::raft::Role;
+use sycamoreflow_coordination::rollout::RolloutAction;
+use sycamoreflow_state::ids::{ConfigVersion, DaemonId, Millis, ServiceName};
+use sycamoreflow_state::operator::{
+    Convergence, HistoryEntry, HistoryEvent, HistoryResponse, ReplicaStatus, RolloutStatus,
+    StatusResponse,
+};
+use sycamoreflow_state::rollout::Rollout;
+
+use crate::control::replica::Replica;
+
+/// Returns the state of the mesh as the leader sees it.
+pub fn status(replica: &Replica, mesh: String, daemon: DaemonId) -> StatusResponse {
+    let state = replica.state();
+    let leader = replica.leader();
+    StatusResponse {
+        mesh,
+        daemon,
+        config: state.version(),
+        endpoints: leader.map_or_else(Default::default, |leader| leader.leases().version()),
+        leader: replica.leader_id().cloned(),
+        replicas: replicas(replica),
+        convergence: leader.map_or_else(Convergence::default, |leader| leader.convergence()),
+        rollouts: rollouts(state),
+    }
+}
+
+fn replicas(replica: &Replica) -> Vec<ReplicaStatus> {
+    let replicas = replica.raft().replicas().into_iter();
+    let statuses = replicas.map(|progress| ReplicaStatus {
+        daemon: progress.id,
+        voter: progress.role == Role::Voter,
+        reachable: progress.reachable,
+        log_index: progress.matched,
+    });
+    statuses.collect()
+}
+
+fn rollouts(state: &ControlState) -> Vec<RolloutStatus> {
+    let mut statuses = Vec::new();
+    for service in state.rollouts().services() {
+        let history = state.rollouts().history(service);
+        let Some(latest) = history.and_then(|history| history.rollouts.last().cloned()) else {
+            continue;
+        };
+        statuses.push(rollout_status(state, &latest));
+    }
+    statuses
+}
+
+fn rollout_status(state: &ControlState, rollout: &Rollout) -> RolloutStatus {
+    RolloutStatus {
+        rollout: rollout.number,
+        approved: approval_at(state, rollout.started),
+        service: rollout.service.clone(),
+        from: rollout.from.clone(),
+        to: rollout.to.clone(),
+        phase: rollout.phase,
+        share: rollout.share(),
+        finish: rollout.finish_by,
+        reason: rollout.reason.as_ref().map(ToString::to_string),
+    }
+}
+
+/// Returns the version that was approved at `at`, or zero if the history no longer has it.
+fn approval_at(state: &ControlState, at: Millis) -> ConfigVersion {
+    let approvals = state
+        .history()
+        .filter(|record| matches!(record.event, machine::HistoryEvent::Approved { .. }));
+    let approval = approvals.filter(|record| record.at == at).last();
+    approval.map_or_else(ConfigVersion::default, |record| record.version)
+}
+
+/// Returns what happened in the mesh, or to one service.
+pub fn history(state: &ControlState, service: Option<&ServiceName>) -> HistoryResponse {
+    let mut entries = Vec::new();
+    for record in state.history() {
+        let Some((of_service, event)) = entry(state, record) else {
+            continue;
+        };
+        if service.is_some() && of_service.is_some() && of_service.as_ref() != service {
+            continue;
+        }
+        entries.push(HistoryEntry {
+            version: record.version,
+            at: time_of(record),
+            service: of_service,
+            event,
+        });
+    }
+    HistoryResponse { entries }
+}
+
+fn time_of(record: &machine::HistoryRecord) -> Millis {
+    match &record.event {
+        machine::HistoryEvent::Rollout(command) => command.at,
+        _ => record.at,
+    }
+}
+
+fn entry(
+    state: &ControlState,
+    record: &machine::HistoryRecord,
+) -> Option<(Option<ServiceName>, HistoryEvent)> {
+    match &record.event {
+        machine::HistoryEvent::Approved { request, operator } => {
+            let event = HistoryEvent::Approved {
+                request_id: request.clone(),
+                operator: operator.clone(),
+            };
+            Some((None, event))
+        }
+        machine::HistoryEvent::KeyHolders { service, epoch } => {
+            let event = HistoryEvent::KeyHoldersChanged { epoch: *epoch };
+            Some((Some(service.clone()), event))
+        }
+        machine::HistoryEvent::Rollout(command) => {
+            let rollout = state.rollouts().get(command.rollout)?;
+            let event = rollout_event(rollout, &command.action, command.step);
+            Some((Some(rollout.service.clone()), event))
+        }
+    }
+}
+
+fn rollout_event(rollout: &Rollout, action: &RolloutAction, step: u32) -> HistoryEvent {
+    let to = rollout.to.clone();
+    match action {
+        RolloutAction::Advance => {
+            let entered = rollout.steps.get(step as usize);
+            HistoryEvent::ShareChanged {
+                to,
+                share: entered.map_or_else(|| rollout.share(), |entered| entered.share),
+            }
+        }
+        RolloutAction::TakeBack(reason) => HistoryEvent::TakenBack {
+            to,
+            reason: reason.to_string(),
+        },
+        RolloutAction::Finish => HistoryEvent::RolloutDone { to },
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/daemon.rs
@@ -0,0 +1,406 @@
+//! Starts and stops the parts of a daemon.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use async_std::channel;
+use async_std::net::{TcpListener, TcpStream};
+use async_std::task::{self, JoinHandle};
+use eyre::WrapErr;
+use metrics_exporter_prometheus::PrometheusHandle;
+use parking_lot::Mutex;
+use sycamoreflow_coordination::floor::Witness;
+use sycamoreflow_protocol::floor::FloorRequest;
+use sycamoreflow_protocol::handshake::{Identity, MeshKey, Purpose};
+use sycamoreflow_state::ids::Millis;
+use sycamoreflow_state::view::Interest;
+use sycamoreflow_transport::call_link;
+use sycamoreflow_transport::http::operator::{BearerToken, OperatorHandle};
+use sycamoreflow_transport::http::{client, operator, server};
+use sycamoreflow_transport::link::{self, Receiver, Sender};
+
+use crate::announce_api::{self, AnnounceState};
+use crate::control::Control;
+use crate::control::operator_api::{self, OperatorState};
+use crate::floor::{self, Floor};
+use crate::proxy::Proxy;
+use crate::proxy::links::CallLinks;
+use crate::proxy::owner::{Owner, OwnerLimits};
+use crate::rpc;
+use crate::settings::Settings;
+use crate::subscriber::Subscriber;
+use crate::traffic::ControlTraffic;
+
+/// How often leases of announcements, waits for slots and ejected endpoints are looked at.
+const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Calls of one other daemon that run here at once. The upstream's slots bound them further.
+const MAX_CALLS_PER_LINK: usize = 1_024;
+
+/// How long a leaving daemon goes on serving calls that other daemons send, so that its drain
+/// mark reaches them before its link listener closes.
+const LEAVE_NOTICE: Duration = Duration::from_millis(1_000);
+
+/// Addresses that a daemon listens on.
+#[derive(Clone, Copy, Debug)]
+pub struct Addresses {
+    /// HTTP calls from callers.
+    pub calls: SocketAddr,
+    /// Links from other daemons.
+    pub link: SocketAddr,
+    /// Announcements and metrics.
+    pub announce: SocketAddr,
+    /// Operator interface, if there is one.
+    pub operator: Option<SocketAddr>,
+}
+
+/// A running daemon.
+pub struct Daemon {
+    proxy: Arc<Proxy>,
+    control: Option<Arc<Mutex<Control>>>,
+    calls: server::ServerHandle,
+    /// Interfaces for the upstream and for operators. They end when they are dropped.
+    interfaces: Vec<OperatorHandle>,
+    traffic: Arc<ControlTraffic>,
+    addresses: Addresses,
+    draining: Arc<AtomicBool>,
+    endpoints_changed: channel::Sender<()>,
+    tasks: Vec<JoinHandle<()>>,
+    drain_timeout: Duration,
+}
+
+/// What the link listener needs to serve a link.
+struct LinkContext {
+    identity: Identity,
+    limits: link::Limits,
+    proxy: Arc<Proxy>,
+    witness: Mutex<Witness>,
+    control: Option<Arc<Mutex<Control>>>,
+}
+
+/// The listening sockets of a daemon, bound before any part starts.
+struct Listeners {
+    calls: TcpListener,
+    link: TcpListener,
+    announce: TcpListener,
+    operator: Option<TcpListener>,
+}
+
+impl Daemon {
+    /// Binds all addresses and starts all parts.
+    ///
+    /// # Errors
+    ///
+    /// If an address can't be bound, a secret can't be read, or the data folder can't be used.
+    pub async fn start(
+        settings: &Settings,
+        metrics: Option<PrometheusHandle>,
+    ) -> eyre::Result<Self> {
+        let identity = identity(settings)?;
+        let limits = link::Limits::default();
+        let listeners = Listeners::bind(settings).await?;
+        let addresses = listeners.addresses()?;
+        let incarnation = random_seed()?;
+        let proxy = Arc::new(proxy(
+            settings,
+            &identity,
+            &limits,
+            addresses.link,
+            incarnation,
+        ));
+        let control = start_control(settings, &identity, &limits, incarnation)?;
+        let (changed_tx, changed_rx) = channel::bounded(1);
+        let mut tasks = Vec::new();
+
+        let serving = proxy.clone();
+        let server_limits = server::Limits {
+            max_connections: settings.limits.connections,
+            max_body_bytes: settings.limits.body_bytes as u64,
+            ..server::Limits::default()
+        };
+        let calls = server::serve(listeners.calls, server_limits, move |req| {
+            let proxy = serving.clone();
+            async move { proxy.serve(req).await }
+        })?;
+
+        let context = Arc::new(LinkContext {
+            identity: identity.clone(),
+            limits: limits.clone(),
+            proxy: proxy.clone(),
+            witness: Mutex::default(),
+            control: control.clone(),
+        });
+        tasks.push(task::spawn(accept_links(listeners.link, context)));
+
+        let state = AnnounceState {
+            proxy: proxy.clone(),
+            endpoints_changed: changed_tx.clone(),
+            metrics,
+        };
+        let app = announce_api::app(state);
+        let http_limits = operator::Limits::default();
+        let announce = operator::serve(listeners.announce, app, None, http_limits.clone())?;
+        let mut interfaces = vec![announce];
+        if let (Some(listener), Some(control)) = (listeners.operator, &control) {
+            let app = operator_api::app(OperatorState {
+                hub: control.lock().hub().clone(),
+                mesh: settings.mesh.clone(),
+                daemon: settings.daemon.clone(),
+            });
+            let token = BearerToken::new(settings.operator_token()?.expose())?;
+            interfaces.push(operator::serve(listener, app, Some(token), http_limits)?);
+        }
+
+        let traffic = Arc::new(ControlTraffic::default());
+        let witnesses = &settings.floor.witnesses;
+        let floor = Arc::new(Floor::new(witnesses, &identity, &limits, &traffic));
+        let resending = floor.clone();
+        tasks.push(task::spawn(async move { resending.resend().await }));
+        let subscriber = Subscriber {
+            daemon: settings.daemon.clone(),
+            identity,
+            limits,
+            replicas: settings.control_replicas.clone(),
+            interest: interest(settings),
+            proxy: proxy.clone(),
+            floor,
+            traffic: traffic.clone(),
+            seed: incarnation,
+            endpoints_changed: changed_rx,
+        };
+        tasks.push(task::spawn(subscriber.run()));
+        tasks.push(task::spawn(keep_house(proxy.clone(), changed_tx.clone())));
+        Ok(Self {
+            proxy,
+            control,
+            calls,
+            interfaces,
+            traffic,
+            addresses,
+            draining: Arc::new(AtomicBool::new(false)),
+            endpoints_changed: changed_tx,
+            tasks,
+            drain_timeout: Duration::from_millis(settings.limits.drain_timeout_ms),
+        })
+    }
+
+    /// Returns the addresses that the daemon listens on.
+    pub fn addresses(&self) -> Addresses {
+        self.addresses
+    }
+
+    /// Returns the control traffic since the start.
+    pub fn control_traffic(&self) -> &ControlTraffic {
+        &self.traffic
+    }
+
+    /// Returns the request path.
+    pub fn proxy(&self) -> &Arc<Proxy> {
+        &self.proxy
+    }
+
+    /// Stops gracefully: new work is refused as not run, what runs finishes, and the other daemons
+    /// are told before the listeners close. Returns the number of calls that were cut because they
+    /// did not finish in time.
+    pub async fn drain(mut self) -> usize {
+        self.draining.store(true, Ordering::SeqCst);
+        let limit = Instant::now() + self.drain_timeout;
+        self.proxy.owner().drain();
+        let _ = self.endpoints_changed.try_send(());
+        if let Some(control) = &self.control {
+            control.lock().transfer_leadership();
+        }
+        let drained = self.calls.drain(self.drain_timeout).await;
+        task::sleep(LEAVE_NOTICE.min(self.drain_timeout)).await;
+        while self.proxy.owner().in_flight() > 0 && Instant::now() < limit {
+            task::sleep(Duration::from_millis(10)).await;
+        }
+        let cut = drained.cut_connections + self.proxy.owner().in_flight();
+        self.stop_tasks().await;
+        cut
+    }
+
+    /// Stops at once, as a crash would: links and calls are cut.
+    pub async fn kill(mut self) {
+        self.stop_tasks().await;
+    }
+
+    async fn stop_tasks(&mut self) {
+        self.interfaces.clear();
+        for task in std::mem::take(&mut self.tasks) {
+            task.cancel().await;
+        }
+        if let Some(control) = self.control.take() {
+            control.lock().stop();
+        }
+    }
+}
+
+impl Listeners {
+    async fn bind(settings: &Settings) -> eyre::Result<Self> {
+        let listen = &settings.listen;
+        let operator = match listen.operator.filter(|_| settings.control.is_some()) {
+            Some(address) => Some(bind("listen.operator", address).await?),
+            None => None,
+        };
+        Ok(Self {
+            calls: bind("listen.calls", listen.calls).await?,
+            link: bind("listen.link", listen.link).await?,
+            announce: bind("listen.announce", listen.announce).await?,
+            operator,
+        })
+    }
+
+    fn addresses(&self) -> eyre::Result<Addresses> {
+        let operator = self.operator.as_ref().map(TcpListener::local_addr);
+        Ok(Addresses {
+            calls: self.calls.local_addr()?,
+            link: self.link.local_addr()?,
+            announce: self.announce.local_addr()?,
+            operator: operator.transpose()?,
+        })
+    }
+}
+
+async fn bind(field: &str, address: SocketAddr) -> eyre::Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .wrap_err_with(|| format!("{field}: can't bind {address}"))
+}
+
+fn identity(settings: &Settings) -> eyre::Result<Identity> {
+    let secret = settings.mesh_key()?;
+    let key = MeshKey::new(secret.expose().as_bytes().to_vec())?;
+    Ok(Identity {
+        mesh: settings.mesh.clone(),
+        daemon: settings.daemon.clone(),
+        key,
+    })
+}
+
+fn interest(settings: &Settings) -> Interest {
+    if settings.interest.is_empty() {
+        return Interest::All;
+    }
+    Interest::Services(settings.interest.iter().cloned().collect())
+}
+
+fn proxy(
+    settings: &Settings,
+    identity: &Identity,
+    limits: &link::Limits,
+    link_address: SocketAddr,
+    incarnation: u64,
+) -> Proxy {
+    let client = client::Client::new(client::Limits {
+        max_body_bytes: settings.limits.body_bytes,
+        ..client::Limits::default()
+    });
+    let owner_limits = OwnerLimits {
+        max_wait: Millis(settings.limits.queue_ms),
+        queue_per_slot: settings.limits.queue_per_slot,
+    };
+    let owner = Owner::new(
+        settings.daemon.clone(),
+        settings.data_centre.clone(),
+        link_address,
+        owner_limits,
+        client,
+    );
+    let links = CallLinks::new(identity.clone(), limits.clone());
+    Proxy::new(
+        settings.daemon.clone(),
+        settings.data_centre.clone(),
+        incarnation,
+        links,
+        Arc::new(owner),
+    )
+}
+
+fn start_control(
+    settings: &Settings,
+    identity: &Identity,
+    limits: &link::Limits,
+    seed: u64,
+) -> eyre::Result<Option<Arc<Mutex<Control>>>> {
+    let Some(control) = &settings.control else {
+        return Ok(None);
+    };
+    let control = Control::start(settings, control, identity, limits, seed)?;
+    Ok(Some(Arc::new(Mutex::new(control))))
+}
+
+fn random_seed() -> eyre::Result<u64> {
+    let mut bytes = [0; 8];
+    getrandom::fill(&mut bytes).map_err(|error| eyre::eyre!("no random numbers: {error}"))?;
+    Ok(u64::from_le_bytes(bytes))
+}
+
+async fn accept_links(listener: TcpListener, context: Arc<LinkContext>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => drop(task::spawn(serve_link(stream, context.clone()))),
+            Err(error) => {
+                metrics::counter!("sycamoreflow_accept_failures_total").increment(1);
+                tracing::warn!(%error, "link not accepted");
+                // The usual cause is a lack of file descriptors, which a retry at once prolongs.
+                task::sleep(Duration::from_millis(100)).await;
+            }
+        }
+    }
+}
+
+async fn serve_link(stream: TcpStream, context: Arc<LinkContext>) {
+    let (peer, purpose, tx, rx) =
+        match link::accept(stream, &context.identity, &context.limits).await {
+            Ok(opened) => opened,
+            Err(error) => {
+                metrics::counter!("sycamoreflow_links_refused_total").increment(1);
+                tracing::debug!(%error, "link refused");
+                return;
+            }
+        };
+    match purpose {
+        Purpose::Calls => serve_calls(&context.proxy, tx, rx).await,
+        Purpose::Floor => {
+            let answer = |request: FloorRequest| {
+                let view = context.proxy.view();
+                floor::answer(&context.witness, view.as_deref(), &peer.daemon, request)
+            };
+            rpc::serve(tx, rx, answer).await;
+        }
+        Purpose::Distribution => {
+            if let Some(control) = &context.control {
+                control.lock().serve_subscriber(tx, rx);
+            }
+        }
+        Purpose::Raft => {
+            if let Some(control) = &context.control {
+                control.lock().serve_peer(tx, rx);
+            }
+        }
+        // Key holders are served once idempotency keys are in force; see docs/design.md.
+        Purpose::Keys => {}
+    }
+}
+
+async fn serve_calls(proxy: &Arc<Proxy>, tx: Sender, rx: Receiver) {
+    call_link::serve(tx, rx, MAX_CALLS_PER_LINK, |call, _| {
+        let proxy = proxy.clone();
+        async move { proxy.run_owned(call).await }
+    })
+    .await;
+}
+
+async fn keep_house(proxy: Arc<Proxy>, endpoints_changed: channel::Sender<()>) {
+    loop {
+        task::sleep(HOUSEKEEPING_INTERVAL).await;
+        proxy.owner().tick();
+        if proxy.owner().expire() {
+            let _ = endpoints_changed.try_send(());
+        }
+        proxy.probe().await;
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/floor.rs
@@ -0,0 +1,190 @@
+//! Carries the messages of the version floor between this daemon and its witnesses.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::task;
+use futures::future::join_all;
+use parking_lot::Mutex;
+use sycamoreflow_coordination::floor::{
+    Activation, FLOOR_RESEND_INTERVAL, FloorRecovery, Staging, Witness,
+};
+use sycamoreflow_protocol::floor::{FloorReply, FloorRequest};
+use sycamoreflow_protocol::handshake::{Identity, Purpose};
+use sycamoreflow_state::ids::{ConfigVersion, DaemonId};
+use sycamoreflow_state::view::{Delta, Interest, View};
+use sycamoreflow_transport::link;
+
+use crate::clock;
+use crate::rpc::RpcClient;
+use crate::settings::ReplicaAddress;
+use crate::traffic::ControlTraffic;
+
+/// How long one question to a witness may take.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Client of one witness.
+type WitnessClient = RpcClient<FloorRequest, FloorReply>;
+
+/// The witnesses of this daemon.
+#[derive(Debug)]
+pub struct Floor {
+    witnesses: BTreeMap<DaemonId, Arc<WitnessClient>>,
+    staging: Mutex<Staging>,
+    /// Version floor found at the start, or the version in force since.
+    floor: Mutex<Option<ConfigVersion>>,
+}
+
+impl Floor {
+    /// Makes the client side for a fixed set of witnesses.
+    pub fn new(
+        witnesses: &[ReplicaAddress],
+        identity: &Identity,
+        limits: &link::Limits,
+        traffic: &Arc<ControlTraffic>,
+    ) -> Self {
+        let clients = witnesses.iter().map(|witness| {
+            let client = WitnessClient::new(
+                witness.link,
+                identity.clone(),
+                Purpose::Floor,
+                limits.clone(),
+                traffic.clone(),
+            );
+            (witness.daemon.clone(), Arc::new(client))
+        });
+        let staging = Staging::new(witnesses.iter().map(|witness| witness.daemon.clone()));
+        Self {
+            witnesses: clients.collect(),
+            staging: Mutex::new(staging),
+            floor: Mutex::default(),
+        }
+    }
+
+    /// Returns the lowest version that may be served, once it is known.
+    pub fn known(&self) -> Option<ConfigVersion> {
+        *self.floor.lock()
+    }
+
+    /// Records a floor that a quorum of the control group or of the witnesses has confirmed.
+    pub fn raise(&self, version: ConfigVersion) {
+        let mut floor = self.floor.lock();
+        *floor = (*floor).max(Some(version));
+    }
+
+    /// Stages `version` at the witnesses and returns when it may be activated.
+    ///
+    /// Witnesses that have not answered by then are asked on in the background.
+    pub async fn stage(self: &Arc<Self>, version: ConfigVersion) {
+        self.staging.lock().start(clock::now(), version);
+        loop {
+            self.send_stage_requests();
+            let decision = self.staging.lock().poll(clock::now());
+            match decision {
+                Activation::None => return,
+                Activation::Activate { witnessed, .. } => {
+                    if !witnessed {
+                        metrics::counter!("sycamoreflow_unwitnessed_activations_total")
+                            .increment(1);
+                        tracing::warn!(%version, "activated without a majority of the witnesses");
+                    }
+                    return;
+                }
+                // Answers arrive within a round trip, so the poll interval is much shorter than
+                // the interval between resends.
+                Activation::Wait => task::sleep(Duration::from_millis(2)).await,
+            }
+        }
+    }
+
+    /// Goes on staging a version that was activated without a majority.
+    pub async fn resend(self: &Arc<Self>) {
+        loop {
+            task::sleep(clock::duration(FLOOR_RESEND_INTERVAL)).await;
+            self.send_stage_requests();
+            self.staging.lock().poll(clock::now());
+        }
+    }
+
+    /// Asks the witnesses once for the floor. Returns it if a majority has answered.
+    pub async fn recover(&self) -> Option<ConfigVersion> {
+        let ids = self.witnesses.keys().cloned();
+        let mut recovery = FloorRecovery::new(ids);
+        let questions = self.witnesses.iter().map(|(id, client)| async move {
+            let reply = client
+                .request(&FloorRequest::AskFloor, ANSWER_TIMEOUT)
+                .await;
+            (id, reply)
+        });
+        for (id, reply) in join_all(questions).await {
+            if let Some(FloorReply::Floor(floor)) = reply {
+                recovery.answer(id, floor);
+            }
+        }
+        recovery.floor()
+    }
+
+    /// Fetches a view at or above `floor` from the witnesses; the newest one wins.
+    pub async fn fetch_view(&self, interest: &Interest, floor: ConfigVersion) -> Option<View> {
+        let request = FloorRequest::FetchView {
+            interest: interest.clone(),
+            floor,
+        };
+        let request = &request;
+        let questions = self.witnesses.values().map(|client| async move {
+            let reply = client.request(request, ANSWER_TIMEOUT).await?;
+            match reply {
+                FloorReply::View(Some(delta)) => View::from_full(interest, &delta).ok(),
+                _ => None,
+            }
+        });
+        let views = join_all(questions).await.into_iter().flatten();
+        let usable = views.filter(|view| view.version().config >= floor);
+        usable.max_by_key(|view| (view.version().config, view.version().endpoints))
+    }
+
+    fn send_stage_requests(self: &Arc<Self>) {
+        let requests = self.staging.lock().to_send(clock::now());
+        for (id, version) in requests {
+            let Some(client) = self.witnesses.get(&id).cloned() else {
+                continue;
+            };
+            let floor = self.clone();
+            task::spawn(async move {
+                let request = FloorRequest::Stage(version);
+                let reply = client.request(&request, ANSWER_TIMEOUT).await;
+                if let Some(FloorReply::Staged(version)) = reply {
+                    floor.staging.lock().staged(&id, version);
+                }
+            });
+        }
+    }
+}
+
+/// Answers another daemon as its witness.
+pub fn answer(
+    witness: &Mutex<Witness>,
+    own: Option<&View>,
+    daemon: &DaemonId,
+    request: FloorRequest,
+) -> FloorReply {
+    match request {
+        FloorRequest::Stage(version) => FloorReply::Staged(witness.lock().stage(daemon, version)),
+        FloorRequest::AskFloor => FloorReply::Floor(witness.lock().floor(daemon)),
+        FloorRequest::FetchView { interest, floor } => {
+            FloorReply::View(view_for(own, &interest, floor))
+        }
+    }
+}
+
+/// Returns the own view for another daemon, if it is new enough and covers the interest.
+fn view_for(own: Option<&View>, interest: &Interest, floor: ConfigVersion) -> Option<Box<Delta>> {
+    let own = own.filter(|view| view.version().config >= floor)?;
+    let covered = match (own.interest(), interest) {
+        (Interest::All, _) => true,
+        (Interest::Services(_), Interest::All) => false,
+        (Interest::Services(have), Interest::Services(want)) => want.is_subset(have),
+    };
+    covered.then(|| Box::new(Delta::full(&own.restrict(interest))))
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,1 +1,19 @@
-//! Placeholder overview.
+//! The daemon of sycamoreflow: proxy, control replica and operator interface.
+//!
+//! [`Daemon::start`] runs all parts of one daemon in this process; `sycamoreflowd` is a thin
+//! program around it. Sockets, timers and tasks live here and in the transport crate; decisions
+//! live in the coordination crate (`docs/design.md`, section 3).
+
+pub mod announce_api;
+pub mod clock;
+pub mod control;
+mod daemon;
+pub mod floor;
+pub mod proxy;
+pub mod rpc;
+pub mod settings;
+pub mod subscriber;
+pub mod telemetry;
+pub mod traffic;
+
+pub use daemon::{Addresses, Daemon};
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,2 +1,81 @@
-//! p
-fn main() {}
+//! `sycamoreflowd`, the daemon of sycamoreflow.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use async_std::channel;
+use bpaf::{OptionParser, Parser, construct, long};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+use sycamoreflow_daemon::settings::Settings;
+use sycamoreflow_daemon::{Daemon, telemetry};
+
+/// What the command line says.
+#[derive(Clone, Debug)]
+struct Options {
+    config: PathBuf,
+    check: bool,
+}
+
+fn options() -> OptionParser<Options> {
+    let config = long("config")
+        .short('c')
+        .help("Settings file (TOML). See docs/settings.md")
+        .argument::<PathBuf>("FILE");
+    let check = long("check")
+        .help("Check the settings and exit without binding any address")
+        .switch();
+    construct!(Options { config, check })
+        .to_options()
+        .version(env!("CARGO_PKG_VERSION"))
+        .descr("Runs the daemon of sycamoreflow on an upstream host")
+        .footer(
+            "SIGTERM and SIGINT stop the daemon gracefully: it refuses new work, finishes what \
+             runs, and exits 0. It exits 1 if it can't start, and 3 if calls were cut at the time \
+             limit of the stop.",
+        )
+}
+
+fn main() -> ExitCode {
+    let options = options().run();
+    match run(&options) {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("sycamoreflowd: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(options: &Options) -> eyre::Result<ExitCode> {
+    let settings = Settings::load(&options.config)?;
+    if options.check {
+        println!("{}: the settings are valid", options.config.display());
+        return Ok(ExitCode::SUCCESS);
+    }
+    telemetry::start_logs(&settings.log)?;
+    let metrics = telemetry::start_metrics()?;
+    let stop = stop_signal()?;
+    async_std::task::block_on(async {
+        let daemon = Daemon::start(&settings, Some(metrics)).await?;
+        let addresses = daemon.addresses();
+        tracing::info!(daemon = %settings.daemon, ?addresses, "started");
+        let _ = stop.recv().await;
+        tracing::info!("stopping");
+        let cut = daemon.drain().await;
+        tracing::info!(cut, "stopped");
+        Ok(ExitCode::from(if cut == 0 { 0 } else { 3 }))
+    })
+}
+
+/// Returns a channel that is ready once the process has been told to stop.
+fn stop_signal() -> eyre::Result<channel::Receiver<()>> {
+    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+    let (tx, rx) = channel::bounded(1);
+    std::thread::spawn(move || {
+        for _ in signals.forever() {
+            let _ = tx.try_send(());
+        }
+    });
+    Ok(rx)
+}
--- /dev/null
+++ b/crates/daemon/src/proxy/owner.rs
@@ -0,0 +1,368 @@
+//! The owner role: delivers calls to the upstreams beside this daemon.
+//!
+//! Admission is decided here, since only this daemon knows the work in flight exactly. A refusal
+//! from here proves that nothing ran (`docs/design.md`, section 2.4).
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+
+use bytes::Bytes;
+use futures::channel::oneshot;
+use indexmap::IndexMap;
+use parking_lot::Mutex;
+use sycamoreflow_coordination::admission::{
+    Admission, AdmissionConfig, CallId, Decision, Released, UpstreamResult,
+};
+use sycamoreflow_protocol::call::{Answer, Call};
+use sycamoreflow_state::endpoint::{Announcement, Endpoint};
+use sycamoreflow_state::ids::{
+    DaemonId, DataCentre, Micros, Millis, ServiceName, TenantName, VersionName,
+};
+use sycamoreflow_state::verdict::{Failure, Reason, VERDICT_HEADER, Verdict};
+use sycamoreflow_transport::http::client::Client;
+
+use crate::clock;
+use crate::proxy::headers;
+
+/// Result of a delivery.
+pub type Result<T> = std::result::Result<T, Failure>;
+
+/// How long an announcement holds without a renewal by the upstream.
+pub const ANNOUNCEMENT_LEASE: Millis = Millis(6_000);
+
+/// The upstreams beside this daemon.
+pub struct Owner {
+    daemon: DaemonId,
+    data_centre: DataCentre,
+    link_address: SocketAddr,
+    limits: OwnerLimits,
+    client: Client,
+    upstreams: Mutex<IndexMap<ServiceName, Arc<Upstream>>>,
+    weights: Mutex<Vec<(TenantName, u32)>>,
+    draining: AtomicBool,
+    next_call: AtomicU64,
+}
+
+/// Bounds of the wait for a slot.
+#[derive(Clone, Copy, Debug)]
+pub struct OwnerLimits {
+    /// Longest wait.
+    pub max_wait: Millis,
+    /// Waiting calls per slot.
+    pub queue_per_slot: u32,
+}
+
+/// An upstream that has announced itself.
+#[derive(Debug)]
+struct Upstream {
+    announcement: Announcement,
+    renewed: Mutex<Millis>,
+    draining: AtomicBool,
+    admission: Mutex<Admission>,
+    waiting: Mutex<HashMap<CallId, oneshot::Sender<Result<()>>>>,
+}
+
+impl Owner {
+    /// Makes the owner role of a daemon without upstreams.
+    pub fn new(
+        daemon: DaemonId,
+        data_centre: DataCentre,
+        link_address: SocketAddr,
+        limits: OwnerLimits,
+        client: Client,
+    ) -> Self {
+        Self {
+            daemon,
+            data_centre,
+            link_address,
+            limits,
+            client,
+            upstreams: Mutex::default(),
+            weights: Mutex::default(),
+            draining: AtomicBool::new(false),
+            next_call: AtomicU64::new(1),
+        }
+    }
+
+    /// Takes in an announcement or its renewal. Returns whether the endpoints have changed.
+    pub fn announce(&self, announcement: Announcement) -> bool {
+        let mut upstreams = self.upstreams.lock();
+        if let Some(known) = upstreams.get(&announcement.service) {
+            if known.announcement == announcement {
+                *known.renewed.lock() = clock::now();
+                return false;
+            }
+            known.refuse_waiting();
+        }
+        let upstream = Upstream {
+            admission: Mutex::new(Admission::new(self.admission_config(&announcement))),
+            renewed: Mutex::new(clock::now()),
+            draining: AtomicBool::new(false),
+            waiting: Mutex::default(),
+            announcement,
+        };
+        let service = upstream.announcement.service.clone();
+        tracing::info!(%service, version = %upstream.announcement.version, "upstream announced");
+        upstreams.insert(service, Arc::new(upstream));
+        true
+    }
+
+    /// Stops new work to the upstream of `service`. Work in flight goes on. Returns whether there
+    /// is such an upstream.
+    pub fn withdraw(&self, service: &ServiceName) -> bool {
+        let upstreams = self.upstreams.lock();
+        let Some(upstream) = upstreams.get(service) else {
+            return false;
+        };
+        upstream.drain();
+        true
+    }
+
+    /// Stops new work to all upstreams, because the host is leaving.
+    pub fn drain(&self) {
+        if self.draining.swap(true, Ordering::SeqCst) {
+            return;
+        }
+        tracing::info!("draining: new work is refused");
+        for upstream in self.upstreams.lock().values() {
+            upstream.drain();
+        }
+    }
+
+    /// Removes upstreams that have not renewed their announcement, or that have left and finished
+    /// their work. Returns whether the endpoints have changed.
+    pub fn expire(&self) -> bool {
+        let now = clock::now();
+        let mut upstreams = self.upstreams.lock();
+        let before = upstreams.len();
+        upstreams.retain(|service, upstream| {
+            let silent = now.since(*upstream.renewed.lock()) > ANNOUNCEMENT_LEASE;
+            let left = upstream.draining.load(Ordering::SeqCst) && upstream.is_idle();
+            if silent {
+                tracing::warn!(%service, "upstream stopped renewing its announcement");
+                upstream.refuse_waiting();
+            }
+            !silent && !left
+        });
+        upstreams.len() != before
+    }
+
+    /// Releases calls that have waited too long for a slot.
+    pub fn tick(&self) {
+        let upstreams: Vec<Arc<Upstream>> = self.upstreams.lock().values().cloned().collect();
+        for upstream in upstreams {
+            let released = upstream.admission.lock().tick(clock::now());
+            upstream.release(released);
+        }
+    }
+
+    /// Sets the tenants' weights.
+    pub fn set_weights(&self, weights: Vec<(TenantName, u32)>) {
+        if *self.weights.lock() == weights {
+            return;
+        }
+        *self.weights.lock() = weights;
+        for upstream in self.upstreams.lock().values() {
+            let cfg = self.admission_config(&upstream.announcement);
+            upstream.admission.lock().configure(cfg);
+        }
+    }
+
+    /// Returns the endpoints as they are announced to the control replicas.
+    pub fn endpoints(&self) -> Vec<Endpoint> {
+        let draining = self.draining.load(Ordering::SeqCst);
+        let upstreams = self.upstreams.lock();
+        let endpoints = upstreams.values().map(|upstream| Endpoint {
+            daemon: self.daemon.clone(),
+            service: upstream.announcement.service.clone(),
+            version: upstream.announcement.version.clone(),
+            data_centre: self.data_centre.clone(),
+            address: self.link_address,
+            slots: upstream.announcement.slots,
+            draining: draining || upstream.draining.load(Ordering::SeqCst),
+        });
+        endpoints.collect()
+    }
+
+    /// Returns the number of calls that run or wait.
+    pub fn in_flight(&self) -> usize {
+        let upstreams = self.upstreams.lock();
+        let counts = upstreams.values().map(|upstream| {
+            let admission = upstream.admission.lock();
+            admission.running() + admission.queued()
+        });
+        counts.sum()
+    }
+
+    /// Runs a call at the upstream beside this daemon.
+    ///
+    /// # Errors
+    ///
+    /// The verdict is [`Verdict::NotRun`] if no byte of the request reached the upstream, or if
+    /// the upstream itself says so.
+    pub async fn deliver(&self, call: &Call, deadline: Millis) -> Result<Answer> {
+        let upstream = self.upstream(&call.service, &call.version)?;
+        let id = CallId(self.next_call.fetch_add(1, Ordering::Relaxed));
+        let mut slot = self.admit(&upstream, id, &call.tenant, deadline).await?;
+        let request = headers::upstream_request(call, deadline.since(clock::now()))?;
+        let started = std::time::Instant::now();
+        let address = upstream.announcement.address;
+        let response = self
+            .client
+            .send(address, request, clock::instant(deadline))
+            .await;
+        let latency = Micros(started.elapsed().as_micros() as u64);
+        let (result, outcome) = judge(response, latency);
+        slot.finish(outcome);
+        result
+    }
+
+    fn upstream(&self, service: &ServiceName, version: &VersionName) -> Result<Arc<Upstream>> {
+        let upstreams = self.upstreams.lock();
+        let upstream = upstreams
+            .get(service)
+            .filter(|upstream| upstream.announcement.version == *version)
+            .ok_or(Failure::not_run(Reason::NoEndpoint))?;
+        Ok(upstream.clone())
+    }
+
+    async fn admit(
+        &self,
+        upstream: &Arc<Upstream>,
+        id: CallId,
+        tenant: &TenantName,
+        deadline: Millis,
+    ) -> Result<Slot> {
+        let (tx, rx) = oneshot::channel();
+        upstream.waiting.lock().insert(id, tx);
+        let slot = Slot {
+            upstream: upstream.clone(),
+            id,
+            held: true,
+        };
+        let decision = upstream
+            .admission
+            .lock()
+            .offer(clock::now(), id, tenant, deadline);
+        match decision {
+            Decision::Start => {
+                upstream.waiting.lock().remove(&id);
+                Ok(slot)
+            }
+            Decision::Refused(failure) => {
+                slot.forget();
+                Err(failure)
+            }
+            Decision::Queued => match rx.await {
+                Ok(Ok(())) => Ok(slot),
+                Ok(Err(failure)) => {
+                    slot.forget();
+                    Err(failure)
+                }
+                Err(_) => Err(Failure::not_run(Reason::Draining)),
+            },
+        }
+    }
+
+    fn admission_config(&self, announcement: &Announcement) -> AdmissionConfig {
+        let mut cfg = AdmissionConfig::new(announcement.slots);
+        cfg.weights = self.weights.lock().clone();
+        cfg.max_wait = self.limits.max_wait;
+        cfg.queue_per_slot = self.limits.queue_per_slot;
+        cfg
+    }
+}
+
+impl Upstream {
+    fn drain(&self) {
+        self.draining.store(true, Ordering::SeqCst);
+        self.admission.lock().drain();
+    }
+
+    fn is_idle(&self) -> bool {
+        let admission = self.admission.lock();
+        admission.running() + admission.queued() == 0
+    }
+
+    fn release(&self, released: Vec<Released>) {
+        let mut waiting = self.waiting.lock();
+        for release in released {
+            let (id, result) = match release {
+                Released::Start(id) => (id, Ok(())),
+                Released::Refused(id, failure) => (id, Err(failure)),
+            };
+            let Some(tx) = waiting.remove(&id) else {
+                continue;
+            };
+            // A receiver that is gone frees its slot when it is dropped.
+            let _ = tx.send(result);
+        }
+    }
+
+    /// Refuses all waiting calls, because the upstream is replaced or gone.
+    fn refuse_waiting(&self) {
+        for (_, tx) in self.waiting.lock().drain() {
+            let _ = tx.send(Err(Failure::not_run(Reason::NoEndpoint)));
+        }
+    }
+}
+
+/// A place in the admission of an upstream. Dropping it before the end frees the place: the caller
+/// is gone, and the connection to the upstream is closed with the request.
+#[derive(Debug)]
+struct Slot {
+    upstream: Arc<Upstream>,
+    id: CallId,
+    held: bool,
+}
+
+impl Slot {
+    fn finish(&mut self, outcome: UpstreamResult) {
+        self.held = false;
+        let released = {
+            let mut admission = self.upstream.admission.lock();
+            admission.finish(clock::now(), self.id, outcome)
+        };
+        self.upstream.release(released);
+    }
+
+    /// Drops the place of a call that admission does not hold.
+    fn forget(mut self) {
+        self.held = false;
+        self.upstream.waiting.lock().remove(&self.id);
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        if !self.held {
+            return;
+        }
+        self.upstream.waiting.lock().remove(&self.id);
+        let was_queued = self.upstream.admission.lock().cancel(self.id);
+        if !was_queued {
+            self.finish(UpstreamResult::Abandoned);
+        }
+    }
+}
+
+/// Turns what the upstream sent into the result of the call and the outcome for admission.
+fn judge(
+    response: std::result::Result<http::Response<Bytes>, Failure>,
+    latency: Micros,
+) -> (Result<Answer>, UpstreamResult) {
+    let response = match response {
+        Ok(response) => response,
+        Err(failure) => return (Err(failure), UpstreamResult::Failed),
+    };
+    let verdict = response.headers().get(VERDICT_HEADER);
+    let shed = verdict.is_some_and(|value| value == Verdict::NotRun.as_str());
+    if shed && response.status() == http::StatusCode::SERVICE_UNAVAILABLE {
+        let failure = Failure::not_run(Reason::Shed);
+        return (Err(failure), UpstreamResult::Shed);
+    }
+    let answer = headers::answer(response);
+    (Ok(answer), UpstreamResult::Answered(latency))
+}
--- /dev/null
+++ b/crates/daemon/src/settings.rs
@@ -0,0 +1,361 @@
+//! Settings of a daemon, read from TOML and checked as a whole before anything binds.
+//!
+//! Every field is described in `docs/settings.md`.
+
+use std::collections::BTreeSet;
+use std::fmt;
+use std::fs;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use eyre::WrapErr;
+use serde::{Deserialize, Serialize};
+use sycamoreflow_state::ids::{DaemonId, DataCentre, ServiceName};
+
+#[cfg(test)]
+mod tests;
+
+/// Result of reading settings.
+pub type Result<T> = eyre::Result<T>;
+
+/// Environment variable that holds the mesh key when no file is named.
+pub const MESH_KEY_VARIABLE: &str = "SYCAMOREFLOW_MESH_KEY";
+
+/// Environment variable that holds the operator token when no file is named.
+pub const OPERATOR_TOKEN_VARIABLE: &str = "SYCAMOREFLOW_TOKEN";
+
+/// Shortest mesh key and operator token that are accepted, in bytes.
+pub const MIN_SECRET_BYTES: usize = 16;
+
+/// Settings as they stand in the file.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Settings {
+    /// Name of the mesh. Links between different meshes are refused.
+    pub mesh: String,
+    /// Identifier of this daemon, unique in the mesh and the same after a restart.
+    pub daemon: DaemonId,
+    /// Data centre of this host.
+    pub data_centre: DataCentre,
+    /// File with the mesh key. Without it, `SYCAMOREFLOW_MESH_KEY` is read.
+    pub mesh_key_file: Option<PathBuf>,
+    /// File with the operator token. Without it, `SYCAMOREFLOW_TOKEN` is read.
+    pub operator_token_file: Option<PathBuf>,
+    /// Addresses that the daemon listens on.
+    pub listen: Listen,
+    /// Control replicas that this daemon may subscribe to.
+    pub control_replicas: Vec<ReplicaAddress>,
+    /// Present if this daemon is itself a control replica.
+    pub control: Option<ControlSettings>,
+    /// Witnesses of the version floor.
+    #[serde(default)]
+    pub floor: FloorSettings,
+    /// Services whose configuration is kept from the start. Empty means all services.
+    #[serde(default)]
+    pub interest: Vec<ServiceName>,
+    /// Bounds of requests and waits.
+    #[serde(default)]
+    pub limits: Limits,
+    /// Log output.
+    #[serde(default)]
+    pub log: LogSettings,
+}
+
+/// Addresses that the daemon listens on.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Listen {
+    /// HTTP calls from callers.
+    pub calls: SocketAddr,
+    /// Links from other daemons.
+    pub link: SocketAddr,
+    /// Announcements of the upstream on this host, and metrics.
+    pub announce: SocketAddr,
+    /// Operator interface. Required on control replicas.
+    pub operator: Option<SocketAddr>,
+}
+
+/// Address of a control replica.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct ReplicaAddress {
+    /// Daemon that is the replica.
+    pub daemon: DaemonId,
+    /// Address of its link listener.
+    pub link: SocketAddr,
+}
+
+/// Settings of a control replica.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct ControlSettings {
+    /// Folder for the replica's own state.
+    pub data: PathBuf,
+    /// Voters of a new group. Used only when the data folder is new.
+    pub voters: Vec<DaemonId>,
+    /// Subscriptions that this replica admits per second.
+    #[serde(default = "default_joins_per_second")]
+    pub joins_per_second: u32,
+}
+
+/// Witnesses of the version floor.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct FloorSettings {
+    /// Daemons that remember the version of this one; 3 or 5 in different data centres.
+    pub witnesses: Vec<ReplicaAddress>,
+}
+
+/// Bounds of requests and waits.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case", default)]
+pub struct Limits {
+    /// Largest request or answer body in bytes.
+    pub body_bytes: usize,
+    /// Connections from callers that are open at once.
+    pub connections: usize,
+    /// Longest wait for a slot of the upstream in milliseconds.
+    pub queue_ms: u64,
+    /// Requests that may wait per slot of the upstream.
+    pub queue_per_slot: u32,
+    /// Time that running requests have to finish when the daemon stops, in milliseconds.
+    pub drain_timeout_ms: u64,
+    /// How long an answer is kept for resends with the same idempotency key, in milliseconds.
+    pub key_record_ms: u64,
+}
+
+/// Log output.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case", default)]
+pub struct LogSettings {
+    /// Format of the lines.
+    pub format: LogFormat,
+    /// Filter such as `info` or `sycamoreflow_daemon=debug`. Empty means `info`.
+    pub filter: String,
+}
+
+/// Format of log lines.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum LogFormat {
+    /// Text for people.
+    #[default]
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            body_bytes: 1 << 20,
+            connections: 1_024,
+            queue_ms: 100,
+            queue_per_slot: 4,
+            drain_timeout_ms: 30_000,
+            key_record_ms: 600_000,
+        }
+    }
+}
+
+fn default_joins_per_second() -> u32 {
+    200
+}
+
+/// A secret that never appears in a log.
+#[derive(Clone, PartialEq, Eq)]
+pub struct Secret(String);
+
+impl Secret {
+    /// Wraps a secret read from a file or the environment.
+    pub fn new(text: &str) -> Self {
+        Self(text.trim().to_owned())
+    }
+
+    /// Returns the secret itself.
+    pub fn expose(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Debug for Secret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Secret(..)")
+    }
+}
+
+impl Settings {
+    /// Reads and checks the settings in `path`.
+    ///
+    /// # Errors
+    ///
+    /// Names the file, and every field that is wrong.
+    pub fn load(path: &Path) -> Result<Self> {
+        let text = fs::read_to_string(path)
+            .wrap_err_with(|| format!("can't read the settings file {}", path.display()))?;
+        Self::parse(&text).wrap_err_with(|| format!("settings file {}", path.display()))
+    }
+
+    /// Parses and checks settings.
+    ///
+    /// # Errors
+    ///
+    /// Names every field that is wrong.
+    pub fn parse(text: &str) -> Result<Self> {
+        let settings: Self = toml::from_str(text)?;
+        let problems = settings.problems();
+        if problems.is_empty() {
+            return Ok(settings);
+        }
+        Err(eyre::eyre!("{}", problems.join("\n")))
+    }
+
+    /// Returns the mesh key.
+    ///
+    /// # Errors
+    ///
+    /// If neither the file nor the environment holds a key of sufficient length.
+    pub fn mesh_key(&self) -> Result<Secret> {
+        read_secret(
+            "mesh-key-file",
+            self.mesh_key_file.as_deref(),
+            MESH_KEY_VARIABLE,
+        )
+    }
+
+    /// Returns the operator token.
+    ///
+    /// # Errors
+    ///
+    /// If neither the file nor the environment holds a token of sufficient length.
+    pub fn operator_token(&self) -> Result<Secret> {
+        read_secret(
+            "operator-token-file",
+            self.operator_token_file.as_deref(),
+            OPERATOR_TOKEN_VARIABLE,
+        )
+    }
+
+    fn problems(&self) -> Vec<String> {
+        let mut problems = Vec::new();
+        if self.mesh.is_empty() {
+            problems.push("mesh: must not be empty".to_owned());
+        }
+        if self.daemon.as_str().is_empty() {
+            problems.push("daemon: must not be empty".to_owned());
+        }
+        if self.control_replicas.is_empty() {
+            problems.push("control-replicas: name at least one control replica".to_owned());
+        }
+        self.check_listen(&mut problems);
+        self.check_control(&mut problems);
+        self.check_witnesses(&mut problems);
+        self.check_limits(&mut problems);
+        problems
+    }
+
+    fn check_listen(&self, problems: &mut Vec<String>) {
+        let listen = &self.listen;
+        let mut seen = BTreeSet::new();
+        let addresses = [Some(listen.calls), Some(listen.link), Some(listen.announce)];
+        for address in addresses.into_iter().chain([listen.operator]).flatten() {
+            // Port 0 asks the system for a free port, so it never collides.
+            if address.port() != 0 && !seen.insert(address) {
+                problems.push(format!("listen: {address} is used twice"));
+            }
+        }
+    }
+
+    fn check_control(&self, problems: &mut Vec<String>) {
+        let mut seen = BTreeSet::new();
+        for replica in &self.control_replicas {
+            if !seen.insert(&replica.daemon) {
+                problems.push(format!(
+                    "control-replicas: {} is named twice",
+                    replica.daemon
+                ));
+            }
+        }
+        let Some(control) = &self.control else {
+            return;
+        };
+        if !seen.contains(&self.daemon) {
+            problems
+                .push("control-replicas: must name this daemon too, as it has [control]".into());
+        }
+        if !matches!(control.voters.len(), 1 | 3 | 5) {
+            let count = control.voters.len();
+            problems.push(format!(
+                "control.voters: {count} voters; use 3 or 5 (1 for a trial)"
+            ));
+        }
+        for voter in &control.voters {
+            if !seen.contains(voter) {
+                problems.push(format!(
+                    "control.voters: {voter} is not in control-replicas"
+                ));
+            }
+        }
+        if self.listen.operator.is_none() {
+            problems.push("listen.operator: a control replica needs an address".into());
+        }
+        if control.joins_per_second == 0 {
+            problems.push("control.joins-per-second: must be at least 1".into());
+        }
+    }
+
+    fn check_witnesses(&self, problems: &mut Vec<String>) {
+        let witnesses = &self.floor.witnesses;
+        if !matches!(witnesses.len(), 0 | 3 | 5) {
+            let count = witnesses.len();
+            problems.push(format!(
+                "floor.witnesses: {count} witnesses; use 3 or 5, or none"
+            ));
+        }
+        let mut seen = BTreeSet::new();
+        for witness in witnesses {
+            if witness.daemon == self.daemon {
+                problems.push("floor.witnesses: a daemon can't be its own witness".into());
+            }
+            if !seen.insert(&witness.daemon) {
+                problems.push(format!(
+                    "floor.witnesses: {} is named twice",
+                    witness.daemon
+                ));
+            }
+        }
+    }
+
+    fn check_limits(&self, problems: &mut Vec<String>) {
+        let limits = &self.limits;
+        let bounds = [
+            ("body-bytes", limits.body_bytes, 1, 3 << 20),
+            ("connections", limits.connections, 1, 100_000),
+            ("queue-per-slot", limits.queue_per_slot as usize, 0, 1_000),
+        ];
+        for (name, value, low, high) in bounds {
+            if !(low..=high).contains(&value) {
+                problems.push(format!(
+                    "limits.{name}: {value} is not between {low} and {high}"
+                ));
+            }
+        }
+        if limits.drain_timeout_ms == 0 {
+            problems.push("limits.drain-timeout-ms: must be at least 1".into());
+        }
+    }
+}
+
+fn read_secret(field: &str, file: Option<&Path>, variable: &str) -> Result<Secret> {
+    let text = match file {
+        Some(path) => fs::read_to_string(path)
+            .wrap_err_with(|| format!("{field}: can't read {}", path.display()))?,
+        None => std::env::var(variable)
+            .map_err(|_| eyre::eyre!("set {field} in the settings, or {variable}"))?,
+    };
+    let secret = Secret::new(&text);
+    if secret.expose().len() < MIN_SECRET_BYTES {
+        eyre::bail!("{field}: the secret must have at least {MIN_SECRET_BYTES} bytes");
+    }
+    Ok(secret)
+}
--- /dev/null
+++ b/crates/daemon/src/subscriber.rs
@@ -0,0 +1,283 @@
+//! The subscription of a daemon at a control replica.
+//!
+//! One task keeps a link to some replica, applies updates, stages their versions at the witnesses
+//! and puts them in force. While no replica admits the daemon, it keeps what it has; if it has
+//! nothing, it takes the view of a witness at or above its floor (`docs/design.md`, section 2.3).
+
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::future::timeout;
+use async_std::task;
+use futures::FutureExt;
+use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
+use rand::{RngExt, SeedableRng};
+use sycamoreflow_coordination::evidence::REPORT_INTERVAL;
+use sycamoreflow_coordination::leases::RENEW_INTERVAL;
+use sycamoreflow_protocol::distribution::{FromReplica, FromSubscriber};
+use sycamoreflow_protocol::handshake::{Identity, Purpose};
+use sycamoreflow_state::ids::{DaemonId, Millis};
+use sycamoreflow_state::view::{Delta, Interest, Rejection, View};
+use sycamoreflow_transport::link::{self, LinkError, Receiver, SendError, Sender};
+
+use crate::clock;
+use crate::floor::Floor;
+use crate::proxy::Proxy;
+use crate::settings::ReplicaAddress;
+use crate::traffic::{ControlTraffic, LinkMeter};
+
+/// Shortest and longest upper bound of the wait before another attempt. The wait is drawn between
+/// zero and the bound, which doubles, so that daemons that failed together do not return together.
+const BACKOFF_MIN: Millis = Millis(100);
+const BACKOFF_MAX: Millis = Millis(5_000);
+
+/// How long a replica may take to admit the subscription.
+const ADMISSION_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Result of a subscription that has ended.
+type Result<T> = std::result::Result<T, Ended>;
+
+/// Why a subscription has ended.
+#[derive(Debug)]
+enum Ended {
+    Link(LinkError),
+    Send(SendError),
+    RetryAfter(Millis),
+    NoQuorum,
+    NotAdmitted,
+}
+
+impl fmt::Display for Ended {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Link(error) => error.fmt(f),
+            Self::Send(error) => error.fmt(f),
+            Self::RetryAfter(wait) => write!(f, "the replica is busy for {} ms", wait.0),
+            Self::NoQuorum => f.write_str("the replica has no quorum"),
+            Self::NotAdmitted => f.write_str("the subscription was not admitted"),
+        }
+    }
+}
+
+impl From<LinkError> for Ended {
+    fn from(error: LinkError) -> Self {
+        Self::Link(error)
+    }
+}
+
+impl From<SendError> for Ended {
+    fn from(error: SendError) -> Self {
+        Self::Send(error)
+    }
+}
+
+/// What the subscription of a daemon needs.
+pub struct Subscriber {
+    /// This daemon.
+    pub daemon: DaemonId,
+    /// What it proves on links.
+    pub identity: Identity,
+    /// Limits of links.
+    pub limits: link::Limits,
+    /// Replicas that it may subscribe to.
+    pub replicas: Vec<ReplicaAddress>,
+    /// Resources that it wants.
+    pub interest: Interest,
+    /// The request path that enforces views.
+    pub proxy: Arc<Proxy>,
+    /// The floor below which nothing is enforced.
+    pub floor: Arc<Floor>,
+    /// Counts the bytes of the subscription.
+    pub traffic: Arc<ControlTraffic>,
+    /// Seed of backoff times and of the choice of replicas.
+    pub seed: u64,
+    /// Wakes the subscription when the own endpoints have changed.
+    pub endpoints_changed: async_std::channel::Receiver<()>,
+}
+
+impl Subscriber {
+    /// Keeps a subscription until the process ends.
+    pub async fn run(self) {
+        let mut rng = StdRng::seed_from_u64(self.seed);
+        let mut bound = BACKOFF_MIN;
+        let mut order: Vec<usize> = Vec::new();
+        loop {
+            if order.is_empty() {
+                order = (0..self.replicas.len()).collect();
+                order.shuffle(&mut rng);
+            }
+            let Some(next) = order.pop() else {
+                tracing::error!("no control replica in the settings");
+                return;
+            };
+            let replica = &self.replicas[next];
+            let started = clock::now();
+            let ended = self.subscribe(replica).await;
+            metrics::counter!("sycamoreflow_subscriptions_ended_total").increment(1);
+            if clock::now().since(started) > BACKOFF_MAX {
+                bound = BACKOFF_MIN;
+            }
+            let wait = match ended {
+                Ended::RetryAfter(wait) => Millis(wait.0 + rng.random_range(0..=BACKOFF_MIN.0)),
+                _ => Millis(rng.random_range(0..=bound.0)),
+            };
+            tracing::debug!(replica = %replica.daemon, %ended, ?wait, "subscription ended");
+            bound = Millis((bound.0 * 2).min(BACKOFF_MAX.0));
+            if self.proxy.view().is_none() && order.is_empty() {
+                self.start_from_witnesses().await;
+            }
+            task::sleep(clock::duration(wait)).await;
+        }
+    }
+
+    /// Takes the view of a witness, if a majority of the witnesses knows the floor.
+    async fn start_from_witnesses(&self) {
+        let Some(floor) = self.floor.recover().await else {
+            return;
+        };
+        self.floor.raise(floor);
+        let Some(view) = self.floor.fetch_view(&self.interest, floor).await else {
+            return;
+        };
+        tracing::info!(version = %view.version().config, "view taken from a witness");
+        self.enforce(view).await;
+    }
+
+    async fn subscribe(&self, replica: &ReplicaAddress) -> Ended {
+        let opened = link::connect(
+            replica.link,
+            &self.identity,
+            Purpose::Distribution,
+            &self.limits,
+        );
+        let (tx, rx) = match opened.await {
+            Ok(halves) => halves,
+            Err(error) => return Ended::Link(error),
+        };
+        let meter = LinkMeter::new(self.traffic.clone());
+        let result = self.follow(&tx, rx, &meter).await;
+        meter.update(tx.bytes());
+        match result {
+            Ok(()) => Ended::Link(LinkError::Closed),
+            Err(ended) => ended,
+        }
+    }
+
+    async fn follow(&self, tx: &Sender, mut rx: Receiver, meter: &LinkMeter) -> Result<()> {
+        tx.send(&FromSubscriber::Subscribe {
+            interest: self.interest.clone(),
+            have: self.proxy.view().map(|view| view.version()),
+            endpoints: self.proxy.owner().endpoints(),
+        })?;
+        self.wait_for_admission(&mut rx).await?;
+        let updates = self.take_updates(tx, rx).fuse();
+        let renewals = self.send_renewals(tx).fuse();
+        let reports = self.send_reports(tx, meter).fuse();
+        futures::pin_mut!(updates, renewals, reports);
+        futures::select! {
+            result = updates => result,
+            result = renewals => result,
+            result = reports => result,
+        }
+    }
+
+    async fn wait_for_admission(&self, rx: &mut Receiver) -> Result<()> {
+        let first = timeout(ADMISSION_TIMEOUT, rx.receive::<FromReplica>()).await;
+        match first.map_err(|_| Ended::NotAdmitted)?? {
+            FromReplica::Admitted { floor } => {
+                self.floor.raise(floor);
+                Ok(())
+            }
+            FromReplica::RetryAfter(wait) => Err(Ended::RetryAfter(wait)),
+            FromReplica::NoQuorum => Err(Ended::NoQuorum),
+            _ => Err(Ended::NotAdmitted),
+        }
+    }
+
+    async fn take_updates(&self, tx: &Sender, mut rx: Receiver) -> Result<()> {
+        loop {
+            match rx.receive::<FromReplica>().await? {
+                FromReplica::Update(delta) => self.take_update(tx, &delta).await?,
+                FromReplica::Grants(grants) => self.proxy.grant(&grants),
+                FromReplica::NoQuorum => return Err(Ended::NoQuorum),
+                FromReplica::RetryAfter(wait) => return Err(Ended::RetryAfter(wait)),
+                FromReplica::Admitted { .. } => return Err(Ended::NotAdmitted),
+            }
+        }
+    }
+
+    async fn take_update(&self, tx: &Sender, delta: &Delta) -> Result<()> {
+        match self.apply(delta) {
+            Ok(view) => {
+                let version = view.version();
+                self.enforce(view).await;
+                tx.send(&FromSubscriber::InForce(version))?;
+                Ok(())
+            }
+            Err(rejection) if rejection.is_duplicate() => {
+                tx.send(&FromSubscriber::InForce(delta.to))?;
+                Ok(())
+            }
+            Err(rejection) => {
+                metrics::counter!("sycamoreflow_updates_rejected_total").increment(1);
+                tracing::warn!(%rejection, "update rejected as a whole");
+                tx.send(&FromSubscriber::Rejected {
+                    version: delta.to,
+                    reason: rejection.to_string(),
+                })?;
+                match rejection {
+                    // The content itself is wrong, so another copy would be no better.
+                    Rejection::Invalid(_) => Ok(()),
+                    // A new subscription starts from the version that this daemon has.
+                    _ => Err(Ended::NotAdmitted),
+                }
+            }
+        }
+    }
+
+    fn apply(&self, delta: &Delta) -> std::result::Result<View, Rejection> {
+        match self.proxy.view() {
+            Some(own) => own.apply(delta),
+            None => View::from_full(&self.interest, delta),
+        }
+    }
+
+    /// Stages the version of a view and puts the view in force.
+    ///
+    /// A view below the floor is never enforced; it can come only from a replica whose quorum has
+    /// not confirmed it.
+    async fn enforce(&self, view: View) {
+        let version = view.version().config;
+        if Some(version) < self.floor.known() {
+            metrics::counter!("sycamoreflow_views_below_floor_total").increment(1);
+            return;
+        }
+        let in_force = self.proxy.view().map(|view| view.version().config);
+        if in_force < Some(version) {
+            self.floor.stage(version).await;
+        }
+        self.floor.raise(version);
+        self.proxy.activate(Arc::new(view));
+    }
+
+    async fn send_renewals(&self, tx: &Sender) -> Result<()> {
+        loop {
+            let interval = clock::duration(RENEW_INTERVAL);
+            let _ = timeout(interval, self.endpoints_changed.recv()).await;
+            tx.send(&FromSubscriber::Renew(self.proxy.owner().endpoints()))?;
+        }
+    }
+
+    async fn send_reports(&self, tx: &Sender, meter: &LinkMeter) -> Result<()> {
+        loop {
+            task::sleep(clock::duration(REPORT_INTERVAL)).await;
+            meter.update(tx.bytes());
+            let report = self.proxy.report();
+            if !report.rollouts.is_empty() {
+                tx.send(&FromSubscriber::Report(report))?;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/testbed/examples/quickstart/main.rs
@@ -0,0 +1,274 @@
+//! Starts the mesh of Sfax in one process and shows the whole path: approval, calls, a good version
+//! that gets all traffic by its time, and a bad version that is taken back.
+//!
+//! Run it with `cargo run --release --example quickstart`. It exits non-zero if a promise was
+//! broken.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use async_std::task;
+use sycamoreflow_state::ids::{ConfigVersion, Millis};
+use sycamoreflow_state::operator::RolloutPhase;
+use sycamoreflow_testbed::caller::{self, Call, Results};
+use sycamoreflow_testbed::mesh::{Host, Mesh};
+use sycamoreflow_testbed::operator::Operator;
+use sycamoreflow_testbed::upstream::{Behaviour, Upstream};
+
+mod report;
+
+use report::{Report, Rollout};
+
+/// Answers of the Sfax mesh, with rollouts short enough for a demonstration.
+const ANSWERS: &str = include_str!("answers.toml");
+
+/// Slots of each upstream.
+const SLOTS: u32 = 9;
+/// Calls per second over the whole mesh.
+const RATE: f64 = 400.0;
+/// Longest wait for the control group or for a rollout.
+const LIMIT: Duration = Duration::from_secs(20);
+/// Largest share of the calls during its rollout that a bad version may receive.
+const MAX_BAD_SHARE: f64 = 0.10;
+/// Longest convergence, in milliseconds.
+const MAX_CONVERGENCE: Millis = Millis(5_000);
+
+const DATA_CENTRES: [&str; 3] = ["sfax-a", "sfax-b", "sfax-c"];
+const SERVICES: [&str; 3] = ["catalogue", "orders", "traceability"];
+
+const GOOD: Behaviour = Behaviour {
+    service_time: Duration::from_millis(2),
+    fails: false,
+};
+const BAD: Behaviour = Behaviour {
+    service_time: Duration::from_millis(2),
+    fails: true,
+};
+
+const CALLS: [Call; 4] = [
+    Call {
+        method: "GET",
+        path: "/stock/harissa",
+        tenant: "grocers",
+    },
+    Call {
+        method: "POST",
+        path: "/blend-orders",
+        tenant: "restaurants",
+    },
+    Call {
+        method: "GET",
+        path: "/blend-orders/7",
+        tenant: "grocers",
+    },
+    Call {
+        method: "GET",
+        path: "/batches/12",
+        tenant: "exporters",
+    },
+];
+
+fn main() -> ExitCode {
+    let report = match task::block_on(run()) {
+        Ok(report) => report,
+        Err(error) => {
+            eprintln!("quickstart: {error:#}");
+            return ExitCode::FAILURE;
+        }
+    };
+    report.print();
+    let broken = report.broken_promises();
+    for promise in &broken {
+        println!("broken: {promise}");
+    }
+    if !broken.is_empty() {
+        println!("quickstart: failed");
+        return ExitCode::FAILURE;
+    }
+    println!("quickstart: ok");
+    ExitCode::SUCCESS
+}
+
+async fn run() -> eyre::Result<Report> {
+    let hosts = hosts();
+    println!(
+        "starting {} daemons, 3 of them control replicas",
+        hosts.len()
+    );
+    let mesh = Mesh::start("sfax", &hosts).await?;
+    let operator = mesh.operator();
+    let mut upstreams = Vec::new();
+    for (at, service) in SERVICES.iter().enumerate() {
+        for copy in 0..3 {
+            let daemon = mesh.announce_address(at * 3 + copy);
+            let upstream = Upstream::start(service, "v1", SLOTS, GOOD, daemon).await?;
+            upstreams.push(Arc::new(upstream));
+        }
+    }
+
+    let approved = operator.approve("quickstart-1", ANSWERS, LIMIT).await?;
+    let daemons = hosts.len() as u64;
+    let convergence = operator.converged(approved.version, daemons, LIMIT).await?;
+    println!(
+        "version {} is in force at {daemons} daemons",
+        approved.version
+    );
+    wait_for_endpoints(&mesh, 9).await?;
+
+    let results = Arc::new(Results::default());
+    let started = Instant::now();
+    let targets: Vec<SocketAddr> = (0..mesh.len()).map(|at| mesh.calls_address(at)).collect();
+    let calling = task::spawn(call_forever(targets, results.clone()));
+    task::sleep(Duration::from_secs(3)).await;
+
+    println!("moving orders to v2, a good version");
+    let good = start_version(&mesh, "v2", 9, GOOD).await?;
+    let answers = answers_with("v2");
+    let good = roll_out(&operator, "quickstart-2", &answers, &good, &results).await?;
+
+    println!("moving orders to v3, which fails every call");
+    let bad = start_version(&mesh, "v3", 12, BAD).await?;
+    let answers = answers_with("v3");
+    let bad = roll_out(&operator, "quickstart-3", &answers, &bad, &results).await?;
+    calling.cancel().await;
+    // Calls in flight finish before the counts are compared.
+    task::sleep(Duration::from_millis(500)).await;
+
+    let direct = report::direct_latency(&upstreams[0]).await?;
+    let control_bytes = report::control_bytes_per_second(&mesh, started.elapsed());
+    upstreams.extend(good.upstreams);
+    upstreams.extend(bad.upstreams);
+    Ok(Report {
+        results,
+        upstreams,
+        convergence,
+        direct,
+        control_bytes,
+        good: good.rollout,
+        bad: bad.rollout,
+    })
+}
+
+/// Returns nine hosts with the first version and three for each new one, spread over the data
+/// centres.
+fn hosts() -> Vec<Host> {
+    let host = |at: usize| Host {
+        daemon: format!("{}-{}", DATA_CENTRES[at % 3], at / 3 + 1),
+        data_centre: DATA_CENTRES[at % 3].to_owned(),
+    };
+    (0..15).map(host).collect()
+}
+
+/// Returns the answers with another version of the service orders.
+fn answers_with(version: &str) -> String {
+    let orders = "name = \"orders\"\nversion = ";
+    let old = format!("{orders}\"v1\"");
+    ANSWERS.replace(&old, &format!("{orders}\"{version}\""))
+}
+
+async fn wait_for_endpoints(mesh: &Mesh, count: usize) -> eyre::Result<()> {
+    let end = Instant::now() + LIMIT;
+    loop {
+        let views = (0..mesh.len()).filter_map(|at| mesh.daemon(at)?.proxy().view());
+        let behind = views
+            .filter(|view| view.endpoints().count() < count)
+            .count();
+        if behind == 0 {
+            return Ok(());
+        }
+        if Instant::now() > end {
+            eyre::bail!("{behind} daemons do not know all {count} endpoints");
+        }
+        task::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+async fn call_forever(targets: Vec<SocketAddr>, results: Arc<Results>) {
+    let client = caller::client();
+    loop {
+        let period = Duration::from_secs(1);
+        caller::run(&client, &targets, &CALLS, RATE, period, &results).await;
+    }
+}
+
+/// Starts three endpoints of a new version on the hosts from `first` on.
+async fn start_version(
+    mesh: &Mesh,
+    version: &str,
+    first: usize,
+    behaviour: Behaviour,
+) -> eyre::Result<Vec<Arc<Upstream>>> {
+    let mut upstreams = Vec::new();
+    for at in first..first + 3 {
+        let daemon = mesh.announce_address(at);
+        let upstream = Upstream::start("orders", version, SLOTS, behaviour, daemon).await?;
+        upstreams.push(Arc::new(upstream));
+    }
+    Ok(upstreams)
+}
+
+/// A finished rollout and the endpoints of its version.
+struct Finished {
+    rollout: Rollout,
+    upstreams: Vec<Arc<Upstream>>,
+}
+
+/// Approves answers with a new version and waits until it is done or taken back.
+async fn roll_out(
+    operator: &Operator,
+    request: &str,
+    answers: &str,
+    upstreams: &[Arc<Upstream>],
+    results: &Results,
+) -> eyre::Result<Finished> {
+    let calls_before = results.sent.load(Ordering::Relaxed);
+    let started = Instant::now();
+    let approved = operator.approve(request, answers, LIMIT).await?;
+    let phase = wait_for_rollout(operator, approved.version).await?;
+    let took = started.elapsed();
+    // Traffic that was on its way when the rollout ended arrives within the longest timeout.
+    let ended = Instant::now();
+    task::sleep(Duration::from_secs(1)).await;
+    let calls = results.sent.load(Ordering::Relaxed) - calls_before;
+    let received: u64 = upstreams.iter().map(|u| u.stats().calls()).sum();
+    let late = upstreams.iter().filter_map(|u| u.stats().last_call());
+    let late = late.max().map(|last| last.saturating_duration_since(ended));
+    println!("  {phase} after {:.1} s", took.as_secs_f64());
+    Ok(Finished {
+        rollout: Rollout {
+            phase,
+            took,
+            calls,
+            received,
+            last_call_after_end: late,
+        },
+        upstreams: upstreams.to_vec(),
+    })
+}
+
+async fn wait_for_rollout(
+    operator: &Operator,
+    approved: ConfigVersion,
+) -> eyre::Result<RolloutPhase> {
+    let end = Instant::now() + LIMIT;
+    loop {
+        let status = operator.status(LIMIT).await?;
+        let of_service = status
+            .rollouts
+            .iter()
+            .find(|r| r.service.as_str() == "orders");
+        if let Some(rollout) = of_service
+            && rollout.approved >= approved
+            && rollout.phase.is_final()
+        {
+            return Ok(rollout.phase);
+        }
+        if Instant::now() > end {
+            eyre::bail!("the rollout has not ended in time: {of_service:?}");
+        }
+        task::sleep(Duration::from_millis(50)).await;
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/mesh.rs
@@ -0,0 +1,178 @@
+//! A mesh of real daemons in one process, with control replicas in a temporary folder.
+
+use std::fs;
+use std::net::{SocketAddr, TcpListener};
+use std::path::Path;
+
+use sycamoreflow_daemon::Daemon;
+use sycamoreflow_daemon::settings::{
+    ControlSettings, FloorSettings, Limits, Listen, LogSettings, ReplicaAddress, Settings,
+};
+use tempfile::TempDir;
+
+use crate::operator::Operator;
+
+/// Key of the meshes of the testbed. They exist on the loopback address only.
+const MESH_KEY: &str = "a mesh key for the testbed only";
+/// Token of the operators of the testbed.
+const OPERATOR_TOKEN: &str = "an operator token for the testbed";
+/// Number of control replicas.
+const REPLICAS: usize = 3;
+/// Number of witnesses of each daemon's floor.
+const WITNESSES: usize = 3;
+
+/// A host of the mesh: its name and data centre.
+#[derive(Clone, Debug)]
+pub struct Host {
+    /// Name of the daemon.
+    pub daemon: String,
+    /// Data centre.
+    pub data_centre: String,
+}
+
+/// A running mesh.
+pub struct Mesh {
+    settings: Vec<Settings>,
+    daemons: Vec<Option<Daemon>>,
+    folder: TempDir,
+}
+
+impl Mesh {
+    /// Starts daemons on `hosts`. The first three are control replicas.
+    ///
+    /// # Errors
+    ///
+    /// If an address can't be bound or a folder can't be made.
+    pub async fn start(name: &str, hosts: &[Host]) -> eyre::Result<Self> {
+        let folder = tempfile::tempdir()?;
+        fs::write(folder.path().join("mesh.key"), MESH_KEY)?;
+        fs::write(folder.path().join("operator.token"), OPERATOR_TOKEN)?;
+        let settings = settings(name, hosts, folder.path())?;
+        let mut mesh = Self {
+            daemons: Vec::new(),
+            settings,
+            folder,
+        };
+        for settings in &mesh.settings {
+            mesh.daemons
+                .push(Some(Daemon::start(settings, None).await?));
+        }
+        Ok(mesh)
+    }
+
+    /// Returns the number of hosts.
+    pub fn len(&self) -> usize {
+        self.settings.len()
+    }
+
+    /// Returns whether there are no hosts.
+    pub fn is_empty(&self) -> bool {
+        self.settings.is_empty()
+    }
+
+    /// Returns the address for callers of the daemon on host `at`.
+    pub fn calls_address(&self, at: usize) -> SocketAddr {
+        self.settings[at].listen.calls
+    }
+
+    /// Returns the address for announcements of the daemon on host `at`.
+    pub fn announce_address(&self, at: usize) -> SocketAddr {
+        self.settings[at].listen.announce
+    }
+
+    /// Returns the running daemon on host `at`.
+    pub fn daemon(&self, at: usize) -> Option<&Daemon> {
+        self.daemons[at].as_ref()
+    }
+
+    /// Returns the folder that holds the data folders of the control replicas.
+    pub fn folder(&self) -> &Path {
+        self.folder.path()
+    }
+
+    /// Returns an operator of this mesh.
+    pub fn operator(&self) -> Operator {
+        let replicas = self.settings.iter().filter_map(|s| s.listen.operator);
+        Operator::new(replicas.collect(), OPERATOR_TOKEN)
+    }
+
+    /// Ends the daemon on host `at` as a crash would.
+    pub async fn kill(&mut self, at: usize) {
+        if let Some(daemon) = self.daemons[at].take() {
+            daemon.kill().await;
+        }
+    }
+
+    /// Stops the daemon on host `at` gracefully. Returns the number of calls that were cut.
+    pub async fn drain(&mut self, at: usize) -> usize {
+        match self.daemons[at].take() {
+            Some(daemon) => daemon.drain().await,
+            None => 0,
+        }
+    }
+
+    /// Starts the daemon on host `at` again.
+    ///
+    /// # Errors
+    ///
+    /// If an address can't be bound.
+    pub async fn restart(&mut self, at: usize) -> eyre::Result<()> {
+        self.daemons[at] = Some(Daemon::start(&self.settings[at], None).await?);
+        Ok(())
+    }
+}
+
+fn settings(name: &str, hosts: &[Host], folder: &Path) -> eyre::Result<Vec<Settings>> {
+    let ports = free_addresses(hosts.len() * 4)?;
+    let link_of = |at: usize| ReplicaAddress {
+        daemon: hosts[at].daemon.as_str().into(),
+        link: ports[at * 4 + 1],
+    };
+    let replicas: Vec<ReplicaAddress> = (0..REPLICAS).map(link_of).collect();
+    let voters: Vec<_> = replicas.iter().map(|r| r.daemon.clone()).collect();
+    let mut settings = Vec::new();
+    for (at, host) in hosts.iter().enumerate() {
+        let control = (at < REPLICAS).then(|| ControlSettings {
+            data: folder.join(&host.daemon),
+            voters: voters.clone(),
+            joins_per_second: 200,
+        });
+        let witnesses = (1..=WITNESSES).map(|step| link_of((at + step) % hosts.len()));
+        settings.push(Settings {
+            mesh: name.to_owned(),
+            daemon: host.daemon.as_str().into(),
+            data_centre: host.data_centre.as_str().into(),
+            mesh_key_file: Some(folder.join("mesh.key")),
+            operator_token_file: Some(folder.join("operator.token")),
+            listen: Listen {
+                calls: ports[at * 4],
+                link: ports[at * 4 + 1],
+                announce: ports[at * 4 + 2],
+                operator: (at < REPLICAS).then_some(ports[at * 4 + 3]),
+            },
+            control_replicas: replicas.clone(),
+            control,
+            floor: FloorSettings {
+                witnesses: witnesses.collect(),
+            },
+            interest: Vec::new(),
+            limits: Limits::default(),
+            log: LogSettings::default(),
+        });
+    }
+    Ok(settings)
+}
+
+/// Returns loopback addresses that are free now. They are all bound before the first is given back,
+/// so that no address is returned twice.
+fn free_addresses(count: usize) -> eyre::Result<Vec<SocketAddr>> {
+    let mut listeners = Vec::new();
+    for _ in 0..count {
+        listeners.push(TcpListener::bind("127.0.0.1:0")?);
+    }
+    let mut addresses = Vec::new();
+    for listener in &listeners {
+        addresses.push(listener.local_addr()?);
+    }
+    Ok(addresses)
+}
--- /dev/null
+++ b/crates/testbed/src/operator.rs
@@ -0,0 +1,158 @@
+//! A stand-in operator: sends requests to the operator interfaces of the control replicas.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use async_std::task;
+use bytes::Bytes;
+use http::Request;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use sycamoreflow_state::answers::Answers;
+use sycamoreflow_state::generate::generate;
+use sycamoreflow_state::ids::{ConfigVersion, Millis};
+use sycamoreflow_state::operator::{
+    APPROVE_PATH, ApproveRequest, ApproveResponse, CONFIG_PATH, ConfigResponse, STATUS_PATH,
+    StatusResponse,
+};
+use sycamoreflow_transport::http::client::{self, Client};
+
+/// Pause between two attempts while no replica can answer.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
+
+/// An operator that knows the addresses of all control replicas.
+#[derive(Clone)]
+pub struct Operator {
+    client: Client,
+    replicas: Vec<SocketAddr>,
+    token: String,
+}
+
+impl Operator {
+    /// Makes an operator.
+    pub fn new(replicas: Vec<SocketAddr>, token: &str) -> Self {
+        Self {
+            client: Client::new(client::Limits::default()),
+            replicas,
+            token: token.to_owned(),
+        }
+    }
+
+    /// Approves answers on the version in force.
+    ///
+    /// # Errors
+    ///
+    /// If the answers are wrong or the approval isn't accepted within `limit`.
+    pub async fn approve(
+        &self,
+        request_id: &str,
+        answers: &str,
+        limit: Duration,
+    ) -> eyre::Result<ApproveResponse> {
+        let parsed = Answers::parse("answers.toml", answers).map_err(problems)?;
+        let config = generate(&parsed, unix_now()).map_err(problems)?;
+        let base = self.config(limit).await?.version;
+        let request = ApproveRequest {
+            request_id: request_id.into(),
+            base,
+            operator: "testbed".to_owned(),
+            answers: answers.to_owned(),
+            config,
+        };
+        self.send("POST", APPROVE_PATH, Some(&request), limit).await
+    }
+
+    /// Returns the configuration in force.
+    ///
+    /// # Errors
+    ///
+    /// If no replica answers within `limit`.
+    pub async fn config(&self, limit: Duration) -> eyre::Result<ConfigResponse> {
+        self.send::<(), _>("GET", CONFIG_PATH, None, limit).await
+    }
+
+    /// Returns the state of the mesh.
+    ///
+    /// # Errors
+    ///
+    /// If the leader doesn't answer within `limit`.
+    pub async fn status(&self, limit: Duration) -> eyre::Result<StatusResponse> {
+        self.send::<(), _>("GET", STATUS_PATH, None, limit).await
+    }
+
+    /// Waits until a version is in force at `daemons` daemons and returns the time that the system
+    /// measured.
+    ///
+    /// # Errors
+    ///
+    /// If it isn't within `limit`.
+    pub async fn converged(
+        &self,
+        version: ConfigVersion,
+        daemons: u64,
+        limit: Duration,
+    ) -> eyre::Result<Millis> {
+        let end = Instant::now() + limit;
+        loop {
+            let status = self.status(limit).await?;
+            let convergence = &status.convergence;
+            let complete = status.config >= version && convergence.in_force >= daemons;
+            if let (true, Some(duration)) = (complete, convergence.duration) {
+                return Ok(duration);
+            }
+            if Instant::now() > end {
+                eyre::bail!("version {version} is not in force everywhere: {convergence:?}");
+            }
+            task::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Sends a request to the replicas in turn until one answers it.
+    async fn send<Q: Serialize, R: DeserializeOwned>(
+        &self,
+        method: &str,
+        path: &str,
+        body: Option<&Q>,
+        limit: Duration,
+    ) -> eyre::Result<R> {
+        let end = Instant::now() + limit;
+        let body = match body {
+            Some(body) => serde_json::to_vec(body)?,
+            None => Vec::new(),
+        };
+        let body = Bytes::from(body);
+        let mut last = String::from("no replica in the list");
+        while Instant::now() < end {
+            for replica in &self.replicas {
+                let request = Request::builder()
+                    .method(method)
+                    .uri(path)
+                    .header("authorization", format!("Bearer {}", self.token))
+                    .header("content-type", "application/json")
+                    .body(body.clone())?;
+                match self.client.send(*replica, request, end).await {
+                    Ok(response) if response.status().is_success() => {
+                        return Ok(serde_json::from_slice(response.body())?);
+                    }
+                    Ok(response) if response.status() != 503 => {
+                        let text = String::from_utf8_lossy(response.body()).into_owned();
+                        eyre::bail!("{} for {path}: {text}", response.status());
+                    }
+                    Ok(response) => last = format!("{:?}", response.body()),
+                    Err(failure) => last = format!("{failure:?}"),
+                }
+            }
+            task::sleep(RETRY_PAUSE).await;
+        }
+        Err(eyre::eyre!("no replica answered {path} in time: {last}"))
+    }
+}
+
+fn problems<T: std::fmt::Display>(problems: Vec<T>) -> eyre::Report {
+    let lines: Vec<String> = problems.iter().map(ToString::to_string).collect();
+    eyre::eyre!(lines.join("\n"))
+}
+
+fn unix_now() -> Millis {
+    sycamoreflow_daemon::clock::unix_now()
+}
--- /dev/null
+++ b/crates/testbed/src/upstream.rs
@@ -0,0 +1,155 @@
+//! A stand-in upstream: it announces itself, runs requests, and counts the runs of each.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use async_std::net::TcpListener;
+use async_std::task::{self, JoinHandle};
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use parking_lot::Mutex;
+use sycamoreflow_state::endpoint::Announcement;
+use sycamoreflow_transport::http::client::{self, Client};
+use sycamoreflow_transport::http::server::{self, ServerHandle};
+
+/// Request header by which callers of the testbed number their requests.
+pub const NUMBER_HEADER: &str = "x-request-number";
+
+/// How often an announcement is renewed.
+const RENEW_INTERVAL: Duration = Duration::from_secs(2);
+
+/// How an upstream answers.
+#[derive(Clone, Copy, Debug)]
+pub struct Behaviour {
+    /// Time that a request takes.
+    pub service_time: Duration,
+    /// Whether every request is answered with an error.
+    pub fails: bool,
+}
+
+/// What an upstream has seen.
+#[derive(Debug, Default)]
+pub struct Stats {
+    calls: AtomicU64,
+    runs: Mutex<HashMap<u64, u32>>,
+    last_call: Mutex<Option<Instant>>,
+}
+
+impl Stats {
+    /// Returns the number of requests received.
+    pub fn calls(&self) -> u64 {
+        self.calls.load(Ordering::Relaxed)
+    }
+
+    /// Returns how often each numbered request has run.
+    pub fn runs(&self) -> HashMap<u64, u32> {
+        self.runs.lock().clone()
+    }
+
+    /// Returns when the latest request arrived.
+    pub fn last_call(&self) -> Option<Instant> {
+        *self.last_call.lock()
+    }
+}
+
+/// A running stand-in upstream. It stops when it is dropped.
+pub struct Upstream {
+    server: ServerHandle,
+    stats: Arc<Stats>,
+    announcing: Option<JoinHandle<()>>,
+}
+
+impl Upstream {
+    /// Starts an upstream and announces it at `daemon` until it is stopped.
+    ///
+    /// # Errors
+    ///
+    /// If no address can be bound.
+    pub async fn start(
+        service: &str,
+        version: &str,
+        slots: u32,
+        behaviour: Behaviour,
+        daemon: SocketAddr,
+    ) -> eyre::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let stats = Arc::new(Stats::default());
+        let counting = stats.clone();
+        let server = server::serve(listener, server::Limits::default(), move |req| {
+            let stats = counting.clone();
+            async move { run(&stats, behaviour, &req).await }
+        })?;
+        let announcement = Announcement {
+            service: service.into(),
+            version: version.into(),
+            address: server.local_addr(),
+            slots,
+            health_path: None,
+            load_path: None,
+        };
+        let announcing = task::spawn(announce(announcement, daemon));
+        Ok(Self {
+            server,
+            stats,
+            announcing: Some(announcing),
+        })
+    }
+
+    /// Returns the address that the upstream listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.server.local_addr()
+    }
+
+    /// Returns what the upstream has seen.
+    pub fn stats(&self) -> &Arc<Stats> {
+        &self.stats
+    }
+
+    /// Stops at once, as a crash would.
+    pub async fn kill(mut self) {
+        if let Some(announcing) = self.announcing.take() {
+            announcing.cancel().await;
+        }
+        drop(self.server);
+    }
+}
+
+async fn run(stats: &Stats, behaviour: Behaviour, req: &Request<Bytes>) -> Response<Bytes> {
+    stats.calls.fetch_add(1, Ordering::Relaxed);
+    *stats.last_call.lock() = Some(Instant::now());
+    let number = req.headers().get(NUMBER_HEADER);
+    let number = number.and_then(|value| value.to_str().ok()?.parse().ok());
+    if let Some(number) = number {
+        *stats.runs.lock().entry(number).or_default() += 1;
+    }
+    task::sleep(behaviour.service_time).await;
+    let echo = number.map_or_else(String::new, |number: u64| number.to_string());
+    let mut response = Response::new(Bytes::from(echo));
+    if behaviour.fails {
+        *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+    }
+    response
+}
+
+async fn announce(announcement: Announcement, daemon: SocketAddr) {
+    let client = Client::new(client::Limits::default());
+    let body = serde_json::to_vec(&announcement).unwrap_or_default();
+    loop {
+        let request = Request::put("/v1/announcement")
+            .header("content-type", "application/json")
+            .body(Bytes::from(body.clone()));
+        let Ok(request) = request else {
+            return;
+        };
+        let limit = Instant::now() + Duration::from_secs(1);
+        let answered = client.send(daemon, request, limit).await;
+        let wait = match answered {
+            Ok(response) if response.status().is_success() => RENEW_INTERVAL,
+            _ => Duration::from_millis(100),
+        };
+        task::sleep(wait).await;
+    }
+}
