Halve the cost of a call in flight

Cause: at few slots in use, an own call in flight delays the next one less than its whole latency. Change: queue cost 1 to 0.5.

--- a/crates/coordination/examples/load.rs
+++ b/crates/coordination/examples/load.rs
@@ -27,6 +27,7 @@
     scenario: Option<String>,
     json: bool,
     scale: Option<usize>,
+    entries: usize,
     set: Vec<String>,
     policy: Option<String>,
 }
@@ -45,6 +46,10 @@
         .help("Multiple of the current size of each deployment; 1 and 10 if absent")
         .argument("FACTOR")
         .optional();
+    let entries = long("entries")
+        .help("Factor on the number of entry daemons, so that each sends fewer calls")
+        .argument("FACTOR")
+        .fallback(1);
     let set = long("set")
         .help("Change of one parameter of the learned policy, such as choices=3")
         .argument("KEY=VALUE")
@@ -58,6 +63,7 @@
         scenario,
         json,
         scale,
+        entries,
         set,
         policy
     })
@@ -80,7 +86,7 @@
     }
     let mut rows: Vec<Row> = Vec::new();
     for scenario in scenarios {
-        for mesh in Mesh::all(&scales) {
+        for mesh in Mesh::all(&scales, options.entries) {
             for kind in scenario.policies() {
                 if options
                     .policy
--- a/crates/coordination/examples/load/scenario.rs
+++ b/crates/coordination/examples/load/scenario.rs
@@ -21,7 +21,7 @@
 
 impl Mesh {
     /// Returns the largest service of each deployment at each scale.
-    pub(crate) fn all(scales: &[usize]) -> Vec<Self> {
+    pub(crate) fn all(scales: &[usize], entry_factor: usize) -> Vec<Self> {
         let sfax = ("sfax", 3, 9, 9, 500);
         let amman = ("amman", 4, 6, 10, 1_000);
         let mut meshes = Vec::new();
@@ -31,7 +31,7 @@
                     name: format!("{name} x{scale}"),
                     endpoints: endpoints * scale,
                     slots,
-                    entries: entries * scale,
+                    entries: entries * scale * entry_factor,
                     hop: Micros(hop),
                 });
             }
--- a/crates/coordination/src/routing.rs
+++ b/crates/coordination/src/routing.rs
@@ -75,7 +75,7 @@
             memory: Millis(10_000),
             slow_start: Millis(10_000),
             outside_every: 32,
-            queue_cost: 1.0,
+            queue_cost: 0.5,
             queue_by_slots: false,
             use_reports: true,
         }
