--- a/crates/coordination/src/routing.rs
+++ b/crates/coordination/src/routing.rs
@@ -73,7 +73,7 @@
             choices: 2,
             sample_weight: 0.2,
             memory: Millis(10_000),
-            slow_start: Millis(10_000),
+            slow_start: Millis(5_000),
             outside_every: 32,
             queue_cost: 0.5,
             queue_by_slots: false,
