Remove reported load from endpoint selection

Cause: entry daemons that follow the same reports choose the same endpoints. Change: reports, which changed the expectation as far as observed latency bore them out, are no longer used. Conclusion: removed, with Router::reported.

--- a/crates/coordination/src/routing.rs
+++ b/crates/coordination/src/routing.rs
@@ -1,16 +1,20 @@
 //! Endpoint selection at the entry daemon.
 //!
 //! A [`Router`] chooses the endpoint with the lowest expected completion time among a few random
-//! candidates. The expectation rests on observed latencies and the daemon's own calls in flight;
-//! reported load changes it only as far as observed latencies have followed the reports. Estimates
-//! are kept for a bounded subset of each version's endpoints. One choice in a while goes to an
-//! endpoint outside of the subset, so every endpoint receives load even from few entry daemons.
+//! candidates. The expectation rests on observed latencies and the daemon's own calls in flight.
+//! Estimates are kept for a bounded subset of each version's endpoints. One choice in a while goes
+//! to an endpoint outside of the subset, so every endpoint receives load even from few entry
+//! daemons.
+//!
+//! Reported load is not used. Weighted by its correlation with observed latency it made no
+//! difference to entry daemons with much traffic, and with little traffic it raised the mean 99th
+//! percentile from 29.9 to 31.9 ms (`examples/load.rs --scale 10 --entries 10`): all daemons
+//! followed the same reports.
 //!
 //! The same data centre is preferred by cost alone: observed latencies of other data centres
 //! contain the hop, and unobserved endpoints there start with the hop added.
 
 mod estimate;
-mod report;
 mod subset;
 #[cfg(test)]
 mod tests;
@@ -21,7 +25,6 @@
 use sycamoreflow_state::ids::{DaemonId, DataCentre, Micros, Millis, VersionName};
 
 use estimate::Estimate;
-use report::{Report, Trust};
 
 /// Latency expected of a service before the first observation.
 const FIRST_GUESS: Micros = Micros(1_000);
@@ -62,8 +65,6 @@
     pub queue_cost: f64,
     /// Whether the cost of a call in flight is divided by the endpoint's slots.
     pub queue_by_slots: bool,
-    /// Whether reported load is considered.
-    pub use_reports: bool,
 }
 
 impl Default for Tuning {
@@ -77,7 +78,6 @@
             outside_every: 32,
             queue_cost: 0.5,
             queue_by_slots: false,
-            use_reports: true,
         }
     }
 }
@@ -124,7 +124,6 @@
     groups: Vec<Group>,
     /// Latency in microseconds expected of an unobserved endpoint in the own data centre.
     prior: f64,
-    trust: Trust,
 }
 
 #[derive(Clone, Debug)]
@@ -140,7 +139,6 @@
     /// When a cold endpoint was added; `None` for one that counts as warm.
     added: Option<Millis>,
     estimate: Estimate,
-    report: Report,
 }
 
 /// The endpoints of one version as indices into the members.
@@ -169,7 +167,6 @@
             members: Vec::new(),
             groups: Vec::new(),
             prior: FIRST_GUESS.0 as f64,
-            trust: Trust::default(),
         }
     }
 
@@ -232,19 +229,12 @@
         }
         let prior = self.prior_of(&self.members[index]);
         if outcome.result == CallResult::Success {
-            self.learn_shared(now, index, outcome.latency, prior);
+            self.learn_prior(index, outcome.latency);
         }
         let member = &mut self.members[index];
         member.estimate.finished(now, outcome, prior, &self.tuning);
     }
 
-    /// Records the number of requests in flight that the endpoint's daemon reports.
-    pub fn reported(&mut self, now: Millis, id: &DaemonId, in_flight: u32) {
-        if let Some(index) = self.find(id).filter(|i| self.members[*i].tracked) {
-            self.members[index].report.update(now, in_flight);
-        }
-    }
-
     /// Returns the time in which a call sent to `id` now is expected to be answered.
     pub fn expected(&self, now: Millis, id: &DaemonId) -> Option<Micros> {
         let index = self.find(id)?;
@@ -284,7 +274,6 @@
             tracked: true,
             added: (!first).then_some(now),
             estimate,
-            report: Report::default(),
         }
     }
 
@@ -301,7 +290,6 @@
             let member = &mut self.members[*index];
             member.tracked = false;
             member.estimate.forget();
-            member.report = Report::default();
         }
     }
 
@@ -419,28 +407,16 @@
     fn cost(&self, now: Millis, index: usize) -> f64 {
         let member = &self.members[index];
         let prior = self.prior_of(member);
-        let expected = member
+        member
             .estimate
-            .expected(now, prior, member.slots, &self.tuning);
-        if !self.tuning.use_reports {
-            return expected;
-        }
-        expected * self.trust.factor(now, &member.report)
+            .expected(now, prior, member.slots, &self.tuning)
     }
 
-    /// Updates what is learned over all endpoints of the service.
-    fn learn_shared(&mut self, now: Millis, index: usize, latency: Micros, prior: f64) {
-        let member = &self.members[index];
-        let latency = latency.0 as f64;
-        if member.estimate.samples() > 0 {
-            let known = member
-                .estimate
-                .latency_at(now, prior, &self.tuning)
-                .max(1.0);
-            self.trust.observe(now, &member.report, latency / known);
-        }
-        let hop = self.hop_of(member);
-        let sample = (latency - hop).clamp(1.0, self.prior * PRIOR_OUTLIER_FACTOR);
+    /// Updates the latency that is expected of unobserved endpoints.
+    fn learn_prior(&mut self, index: usize, latency: Micros) {
+        let hop = self.hop_of(&self.members[index]);
+        let sample = latency.0 as f64 - hop;
+        let sample = sample.clamp(1.0, self.prior * PRIOR_OUTLIER_FACTOR);
         self.prior += (sample - self.prior) * PRIOR_WEIGHT;
     }
 
--- a/crates/coordination/src/routing/estimate.rs
+++ b/crates/coordination/src/routing/estimate.rs
@@ -34,10 +34,6 @@
         self.in_flight
     }
 
-    pub(super) fn samples(&self) -> u32 {
-        self.samples
-    }
-
     pub(super) fn started(&mut self, now: Millis) {
         if self.in_flight == 0 {
             self.waiting_since = now;
@@ -91,7 +87,7 @@
     }
 
     /// Returns the latency estimate, drawn towards slightly less than `prior` as it ages.
-    pub(super) fn latency_at(&self, now: Millis, prior: f64, tuning: &Tuning) -> f64 {
+    fn latency_at(&self, now: Millis, prior: f64, tuning: &Tuning) -> f64 {
         let unknown = prior * UNKNOWN_DISCOUNT;
         if self.samples == 0 {
             return unknown;
