Reduce the subset to 8 endpoints per version

Cause: with more endpoints each of them yields fewer samples per entry daemon. Change: 32 to 8. Conclusion: 8; with 4 the fast endpoints of mixed speeds are found less often.

--- a/crates/coordination/src/routing.rs
+++ b/crates/coordination/src/routing.rs
@@ -70,7 +70,7 @@
 impl Default for Tuning {
     fn default() -> Self {
         Self {
-            subset: 32,
+            subset: 8,
             choices: 2,
             sample_weight: 0.2,
             memory: Millis(10_000),
