Avoid endpoints that refuse calls as draining

Cause: the drain mark of the view arrives later than the first refusal. Change: CallResult::Draining takes the endpoint out of choice for 5 s.

--- a/crates/coordination/examples/load/sim.rs
+++ b/crates/coordination/examples/load/sim.rs
@@ -64,6 +64,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Ended {
     Answered,
+    Draining,
     Failed { not_run: bool, crash: bool },
 }
 
@@ -331,6 +332,9 @@
                 self.after(OWNER_TICK, Event::OwnerTick { owner });
             }
             Decision::Queued => {}
+            Decision::Refused(failure) if failure.reason == Reason::Draining => {
+                self.reply(call, Ended::Draining);
+            }
             Decision::Refused(_) => self.reply(
                 call,
                 Ended::Failed {
@@ -478,12 +482,14 @@
         self.requests[number].current = None;
         let seen = match result {
             Ended::Answered => CallResult::Success,
+            Ended::Draining => CallResult::Draining,
             Ended::Failed { not_run: true, .. } => CallResult::Refused,
             Ended::Failed { .. } => CallResult::Failure,
         };
         self.learn(number, owner, sent, seen);
         let failure = match result {
             Ended::Answered => return self.succeed(number),
+            Ended::Draining => Failure::not_run(Reason::Draining),
             Ended::Failed { not_run: true, .. } => Failure::not_run(Reason::Overloaded),
             Ended::Failed { crash: true, .. } => Failure::may_have_run(Reason::CrashesUpstreams),
             Ended::Failed { .. } => Failure::may_have_run(Reason::ConnectionLost),
--- a/crates/coordination/src/ejection.rs
+++ b/crates/coordination/src/ejection.rs
@@ -139,7 +139,7 @@
                 }
             }
             // A refusal shows a working daemon, and a cancellation shows nothing.
-            CallResult::Refused | CallResult::Cancelled => {}
+            CallResult::Refused | CallResult::Draining | CallResult::Cancelled => {}
         }
         Vec::new()
     }
--- a/crates/coordination/src/routing.rs
+++ b/crates/coordination/src/routing.rs
@@ -32,6 +32,9 @@
 const PRIOR_WEIGHT: f64 = 0.05;
 /// A sample counts for at most this multiple of the latency expected of unobserved endpoints.
 const PRIOR_OUTLIER_FACTOR: f64 = 3.0;
+/// Time for which an endpoint that refused a call as draining is not chosen. The drain mark of the
+/// view follows within 2 s (`docs/design.md`, P8).
+const DRAINING_PERIOD: Millis = Millis(5_000);
 
 /// Settings of a [`Router`].
 #[derive(Clone, Debug)]
@@ -100,6 +103,8 @@
     Failure,
     /// The owner daemon or its upstream refused the call as not run.
     Refused,
+    /// The owner daemon refused the call because it or its upstream is leaving.
+    Draining,
     /// The caller cancelled the call, which says nothing about the endpoint.
     Cancelled,
 }
@@ -136,6 +141,8 @@
     available: bool,
     /// Whether the endpoint is in the subset that estimates are kept for.
     tracked: bool,
+    /// When the endpoint last refused a call as draining.
+    refused_draining: Option<Millis>,
     /// When a cold endpoint was added; `None` for one that counts as warm.
     added: Option<Millis>,
     estimate: Estimate,
@@ -204,9 +211,9 @@
     ) -> Option<DaemonId> {
         let group = self.groups.iter().position(|g| g.version == *version)?;
         let index = self
-            .choose_outside(group, exclude)
+            .choose_outside(now, group, exclude)
             .or_else(|| self.choose_in_subset(now, group, exclude))
-            .or_else(|| self.choose_any(group, exclude))?;
+            .or_else(|| self.choose_any(now, group, exclude))?;
         Some(self.members[index].id.clone())
     }
 
@@ -223,8 +230,12 @@
         let Some(index) = self.find(id) else {
             return;
         };
-        if !self.members[index].tracked {
-            self.members[index].estimate.ended(now);
+        let member = &mut self.members[index];
+        if outcome.result == CallResult::Draining {
+            member.refused_draining = Some(now);
+        }
+        if !member.tracked {
+            member.estimate.ended(now);
             return;
         }
         let prior = self.prior_of(&self.members[index]);
@@ -272,6 +283,7 @@
             local,
             available: true,
             tracked: true,
+            refused_draining: None,
             added: (!first).then_some(now),
             estimate,
         }
@@ -315,14 +327,14 @@
         }
     }
 
-    fn choose_outside(&mut self, group: usize, exclude: &[DaemonId]) -> Option<usize> {
+    fn choose_outside(&mut self, now: Millis, group: usize, exclude: &[DaemonId]) -> Option<usize> {
         let group = &mut self.groups[group];
         if group.outside.is_empty() || !self.rng.random_ratio(1, self.tuning.outside_every) {
             return None;
         }
         group.next_outside = (group.next_outside + 1) % group.outside.len();
         let index = group.outside[group.next_outside];
-        self.usable(index, exclude).then_some(index)
+        self.usable(now, index, exclude).then_some(index)
     }
 
     fn choose_in_subset(
@@ -357,7 +369,7 @@
         let mut pool: Vec<usize> = part
             .iter()
             .copied()
-            .filter(|index| self.usable(*index, exclude))
+            .filter(|index| self.usable(now, *index, exclude))
             .collect();
         let mut drawn = Vec::with_capacity(self.tuning.choices);
         while drawn.len() < self.tuning.choices && !pool.is_empty() {
@@ -372,13 +384,13 @@
     }
 
     /// Chooses at random without regard to estimates, warmth and, in the end, ejection.
-    fn choose_any(&mut self, group: usize, exclude: &[DaemonId]) -> Option<usize> {
+    fn choose_any(&mut self, now: Millis, group: usize, exclude: &[DaemonId]) -> Option<usize> {
         let group = &self.groups[group];
         let all = || {
             let parts = [&group.local, &group.remote, &group.outside];
             parts.into_iter().flatten().copied()
         };
-        let mut pool: Vec<usize> = all().filter(|i| self.usable(*i, exclude)).collect();
+        let mut pool: Vec<usize> = all().filter(|i| self.usable(now, *i, exclude)).collect();
         if pool.is_empty() {
             pool = all()
                 .filter(|i| !exclude.contains(&self.members[*i].id))
@@ -390,9 +402,12 @@
         Some(pool[self.rng.random_range(0..pool.len())])
     }
 
-    fn usable(&self, index: usize, exclude: &[DaemonId]) -> bool {
+    fn usable(&self, now: Millis, index: usize, exclude: &[DaemonId]) -> bool {
         let member = &self.members[index];
-        member.available && !exclude.contains(&member.id)
+        let leaves = |refused| now.since(refused) < DRAINING_PERIOD;
+        member.available
+            && !member.refused_draining.is_some_and(leaves)
+            && !exclude.contains(&member.id)
     }
 
     /// Returns the probability with which a member takes part in a choice.
--- a/crates/coordination/src/routing/estimate.rs
+++ b/crates/coordination/src/routing/estimate.rs
@@ -59,7 +59,7 @@
     pub(super) fn finished(&mut self, now: Millis, outcome: Outcome, prior: f64, tuning: &Tuning) {
         self.ended(now);
         let failed = match outcome.result {
-            CallResult::Cancelled => return,
+            CallResult::Cancelled | CallResult::Draining => return,
             CallResult::Success => 0.0,
             CallResult::Failure | CallResult::Refused => 1.0,
         };
--- a/crates/coordination/src/routing/tests.rs
+++ b/crates/coordination/src/routing/tests.rs
@@ -74,6 +74,7 @@
 #[case::slow(success(20_000))]
 #[case::failing_fast(Outcome { latency: Micros(100), result: CallResult::Failure })]
 #[case::refusing(Outcome { latency: Micros(100), result: CallResult::Refused })]
+#[case::draining(Outcome { latency: Micros(100), result: CallResult::Draining })]
 fn choose_avoids_bad_endpoint(#[case] bad: Outcome) {
     let mut router = local_router(3);
     let counts = run(&mut router, 0, 1_000, |endpoint, _| {
