--- a/crates/coordination/src/raft.rs
+++ b/crates/coordination/src/raft.rs
@@ -80,7 +80,7 @@
 /// Time without a quorum after which a leader steps down.
 const QUORUM_TIMEOUT: Millis = Millis(1500);
 
-/// A control replica's part in the replicated log.
+/// The replicated log at one control replica.
 #[derive(Debug)]
 pub struct Raft {
     me: Peer,
@@ -92,7 +92,7 @@
     members_index: u64,
     /// Last entry that is known to be committed. All entries up to it have been output.
     commit: u64,
-    part: Part,
+    state: State,
     leader: Option<DaemonId>,
     leader_heard: Millis,
     /// When a replica other than the leader acts without having heard from a leader.
@@ -118,7 +118,7 @@
 
 /// What a replica does at present.
 #[derive(Debug)]
-enum Part {
+enum State {
     Follower,
     PreCandidate {
         votes: BTreeSet<DaemonId>,
@@ -160,7 +160,7 @@
             log,
             members,
             members_index,
-            part: Part::Follower,
+            state: State::Follower,
             leader: None,
             leader_heard: now,
             deadline: now,
@@ -199,15 +199,15 @@
         self.finish()
     }
 
-    /// Returns the part of this replica.
+    /// Returns what this replica does at present.
     pub fn standing(&self) -> Standing {
-        match &self.part {
+        match &self.state {
             _ if self.members.group == GroupId::NONE => Standing::Unformed,
-            Part::Leader(_) => Standing::Leader,
-            Part::PreCandidate { .. } => Standing::PreCandidate,
-            Part::Candidate { .. } => Standing::Candidate,
-            Part::Follower if self.members.is_voter(&self.me) => Standing::Follower,
-            Part::Follower => Standing::Learner,
+            State::Leader(_) => Standing::Leader,
+            State::PreCandidate { .. } => Standing::PreCandidate,
+            State::Candidate { .. } => Standing::Candidate,
+            State::Follower if self.members.is_voter(&self.me) => Standing::Follower,
+            State::Follower => Standing::Learner,
         }
     }
 
@@ -262,7 +262,7 @@
     fn on_tick(&mut self) {
         self.expire_reads();
         self.probe();
-        if matches!(self.part, Part::Leader(_)) {
+        if matches!(self.state, State::Leader(_)) {
             self.tick_leader();
             return;
         }
@@ -297,7 +297,7 @@
             self.hard.vote = None;
             self.persist_hard_state();
         }
-        if let Part::Leader(state) = std::mem::replace(&mut self.part, Part::Follower) {
+        if let State::Leader(state) = std::mem::replace(&mut self.state, State::Follower) {
             self.refuse_leader_reads(*state);
         }
         if leader.is_some() {
--- a/crates/coordination/src/raft/election.rs
+++ b/crates/coordination/src/raft/election.rs
@@ -8,14 +8,14 @@
 use super::faults::Fault;
 use super::message::{Body, LogEnd};
 use super::types::{GroupId, Peer};
-use super::{ELECTION_MIN, MAX_ROUND_DOUBLINGS, Part, ROUND_MS, Raft};
+use super::{ELECTION_MIN, MAX_ROUND_DOUBLINGS, ROUND_MS, Raft, State};
 
 impl Raft {
     pub(super) fn start_pre_vote(&mut self) {
-        if matches!(self.part, Part::Candidate { .. }) {
+        if matches!(self.state, State::Candidate { .. }) {
             self.failed_votes += 1;
         }
-        self.part = Part::PreCandidate {
+        self.state = State::PreCandidate {
             votes: BTreeSet::from([self.me.id.clone()]),
         };
         self.start_round(0);
@@ -32,7 +32,7 @@
         self.hard.vote = Some(self.me.clone());
         self.persist_hard_state();
         self.leader = None;
-        self.part = Part::Candidate {
+        self.state = State::Candidate {
             votes: BTreeSet::new(),
             own_vote: self.durability.upcoming(),
         };
@@ -59,7 +59,7 @@
 
     pub(super) fn on_pre_vote(&mut self, peer: Peer, term: u64, last: LogEnd) {
         let follows = self.leader.is_some() && self.now.since(self.leader_heard) < ELECTION_MIN;
-        let leads = matches!(self.part, Part::Leader(_));
+        let leads = matches!(self.state, State::Leader(_));
         let granted = !follows && !leads && term >= self.hard.term && last >= self.log.last();
         let body = Body::PreVoteAnswer { term, granted };
         self.send_to_peer(peer, body);
@@ -69,14 +69,14 @@
         if !granted || term != self.hard.term {
             return;
         }
-        if let Part::PreCandidate { votes } = &mut self.part {
+        if let State::PreCandidate { votes } = &mut self.state {
             votes.insert(peer.id);
         }
         self.count_pre_votes();
     }
 
     fn count_pre_votes(&mut self) {
-        let Part::PreCandidate { votes } = &self.part else {
+        let State::PreCandidate { votes } = &self.state else {
             return;
         };
         if self.is_quorum(votes) {
@@ -102,7 +102,7 @@
     }
 
     pub(super) fn on_vote_answer(&mut self, peer: Peer, granted: bool) {
-        let Part::Candidate { votes, .. } = &mut self.part else {
+        let State::Candidate { votes, .. } = &mut self.state else {
             return;
         };
         if granted {
@@ -113,7 +113,7 @@
 
     /// Counts the own vote once it is on disk.
     pub(super) fn count_own_vote(&mut self) {
-        let Part::Candidate { votes, own_vote } = &mut self.part else {
+        let State::Candidate { votes, own_vote } = &mut self.state else {
             return;
         };
         if self.durability.is_synced(*own_vote) {
@@ -123,7 +123,7 @@
     }
 
     fn count_votes(&mut self) {
-        let Part::Candidate { votes, .. } = &self.part else {
+        let State::Candidate { votes, .. } = &self.state else {
             return;
         };
         if self.is_quorum(votes) {
@@ -137,7 +137,7 @@
     }
 
     pub(super) fn on_timeout_now(&mut self) {
-        let leads = matches!(self.part, Part::Leader(_));
+        let leads = matches!(self.state, State::Leader(_));
         if !leads && self.members.is_voter(&self.me) {
             self.start_election();
         }
--- a/crates/coordination/src/raft/follower.rs
+++ b/crates/coordination/src/raft/follower.rs
@@ -6,7 +6,7 @@
 
 use super::message::{AppendResult, Body, LogEnd};
 use super::types::{Membership, Output, Payload, Peer, SharedEntry, Snapshot};
-use super::{Part, Raft};
+use super::{Raft, State};
 
 /// Largest snapshot that is accepted, in bytes.
 const MAX_SNAPSHOT_BYTES: u64 = 256 * 1024 * 1024;
@@ -87,7 +87,7 @@
 
     /// Follows the sender as the leader of the current term.
     fn follow(&mut self, peer: &Peer) -> bool {
-        if matches!(self.part, Part::Leader(_)) {
+        if matches!(self.state, State::Leader(_)) {
             return false;
         }
         self.become_follower(self.hard.term, Some(peer.id.clone()));
--- a/crates/coordination/src/raft/formation.rs
+++ b/crates/coordination/src/raft/formation.rs
@@ -51,7 +51,7 @@
     }
 
     pub(super) fn on_probe(&mut self, peer: Peer, fresh: bool) {
-        self.note_stranger(peer.clone());
+        self.note_unadmitted(peer.clone());
         if let Some(members) = self.founding_for(&peer).filter(|_| fresh) {
             // Sent only once it is on this disk: nobody is in a group that its founder forgets.
             self.send_after_sync(peer, Body::Found { members });
--- a/crates/coordination/src/raft/leader.rs
+++ b/crates/coordination/src/raft/leader.rs
@@ -12,7 +12,7 @@
 use super::types::{
     Entry, Incarnation, Membership, Output, Payload, Peer, Refusal, ReplicaProgress, Token,
 };
-use super::{HEARTBEAT, MAX_ENTRY_BYTES, Part, QUORUM_TIMEOUT, Raft};
+use super::{HEARTBEAT, MAX_ENTRY_BYTES, QUORUM_TIMEOUT, Raft, State};
 
 /// Uncommitted entries beyond which proposals are refused.
 const MAX_UNCOMMITTED_ENTRIES: u64 = 1024;
@@ -35,7 +35,7 @@
     next_heartbeat: Millis,
     transfer: Option<Transfer>,
     /// Replicas that are not members as they are, with the disk and the time of their probe.
-    pub(super) strangers: BTreeMap<DaemonId, (Incarnation, Millis)>,
+    pub(super) unadmitted: BTreeMap<DaemonId, (Incarnation, Millis)>,
 }
 
 #[derive(Debug)]
@@ -48,7 +48,7 @@
 impl Raft {
     /// Returns what this replica knows about the members, or nothing if it does not lead.
     pub fn replicas(&self) -> Vec<ReplicaProgress> {
-        let Part::Leader(state) = &self.part else {
+        let State::Leader(state) = &self.state else {
             return Vec::new();
         };
         let mut replicas = Vec::new();
@@ -71,7 +71,7 @@
         let term_start = self.log.last().index + 1;
         self.leader = Some(self.me.id.clone());
         self.failed_votes = 0;
-        self.part = Part::Leader(Box::new(Leader {
+        self.state = State::Leader(Box::new(Leader {
             progress: BTreeMap::new(),
             term_start,
             round: 0,
@@ -79,7 +79,7 @@
             reads: VecDeque::new(),
             next_heartbeat: self.now,
             transfer: None,
-            strangers: BTreeMap::new(),
+            unadmitted: BTreeMap::new(),
         }));
         self.append_as_leader(Payload::Noop);
         self.update_progress();
@@ -100,7 +100,7 @@
     /// Makes the progress table match the membership.
     pub(super) fn update_progress(&mut self) {
         let next = self.log.last().index;
-        let Part::Leader(state) = &mut self.part else {
+        let State::Leader(state) = &mut self.state else {
             return;
         };
         let members = &self.members.members;
@@ -127,7 +127,7 @@
     }
 
     fn proposal_refusal(&self, bytes: usize) -> Option<Refusal> {
-        let Part::Leader(state) = &self.part else {
+        let State::Leader(state) = &self.state else {
             return Some(Refusal::NotLeader);
         };
         if state.transfer.is_some() {
@@ -167,7 +167,7 @@
     /// An entry of an older term that is on a quorum can still be replaced by a later leader, so
     /// such entries are committed only together with one of the own term.
     pub(super) fn advance_commit(&mut self) {
-        let Part::Leader(state) = &self.part else {
+        let State::Leader(state) = &self.state else {
             return;
         };
         let own = if self.has_fault(Fault::AcknowledgeBeforeSync) {
@@ -200,7 +200,7 @@
         if self.commit < self.log.last().index {
             return;
         }
-        let Part::Leader(state) = &self.part else {
+        let State::Leader(state) = &self.state else {
             return;
         };
         let ids: Vec<DaemonId> = state.progress.keys().cloned().collect();
@@ -215,7 +215,7 @@
             return;
         }
         let now = self.now;
-        let Part::Leader(state) = &mut self.part else {
+        let State::Leader(state) = &mut self.state else {
             return;
         };
         let read_waits = state
@@ -238,7 +238,7 @@
 
     /// Returns whether enough voters of this membership were heard from lately.
     pub(super) fn hears_quorum_of(&self, members: &Membership) -> bool {
-        let Part::Leader(state) = &self.part else {
+        let State::Leader(state) = &self.state else {
             return false;
         };
         let mut heard = 0;
@@ -257,7 +257,7 @@
     /// Starts a new round: a message to each member, to be answered.
     pub(super) fn heartbeat(&mut self) {
         let next = self.now.after(HEARTBEAT);
-        let Part::Leader(state) = &mut self.part else {
+        let State::Leader(state) = &mut self.state else {
             return;
         };
         state.round += 1;
@@ -274,7 +274,7 @@
 
     pub(super) fn on_transfer(&mut self) {
         let now = self.now;
-        let Part::Leader(state) = &mut self.part else {
+        let State::Leader(state) = &mut self.state else {
             return;
         };
         let mut best: Option<(&DaemonId, u64)> = None;
@@ -298,7 +298,7 @@
     /// Lets the chosen voter hold an election once it has the whole log.
     pub(super) fn continue_transfer(&mut self) {
         let last = self.log.last().index;
-        let Part::Leader(state) = &mut self.part else {
+        let State::Leader(state) = &mut self.state else {
             return;
         };
         let Some(transfer) = &mut state.transfer else {
@@ -316,7 +316,7 @@
     /// Returns whether the replica is a member on this disk, and its progress.
     pub(super) fn progress_mut(&mut self, peer: &Peer) -> Option<&mut Progress> {
         let by_name = self.replaced_disk_counts();
-        let Part::Leader(state) = &mut self.part else {
+        let State::Leader(state) = &mut self.state else {
             return None;
         };
         let progress = state.progress.get_mut(&peer.id)?;
--- a/crates/coordination/src/raft/members.rs
+++ b/crates/coordination/src/raft/members.rs
@@ -5,7 +5,7 @@
 use super::types::{
     Incarnation, Member, MemberChange, Membership, Payload, Peer, Refusal, Role, Token,
 };
-use super::{Part, Raft};
+use super::{Raft, State};
 
 /// Time without a sign of the old disk after which a replica on a new disk is re-admitted. Two
 /// processes that run under one name therefore do not displace each other in turn.
@@ -13,7 +13,7 @@
 /// Age beyond which a probe no longer counts as a sign of life.
 const PROBE_VALID: Millis = Millis(3000);
 /// Non-members that a leader remembers.
-const MAX_STRANGERS: usize = 64;
+const MAX_UNADMITTED: usize = 64;
 
 impl Raft {
     pub(super) fn on_change(&mut self, token: Token, change: MemberChange) {
@@ -37,7 +37,7 @@
     /// A change is allowed only when the previous one is committed, and so is an entry of the
     /// own term. Otherwise two leaders could decide with quorums that share no voter.
     fn change_refusal(&self) -> Option<Refusal> {
-        let Part::Leader(state) = &self.part else {
+        let State::Leader(state) = &self.state else {
             return Some(Refusal::NotLeader);
         };
         if self.commit < state.term_start {
@@ -56,7 +56,7 @@
                 if next.members.contains_key(&id) {
                     return Err(Refusal::InvalidChange);
                 }
-                let incarnation = self.stranger(&id).ok_or(Refusal::UnknownReplica)?;
+                let incarnation = self.unadmitted_disk(&id).ok_or(Refusal::UnknownReplica)?;
                 let role = Role::Learner { promote };
                 next.members.insert(id, Member { incarnation, role });
             }
@@ -84,31 +84,31 @@
     }
 
     /// Remembers a replica that is not a member on its present disk.
-    pub(super) fn note_stranger(&mut self, peer: Peer) {
+    pub(super) fn note_unadmitted(&mut self, peer: Peer) {
         let now = self.now;
         if self.members.member(&peer).is_some() {
             return;
         }
-        let Part::Leader(state) = &mut self.part else {
+        let State::Leader(state) = &mut self.state else {
             return;
         };
-        let strangers = &mut state.strangers;
-        strangers.retain(|_, (_, at)| now.since(*at) < PROBE_VALID);
-        if strangers.len() < MAX_STRANGERS || strangers.contains_key(&peer.id) {
-            strangers.insert(peer.id, (peer.incarnation, now));
+        let unadmitted = &mut state.unadmitted;
+        unadmitted.retain(|_, (_, at)| now.since(*at) < PROBE_VALID);
+        if unadmitted.len() < MAX_UNADMITTED || unadmitted.contains_key(&peer.id) {
+            unadmitted.insert(peer.id, (peer.incarnation, now));
         }
     }
 
-    fn stranger(&self, id: &DaemonId) -> Option<Incarnation> {
-        let Part::Leader(state) = &self.part else {
+    fn unadmitted_disk(&self, id: &DaemonId) -> Option<Incarnation> {
+        let State::Leader(state) = &self.state else {
             return None;
         };
-        let (incarnation, at) = state.strangers.get(id)?;
+        let (incarnation, at) = state.unadmitted.get(id)?;
         (self.now.since(*at) < PROBE_VALID).then_some(*incarnation)
     }
 
     fn has_caught_up(&self, id: &DaemonId) -> bool {
-        let Part::Leader(state) = &self.part else {
+        let State::Leader(state) = &self.state else {
             return false;
         };
         state.progress.get(id).is_some_and(|progress| {
@@ -130,7 +130,7 @@
     }
 
     fn replacement(&self) -> Option<Membership> {
-        let Part::Leader(state) = &self.part else {
+        let State::Leader(state) = &self.state else {
             return None;
         };
         for (id, member) in &self.members.members {
@@ -138,7 +138,7 @@
                 .progress
                 .get(id)
                 .is_some_and(|progress| self.now.since(progress.heard) >= REPLACEMENT_SILENCE);
-            let Some(incarnation) = self.stranger(id).filter(|_| silent) else {
+            let Some(incarnation) = self.unadmitted_disk(id).filter(|_| silent) else {
                 continue;
             };
             if incarnation == member.incarnation {
--- a/crates/coordination/src/raft/reads.rs
+++ b/crates/coordination/src/raft/reads.rs
@@ -9,7 +9,7 @@
 use super::leader::Leader;
 use super::message::Body;
 use super::types::{Output, Peer, Refusal, Token};
-use super::{Part, QUORUM_TIMEOUT, Raft};
+use super::{QUORUM_TIMEOUT, Raft, State};
 
 /// Reads that may wait at once at one replica.
 const MAX_READS: usize = 4096;
@@ -50,7 +50,7 @@
 
 impl Raft {
     pub(super) fn on_read(&mut self, token: Token) {
-        if matches!(self.part, Part::Leader(_)) {
+        if matches!(self.state, State::Leader(_)) {
             self.add_leader_read(Reader::Local(token));
             return;
         }
@@ -76,7 +76,7 @@
         if self.members.member(&peer).is_none() {
             return;
         }
-        if !matches!(self.part, Part::Leader(_)) {
+        if !matches!(self.state, State::Leader(_)) {
             self.send_to_peer(peer, Body::ReadIndexAnswer { token, index: None });
             return;
         }
@@ -92,7 +92,7 @@
             self.complete_read(reader, commit);
             return;
         }
-        let Part::Leader(state) = &mut self.part else {
+        let State::Leader(state) = &mut self.state else {
             return;
         };
         if state.reads.len() >= MAX_READS {
@@ -114,7 +114,7 @@
 
     /// Completes the reads whose round was answered by a quorum and whose index is applied.
     pub(super) fn confirm_reads(&mut self) {
-        let Part::Leader(state) = &mut self.part else {
+        let State::Leader(state) = &mut self.state else {
             return;
         };
         let mut rounds: Vec<u64> = Vec::new();
@@ -226,7 +226,7 @@
             !is_late(read.at)
         });
         let mut late_here = Vec::new();
-        if let Part::Leader(state) = &mut self.part {
+        if let State::Leader(state) = &mut self.state {
             while state.reads.front().is_some_and(|read| is_late(read.at)) {
                 late_here.extend(state.reads.pop_front());
             }
--- a/crates/coordination/src/raft/replication.rs
+++ b/crates/coordination/src/raft/replication.rs
@@ -7,7 +7,7 @@
 use super::log::end_of;
 use super::message::{AppendResult, Body, LogEnd};
 use super::types::{Incarnation, Peer, Snapshot};
-use super::{Part, Raft};
+use super::{Raft, State};
 
 /// Bytes of entries in one message; a single entry may be larger.
 const MAX_APPEND_BYTES: usize = 512 * 1024;
@@ -66,7 +66,7 @@
 
 impl Raft {
     pub(super) fn replicate_to_all(&mut self) {
-        let Part::Leader(state) = &self.part else {
+        let State::Leader(state) = &self.state else {
             return;
         };
         let ids: Vec<DaemonId> = state.progress.keys().cloned().collect();
@@ -88,7 +88,7 @@
         let last = self.log.last().index;
         let base = self.log.base();
         let now = self.now;
-        let Part::Leader(state) = &mut self.part else {
+        let State::Leader(state) = &mut self.state else {
             return None;
         };
         let round = state.round;
@@ -174,7 +174,7 @@
     /// Notes that the member answered in this term. Returns whether it is a member.
     fn note_answer(&mut self, peer: &Peer, round: u64) -> bool {
         let now = self.now;
-        let Part::Leader(state) = &self.part else {
+        let State::Leader(state) = &self.state else {
             return false;
         };
         let round = round.min(state.round);
--- a/crates/coordination/src/raft/tests/scenarios.rs
+++ b/crates/coordination/src/raft/tests/scenarios.rs
@@ -187,7 +187,7 @@
         change(&mut sim, remove(leader)),
         Some(Refusal::InvalidChange)
     );
-    let node = sim.add_stranger();
+    let node = sim.add_unadmitted();
     sim.run(1000);
     assert_eq!(change(&mut sim, add(false)), None);
     assert_eq!(change(&mut sim, add(false)), Some(Refusal::ChangePending));
--- a/crates/coordination/src/raft/tests/sim.rs
+++ b/crates/coordination/src/raft/tests/sim.rs
@@ -139,7 +139,7 @@
     }
 
     /// Adds a process on an empty disk that is not in the settings of the others.
-    pub(super) fn add_stranger(&mut self) -> usize {
+    pub(super) fn add_unadmitted(&mut self) -> usize {
         let index = self.nodes.len();
         self.add_node(index);
         self.start(index);
--- a/crates/coordination/src/raft/types.rs
+++ b/crates/coordination/src/raft/types.rs
@@ -91,7 +91,7 @@
 /// Entries are shared between the log, messages and outputs.
 pub type SharedEntry = Arc<Entry>;
 
-/// Part of a member in the group.
+/// Role of a member in the group.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case")]
 pub enum Role {
@@ -110,7 +110,7 @@
 pub struct Member {
     /// Disk that was admitted.
     pub incarnation: Incarnation,
-    /// Part in the group.
+    /// Role in the group.
     pub role: Role,
 }
 
@@ -287,7 +287,7 @@
     TimedOut,
 }
 
-/// Part that a replica plays now.
+/// What a replica does at present.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Standing {
     /// Belongs to no group yet, and neither votes nor serves.
@@ -367,7 +367,7 @@
     },
     /// Standing, term or known leader changed.
     LeadershipChanged {
-        /// Own part.
+        /// What this replica does now.
         standing: Standing,
         /// Current term.
         term: u64,
@@ -383,7 +383,7 @@
 pub struct ReplicaProgress {
     /// Replica.
     pub id: DaemonId,
-    /// Part in the group.
+    /// Role in the group.
     pub role: Role,
     /// Whether it was heard from lately.
     pub reachable: bool,
