--- a/crates/coordination/src/raft/tests/scenarios.rs
+++ b/crates/coordination/src/raft/tests/scenarios.rs
@@ -47,6 +47,21 @@
     assert!(longest < Millis(2000), "{longest:?}");
 }
 
+/// Guards against a leader that gives up because the disks of its followers stall.
+#[test]
+fn step_disks_stall() {
+    let mut sim = Sim::formed(3, 16, None);
+    sim.run(1000);
+    let before = (sim.leader(), term(&sim));
+    sim.max_sync_ms = 6000;
+    for _ in 0..20 {
+        sim.approve(sim.leader().unwrap());
+        sim.run(500);
+        assert_eq!((sim.leader(), term(&sim)), before);
+    }
+    assert_eq!(check_recovery(&mut sim), Ok(()));
+}
+
 /// Guards against a partitioned leader that keeps its subscribers.
 #[test]
 fn step_leader_without_quorum() {
@@ -62,6 +77,7 @@
 #[case::isolated(|sim: &mut Sim, node| { sim.isolate(node); sim.run(20_000); sim.silent.clear(); })]
 #[case::paused(|sim: &mut Sim, node| { sim.pause(node, 20_000); sim.run(20_000); })]
 #[case::deaf(|sim: &mut Sim, node| { for other in 0..3 { sim.silent.insert((other, node)); } sim.run(20_000); })]
+#[case::deaf_to_leader(|sim: &mut Sim, node| { sim.silent.insert((sim.leader().unwrap(), node)); sim.run(20_000); sim.silent.clear(); })]
 fn step_replica_returns(#[case] fault: fn(&mut Sim, usize)) {
     let mut sim = Sim::formed(3, 2, None);
     sim.run(1000);
@@ -171,7 +187,7 @@
         change(&mut sim, remove(leader)),
         Some(Refusal::InvalidChange)
     );
-    let node = sim.add_stranger();
+    let node = sim.add_unadmitted();
     sim.run(1000);
     assert_eq!(change(&mut sim, add(false)), None);
     assert_eq!(change(&mut sim, add(false)), Some(Refusal::ChangePending));
@@ -215,6 +231,19 @@
     approve_and_wait(&mut sim, 1);
 }
 
+/// Guards against two memberships without a common voter, which a leader that has not committed
+/// anything of its term could bring about.
+#[test]
+fn step_change_members_of_new_leader() {
+    let mut sim = Sim::formed(3, 13, None);
+    let old = sim.leader().unwrap();
+    sim.crash(old, 0);
+    assert!(sim.run_until(5000, |sim| sim.leader().is_some()));
+    let id = name(old);
+    let refusal = change(&mut sim, MemberChange::Remove { id });
+    assert_eq!(refusal, Some(Refusal::NotReady));
+}
+
 /// Guards against a planned stop that costs an election timeout.
 #[test]
 fn step_transfer_leadership() {
