Cede the remainders of a share later and resend grants less often

Change: units are ceded after 4 s without an own whole call instead of 2 s, and a grant is repeated after 2 s instead of at each report.

--- a/crates/coordination/examples/rollouts/world.rs
+++ b/crates/coordination/examples/rollouts/world.rs
@@ -356,7 +356,9 @@
         let cut = entry
             .recorder
             .record(Millis(self.now), &entry.split, &rule, &finished);
-        if let Some(rollout) = cut {
+        if let Some(rollout) = cut
+            && !self.baseline
+        {
             entry.counter.stop(rollout);
             self.outcome.cut_off_daemons += 1;
         }
--- a/crates/coordination/src/evidence/comparison.rs
+++ b/crates/coordination/src/evidence/comparison.rs
@@ -43,7 +43,7 @@
 const DROP_AGE: Millis = Millis(30_000);
 /// Part of the bad calls that may come from one group of endpoints.
 const MAX_GROUP_PART: f64 = 0.8;
-/// Calls from which on a group of endpoints can vouch that the others are bad by themselves.
+/// Calls from which on a group of endpoints is compared with the others.
 const MIN_GROUP_CALLS: u64 = 5;
 /// Assumed duration of a rollout that is to finish by a point in time.
 const DEFAULT_DURATION: Millis = Millis(600_000);
--- a/crates/coordination/src/shares.rs
+++ b/crates/coordination/src/shares.rs
@@ -28,14 +28,17 @@
 /// Units of one call.
 pub const CALL: u64 = 1_000_000;
 /// A daemon that has earned no whole call for this long cedes its units. Daemons that earn calls
-/// faster need no grants.
-pub const CEDE_AFTER: Millis = Millis(2_000);
+/// faster need no grants: with 2 s instead of 4 s the measurement sent 20 times as many at 270 calls/s,
+/// without earlier evidence.
+pub const CEDE_AFTER: Millis = Millis(4_000);
 /// How long a credit may be used. It covers ten calls at the mean interval of a daemon that sees
 /// two calls a second, and returns credits from idle daemons within a few reports.
 pub const CREDIT_VALIDITY: Millis = Millis(5_000);
 /// Calls per call of the candidate during a comparison at full share. The evidence per call is about
 /// the same as with every second call, and the candidate receives half as many.
 pub const COMPARED_PART: u64 = 4;
+/// A grant that a daemon's reports don't show after this long is sent again.
+pub const RESEND_AFTER: Millis = Millis(2_000);
 /// A daemon whose last report is older is granted nothing.
 pub const MAX_REPORT_AGE: Millis = Millis(3_000);
 
@@ -296,7 +299,8 @@
     calls_at_grant: u64,
     granted: u64,
     reported_at: Millis,
-    resend: bool,
+    sent_at: Option<Millis>,
+    send: bool,
 }
 
 impl CreditPool {
@@ -334,11 +338,14 @@
             .or_default();
         account.calls = account.calls.max(report.calls);
         account.reported_at = now;
+        let unanswered = account
+            .sent_at
+            .is_none_or(|at| now.since(at) >= RESEND_AFTER);
         if report.term < self.term {
-            account.resend = true;
+            account.send |= unanswered;
             return;
         }
-        account.resend = report.credits < account.granted;
+        account.send |= report.credits < account.granted && unanswered;
         if report.ceded > account.ceded {
             self.ceded += report.ceded - account.ceded;
             account.ceded = report.ceded;
@@ -352,7 +359,7 @@
         if self.share < Share::ALL && available > 0 {
             self.hand_out(now, available);
         }
-        self.take_messages()
+        self.take_messages(now)
     }
 
     fn hand_out(&mut self, now: Millis, available: u64) {
@@ -373,17 +380,18 @@
             self.granted += 1;
             account.granted += 1;
             account.calls_at_grant = account.calls;
-            account.resend = true;
+            account.send = true;
         }
     }
 
-    fn take_messages(&mut self) -> Vec<(DaemonId, Grant)> {
+    fn take_messages(&mut self, now: Millis) -> Vec<(DaemonId, Grant)> {
         let (term, rollout, share) = (self.term, self.rollout, self.share.0);
         let mut messages = Vec::new();
         for ((daemon, incarnation), account) in &mut self.accounts {
-            if !std::mem::take(&mut account.resend) {
+            if !std::mem::take(&mut account.send) {
                 continue;
             }
+            account.sent_at = Some(now);
             let grant = Grant {
                 term,
                 incarnation: *incarnation,
