--- a/crates/coordination/src/evidence/comparison.rs
+++ b/crates/coordination/src/evidence/comparison.rs
@@ -45,6 +45,8 @@
 const MAX_GROUP_PART: f64 = 0.8;
 /// Calls from which on a group of endpoints is compared with the others.
 const MIN_GROUP_CALLS: u64 = 5;
+/// Highest usable false-alarm rate. At 100% the threshold is zero, by which suspicion is divided.
+const MAX_FALSE_ALARM: Share = Share::percent(50);
 /// Assumed duration of a rollout that is to finish by a point in time.
 const DEFAULT_DURATION: Millis = Millis(600_000);
 
@@ -100,7 +102,11 @@
                 slow_shift: shift(rule.max_slowdown_percent),
                 refusals_are_bad: true,
             },
-            log_alpha: rule.false_alarm.max(Share(1)).ratio().ln(),
+            log_alpha: rule
+                .false_alarm
+                .clamp(Share(1), MAX_FALSE_ALARM)
+                .ratio()
+                .ln(),
             horizon: horizon(rule),
             started: None,
             all: Tests::default(),
