--- a/crates/protocol/src/codec/tests.rs
+++ b/crates/protocol/src/codec/tests.rs
@@ -48,3 +48,44 @@
         let _ = decode::<ciborium::Value>(&frame);
     }
 }
+
+/// A call with every field in use.
+fn call_frame() -> Vec<u8> {
+    let call = crate::call::Call {
+        id: 1,
+        remaining_ms: 250,
+        service: "orders".into(),
+        version: "v2".into(),
+        route: "blend".into(),
+        tenant: "grocers".into(),
+        attempt: 1,
+        key: Some("key".into()),
+        fingerprint: Some(7),
+        head: crate::call::RequestHead {
+            method: "POST".into(),
+            path_and_query: "/orders".into(),
+            headers: vec![("x-lot".into(), ByteBuf::from(vec![0x41]))],
+        },
+        body: vec![1, 2, 3],
+    };
+    encode(&CallRequest::Call(Box::new(call))).unwrap()
+}
+
+proptest! {
+    /// Guards against panics and unbounded work on frames that are nearly valid, which reach
+    /// further into decoding than arbitrary bytes do.
+    #[test]
+    fn decode_altered_frame(
+        changes in proptest::collection::vec((any::<prop::sample::Index>(), any::<u8>()), 1..4),
+        cut in any::<prop::sample::Index>(),
+    ) {
+        let mut frame = call_frame();
+        let cut = cut.index(frame.len());
+        prop_assert!(decode::<CallRequest>(&frame[..cut]).is_err());
+        for (index, byte) in changes {
+            let index = index.index(frame.len());
+            frame[index] = byte;
+        }
+        let _ = decode::<CallRequest>(&frame);
+    }
+}
--- a/crates/transport/src/http/client/tests.rs
+++ b/crates/transport/src/http/client/tests.rs
@@ -259,6 +259,26 @@
     assert_eq!(outcome.unwrap_err(), late);
 }
 
+/// Guards against a connection attempt that takes the whole time of a request: the system drops
+/// attempts while the accept queue of the peer is full.
+#[async_std::test]
+async fn send_connect_hangs() {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    let any: SocketAddr = ([127, 0, 0, 1], 0).into();
+    socket.bind(&any.into()).unwrap();
+    socket.listen(0).unwrap();
+    let address = socket.local_addr().unwrap().as_socket().unwrap();
+    let mut queued = Vec::new();
+    while let Ok(stream) = timeout(Duration::from_millis(50), TcpStream::connect(address)).await {
+        queued.push(stream.unwrap());
+    }
+    let started = Instant::now();
+    let outcome = Client::new(limits()).send(address, get(), soon()).await;
+    let hangs = Failure::not_run(Reason::ConnectionLost);
+    assert_eq!(outcome.unwrap_err(), hangs);
+    assert!(started.elapsed() < Duration::from_secs(1));
+}
+
 /// Guards against failing, or running twice, a request that meets a pooled connection which the
 /// upstream has closed or on which it has sent bytes that nobody asked for.
 #[rstest]
