Send heartbeats on links in one direction only

Both ends of a link pinged and answered each other's pings, which doubled the traffic of idle links. They now send unsolicited pongs, which RFC 6455 provides as a heartbeat and which are not answered.

--- a/crates/transport/src/link.rs
+++ b/crates/transport/src/link.rs
@@ -1,8 +1,8 @@
 //! Authenticated links between daemons: WebSocket connections that carry CBOR messages.
 //!
 //! A link is usable only after the handshake of [`sycamoreflow_protocol::handshake`] has succeeded
-//! in both directions. Each end then pings every [`Limits::ping_interval`], and a link on which
-//! nothing was heard for [`Limits::silence`] is dead. The send queue is bounded and refuses
+//! in both directions. Each end then sends a heartbeat every [`Limits::ping_interval`], and a link
+//! on which nothing was heard for [`Limits::silence`] is dead. The send queue is bounded and refuses
 //! frames instead of growing. A [`Receiver`] must be received from continuously, since it is also
 //! what detects a silent peer.
 
@@ -102,7 +102,7 @@
     pub connect: Duration,
     /// Time limit of the handshake.
     pub handshake: Duration,
-    /// Time between two pings.
+    /// Time between two heartbeats.
     pub ping_interval: Duration,
     /// A link is dead when nothing was heard for this long. Must exceed `ping_interval`.
     pub silence: Duration,
@@ -137,7 +137,7 @@
     pub address: SocketAddr,
 }
 
-/// Bytes that a link has carried, including the handshake, pings and WebSocket headers.
+/// Bytes that a link has carried, including the handshake, heartbeats and WebSocket headers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct LinkBytes {
     /// Bytes written to the socket.
--- a/crates/transport/src/link/tests.rs
+++ b/crates/transport/src/link/tests.rs
@@ -193,7 +193,6 @@
         ping_interval: Duration::from_secs(60),
         ..limits()
     };
-    // Neither end of this link is received from at `b`, so `b` answers no ping either.
     let ((a_tx, mut a_rx), _b) = open(&limits(), &mute).await;
     let started = std::time::Instant::now();
     assert_eq!(a_rx.receive::<u32>().await, Err(LinkError::Silent));
--- a/crates/transport/src/link/writer.rs
+++ b/crates/transport/src/link/writer.rs
@@ -1,4 +1,4 @@
-//! Writer task of a link: writes queued frames in order and pings.
+//! Writer task of a link: writes queued frames in order, and heartbeats.
 
 use std::collections::VecDeque;
 use std::future::poll_fn;
@@ -19,12 +19,12 @@
 use super::{Limits, Shared};
 
 /// Frames above this size are sent in fragments. This bounds the write buffer of a link, which
-/// never shrinks, and lets pings pass between the fragments.
+/// never shrinks, and lets heartbeats pass between the fragments.
 const FRAGMENT_BYTES: usize = 64 * 1024;
 
 enum Wake {
     Frames,
-    Ping,
+    Heartbeat,
     Closed,
 }
 
@@ -43,6 +43,12 @@
     writer.shared.abort();
 }
 
+/// Returns an unsolicited pong, which RFC 6455 provides as a heartbeat in one direction. Both ends
+/// send heartbeats, so answers to pings would only double the traffic of an idle link.
+fn heartbeat() -> Message {
+    Message::Pong(Bytes::new())
+}
+
 struct Writer {
     ws: WebSocketSender<LinkSocket>,
     shared: Arc<Shared>,
@@ -56,7 +62,7 @@
         loop {
             match self.next_wake(&mut batch).await {
                 Wake::Closed => return Ok(()),
-                Wake::Ping => self.feed(Message::Ping(Bytes::new())).await?,
+                Wake::Heartbeat => self.feed(heartbeat()).await?,
                 Wake::Frames => self.write_batch(&mut batch).await?,
             }
             // Frames queued in the meantime are written before the flush, so that they share it.
@@ -69,9 +75,9 @@
 
     async fn next_wake(&mut self, batch: &mut VecDeque<Bytes>) -> Wake {
         poll_fn(|cx| {
-            // Pings go first, so that a steady load of frames does not delay them.
+            // Heartbeats go first, so that a steady load of frames does not delay them.
             if self.ticks.poll_next_unpin(cx).is_ready() {
-                return Poll::Ready(Wake::Ping);
+                return Poll::Ready(Wake::Heartbeat);
             }
             match self.shared.queue.poll_take(cx, batch) {
                 Poll::Ready(true) => Poll::Ready(Wake::Frames),
