--- a/crates/daemon/src/control/hub.rs
+++ b/crates/daemon/src/control/hub.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 use sycamoreflow_coordination::distribution::{Distribution, JoinLimiter, UpdateCache};
 use sycamoreflow_coordination::shares::Grant;
+use sycamoreflow_coordination::suspect::SuspectReport;
 use sycamoreflow_protocol::codec;
 use sycamoreflow_protocol::distribution::FromReplica;
 use sycamoreflow_protocol::replica::{Content, Forwarded};
@@ -30,6 +31,8 @@
     Changed,
     /// The leader grants calls to the subscriber.
     Grant(Grant),
+    /// Requests have crashed upstreams at other daemons.
+    Suspects(Arc<SuspectReport>),
     /// The quorum is lost: the subscriber has to move to another replica.
     NoQuorum,
 }
--- a/crates/daemon/src/control/leader.rs
+++ b/crates/daemon/src/control/leader.rs
@@ -2,13 +2,12 @@
 //! it anew.
 
 use std::collections::{BTreeMap, BTreeSet};
-
 use std::sync::Arc;
-use sycamoreflow_coordination::evidence::REPORT_INTERVAL;
+
 use sycamoreflow_coordination::key_holders::HolderWatch;
 use sycamoreflow_coordination::leases::{LEASE, Leases};
 use sycamoreflow_coordination::machine::{Command, ControlState};
-use sycamoreflow_coordination::pacing::{Capacity, Pacer};
+use sycamoreflow_coordination::pacing::{Capacity, Pacer, TICK_INTERVAL};
 use sycamoreflow_coordination::shares::Grant;
 use sycamoreflow_protocol::replica::{Content, Forwarded};
 use sycamoreflow_state::config::Share;
@@ -17,7 +16,7 @@
     ConfigVersion, DaemonId, Millis, ServiceName, VersionName, ViewVersion,
 };
 use sycamoreflow_state::operator::{Convergence, RejectedBy};
-use sycamoreflow_state::view::{Interest, Resource, ResourceKey, View};
+use sycamoreflow_state::view::{Resource, ResourceKey, View};
 
 /// The soft state of the leader of one term.
 #[derive(Debug)]
@@ -114,7 +113,7 @@
 
     /// Returns the commands that the leader has to propose now.
     pub fn decide(&mut self, now: Millis, unix_now: Millis, state: &ControlState) -> Vec<Command> {
-        if now.since(self.last_pace) < REPORT_INTERVAL {
+        if now.since(self.last_pace) < TICK_INTERVAL {
             return Vec::new();
         }
         self.last_pace = now;
@@ -277,8 +276,3 @@
     }
     capacity
 }
-
-/// Returns the interest of a replica that follows the leader.
-pub fn follower_interest() -> Interest {
-    Interest::All
-}
--- a/crates/daemon/src/control/operator_api.rs
+++ b/crates/daemon/src/control/operator_api.rs
@@ -82,6 +82,16 @@
     if !problems.is_empty() {
         return Err(invalid(&problems));
     }
+    if let Command::Approve { config, .. } = &command {
+        let problems: Vec<String> = config
+            .validate(clock::unix_now())
+            .iter()
+            .map(ToString::to_string)
+            .collect();
+        if !problems.is_empty() {
+            return Err(invalid(&problems));
+        }
+    }
     let (tx, rx) = oneshot::channel();
     let sent = req.state().hub.send(Event::Propose(Box::new(command), tx));
     let outcome = match rx.await {
--- a/crates/daemon/src/control/peers.rs
+++ b/crates/daemon/src/control/peers.rs
@@ -133,8 +133,11 @@
             return;
         }
         while let Ok(message) = rx.receive::<FromReplica>().await {
-            let FromReplica::Update(delta) = message else {
-                return;
+            let delta = match message {
+                FromReplica::Update(delta) => delta,
+                // Subscribers of this replica get them by the link between the replicas.
+                FromReplica::Suspects(_) | FromReplica::Grants(_) => continue,
+                _ => return,
             };
             if let Err(reason) = hub.publish_delta(&delta) {
                 tracing::warn!(%reason, "view of the leader rejected");
@@ -155,6 +158,10 @@
             },
             ReplicaMessage::Forward(messages) => Event::Forwarded(messages),
             ReplicaMessage::Grants(grants) => Event::Grants(grants),
+            ReplicaMessage::Suspects(report) => Event::Suspects {
+                report,
+                from_subscriber: false,
+            },
         };
         if !hub.send(event) {
             return;
--- a/crates/daemon/src/control/replica.rs
+++ b/crates/daemon/src/control/replica.rs
@@ -17,6 +17,7 @@
     Token,
 };
 use sycamoreflow_coordination::shares::Grant;
+use sycamoreflow_coordination::suspect::SuspectReport;
 use sycamoreflow_protocol::replica::{Forwarded, ReplicaMessage};
 use sycamoreflow_state::ids::{ConfigVersion, DaemonId, Millis};
 use sycamoreflow_state::view::View;
@@ -69,6 +70,13 @@
     Forwarded(Vec<Forwarded>),
     /// Grants of the leader, for subscribers of this replica.
     Grants(Vec<(DaemonId, Grant)>),
+    /// Requests that have crashed upstreams. Those from a subscriber go to the other replicas too.
+    Suspects {
+        /// What is reported.
+        report: SuspectReport,
+        /// Whether a subscriber of this replica reports it.
+        from_subscriber: bool,
+    },
     /// Asks for the newest accepted version, confirmed by a quorum.
     Confirm(oneshot::Sender<Option<ConfigVersion>>),
     /// Proposes a command and returns its outcome.
@@ -214,6 +222,7 @@
                 Event::Raft { .. }
                 | Event::Forwarded(_)
                 | Event::Grants(_)
+                | Event::Suspects { .. }
                 | Event::TransferLeadership => {}
             }
         }
@@ -233,6 +242,13 @@
                 self.hub.grant(grants);
                 Ok(())
             }
+            Event::Suspects {
+                report,
+                from_subscriber,
+            } => {
+                self.spread_suspects(report, from_subscriber);
+                Ok(())
+            }
             Event::Confirm(tx) => self.read_index(Waiting::Confirm(tx)),
             Event::Read(read) => self.read_index(Waiting::Read(read)),
             Event::Propose(command, tx) => self.propose(&command, Waiting::Outcome(tx)),
@@ -483,6 +499,17 @@
         self.peers.send_to_all(&message);
     }
 
+    /// Hands a report to all subscribers of the group. It needs no order and no leader, since
+    /// merging it is idempotent.
+    fn spread_suspects(&self, report: SuspectReport, from_subscriber: bool) {
+        if from_subscriber {
+            self.peers
+                .send_to_all(&ReplicaMessage::Suspects(report.clone()));
+        }
+        let command = SessionCommand::Suspects(Arc::new(report));
+        self.hub.command_all(&command);
+    }
+
     fn propose(&mut self, command: &Command, waiting: Waiting) -> Stored {
         let data = command.encode().map_err(|error| undecodable(&error))?;
         let token = self.wait(waiting);
--- a/crates/daemon/src/control/sessions.rs
+++ b/crates/daemon/src/control/sessions.rs
@@ -13,6 +13,7 @@
 use sycamoreflow_transport::link::{Receiver, SendError, Sender};
 
 use crate::control::hub::{Hub, Registration, SessionCommand};
+use crate::control::replica::Event;
 
 /// How long a subscriber may take to say what it wants.
 const SUBSCRIBE_TIMEOUT: Duration = Duration::from_secs(2);
@@ -129,6 +130,10 @@
         match command {
             SessionCommand::Changed => self.send_update()?,
             SessionCommand::Grant(grant) => self.tx.send(&FromReplica::Grants(vec![grant]))?,
+            SessionCommand::Suspects(report) => {
+                self.tx
+                    .send(&FromReplica::Suspects(report.as_ref().clone()))?;
+            }
             SessionCommand::NoQuorum => {
                 self.tx.send(&FromReplica::NoQuorum)?;
                 return Ok(false);
@@ -143,6 +148,13 @@
             FromSubscriber::InForce(version) => Content::InForce(version),
             FromSubscriber::Rejected { version, reason } => Content::Rejected { version, reason },
             FromSubscriber::Report(report) => Content::Report(report),
+            FromSubscriber::Suspects(report) => {
+                self.hub.send(Event::Suspects {
+                    report,
+                    from_subscriber: true,
+                });
+                return Ok(());
+            }
             FromSubscriber::Follow { .. } => return Ok(()),
             FromSubscriber::Interest(interest) | FromSubscriber::Subscribe { interest, .. } => {
                 self.interest = interest;
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -11,9 +11,11 @@
 use eyre::WrapErr;
 use metrics_exporter_prometheus::PrometheusHandle;
 use parking_lot::Mutex;
+use sycamoreflow_coordination::dedup::HolderConfig;
 use sycamoreflow_coordination::floor::Witness;
 use sycamoreflow_protocol::floor::FloorRequest;
 use sycamoreflow_protocol::handshake::{Identity, MeshKey, Purpose};
+use sycamoreflow_protocol::keys::HolderRequest;
 use sycamoreflow_state::ids::Millis;
 use sycamoreflow_state::view::Interest;
 use sycamoreflow_transport::call_link;
@@ -22,12 +24,15 @@
 use sycamoreflow_transport::link::{self, Receiver, Sender};
 
 use crate::announce_api::{self, AnnounceState};
+use crate::clock;
 use crate::control::Control;
 use crate::control::operator_api::{self, OperatorState};
 use crate::floor::{self, Floor};
-use crate::proxy::Proxy;
+use crate::proxy::crashes::Crashes;
+use crate::proxy::keys::Keys;
 use crate::proxy::links::CallLinks;
 use crate::proxy::owner::{Owner, OwnerLimits};
+use crate::proxy::{Parts, Proxy};
 use crate::rpc;
 use crate::settings::Settings;
 use crate::subscriber::Subscriber;
@@ -36,6 +41,9 @@
 /// How often leases of announcements, waits for slots and ejected endpoints are looked at.
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(50);
 
+/// How often a holder of idempotency keys asks for records that it lacks.
+const KEY_COPY_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Calls of one other daemon that run here at once. The upstream's slots bound them further.
 const MAX_CALLS_PER_LINK: usize = 1_024;
 
@@ -102,16 +110,20 @@
         let limits = link::Limits::default();
         let listeners = Listeners::bind(settings).await?;
         let addresses = listeners.addresses()?;
-        let incarnation = random_seed()?;
-        let proxy = Arc::new(proxy(
+        let incarnation = new_incarnation()?;
+        let traffic = Arc::new(ControlTraffic::default());
+        let (changed_tx, changed_rx) = channel::bounded(1);
+        let (urgent_tx, urgent_rx) = channel::bounded(1);
+        let context = ProxyContext {
             settings,
-            &identity,
-            &limits,
-            addresses.link,
+            identity: &identity,
+            limits: &limits,
+            link_address: addresses.link,
             incarnation,
-        ));
+            traffic: &traffic,
+        };
+        let proxy = Arc::new(context.proxy(urgent_tx));
         let control = start_control(settings, &identity, &limits, incarnation)?;
-        let (changed_tx, changed_rx) = channel::bounded(1);
         let mut tasks = Vec::new();
 
         let serving = proxy.clone();
@@ -153,7 +165,6 @@
             interfaces.push(operator::serve(listener, app, Some(token), http_limits)?);
         }
 
-        let traffic = Arc::new(ControlTraffic::default());
         let witnesses = &settings.floor.witnesses;
         let floor = Arc::new(Floor::new(witnesses, &identity, &limits, &traffic));
         let resending = floor.clone();
@@ -169,8 +180,10 @@
             traffic: traffic.clone(),
             seed: incarnation,
             endpoints_changed: changed_rx,
+            urgent_report: urgent_rx,
         };
         tasks.push(task::spawn(subscriber.run()));
+        tasks.push(task::spawn(copy_keys(proxy.clone())));
         tasks.push(task::spawn(keep_house(proxy.clone(), changed_tx.clone())));
         Ok(Self {
             proxy,
@@ -287,36 +300,65 @@
     Interest::Services(settings.interest.iter().cloned().collect())
 }
 
-fn proxy(
-    settings: &Settings,
-    identity: &Identity,
-    limits: &link::Limits,
+/// What the request path is built from.
+struct ProxyContext<'a> {
+    settings: &'a Settings,
+    identity: &'a Identity,
+    limits: &'a link::Limits,
     link_address: SocketAddr,
     incarnation: u64,
-) -> Proxy {
-    let client = client::Client::new(client::Limits {
-        max_body_bytes: settings.limits.body_bytes,
-        ..client::Limits::default()
-    });
-    let owner_limits = OwnerLimits {
-        max_wait: Millis(settings.limits.queue_ms),
-        queue_per_slot: settings.limits.queue_per_slot,
-    };
-    let owner = Owner::new(
-        settings.daemon.clone(),
-        settings.data_centre.clone(),
-        link_address,
-        owner_limits,
-        client,
-    );
-    let links = CallLinks::new(identity.clone(), limits.clone());
-    Proxy::new(
-        settings.daemon.clone(),
-        settings.data_centre.clone(),
-        incarnation,
-        links,
-        Arc::new(owner),
-    )
+    traffic: &'a Arc<ControlTraffic>,
+}
+
+impl ProxyContext<'_> {
+    fn proxy(&self, urgent_report: channel::Sender<()>) -> Proxy {
+        let settings = self.settings;
+        let crashes = Arc::new(Crashes::new(settings.daemon.clone(), self.incarnation));
+        Proxy::new(Parts {
+            daemon: settings.daemon.clone(),
+            data_centre: settings.data_centre.clone(),
+            incarnation: self.incarnation,
+            links: CallLinks::new(self.identity.clone(), self.limits.clone()),
+            owner: Arc::new(self.owner(crashes.clone())),
+            keys: Arc::new(self.keys()),
+            crashes,
+            urgent_report,
+        })
+    }
+
+    fn owner(&self, crashes: Arc<Crashes>) -> Owner {
+        let settings = self.settings;
+        let client = client::Client::new(client::Limits {
+            max_body_bytes: settings.limits.body_bytes,
+            ..client::Limits::default()
+        });
+        let limits = OwnerLimits {
+            max_wait: Millis(settings.limits.queue_ms),
+            queue_per_slot: settings.limits.queue_per_slot,
+        };
+        Owner::new(
+            settings.daemon.clone(),
+            settings.data_centre.clone(),
+            self.link_address,
+            limits,
+            client,
+            crashes,
+        )
+    }
+
+    fn keys(&self) -> Keys {
+        let retention = HolderConfig {
+            retention: Millis(self.settings.limits.key_record_ms),
+            ..HolderConfig::default()
+        };
+        Keys::new(
+            self.identity.clone(),
+            self.limits.clone(),
+            self.traffic.clone(),
+            self.incarnation,
+            retention,
+        )
+    }
 }
 
 fn start_control(
@@ -332,10 +374,13 @@
     Ok(Some(Arc::new(Mutex::new(control))))
 }
 
-fn random_seed() -> eyre::Result<u64> {
-    let mut bytes = [0; 8];
+/// Returns a number that rises with every start of the daemon and differs between daemons that
+/// start in the same millisecond. It would fall only if the clock of the host was set back.
+fn new_incarnation() -> eyre::Result<u64> {
+    let mut bytes = [0; 2];
     getrandom::fill(&mut bytes).map_err(|error| eyre::eyre!("no random numbers: {error}"))?;
-    Ok(u64::from_le_bytes(bytes))
+    let random = u64::from(u16::from_le_bytes(bytes));
+    Ok(clock::unix_now().0 << 16 | random)
 }
 
 async fn accept_links(listener: TcpListener, context: Arc<LinkContext>) {
@@ -381,8 +426,10 @@
                 control.lock().serve_peer(tx, rx);
             }
         }
-        // Key holders are served once idempotency keys are in force; see docs/design.md.
-        Purpose::Keys => {}
+        Purpose::Keys => {
+            let keys = context.proxy.keys();
+            rpc::serve(tx, rx, |request: HolderRequest| keys.handle(&request)).await;
+        }
     }
 }
 
@@ -404,3 +451,12 @@
         proxy.probe().await;
     }
 }
+
+/// Copies key records that holders on this daemon lack. It has a task of its own, since it waits
+/// for other daemons.
+async fn copy_keys(proxy: Arc<Proxy>) {
+    loop {
+        task::sleep(KEY_COPY_INTERVAL).await;
+        proxy.keys().copy_missing().await;
+    }
+}
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -9,27 +9,36 @@
 use std::time::Instant;
 
 use arc_swap::ArcSwapOption;
+use async_std::channel;
 use bytes::Bytes;
 use http::{Request, Response};
 use parking_lot::RwLock;
+use sycamoreflow_coordination::dedup::Key;
 use sycamoreflow_coordination::evidence::EvidenceReport;
+use sycamoreflow_coordination::fingerprint::Fingerprint;
 use sycamoreflow_coordination::retry::{Attempts, Next};
 use sycamoreflow_coordination::routing::RouterConfig;
 use sycamoreflow_coordination::shares::Grant;
 use sycamoreflow_protocol::call::{Answer, Call, CallResult, RequestHead};
 use sycamoreflow_state::endpoint::Endpoint;
-use sycamoreflow_state::ids::{DaemonId, DataCentre, Micros, Millis, ServiceName, TenantName};
+use sycamoreflow_state::ids::{
+    DaemonId, DataCentre, Micros, Millis, RouteName, ServiceName, TenantName,
+};
 use sycamoreflow_state::verdict::{Failure, Reason};
 use sycamoreflow_state::view::View;
 
 use crate::clock;
+use crate::proxy::crashes::Crashes;
 use crate::proxy::headers::{CallerHeaders, DEFAULT_TENANT};
+use crate::proxy::keys::{KeyedRequest, Keys};
 use crate::proxy::links::CallLinks;
 use crate::proxy::owner::Owner;
 use crate::proxy::service::{AttemptEnd, Service, Target};
-use crate::proxy::table::{Route, RouteTable};
+use crate::proxy::table::RouteTable;
 
+pub mod crashes;
 pub mod headers;
+pub mod keys;
 pub mod links;
 pub mod owner;
 pub mod service;
@@ -53,6 +62,10 @@
     services: RwLock<HashMap<ServiceName, Arc<Service>>>,
     links: CallLinks,
     owner: Arc<Owner>,
+    keys: Arc<Keys>,
+    crashes: Arc<Crashes>,
+    /// Wakes the subscription when evidence has to be reported at once.
+    urgent_report: channel::Sender<()>,
 }
 
 /// The view in force, compiled for lookups. A request keeps the one that it started with.
@@ -64,8 +77,9 @@
 
 /// A request that has passed all checks of the entry role.
 #[derive(Debug)]
-struct Admitted<'a> {
-    route: &'a Route,
+struct Admitted {
+    route: RouteName,
+    service_name: ServiceName,
     service: Arc<Service>,
     tenant: TenantName,
     deadline: Millis,
@@ -73,26 +87,53 @@
     key: Option<String>,
 }
 
+/// The parts that a request path is made of.
+pub struct Parts {
+    /// This daemon.
+    pub daemon: DaemonId,
+    /// Data centre of its host.
+    pub data_centre: DataCentre,
+    /// Number that rises with every start of the daemon.
+    pub incarnation: u64,
+    /// Links to other daemons.
+    pub links: CallLinks,
+    /// The owner role.
+    pub owner: Arc<Owner>,
+    /// Idempotency keys.
+    pub keys: Arc<Keys>,
+    /// Requests that crash upstreams.
+    pub crashes: Arc<Crashes>,
+    /// Wakes the subscription when evidence has to be reported at once.
+    pub urgent_report: channel::Sender<()>,
+}
+
 impl Proxy {
     /// Makes the request path of a daemon that has no view yet.
-    pub fn new(
-        daemon: DaemonId,
-        data_centre: DataCentre,
-        incarnation: u64,
-        links: CallLinks,
-        owner: Arc<Owner>,
-    ) -> Self {
+    pub fn new(parts: Parts) -> Self {
         Self {
-            daemon,
-            data_centre,
-            incarnation,
+            daemon: parts.daemon,
+            data_centre: parts.data_centre,
+            incarnation: parts.incarnation,
             active: ArcSwapOption::empty(),
             services: RwLock::default(),
-            links,
-            owner,
+            links: parts.links,
+            owner: parts.owner,
+            keys: parts.keys,
+            crashes: parts.crashes,
+            urgent_report: parts.urgent_report,
         }
     }
 
+    /// Returns the idempotency keys.
+    pub fn keys(&self) -> &Arc<Keys> {
+        &self.keys
+    }
+
+    /// Returns the requests that crash upstreams.
+    pub fn crashes(&self) -> &Arc<Crashes> {
+        &self.crashes
+    }
+
     /// Returns the owner role.
     pub fn owner(&self) -> &Arc<Owner> {
         &self.owner
@@ -128,6 +169,7 @@
             service.update(config, split, &endpoints);
             used.push(name);
         }
+        self.keys.update(self.view().as_deref(), &view);
         self.owner.set_weights(tenant_weights(&view));
         let routes = RouteTable::new(&view);
         let active = Active {
@@ -142,7 +184,7 @@
     }
 
     /// Serves a request of a caller.
-    pub async fn serve(&self, req: Request<Bytes>) -> Response<Bytes> {
+    pub async fn serve(self: &Arc<Self>, req: Request<Bytes>) -> Response<Bytes> {
         let started = Instant::now();
         let (result, tenant) = self.run(req).await;
         let response = match result {
@@ -172,6 +214,12 @@
         }
     }
 
+    /// Returns whether any service is under rollout.
+    pub fn has_rollout(&self) -> bool {
+        let services = self.services.read();
+        services.values().any(|service| service.has_rollout())
+    }
+
     /// Returns the evidence of all running rollouts.
     pub fn report(&self) -> EvidenceReport {
         let services = self.services.read();
@@ -212,7 +260,7 @@
         }
     }
 
-    async fn run(&self, req: Request<Bytes>) -> (Result<Answer>, TenantName) {
+    async fn run(self: &Arc<Self>, req: Request<Bytes>) -> (Result<Answer>, TenantName) {
         let caller = match headers::read_caller(req.headers()) {
             Ok(caller) => caller,
             Err(failure) => return (Err(failure), TenantName::from(DEFAULT_TENANT)),
@@ -227,15 +275,42 @@
             Err(failure) => return (Err(failure), TenantName::from(DEFAULT_TENANT)),
         };
         let (head, body) = headers::request_head(req);
-        (self.attempt(&admitted, head, body).await, tenant)
+        (self.run_admitted(admitted, head, body).await, tenant)
+    }
+
+    /// Runs a request, at most once if it has an idempotency key.
+    async fn run_admitted(
+        self: &Arc<Self>,
+        admitted: Admitted,
+        head: RequestHead,
+        body: Bytes,
+    ) -> Result<Answer> {
+        let content = Fingerprint::of(&admitted.tenant, &head.method, &head.path_and_query, &body);
+        let Some(key) = admitted.key.clone() else {
+            return self.attempt(&admitted, content, head, body).await;
+        };
+        let key = Key {
+            service: admitted.service_name.clone(),
+            tenant: admitted.tenant.clone(),
+            key,
+        };
+        let identity = Fingerprint::of_key(&key);
+        let keyed = KeyedRequest {
+            key,
+            fingerprint: content,
+            deadline: admitted.deadline,
+        };
+        let proxy = self.clone();
+        let run = async move { proxy.attempt(&admitted, identity, head, body).await };
+        self.keys.run_once(keyed, run).await
     }
 
-    fn admit<'a>(
+    fn admit(
         &self,
-        active: &'a Active,
+        active: &Active,
         caller: CallerHeaders,
         req: &Request<Bytes>,
-    ) -> Result<Admitted<'a>> {
+    ) -> Result<Admitted> {
         let tenant = caller.tenant;
         let known = active.view.tenant(&tenant).is_some() || tenant.as_str() == DEFAULT_TENANT;
         if !known {
@@ -255,7 +330,8 @@
         let remaining = caller.remaining.map_or(timeout, |r| r.min(timeout));
         let idempotent = route.config.idempotent || req.method().is_idempotent();
         Ok(Admitted {
-            route,
+            route: route.name.clone(),
+            service_name: route.config.service.clone(),
             service,
             tenant,
             deadline: clock::now().after(remaining),
@@ -267,7 +343,8 @@
     /// Sends a request until it is answered or the rules for retries end it.
     async fn attempt(
         &self,
-        admitted: &Admitted<'_>,
+        admitted: &Admitted,
+        fingerprint: Fingerprint,
         head: RequestHead,
         body: Bytes,
     ) -> Result<Answer> {
@@ -276,26 +353,32 @@
         let mut attempts = Attempts::new(admitted.idempotent, deadline, MAX_ATTEMPTS);
         let mut sent = 0;
         loop {
+            if let Err(refused) = self.crashes.check(&fingerprint) {
+                return Err(attempts.failure(refused.reason));
+            }
             let Some(target) = service.pick(&mut attempts, sent == 0) else {
                 return Err(attempts.failure(Reason::NoEndpoint));
             };
             let call = Call {
                 id: 0,
                 remaining_ms: 0,
-                service: admitted.route.config.service.clone(),
+                service: admitted.service_name.clone(),
                 version: target.version.clone(),
-                route: admitted.route.name.clone(),
+                route: admitted.route.clone(),
                 tenant: admitted.tenant.clone(),
                 attempt: sent,
                 key: admitted.key.clone(),
-                fingerprint: None,
+                fingerprint: Some(fingerprint),
                 head: head.clone(),
                 body: body.to_vec(),
             };
             let result = self.send(admitted, &target, call, sent == 0).await;
             sent += 1;
             let failure = match result {
-                Ok(answer) => return Ok(answer),
+                Ok(answer) => {
+                    self.crashes.completed(fingerprint);
+                    return Ok(answer);
+                }
                 Err(failure) => failure,
             };
             match service.failed(&mut attempts, failure) {
@@ -307,7 +390,7 @@
 
     async fn send(
         &self,
-        admitted: &Admitted<'_>,
+        admitted: &Admitted,
         target: &Target,
         call: Call,
         first: bool,
@@ -335,7 +418,10 @@
             latency: Micros(started.elapsed().as_micros() as u64),
             first,
         };
-        admitted.service.finished(&admitted.route.name, target, end);
+        if admitted.service.finished(&admitted.route, target, end) {
+            // A wake-up that is waiting already is enough.
+            let _ = self.urgent_report.try_send(());
+        }
         let lost = matches!(&result, Err(f) if f.reason == Reason::ConnectionLost);
         if lost && target.daemon != self.daemon && !self.links.is_open(&target.daemon) {
             admitted.service.link_down(&target.daemon);
--- /dev/null
+++ b/crates/daemon/src/proxy/crashes.rs
@@ -0,0 +1,130 @@
+//! Connects the requests that crash upstreams with the request path and with other daemons.
+
+use parking_lot::Mutex;
+use sycamoreflow_coordination::fingerprint::Fingerprint;
+use sycamoreflow_coordination::suspect::{Standing, SuspectReport, Suspects};
+use sycamoreflow_state::ids::DaemonId;
+use sycamoreflow_state::verdict::{Failure, Reason};
+
+use crate::clock;
+
+/// Most entries in one report. With 100 bytes each, a report stays below 3 KB.
+const REPORT_ENTRIES: usize = 30;
+
+/// The suspects that this daemon knows.
+#[derive(Debug)]
+pub struct Crashes {
+    suspects: Mutex<Suspects>,
+}
+
+/// A request that was started. Dropping it ends the request without an answer.
+#[derive(Debug)]
+pub struct Started<'a> {
+    crashes: &'a Crashes,
+    request: Fingerprint,
+    ended: bool,
+}
+
+impl Crashes {
+    /// Starts without suspects.
+    pub fn new(daemon: DaemonId, incarnation: u64) -> Self {
+        Self {
+            suspects: Mutex::new(Suspects::new(daemon, incarnation)),
+        }
+    }
+
+    /// Checks a request before it is sent.
+    ///
+    /// # Errors
+    ///
+    /// Not run, if the request has crashed too many upstreams.
+    pub fn check(&self, request: &Fingerprint) -> Result<(), Failure> {
+        let standing = self.suspects.lock().standing(clock::now(), request);
+        if standing == Standing::Refused {
+            metrics::counter!("sycamoreflow_crashing_requests_refused_total").increment(1);
+            return Err(Failure::not_run(Reason::CrashesUpstreams));
+        }
+        Ok(())
+    }
+
+    /// Starts a request at the upstream beside this daemon.
+    ///
+    /// # Errors
+    ///
+    /// Not run, if the request may not run here now.
+    pub fn start(&self, request: Fingerprint) -> Result<Started<'_>, Failure> {
+        self.suspects.lock().start(clock::now(), request)?;
+        Ok(Started {
+            crashes: self,
+            request,
+            ended: false,
+        })
+    }
+
+    /// Takes in that a request was answered somewhere.
+    pub fn completed(&self, request: Fingerprint) {
+        self.suspects.lock().completed(clock::now(), request);
+    }
+
+    /// Takes in that the upstream has died, with the requests in flight as suspects.
+    pub fn upstream_died(&self) {
+        let blamed = self.suspects.lock().crashed(clock::now());
+        let count = blamed.len();
+        metrics::counter!("sycamoreflow_upstream_crashes_total").increment(1);
+        tracing::warn!(in_flight = count, "upstream died with requests in flight");
+    }
+
+    /// Takes in what other daemons report.
+    pub fn merge(&self, report: &SuspectReport) {
+        self.suspects.lock().merge(clock::now(), report);
+    }
+
+    /// Returns what other daemons do not know yet, if there is anything.
+    pub fn report(&self) -> Option<SuspectReport> {
+        let mut suspects = self.suspects.lock();
+        suspects.tick(clock::now());
+        let report = suspects.report(clock::now(), REPORT_ENTRIES);
+        (!report.entries.is_empty()).then_some(report)
+    }
+
+    /// Returns what is known of a request that has just failed: the failure to pass on.
+    fn failure_of(&self, request: &Fingerprint, failure: Failure) -> Failure {
+        let standing = self.suspects.lock().standing(clock::now(), request);
+        if standing == Standing::Clear {
+            return failure;
+        }
+        // A suspect must not be sent to the next upstream.
+        Failure {
+            reason: Reason::CrashesUpstreams,
+            ..failure
+        }
+    }
+}
+
+impl Started<'_> {
+    /// Ends the request. `answered` tells whether a whole answer arrived.
+    pub fn finish(mut self, answered: bool) {
+        self.end(answered);
+    }
+
+    /// Ends the request after the upstream died, and returns the failure to pass on.
+    pub fn failed(mut self, failure: Failure) -> Failure {
+        let failure = self.crashes.failure_of(&self.request, failure);
+        self.end(false);
+        failure
+    }
+
+    fn end(&mut self, answered: bool) {
+        self.ended = true;
+        let mut suspects = self.crashes.suspects.lock();
+        suspects.finish(clock::now(), self.request, answered);
+    }
+}
+
+impl Drop for Started<'_> {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.end(false);
+        }
+    }
+}
--- a/crates/daemon/src/proxy/headers.rs
+++ b/crates/daemon/src/proxy/headers.rs
@@ -128,7 +128,7 @@
         failure.verdict
     );
     let mut response = Response::new(Bytes::from(body));
-    *response.status_mut() = status_of(failure.reason);
+    *response.status_mut() = status_of(failure);
     let headers = response.headers_mut();
     let json = HeaderValue::from_static("application/json");
     headers.insert(http::header::CONTENT_TYPE, json);
@@ -158,14 +158,18 @@
     }
 }
 
-fn status_of(reason: Reason) -> StatusCode {
-    match reason {
+fn status_of(failure: Failure) -> StatusCode {
+    match failure.reason {
         Reason::BadRequest => StatusCode::BAD_REQUEST,
         Reason::TenantRefused => StatusCode::FORBIDDEN,
         Reason::NoRoute => StatusCode::NOT_FOUND,
         Reason::KeyUnresolved => StatusCode::CONFLICT,
-        Reason::CrashesUpstreams => StatusCode::UNPROCESSABLE_ENTITY,
-        Reason::ConnectionLost | Reason::BadAnswer => StatusCode::BAD_GATEWAY,
+        Reason::CrashesUpstreams if failure.verdict == Verdict::NotRun => {
+            StatusCode::UNPROCESSABLE_ENTITY
+        }
+        Reason::CrashesUpstreams | Reason::ConnectionLost | Reason::BadAnswer => {
+            StatusCode::BAD_GATEWAY
+        }
         Reason::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
         Reason::NotReady
         | Reason::NoEndpoint
--- /dev/null
+++ b/crates/daemon/src/proxy/keys.rs
@@ -0,0 +1,392 @@
+//! Runs requests with an idempotency key at most once, and holds keys for other daemons.
+//!
+//! The decisions are those of [`sycamoreflow_coordination::dedup`]; this module carries their
+//! messages and follows the groups of holders in the view (`docs/design.md`, section 2.5).
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use async_std::channel;
+use async_std::future::timeout;
+use async_std::task;
+use futures::FutureExt;
+use futures::channel::oneshot;
+use futures::future::Fuse;
+use parking_lot::Mutex;
+use sycamoreflow_coordination::dedup::{
+    Action, Group, HolderConfig, Key, KeyClaim, KeyHolder, KeyReply, KeyRequest, SendId,
+};
+use sycamoreflow_coordination::fingerprint::Fingerprint;
+use sycamoreflow_protocol::call::Answer;
+use sycamoreflow_protocol::codec;
+use sycamoreflow_protocol::handshake::{Identity, Purpose};
+use sycamoreflow_protocol::keys::{HolderReply, HolderRequest};
+use sycamoreflow_state::ids::{DaemonId, Millis, ServiceName};
+use sycamoreflow_state::verdict::{Failure, Reason, Verdict};
+use sycamoreflow_state::view::View;
+use sycamoreflow_transport::link;
+
+use crate::clock;
+use crate::rpc::RpcClient;
+use crate::traffic::ControlTraffic;
+
+/// How often the claim of a running send looks at its timeouts.
+const CLAIM_TICK: Duration = Duration::from_millis(5);
+
+/// How long one message to a holder may take.
+const REPLY_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Result of a keyed request.
+pub type Result<T> = std::result::Result<T, Failure>;
+
+/// Client of one holder.
+type HolderClient = RpcClient<HolderRequest, HolderReply>;
+
+/// The keys of this daemon: those that it holds, and those that it claims.
+#[derive(Debug)]
+pub struct Keys {
+    identity: Identity,
+    limits: link::Limits,
+    traffic: Arc<ControlTraffic>,
+    incarnation: u64,
+    retention: HolderConfig,
+    next_send: AtomicU64,
+    groups: Mutex<HashMap<ServiceName, Group>>,
+    holders: Mutex<HashMap<ServiceName, KeyHolder>>,
+    clients: Mutex<BTreeMap<DaemonId, (SocketAddr, Arc<HolderClient>)>>,
+}
+
+/// A request that is to run at most once.
+#[derive(Clone, Debug)]
+pub struct KeyedRequest {
+    /// Its key.
+    pub key: Key,
+    /// Its fingerprint, which a resend must share.
+    pub fingerprint: Fingerprint,
+    /// Deadline of the caller.
+    pub deadline: Millis,
+}
+
+impl Keys {
+    /// Starts without keys. `retention` bounds how long and how many records are held.
+    pub fn new(
+        identity: Identity,
+        limits: link::Limits,
+        traffic: Arc<ControlTraffic>,
+        incarnation: u64,
+        retention: HolderConfig,
+    ) -> Self {
+        Self {
+            identity,
+            limits,
+            traffic,
+            incarnation,
+            retention,
+            next_send: AtomicU64::new(1),
+            groups: Mutex::default(),
+            holders: Mutex::default(),
+            clients: Mutex::default(),
+        }
+    }
+
+    /// Follows the groups of a view that is put in force after `before`.
+    pub fn update(&self, before: Option<&View>, view: &View) {
+        let mut groups = HashMap::new();
+        for (service, _) in view.services() {
+            let Some(holders) = view.key_holders(service) else {
+                continue;
+            };
+            for holder in &holders.daemons {
+                self.note_address(&holder.daemon, holder.address);
+            }
+            let ids = holders.daemons.iter().map(|holder| holder.daemon.clone());
+            let group = Group {
+                epoch: holders.epoch,
+                holders: ids.collect(),
+            };
+            groups.insert(service.clone(), group);
+        }
+        self.update_holders(before, view, &groups);
+        *self.groups.lock() = groups;
+    }
+
+    /// Answers a message to a holder.
+    pub fn handle(&self, message: &HolderRequest) -> HolderReply {
+        let mut holders = self.holders.lock();
+        match holders.get_mut(&message.service) {
+            Some(holder) => HolderReply::Reply(holder.handle(clock::now(), &message.request)),
+            None => HolderReply::NotHolder,
+        }
+    }
+
+    /// Copies the records that holders on this daemon lack, one page from each other holder.
+    pub async fn copy_missing(&self) {
+        let mut requests = Vec::new();
+        for (service, holder) in self.holders.lock().iter_mut() {
+            holder.tick(clock::now());
+            let missing = holder.copy_requests().into_iter();
+            requests.extend(missing.map(|(id, request)| (service.clone(), id, request)));
+        }
+        for (service, from, request) in requests {
+            let Some(KeyReply::Page(page)) = self.ask(&service, &from, request).await else {
+                continue;
+            };
+            if let Some(holder) = self.holders.lock().get_mut(&service) {
+                holder.copied(clock::now(), &from, &page);
+            }
+        }
+    }
+
+    /// Runs a request under its key, or returns what an earlier send with the key came to.
+    ///
+    /// The claim is carried to its end even if the caller goes away, since a resend has to find
+    /// the answer.
+    ///
+    /// # Errors
+    ///
+    /// The failure of the request, or of the claim. Its verdict covers all sends with the key.
+    pub async fn run_once<F>(self: &Arc<Self>, keyed: KeyedRequest, run: F) -> Result<Answer>
+    where
+        F: Future<Output = Result<Answer>> + Send + 'static,
+    {
+        let group = self.groups.lock().get(&keyed.key.service).cloned();
+        let group = group.ok_or(Failure::not_run(Reason::KeyHoldersUnavailable))?;
+        let send = SendId {
+            daemon: self.identity.daemon.clone(),
+            boot: self.incarnation,
+            seq: self.next_send.fetch_add(1, Ordering::Relaxed),
+        };
+        let seed = self.incarnation ^ send.seq;
+        let service = keyed.key.service.clone();
+        let claim = KeyClaim::new(
+            keyed.key,
+            send,
+            keyed.fingerprint,
+            group,
+            keyed.deadline,
+            seed,
+        );
+        let (tx, rx) = oneshot::channel();
+        let driver = ClaimDriver {
+            keys: self.clone(),
+            service,
+            claim,
+            respond: Some(tx),
+        };
+        task::spawn(driver.drive(run));
+        // The driver always responds; it is dropped early only when the process ends.
+        rx.await
+            .unwrap_or(Err(Failure::may_have_run(Reason::Draining)))
+    }
+
+    /// Returns whether the keys of all services that this daemon holds can be claimed here.
+    pub fn is_ready(&self) -> bool {
+        self.holders.lock().values().all(KeyHolder::is_ready)
+    }
+
+    fn update_holders(
+        &self,
+        before: Option<&View>,
+        view: &View,
+        groups: &HashMap<ServiceName, Group>,
+    ) {
+        let me = &self.identity.daemon;
+        let mut holders = self.holders.lock();
+        holders.retain(|service, _| groups.get(service).is_some_and(|g| g.holders.contains(me)));
+        for (service, group) in groups {
+            if !group.holders.contains(me) {
+                continue;
+            }
+            let holder = holders
+                .entry(service.clone())
+                .or_insert_with(|| self.new_holder(before, service, group));
+            holder.set_group(group.clone());
+        }
+        for lost in lost_daemons(before, view) {
+            for holder in holders.values_mut() {
+                holder.claimer_lost(&lost);
+            }
+        }
+    }
+
+    /// Makes a holder. It may grant keys at once only if this process has seen that the group did
+    /// not exist before; otherwise the others may have records that it lacks.
+    fn new_holder(&self, before: Option<&View>, service: &ServiceName, group: &Group) -> KeyHolder {
+        let me = self.identity.daemon.clone();
+        let is_first = group.epoch == 1;
+        let seen_without = before.is_some_and(|view| view.key_holders(service).is_none());
+        if is_first && seen_without {
+            return KeyHolder::first_group(me, self.incarnation, group.clone(), self.retention);
+        }
+        KeyHolder::without_records(
+            clock::now(),
+            me,
+            self.incarnation,
+            group.clone(),
+            self.retention,
+        )
+    }
+
+    fn note_address(&self, daemon: &DaemonId, address: SocketAddr) {
+        let mut clients = self.clients.lock();
+        if clients
+            .get(daemon)
+            .is_some_and(|(known, _)| *known == address)
+        {
+            return;
+        }
+        let client = HolderClient::new(
+            address,
+            self.identity.clone(),
+            Purpose::Keys,
+            self.limits.clone(),
+            self.traffic.clone(),
+        );
+        clients.insert(daemon.clone(), (address, Arc::new(client)));
+    }
+
+    async fn ask(
+        &self,
+        service: &ServiceName,
+        holder: &DaemonId,
+        request: KeyRequest,
+    ) -> Option<KeyReply> {
+        let message = HolderRequest {
+            service: service.clone(),
+            request,
+        };
+        let reply = if *holder == self.identity.daemon {
+            self.handle(&message)
+        } else {
+            let client = self.clients.lock().get(holder).map(|(_, c)| c.clone())?;
+            client.request(&message, REPLY_TIMEOUT).await?
+        };
+        match reply {
+            HolderReply::Reply(reply) => Some(reply),
+            HolderReply::NotHolder => None,
+        }
+    }
+}
+
+/// Carries the messages of one claim.
+struct ClaimDriver {
+    keys: Arc<Keys>,
+    service: ServiceName,
+    claim: KeyClaim,
+    respond: Option<oneshot::Sender<Result<Answer>>>,
+}
+
+impl ClaimDriver {
+    async fn drive<F>(mut self, run: F)
+    where
+        F: Future<Output = Result<Answer>> + Send + 'static,
+    {
+        let (replies, incoming) = channel::unbounded();
+        let mut run = Some(Box::pin(run));
+        let mut running = Fuse::terminated();
+        let mut actions = self.claim.start(clock::now());
+        loop {
+            for action in std::mem::take(&mut actions) {
+                match action {
+                    Action::Send(holder, request) => self.send(holder, request, &replies),
+                    Action::Run => {
+                        if let Some(run) = run.take() {
+                            running = run.fuse();
+                        }
+                    }
+                    Action::Return(answer) => self.answer(decode(&answer)),
+                    Action::GiveUp(failure) => self.answer(Err(failure)),
+                }
+            }
+            if self.claim.is_done() {
+                return;
+            }
+            let next_reply = timeout(CLAIM_TICK, incoming.recv()).fuse();
+            futures::pin_mut!(next_reply);
+            futures::select! {
+                result = running => actions = self.take_result(result),
+                reply = next_reply => {
+                    if let Ok(Ok((from, reply))) = reply {
+                        actions = self.claim.reply(clock::now(), &from, reply);
+                    }
+                }
+            }
+            actions.extend(self.advance());
+        }
+    }
+
+    fn take_result(&mut self, result: Result<Answer>) -> Vec<Action> {
+        let now = clock::now();
+        match result {
+            Ok(answer) => match codec::encode(&answer) {
+                Ok(encoded) => self.claim.answered(now, encoded),
+                Err(_) => self.claim.failed(now, unencodable()),
+            },
+            Err(failure) => self.claim.failed(now, failure),
+        }
+    }
+
+    fn advance(&mut self) -> Vec<Action> {
+        let now = clock::now();
+        let group = self.keys.groups.lock().get(&self.service).cloned();
+        let mut actions = match group {
+            Some(group) => self.claim.set_group(now, group),
+            None => Vec::new(),
+        };
+        actions.extend(self.claim.tick(now));
+        actions
+    }
+
+    fn send(
+        &self,
+        holder: DaemonId,
+        request: KeyRequest,
+        replies: &channel::Sender<(DaemonId, KeyReply)>,
+    ) {
+        let keys = self.keys.clone();
+        let service = self.service.clone();
+        let replies = replies.clone();
+        task::spawn(async move {
+            if let Some(reply) = keys.ask(&service, &holder, request).await {
+                // Fails once the claim is done, which then needs no reply.
+                let _ = replies.send((holder, reply)).await;
+            }
+        });
+    }
+
+    fn answer(&mut self, result: Result<Answer>) {
+        if let Some(respond) = self.respond.take() {
+            // The caller may have gone; a resend finds the answer at the holders.
+            let _ = respond.send(result);
+        }
+    }
+}
+
+fn decode(answer: &[u8]) -> Result<Answer> {
+    codec::decode(answer).map_err(|_| unencodable())
+}
+
+fn unencodable() -> Failure {
+    Failure {
+        verdict: Verdict::Ran,
+        reason: Reason::BadAnswer,
+    }
+}
+
+/// Returns the daemons whose last endpoint has gone.
+fn lost_daemons(before: Option<&View>, view: &View) -> Vec<DaemonId> {
+    let Some(before) = before else {
+        return Vec::new();
+    };
+    let mut lost = Vec::new();
+    for endpoint in before.endpoints() {
+        let remains = view.endpoints().any(|e| e.daemon == endpoint.daemon);
+        if !remains && !lost.contains(&endpoint.daemon) {
+            lost.push(endpoint.daemon.clone());
+        }
+    }
+    lost
+}
--- a/crates/daemon/src/proxy/owner.rs
+++ b/crates/daemon/src/proxy/owner.rs
@@ -7,7 +7,11 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
 
+use async_std::future::timeout;
+use async_std::net::TcpStream;
+use async_std::task;
 use bytes::Bytes;
 use futures::channel::oneshot;
 use indexmap::IndexMap;
@@ -24,11 +28,23 @@
 use sycamoreflow_transport::http::client::Client;
 
 use crate::clock;
+use crate::proxy::crashes::Crashes;
 use crate::proxy::headers;
 
 /// Result of a delivery.
 pub type Result<T> = std::result::Result<T, Failure>;
 
+/// Pauses before the probes of an upstream that has broken a connection. A process that dies closes
+/// its connections and its listener one after the other, so the first probe may still succeed.
+const PROBE_PAUSES: [Duration; 3] = [
+    Duration::ZERO,
+    Duration::from_millis(20),
+    Duration::from_millis(80),
+];
+
+/// How long the probe of an upstream that has broken a connection may take.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// How long an announcement holds without a renewal by the upstream.
 pub const ANNOUNCEMENT_LEASE: Millis = Millis(6_000);
 
@@ -39,6 +55,7 @@
     link_address: SocketAddr,
     limits: OwnerLimits,
     client: Client,
+    crashes: Arc<Crashes>,
     upstreams: Mutex<IndexMap<ServiceName, Arc<Upstream>>>,
     weights: Mutex<Vec<(TenantName, u32)>>,
     draining: AtomicBool,
@@ -60,6 +77,8 @@
     announcement: Announcement,
     renewed: Mutex<Millis>,
     draining: AtomicBool,
+    /// Whether the upstream was found dead. It has to announce itself again.
+    dead: AtomicBool,
     admission: Mutex<Admission>,
     waiting: Mutex<HashMap<CallId, oneshot::Sender<Result<()>>>>,
 }
@@ -72,6 +91,7 @@
         link_address: SocketAddr,
         limits: OwnerLimits,
         client: Client,
+        crashes: Arc<Crashes>,
     ) -> Self {
         Self {
             daemon,
@@ -79,6 +99,7 @@
             link_address,
             limits,
             client,
+            crashes,
             upstreams: Mutex::default(),
             weights: Mutex::default(),
             draining: AtomicBool::new(false),
@@ -90,7 +111,8 @@
     pub fn announce(&self, announcement: Announcement) -> bool {
         let mut upstreams = self.upstreams.lock();
         if let Some(known) = upstreams.get(&announcement.service) {
-            if known.announcement == announcement {
+            let is_alive = !known.dead.load(Ordering::SeqCst);
+            if is_alive && known.announcement == announcement {
                 *known.renewed.lock() = clock::now();
                 return false;
             }
@@ -100,6 +122,7 @@
             admission: Mutex::new(Admission::new(self.admission_config(&announcement))),
             renewed: Mutex::new(clock::now()),
             draining: AtomicBool::new(false),
+            dead: AtomicBool::new(false),
             waiting: Mutex::default(),
             announcement,
         };
@@ -144,7 +167,8 @@
                 tracing::warn!(%service, "upstream stopped renewing its announcement");
                 upstream.refuse_waiting();
             }
-            !silent && !left
+            let dead = upstream.dead.load(Ordering::SeqCst);
+            !silent && !left && !dead
         });
         upstreams.len() != before
     }
@@ -207,6 +231,10 @@
         let id = CallId(self.next_call.fetch_add(1, Ordering::Relaxed));
         let mut slot = self.admit(&upstream, id, &call.tenant, deadline).await?;
         let request = headers::upstream_request(call, deadline.since(clock::now()))?;
+        let started_request = match call.fingerprint {
+            Some(fingerprint) => Some(self.crashes.start(fingerprint)?),
+            None => None,
+        };
         let started = std::time::Instant::now();
         let address = upstream.announcement.address;
         let response = self
@@ -214,11 +242,40 @@
             .send(address, request, clock::instant(deadline))
             .await;
         let latency = Micros(started.elapsed().as_micros() as u64);
-        let (result, outcome) = judge(response, latency);
+        let (mut result, outcome) = judge(response, latency);
+        if matches!(&result, Err(f) if f.reason == Reason::ConnectionLost) {
+            self.note_if_dead(&upstream).await;
+        }
+        if let Some(request) = started_request {
+            match &mut result {
+                Err(failure) if failure.verdict != Verdict::NotRun => {
+                    *failure = request.failed(*failure);
+                }
+                result => request.finish(result.is_ok()),
+            }
+        }
         slot.finish(outcome);
         result
     }
 
+    /// Finds out whether a lost connection means that the upstream has died, and blames the
+    /// requests in flight if so. An upstream that refuses connections has no process any more.
+    async fn note_if_dead(&self, upstream: &Upstream) {
+        let mut refused = false;
+        for pause in PROBE_PAUSES {
+            task::sleep(pause).await;
+            refused = refuses_connections(upstream.announcement.address).await;
+            if refused {
+                break;
+            }
+        }
+        if !refused || upstream.dead.swap(true, Ordering::SeqCst) {
+            return;
+        }
+        self.crashes.upstream_died();
+        upstream.drain();
+    }
+
     fn upstream(&self, service: &ServiceName, version: &VersionName) -> Result<Arc<Upstream>> {
         let upstreams = self.upstreams.lock();
         let upstream = upstreams
@@ -348,6 +405,13 @@
     }
 }
 
+async fn refuses_connections(address: SocketAddr) -> bool {
+    match timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Err(error)) => error.kind() == std::io::ErrorKind::ConnectionRefused,
+        Ok(Ok(_)) | Err(_) => false,
+    }
+}
+
 /// Turns what the upstream sent into the result of the call and the outcome for admission.
 fn judge(
     response: std::result::Result<http::Response<Bytes>, Failure>,
--- a/crates/daemon/src/proxy/service.rs
+++ b/crates/daemon/src/proxy/service.rs
@@ -13,10 +13,10 @@
 use sycamoreflow_coordination::retry::{Attempts, BudgetConfig, Next, RetryBudget};
 use sycamoreflow_coordination::routing::{CallResult, Outcome, Router, RouterConfig};
 use sycamoreflow_coordination::shares::{Attempt, Grant, ShareCounter};
-use sycamoreflow_state::config::{ServiceConfig, TrafficSplit};
+use sycamoreflow_state::config::{ServiceConfig, Share, TrafficSplit};
 use sycamoreflow_state::endpoint::Endpoint;
 use sycamoreflow_state::ids::{DaemonId, Micros, RouteName, VersionName};
-use sycamoreflow_state::verdict::{Failure, Verdict};
+use sycamoreflow_state::verdict::{Failure, Reason, Verdict};
 
 use crate::clock;
 
@@ -123,14 +123,11 @@
         } else {
             Attempt::Retry
         };
+        state.shares.compare(state.evidence.wants_comparison());
         let mut version = state.shares.pick(now, &state.split, attempt);
         let mut daemon = attempts.pick(|exclude| state.router.choose(now, &version, exclude));
-        let candidate = state.split.candidate.as_ref();
-        if let (None, Some(candidate)) = (&daemon, candidate)
-            && candidate.version == version
-        {
-            state.shares.unsent(candidate.rollout);
-            version = state.split.stable.clone();
+        if daemon.is_none() {
+            version = state.other_version(&version)?;
             daemon = attempts.pick(|exclude| state.router.choose(now, &version, exclude));
         }
         let daemon = daemon?;
@@ -143,8 +140,8 @@
         })
     }
 
-    /// Takes in the end of an attempt.
-    pub fn finished(&self, route: &RouteName, target: &Target, end: AttemptEnd) {
+    /// Takes in the end of an attempt. Returns whether the evidence has to be reported at once.
+    pub fn finished(&self, route: &RouteName, target: &Target, end: AttemptEnd) -> bool {
         let now = clock::now();
         let mut state = self.state.lock();
         let state = &mut *state;
@@ -156,7 +153,7 @@
         let changes = state.ejector.observe(now, &target.daemon, outcome);
         state.apply(changes);
         if !end.first {
-            return;
+            return false;
         }
         let finished = FinishedCall {
             route,
@@ -167,11 +164,13 @@
         };
         let rule = &state.config.rollout;
         let cut_off = state.evidence.record(now, &state.split, rule, &finished);
-        if let Some(rollout) = cut_off {
-            state.shares.stop(rollout);
-            metrics::counter!("sycamoreflow_local_cutoffs_total").increment(1);
-            tracing::warn!(rollout, version = %target.version, "candidate cut off at this daemon");
-        }
+        let Some(rollout) = cut_off else {
+            return false;
+        };
+        state.shares.stop(rollout);
+        metrics::counter!("sycamoreflow_local_cutoffs_total").increment(1);
+        tracing::warn!(rollout, version = %target.version, "candidate cut off at this daemon");
+        true
     }
 
     /// Takes in that the caller has gone before the attempt ended.
@@ -197,6 +196,11 @@
         attempts.failed(clock::now(), failure, &mut state.budget)
     }
 
+    /// Returns whether the service is under rollout.
+    pub fn has_rollout(&self) -> bool {
+        self.state.lock().split.candidate.is_some()
+    }
+
     /// Returns the evidence of a running rollout.
     pub fn report(&self) -> Option<RolloutEvidence> {
         let mut state = self.state.lock();
@@ -228,11 +232,6 @@
         let changes = state.ejector.probed(clock::now(), daemon, success);
         state.apply(changes);
     }
-
-    /// Returns the time limit for the whole call if the caller sets none.
-    pub fn config(&self) -> ServiceConfig {
-        self.state.lock().config.clone()
-    }
 }
 
 impl State {
@@ -248,6 +247,20 @@
         }
     }
 
+    /// Returns the version to use when `chosen` has no endpoint.
+    ///
+    /// The stable version stands in for the candidate at every share. The candidate stands in for
+    /// the stable version only at full share, where the old endpoints may have left already; below
+    /// that it would exceed its share.
+    fn other_version(&mut self, chosen: &VersionName) -> Option<VersionName> {
+        let candidate = self.split.candidate.as_ref()?;
+        if candidate.version == *chosen {
+            self.shares.unsent(candidate.rollout);
+            return Some(self.split.stable.clone());
+        }
+        (candidate.share == Share::ALL).then(|| candidate.version.clone())
+    }
+
     /// Returns the rank of the endpoint among those of its version, ordered by daemon.
     fn rank_of(&self, target: &Target) -> usize {
         let same_version = self
@@ -269,6 +282,7 @@
     match result {
         Ok(status) if status >= 500 => CallResult::Failure,
         Ok(_) => CallResult::Success,
+        Err(failure) if failure == Failure::not_run(Reason::Draining) => CallResult::Draining,
         Err(failure) if failure.verdict == Verdict::NotRun => CallResult::Refused,
         Err(_) => CallResult::Failure,
     }
@@ -277,7 +291,7 @@
 fn call_outcome(result: Result<u16, Failure>) -> CallOutcome {
     match call_result(result) {
         CallResult::Success => CallOutcome::Succeeded,
-        CallResult::Refused => CallOutcome::Refused,
+        CallResult::Refused | CallResult::Draining => CallOutcome::Refused,
         CallResult::Failure | CallResult::Cancelled => CallOutcome::Failed,
     }
 }
--- a/crates/daemon/src/subscriber.rs
+++ b/crates/daemon/src/subscriber.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use async_std::channel;
 use async_std::future::timeout;
 use async_std::task;
 use futures::FutureExt;
@@ -94,7 +95,9 @@
     /// Seed of backoff times and of the choice of replicas.
     pub seed: u64,
     /// Wakes the subscription when the own endpoints have changed.
-    pub endpoints_changed: async_std::channel::Receiver<()>,
+    pub endpoints_changed: channel::Receiver<()>,
+    /// Wakes the subscription when evidence has to be reported at once.
+    pub urgent_report: channel::Receiver<()>,
 }
 
 impl Subscriber {
@@ -201,6 +204,7 @@
             match rx.receive::<FromReplica>().await? {
                 FromReplica::Update(delta) => self.take_update(tx, &delta).await?,
                 FromReplica::Grants(grants) => self.proxy.grant(&grants),
+                FromReplica::Suspects(report) => self.proxy.crashes().merge(&report),
                 FromReplica::NoQuorum => return Err(Ended::NoQuorum),
                 FromReplica::RetryAfter(wait) => return Err(Ended::RetryAfter(wait)),
                 FromReplica::Admitted { .. } => return Err(Ended::NotAdmitted),
@@ -272,11 +276,15 @@
 
     async fn send_reports(&self, tx: &Sender, meter: &LinkMeter) -> Result<()> {
         loop {
-            task::sleep(clock::duration(REPORT_INTERVAL)).await;
+            let interval = clock::duration(REPORT_INTERVAL);
+            let _ = timeout(interval, self.urgent_report.recv()).await;
             meter.update(tx.bytes());
-            let report = self.proxy.report();
-            if !report.rollouts.is_empty() {
-                tx.send(&FromSubscriber::Report(report))?;
+            // During a rollout an empty report says that there was no traffic.
+            if self.proxy.has_rollout() {
+                tx.send(&FromSubscriber::Report(self.proxy.report()))?;
+            }
+            if let Some(suspects) = self.proxy.crashes().report() {
+                tx.send(&FromSubscriber::Suspects(suspects))?;
             }
         }
     }
--- a/crates/protocol/src/call.rs
+++ b/crates/protocol/src/call.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
+use sycamoreflow_coordination::fingerprint::Fingerprint;
 use sycamoreflow_state::ids::{RouteName, ServiceName, TenantName, VersionName};
 use sycamoreflow_state::verdict::Failure;
 
@@ -44,7 +45,7 @@
     /// Idempotency key, if the caller gave one.
     pub key: Option<String>,
     /// Fingerprint of the request, by which requests that crash upstreams are recognised.
-    pub fingerprint: Option<u64>,
+    pub fingerprint: Option<Fingerprint>,
     /// Request line and headers.
     pub head: RequestHead,
     /// Whole body of the request.
--- a/crates/protocol/src/call/tests.rs
+++ b/crates/protocol/src/call/tests.rs
@@ -13,7 +13,7 @@
         tenant: "grocers".into(),
         attempt: 1,
         key,
-        fingerprint: Some(u64::MAX),
+        fingerprint: Some(Fingerprint::of(&"t".into(), "GET", "/", b"")),
         head: RequestHead {
             method: "POST".into(),
             path_and_query: "/orders?a=1".into(),
--- a/crates/protocol/src/codec/tests.rs
+++ b/crates/protocol/src/codec/tests.rs
@@ -1,5 +1,6 @@
 use proptest::prelude::*;
 use serde_bytes::ByteBuf;
+use sycamoreflow_coordination::fingerprint::Fingerprint;
 
 use super::*;
 use crate::call::{CallReply, CallRequest};
@@ -60,7 +61,7 @@
         tenant: "grocers".into(),
         attempt: 1,
         key: Some("key".into()),
-        fingerprint: Some(7),
+        fingerprint: Some(Fingerprint::of(&"t".into(), "GET", "/", b"")),
         head: crate::call::RequestHead {
             method: "POST".into(),
             path_and_query: "/orders".into(),
--- a/crates/protocol/src/distribution.rs
+++ b/crates/protocol/src/distribution.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 use sycamoreflow_coordination::evidence::EvidenceReport;
 use sycamoreflow_coordination::shares::Grant;
+use sycamoreflow_coordination::suspect::SuspectReport;
 use sycamoreflow_state::endpoint::Endpoint;
 use sycamoreflow_state::ids::{ConfigVersion, Millis, ViewVersion};
 use sycamoreflow_state::view::{Delta, Interest};
@@ -41,6 +42,8 @@
     },
     /// Evidence about versions under rollout.
     Report(EvidenceReport),
+    /// Requests that have crashed upstreams, for all other daemons.
+    Suspects(SuspectReport),
 }
 
 /// What a control replica sends.
@@ -61,4 +64,6 @@
     NoQuorum,
     /// Calls that the subscriber may send to versions under rollout.
     Grants(Vec<Grant>),
+    /// Requests that have crashed upstreams at other daemons.
+    Suspects(SuspectReport),
 }
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`call`]: messages by which an entry daemon runs requests at an owner daemon.
 //! - [`distribution`]: messages between subscribers and control replicas.
 //! - [`floor`]: messages between a daemon and the witnesses of its version floor.
+//! - [`keys`]: messages between a daemon and a holder of idempotency keys.
 //! - [`replica`]: messages between control replicas.
 //! - [`rpc`]: envelopes for requests with one reply each.
 //!
@@ -17,5 +18,6 @@
 pub mod distribution;
 pub mod floor;
 pub mod handshake;
+pub mod keys;
 pub mod replica;
 pub mod rpc;
--- a/crates/protocol/src/replica.rs
+++ b/crates/protocol/src/replica.rs
@@ -4,6 +4,7 @@
 use sycamoreflow_coordination::evidence::EvidenceReport;
 use sycamoreflow_coordination::raft::message::Message;
 use sycamoreflow_coordination::shares::Grant;
+use sycamoreflow_coordination::suspect::SuspectReport;
 use sycamoreflow_state::endpoint::Endpoint;
 use sycamoreflow_state::ids::{DaemonId, ViewVersion};
 
@@ -17,6 +18,8 @@
     Forward(Vec<Forwarded>),
     /// What the leader has to tell subscribers of a replica.
     Grants(Vec<(DaemonId, Grant)>),
+    /// Requests that have crashed upstreams, for the subscribers of the other replicas.
+    Suspects(SuspectReport),
 }
 
 /// A message of a subscriber that is meant for the leader.
--- a/crates/testbed/src/mesh.rs
+++ b/crates/testbed/src/mesh.rs
@@ -3,6 +3,7 @@
 use std::fs;
 use std::net::{SocketAddr, TcpListener};
 use std::path::Path;
+use std::sync::atomic::{AtomicU32, Ordering};
 
 use sycamoreflow_daemon::Daemon;
 use sycamoreflow_daemon::settings::{
@@ -163,16 +164,27 @@
     Ok(settings)
 }
 
-/// Returns loopback addresses that are free now. They are all bound before the first is given back,
-/// so that no address is returned twice.
+/// First and last port that the testbed uses. They lie below the range from which the system takes
+/// the ports of outgoing connections, which could otherwise take an address before its daemon
+/// binds it.
+const PORTS: std::ops::Range<u16> = 10_000..32_000;
+
+/// Returns loopback addresses that are free now and that no other mesh of this process has.
 fn free_addresses(count: usize) -> eyre::Result<Vec<SocketAddr>> {
-    let mut listeners = Vec::new();
-    for _ in 0..count {
-        listeners.push(TcpListener::bind("127.0.0.1:0")?);
-    }
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    // Processes that run at the same time start at different places.
+    let offset = std::process::id().wrapping_mul(997);
     let mut addresses = Vec::new();
-    for listener in &listeners {
-        addresses.push(listener.local_addr()?);
+    for _ in 0..PORTS.len() {
+        if addresses.len() == count {
+            return Ok(addresses);
+        }
+        let step = offset.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
+        let port = PORTS.start + (step % PORTS.len() as u32) as u16;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            addresses.push(address);
+        }
     }
-    Ok(addresses)
+    Err(eyre::eyre!("fewer than {count} ports are free"))
 }
--- a/crates/testbed/src/upstream.rs
+++ b/crates/testbed/src/upstream.rs
@@ -55,9 +55,16 @@
     }
 }
 
+/// Body of a request that crashes every stand-in upstream that runs it.
+pub const CRASHING_BODY: &[u8] = b"crash";
+
+/// The server of an upstream, until it crashes.
+type Server = Arc<Mutex<Option<ServerHandle>>>;
+
 /// A running stand-in upstream. It stops when it is dropped.
 pub struct Upstream {
-    server: ServerHandle,
+    address: SocketAddr,
+    server: Server,
     stats: Arc<Stats>,
     announcing: Option<JoinHandle<()>>,
 }
@@ -78,20 +85,32 @@
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let stats = Arc::new(Stats::default());
         let counting = stats.clone();
-        let server = server::serve(listener, server::Limits::default(), move |req| {
+        let server = Server::default();
+        let crashing = server.clone();
+        let handle = server::serve(listener, server::Limits::default(), move |req| {
             let stats = counting.clone();
-            async move { run(&stats, behaviour, &req).await }
+            let server = crashing.clone();
+            async move {
+                if req.body() == CRASHING_BODY {
+                    stats.calls.fetch_add(1, Ordering::Relaxed);
+                    drop(server.lock().take());
+                }
+                run(&stats, behaviour, &req).await
+            }
         })?;
+        let address = handle.local_addr();
+        *server.lock() = Some(handle);
         let announcement = Announcement {
             service: service.into(),
             version: version.into(),
-            address: server.local_addr(),
+            address,
             slots,
             health_path: None,
             load_path: None,
         };
-        let announcing = task::spawn(announce(announcement, daemon));
+        let announcing = task::spawn(announce(announcement, daemon, server.clone()));
         Ok(Self {
+            address,
             server,
             stats,
             announcing: Some(announcing),
@@ -100,7 +119,12 @@
 
     /// Returns the address that the upstream listens on.
     pub fn address(&self) -> SocketAddr {
-        self.server.local_addr()
+        self.address
+    }
+
+    /// Returns whether the upstream has crashed.
+    pub fn has_crashed(&self) -> bool {
+        self.server.lock().is_none()
     }
 
     /// Returns what the upstream has seen.
@@ -113,7 +137,7 @@
         if let Some(announcing) = self.announcing.take() {
             announcing.cancel().await;
         }
-        drop(self.server);
+        drop(self.server.lock().take());
     }
 }
 
@@ -134,10 +158,10 @@
     response
 }
 
-async fn announce(announcement: Announcement, daemon: SocketAddr) {
+async fn announce(announcement: Announcement, daemon: SocketAddr, server: Server) {
     let client = Client::new(client::Limits::default());
     let body = serde_json::to_vec(&announcement).unwrap_or_default();
-    loop {
+    while server.lock().is_some() {
         let request = Request::put("/v1/announcement")
             .header("content-type", "application/json")
             .body(Bytes::from(body.clone()));
--- /dev/null
+++ b/crates/testbed/tests/keys.rs
@@ -0,0 +1,208 @@
+//! Requests with an idempotency key, and requests that crash upstreams, through real daemons.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use async_std::task;
+use bytes::Bytes;
+use futures::future::join_all;
+use http::{Request, Response, StatusCode};
+use sycamoreflow_testbed::caller;
+use sycamoreflow_testbed::mesh::{Host, Mesh};
+use sycamoreflow_testbed::upstream::{Behaviour, NUMBER_HEADER, Upstream};
+use sycamoreflow_transport::http::client::Client;
+
+const ANSWERS: &str = include_str!("../examples/quickstart/answers.toml");
+/// Longest wait for a state of the mesh. It is generous, as a busy machine may pause the test.
+const LIMIT: Duration = Duration::from_secs(30);
+
+struct Bench {
+    mesh: Mesh,
+    upstreams: Vec<Upstream>,
+    client: Client,
+}
+
+impl Bench {
+    async fn start(behaviour: Behaviour) -> Self {
+        let host = |at: usize| Host {
+            daemon: format!("sfax-{at}"),
+            data_centre: format!("sfax-{}", ["a", "b", "c"][at % 3]),
+        };
+        let hosts: Vec<Host> = (0..4).map(host).collect();
+        let mesh = Mesh::start("sfax", &hosts).await.expect("the mesh starts");
+        let mut upstreams = Vec::new();
+        for at in 0..3 {
+            let daemon = mesh.announce_address(at);
+            let upstream = Upstream::start("orders", "v1", 9, behaviour, daemon).await;
+            upstreams.push(upstream.expect("the upstream starts"));
+        }
+        let operator = mesh.operator();
+        let approved = operator.approve("keys-1", ANSWERS, LIMIT).await;
+        let approved = approved.expect("the answers are approved");
+        let converged = operator.converged(approved.version, 4, LIMIT).await;
+        converged.expect("the version is in force");
+        let bench = Self {
+            mesh,
+            upstreams,
+            client: caller::client(),
+        };
+        bench.wait_for_holders().await;
+        bench
+    }
+
+    /// Waits until every daemon knows the endpoints and the key holders of orders.
+    async fn wait_for_holders(&self) {
+        let end = Instant::now() + LIMIT;
+        let orders = "orders".into();
+        loop {
+            let views = (0..4).filter_map(|at| self.mesh.daemon(at)?.proxy().view());
+            let ready = views.filter(|view| {
+                view.key_holders(&orders).is_some() && view.endpoints().count() == 3
+            });
+            if ready.count() == 4 {
+                return;
+            }
+            assert!(Instant::now() < end, "no key holders");
+            task::sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    async fn post(&self, at: usize, key: Option<&str>, number: u64, body: &str) -> Response<Bytes> {
+        let target: SocketAddr = self.mesh.calls_address(at);
+        let mut request = Request::post("/blend-orders").header(NUMBER_HEADER, number);
+        if let Some(key) = key {
+            request = request.header("idempotency-key", key);
+        }
+        let request = request.body(Bytes::from(body.to_owned()));
+        let request = request.expect("the request is valid");
+        let answer = self
+            .client
+            .send(target, request, Instant::now() + LIMIT)
+            .await;
+        answer.expect("the daemon answers")
+    }
+
+    fn runs(&self, number: u64) -> u32 {
+        let runs = self.upstreams.iter().map(|u| u.stats().runs());
+        runs.filter_map(|runs| runs.get(&number).copied()).sum()
+    }
+}
+
+fn verdict(response: &Response<Bytes>) -> &str {
+    let value = response.headers().get("sycamoreflow-verdict");
+    value.and_then(|v| v.to_str().ok()).unwrap_or("none")
+}
+
+const QUICK: Behaviour = Behaviour {
+    service_time: Duration::from_millis(2),
+    fails: false,
+};
+const SLOW: Behaviour = Behaviour {
+    service_time: Duration::from_millis(400),
+    fails: false,
+};
+
+/// Guards against a second run of a keyed order that its caller resends through other daemons after
+/// the first answer.
+#[async_std::test]
+async fn resend_after_answer() {
+    let bench = Bench::start(QUICK).await;
+    let first = bench.post(0, Some("order-1"), 1, "blend").await;
+    assert_eq!(first.status(), StatusCode::OK, "{first:?}");
+    for at in 0..4 {
+        let again = bench.post(at, Some("order-1"), 1, "blend").await;
+        assert_eq!(again.body(), first.body(), "{again:?}");
+    }
+    assert_eq!(bench.runs(1), 1);
+    // Another key is another order.
+    bench.post(1, Some("order-2"), 1, "blend").await;
+    assert_eq!(bench.runs(1), 2);
+}
+
+/// Guards against two runs when the resend arrives at another daemon while the first is running.
+#[async_std::test]
+async fn resend_while_running() {
+    let bench = Bench::start(SLOW).await;
+    let sends = (0..4).map(|at| bench.post(at, Some("order-1"), 7, "blend"));
+    let answers = join_all(sends).await;
+    for answer in &answers {
+        assert_eq!(answer.status(), StatusCode::OK, "{answer:?}");
+        assert_eq!(answer.body(), "7");
+    }
+    assert_eq!(bench.runs(7), 1);
+}
+
+/// Guards against an answer to another request that a caller receives under a reused key.
+#[async_std::test]
+async fn resend_other_request() {
+    let bench = Bench::start(QUICK).await;
+    bench.post(0, Some("order-1"), 1, "blend").await;
+    let other = bench.post(1, Some("order-1"), 2, "another blend").await;
+    assert_eq!(other.status(), StatusCode::BAD_REQUEST);
+    assert_eq!(verdict(&other), "not-run");
+    assert_eq!(bench.runs(2), 0);
+}
+
+/// Guards against a lost record when one of the three holders dies, and against a resend that is
+/// stuck.
+#[async_std::test]
+async fn resend_after_holder_died() {
+    let mut bench = Bench::start(QUICK).await;
+    let first = bench.post(3, Some("order-1"), 1, "blend").await;
+    assert_eq!(first.status(), StatusCode::OK, "{first:?}");
+    bench.mesh.kill(2).await;
+    let again = bench.post(3, Some("order-1"), 1, "blend").await;
+    assert_eq!(again.body(), first.body(), "{again:?}");
+    let next = bench.post(3, Some("order-2"), 2, "blend").await;
+    assert_eq!(next.status(), StatusCode::OK, "{next:?}");
+    assert_eq!((bench.runs(1), bench.runs(2)), (1, 1));
+}
+
+/// Guards against a run that nobody knows of: the entry daemon dies while the order runs, and the
+/// caller resends through another daemon.
+#[async_std::test]
+async fn resend_after_entry_died() {
+    let mut bench = Bench::start(SLOW).await;
+    let client = bench.client.clone();
+    let target = bench.mesh.calls_address(3);
+    let running = task::spawn(async move {
+        let request = Request::post("/blend-orders")
+            .header(NUMBER_HEADER, 5)
+            .header("idempotency-key", "order-5")
+            .body(Bytes::from("blend"))
+            .expect("the request is valid");
+        client.send(target, request, Instant::now() + LIMIT).await
+    });
+    let end = Instant::now() + LIMIT;
+    while bench.runs(5) == 0 {
+        assert!(Instant::now() < end, "the order never ran");
+        task::sleep(Duration::from_millis(5)).await;
+    }
+    bench.mesh.kill(3).await;
+    drop(running);
+    let again = bench.post(0, Some("order-5"), 5, "blend").await;
+    assert_eq!(bench.runs(5), 1, "{again:?}");
+    assert_ne!(verdict(&again), "not-run", "{again:?}");
+}
+
+/// Guards against a request that crashes one upstream after the other, and against ordinary
+/// requests that are refused because of it.
+#[async_std::test]
+async fn resend_crashing_request() {
+    let bench = Bench::start(QUICK).await;
+    let crashed = || bench.upstreams.iter().filter(|u| u.has_crashed()).count();
+    let mut last = None;
+    for send in 0..8 {
+        let at = send % 4;
+        let answer = bench.post(at, None, 1, "crash").await;
+        assert_ne!(answer.status(), StatusCode::OK);
+        // The other daemons hear of the crash within a report interval.
+        task::sleep(Duration::from_millis(1_500)).await;
+        last = Some(answer);
+    }
+    assert!(crashed() <= 2, "{} of 3 upstreams crashed", crashed());
+    let last = last.expect("sent");
+    assert_eq!(verdict(&last), "not-run", "{last:?}");
+    let ordinary = bench.post(0, None, 2, "blend").await;
+    assert_eq!(ordinary.status(), StatusCode::OK, "{ordinary:?}");
+}
