--- a/crates/coordination/examples/load/calls.rs
+++ b/crates/coordination/examples/load/calls.rs
@@ -148,6 +148,17 @@
             );
             return self.finish(call, UpstreamResult::Abandoned);
         }
+        let real_slots = f64::from(self.mesh.slots) * self.scenario.real_slots;
+        if upstream.running.len() >= real_slots as usize {
+            self.reply(
+                call,
+                Ended::Failed {
+                    not_run: true,
+                    crash: false,
+                },
+            );
+            return self.finish(call, UpstreamResult::Shed);
+        }
         upstream.running.push(call);
         let run_for = upstream.service_time(Micros(self.now), &mut self.rng);
         let boot = upstream.boot;
--- a/crates/coordination/examples/load/scenario.rs
+++ b/crates/coordination/examples/load/scenario.rs
@@ -48,6 +48,8 @@
     pub(crate) load: f64,
     /// Factors on the service time, assigned to the endpoints in turn.
     pub(crate) slowness: &'static [f64],
+    /// Share of the announced slots beyond which upstreams shed.
+    pub(crate) real_slots: f64,
     /// Whether one endpoint in three reports no load at all times.
     pub(crate) misleading: bool,
     /// Factor on the service time of the first endpoint after one third of the run.
@@ -68,6 +70,7 @@
     name: "plain",
     load: 0.6,
     slowness: &[1.0],
+    real_slots: 1.0,
     misleading: false,
     first_slows: 1.0,
     first_dies: false,
@@ -116,6 +119,12 @@
         burst: 1.5,
         ..PLAIN
     },
+    Scenario {
+        name: "shedding",
+        load: 0.55,
+        real_slots: 0.67,
+        ..PLAIN
+    },
     Scenario {
         name: "crashing-request",
         load: 0.4,
--- a/crates/coordination/src/routing/subset.rs
+++ b/crates/coordination/src/routing/subset.rs
@@ -40,6 +40,6 @@
     size: usize,
     rank: impl Fn(usize) -> u64,
 ) -> Vec<usize> {
-    members.sort_by_key(|member| rank(*member));
+    members.sort_by_cached_key(|member| rank(*member));
     members.split_off(size.min(members.len()))
 }
