Copy records when a holder joins a group again

A holder that was replaced and joins again without a restart lacks the records of the time in between.

--- a/crates/coordination/src/dedup/holder.rs
+++ b/crates/coordination/src/dedup/holder.rs
@@ -106,7 +106,11 @@
     /// Returns whether the holder has all records and grants claims. The leader must not change
     /// another holder of the group before.
     pub fn is_ready(&self) -> bool {
-        self.copying.is_none()
+        self.copying.is_none() && self.is_member()
+    }
+
+    fn is_member(&self) -> bool {
+        self.group.holders.contains(&self.me)
     }
 
     /// Returns the epoch of the claims that the holder grants.
@@ -125,13 +129,22 @@
     }
 
     /// Follows a change of the group. Older groups are ignored.
-    pub fn set_group(&mut self, group: Group) {
+    ///
+    /// A holder that was not a member, or may not have been one in between, lacks the records of
+    /// that time and copies them before it grants again.
+    pub fn set_group(&mut self, now: Millis, group: Group) {
         if group.epoch <= self.group.epoch {
             return;
         }
+        // A copy request of the epoch in between shows that this holder was a member of it.
+        let skipped = group.epoch > self.epoch + 1;
+        let joins = skipped || !self.is_member();
         self.epoch = self.epoch.max(group.epoch);
         self.group = group;
-        if let Some(since) = self.copying.as_ref().map(|c| c.since) {
+        let since = self.copying.as_ref().map(|c| c.since);
+        if joins {
+            self.copying = Some(self.all_missing(now));
+        } else if let Some(since) = since {
             self.copying = Some(self.all_missing(since));
         }
     }
@@ -200,7 +213,7 @@
 
     /// Returns the copy requests to send, repeatedly, until the holder is ready.
     pub fn copy_requests(&self) -> Vec<(DaemonId, KeyRequest)> {
-        let Some(copying) = &self.copying else {
+        let Some(copying) = self.copying.as_ref().filter(|_| self.is_member()) else {
             return Vec::new();
         };
         let missing = copying.missing.iter();
--- a/crates/coordination/src/dedup/tests.rs
+++ b/crates/coordination/src/dedup/tests.rs
@@ -239,6 +239,24 @@
     assert!(granted(&claim(&mut restarted, 1, "k", &new, "f")));
 }
 
+/// Guards against grants of a holder that was not a member in between and missed the records of
+/// that time.
+#[rstest]
+#[case::stays(&[(2, "h0")], true)]
+#[case::skips_an_epoch(&[(3, "h0")], false)]
+#[case::leaves(&[(2, "h9")], false)]
+#[case::joins_again(&[(2, "h9"), (3, "h0")], false)]
+#[case::outdated(&[(1, "h9")], true)]
+fn set_group_readiness(#[case] changes: &[(u64, &str)], #[case] ready: bool) {
+    let mut holder = holder(HolderConfig::default());
+    for (epoch, first) in changes {
+        let holders = [*first, "h1", "h3"].map(DaemonId::from).to_vec();
+        let epoch = *epoch;
+        holder.set_group(Millis(1), Group { epoch, holders });
+    }
+    assert_eq!(holder.is_ready(), ready);
+}
+
 /// Runs one send against fixed replies of the three holders and returns its first decision.
 fn decide(replies: [Option<ClaimReply>; 3]) -> Action {
     let id = claim_id("a", 1, 0).send;
--- a/crates/coordination/src/dedup/tests/model.rs
+++ b/crates/coordination/src/dedup/tests/model.rs
@@ -123,8 +123,8 @@
             80..86 => self.finish(),
             86 => self.kill_claimer(),
             87 => self.restart_holder(),
-            88 => self.change_group(),
-            89..93 => self.announce_group(),
+            88..90 => self.change_group(),
+            90..94 => self.announce_group(),
             _ => self.copy(),
         }
     }
@@ -308,14 +308,20 @@
         let replaced = self.rng.random_range(0..3);
         self.group.epoch += 1;
         self.group.holders[replaced] = spare.unwrap();
-        self.add_holder(self.group.holders[replaced].clone());
+        let joining = self.group.holders[replaced].clone();
+        let (now, group) = (self.now, self.group.clone());
+        match self.holders.get_mut(&joining) {
+            // A former holder that did not restart joins with its old records.
+            Some((_, holder)) if self.rng.random_bool(0.5) => holder.set_group(now, group),
+            _ => self.add_holder(joining),
+        }
     }
 
     fn announce_group(&mut self) {
         let group = self.group.clone();
-        for (id, (_, holder)) in &mut self.holders {
-            if group.holders.contains(id) && self.rng.random_bool(0.3) {
-                holder.set_group(group.clone());
+        for (_, holder) in self.holders.values_mut() {
+            if self.rng.random_bool(0.3) {
+                holder.set_group(self.now, group.clone());
             }
         }
         for index in 0..self.sends.len() {
