--- a/crates/coordination/src/routing/subset.rs
+++ b/crates/coordination/src/routing/subset.rs
@@ -8,7 +8,8 @@
 
 use sycamoreflow_state::ids::DaemonId;
 
-/// The FNV-1a hash, whose value does not depend on the release of the standard library.
+/// The FNV-1a hash. The algorithm of the standard hasher may change between releases, which would
+/// change all subsets at once.
 struct Fnv(u64);
 
 impl Hasher for Fnv {
