--- a/crates/daemon/src/proxy/keys.rs
+++ b/crates/daemon/src/proxy/keys.rs
@@ -203,7 +203,7 @@
             let holder = holders
                 .entry(service.clone())
                 .or_insert_with(|| self.new_holder(before, service, group));
-            holder.set_group(group.clone());
+            holder.set_group(clock::now(), group.clone());
         }
         for lost in lost_daemons(before, view) {
             for holder in holders.values_mut() {
