--- a/crates/daemon/src/control/operator_api.rs
+++ b/crates/daemon/src/control/operator_api.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use sycamoreflow_coordination::machine::{Command, Outcome};
+use sycamoreflow_coordination::raft::Refusal;
 use sycamoreflow_protocol::replica::Content;
 use sycamoreflow_state::ids::{DaemonId, ServiceName};
 use sycamoreflow_state::operator::{
@@ -256,6 +257,10 @@
 }
 
 fn unavailable(error: &Unavailable) -> ErrorResponse {
+    if error.refusal == Some(Refusal::TooLarge) {
+        let message = "the answers and the configuration are too large for one approval";
+        return ErrorResponse::new(ErrorCode::Invalid, message);
+    }
     let message = match &error.leader {
         Some(leader) => format!("this replica does not lead the control group; ask {leader}"),
         None => "the control group has no quorum at present; try again".to_owned(),
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
+use async_lock::{Semaphore, SemaphoreGuardArc};
 use async_std::channel;
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task::{self, JoinHandle};
@@ -22,6 +23,7 @@
 use sycamoreflow_transport::http::operator::{BearerToken, OperatorHandle};
 use sycamoreflow_transport::http::{client, operator, server};
 use sycamoreflow_transport::link::{self, Receiver, Sender};
+use sycamoreflow_transport::listen::listen;
 
 use crate::announce_api::{self, AnnounceState};
 use crate::clock;
@@ -38,9 +40,12 @@
 use crate::subscriber::Subscriber;
 use crate::traffic::ControlTraffic;
 
-/// How often leases of announcements, waits for slots and ejected endpoints are looked at.
+/// How often leases of announcements and ejected endpoints are looked at.
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Links that may be in their handshake at once.
+const MAX_OPENING_LINKS: usize = 256;
+
 /// How often a holder of idempotency keys asks for records that it lacks.
 const KEY_COPY_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -108,7 +113,7 @@
     ) -> eyre::Result<Self> {
         let identity = identity(settings)?;
         let limits = link::Limits::default();
-        let listeners = Listeners::bind(settings).await?;
+        let listeners = Listeners::bind(settings)?;
         let addresses = listeners.addresses()?;
         let incarnation = new_incarnation()?;
         let traffic = Arc::new(ControlTraffic::default());
@@ -184,6 +189,7 @@
         };
         tasks.push(task::spawn(subscriber.run()));
         tasks.push(task::spawn(copy_keys(proxy.clone())));
+        tasks.push(task::spawn(probe_endpoints(proxy.clone())));
         tasks.push(task::spawn(keep_house(proxy.clone(), changed_tx.clone())));
         Ok(Self {
             proxy,
@@ -252,16 +258,16 @@
 }
 
 impl Listeners {
-    async fn bind(settings: &Settings) -> eyre::Result<Self> {
+    fn bind(settings: &Settings) -> eyre::Result<Self> {
         let listen = &settings.listen;
         let operator = match listen.operator.filter(|_| settings.control.is_some()) {
-            Some(address) => Some(bind("listen.operator", address).await?),
+            Some(address) => Some(bind("listen.operator", address)?),
             None => None,
         };
         Ok(Self {
-            calls: bind("listen.calls", listen.calls).await?,
-            link: bind("listen.link", listen.link).await?,
-            announce: bind("listen.announce", listen.announce).await?,
+            calls: bind("listen.calls", listen.calls)?,
+            link: bind("listen.link", listen.link)?,
+            announce: bind("listen.announce", listen.announce)?,
             operator,
         })
     }
@@ -277,10 +283,8 @@
     }
 }
 
-async fn bind(field: &str, address: SocketAddr) -> eyre::Result<TcpListener> {
-    TcpListener::bind(address)
-        .await
-        .wrap_err_with(|| format!("{field}: can't bind {address}"))
+fn bind(field: &str, address: SocketAddr) -> eyre::Result<TcpListener> {
+    listen(address).wrap_err_with(|| format!("{field}: can't bind {address}"))
 }
 
 fn identity(settings: &Settings) -> eyre::Result<Identity> {
@@ -313,7 +317,11 @@
 impl ProxyContext<'_> {
     fn proxy(&self, urgent_report: channel::Sender<()>) -> Proxy {
         let settings = self.settings;
-        let crashes = Arc::new(Crashes::new(settings.daemon.clone(), self.incarnation));
+        let crashes = Arc::new(Crashes::new(
+            settings.daemon.clone(),
+            self.incarnation,
+            urgent_report.clone(),
+        ));
         Proxy::new(Parts {
             daemon: settings.daemon.clone(),
             data_centre: settings.data_centre.clone(),
@@ -384,9 +392,12 @@
 }
 
 async fn accept_links(listener: TcpListener, context: Arc<LinkContext>) {
+    let opening = Arc::new(Semaphore::new(MAX_OPENING_LINKS));
     loop {
+        // Peers that have not proved the mesh key wait in the accept queue beyond the bound.
+        let permit = opening.acquire_arc().await;
         match listener.accept().await {
-            Ok((stream, _)) => drop(task::spawn(serve_link(stream, context.clone()))),
+            Ok((stream, _)) => drop(task::spawn(serve_link(stream, context.clone(), permit))),
             Err(error) => {
                 metrics::counter!("sycamoreflow_accept_failures_total").increment(1);
                 tracing::warn!(%error, "link not accepted");
@@ -397,16 +408,17 @@
     }
 }
 
-async fn serve_link(stream: TcpStream, context: Arc<LinkContext>) {
-    let (peer, purpose, tx, rx) =
-        match link::accept(stream, &context.identity, &context.limits).await {
-            Ok(opened) => opened,
-            Err(error) => {
-                metrics::counter!("sycamoreflow_links_refused_total").increment(1);
-                tracing::debug!(%error, "link refused");
-                return;
-            }
-        };
+async fn serve_link(stream: TcpStream, context: Arc<LinkContext>, permit: SemaphoreGuardArc) {
+    let opened = link::accept(stream, &context.identity, &context.limits).await;
+    drop(permit);
+    let (peer, purpose, tx, rx) = match opened {
+        Ok(opened) => opened,
+        Err(error) => {
+            metrics::counter!("sycamoreflow_links_refused_total").increment(1);
+            tracing::debug!(%error, "link refused");
+            return;
+        }
+    };
     match purpose {
         Purpose::Calls => serve_calls(&context.proxy, tx, rx).await,
         Purpose::Floor => {
@@ -444,10 +456,16 @@
 async fn keep_house(proxy: Arc<Proxy>, endpoints_changed: channel::Sender<()>) {
     loop {
         task::sleep(HOUSEKEEPING_INTERVAL).await;
-        proxy.owner().tick();
         if proxy.owner().expire() {
             let _ = endpoints_changed.try_send(());
         }
+    }
+}
+
+/// Probes ejected endpoints. It has a task of its own, since a probe waits for the endpoint.
+async fn probe_endpoints(proxy: Arc<Proxy>) {
+    loop {
+        task::sleep(HOUSEKEEPING_INTERVAL).await;
         proxy.probe().await;
     }
 }
--- a/crates/daemon/src/proxy/crashes.rs
+++ b/crates/daemon/src/proxy/crashes.rs
@@ -1,5 +1,6 @@
 //! Connects the requests that crash upstreams with the request path and with other daemons.
 
+use async_std::channel;
 use parking_lot::Mutex;
 use sycamoreflow_coordination::fingerprint::Fingerprint;
 use sycamoreflow_coordination::suspect::{Standing, SuspectReport, Suspects};
@@ -15,6 +16,8 @@
 #[derive(Debug)]
 pub struct Crashes {
     suspects: Mutex<Suspects>,
+    /// Wakes the subscription, so that the other daemons hear of a crash before the next send.
+    urgent_report: channel::Sender<()>,
 }
 
 /// A request that was started. Dropping it ends the request without an answer.
@@ -27,8 +30,9 @@
 
 impl Crashes {
     /// Starts without suspects.
-    pub fn new(daemon: DaemonId, incarnation: u64) -> Self {
+    pub fn new(daemon: DaemonId, incarnation: u64, urgent_report: channel::Sender<()>) -> Self {
         Self {
+            urgent_report,
             suspects: Mutex::new(Suspects::new(daemon, incarnation)),
         }
     }
@@ -70,6 +74,8 @@
     pub fn upstream_died(&self) {
         let blamed = self.suspects.lock().crashed(clock::now());
         let count = blamed.len();
+        // A wake-up that is waiting already is enough.
+        let _ = self.urgent_report.try_send(());
         metrics::counter!("sycamoreflow_upstream_crashes_total").increment(1);
         tracing::warn!(in_flight = count, "upstream died with requests in flight");
     }
--- a/crates/daemon/src/proxy/owner.rs
+++ b/crates/daemon/src/proxy/owner.rs
@@ -42,6 +42,9 @@
     Duration::from_millis(80),
 ];
 
+/// How often a waiting call looks at the timeouts of the queue.
+const QUEUE_TICK: Duration = Duration::from_millis(5);
+
 /// How long the probe of an upstream that has broken a connection may take.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -173,15 +176,6 @@
         upstreams.len() != before
     }
 
-    /// Releases calls that have waited too long for a slot.
-    pub fn tick(&self) {
-        let upstreams: Vec<Arc<Upstream>> = self.upstreams.lock().values().cloned().collect();
-        for upstream in upstreams {
-            let released = upstream.admission.lock().tick(clock::now());
-            upstream.release(released);
-        }
-    }
-
     /// Sets the tenants' weights.
     pub fn set_weights(&self, weights: Vec<(TenantName, u32)>) {
         if *self.weights.lock() == weights {
@@ -312,13 +306,12 @@
                 slot.forget();
                 Err(failure)
             }
-            Decision::Queued => match rx.await {
-                Ok(Ok(())) => Ok(slot),
-                Ok(Err(failure)) => {
+            Decision::Queued => match upstream.wait_for_slot(rx).await {
+                Ok(()) => Ok(slot),
+                Err(failure) => {
                     slot.forget();
                     Err(failure)
                 }
-                Err(_) => Err(Failure::not_run(Reason::Draining)),
             },
         }
     }
@@ -343,6 +336,21 @@
         admission.running() + admission.queued() == 0
     }
 
+    /// Waits until the queue releases or refuses a call. While calls wait, they advance the queue's
+    /// timeouts themselves, so that an idle upstream costs nothing.
+    async fn wait_for_slot(&self, mut rx: oneshot::Receiver<Result<()>>) -> Result<()> {
+        loop {
+            match timeout(QUEUE_TICK, &mut rx).await {
+                Ok(Ok(result)) => return result,
+                Ok(Err(_)) => return Err(Failure::not_run(Reason::Draining)),
+                Err(_) => {
+                    let released = self.admission.lock().tick(clock::now());
+                    self.release(released);
+                }
+            }
+        }
+    }
+
     fn release(&self, released: Vec<Released>) {
         let mut waiting = self.waiting.lock();
         for release in released {
--- a/crates/daemon/src/proxy/service.rs
+++ b/crates/daemon/src/proxy/service.rs
@@ -28,6 +28,7 @@
 
 #[derive(Debug)]
 struct State {
+    seed: u64,
     config: ServiceConfig,
     split: TrafficSplit,
     endpoints: Vec<Endpoint>,
@@ -70,12 +71,13 @@
         incarnation: u64,
     ) -> Self {
         let state = State {
+            seed: incarnation,
             config: config.clone(),
             split: split.clone(),
             endpoints: Vec::new(),
             addresses: HashMap::new(),
             router: Router::new(router),
-            ejector: Ejector::new(config.min_endpoints),
+            ejector: Ejector::new(config.min_endpoints).with_seed(incarnation),
             budget: RetryBudget::new(budget_config(config)),
             shares: ShareCounter::new(incarnation),
             evidence: EvidenceRecorder::new(),
@@ -91,7 +93,8 @@
         let mut state = self.state.lock();
         let state = &mut *state;
         if state.config.min_endpoints != config.min_endpoints {
-            state.ejector = Ejector::new(config.min_endpoints);
+            state.ejector = Ejector::new(config.min_endpoints).with_seed(state.seed);
+            state.endpoints.clear();
         }
         if state.config.retry_budget != config.retry_budget {
             state.budget = RetryBudget::new(budget_config(config));
