Resend keyed calls in the quickstart and count their traffic apart

Cause: the quickstart sent each order once, so that its count of double runs could not fail; it did not check when the good version had all traffic; and key traffic counted as control traffic. Change: every order carries a key and is sent again through another daemon after its answer, which must be the same; the good version must have all traffic within its 15 s; link bytes are counted by kind.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -38,7 +38,7 @@
 use crate::rpc;
 use crate::settings::Settings;
 use crate::subscriber::Subscriber;
-use crate::traffic::ControlTraffic;
+use crate::traffic::Traffic;
 
 /// How often leases of announcements and ejected endpoints are looked at.
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(50);
@@ -76,7 +76,7 @@
     calls: server::ServerHandle,
     /// Interfaces for the upstream and for operators. They end when they are dropped.
     interfaces: Vec<OperatorHandle>,
-    traffic: Arc<ControlTraffic>,
+    traffic: Arc<Traffic>,
     addresses: Addresses,
     draining: Arc<AtomicBool>,
     endpoints_changed: channel::Sender<()>,
@@ -116,7 +116,7 @@
         let listeners = Listeners::bind(settings)?;
         let addresses = listeners.addresses()?;
         let incarnation = new_incarnation()?;
-        let traffic = Arc::new(ControlTraffic::default());
+        let traffic = Arc::new(Traffic::control());
         let (changed_tx, changed_rx) = channel::bounded(1);
         let (urgent_tx, urgent_rx) = channel::bounded(1);
         let context = ProxyContext {
@@ -125,7 +125,6 @@
             limits: &limits,
             link_address: addresses.link,
             incarnation,
-            traffic: &traffic,
         };
         let proxy = Arc::new(context.proxy(urgent_tx));
         let control = start_control(settings, &identity, &limits, incarnation)?;
@@ -211,7 +210,7 @@
     }
 
     /// Returns the control traffic since the start.
-    pub fn control_traffic(&self) -> &ControlTraffic {
+    pub fn control_traffic(&self) -> &Traffic {
         &self.traffic
     }
 
@@ -311,7 +310,6 @@
     limits: &'a link::Limits,
     link_address: SocketAddr,
     incarnation: u64,
-    traffic: &'a Arc<ControlTraffic>,
 }
 
 impl ProxyContext<'_> {
@@ -362,7 +360,7 @@
         Keys::new(
             self.identity.clone(),
             self.limits.clone(),
-            self.traffic.clone(),
+            Arc::new(Traffic::keys()),
             self.incarnation,
             retention,
         )
--- a/crates/daemon/src/floor.rs
+++ b/crates/daemon/src/floor.rs
@@ -19,7 +19,7 @@
 use crate::clock;
 use crate::rpc::RpcClient;
 use crate::settings::ReplicaAddress;
-use crate::traffic::ControlTraffic;
+use crate::traffic::Traffic;
 
 /// How long one question to a witness may take.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
@@ -42,7 +42,7 @@
         witnesses: &[ReplicaAddress],
         identity: &Identity,
         limits: &link::Limits,
-        traffic: &Arc<ControlTraffic>,
+        traffic: &Arc<Traffic>,
     ) -> Self {
         let clients = witnesses.iter().map(|witness| {
             let client = WitnessClient::new(
--- a/crates/daemon/src/proxy/keys.rs
+++ b/crates/daemon/src/proxy/keys.rs
@@ -31,7 +31,7 @@
 
 use crate::clock;
 use crate::rpc::RpcClient;
-use crate::traffic::ControlTraffic;
+use crate::traffic::Traffic;
 
 /// How often the claim of a running send looks at its timeouts.
 const CLAIM_TICK: Duration = Duration::from_millis(5);
@@ -50,7 +50,7 @@
 pub struct Keys {
     identity: Identity,
     limits: link::Limits,
-    traffic: Arc<ControlTraffic>,
+    traffic: Arc<Traffic>,
     incarnation: u64,
     retention: HolderConfig,
     next_send: AtomicU64,
@@ -75,7 +75,7 @@
     pub fn new(
         identity: Identity,
         limits: link::Limits,
-        traffic: Arc<ControlTraffic>,
+        traffic: Arc<Traffic>,
         incarnation: u64,
         retention: HolderConfig,
     ) -> Self {
--- a/crates/daemon/src/rpc.rs
+++ b/crates/daemon/src/rpc.rs
@@ -18,7 +18,7 @@
 use sycamoreflow_protocol::rpc::Numbered;
 use sycamoreflow_transport::link::{self, Receiver, Sender};
 
-use crate::traffic::{ControlTraffic, LinkMeter};
+use crate::traffic::{LinkMeter, Traffic};
 
 /// Sends requests to one daemon.
 #[derive(Debug)]
@@ -27,7 +27,7 @@
     identity: Identity,
     purpose: Purpose,
     limits: link::Limits,
-    traffic: Arc<ControlTraffic>,
+    traffic: Arc<Traffic>,
     connection: AsyncMutex<Option<Connection<R>>>,
     next_number: AtomicU64,
     request: PhantomData<fn(Q)>,
@@ -64,7 +64,7 @@
         identity: Identity,
         purpose: Purpose,
         limits: link::Limits,
-        traffic: Arc<ControlTraffic>,
+        traffic: Arc<Traffic>,
     ) -> Self {
         Self {
             address,
--- a/crates/daemon/src/subscriber.rs
+++ b/crates/daemon/src/subscriber.rs
@@ -27,7 +27,7 @@
 use crate::floor::Floor;
 use crate::proxy::Proxy;
 use crate::settings::ReplicaAddress;
-use crate::traffic::{ControlTraffic, LinkMeter};
+use crate::traffic::{LinkMeter, Traffic};
 
 /// Shortest and longest upper bound of the wait before another attempt. The wait is drawn between
 /// zero and the bound, which doubles, so that daemons that failed together do not return together.
@@ -91,7 +91,7 @@
     /// The floor below which nothing is enforced.
     pub floor: Arc<Floor>,
     /// Counts the bytes of the subscription.
-    pub traffic: Arc<ControlTraffic>,
+    pub traffic: Arc<Traffic>,
     /// Seed of backoff times and of the choice of replicas.
     pub seed: u64,
     /// Wakes the subscription when the own endpoints have changed.
--- a/crates/daemon/src/traffic.rs
+++ b/crates/daemon/src/traffic.rs
@@ -1,4 +1,4 @@
-//! Counts the bytes that a daemon spends on control traffic: its subscription and its floor.
+//! Counts the bytes that a daemon spends on traffic other than calls.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -6,14 +6,33 @@
 use parking_lot::Mutex;
 use sycamoreflow_transport::link::LinkBytes;
 
-/// Control traffic of a daemon since its start.
-#[derive(Debug, Default)]
-pub struct ControlTraffic {
+/// Traffic of one kind since the start of the daemon.
+#[derive(Debug)]
+pub struct Traffic {
+    kind: &'static str,
     sent: AtomicU64,
     received: AtomicU64,
 }
 
-impl ControlTraffic {
+impl Traffic {
+    /// Counts control traffic: the subscription and the floor.
+    pub fn control() -> Self {
+        Self::new("control")
+    }
+
+    /// Counts the traffic of idempotency keys, which grows with the calls that carry one.
+    pub fn keys() -> Self {
+        Self::new("keys")
+    }
+
+    fn new(kind: &'static str) -> Self {
+        Self {
+            kind,
+            sent: AtomicU64::new(0),
+            received: AtomicU64::new(0),
+        }
+    }
+
     /// Returns the bytes counted so far.
     pub fn bytes(&self) -> LinkBytes {
         LinkBytes {
@@ -23,16 +42,16 @@
     }
 }
 
-/// Adds the bytes of one link to the control traffic.
+/// Adds the bytes of one link to the traffic.
 #[derive(Debug)]
 pub struct LinkMeter {
-    traffic: Arc<ControlTraffic>,
+    traffic: Arc<Traffic>,
     counted: Mutex<LinkBytes>,
 }
 
 impl LinkMeter {
     /// Starts to count a link.
-    pub fn new(traffic: Arc<ControlTraffic>) -> Self {
+    pub fn new(traffic: Arc<Traffic>) -> Self {
         Self {
             traffic,
             counted: Mutex::default(),
@@ -47,9 +66,10 @@
         *counted = now;
         self.traffic.sent.fetch_add(sent, Ordering::Relaxed);
         self.traffic.received.fetch_add(received, Ordering::Relaxed);
-        metrics::counter!("sycamoreflow_control_bytes_total", "direction" => "sent")
+        let kind = self.traffic.kind;
+        metrics::counter!("sycamoreflow_link_bytes_total", "kind" => kind, "direction" => "sent")
             .increment(sent);
-        metrics::counter!("sycamoreflow_control_bytes_total", "direction" => "received")
+        metrics::counter!("sycamoreflow_link_bytes_total", "kind" => kind, "direction" => "received")
             .increment(received);
     }
 }
--- a/crates/testbed/examples/quickstart/main.rs
+++ b/crates/testbed/examples/quickstart/main.rs
@@ -11,6 +11,7 @@
 use std::time::{Duration, Instant};
 
 use async_std::task;
+use sycamoreflow_state::config::Share;
 use sycamoreflow_state::ids::{ConfigVersion, Millis};
 use sycamoreflow_state::operator::RolloutPhase;
 use sycamoreflow_testbed::caller::{self, Call, Results};
@@ -33,6 +34,8 @@
 const LIMIT: Duration = Duration::from_secs(20);
 /// Largest share of the calls during its rollout that a bad version may receive.
 const MAX_BAD_SHARE: f64 = 0.10;
+/// Time in which a good version must have all traffic, as the answers say.
+const FINISH_WITHIN: Duration = Duration::from_secs(15);
 /// Longest convergence, in milliseconds.
 const MAX_CONVERGENCE: Millis = Millis(5_000);
 
@@ -53,21 +56,25 @@
         method: "GET",
         path: "/stock/harissa",
         tenant: "grocers",
+        keyed: false,
     },
     Call {
         method: "POST",
         path: "/blend-orders",
         tenant: "restaurants",
+        keyed: true,
     },
     Call {
         method: "GET",
         path: "/blend-orders/7",
         tenant: "grocers",
+        keyed: false,
     },
     Call {
         method: "GET",
         path: "/batches/12",
         tenant: "exporters",
+        keyed: false,
     },
 ];
 
@@ -227,7 +234,7 @@
     let calls_before = results.sent.load(Ordering::Relaxed);
     let started = Instant::now();
     let approved = operator.approve(request, answers, LIMIT).await?;
-    let phase = wait_for_rollout(operator, approved.version).await?;
+    let (phase, all_traffic_after) = wait_for_rollout(operator, approved.version).await?;
     let took = started.elapsed();
     // Traffic that was on its way when the rollout ended arrives within the longest timeout.
     let ended = Instant::now();
@@ -241,6 +248,7 @@
         rollout: Rollout {
             phase,
             took,
+            all_traffic_after,
             calls,
             received,
             last_call_after_end: late,
@@ -249,25 +257,27 @@
     })
 }
 
+/// Returns how the rollout ended, and when its version had all traffic if it ever had.
 async fn wait_for_rollout(
     operator: &Operator,
     approved: ConfigVersion,
-) -> eyre::Result<RolloutPhase> {
-    let end = Instant::now() + LIMIT;
+) -> eyre::Result<(RolloutPhase, Option<Duration>)> {
+    let started = Instant::now();
+    let mut all_traffic_after = None;
     loop {
         let status = operator.status(LIMIT).await?;
-        let of_service = status
-            .rollouts
-            .iter()
-            .find(|r| r.service.as_str() == "orders");
-        if let Some(rollout) = of_service
-            && rollout.approved >= approved
-            && rollout.phase.is_final()
-        {
-            return Ok(rollout.phase);
+        let mut rollouts = status.rollouts.iter();
+        let rollout = rollouts.find(|r| r.service.as_str() == "orders" && r.approved >= approved);
+        if let Some(rollout) = rollout {
+            if rollout.share == Share::ALL && all_traffic_after.is_none() {
+                all_traffic_after = Some(started.elapsed());
+            }
+            if rollout.phase.is_final() {
+                return Ok((rollout.phase, all_traffic_after));
+            }
         }
-        if Instant::now() > end {
-            eyre::bail!("the rollout has not ended in time: {of_service:?}");
+        if started.elapsed() > LIMIT {
+            eyre::bail!("the rollout has not ended in time: {rollout:?}");
         }
         task::sleep(Duration::from_millis(50)).await;
     }
--- a/crates/testbed/examples/quickstart/report.rs
+++ b/crates/testbed/examples/quickstart/report.rs
@@ -14,7 +14,7 @@
 use sycamoreflow_testbed::mesh::Mesh;
 use sycamoreflow_testbed::upstream::Upstream;
 
-use crate::{LIMIT, MAX_BAD_SHARE, MAX_CONVERGENCE};
+use crate::{FINISH_WITHIN, LIMIT, MAX_BAD_SHARE, MAX_CONVERGENCE};
 
 /// Calls of the direct measurement.
 const DIRECT_CALLS: usize = 1_000;
@@ -26,6 +26,8 @@
     pub(crate) phase: RolloutPhase,
     /// Time from approval to its end.
     pub(crate) took: Duration,
+    /// When the new version had all traffic, if it ever had.
+    pub(crate) all_traffic_after: Option<Duration>,
     /// Calls of all callers during it.
     pub(crate) calls: u64,
     /// Calls that the new version received.
@@ -72,6 +74,7 @@
         row("refused as not run", count(&results.refused));
         row("failed, may have run", count(&results.unresolved));
         row("answers wrong or cut", count(&results.wrong));
+        row("keyed calls sent again", count(&results.resent));
         row("run twice", self.run_twice());
         row("refused as not run, but run", self.refused_but_run());
         row("added latency p50, ms", format!("{:.3}", added(0.5)));
@@ -86,6 +89,11 @@
             "  finished after, s",
             format!("{:.1}", self.good.took.as_secs_f64()),
         );
+        let all_traffic = self.good.all_traffic_after.unwrap_or_default();
+        row(
+            "  had all traffic after, s",
+            format!("{:.1}", all_traffic.as_secs_f64()),
+        );
         row("bad version", self.bad.phase);
         row(
             "  taken back after, s",
@@ -130,7 +138,7 @@
                 "the good version was not finished",
             ),
             (
-                self.good.took <= LIMIT,
+                self.finished_in_time(),
                 "the good version was not finished in time",
             ),
             (
@@ -154,6 +162,11 @@
         broken.map(|(_, promise)| (*promise).to_owned()).collect()
     }
 
+    fn finished_in_time(&self) -> bool {
+        let after = self.good.all_traffic_after;
+        after.is_some_and(|after| after <= FINISH_WITHIN)
+    }
+
     fn bad_share(&self) -> f64 {
         self.bad.received as f64 / self.bad.calls.max(1) as f64
     }
--- a/crates/testbed/src/caller.rs
+++ b/crates/testbed/src/caller.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use futures::future::join_all;
 use hdrhistogram::Histogram;
-use http::Request;
+use http::{Request, Response};
 use parking_lot::Mutex;
 use sycamoreflow_state::verdict::{VERDICT_HEADER, Verdict};
 use sycamoreflow_transport::http::client::{self, Client};
@@ -19,6 +19,9 @@
 /// Longest latency that is recorded, in microseconds.
 const MAX_LATENCY_US: u64 = 60_000_000;
 
+/// Longest wait for an answer.
+const CALL_LIMIT: Duration = Duration::from_secs(10);
+
 /// What a caller sends.
 #[derive(Clone, Copy, Debug)]
 pub struct Call {
@@ -28,6 +31,9 @@
     pub path: &'static str,
     /// Tenant of the caller.
     pub tenant: &'static str,
+    /// Whether the call has an idempotency key. It is then sent again through another daemon after
+    /// its answer, and has to get the same answer.
+    pub keyed: bool,
 }
 
 /// What came of the calls.
@@ -45,6 +51,8 @@
     pub unresolved: AtomicU64,
     /// Answers that belong to another request or are cut short.
     pub wrong: AtomicU64,
+    /// Keyed calls that were sent again after their answer.
+    pub resent: AtomicU64,
     /// Numbers of the calls that were refused as not run.
     pub refused_numbers: Mutex<Vec<u64>>,
     /// Latency in microseconds, counted from the intended start.
@@ -61,6 +69,7 @@
             refused: AtomicU64::new(0),
             unresolved: AtomicU64::new(0),
             wrong: AtomicU64::new(0),
+            resent: AtomicU64::new(0),
             refused_numbers: Mutex::default(),
             latency: Mutex::new(latency.expect("the bounds are valid")),
         }
@@ -92,9 +101,11 @@
     for at in 0..count {
         let due = start + Duration::from_secs_f64(at as f64 / rate);
         task::sleep(due.saturating_duration_since(Instant::now())).await;
-        let target = targets[at as usize % targets.len()];
-        let call = calls[at as usize % calls.len()];
-        let sending = send(client.clone(), target, call, due, results.clone());
+        let at = at as usize;
+        let target = targets[at % targets.len()];
+        let resend = targets[(at + 1) % targets.len()];
+        let call = calls[at % calls.len()];
+        let sending = send(client.clone(), [target, resend], call, due, results.clone());
         pending.push(task::spawn(sending));
     }
     join_all(pending).await;
@@ -108,34 +119,31 @@
     })
 }
 
-async fn send(client: Client, target: SocketAddr, call: Call, due: Instant, results: Arc<Results>) {
+async fn send(
+    client: Client,
+    [target, resend]: [SocketAddr; 2],
+    call: Call,
+    due: Instant,
+    results: Arc<Results>,
+) {
     let number = results.sent.fetch_add(1, Ordering::Relaxed);
-    let request = Request::builder()
-        .method(call.method)
-        .uri(call.path)
-        .header("sycamoreflow-tenant", call.tenant)
-        .header(NUMBER_HEADER, number)
-        .body(Bytes::new());
-    let Ok(request) = request else {
-        return;
-    };
-    let limit = due + Duration::from_secs(10);
-    let answer = client.send(target, request, limit).await;
-    let Ok(response) = answer else {
-        results.unresolved.fetch_add(1, Ordering::Relaxed);
-        return;
-    };
+    let answer = send_once(&client, target, call, number, due).await;
     let latency = due.elapsed().as_micros() as u64;
-    let verdict = response.headers().get(VERDICT_HEADER);
-    let verdict = verdict.and_then(|value| value.to_str().ok());
-    if verdict == Some(Verdict::NotRun.as_str()) {
-        results.refused.fetch_add(1, Ordering::Relaxed);
-        results.refused_numbers.lock().push(number);
-        return;
-    }
-    if verdict != Some(Verdict::Ran.as_str()) {
+    let Some(response) = answer else {
         results.unresolved.fetch_add(1, Ordering::Relaxed);
         return;
+    };
+    match verdict_of(&response) {
+        Some(Verdict::Ran) => {}
+        Some(Verdict::NotRun) => {
+            results.refused.fetch_add(1, Ordering::Relaxed);
+            results.refused_numbers.lock().push(number);
+            return;
+        }
+        _ => {
+            results.unresolved.fetch_add(1, Ordering::Relaxed);
+            return;
+        }
     }
     results.latency.lock().saturating_record(latency.max(1));
     if response.body() != number.to_string().as_bytes() {
@@ -145,4 +153,36 @@
     } else {
         results.answered.fetch_add(1, Ordering::Relaxed);
     }
+    if call.keyed {
+        let again = send_once(&client, resend, call, number, Instant::now()).await;
+        results.resent.fetch_add(1, Ordering::Relaxed);
+        if again.is_none_or(|again| again.body() != response.body()) {
+            results.wrong.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+async fn send_once(
+    client: &Client,
+    target: SocketAddr,
+    call: Call,
+    number: u64,
+    due: Instant,
+) -> Option<Response<Bytes>> {
+    let mut request = Request::builder()
+        .method(call.method)
+        .uri(call.path)
+        .header("sycamoreflow-tenant", call.tenant)
+        .header(NUMBER_HEADER, number);
+    if call.keyed {
+        request = request.header("idempotency-key", number);
+    }
+    let request = request.body(Bytes::new()).ok()?;
+    client.send(target, request, due + CALL_LIMIT).await.ok()
+}
+
+fn verdict_of(response: &Response<Bytes>) -> Option<Verdict> {
+    let value = response.headers().get(VERDICT_HEADER)?;
+    let verdicts = [Verdict::NotRun, Verdict::MayHaveRun, Verdict::Ran];
+    verdicts.into_iter().find(|v| value == v.as_str())
 }
