Test daemons as processes

Adds ProcessMesh to the testbed: it writes settings files, starts one sycamoreflowd process per host, and kills, stops, freezes and restarts them. All processes are killed when it is dropped. Listening ports lie below the range of outgoing connections, so that no connection takes the port of a daemon that is down.

The first tests approve a configuration, call through every daemon, stop all daemons with SIGTERM, restart the whole mesh, and check settings with errors. The operator of the testbed waits 2 s per replica, since one may be frozen.

--- /dev/null
+++ b/crates/daemon/tests/processes/basics.rs
@@ -0,0 +1,98 @@
+//! The whole path without failures, and settings with errors.
+
+use std::process::Command;
+use std::time::Duration;
+
+use eyre::ensure;
+use sycamoreflow_testbed::caller;
+
+use crate::support::{
+    LIMIT, approve_everywhere, call, header, mesh, run, start_upstreams, wait_for,
+};
+
+/// Guards against a daemon that does not serve after an approval, or whose planned stop is no
+/// success.
+#[test]
+fn mesh_approve_call_and_stop() -> eyre::Result<()> {
+    run(async {
+        let mut mesh = mesh(6)?;
+        approve_everywhere(&mesh, 1).await?;
+        let _upstreams = start_upstreams(&mesh, &[3, 4], Duration::from_millis(1)).await?;
+        let client = caller::client();
+        for at in 0..mesh.len() {
+            let response = call(&client, mesh.calls_address(at), "POST").await?;
+            ensure!(response.status() == 200, "daemon {at}: {response:?}");
+            ensure!(header(&response, "sycamoreflow-verdict") == Some("ran"));
+        }
+        for at in (0..mesh.len()).rev() {
+            mesh.terminate(at)?;
+        }
+        for at in 0..mesh.len() {
+            let status = mesh.exit(at, LIMIT).await?;
+            ensure!(
+                status.code() == Some(0),
+                "daemon {at}: {status}\n{}",
+                mesh.log(at)
+            );
+        }
+        Ok(())
+    })
+}
+
+/// Guards against a restart of the whole mesh that loses what was approved.
+#[test]
+fn mesh_restart_of_all() -> eyre::Result<()> {
+    run(async {
+        let mut mesh = mesh(4)?;
+        let version = approve_everywhere(&mesh, 1).await?;
+        for at in 0..mesh.len() {
+            mesh.kill(at);
+        }
+        for at in 0..mesh.len() {
+            mesh.spawn(at)?;
+        }
+        let mesh = &mesh;
+        for at in 0..mesh.len() {
+            wait_for("the version after the restart", || async move {
+                mesh.version(at).await >= Some(version)
+            })
+            .await?;
+        }
+        Ok(())
+    })
+}
+
+/// Guards against settings errors that are found only after addresses are bound, or one at a time.
+#[test]
+fn check_settings_with_errors() -> eyre::Result<()> {
+    run(async {
+        let mesh = mesh(4)?;
+        let program = env!("CARGO_BIN_EXE_sycamoreflowd");
+        let check = |file: &std::path::Path| {
+            let mut command = Command::new(program);
+            command.arg("--check").arg("--config").arg(file).output()
+        };
+        // The daemon runs, so a check that binds an address would fail here.
+        let output = check(&mesh.settings_file(0))?;
+        ensure!(output.status.code() == Some(0), "{output:?}");
+
+        let mut settings = mesh.settings(0).clone();
+        settings.mesh.clear();
+        settings.limits.drain_timeout_ms = 0;
+        let file = mesh.folder().join("wrong.toml");
+        std::fs::write(&file, toml::to_string(&settings)?)?;
+        let output = check(&file)?;
+        let errors = String::from_utf8(output.stderr)?;
+        ensure!(output.status.code() == Some(1), "{errors}");
+        for part in ["wrong.toml", "mesh:", "limits.drain-timeout-ms:"] {
+            ensure!(errors.contains(part), "{part} is missing in: {errors}");
+        }
+        let text = std::fs::read_to_string(mesh.settings_file(0))?;
+        std::fs::write(&file, format!("unknown-key = 1\n{text}"))?;
+        let output = check(&file)?;
+        let errors = String::from_utf8(output.stderr)?;
+        ensure!(output.status.code() == Some(1), "{errors}");
+        ensure!(errors.contains("unknown-key"), "{errors}");
+        Ok(())
+    })
+}
--- /dev/null
+++ b/crates/daemon/tests/processes/support.rs
@@ -0,0 +1,231 @@
+//! What the tests share: a mesh with its operators, and waits for conditions.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use async_std::task::{self, JoinHandle};
+use bytes::Bytes;
+use eyre::ensure;
+use http::{Request, Response};
+use parking_lot::Mutex;
+use sycamoreflow_testbed::caller;
+use sycamoreflow_testbed::mesh::Host;
+use sycamoreflow_testbed::process::{self, ProcessMesh};
+use sycamoreflow_testbed::upstream::{Behaviour, Upstream};
+use sycamoreflow_transport::http::client::{self, Client};
+
+/// Longest wait for a condition. It is generous, so that a busy machine fails no test.
+pub(crate) const LIMIT: Duration = Duration::from_secs(30);
+
+/// Pause between two looks at a condition.
+const POLL: Duration = Duration::from_millis(25);
+
+const DATA_CENTRES: [&str; 3] = ["sfax-a", "sfax-b", "sfax-c"];
+
+/// Holds the tests of this program to one at a time.
+static SERIAL: Mutex<()> = Mutex::new(());
+
+/// Runs a test while no other one runs.
+pub(crate) fn run(test: impl Future<Output = eyre::Result<()>>) -> eyre::Result<()> {
+    let _serial = SERIAL.lock();
+    task::block_on(test)
+}
+
+/// Starts a mesh of processes. The first three are control replicas.
+pub(crate) fn mesh(hosts: usize) -> eyre::Result<ProcessMesh> {
+    let host = |at: usize| Host {
+        daemon: format!("{}-{}", DATA_CENTRES[at % 3], at / 3 + 1),
+        data_centre: DATA_CENTRES[at % 3].to_owned(),
+    };
+    let hosts: Vec<Host> = (0..hosts).map(host).collect();
+    ProcessMesh::start(env!("CARGO_BIN_EXE_sycamoreflowd"), "sfax", &hosts)
+}
+
+/// Returns answers that differ in the weight of a tenant only.
+pub(crate) fn answers(weight: usize) -> String {
+    format!(
+        r#"
+mesh = "sfax"
+
+[[tenants]]
+name = "grocers"
+weight = {weight}
+
+[[services]]
+name = "orders"
+version = "v1"
+
+[[routes]]
+name = "place-order"
+service = "orders"
+prefix = "/orders"
+methods = ["POST"]
+timeout = "3s"
+
+[[routes]]
+name = "read-orders"
+service = "orders"
+prefix = "/orders"
+methods = ["GET"]
+timeout = "1s"
+"#
+    )
+}
+
+/// Approves answers and waits until they are in force at all daemons. Returns the version.
+pub(crate) async fn approve_everywhere(mesh: &ProcessMesh, weight: usize) -> eyre::Result<u64> {
+    let operator = mesh.operator();
+    let request = format!("setup-{weight}");
+    let approved = operator.approve(&request, &answers(weight), LIMIT).await?;
+    let version = approved.version.0;
+    let all: Vec<usize> = (0..mesh.len()).collect();
+    wait_for_version(mesh, &all, version).await?;
+    Ok(version)
+}
+
+/// Waits until daemons have a version in force.
+pub(crate) async fn wait_for_version(
+    mesh: &ProcessMesh,
+    daemons: &[usize],
+    version: u64,
+) -> eyre::Result<()> {
+    for &at in daemons {
+        let what = format!("version {version} at daemon {at}");
+        wait_for(
+            &what,
+            || async move { mesh.version(at).await >= Some(version) },
+        )
+        .await?;
+    }
+    Ok(())
+}
+
+/// Waits until a condition holds.
+pub(crate) async fn wait_for<F>(what: &str, mut holds: impl FnMut() -> F) -> eyre::Result<()>
+where
+    F: Future<Output = bool>,
+{
+    let end = Instant::now() + LIMIT;
+    while !holds().await {
+        ensure!(Instant::now() < end, "not in time: {what}");
+        task::sleep(POLL).await;
+    }
+    Ok(())
+}
+
+/// Starts upstreams of the service orders beside daemons and waits until all of the mesh knows
+/// them.
+pub(crate) async fn start_upstreams(
+    mesh: &ProcessMesh,
+    daemons: &[usize],
+    service_time: Duration,
+) -> eyre::Result<Vec<Upstream>> {
+    let behaviour = Behaviour {
+        service_time,
+        fails: false,
+    };
+    let mut upstreams = Vec::new();
+    for &at in daemons {
+        let announce = mesh.announce_address(at);
+        upstreams.push(Upstream::start("orders", "v1", 32, behaviour, announce).await?);
+    }
+    wait_for_endpoints(mesh, upstreams.len()).await?;
+    Ok(upstreams)
+}
+
+/// Waits until the control group lists `count` endpoints and calls through every daemon are
+/// answered.
+async fn wait_for_endpoints(mesh: &ProcessMesh, count: usize) -> eyre::Result<()> {
+    let operator = mesh.operator();
+    let operator = &operator;
+    wait_for("all endpoints", || async move {
+        let listed = operator.endpoints(LIMIT).await;
+        listed.is_ok_and(|listed| listed.endpoints.len() == count)
+    })
+    .await?;
+    let client = caller::client();
+    let client = &client;
+    for at in 0..mesh.len() {
+        let target = mesh.calls_address(at);
+        wait_for(&format!("a call through daemon {at}"), || async move {
+            let response = call(client, target, "GET").await;
+            response.is_ok_and(|response| response.status() == 200)
+        })
+        .await?;
+    }
+    Ok(())
+}
+
+/// Sends one call of the service orders.
+pub(crate) async fn call(
+    client: &Client,
+    target: SocketAddr,
+    method: &str,
+) -> eyre::Result<Response<Bytes>> {
+    let request = Request::builder()
+        .method(method)
+        .uri("/orders")
+        .body(Bytes::new())?;
+    let limit = Instant::now() + LIMIT;
+    let answer = client.send(target, request, limit).await;
+    answer.map_err(|failure| eyre::eyre!("no response: {failure:?}"))
+}
+
+/// Returns a response header as text.
+pub(crate) fn header<'a>(response: &'a Response<Bytes>, name: &str) -> Option<&'a str> {
+    response.headers().get(name)?.to_str().ok()
+}
+
+/// Polls the version in force of every daemon and records every decrease.
+pub(crate) struct VersionWatch {
+    decreases: Arc<Mutex<Vec<String>>>,
+    polling: Vec<JoinHandle<()>>,
+}
+
+impl VersionWatch {
+    /// Starts to poll all daemons of a mesh, also over their restarts.
+    pub(crate) fn start(mesh: &ProcessMesh) -> Self {
+        let decreases = Arc::new(Mutex::default());
+        let addresses = (0..mesh.len()).map(|at| (at, mesh.announce_address(at)));
+        let polling = addresses.map(|(at, address)| {
+            let decreases = Arc::clone(&decreases);
+            task::spawn(poll_version(at, address, decreases))
+        });
+        Self {
+            polling: polling.collect(),
+            decreases,
+        }
+    }
+
+    /// Stops to poll.
+    ///
+    /// # Errors
+    ///
+    /// If a version has decreased.
+    pub(crate) async fn finish(self) -> eyre::Result<()> {
+        for task in self.polling {
+            task.cancel().await;
+        }
+        let decreases = self.decreases.lock().clone();
+        ensure!(decreases.is_empty(), "versions decreased: {decreases:?}");
+        Ok(())
+    }
+}
+
+async fn poll_version(at: usize, address: SocketAddr, decreases: Arc<Mutex<Vec<String>>>) {
+    let client = Client::new(client::Limits::default());
+    let mut highest = 0.0;
+    loop {
+        let metric = process::metric(&client, address, "sycamoreflow_view_config_version").await;
+        if let Some(version) = metric {
+            if version < highest {
+                let decrease = format!("daemon {at}: {version} after {highest}");
+                decreases.lock().push(decrease);
+            }
+            highest = highest.max(version);
+        }
+        task::sleep(POLL).await;
+    }
+}
--- a/crates/testbed/src/caller.rs
+++ b/crates/testbed/src/caller.rs
@@ -30,6 +30,38 @@
     pub tenant: &'static str,
 }
 
+/// How a call ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Answered by an upstream without an error.
+    Answered,
+    /// Answered by an upstream with an error.
+    Error,
+    /// Refused as not run.
+    NotRun,
+    /// Refused with another verdict.
+    MayHaveRun,
+    /// No response from the daemon.
+    NoResponse,
+    /// The answer belongs to another request or is cut short.
+    Wrong,
+}
+
+/// A call that has ended.
+#[derive(Clone, Copy, Debug)]
+pub struct Ended {
+    /// Number of the call.
+    pub number: u64,
+    /// What was sent.
+    pub call: Call,
+    /// Daemon that it was sent to.
+    pub target: SocketAddr,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// Time from the intended start to the end.
+    pub latency: Duration,
+}
+
 /// What came of the calls.
 #[derive(Debug)]
 pub struct Results {
@@ -47,6 +79,8 @@
     pub wrong: AtomicU64,
     /// Numbers of the calls that were refused as not run.
     pub refused_numbers: Mutex<Vec<u64>>,
+    /// The calls that have ended, in this order.
+    pub ended: Mutex<Vec<Ended>>,
     /// Latency in microseconds, counted from the intended start.
     pub latency: Mutex<Histogram<u64>>,
 }
@@ -62,6 +96,7 @@
             unresolved: AtomicU64::new(0),
             wrong: AtomicU64::new(0),
             refused_numbers: Mutex::default(),
+            ended: Mutex::default(),
             latency: Mutex::new(latency.expect("the bounds are valid")),
         }
     }
@@ -110,6 +145,40 @@
 
 async fn send(client: Client, target: SocketAddr, call: Call, due: Instant, results: Arc<Results>) {
     let number = results.sent.fetch_add(1, Ordering::Relaxed);
+    let outcome = exchange(&client, target, call, number, due).await;
+    let latency = due.elapsed();
+    let counter = match outcome {
+        Outcome::Answered => &results.answered,
+        Outcome::Error => &results.errors,
+        Outcome::NotRun => &results.refused,
+        Outcome::MayHaveRun | Outcome::NoResponse => &results.unresolved,
+        Outcome::Wrong => &results.wrong,
+    };
+    counter.fetch_add(1, Ordering::Relaxed);
+    match outcome {
+        Outcome::NotRun => results.refused_numbers.lock().push(number),
+        Outcome::Answered | Outcome::Error | Outcome::Wrong => {
+            let micros = latency.as_micros() as u64;
+            results.latency.lock().saturating_record(micros.max(1));
+        }
+        Outcome::MayHaveRun | Outcome::NoResponse => {}
+    }
+    results.ended.lock().push(Ended {
+        number,
+        call,
+        target,
+        outcome,
+        latency,
+    });
+}
+
+async fn exchange(
+    client: &Client,
+    target: SocketAddr,
+    call: Call,
+    number: u64,
+    due: Instant,
+) -> Outcome {
     let request = Request::builder()
         .method(call.method)
         .uri(call.path)
@@ -117,32 +186,25 @@
         .header(NUMBER_HEADER, number)
         .body(Bytes::new());
     let Ok(request) = request else {
-        return;
+        return Outcome::NoResponse;
     };
     let limit = due + Duration::from_secs(10);
-    let answer = client.send(target, request, limit).await;
-    let Ok(response) = answer else {
-        results.unresolved.fetch_add(1, Ordering::Relaxed);
-        return;
+    let Ok(response) = client.send(target, request, limit).await else {
+        return Outcome::NoResponse;
     };
-    let latency = due.elapsed().as_micros() as u64;
     let verdict = response.headers().get(VERDICT_HEADER);
     let verdict = verdict.and_then(|value| value.to_str().ok());
     if verdict == Some(Verdict::NotRun.as_str()) {
-        results.refused.fetch_add(1, Ordering::Relaxed);
-        results.refused_numbers.lock().push(number);
-        return;
+        return Outcome::NotRun;
     }
     if verdict != Some(Verdict::Ran.as_str()) {
-        results.unresolved.fetch_add(1, Ordering::Relaxed);
-        return;
+        return Outcome::MayHaveRun;
     }
-    results.latency.lock().saturating_record(latency.max(1));
     if response.body() != number.to_string().as_bytes() {
-        results.wrong.fetch_add(1, Ordering::Relaxed);
-    } else if response.status().is_server_error() {
-        results.errors.fetch_add(1, Ordering::Relaxed);
-    } else {
-        results.answered.fetch_add(1, Ordering::Relaxed);
+        return Outcome::Wrong;
+    }
+    if response.status().is_server_error() {
+        return Outcome::Error;
     }
+    Outcome::Answered
 }
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -1,4 +1,5 @@
-//! Stand-in upstreams, callers and whole meshes in one process, for examples and tests.
+//! Stand-in upstreams and callers, and whole meshes in one process or in one process per daemon,
+//! for examples and tests.
 //!
 //! The daemons are the real ones and talk over loopback sockets; only upstreams, callers and
 //! operators are stand-ins.
@@ -6,4 +7,5 @@
 pub mod caller;
 pub mod mesh;
 pub mod operator;
+pub mod process;
 pub mod upstream;
--- a/crates/testbed/src/mesh.rs
+++ b/crates/testbed/src/mesh.rs
@@ -3,6 +3,7 @@
 use std::fs;
 use std::net::{SocketAddr, TcpListener};
 use std::path::Path;
+use std::sync::atomic::{AtomicU32, Ordering};
 
 use sycamoreflow_daemon::Daemon;
 use sycamoreflow_daemon::settings::{
@@ -15,9 +16,16 @@
 /// Key of the meshes of the testbed. They exist on the loopback address only.
 const MESH_KEY: &str = "a mesh key for the testbed only";
 /// Token of the operators of the testbed.
-const OPERATOR_TOKEN: &str = "an operator token for the testbed";
+pub(crate) const OPERATOR_TOKEN: &str = "an operator token for the testbed";
+/// Ports that meshes listen on.
+const FIRST_PORT: u16 = 12_000;
+/// Number of ports that meshes listen on.
+const PORT_COUNT: u16 = 20_000;
+/// Distance between the first ports of two processes, so that test programs that run at the same
+/// time use different ports.
+const PORTS_PER_PROCESS: u32 = 400;
 /// Number of control replicas.
-const REPLICAS: usize = 3;
+pub(crate) const REPLICAS: usize = 3;
 /// Number of witnesses of each daemon's floor.
 const WITNESSES: usize = 3;
 
@@ -45,8 +53,6 @@
     /// If an address can't be bound or a folder can't be made.
     pub async fn start(name: &str, hosts: &[Host]) -> eyre::Result<Self> {
         let folder = tempfile::tempdir()?;
-        fs::write(folder.path().join("mesh.key"), MESH_KEY)?;
-        fs::write(folder.path().join("operator.token"), OPERATOR_TOKEN)?;
         let settings = settings(name, hosts, folder.path())?;
         let mut mesh = Self {
             daemons: Vec::new(),
@@ -122,7 +128,10 @@
     }
 }
 
-fn settings(name: &str, hosts: &[Host], folder: &Path) -> eyre::Result<Vec<Settings>> {
+/// Makes the settings of the daemons on `hosts` and writes the secrets that they name into `folder`.
+pub(crate) fn settings(name: &str, hosts: &[Host], folder: &Path) -> eyre::Result<Vec<Settings>> {
+    fs::write(folder.join("mesh.key"), MESH_KEY)?;
+    fs::write(folder.join("operator.token"), OPERATOR_TOKEN)?;
     let ports = free_addresses(hosts.len() * 4)?;
     let link_of = |at: usize| ReplicaAddress {
         daemon: hosts[at].daemon.as_str().into(),
@@ -163,16 +172,24 @@
     Ok(settings)
 }
 
-/// Returns loopback addresses that are free now. They are all bound before the first is given back,
-/// so that no address is returned twice.
+/// Returns loopback addresses that are free now.
+///
+/// The ports lie below the range from which the system draws those of outgoing connections.
+/// Otherwise a connection could take the port of a daemon that is down.
 fn free_addresses(count: usize) -> eyre::Result<Vec<SocketAddr>> {
-    let mut listeners = Vec::new();
-    for _ in 0..count {
-        listeners.push(TcpListener::bind("127.0.0.1:0")?);
-    }
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let first = std::process::id().wrapping_mul(PORTS_PER_PROCESS);
     let mut addresses = Vec::new();
-    for listener in &listeners {
-        addresses.push(listener.local_addr()?);
+    for _ in 0..PORT_COUNT {
+        let step = first.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
+        let port = FIRST_PORT + (step % u32::from(PORT_COUNT)) as u16;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            addresses.push(address);
+        }
+        if addresses.len() == count {
+            return Ok(addresses);
+        }
     }
-    Ok(addresses)
+    Err(eyre::eyre!("fewer than {count} loopback ports are free"))
 }
--- a/crates/testbed/src/operator.rs
+++ b/crates/testbed/src/operator.rs
@@ -12,14 +12,18 @@
 use sycamoreflow_state::generate::generate;
 use sycamoreflow_state::ids::{ConfigVersion, Millis};
 use sycamoreflow_state::operator::{
-    APPROVE_PATH, ApproveRequest, ApproveResponse, CONFIG_PATH, ConfigResponse, STATUS_PATH,
-    StatusResponse,
+    APPROVE_PATH, ApproveRequest, ApproveResponse, CONFIG_PATH, ConfigResponse, DRAIN_PATH,
+    DrainRequest, DrainResponse, ENDPOINTS_PATH, EndpointsResponse, HISTORY_PATH, HistoryResponse,
+    STATUS_PATH, StatusResponse,
 };
 use sycamoreflow_transport::http::client::{self, Client};
 
 /// Pause between two attempts while no replica can answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 
+/// Longest wait for one replica, which may be frozen.
+const ATTEMPT_LIMIT: Duration = Duration::from_secs(2);
+
 /// An operator that knows the addresses of all control replicas.
 #[derive(Clone)]
 pub struct Operator {
@@ -48,10 +52,26 @@
         request_id: &str,
         answers: &str,
         limit: Duration,
+    ) -> eyre::Result<ApproveResponse> {
+        let base = self.config(limit).await?.version;
+        self.approve_on(base, request_id, answers, limit).await
+    }
+
+    /// Approves answers on the version `base`.
+    ///
+    /// # Errors
+    ///
+    /// If the answers are wrong, another version is in force, or the approval isn't accepted within
+    /// `limit`.
+    pub async fn approve_on(
+        &self,
+        base: ConfigVersion,
+        request_id: &str,
+        answers: &str,
+        limit: Duration,
     ) -> eyre::Result<ApproveResponse> {
         let parsed = Answers::parse("answers.toml", answers).map_err(problems)?;
         let config = generate(&parsed, unix_now()).map_err(problems)?;
-        let base = self.config(limit).await?.version;
         let request = ApproveRequest {
             request_id: request_id.into(),
             base,
@@ -62,6 +82,42 @@
         self.send("POST", APPROVE_PATH, Some(&request), limit).await
     }
 
+    /// Sets or removes the drain mark of the endpoints at a daemon.
+    ///
+    /// # Errors
+    ///
+    /// If the mark isn't published within `limit`.
+    pub async fn drain(
+        &self,
+        daemon: &str,
+        draining: bool,
+        limit: Duration,
+    ) -> eyre::Result<DrainResponse> {
+        let request = DrainRequest {
+            daemon: daemon.into(),
+            draining,
+        };
+        self.send("POST", DRAIN_PATH, Some(&request), limit).await
+    }
+
+    /// Returns the endpoints that a replica distributes.
+    ///
+    /// # Errors
+    ///
+    /// If no replica answers within `limit`.
+    pub async fn endpoints(&self, limit: Duration) -> eyre::Result<EndpointsResponse> {
+        self.send::<(), _>("GET", ENDPOINTS_PATH, None, limit).await
+    }
+
+    /// Returns the history.
+    ///
+    /// # Errors
+    ///
+    /// If no replica answers within `limit`.
+    pub async fn history(&self, limit: Duration) -> eyre::Result<HistoryResponse> {
+        self.send::<(), _>("GET", HISTORY_PATH, None, limit).await
+    }
+
     /// Returns the configuration in force.
     ///
     /// # Errors
@@ -130,7 +186,8 @@
                     .header("authorization", format!("Bearer {}", self.token))
                     .header("content-type", "application/json")
                     .body(body.clone())?;
-                match self.client.send(*replica, request, end).await {
+                let attempt_end = end.min(Instant::now() + ATTEMPT_LIMIT);
+                match self.client.send(*replica, request, attempt_end).await {
                     Ok(response) if response.status().is_success() => {
                         return Ok(serde_json::from_slice(response.body())?);
                     }
--- /dev/null
+++ b/crates/testbed/src/process.rs
@@ -0,0 +1,254 @@
+//! A mesh of real daemons, each in a process of its own, for tests of failures.
+
+use std::fs::{self, File, OpenOptions};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::{Duration, Instant};
+
+use async_std::task;
+use bytes::Bytes;
+use http::Request;
+use rustix::process::{Pid, Signal, kill_process};
+use sycamoreflow_daemon::settings::Settings;
+use sycamoreflow_transport::http::client::{self, Client};
+use tempfile::TempDir;
+
+use crate::mesh::{Host, OPERATOR_TOKEN, REPLICAS, settings};
+use crate::operator::Operator;
+
+/// Longest wait for the metrics of a daemon, which may be frozen.
+const METRICS_LIMIT: Duration = Duration::from_secs(1);
+
+/// Pause between two looks at a process that is to exit.
+const EXIT_POLL: Duration = Duration::from_millis(10);
+
+/// A mesh whose daemons are processes. All of them are killed when it is dropped.
+pub struct ProcessMesh {
+    program: PathBuf,
+    settings: Vec<Settings>,
+    processes: Vec<Option<Child>>,
+    folder: TempDir,
+    client: Client,
+}
+
+impl ProcessMesh {
+    /// Starts `program` once for each of `hosts`. The first three are control replicas.
+    ///
+    /// # Errors
+    ///
+    /// If a settings file can't be written or a process can't be started.
+    pub fn start(program: &str, name: &str, hosts: &[Host]) -> eyre::Result<Self> {
+        let folder = tempfile::tempdir()?;
+        let settings = settings(name, hosts, folder.path())?;
+        let mut mesh = Self {
+            program: program.into(),
+            processes: settings.iter().map(|_| None).collect(),
+            settings,
+            folder,
+            client: Client::new(client::Limits::default()),
+        };
+        for at in 0..mesh.len() {
+            fs::write(mesh.settings_file(at), toml::to_string(&mesh.settings[at])?)?;
+            mesh.spawn(at)?;
+        }
+        Ok(mesh)
+    }
+
+    /// Returns the number of hosts.
+    pub fn len(&self) -> usize {
+        self.settings.len()
+    }
+
+    /// Returns whether there are no hosts.
+    pub fn is_empty(&self) -> bool {
+        self.settings.is_empty()
+    }
+
+    /// Returns the positions of the daemons that are no control replicas.
+    pub fn proxies(&self) -> std::ops::Range<usize> {
+        REPLICAS..self.len()
+    }
+
+    /// Returns the position of the daemon with this name.
+    pub fn position(&self, daemon: &str) -> Option<usize> {
+        let mut settings = self.settings.iter();
+        settings.position(|settings| settings.daemon.as_str() == daemon)
+    }
+
+    /// Returns the settings of the daemon on host `at`.
+    pub fn settings(&self, at: usize) -> &Settings {
+        &self.settings[at]
+    }
+
+    /// Returns the path of the settings file of the daemon on host `at`.
+    pub fn settings_file(&self, at: usize) -> PathBuf {
+        self.file(at, "toml")
+    }
+
+    /// Returns the address for callers of the daemon on host `at`.
+    pub fn calls_address(&self, at: usize) -> SocketAddr {
+        self.settings[at].listen.calls
+    }
+
+    /// Returns the address for announcements of the daemon on host `at`.
+    pub fn announce_address(&self, at: usize) -> SocketAddr {
+        self.settings[at].listen.announce
+    }
+
+    /// Returns the folder of the settings, logs and data.
+    pub fn folder(&self) -> &Path {
+        self.folder.path()
+    }
+
+    /// Returns what the daemon on host `at` has logged, over all its starts.
+    pub fn log(&self, at: usize) -> String {
+        fs::read_to_string(self.file(at, "log")).unwrap_or_default()
+    }
+
+    /// Returns an operator of this mesh.
+    pub fn operator(&self) -> Operator {
+        let replicas = self.settings.iter().filter_map(|s| s.listen.operator);
+        Operator::new(replicas.collect(), OPERATOR_TOKEN)
+    }
+
+    /// Starts the daemon on host `at`, which must not run.
+    ///
+    /// # Errors
+    ///
+    /// If the process can't be started.
+    pub fn spawn(&mut self, at: usize) -> eyre::Result<()> {
+        eyre::ensure!(self.processes[at].is_none(), "daemon {at} runs already");
+        let log: File = OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(self.file(at, "log"))?;
+        let child = Command::new(&self.program)
+            .arg("--config")
+            .arg(self.settings_file(at))
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()?;
+        self.processes[at] = Some(child);
+        Ok(())
+    }
+
+    /// Kills the daemon on host `at` with SIGKILL.
+    pub fn kill(&mut self, at: usize) {
+        if let Some(mut child) = self.processes[at].take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Tells the daemon on host `at` to stop with SIGTERM.
+    ///
+    /// # Errors
+    ///
+    /// If it doesn't run.
+    pub fn terminate(&self, at: usize) -> eyre::Result<()> {
+        self.signal(at, Signal::TERM)
+    }
+
+    /// Waits until the daemon on host `at` has exited by itself.
+    ///
+    /// # Errors
+    ///
+    /// If it doesn't run, or not exit within `limit`.
+    pub async fn exit(&mut self, at: usize, limit: Duration) -> eyre::Result<ExitStatus> {
+        let end = Instant::now() + limit;
+        loop {
+            let child = self.processes[at].as_mut();
+            let child = child.ok_or_else(|| eyre::eyre!("daemon {at} does not run"))?;
+            if let Some(status) = child.try_wait()? {
+                self.processes[at] = None;
+                return Ok(status);
+            }
+            eyre::ensure!(Instant::now() < end, "daemon {at} has not exited in time");
+            task::sleep(EXIT_POLL).await;
+        }
+    }
+
+    /// Freezes the daemon on host `at` with SIGSTOP.
+    ///
+    /// # Errors
+    ///
+    /// If it doesn't run.
+    pub fn freeze(&self, at: usize) -> eyre::Result<()> {
+        self.signal(at, Signal::STOP)
+    }
+
+    /// Lets a frozen daemon go on with SIGCONT.
+    ///
+    /// # Errors
+    ///
+    /// If it doesn't run.
+    pub fn thaw(&self, at: usize) -> eyre::Result<()> {
+        self.signal(at, Signal::CONT)
+    }
+
+    /// Deletes the data folder of the control replica on host `at`, which must not run.
+    ///
+    /// # Errors
+    ///
+    /// If there is none, or it can't be deleted.
+    pub fn lose_data(&self, at: usize) -> eyre::Result<()> {
+        eyre::ensure!(self.processes[at].is_none(), "daemon {at} runs");
+        let control = self.settings[at].control.as_ref();
+        let control = control.ok_or_else(|| eyre::eyre!("host {at} is no control replica"))?;
+        fs::remove_dir_all(&control.data)?;
+        Ok(())
+    }
+
+    /// Returns the sum of a metric over its labels, or `None` if the daemon doesn't answer or does
+    /// not have the metric.
+    pub async fn metric(&self, at: usize, name: &str) -> Option<f64> {
+        metric(&self.client, self.announce_address(at), name).await
+    }
+
+    /// Returns the configuration version in force at the daemon on host `at`.
+    pub async fn version(&self, at: usize) -> Option<u64> {
+        let version = self.metric(at, "sycamoreflow_view_config_version").await?;
+        Some(version as u64)
+    }
+
+    fn file(&self, at: usize, extension: &str) -> PathBuf {
+        let daemon = self.settings[at].daemon.as_str();
+        self.folder.path().join(format!("{daemon}.{extension}"))
+    }
+
+    fn signal(&self, at: usize, signal: Signal) -> eyre::Result<()> {
+        let child = self.processes[at].as_ref();
+        let child = child.ok_or_else(|| eyre::eyre!("daemon {at} does not run"))?;
+        kill_process(Pid::from_child(child), signal)?;
+        Ok(())
+    }
+}
+
+impl Drop for ProcessMesh {
+    fn drop(&mut self) {
+        for at in 0..self.len() {
+            self.kill(at);
+        }
+    }
+}
+
+/// Returns the sum of a metric over its labels at the daemon that announces at `address`.
+pub async fn metric(client: &Client, address: SocketAddr, name: &str) -> Option<f64> {
+    let request = Request::get("/metrics").body(Bytes::new()).ok()?;
+    let limit = Instant::now() + METRICS_LIMIT;
+    let response = client.send(address, request, limit).await.ok()?;
+    let text = std::str::from_utf8(response.body()).ok()?;
+    let mut sum = None;
+    for line in text.lines() {
+        let Some((series, value)) = line.rsplit_once(' ') else {
+            continue;
+        };
+        if series.split('{').next() != Some(name) {
+            continue;
+        }
+        sum = Some(sum.unwrap_or(0.0) + value.parse::<f64>().ok()?);
+    }
+    sum
+}
--- a/crates/testbed/src/upstream.rs
+++ b/crates/testbed/src/upstream.rs
@@ -134,7 +134,8 @@
     response
 }
 
-async fn announce(announcement: Announcement, daemon: SocketAddr) {
+/// Announces an upstream at `daemon` and renews the announcement until it is dropped.
+pub async fn announce(announcement: Announcement, daemon: SocketAddr) {
     let client = Client::new(client::Limits::default());
     let body = serde_json::to_vec(&announcement).unwrap_or_default();
     loop {
