Refuse work announced again at a leaving daemon

Cause: a leaving daemon marks the upstreams that it knows as draining and removes them once they are idle. The next renewal of the announcement added the upstream again with open admission, so the daemon could accept calls until its process ended and cut them.

Ruled out: the drain mark of the endpoints, which stays set for the whole host.

Change: an upstream that is announced while the daemon leaves starts as draining.

Before: the new test deliver_announced_while_draining fails, as the call is tried at the upstream. After: it is refused as draining, not run.

Conclusion: new work stays refused until the process ends.

--- a/crates/daemon/src/proxy/owner.rs
+++ b/crates/daemon/src/proxy/owner.rs
@@ -103,6 +103,10 @@
             waiting: Mutex::default(),
             announcement,
         };
+        // An idle upstream of a leaving host is removed, and its next renewal arrives here.
+        if self.draining.load(Ordering::SeqCst) {
+            upstream.drain();
+        }
         let service = upstream.announcement.service.clone();
         tracing::info!(%service, version = %upstream.announcement.version, "upstream announced");
         upstreams.insert(service, Arc::new(upstream));
