Test approvals while leaders are killed and operators race

Two leaders are killed with SIGKILL during 24 approvals: every acknowledged approval is in the history, a resend with the same request id gets the first version, and the version in force decreases at no daemon. In the race, three operators on each side approve on one base: one of them wins each round, and both sides win.

--- a/crates/daemon/tests/processes/main.rs
+++ b/crates/daemon/tests/processes/main.rs
@@ -2,5 +2,6 @@
 //!
 //! Few tests run at the same time, since each of them starts many processes.
 
+mod approvals;
 mod basics;
 mod support;
