Test restarts without a control group

A daemon that is killed and restarted while all replicas are down comes back at or above its version. If its three witnesses restart with it, it refuses calls as not run until the control group is back.

--- a/crates/daemon/tests/processes/main.rs
+++ b/crates/daemon/tests/processes/main.rs
@@ -4,4 +4,5 @@
 
 mod approvals;
 mod basics;
+mod floor;
 mod support;
