Test frozen replicas and a lost data folder

A follower and a leader are frozen with SIGSTOP while versions are approved. After a lost data folder, the test waits until the status shows the replica out of reach before it waits for the voter, since the status shows the old process for up to an election timeout.

--- a/crates/daemon/tests/processes/main.rs
+++ b/crates/daemon/tests/processes/main.rs
@@ -5,4 +5,5 @@
 mod approvals;
 mod basics;
 mod floor;
+mod replicas;
 mod support;
--- /dev/null
+++ b/crates/daemon/tests/processes/replicas.rs
@@ -0,0 +1,139 @@
+//! Control replicas that freeze or lose their data folder.
+
+use std::time::Duration;
+
+use async_std::task;
+use eyre::{ensure, eyre};
+use rstest::rstest;
+use sycamoreflow_state::operator::StatusResponse;
+use sycamoreflow_testbed::operator::Operator;
+use sycamoreflow_testbed::process::ProcessMesh;
+
+use crate::support::{
+    LIMIT, VersionWatch, answers, approve_everywhere, mesh, run, wait_for, wait_for_version,
+};
+
+/// Time for which a replica stays frozen after the others have moved on.
+const FROZEN: Duration = Duration::from_secs(2);
+
+/// Time for which the leader is watched after the replica goes on.
+const WATCH: Duration = Duration::from_secs(3);
+
+/// Guards against subscribers that stay with a frozen replica, a replica that serves what it had
+/// before it froze, and one that deposes the leader when it goes on.
+#[rstest]
+#[case::follower(false)]
+#[case::leader(true)]
+fn replica_frozen(#[case] leader: bool) -> eyre::Result<()> {
+    run(async {
+        let mesh = mesh(8)?;
+        approve_everywhere(&mesh, 1).await?;
+        let watch = VersionWatch::start(&mesh);
+        let operator = mesh.operator();
+        let term_before = operator.status(LIMIT).await?.endpoints.term;
+        let leading = leader_of(&mesh, &operator).await?;
+        let frozen = if leader { leading } else { (leading + 1) % 3 };
+        mesh.freeze(frozen)?;
+        let mut newest = 0;
+        for weight in 2..6 {
+            let request = format!("frozen-{weight}");
+            let approved = operator.approve(&request, &answers(weight), LIMIT).await?;
+            newest = approved.version.0;
+        }
+        let others: Vec<usize> = (0..mesh.len()).filter(|at| *at != frozen).collect();
+        wait_for_version(&mesh, &others, newest).await?;
+        task::sleep(FROZEN).await;
+        let term_frozen = operator.status(LIMIT).await?.endpoints.term;
+        ensure!(
+            term_frozen <= term_before + u64::from(leader),
+            "term {term_before} became {term_frozen} while a replica was frozen"
+        );
+
+        mesh.thaw(frozen)?;
+        let address = mesh.settings(frozen).listen.operator;
+        let address = address.ok_or_else(|| eyre!("no replica"))?;
+        let thawed = Operator::new(vec![address], &token(&mesh)?);
+        let config = thawed.config(LIMIT).await?;
+        ensure!(
+            config.version.0 >= newest,
+            "the replica served version {} after {newest}",
+            config.version
+        );
+        wait_for_version(&mesh, &[frozen], newest).await?;
+        task::sleep(WATCH).await;
+        let term_after = operator.status(LIMIT).await?.endpoints.term;
+        ensure!(
+            term_after == term_frozen,
+            "term {term_frozen} became {term_after} after the replica went on"
+        );
+        watch.finish().await
+    })
+}
+
+/// Guards against a replica on a new disk that counts for a quorum without the data, or that is
+/// never admitted again.
+#[test]
+fn replica_data_folder_lost() -> eyre::Result<()> {
+    run(async {
+        let mut mesh = mesh(4)?;
+        approve_everywhere(&mesh, 1).await?;
+        let operator = mesh.operator();
+        let watch = VersionWatch::start(&mesh);
+        let leading = leader_of(&mesh, &operator).await?;
+        let lost = (leading + 1) % 3;
+        let lost_name = mesh.settings(lost).daemon.clone();
+        let (asking, name) = (&operator, &lost_name);
+        mesh.kill(lost);
+        // Until the leader misses the old process, the status still shows it as a voter in reach.
+        wait_for("the replica out of reach", || async move {
+            let status = asking.status(LIMIT).await;
+            let lost = |status: StatusResponse| {
+                let mut replicas = status.replicas.into_iter();
+                replicas.any(|r| r.daemon == *name && !r.reachable)
+            };
+            status.is_ok_and(lost)
+        })
+        .await?;
+        let during = operator.approve("lost-2", &answers(2), LIMIT).await?;
+        mesh.lose_data(lost)?;
+        mesh.spawn(lost)?;
+        let after = operator.approve("lost-3", &answers(3), LIMIT).await?;
+        ensure!(after.version > during.version);
+        wait_for("the replica as a voter again", || async move {
+            let Ok(status) = asking.status(LIMIT).await else {
+                return false;
+            };
+            let mut replicas = status.replicas.iter();
+            status.replicas.len() == 3
+                && replicas.any(|r| r.daemon == *name && r.voter && r.reachable)
+        })
+        .await?;
+
+        let second = leader_of(&mesh, &operator).await?;
+        let second = if second == lost { leading } else { second };
+        mesh.kill(second);
+        let config = operator.config(LIMIT).await?;
+        ensure!(config.version >= after.version, "{}", config.version);
+        ensure!(config.answers == answers(3), "other answers are in force");
+        let history = format!("{:?}", operator.history(LIMIT).await?);
+        for request in ["setup-1", "lost-2", "lost-3"] {
+            ensure!(history.contains(request), "{request} is lost: {history}");
+        }
+        let newest = operator.approve("lost-4", &answers(4), LIMIT).await?;
+        let alive: Vec<usize> = (0..mesh.len()).filter(|at| *at != second).collect();
+        wait_for_version(&mesh, &alive, newest.version.0).await?;
+        watch.finish().await
+    })
+}
+
+async fn leader_of(mesh: &ProcessMesh, operator: &Operator) -> eyre::Result<usize> {
+    let leader = operator.status(LIMIT).await?.leader;
+    let leader = leader.ok_or_else(|| eyre!("the leader does not know itself"))?;
+    let at = mesh.position(leader.as_str());
+    at.ok_or_else(|| eyre!("{leader} is no host"))
+}
+
+fn token(mesh: &ProcessMesh) -> eyre::Result<String> {
+    let file = mesh.folder().join("operator.token");
+    Ok(std::fs::read_to_string(file)?)
+}
