--- a/crates/daemon/tests/processes/main.rs
+++ b/crates/daemon/tests/processes/main.rs
@@ -5,5 +5,6 @@
 mod approvals;
 mod basics;
 mod floor;
+mod leaving;
 mod replicas;
 mod support;
