Test dying upstreams, a frozen owner and partial answers

Non-idempotent requests run at most once when their upstream dies and their verdicts are true. No call waits beyond its timeout for a frozen daemon. An answer that is cut short never has status 200.

--- a/crates/daemon/tests/processes/main.rs
+++ b/crates/daemon/tests/processes/main.rs
@@ -8,3 +8,4 @@
 mod leaving;
 mod replicas;
 mod support;
+mod upstreams;
--- /dev/null
+++ b/crates/daemon/tests/processes/upstreams.rs
@@ -0,0 +1,192 @@
+//! Upstreams that die or answer in part, and a frozen daemon beside an upstream.
+
+use std::collections::HashMap;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::task;
+use eyre::ensure;
+use sycamoreflow_state::endpoint::Announcement;
+use sycamoreflow_testbed::caller::{self, Call, Outcome, Results};
+use sycamoreflow_testbed::upstream::{Behaviour, Stats, Upstream, announce};
+
+use crate::leaving::CALLS;
+use crate::support::{approve_everywhere, call, header, mesh, run, start_upstreams, wait_for};
+
+/// Guards against non-idempotent requests that run again after an upstream died under them, and
+/// against the verdict "not run" for a request that ran.
+#[test]
+fn upstream_killed_under_load() -> eyre::Result<()> {
+    const POST: [Call; 1] = [CALLS[1]];
+    const SERVICE_TIME: Duration = Duration::from_millis(100);
+    run(async {
+        let mesh = mesh(6)?;
+        approve_everywhere(&mesh, 1).await?;
+        let mut upstreams = start_upstreams(&mesh, &[3, 4, 5], SERVICE_TIME).await?;
+        let mut stats: Vec<Arc<Stats>> = upstreams.iter().map(|u| u.stats().clone()).collect();
+        let targets: Vec<SocketAddr> = (0..mesh.len()).map(|at| mesh.calls_address(at)).collect();
+        let results = Arc::new(Results::default());
+        let loading = results.clone();
+        let load = task::spawn(async move {
+            let client = caller::client();
+            let duration = Duration::from_secs(5);
+            caller::run(&client, &targets, &POST, 150.0, duration, &loading).await;
+        });
+        let behaviour = Behaviour {
+            service_time: SERVICE_TIME,
+            fails: false,
+        };
+        for _ in 0..3 {
+            task::sleep(Duration::from_secs(1)).await;
+            upstreams.remove(0).kill().await;
+            let address = mesh.announce_address(3);
+            let again = Upstream::start("orders", "v1", 32, behaviour, address).await?;
+            stats.push(again.stats().clone());
+            upstreams.insert(0, again);
+        }
+        load.await;
+        let mut runs: HashMap<u64, u32> = HashMap::new();
+        for stats in &stats {
+            for (number, count) in stats.runs() {
+                *runs.entry(number).or_default() += count;
+            }
+        }
+        let mut without_answer = 0;
+        let mut answered = 0;
+        for call in results.ended.lock().iter() {
+            let count = runs.get(&call.number).copied().unwrap_or(0);
+            ensure!(count <= 1, "ran {count} times: {call:?}");
+            match call.outcome {
+                Outcome::Answered => {
+                    ensure!(count == 1, "answered without a run: {call:?}");
+                    answered += 1;
+                }
+                Outcome::NotRun => ensure!(count == 0, "a false verdict: {call:?}"),
+                Outcome::MayHaveRun => without_answer += 1,
+                Outcome::Error | Outcome::NoResponse | Outcome::Wrong => {
+                    ensure!(false, "{call:?}");
+                }
+            }
+        }
+        ensure!(
+            without_answer > 0,
+            "no request was running when its upstream died"
+        );
+        ensure!(answered > 300, "only {answered} requests were answered");
+        Ok(())
+    })
+}
+
+/// Guards against callers that wait for a daemon that does not move, beyond their timeout, and
+/// against calls that keep going to it.
+#[test]
+fn owner_frozen_under_load() -> eyre::Result<()> {
+    /// Beyond the timeout, for a busy machine.
+    const SLACK: Duration = Duration::from_secs(1);
+    run(async {
+        let mesh = mesh(7)?;
+        approve_everywhere(&mesh, 1).await?;
+        let upstreams = start_upstreams(&mesh, &[3, 4, 5], Duration::from_millis(5)).await?;
+        let targets: Vec<SocketAddr> = [0, 1, 2, 4, 5, 6].map(|at| mesh.calls_address(at)).into();
+        let client = caller::client();
+        mesh.freeze(3)?;
+        let during = Arc::new(Results::default());
+        let duration = Duration::from_secs(5);
+        caller::run(&client, &targets, &CALLS, 120.0, duration, &during).await;
+        for call in during.ended.lock().iter() {
+            let timeout = match call.call.method {
+                "GET" => Duration::from_secs(1),
+                _ => Duration::from_secs(3),
+            };
+            ensure!(call.latency <= timeout + SLACK, "{call:?}");
+            ensure!(call.outcome != Outcome::NoResponse, "{call:?}");
+            ensure!(call.outcome != Outcome::Wrong, "{call:?}");
+        }
+        // By now every daemon has noticed, so that no call goes to the frozen one.
+        let after = Arc::new(Results::default());
+        let duration = Duration::from_secs(2);
+        caller::run(&client, &targets, &CALLS, 120.0, duration, &after).await;
+        let ended = after.ended.lock().clone();
+        let failed: Vec<_> = ended
+            .iter()
+            .filter(|call| call.outcome != Outcome::Answered)
+            .collect();
+        let count = failed.len();
+        ensure!(failed.is_empty(), "{count} calls failed: {:?}", failed[0]);
+        drop(upstreams);
+        mesh.thaw(3)
+    })
+}
+
+/// Guards against an answer that is cut short and reaches the caller as if it were whole.
+#[test]
+fn upstream_answers_in_part() -> eyre::Result<()> {
+    const ANSWERS: [(&str, &str); 4] = [
+        ("head", "HTTP/1.1 200 OK\r\ncontent-le"),
+        ("no body", "HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\n"),
+        (
+            "length",
+            "HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\n01234",
+        ),
+        (
+            "chunks",
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\n01234\r\n",
+        ),
+    ];
+    run(async {
+        let mesh = mesh(5)?;
+        approve_everywhere(&mesh, 1).await?;
+        let client = caller::client();
+        for (case, answer) in ANSWERS {
+            let upstream = answer_in_part(answer)?;
+            let announcement = Announcement {
+                service: "orders".into(),
+                version: "v1".into(),
+                address: upstream,
+                slots: 8,
+                health_path: None,
+                load_path: None,
+            };
+            let announcing = task::spawn(announce(announcement, mesh.announce_address(3)));
+            for (at, method) in [(3, "GET"), (3, "POST"), (4, "GET"), (4, "POST")] {
+                let target = mesh.calls_address(at);
+                let (client, mesh) = (&client, &mesh);
+                let _ = mesh;
+                // An upstream that has been ejected or is not yet known refuses as not run.
+                wait_for(
+                    &format!("{case}: a run of {method} through {at}"),
+                    || async move {
+                        let Ok(response) = call(client, target, method).await else {
+                            return false;
+                        };
+                        assert_ne!(response.status(), 200, "{case}: {response:?}");
+                        let verdict = header(&response, "sycamoreflow-verdict");
+                        verdict == Some("may-have-run") || verdict == Some("ran")
+                    },
+                )
+                .await?;
+            }
+            announcing.cancel().await;
+        }
+        Ok(())
+    })
+}
+
+/// Starts an upstream that sends the same bytes to every request and closes the connection.
+fn answer_in_part(answer: &'static str) -> eyre::Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let address = listener.local_addr()?;
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let Ok(mut stream) = stream else {
+                continue;
+            };
+            let mut head = [0; 4_096];
+            let _ = stream.read(&mut head);
+            let _ = stream.write_all(answer.as_bytes());
+        }
+    });
+    Ok(address)
+}
