--- a/crates/daemon/tests/processes/main.rs
+++ b/crates/daemon/tests/processes/main.rs
@@ -5,6 +5,7 @@
 mod approvals;
 mod basics;
 mod floor;
+mod herd;
 mod leaving;
 mod replicas;
 mod support;
