--- a/crates/testbed/src/caller.rs
+++ b/crates/testbed/src/caller.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use futures::future::join_all;
 use hdrhistogram::Histogram;
-use http::{Request, Response};
+use http::Request;
 use parking_lot::Mutex;
 use sycamoreflow_state::verdict::{VERDICT_HEADER, Verdict};
 use sycamoreflow_transport::http::client::{self, Client};
@@ -36,6 +36,38 @@
     pub keyed: bool,
 }
 
+/// How a call ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Answered by an upstream without an error.
+    Answered,
+    /// Answered by an upstream with an error.
+    Error,
+    /// Refused as not run.
+    NotRun,
+    /// Refused with another verdict.
+    MayHaveRun,
+    /// No response from the daemon.
+    NoResponse,
+    /// The answer belongs to another request or is cut short.
+    Wrong,
+}
+
+/// A call that has ended.
+#[derive(Clone, Copy, Debug)]
+pub struct Ended {
+    /// Number of the call.
+    pub number: u64,
+    /// What was sent.
+    pub call: Call,
+    /// Daemon that it was sent to.
+    pub target: SocketAddr,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// Time from the intended start to the end.
+    pub latency: Duration,
+}
+
 /// What came of the calls.
 #[derive(Debug)]
 pub struct Results {
@@ -55,6 +87,8 @@
     pub resent: AtomicU64,
     /// Numbers of the calls that were refused as not run.
     pub refused_numbers: Mutex<Vec<u64>>,
+    /// The calls that have ended, in this order.
+    pub ended: Mutex<Vec<Ended>>,
     /// Latency in microseconds, counted from the intended start.
     pub latency: Mutex<Histogram<u64>>,
 }
@@ -71,6 +105,7 @@
             wrong: AtomicU64::new(0),
             resent: AtomicU64::new(0),
             refused_numbers: Mutex::default(),
+            ended: Mutex::default(),
             latency: Mutex::new(latency.expect("the bounds are valid")),
         }
     }
@@ -127,48 +162,47 @@
     results: Arc<Results>,
 ) {
     let number = results.sent.fetch_add(1, Ordering::Relaxed);
-    let answer = send_once(&client, target, call, number, due).await;
-    let latency = due.elapsed().as_micros() as u64;
-    let Some(response) = answer else {
-        results.unresolved.fetch_add(1, Ordering::Relaxed);
-        return;
-    };
-    match verdict_of(&response) {
-        Some(Verdict::Ran) => {}
-        Some(Verdict::NotRun) => {
-            results.refused.fetch_add(1, Ordering::Relaxed);
-            results.refused_numbers.lock().push(number);
-            return;
-        }
-        _ => {
-            results.unresolved.fetch_add(1, Ordering::Relaxed);
-            return;
-        }
-    }
-    results.latency.lock().saturating_record(latency.max(1));
-    if response.body() != number.to_string().as_bytes() {
-        results.wrong.fetch_add(1, Ordering::Relaxed);
-    } else if response.status().is_server_error() {
-        results.errors.fetch_add(1, Ordering::Relaxed);
-    } else {
-        results.answered.fetch_add(1, Ordering::Relaxed);
-    }
-    if call.keyed {
-        let again = send_once(&client, resend, call, number, Instant::now()).await;
+    let outcome = exchange(&client, target, call, number, due).await;
+    let latency = due.elapsed();
+    if call.keyed && outcome == Outcome::Answered {
+        let again = exchange(&client, resend, call, number, Instant::now()).await;
         results.resent.fetch_add(1, Ordering::Relaxed);
-        if again.is_none_or(|again| again.body() != response.body()) {
+        if again != Outcome::Answered {
             results.wrong.fetch_add(1, Ordering::Relaxed);
         }
     }
+    let counter = match outcome {
+        Outcome::Answered => &results.answered,
+        Outcome::Error => &results.errors,
+        Outcome::NotRun => &results.refused,
+        Outcome::MayHaveRun | Outcome::NoResponse => &results.unresolved,
+        Outcome::Wrong => &results.wrong,
+    };
+    counter.fetch_add(1, Ordering::Relaxed);
+    match outcome {
+        Outcome::NotRun => results.refused_numbers.lock().push(number),
+        Outcome::Answered | Outcome::Error | Outcome::Wrong => {
+            let micros = latency.as_micros() as u64;
+            results.latency.lock().saturating_record(micros.max(1));
+        }
+        Outcome::MayHaveRun | Outcome::NoResponse => {}
+    }
+    results.ended.lock().push(Ended {
+        number,
+        call,
+        target,
+        outcome,
+        latency,
+    });
 }
 
-async fn send_once(
+async fn exchange(
     client: &Client,
     target: SocketAddr,
     call: Call,
     number: u64,
     due: Instant,
-) -> Option<Response<Bytes>> {
+) -> Outcome {
     let mut request = Request::builder()
         .method(call.method)
         .uri(call.path)
@@ -177,12 +211,26 @@
     if call.keyed {
         request = request.header("idempotency-key", number);
     }
-    let request = request.body(Bytes::new()).ok()?;
-    client.send(target, request, due + CALL_LIMIT).await.ok()
-}
-
-fn verdict_of(response: &Response<Bytes>) -> Option<Verdict> {
-    let value = response.headers().get(VERDICT_HEADER)?;
-    let verdicts = [Verdict::NotRun, Verdict::MayHaveRun, Verdict::Ran];
-    verdicts.into_iter().find(|v| value == v.as_str())
+    let Ok(request) = request.body(Bytes::new()) else {
+        return Outcome::NoResponse;
+    };
+    let limit = due + CALL_LIMIT;
+    let Ok(response) = client.send(target, request, limit).await else {
+        return Outcome::NoResponse;
+    };
+    let verdict = response.headers().get(VERDICT_HEADER);
+    let verdict = verdict.and_then(|value| value.to_str().ok());
+    if verdict == Some(Verdict::NotRun.as_str()) {
+        return Outcome::NotRun;
+    }
+    if verdict != Some(Verdict::Ran.as_str()) {
+        return Outcome::MayHaveRun;
+    }
+    if response.body() != number.to_string().as_bytes() {
+        return Outcome::Wrong;
+    }
+    if response.status().is_server_error() {
+        return Outcome::Error;
+    }
+    Outcome::Answered
 }
--- a/crates/testbed/src/upstream.rs
+++ b/crates/testbed/src/upstream.rs
@@ -108,7 +108,11 @@
             health_path: None,
             load_path: None,
         };
-        let announcing = task::spawn(announce(announcement, daemon, server.clone()));
+        let announcing = {
+            let server = server.clone();
+            let is_alive = move || server.lock().is_some();
+            task::spawn(announce(announcement, daemon, is_alive))
+        };
         Ok(Self {
             address,
             server,
@@ -158,10 +162,11 @@
     response
 }
 
-async fn announce(announcement: Announcement, daemon: SocketAddr, server: Server) {
+/// Announces an upstream at `daemon` and renews the announcement while the upstream is alive.
+pub async fn announce(announcement: Announcement, daemon: SocketAddr, is_alive: impl Fn() -> bool) {
     let client = Client::new(client::Limits::default());
     let body = serde_json::to_vec(&announcement).unwrap_or_default();
-    while server.lock().is_some() {
+    while is_alive() {
         let request = Request::put("/v1/announcement")
             .header("content-type", "application/json")
             .body(Bytes::from(body.clone()));
