Map draining refusals to CallResult::Draining in the daemon

Change: a not-run refusal with the reason draining becomes CallResult::Draining, and counts as refused, not as failed, in the evidence of a rollout.

--- a/crates/daemon/src/proxy/service.rs
+++ b/crates/daemon/src/proxy/service.rs
@@ -16,7 +16,7 @@
 use sycamoreflow_state::config::{ServiceConfig, TrafficSplit};
 use sycamoreflow_state::endpoint::Endpoint;
 use sycamoreflow_state::ids::{DaemonId, Micros, RouteName, VersionName};
-use sycamoreflow_state::verdict::{Failure, Verdict};
+use sycamoreflow_state::verdict::{Failure, Reason, Verdict};
 
 use crate::clock;
 
@@ -269,7 +269,10 @@
     match result {
         Ok(status) if status >= 500 => CallResult::Failure,
         Ok(_) => CallResult::Success,
-        Err(failure) if failure.verdict == Verdict::NotRun => CallResult::Refused,
+        Err(failure) if failure.verdict == Verdict::NotRun => match failure.reason {
+            Reason::Draining => CallResult::Draining,
+            _ => CallResult::Refused,
+        },
         Err(_) => CallResult::Failure,
     }
 }
@@ -277,7 +280,7 @@
 fn call_outcome(result: Result<u16, Failure>) -> CallOutcome {
     match call_result(result) {
         CallResult::Success => CallOutcome::Succeeded,
-        CallResult::Refused => CallOutcome::Refused,
+        CallResult::Refused | CallResult::Draining => CallOutcome::Refused,
         CallResult::Failure | CallResult::Cancelled => CallOutcome::Failed,
     }
 }
