Add example settings, pages for settings, answers and metrics, and clearer refusals

Cause: a newcomer had no settings files, no reference of the fields, and refusals such as "status 401" or a silent daemon with a wrong mesh key that did not say what to do.

--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -23,6 +23,13 @@
 /// Longest token that is read from a file.
 const MAX_TOKEN_BYTES: usize = 4096;
 
+/// Message for a token that the daemon does not accept.
+const REFUSED_TOKEN: &str = "the daemon refused the operator token; give the one in the file that \
+     its setting operator-token-file names";
+/// Message for an address that serves something else.
+const NOT_OPERATOR: &str = "the address serves no operator interface; give the address \
+     listen.operator of a control replica";
+
 /// Where to find the operator interface.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -123,7 +130,11 @@
                 }
             }
             if start.elapsed() + ROUND_PAUSE > self.wait {
-                let message = format!("no daemon gave an answer: {}", failures.join("; "));
+                let message = format!(
+                    "no daemon gave an answer: {}\nCheck that a majority of the control replicas \
+                     runs and that --address names their listen.operator",
+                    failures.join("; ")
+                );
                 return Err(Failure::new(Exit::Unreachable, message));
             }
             sleep(ROUND_PAUSE).await;
@@ -147,7 +158,11 @@
         };
     }
     let Ok(error) = serde_json::from_slice::<ErrorResponse>(body) else {
-        let message = format!("status {status}");
+        let message = match status {
+            401 => REFUSED_TOKEN.to_owned(),
+            404 => NOT_OPERATOR.to_owned(),
+            _ => format!("status {status}"),
+        };
         return match status {
             500.. => Outcome::TryNext(message),
             _ => Outcome::Final(Failure::new(Exit::Failure, message)),
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -16,6 +16,29 @@
 pub mod status;
 pub mod watch;
 
+/// Order of the commands and the exit codes, for the help text.
+const HELP: &str = "A first configuration:
+  sycamoreflow init --template         writes answers.toml, to be edited
+  sycamoreflow check answers.toml      lists its problems, offline
+  sycamoreflow plan answers.toml       shows what would change
+  sycamoreflow approve answers.toml    puts the plan in force
+  sycamoreflow watch                   waits until all daemons have it
+ 
+All commands but init and check need the operator address of a control replica (--address or \
+SYCAMOREFLOW_ADDRESS) and the operator token (--token-file, SYCAMOREFLOW_TOKEN_FILE or \
+SYCAMOREFLOW_TOKEN).
+ 
+Exit codes:
+  0  success
+  1  failure
+  2  wrong usage
+  3  conflict with a newer version of the configuration
+  4  invalid answers
+  5  no daemon reachable
+  6  the watched rollout was taken back
+ 
+Documentation: docs/commands.md";
+
 /// A command with its arguments.
 #[derive(Clone, Debug)]
 pub enum Command {
@@ -91,7 +114,7 @@
     ])
     .to_options()
     .descr("Configures a service mesh from the answers to a questionnaire.")
-    .footer(exit::HELP)
+    .footer(HELP)
     .version(env!("CARGO_PKG_VERSION"))
 }
 
--- a/crates/cli/tests/cli/offline.rs
+++ b/crates/cli/tests/cli/offline.rs
@@ -113,3 +113,18 @@
         assert!(ran.out.contains(code), "{}", ran.out);
     }
 }
+
+// Guards against a help text that loses its end: bpaf prints only what precedes a blank line.
+#[test]
+fn help_complete() {
+    let ran = run_quiet(&["--help"]);
+    assert_eq!(ran.code, 0, "{ran:?}");
+    for expected in [
+        "init --template",
+        "--token-file",
+        "Exit codes",
+        "docs/commands.md",
+    ] {
+        assert!(ran.out.contains(expected), "{expected}: {ran:?}");
+    }
+}
--- a/crates/cli/tests/cli/online.rs
+++ b/crates/cli/tests/cli/online.rs
@@ -233,3 +233,23 @@
     let out: EndpointsResponse = serde_json::from_str(&ran.out).unwrap();
     assert_eq!(out.endpoints, [endpoint("catalogue")]);
 }
+
+// Guards against refusals that leave the operator without a next step. The daemon answers these
+// with other bodies than those of the operator interface.
+#[rstest]
+#[case::wrong_token(401, "operator-token-file")]
+#[case::other_interface(404, "listen.operator")]
+fn status_refused(#[case] status: u16, #[case] expected: &str) {
+    let server = StandIn::start(vec![Reply::Json(status, json!({ "error": "no" }))]);
+    let ran = files().run_without_file("status", &[server.address], &[]);
+    assert_eq!(ran.code, 1, "{ran:?}");
+    assert!(ran.err.contains(expected), "{ran:?}");
+}
+
+// Guards against an unreachable group whose message does not say what to check.
+#[test]
+fn status_unreachable() {
+    let ran = files().run_without_file("status", &[closed_address()], &[]);
+    assert_eq!(ran.code, 5, "{ran:?}");
+    assert!(ran.err.contains("control replicas"), "{ran:?}");
+}
--- a/crates/daemon/src/control/operator_api.rs
+++ b/crates/daemon/src/control/operator_api.rs
@@ -102,9 +102,8 @@
             })
         }
         Outcome::Conflict { current, by, .. } => {
-            let message = format!(
-                "version {current}, approved by {by}, is in force; run `sycamoreflow plan` again"
-            );
+            // The client adds the version in force and what to do.
+            let message = format!("{by} has approved another version since");
             let mut error = ErrorResponse::new(ErrorCode::Conflict, message);
             error.current = Some(current);
             Err(error)
@@ -171,7 +170,10 @@
         of_daemon.count() as u64
     };
     if known(&hub) == 0 {
-        let message = format!("no endpoint at daemon {}", body.daemon);
+        let message = format!(
+            "no endpoint at daemon {}; `sycamoreflow endpoints` lists all",
+            body.daemon
+        );
         return Err(ErrorResponse::new(ErrorCode::NotFound, message));
     }
     let read = |replica: &Replica| replica.leader().is_some();
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -265,9 +265,12 @@
 }
 
 async fn bind(field: &str, address: SocketAddr) -> eyre::Result<TcpListener> {
-    TcpListener::bind(address)
-        .await
-        .wrap_err_with(|| format!("{field}: can't bind {address}"))
+    TcpListener::bind(address).await.wrap_err_with(|| {
+        format!(
+            "{field}: can't bind {address}; stop the process that uses it or change {field} \
+                 in the settings"
+        )
+    })
 }
 
 fn identity(settings: &Settings) -> eyre::Result<Identity> {
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -10,6 +10,27 @@
 use sycamoreflow_daemon::settings::Settings;
 use sycamoreflow_daemon::{Daemon, telemetry};
 
+/// What a newcomer has to know beside the options.
+const HELP: &str = "The settings name the addresses, the control replicas and the files with \
+the secrets. All daemons of a mesh share one mesh key; only control replicas, which have a section \
+[control], need an operator token. Relative paths start from the working directory. Examples: \
+examples/sfax/settings, examples/amman/settings.
+ 
+While it runs, on the address listen.announce:
+  GET /ready             200 once the daemon serves calls, else 503
+  GET /metrics           metrics in the Prometheus text format
+  PUT /v1/announcement   announces an upstream, see docs/upstreams.md
+ 
+SIGTERM and SIGINT stop the daemon gracefully: it refuses new work, finishes what \
+runs, and exits 0.
+ 
+Exit codes:
+  0  stopped gracefully
+  1  the daemon can't start, or the arguments are wrong
+  3  calls were cut at limits.drain-timeout-ms
+ 
+Documentation: docs/first-mesh.md";
+
 /// What the command line says.
 #[derive(Clone, Debug)]
 struct Options {
@@ -29,11 +50,7 @@
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("Runs the daemon of sycamoreflow on an upstream host")
-        .footer(
-            "SIGTERM and SIGINT stop the daemon gracefully: it refuses new work, finishes what \
-             runs, and exits 0. It exits 1 if it can't start, and 3 if calls were cut at the time \
-             limit of the stop.",
-        )
+        .footer(HELP)
 }
 
 fn main() -> ExitCode {
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -348,8 +348,13 @@
 
 fn read_secret(field: &str, file: Option<&Path>, variable: &str) -> Result<Secret> {
     let text = match file {
-        Some(path) => fs::read_to_string(path)
-            .wrap_err_with(|| format!("{field}: can't read {}", path.display()))?,
+        Some(path) => fs::read_to_string(path).wrap_err_with(|| {
+            format!(
+                "{field}: can't read {}; create it as docs/settings.md shows, or correct the \
+                     path, which is relative to the working directory",
+                path.display()
+            )
+        })?,
         None => std::env::var(variable)
             .map_err(|_| eyre::eyre!("set {field} in the settings, or {variable}"))?,
     };
--- a/crates/daemon/src/settings/tests.rs
+++ b/crates/daemon/src/settings/tests.rs
@@ -80,3 +80,16 @@
     assert_eq!(format!("{secret:?}"), "Secret(..)");
     assert_eq!(secret.expose(), "correct horse battery staple");
 }
+
+/// Guards against a missing secret whose message does not say how to get one.
+#[test]
+fn mesh_key_no_file() {
+    let text = VALID.replace("[listen]", "mesh-key-file = \"/nonexistent/key\"\n[listen]");
+    let settings = Settings::parse(&text).expect("the settings are valid");
+    let error = settings.mesh_key().expect_err("there is no such file");
+    let message = format!("{error:#}");
+    assert!(
+        message.contains("mesh-key-file") && message.contains("docs/settings.md"),
+        "{message}"
+    );
+}
--- a/crates/daemon/src/subscriber.rs
+++ b/crates/daemon/src/subscriber.rs
@@ -103,6 +103,7 @@
         let mut rng = StdRng::seed_from_u64(self.seed);
         let mut bound = BACKOFF_MIN;
         let mut order: Vec<usize> = Vec::new();
+        let mut warned = false;
         loop {
             if order.is_empty() {
                 order = (0..self.replicas.len()).collect();
@@ -118,6 +119,15 @@
             metrics::counter!("sycamoreflow_subscriptions_ended_total").increment(1);
             if clock::now().since(started) > BACKOFF_MAX {
                 bound = BACKOFF_MIN;
+                warned = false;
+            } else if order.is_empty() && !warned {
+                warned = true;
+                let replica = &replica.daemon;
+                tracing::warn!(
+                    %replica, %ended,
+                    "no control replica serves this daemon; it keeps trying. Check \
+                     control-replicas, the mesh name and the mesh key"
+                );
             }
             let wait = match ended {
                 Ended::RetryAfter(wait) => Millis(wait.0 + rng.random_range(0..=BACKOFF_MIN.0)),
--- /dev/null
+++ b/crates/state/tests/docs_answers.rs
@@ -0,0 +1,78 @@
+//! Compares docs/answers.md with the keys that the questionnaire has.
+
+#![allow(clippy::unwrap_used)]
+
+use std::collections::BTreeSet;
+
+use sycamoreflow_state::answers::{Answers, template};
+
+const PAGE: &str = include_str!("../../../docs/answers.md");
+
+/// Sections with the path that the page uses for their keys.
+const SECTIONS: [(&str, &str); 5] = [
+    ("", ""),
+    ("[[tenants]]\n", "tenants."),
+    ("[[services]]\n", "services."),
+    ("[[services]]\n[services.rollout]\n", "services.rollout."),
+    ("[[routes]]\n", "routes."),
+];
+
+/// Returns the keys that the parser lists when it refuses an unknown one.
+fn known_keys(section: &str) -> Vec<String> {
+    let text = format!("{section}no-such-key = 1\n");
+    let problems = Answers::parse("a", &text).unwrap_err();
+    let refusal = problems
+        .iter()
+        .find(|problem| problem.help.starts_with("known here: "))
+        .unwrap();
+    let keys = refusal.help.trim_start_matches("known here: ").split(", ");
+    keys.map(str::to_owned).collect()
+}
+
+// Guards against an answer without documentation, and against documentation of one that was
+// renamed or removed.
+#[test]
+fn answers_page_keys() {
+    let mut keys = BTreeSet::new();
+    for (section, prefix) in SECTIONS {
+        keys.extend(
+            known_keys(section)
+                .iter()
+                .map(|key| format!("{prefix}{key}")),
+        );
+    }
+    let rows = PAGE.lines().filter_map(|line| line.strip_prefix("| `"));
+    let documented: BTreeSet<_> = rows
+        .map(|row| row.split('`').next().unwrap().to_owned())
+        .collect();
+    // Tables that contain other keys have headings, not rows.
+    for table in ["tenants", "services", "routes", "services.rollout"] {
+        assert!(keys.remove(table), "{table} is no section");
+        assert!(
+            PAGE.contains(&format!("`{table}`")),
+            "{table} has no heading"
+        );
+    }
+    assert_eq!(documented, keys);
+}
+
+// Guards against defaults on the page that differ from those in the template.
+#[test]
+fn answers_page_defaults() {
+    for line in template()
+        .lines()
+        .filter_map(|line| line.strip_prefix("# "))
+    {
+        let Some((key, value)) = line.split_once(" = ") else {
+            continue;
+        };
+        if key == "finish-by" || key.contains(' ') {
+            continue;
+        }
+        let row = format!("{key}` | `{value}` |");
+        assert!(
+            PAGE.contains(&row),
+            "docs/answers.md needs a row with {row}"
+        );
+    }
+}
--- a/crates/transport/src/storage.rs
+++ b/crates/transport/src/storage.rs
@@ -109,7 +109,12 @@
                 operation, path, ..
             } => write!(f, "cannot {operation} {}", path.display()),
             Self::Locked { path } => {
-                write!(f, "another process uses the data folder {}", path.display())
+                write!(
+                    f,
+                    "another process uses the data folder {}; stop it, or give this replica a \
+                     folder of its own",
+                    path.display()
+                )
             }
             Self::Foreign { path } => write!(
                 f,
