--- a/crates/daemon/src/subscriber.rs
+++ b/crates/daemon/src/subscriber.rs
@@ -33,6 +33,10 @@
 const BACKOFF_MIN: Millis = Millis(100);
 const BACKOFF_MAX: Millis = Millis(5_000);
 
+/// How long no replica has served the daemon when it logs a warning. Founding a group and electing
+/// its first leader took 2 to 3 s on loopback.
+const UNSERVED_WARNING: Millis = Millis(5_000);
+
 /// How long a replica may take to admit the subscription.
 const ADMISSION_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -103,6 +107,7 @@
         let mut rng = StdRng::seed_from_u64(self.seed);
         let mut bound = BACKOFF_MIN;
         let mut order: Vec<usize> = Vec::new();
+        let mut unserved_since = clock::now();
         let mut warned = false;
         loop {
             if order.is_empty() {
@@ -119,8 +124,9 @@
             metrics::counter!("sycamoreflow_subscriptions_ended_total").increment(1);
             if clock::now().since(started) > BACKOFF_MAX {
                 bound = BACKOFF_MIN;
+                unserved_since = clock::now();
                 warned = false;
-            } else if order.is_empty() && !warned {
+            } else if !warned && clock::now().since(unserved_since) > UNSERVED_WARNING {
                 warned = true;
                 let replica = &replica.daemon;
                 tracing::warn!(
