--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -283,7 +283,12 @@
 }
 
 fn bind(field: &str, address: SocketAddr) -> eyre::Result<TcpListener> {
-    listen(address).wrap_err_with(|| format!("{field}: can't bind {address}"))
+    listen(address).wrap_err_with(|| {
+        format!(
+            "{field}: can't bind {address}; stop the process that uses it or change {field} in \
+             the settings"
+        )
+    })
 }
 
 fn identity(settings: &Settings) -> eyre::Result<Identity> {
--- a/crates/daemon/src/subscriber.rs
+++ b/crates/daemon/src/subscriber.rs
@@ -34,6 +34,10 @@
 const BACKOFF_MIN: Millis = Millis(100);
 const BACKOFF_MAX: Millis = Millis(5_000);
 
+/// How long no replica has served the daemon when it logs a warning. Founding a group and electing
+/// its first leader took 2 to 3 s on loopback.
+const UNSERVED_WARNING: Millis = Millis(5_000);
+
 /// How long a replica may take to admit the subscription.
 const ADMISSION_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -106,6 +110,8 @@
         let mut rng = StdRng::seed_from_u64(self.seed);
         let mut bound = BACKOFF_MIN;
         let mut order: Vec<usize> = Vec::new();
+        let mut unserved_since = clock::now();
+        let mut warned = false;
         loop {
             if order.is_empty() {
                 order = (0..self.replicas.len()).collect();
@@ -121,6 +127,16 @@
             metrics::counter!("sycamoreflow_subscriptions_ended_total").increment(1);
             if clock::now().since(started) > BACKOFF_MAX {
                 bound = BACKOFF_MIN;
+                unserved_since = clock::now();
+                warned = false;
+            } else if !warned && clock::now().since(unserved_since) > UNSERVED_WARNING {
+                warned = true;
+                let replica = &replica.daemon;
+                tracing::warn!(
+                    %replica, %ended,
+                    "no control replica serves this daemon; it keeps trying. Check \
+                     control-replicas, the mesh name and the mesh key"
+                );
             }
             let wait = match ended {
                 Ended::RetryAfter(wait) => Millis(wait.0 + rng.random_range(0..=BACKOFF_MIN.0)),
