Move the building of the published view to the coordination crate

Cause: the view that a leader publishes was built inside the daemon's leader module, so no property test on a virtual clock could run it. Change: coordination::publication::Publication holds that code. The leader calls it at the same place; behaviour is unchanged.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod leases;
 pub mod machine;
 pub mod pacing;
+pub mod publication;
 pub mod raft;
 pub mod retry;
 pub mod rollout;
--- /dev/null
+++ b/crates/coordination/src/publication.rs
@@ -0,0 +1,81 @@
+//! The view that the leader publishes, built from the replicated state and the endpoint table.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use sycamoreflow_state::ids::ViewVersion;
+use sycamoreflow_state::view::{Resource, ResourceKey, View};
+
+use crate::leases::Leases;
+use crate::machine::ControlState;
+
+/// The latest view of a leader. It is changed in place, so that unchanged resources keep their
+/// hashes.
+#[derive(Debug)]
+pub struct Publication {
+    view: View,
+}
+
+impl Publication {
+    /// Starts from the view that this replica distributed as a follower.
+    pub fn new(followed: View) -> Self {
+        Self { view: followed }
+    }
+
+    /// Returns the view at the present versions of the replicated state and the endpoint table.
+    pub fn update(&mut self, state: &ControlState, leases: &Leases) -> View {
+        self.replace_config(state);
+        self.replace_endpoints(leases);
+        self.view.set_version(ViewVersion {
+            config: state.version(),
+            endpoints: leases.version(),
+        });
+        self.view.clone()
+    }
+
+    fn replace_config(&mut self, state: &ControlState) {
+        let resources = state.resources();
+        let keep: BTreeSet<&ResourceKey> = resources.iter().map(|(key, _)| key).collect();
+        let stale: Vec<ResourceKey> = self
+            .view
+            .iter()
+            .map(|(key, _)| key)
+            .filter(|key| !matches!(key, ResourceKey::Endpoint(..)) && !keep.contains(key))
+            .cloned()
+            .collect();
+        for key in stale {
+            self.view.remove(&key);
+        }
+        for (key, resource) in resources {
+            replace(&mut self.view, key, resource);
+        }
+    }
+
+    fn replace_endpoints(&mut self, leases: &Leases) {
+        let mut keep = BTreeSet::new();
+        for endpoint in leases.endpoints() {
+            let key = ResourceKey::Endpoint(endpoint.daemon.clone(), endpoint.service.clone());
+            let resource = Resource::Endpoint(endpoint.clone());
+            replace(&mut self.view, key.clone(), resource);
+            keep.insert(key);
+        }
+        let stale: Vec<ResourceKey> = self
+            .view
+            .iter()
+            .map(|(key, _)| key)
+            .filter(|key| matches!(key, ResourceKey::Endpoint(..)) && !keep.contains(key))
+            .cloned()
+            .collect();
+        for key in stale {
+            self.view.remove(&key);
+        }
+    }
+}
+
+/// Replaces a resource if it differs, since every insertion costs a hash.
+fn replace(view: &mut View, key: ResourceKey, resource: Resource) {
+    if view.get(&key).is_some_and(|known| **known == resource) {
+        return;
+    }
+    view.insert(key, Arc::new(resource));
+}
--- a/crates/daemon/src/control/leader.rs
+++ b/crates/daemon/src/control/leader.rs
@@ -1,13 +1,13 @@
 //! The soft state of the leader: leases, convergence and the pace of rollouts. A new leader starts
 //! it anew.
 
-use std::collections::{BTreeMap, BTreeSet};
-use std::sync::Arc;
+use std::collections::BTreeMap;
 
 use sycamoreflow_coordination::key_holders::HolderWatch;
 use sycamoreflow_coordination::leases::{LEASE, Leases};
 use sycamoreflow_coordination::machine::{Command, ControlState};
 use sycamoreflow_coordination::pacing::{Capacity, Pacer, TICK_INTERVAL};
+use sycamoreflow_coordination::publication::Publication;
 use sycamoreflow_coordination::shares::Grant;
 use sycamoreflow_protocol::replica::{Content, Forwarded};
 use sycamoreflow_state::config::Share;
@@ -16,7 +16,7 @@
     ConfigVersion, DaemonId, Millis, ServiceName, VersionName, ViewVersion,
 };
 use sycamoreflow_state::operator::{Convergence, RejectedBy};
-use sycamoreflow_state::view::{Resource, ResourceKey, View};
+use sycamoreflow_state::view::View;
 
 /// The soft state of the leader of one term.
 #[derive(Debug)]
@@ -26,7 +26,7 @@
     holders: HolderWatch,
     daemons: BTreeMap<DaemonId, DaemonState>,
     accepted: Accepted,
-    view: View,
+    publication: Publication,
     dirty: bool,
     last_pace: Millis,
 }
@@ -58,7 +58,7 @@
             holders: HolderWatch::default(),
             daemons: BTreeMap::new(),
             accepted: Accepted::default(),
-            view: followed.clone(),
+            publication: Publication::new(followed.clone()),
             dirty: true,
             last_pace: now,
         }
@@ -156,13 +156,7 @@
                 everywhere_after: None,
             };
         }
-        self.replace_config(state);
-        self.replace_endpoints();
-        self.view.set_version(ViewVersion {
-            config: state.version(),
-            endpoints: self.leases.version(),
-        });
-        Some(self.view.clone())
+        Some(self.publication.update(state, &self.leases))
     }
 
     /// Returns the version of the endpoint table and its endpoints.
@@ -213,52 +207,6 @@
         metrics::histogram!("sycamoreflow_convergence_seconds").record(after.0 as f64 / 1_000.0);
         tracing::info!(version = %accepted.version, milliseconds = after.0, "in force everywhere");
     }
-
-    fn replace_config(&mut self, state: &ControlState) {
-        let resources = state.resources();
-        let keep: BTreeSet<&ResourceKey> = resources.iter().map(|(key, _)| key).collect();
-        let stale: Vec<ResourceKey> = self
-            .view
-            .iter()
-            .map(|(key, _)| key)
-            .filter(|key| !matches!(key, ResourceKey::Endpoint(..)) && !keep.contains(key))
-            .cloned()
-            .collect();
-        for key in stale {
-            self.view.remove(&key);
-        }
-        for (key, resource) in resources {
-            replace(&mut self.view, key, resource);
-        }
-    }
-
-    fn replace_endpoints(&mut self) {
-        let mut keep = BTreeSet::new();
-        for endpoint in self.leases.endpoints() {
-            let key = ResourceKey::Endpoint(endpoint.daemon.clone(), endpoint.service.clone());
-            let resource = Resource::Endpoint(endpoint.clone());
-            replace(&mut self.view, key.clone(), resource);
-            keep.insert(key);
-        }
-        let stale: Vec<ResourceKey> = self
-            .view
-            .iter()
-            .map(|(key, _)| key)
-            .filter(|key| matches!(key, ResourceKey::Endpoint(..)) && !keep.contains(key))
-            .cloned()
-            .collect();
-        for key in stale {
-            self.view.remove(&key);
-        }
-    }
-}
-
-/// Replaces a resource if it differs, since every insertion costs a hash.
-fn replace(view: &mut View, key: ResourceKey, resource: Resource) {
-    if view.get(&key).is_some_and(|known| **known == resource) {
-        return;
-    }
-    view.insert(key, Arc::new(resource));
 }
 
 fn capacity_of<'a>(
