--- a/crates/daemon/tests/processes/herd.rs
+++ b/crates/daemon/tests/processes/herd.rs
@@ -30,7 +30,7 @@
         println!("all in force again after {:?}", started.elapsed());
         let mut most: f64 = 0.0;
         for at in mesh.proxies() {
-            let bytes = mesh.metric(at, "sycamoreflow_control_bytes_total").await;
+            let bytes = mesh.metric(at, "sycamoreflow_link_bytes_total").await;
             let bytes = bytes.ok_or_else(|| eyre!("daemon {at} counts no control bytes"))?;
             most = most.max(bytes);
         }
