Send the full state to subscribers at unknown versions

Cause: a change was sent to a subscriber at any version between the horizon and the published one. The replica does not know the content of versions that it has not published itself: a former leader's last versions before it failed, and versions that a follower received merged with later ones. The change then lacked removals or endpoint changes, the subscriber rejected it by its digest, came back with the same version and got the same change again, without end. Followers of a new leader had the same fault. Change: Distribution remembers the last 10,000 versions that it has published (32 bytes each) and sends the full state for any other version. Conclusion: the design is unchanged; a subscriber that moves to a replica that skipped its version now costs one full state.

--- a/crates/coordination/src/distribution.rs
+++ b/crates/coordination/src/distribution.rs
@@ -3,6 +3,7 @@
 //! The published views form a chain in which both components of the version only rise. Every
 //! resource carries the version at which it last changed, so a subscriber at any version of the
 //! chain catches up with one merged change and never with a replay (`docs/design.md`, section 2.6).
+//! A subscriber at a version that this replica has not published gets the full state.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
@@ -17,6 +18,10 @@
 /// further behind gets the full state.
 pub const MAX_TOMBSTONES: usize = 10_000;
 
+/// Published versions that are remembered. A subscriber at any other version gets the full state.
+/// They take 32 bytes each, and at ten changes a second they cover 16 minutes.
+pub const MAX_PUBLISHED: usize = 10_000;
+
 /// Updates whose encoding is kept for other subscribers with the same interest and version.
 const MAX_CACHED_UPDATES: usize = 64;
 
@@ -26,6 +31,10 @@
     view: Arc<View>,
     changed: BTreeMap<ResourceKey, ViewVersion>,
     tombstones: VecDeque<(ViewVersion, ResourceKey)>,
+    /// Versions that this replica has published, in rising order. A version between two of them
+    /// may come from a former leader, or from a change that this replica received merged with a
+    /// later one. Its content is unknown here, so a change based on it would fail the digest.
+    published: VecDeque<ViewVersion>,
     /// Subscribers below this version can't be served from the tombstones.
     horizon: ViewVersion,
 }
@@ -37,6 +46,7 @@
             view: Arc::new(View::new(Interest::All)),
             changed: BTreeMap::new(),
             tombstones: VecDeque::new(),
+            published: VecDeque::new(),
             horizon: ViewVersion::default(),
         }
     }
@@ -70,6 +80,10 @@
                 self.horizon = version;
             }
         }
+        if self.published.len() >= MAX_PUBLISHED {
+            self.published.pop_front();
+        }
+        self.published.push_back(new);
         self.view = view;
         true
     }
@@ -81,12 +95,12 @@
     /// and the measured convergence depend on it.
     pub fn update_for(&self, interest: &Interest, have: Option<ViewVersion>) -> Option<Delta> {
         let to = self.view.version();
+        if have == Some(to) {
+            return None;
+        }
         let Some(have) = have.filter(|have| self.can_continue(have)) else {
             return Some(self.full(interest));
         };
-        if have == to {
-            return None;
-        }
         let upserts = self.changed_since(interest, &have);
         let removals = self.removed_since(interest, &have);
         if upserts.is_empty() && removals.is_empty() && have.config == to.config {
@@ -113,7 +127,13 @@
 
     /// Returns whether a subscriber at `have` can be brought up to date by a change.
     fn can_continue(&self, have: &ViewVersion) -> bool {
-        have.is_at_least(&self.horizon) && self.view.version().is_at_least(have)
+        have.is_at_least(&self.horizon) && self.has_published(have)
+    }
+
+    fn has_published(&self, version: &ViewVersion) -> bool {
+        let order = |version: &ViewVersion| (version.config, version.endpoints);
+        let wanted = order(version);
+        self.published.binary_search_by_key(&wanted, order).is_ok()
     }
 
     fn changed_since(&self, interest: &Interest, have: &ViewVersion) -> Vec<ResourceKey> {
--- a/crates/coordination/src/distribution/tests.rs
+++ b/crates/coordination/src/distribution/tests.rs
@@ -6,7 +6,7 @@
 use sycamoreflow_state::ids::{ConfigVersion, EndpointVersion, Millis, ServiceName, ViewVersion};
 use sycamoreflow_state::view::{Interest, Resource, ResourceKey, View};
 
-use super::{Distribution, JoinLimiter, MAX_TOMBSTONES, UpdateCache};
+use super::{Distribution, JoinLimiter, MAX_PUBLISHED, MAX_TOMBSTONES, UpdateCache};
 
 fn endpoint(daemon: usize, service: usize, slots: u32) -> (ResourceKey, Arc<Resource>) {
     let endpoint = Endpoint {
@@ -137,6 +137,58 @@
     assert_eq!(update.upserts.len(), 1);
 }
 
+/// Guards against a change that can't be applied: the subscriber has a resource that a former
+/// leader published last, or that was added and removed between two versions of this replica.
+/// The subscriber would come back with the same version and get the same change again.
+#[test]
+fn update_for_unpublished_version() {
+    let mut distribution = Distribution::new();
+    let mut view = View::new(Interest::All);
+    for daemon in 0..20 {
+        let (key, resource) = endpoint(daemon, 0, 1);
+        view.insert(key, resource);
+    }
+    view.set_version(next_version(view.version(), false));
+    distribution.publish(Arc::new(view.clone()));
+    let mut elsewhere = view.clone();
+    let (key, resource) = endpoint(20, 0, 1);
+    elsewhere.insert(key, resource);
+    elsewhere.set_version(next_version(view.version(), false));
+    let (key, resource) = endpoint(0, 0, 2);
+    view.insert(key, resource);
+    view.set_version(next_version(elsewhere.version(), false));
+    distribution.publish(Arc::new(view.clone()));
+    let update = distribution
+        .update_for(&Interest::All, Some(elsewhere.version()))
+        .expect("the view has changed");
+    assert_eq!(elsewhere.apply(&update), Ok(view));
+}
+
+/// Guards against a memory that grows with the number of changes, and against a subscriber behind
+/// it that gets a change.
+#[test]
+fn update_for_forgotten_version() {
+    let mut distribution = Distribution::new();
+    let mut view = View::new(Interest::All);
+    let (key, resource) = endpoint(0, 0, 1);
+    view.insert(key, resource);
+    let mut first = ViewVersion::default();
+    for published in 0..=MAX_PUBLISHED {
+        view.set_version(next_version(view.version(), true));
+        distribution.publish(Arc::new(view.clone()));
+        if published == 0 {
+            first = view.version();
+        }
+    }
+    let update_from = |have| {
+        let update = distribution.update_for(&Interest::All, Some(have));
+        update.expect("the configuration version has changed").from
+    };
+    assert_eq!(update_from(first), None);
+    let second = next_version(first, true);
+    assert_eq!(update_from(second), Some(second));
+}
+
 /// Guards against a catch-up that is encoded once per subscriber.
 #[test]
 fn get_or_encode_repeated() {
