--- a/crates/daemon/tests/processes/leaving.rs
+++ b/crates/daemon/tests/processes/leaving.rs
@@ -112,6 +112,7 @@
 fn check_quiet(upstream: &Upstream, told: Instant) -> eyre::Result<()> {
     let last = upstream.stats().last_call();
     let last = last.ok_or_else(|| eyre!("the upstream never had a call"))?;
+    ensure!(last + BEFORE >= told, "no call arrived before the event");
     let after = last.saturating_duration_since(told);
     ensure!(after <= QUIET_AFTER, "a call arrived {after:?} later");
     Ok(())
--- a/crates/daemon/tests/processes/upstreams.rs
+++ b/crates/daemon/tests/processes/upstreams.rs
@@ -91,6 +91,11 @@
         let upstreams = start_upstreams(&mesh, &[3, 4, 5], Duration::from_millis(5)).await?;
         let targets: Vec<SocketAddr> = [0, 1, 2, 4, 5, 6].map(|at| mesh.calls_address(at)).into();
         let client = caller::client();
+        let calls = upstreams[0].stats().calls();
+        let before = Arc::new(Results::default());
+        let duration = Duration::from_secs(1);
+        caller::run(&client, &targets, &CALLS, 120.0, duration, &before).await;
+        ensure!(upstreams[0].stats().calls() > calls, "no call before");
         mesh.freeze(3)?;
         let during = Arc::new(Results::default());
         let duration = Duration::from_secs(5);
