Approve once more while the links to a frozen replica are gone

The approvals right after the freeze wait in the sockets of the frozen replica, so it can have them at once when it goes on.

--- a/crates/daemon/tests/processes/replicas.rs
+++ b/crates/daemon/tests/processes/replicas.rs
@@ -13,8 +13,9 @@
     LIMIT, VersionWatch, answers, approve_everywhere, mesh, run, wait_for, wait_for_version,
 };
 
-/// Time for which a replica stays frozen after the others have moved on.
-const FROZEN: Duration = Duration::from_secs(2);
+/// Time for which a replica stays frozen after the others have moved on. The links to it end after
+/// 2 s of silence.
+const FROZEN: Duration = Duration::from_secs(3);
 
 /// Time for which the leader is watched after the replica goes on.
 const WATCH: Duration = Duration::from_secs(3);
@@ -43,6 +44,9 @@
         let others: Vec<usize> = (0..mesh.len()).filter(|at| *at != frozen).collect();
         wait_for_version(&mesh, &others, newest).await?;
         task::sleep(FROZEN).await;
+        // The links to the frozen replica have ended, so nothing of this waits in its sockets.
+        let approved = operator.approve("frozen-last", &answers(6), LIMIT).await?;
+        let newest = approved.version.0;
         let term_frozen = operator.status(LIMIT).await?.endpoints.term;
         ensure!(
             term_frozen <= term_before + u64::from(leader),
