Use one HTTP client, follow drain marks at the owner, split the replica

Change: the client uses transport::http::client; the owner refuses new work once its endpoint is marked; events and waiters of the replica have a module, with one place that refuses; the unused message is gone. Conclusion: a drain holds from the moment at which the owner knows it.

--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -10,7 +10,6 @@
 use async_std::task::sleep;
 use bpaf::{Parser, construct, env, long};
 use eyre::WrapErr;
-use http_types::Method;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use sycamoreflow_state::operator::{ErrorCode, ErrorResponse};
@@ -101,18 +100,18 @@
 
     /// Reads a resource.
     pub async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T> {
-        self.call(Method::Get, path, Vec::new()).await
+        self.call("GET", path, Vec::new()).await
     }
 
     /// Sends a request with a body.
     pub async fn post<T: DeserializeOwned>(&self, path: &str, body: &impl Serialize) -> Result<T> {
         let body = serde_json::to_vec(body).wrap_err("cannot encode the request")?;
-        self.call(Method::Post, path, body).await
+        self.call("POST", path, body).await
     }
 
     async fn call<T: DeserializeOwned>(
         &self,
-        method: Method,
+        method: &str,
         path: &str,
         body: Vec<u8>,
     ) -> Result<T> {
--- a/crates/daemon/src/control/replica.rs
+++ b/crates/daemon/src/control/replica.rs
@@ -9,17 +9,14 @@
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::time::{Duration, Instant};
 
-use futures::channel::oneshot;
 use sycamoreflow_coordination::machine::{CodecError, Command, ControlState, Outcome};
-use sycamoreflow_coordination::raft::message::Message;
 use sycamoreflow_coordination::raft::{
-    Input, MemberChange, Output, Payload, Raft, Refusal, SharedEntry, Snapshot, Standing, TICK_MS,
-    Token,
+    Input, Output, Payload, Raft, Refusal, SharedEntry, Snapshot, Standing, TICK_MS, Token,
 };
 use sycamoreflow_coordination::shares::Grant;
 use sycamoreflow_coordination::suspect::SuspectReport;
 use sycamoreflow_protocol::replica::{Forwarded, ReplicaMessage};
-use sycamoreflow_state::ids::{ConfigVersion, DaemonId, Millis};
+use sycamoreflow_state::ids::{DaemonId, Millis};
 use sycamoreflow_state::view::View;
 use sycamoreflow_transport::storage::{Storage, StorageError};
 
@@ -28,6 +25,12 @@
 use crate::control::leader::Leader;
 use crate::control::peers::Peers;
 
+mod event;
+
+pub use event::{Event, ReadState, Result, Unavailable};
+
+use event::Waiting;
+
 /// Entries after which the state is saved as a snapshot and the log is shortened.
 const SNAPSHOT_ENTRIES: u64 = 1_000;
 
@@ -39,68 +42,9 @@
 /// less, and must not cause a herd of reconnects.
 const NO_QUORUM_AFTER: Millis = Millis(1_500);
 
-/// Result of an operator's command.
-pub type Result<T> = std::result::Result<T, Unavailable>;
-
 /// Result of a step. After an error the replica takes no further part.
 type Stored = std::result::Result<(), StorageError>;
 
-/// Why an operator's command has no outcome. It may be resent with the same request identifier.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Unavailable {
-    /// What is missing.
-    pub refusal: Option<Refusal>,
-    /// Leader to ask instead, if known.
-    pub leader: Option<DaemonId>,
-}
-
-/// A function that reads the state once a quorum has confirmed that it is current.
-pub type ReadState = Box<dyn FnOnce(Result<&Replica>) + Send>;
-
-/// Something that happens to a replica.
-pub enum Event {
-    /// A message of another replica.
-    Raft {
-        /// The other replica.
-        from: DaemonId,
-        /// Its message.
-        message: Box<Message>,
-    },
-    /// Messages of subscribers, for the leader.
-    Forwarded(Vec<Forwarded>),
-    /// Grants of the leader, for subscribers of this replica.
-    Grants(Vec<(DaemonId, Grant)>),
-    /// Requests that have crashed upstreams. Those from a subscriber go to the other replicas too.
-    Suspects {
-        /// What is reported.
-        report: SuspectReport,
-        /// Whether a subscriber of this replica reports it.
-        from_subscriber: bool,
-    },
-    /// Asks for the newest accepted version, confirmed by a quorum.
-    Confirm(oneshot::Sender<Option<ConfigVersion>>),
-    /// Proposes a command and returns its outcome.
-    Propose(Box<Command>, oneshot::Sender<Result<Outcome>>),
-    /// Changes the members of the group.
-    ChangeMembers(MemberChange, oneshot::Sender<Result<()>>),
-    /// Reads the state, confirmed by a quorum.
-    Read(ReadState),
-    /// Hands over the lead, because the process is about to stop.
-    TransferLeadership,
-    /// Ends the replica.
-    Stop,
-}
-
-/// What a client of the replica waits for.
-enum Waiting {
-    Confirm(oneshot::Sender<Option<ConfigVersion>>),
-    Read(ReadState),
-    Outcome(oneshot::Sender<Result<Outcome>>),
-    Members(oneshot::Sender<Result<()>>),
-    /// A command of the leader itself, whose loss is noticed at a later tick.
-    Nobody,
-}
-
 /// A proposal in the log of this leader.
 struct Proposed {
     term: u64,
@@ -208,23 +152,11 @@
 
     /// Answers all further events without promising anything.
     fn refuse_forever(&mut self, events: &Receiver<Event>) {
-        let unavailable = || Unavailable {
-            refusal: None,
-            leader: None,
-        };
         while let Ok(event) = events.recv() {
-            match event {
-                Event::Stop => return,
-                Event::Confirm(tx) => drop(tx.send(None)),
-                Event::Propose(_, tx) => drop(tx.send(Err(unavailable()))),
-                Event::ChangeMembers(_, tx) => drop(tx.send(Err(unavailable()))),
-                Event::Read(read) => read(Err(unavailable())),
-                Event::Raft { .. }
-                | Event::Forwarded(_)
-                | Event::Grants(_)
-                | Event::Suspects { .. }
-                | Event::TransferLeadership => {}
+            if matches!(event, Event::Stop) {
+                return;
             }
+            event.into_waiting().refuse(Unavailable::default());
         }
     }
 
@@ -351,7 +283,7 @@
                 }
             }
         };
-        self.answer(index, entry.term, outcome);
+        self.answer(index, entry.term, &outcome);
         self.lead_if_ready(entry.term);
         if let Some(leader) = &mut self.leader {
             leader.note_applied();
@@ -359,22 +291,18 @@
     }
 
     /// Answers the proposal at `index`, and those that other entries have displaced.
-    fn answer(&mut self, index: u64, term: u64, outcome: Outcome) {
+    fn answer(&mut self, index: u64, term: u64, outcome: &Outcome) {
         let later = self.proposed.split_off(&(index + 1));
         let decided = std::mem::replace(&mut self.proposed, later);
         for (at, proposed) in decided {
-            let is_own = at == index && proposed.term == term;
-            let unavailable = Unavailable {
+            if at == index && proposed.term == term {
+                proposed.waiting.settle(outcome);
+                continue;
+            }
+            proposed.waiting.refuse(Unavailable {
                 refusal: None,
                 leader: self.leader_id.clone(),
-            };
-            match proposed.waiting {
-                Waiting::Outcome(tx) if is_own => drop(tx.send(Ok(outcome.clone()))),
-                Waiting::Outcome(tx) => drop(tx.send(Err(unavailable))),
-                Waiting::Members(tx) if is_own => drop(tx.send(Ok(()))),
-                Waiting::Members(tx) => drop(tx.send(Err(unavailable))),
-                Waiting::Confirm(_) | Waiting::Read(_) | Waiting::Nobody => {}
-            }
+            });
         }
     }
 
@@ -441,15 +369,10 @@
         let leader = self.leader_id.clone();
         let proposed = std::mem::take(&mut self.proposed);
         for (_, proposed) in proposed {
-            let unavailable = Unavailable {
+            proposed.waiting.refuse(Unavailable {
                 refusal: Some(Refusal::NotLeader),
                 leader: leader.clone(),
-            };
-            match proposed.waiting {
-                Waiting::Outcome(tx) => drop(tx.send(Err(unavailable))),
-                Waiting::Members(tx) => drop(tx.send(Err(unavailable))),
-                Waiting::Confirm(_) | Waiting::Read(_) | Waiting::Nobody => {}
-            }
+            });
         }
     }
 
@@ -540,17 +463,10 @@
         let Some(waiting) = self.waiting.remove(&token) else {
             return;
         };
-        let unavailable = Unavailable {
+        waiting.refuse(Unavailable {
             refusal: Some(refusal),
             leader,
-        };
-        match waiting {
-            Waiting::Confirm(tx) => drop(tx.send(None)),
-            Waiting::Read(read) => read(Err(unavailable)),
-            Waiting::Outcome(tx) => drop(tx.send(Err(unavailable))),
-            Waiting::Members(tx) => drop(tx.send(Err(unavailable))),
-            Waiting::Nobody => {}
-        }
+        });
     }
 }
 
--- a/crates/daemon/src/control/sessions.rs
+++ b/crates/daemon/src/control/sessions.rs
@@ -155,12 +155,8 @@
                 });
                 return Ok(());
             }
-            FromSubscriber::Follow { .. } => return Ok(()),
-            FromSubscriber::Interest(interest) | FromSubscriber::Subscribe { interest, .. } => {
-                self.interest = interest;
-                self.have = None;
-                return self.send_update();
-            }
+            // Only the first message starts a session.
+            FromSubscriber::Follow { .. } | FromSubscriber::Subscribe { .. } => return Ok(()),
         };
         self.hub.forward(&self.daemon, content);
         Ok(())
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -171,6 +171,7 @@
         }
         self.keys.update(self.view().as_deref(), &view);
         self.owner.set_weights(tenant_weights(&view));
+        self.owner.follow_marks(&view);
         let routes = RouteTable::new(&view);
         let active = Active {
             view: view.clone(),
--- a/crates/daemon/src/proxy/owner.rs
+++ b/crates/daemon/src/proxy/owner.rs
@@ -25,6 +25,7 @@
     DaemonId, DataCentre, Micros, Millis, ServiceName, TenantName, VersionName,
 };
 use sycamoreflow_state::verdict::{Failure, Reason, VERDICT_HEADER, Verdict};
+use sycamoreflow_state::view::{Resource, ResourceKey, View};
 use sycamoreflow_transport::http::client::Client;
 
 use crate::clock;
@@ -161,6 +162,28 @@
         }
     }
 
+    /// Follows the drain marks of operators in a view: a marked upstream gets no new work, also from
+    /// daemons that do not know the mark yet.
+    pub fn follow_marks(&self, view: &View) {
+        if self.draining.load(Ordering::SeqCst) {
+            return;
+        }
+        for (service, upstream) in self.upstreams.lock().iter() {
+            if upstream.draining.load(Ordering::SeqCst) {
+                continue;
+            }
+            let key = ResourceKey::Endpoint(self.daemon.clone(), service.clone());
+            let endpoint = view.get(&key).map(AsRef::as_ref);
+            let marked = matches!(endpoint, Some(Resource::Endpoint(e)) if e.draining);
+            let mut admission = upstream.admission.lock();
+            if marked {
+                admission.drain();
+            } else {
+                admission.resume();
+            }
+        }
+    }
+
     /// Removes upstreams that have not renewed their announcement, or that have left and finished
     /// their work. Returns whether the endpoints have changed.
     pub fn expire(&self) -> bool {
--- a/crates/protocol/src/distribution.rs
+++ b/crates/protocol/src/distribution.rs
@@ -27,8 +27,6 @@
         /// Version of the view that the replica has.
         have: Option<ViewVersion>,
     },
-    /// Changes the interest. The answer is a full state.
-    Interest(Interest),
     /// Renews the leases of all endpoints beside the subscriber, or ends those that are missing.
     Renew(Vec<Endpoint>),
     /// The subscriber enforces this version.
