Test subscribers and replicas on a virtual clock

Cause: the parts between the replicated state and a proxy were tested one by one, so faults of their combination were found only in running meshes. Change: crates/coordination/tests/subscribers runs 3 control replicas and 6 subscribers, each of them a witness of three others, through approvals, announcements, drains, expiries, leader changes, isolated replicas, lost, repeated and reordered updates, restarts and outages of the whole group. The oracle holds one history of accepted versions and the content of every published version. Six deliberate faults prove that it notices violations.

--- /dev/null
+++ b/crates/coordination/tests/subscribers/subscriber.rs
@@ -0,0 +1,227 @@
+//! A daemon as a subscriber and as a witness. It follows the rules of
+//! `crates/daemon/src/subscriber.rs` and `crates/daemon/src/floor.rs`.
+
+use std::sync::Arc;
+
+use sycamoreflow_coordination::floor::{Activation, Staging, Witness};
+use sycamoreflow_state::endpoint::Endpoint;
+use sycamoreflow_state::ids::{ConfigVersion, Millis, ViewVersion};
+use sycamoreflow_state::view::{Delta, Interest, Rejection, View};
+
+use crate::content;
+use crate::oracle::Oracle;
+use crate::world::Fault;
+
+/// A subscription at a replica.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Session {
+    pub(crate) replica: usize,
+    /// Version that the replica has sent last.
+    pub(crate) sent: Option<ViewVersion>,
+}
+
+/// A view that waits for the witnesses.
+#[derive(Debug)]
+struct Staged {
+    view: View,
+    /// Whether the design page names the state at the start of the staging as unprotected.
+    unprotected: bool,
+    processes: Vec<u64>,
+}
+
+/// Under which conditions a view is put in force.
+#[derive(Debug)]
+pub(crate) struct Start<'a> {
+    pub(crate) fault: Fault,
+    pub(crate) unprotected: bool,
+    /// Present process numbers of the witnesses.
+    pub(crate) processes: &'a [u64],
+}
+
+/// How well the witnesses protect the version in force, for the exemption of the oracle.
+#[derive(Debug, Default)]
+struct Protection {
+    /// Process number of each witness when the staging of the version began.
+    processes: Vec<u64>,
+    /// Whether the version was activated without a majority of the witnesses. It stays set until
+    /// a later activation, although a majority may record the version before.
+    unwitnessed: bool,
+}
+
+#[derive(Debug)]
+pub(crate) struct Subscriber {
+    number: usize,
+    pub(crate) interest: Interest,
+    pub(crate) witnesses: Vec<usize>,
+    pub(crate) endpoints: Vec<Endpoint>,
+    /// Number of restarts, to drop messages to an earlier process.
+    pub(crate) process: u64,
+    pub(crate) witness: Witness,
+    pub(crate) staging: Staging,
+    pub(crate) view: Option<Arc<View>>,
+    pub(crate) floor: Option<ConfigVersion>,
+    pub(crate) session: Option<Session>,
+    pub(crate) inbox: Vec<(Millis, Delta)>,
+    pub(crate) next_join: Millis,
+    pub(crate) next_renewal: Millis,
+    staged: Option<Staged>,
+    protection: Protection,
+}
+
+impl Subscriber {
+    pub(crate) fn new(number: usize, subscribers: usize) -> Self {
+        let witnesses: Vec<usize> = (1..4).map(|n| (number + n) % subscribers).collect();
+        Self {
+            number,
+            interest: content::interest(number),
+            staging: staging(&witnesses),
+            witnesses,
+            endpoints: Vec::new(),
+            process: 0,
+            witness: Witness::default(),
+            view: None,
+            floor: None,
+            session: None,
+            inbox: Vec::new(),
+            next_join: Millis(0),
+            next_renewal: Millis(0),
+            staged: None,
+            protection: Protection::default(),
+        }
+    }
+
+    /// Starts again with an empty memory, as a witness too.
+    pub(crate) fn restart(&mut self, now: Millis) {
+        self.process += 1;
+        self.witness = Witness::default();
+        self.staging = staging(&self.witnesses);
+        self.view = None;
+        self.floor = None;
+        self.staged = None;
+        self.inbox.clear();
+        self.end_session(now, Millis(200));
+    }
+
+    pub(crate) fn end_session(&mut self, now: Millis, wait: Millis) {
+        self.session = None;
+        self.next_join = now.after(wait);
+    }
+
+    /// Whether a view waits for the witnesses, so that no update is taken.
+    pub(crate) fn is_staging(&self) -> bool {
+        self.staged.is_some()
+    }
+
+    pub(crate) fn raise(&mut self, floor: ConfigVersion) {
+        self.floor = self.floor.max(Some(floor));
+    }
+
+    /// Takes in an update. Returns false if the session has to end.
+    pub(crate) fn take_update(
+        &mut self,
+        now: Millis,
+        delta: &Delta,
+        start: &Start<'_>,
+        oracle: &mut Oracle,
+    ) -> bool {
+        let result = match &self.view {
+            Some(own) => own.apply(delta),
+            None => View::from_full(&self.interest, delta),
+        };
+        match result {
+            Ok(view) => self.enforce(now, view, start, oracle),
+            Err(rejection) if rejection.is_duplicate() => {}
+            Err(rejection) => {
+                let is_stale = matches!(rejection, Rejection::Stale { .. });
+                oracle.counts.stale_rejected += u64::from(is_stale);
+                if matches!(rejection, Rejection::DigestMismatch { .. }) {
+                    // The subscriber would come back with the same version and get it again.
+                    oracle.fail(format!(
+                        "d{} got an update that fails: {rejection}",
+                        self.number
+                    ));
+                }
+                if is_stale
+                    && start.fault == Fault::StaleUpdateAccepted
+                    && let Ok(view) = View::from_full(&self.interest, delta)
+                {
+                    self.activate(view, false, start.fault, oracle);
+                }
+                return matches!(rejection, Rejection::Invalid(_));
+            }
+        }
+        true
+    }
+
+    /// Stages the version of a view and puts the view in force. `processes` are the present
+    /// process numbers of the witnesses.
+    pub(crate) fn enforce(
+        &mut self,
+        now: Millis,
+        view: View,
+        start: &Start<'_>,
+        oracle: &mut Oracle,
+    ) {
+        let version = view.version().config;
+        if Some(version) < self.floor {
+            oracle.counts.below_floor += 1;
+            return;
+        }
+        let in_force = self.view.as_ref().map(|view| view.version().config);
+        let unstaged = start.fault == Fault::UnstagedActivation && version.0 % 2 == 1;
+        if in_force >= Some(version) || unstaged {
+            self.activate(view, start.unprotected, start.fault, oracle);
+            return;
+        }
+        self.staging.start(now, version);
+        self.staged = Some(Staged {
+            view,
+            unprotected: start.unprotected,
+            processes: start.processes.to_vec(),
+        });
+    }
+
+    /// Puts the staged view in force once the witnesses have it or the time is up.
+    pub(crate) fn poll(&mut self, now: Millis, fault: Fault, oracle: &mut Oracle) {
+        let decision = self.staging.poll(now);
+        let Activation::Activate { witnessed, .. } = decision else {
+            return;
+        };
+        if let Some(staged) = self.staged.take() {
+            oracle.counts.unwitnessed += u64::from(!witnessed);
+            self.protection = Protection {
+                processes: staged.processes,
+                unwitnessed: !witnessed,
+            };
+            self.activate(staged.view, staged.unprotected, fault, oracle);
+        }
+    }
+
+    /// Records the answer of a witness.
+    pub(crate) fn staged(&mut self, witness: usize, version: ConfigVersion) {
+        let name = content::name(witness).as_str().into();
+        self.staging.staged(&name, version);
+    }
+
+    /// Returns whether the latest activation had no majority, or more than half of the witnesses
+    /// have restarted since. `processes` are the present process numbers of the witnesses.
+    pub(crate) fn is_unprotected(&self, processes: &[u64]) -> bool {
+        let known = self.protection.processes.iter().zip(processes);
+        let lost = known.filter(|(then, now)| then != now).count();
+        self.protection.unwitnessed || lost * 2 > self.witnesses.len()
+    }
+
+    fn activate(&mut self, mut view: View, unprotected: bool, fault: Fault, oracle: &mut Oracle) {
+        if fault == Fault::MissingResource {
+            let key = view.iter().map(|(key, _)| key.clone()).next();
+            key.map(|key| view.remove(&key));
+        }
+        self.raise(view.version().config);
+        oracle.enforced(self.number, &self.interest, &view, unprotected);
+        self.view = Some(Arc::new(view));
+    }
+}
+
+fn staging(witnesses: &[usize]) -> Staging {
+    Staging::new(witnesses.iter().map(|n| content::name(*n).as_str().into()))
+}
