--- /dev/null
+++ b/crates/testbed/examples/capacity/leader.rs
@@ -0,0 +1,176 @@
+//! Costs at the leader by the number of endpoints, and of views at replicas and daemons.
+
+use std::sync::{Arc, mpsc};
+
+use sycamoreflow_coordination::leases::Leases;
+use sycamoreflow_daemon::control::hub::Hub;
+use sycamoreflow_daemon::control::leader::Leader;
+use sycamoreflow_protocol::codec;
+use sycamoreflow_protocol::distribution::FromReplica;
+use sycamoreflow_protocol::replica::{Content, Forwarded};
+use sycamoreflow_state::config::Share;
+use sycamoreflow_state::ids::Millis;
+use sycamoreflow_state::view::{Delta, Interest, View};
+
+use crate::meter::{Meter, resident_kib};
+use crate::table::{Measure, Table, measure};
+use crate::world;
+
+const REPEATS: usize = 5;
+
+const VIEW_KIB: Measure = measure("memory of a view", "endpoints", "KiB");
+const FULL_BYTES: Measure = measure("bytes of a full state", "endpoints", "B");
+const RENEW: Measure = measure("processor time of a lease renewal", "endpoints", "us");
+const TAKE: Measure = measure("processor time of a forwarded renewal", "endpoints", "us");
+const LEASE_TICK: Measure = measure("processor time of a lease tick", "endpoints", "us");
+const LEADER_TICK: Measure = measure("processor time of a leader tick", "endpoints", "us");
+const PUBLICATION: Measure = measure("processor time of a publication", "endpoints", "us");
+const HUB_PUBLISH: Measure = measure("processor time of Hub::publish", "endpoints", "us");
+const HUB_UPDATE: Measure = measure("processor time of one encoded update", "endpoints", "us");
+const CONVERGENCE: Measure = measure("processor time of an in-force message", "endpoints", "us");
+const APPLY: Measure = measure("processor time of View::apply", "endpoints", "us");
+const FULL_ENCODE: Measure = measure("processor time of a full encoding", "endpoints", "us");
+const FULL_DECODE: Measure = measure("processor time of a full decoding", "endpoints", "us");
+
+/// Measures the memory of a view and the size of a full state.
+pub(crate) fn view_memory(table: &mut Table) -> eyre::Result<()> {
+    // Views are kept until the end, so that no freed memory is counted as available.
+    let mut kept: Vec<View> = Vec::new();
+    for _ in 0..REPEATS {
+        for endpoints in world::ENDPOINTS {
+            let before = resident_kib();
+            let view = world::view(world::SERVICES, endpoints);
+            table.add(VIEW_KIB, endpoints as f64, resident_kib() - before);
+            kept.push(view);
+        }
+    }
+    for view in kept.iter().take(world::ENDPOINTS.len()) {
+        let bytes = codec::encode(&Delta::full(view))?.len();
+        table.add(FULL_BYTES, view.endpoints().count() as f64, bytes as f64);
+    }
+    Ok(())
+}
+
+/// Measures renewals, ticks and publications.
+pub(crate) fn leader(table: &mut Table) -> eyre::Result<()> {
+    for _ in 0..REPEATS {
+        for endpoints in world::ENDPOINTS {
+            leases(table, endpoints);
+            leading(table, endpoints);
+            distributing(table, endpoints)?;
+        }
+    }
+    Ok(())
+}
+
+fn leases(table: &mut Table, count: usize) {
+    let size = count as f64;
+    let endpoints: Vec<_> = (0..count).map(|at| world::endpoint(at, 880)).collect();
+    let mut leases = Leases::default();
+    leases.take_over(Millis(1_000), 1, endpoints.iter().cloned());
+    let meter = Meter::thread();
+    for endpoint in &endpoints {
+        let announced = std::slice::from_ref(endpoint);
+        leases.renew(Millis(1_500), &endpoint.daemon, announced);
+    }
+    table.add(RENEW, size, meter.cpu_us() / size);
+    let meter = Meter::thread();
+    for tick in 0..20 {
+        leases.tick(Millis(1_500 + tick * 50), |_| Share::NONE);
+    }
+    table.add(LEASE_TICK, size, meter.cpu_us() / 20.0);
+}
+
+fn leading(table: &mut Table, count: usize) {
+    let size = count as f64;
+    let state = world::state(&world::config(world::SERVICES));
+    let empty = View::new(Interest::All);
+    let mut leader = Leader::new(Millis(1_000), 1, &empty);
+    let renew = |at: usize| {
+        let endpoint = world::endpoint(at, world::SERVICES);
+        Forwarded {
+            daemon: endpoint.daemon.clone(),
+            content: Content::Renew(vec![endpoint]),
+        }
+    };
+    for at in 0..count {
+        leader.take(Millis(1_000), Millis(1), renew(at));
+    }
+    leader.publication(Millis(1_000), &state);
+    let messages: Vec<Forwarded> = (0..count).map(renew).collect();
+    let meter = Meter::thread();
+    for message in messages {
+        leader.take(Millis(1_500), Millis(1), message);
+    }
+    table.add(TAKE, size, meter.cpu_us() / size);
+    let meter = Meter::thread();
+    for tick in 0..10 {
+        leader.tick(Millis(1_500 + tick * 50), &state);
+    }
+    table.add(LEADER_TICK, size, meter.cpu_us() / 10.0);
+    let meter = Meter::thread();
+    for _ in 0..5 {
+        leader.note_applied();
+        leader.publication(Millis(2_000), &state);
+    }
+    table.add(PUBLICATION, size, meter.cpu_us() / 5.0);
+    in_force(table, &mut leader, count);
+}
+
+/// Measures the messages by which all daemons confirm a version. The leader looks for daemons that
+/// are still missing at each of them.
+fn in_force(table: &mut Table, leader: &mut Leader, count: usize) {
+    let version = world::version(1, 1);
+    let messages: Vec<Forwarded> = (0..count)
+        .map(|at| Forwarded {
+            daemon: world::daemon(at).into(),
+            content: Content::InForce(version),
+        })
+        .collect();
+    let meter = Meter::thread();
+    for message in messages {
+        leader.take(Millis(2_000), Millis(1), message);
+    }
+    table.add(CONVERGENCE, count as f64, meter.cpu_us() / count as f64);
+}
+
+fn distributing(table: &mut Table, count: usize) -> eyre::Result<()> {
+    let size = count as f64;
+    let old = world::view(world::SERVICES, count);
+    let mut config = world::config(world::SERVICES);
+    world::change(&mut config, 0);
+    let mut new = old.clone();
+    for (key, resource) in world::state(&config).resources() {
+        new.insert(key, Arc::new(resource));
+    }
+    new.set_version(world::version(2, 1));
+    let have = Some(old.version());
+    let (events, _kept) = mpsc::channel();
+    let hub = Hub::new(200, events);
+    hub.publish(old.clone());
+    let meter = Meter::thread();
+    hub.publish(new);
+    table.add(HUB_PUBLISH, size, meter.cpu_us());
+    let meter = Meter::thread();
+    let Some((frame, _)) = hub.update_for(&Interest::All, have) else {
+        eyre::bail!("a change gave no update");
+    };
+    table.add(HUB_UPDATE, size, meter.cpu_us());
+    let update: FromReplica = codec::decode(&frame)?;
+    let FromReplica::Update(delta) = update else {
+        eyre::bail!("an update is not one");
+    };
+    let meter = Meter::thread();
+    let applied = old.apply(&delta);
+    table.add(APPLY, size, meter.cpu_us());
+    if let Err(rejection) = applied {
+        eyre::bail!("a delta was rejected: {rejection}");
+    }
+    let meter = Meter::thread();
+    let frame = codec::encode(&Delta::full(&old))?;
+    table.add(FULL_ENCODE, size, meter.cpu_us());
+    let meter = Meter::thread();
+    let _: Delta = codec::decode(&frame)?;
+    table.add(FULL_DECODE, size, meter.cpu_us());
+    Ok(())
+}
--- /dev/null
+++ b/crates/testbed/examples/capacity/light.rs
@@ -0,0 +1,136 @@
+//! A light subscriber: it speaks the protocol of distribution over a real link and keeps no view.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use async_std::task::{self, JoinHandle};
+use sycamoreflow_coordination::leases::RENEW_INTERVAL;
+use sycamoreflow_protocol::distribution::{FromReplica, FromSubscriber};
+use sycamoreflow_protocol::handshake::Purpose;
+use sycamoreflow_state::endpoint::Endpoint;
+use sycamoreflow_state::ids::ViewVersion;
+use sycamoreflow_state::view::Interest;
+use sycamoreflow_transport::link::{self, Receiver, Sender};
+
+use crate::replica::identity;
+use crate::world;
+
+/// Attempts to subscribe before a subscriber gives up.
+const ATTEMPTS: usize = 60;
+/// Wait after a failed connection, as the listener's queue is short.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// What all subscribers count together.
+#[derive(Debug, Default)]
+pub(crate) struct Counts {
+    /// Updates received.
+    pub(crate) updates: AtomicU64,
+    /// Bytes of the links on which the subscription was refused.
+    pub(crate) refused_bytes: AtomicU64,
+}
+
+/// A subscriber that was admitted.
+pub(crate) struct Light {
+    tx: Sender,
+    config: Arc<AtomicU64>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Light {
+    /// Subscribes as daemon `at` until a replica admits it, waiting as it is told to.
+    pub(crate) async fn open(
+        address: SocketAddr,
+        at: usize,
+        services: usize,
+        have: Option<ViewVersion>,
+        counts: Arc<Counts>,
+    ) -> eyre::Result<Self> {
+        let endpoints = vec![world::endpoint(at, services)];
+        let identity = identity(&world::daemon(at))?;
+        let limits = link::Limits::default();
+        for _ in 0..ATTEMPTS {
+            let opened = link::connect(address, &identity, Purpose::Distribution, &limits).await;
+            let Ok((tx, mut rx)) = opened else {
+                task::sleep(RETRY_PAUSE).await;
+                continue;
+            };
+            let subscribe = FromSubscriber::Subscribe {
+                interest: Interest::All,
+                have,
+                endpoints: endpoints.clone(),
+            };
+            tx.send(&subscribe)?;
+            match rx.receive::<FromReplica>().await {
+                Ok(FromReplica::Admitted { .. }) => {
+                    return Ok(Self::start(tx, rx, endpoints, counts));
+                }
+                refusal => {
+                    let bytes = tx.bytes();
+                    let bytes = bytes.sent + bytes.received;
+                    counts.refused_bytes.fetch_add(bytes, Ordering::Relaxed);
+                    let wait = match refusal {
+                        Ok(FromReplica::RetryAfter(wait)) => Duration::from_millis(wait.0),
+                        _ => RETRY_PAUSE,
+                    };
+                    task::sleep(wait).await;
+                }
+            }
+        }
+        Err(eyre::eyre!("daemon {at} was not admitted"))
+    }
+
+    fn start(tx: Sender, rx: Receiver, endpoints: Vec<Endpoint>, counts: Arc<Counts>) -> Self {
+        let config = Arc::new(AtomicU64::new(0));
+        let confirming = task::spawn(confirm(tx.clone(), rx, config.clone(), counts));
+        let renewing = task::spawn(renew(tx.clone(), endpoints));
+        Self {
+            tx,
+            config,
+            tasks: vec![confirming, renewing],
+        }
+    }
+
+    /// Returns the configuration version that was confirmed last.
+    pub(crate) fn config(&self) -> u64 {
+        self.config.load(Ordering::Acquire)
+    }
+
+    /// Returns the bytes of the link in both directions.
+    pub(crate) fn bytes(&self) -> u64 {
+        let bytes = self.tx.bytes();
+        bytes.sent + bytes.received
+    }
+
+    /// Ends the subscription.
+    pub(crate) async fn close(self) {
+        for task in self.tasks {
+            task.cancel().await;
+        }
+        self.tx.close();
+    }
+}
+
+async fn confirm(tx: Sender, mut rx: Receiver, config: Arc<AtomicU64>, counts: Arc<Counts>) {
+    while let Ok(message) = rx.receive::<FromReplica>().await {
+        let FromReplica::Update(delta) = message else {
+            continue;
+        };
+        counts.updates.fetch_add(1, Ordering::Relaxed);
+        if tx.send(&FromSubscriber::InForce(delta.to)).is_err() {
+            return;
+        }
+        config.store(delta.to.config.0, Ordering::Release);
+    }
+}
+
+async fn renew(tx: Sender, endpoints: Vec<Endpoint>) {
+    let message = FromSubscriber::Renew(endpoints);
+    loop {
+        task::sleep(Duration::from_millis(RENEW_INTERVAL.0)).await;
+        if tx.send(&message).is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/testbed/examples/capacity/main.rs
@@ -0,0 +1,89 @@
+//! Measures the slopes that `docs/CAPACITY.md` is worked out from, with the real code.
+//!
+//! Run it with `cargo run --release --example capacity`. `--only NAME` runs one group and
+//! `--json FILE` writes the points and the slopes to a file. Each measure has at least three sizes
+//! and several repeats; the table shows the median and the range of the repeats.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use bpaf::{OptionParser, Parser, construct, long};
+
+mod baseline;
+mod leader;
+mod light;
+mod meter;
+mod replica;
+mod reports;
+mod storage;
+mod subscribers;
+mod table;
+mod world;
+
+use table::Table;
+
+/// A group of measures and the function that takes them.
+type Group = (&'static str, fn(&mut Table) -> eyre::Result<()>);
+
+/// All groups, in the order in which they run. Groups that measure memory run first, since the
+/// allocator keeps what earlier groups have used.
+const GROUPS: [Group; 6] = [
+    ("view-memory", leader::view_memory),
+    ("distribution", subscribers::distribution),
+    ("herd", subscribers::herd),
+    ("leader", leader::leader),
+    ("reports", reports::reports),
+    ("storage", storage::storage),
+];
+
+/// Arguments of the program.
+#[derive(Clone, Debug)]
+struct Options {
+    json: Option<PathBuf>,
+    only: Option<String>,
+}
+
+fn main() -> ExitCode {
+    match run(&options().run()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("capacity: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn options() -> OptionParser<Options> {
+    let json = long("json")
+        .help("File for the points and slopes")
+        .argument::<PathBuf>("FILE")
+        .optional();
+    let only = long("only")
+        .help("Run this group only")
+        .argument::<String>("NAME")
+        .optional();
+    construct!(Options { json, only })
+        .to_options()
+        .descr("Measures the slopes behind docs/CAPACITY.md")
+}
+
+fn run(options: &Options) -> eyre::Result<()> {
+    let mut table = Table::default();
+    println!("{}", meter::machine());
+    let wanted = |name: &str| options.only.as_deref().is_none_or(|only| only == name);
+    let groups: Vec<&Group> = GROUPS.iter().filter(|(name, _)| wanted(name)).collect();
+    if groups.is_empty() {
+        let names: Vec<&str> = GROUPS.iter().map(|(name, _)| *name).collect();
+        eyre::bail!("no such group; the groups are {}", names.join(", "));
+    }
+    for (name, measure) in groups {
+        table.start_group(name);
+        measure(&mut table)?;
+        table.print_group();
+    }
+    println!("{}", meter::machine());
+    if let Some(path) = &options.json {
+        std::fs::write(path, table.to_json()?)?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/testbed/examples/capacity/subscribers.rs
@@ -0,0 +1,209 @@
+//! Costs of distribution over real links by the number of subscribers.
+//!
+//! Both ends of the links are in this process, so processor time and memory are those of the
+//! replica and of the links of its subscribers together. The subscribers decode updates and
+//! confirm them, but keep no view.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use async_std::task;
+use futures::future::join_all;
+use sycamoreflow_state::ids::ViewVersion;
+
+use crate::baseline::Baseline;
+use crate::light::{Counts, Light};
+use crate::meter::{Meter, resident_kib};
+use crate::replica::Replica;
+use crate::table::{Measure, Table, measure};
+
+const REPEATS: usize = 3;
+const SUBSCRIBERS: [usize; 3] = [10, 100, 1_000];
+/// Services and endpoints of the distributed view. Its full state has about 60 KB.
+const SERVICES: usize = 100;
+const CHANGES: usize = 10;
+const REST: Duration = Duration::from_secs(4);
+const LIMIT: Duration = Duration::from_secs(60);
+const HERD: usize = 1_000;
+const JOIN_RATES: [u32; 3] = [200, 400, 800];
+/// Joins a second while the subscribers of a measurement connect.
+const NO_JOIN_BOUND: u32 = 100_000;
+
+const MEMORY: Measure = measure("memory of all links (both ends)", "subscribers", "KiB");
+const REST_CPU: Measure = measure("processor time at rest per second", "subscribers", "us");
+const REST_BYTES: Measure = measure("bytes at rest per second", "subscribers", "B");
+const CHANGE_CPU: Measure = measure("processor time of a change", "subscribers", "us");
+const CHANGE_BYTES: Measure = measure("bytes of a change", "subscribers", "B");
+const CHANGE_TIME: Measure = measure("time of a change, all confirmed", "subscribers", "ms");
+const FULL_CPU: Measure = measure("full state: processor time", "subscribers", "us");
+const FULL_BYTES: Measure = measure("full state: bytes", "subscribers", "B");
+const FULL_TIME: Measure = measure("full state: time, all confirmed", "subscribers", "ms");
+const HERD_TIME: Measure = measure("herd of 1,000 with a view: time", "joins/s", "s");
+const HERD_BYTES: Measure = measure("herd of 1,000 with a view: bytes", "joins/s", "B");
+const HERD_CPU: Measure = measure("herd of 1,000 with a view: processor", "joins/s", "ms");
+const FRESH_TIME: Measure = measure("herd of 1,000 without a view: time", "joins/s", "s");
+const FRESH_BYTES: Measure = measure("herd of 1,000 without a view: bytes", "joins/s", "B");
+const FRESH_CPU: Measure = measure("herd of 1,000 without a view: processor", "joins/s", "ms");
+
+/// Measures changes and rest by the number of subscribers, beside the baseline.
+pub(crate) fn distribution(table: &mut Table) -> eyre::Result<()> {
+    for _ in 0..REPEATS {
+        for count in SUBSCRIBERS {
+            task::block_on(deltas(table, count))?;
+            task::block_on(full_states(table, count))?;
+        }
+    }
+    Ok(())
+}
+
+/// Measures the return of 1,000 daemons at once against the rate of joins.
+pub(crate) fn herd(table: &mut Table) -> eyre::Result<()> {
+    for _ in 0..2 {
+        for rate in JOIN_RATES {
+            task::block_on(return_at_once(table, rate, true))?;
+            task::block_on(return_at_once(table, rate, false))?;
+        }
+    }
+    Ok(())
+}
+
+/// Connects `count` subscribers that announce one endpoint each.
+async fn connect(
+    address: SocketAddr,
+    count: usize,
+    have: Option<ViewVersion>,
+    counts: &Arc<Counts>,
+) -> eyre::Result<Vec<Light>> {
+    let opening = (0..count).map(|at| Light::open(address, at, SERVICES, have, counts.clone()));
+    join_all(opening).await.into_iter().collect()
+}
+
+/// Waits until every subscriber has confirmed a version with this configuration.
+async fn confirmed(lights: &[Light], config: u64) -> eyre::Result<()> {
+    let end = Instant::now() + LIMIT;
+    for light in lights {
+        while light.config() < config {
+            if Instant::now() > end {
+                eyre::bail!("a subscriber did not confirm version {config}");
+            }
+            task::sleep(Duration::from_millis(1)).await;
+        }
+    }
+    Ok(())
+}
+
+/// Waits until no update arrives any more, as announcements lead to publications of their own.
+async fn settled(counts: &Counts) {
+    let mut last = u64::MAX;
+    loop {
+        let updates = counts.updates.load(Ordering::Relaxed);
+        if updates == last {
+            return;
+        }
+        last = updates;
+        task::sleep(Duration::from_millis(400)).await;
+    }
+}
+
+fn bytes(lights: &[Light]) -> f64 {
+    lights.iter().map(Light::bytes).sum::<u64>() as f64
+}
+
+async fn deltas(table: &mut Table, count: usize) -> eyre::Result<()> {
+    let size = count as f64;
+    let mut replica = Replica::start(SERVICES, NO_JOIN_BOUND).await?;
+    let counts = Arc::new(Counts::default());
+    let before = resident_kib();
+    let lights = connect(replica.address(), count, None, &counts).await?;
+    confirmed(&lights, 1).await?;
+    settled(&counts).await;
+    table.add(MEMORY, size, resident_kib() - before);
+
+    let sent = bytes(&lights);
+    let meter = Meter::process();
+    task::sleep(REST).await;
+    let seconds = meter.seconds();
+    let rest_cpu = meter.cpu_us() / seconds;
+    let rest_bytes = (bytes(&lights) - sent) / seconds;
+    table.add(REST_CPU, size, rest_cpu);
+    table.add(REST_BYTES, size, rest_bytes);
+
+    let sent = bytes(&lights);
+    let meter = Meter::process();
+    for _ in 0..CHANGES {
+        let start = Instant::now();
+        let version = replica.change().await?;
+        confirmed(&lights, version.0).await?;
+        table.add(CHANGE_TIME, size, start.elapsed().as_secs_f64() * 1e3);
+    }
+    let cpu = meter.cpu_us() - rest_cpu * meter.seconds();
+    let used = bytes(&lights) - sent - rest_bytes * meter.seconds();
+    table.add(CHANGE_CPU, size, cpu / CHANGES as f64);
+    table.add(CHANGE_BYTES, size, used / CHANGES as f64);
+    close(lights).await;
+    replica.stop().await;
+    Ok(())
+}
+
+async fn full_states(table: &mut Table, count: usize) -> eyre::Result<()> {
+    let size = count as f64;
+    let mut baseline = Baseline::start(SERVICES, count.min(SERVICES)).await?;
+    let counts = Arc::new(Counts::default());
+    let lights = connect(baseline.address(), count, None, &counts).await?;
+    let version = baseline.send_change()?;
+    confirmed(&lights, version).await?;
+    let sent = bytes(&lights);
+    let meter = Meter::process();
+    task::sleep(Duration::from_secs(1)).await;
+    let rest_cpu = meter.cpu_us() / meter.seconds();
+    let rest_bytes = (bytes(&lights) - sent) / meter.seconds();
+
+    let sent = bytes(&lights);
+    let meter = Meter::process();
+    for _ in 0..CHANGES {
+        let start = Instant::now();
+        let version = baseline.send_change()?;
+        confirmed(&lights, version).await?;
+        table.add(FULL_TIME, size, start.elapsed().as_secs_f64() * 1e3);
+    }
+    let cpu = meter.cpu_us() - rest_cpu * meter.seconds();
+    let used = bytes(&lights) - sent - rest_bytes * meter.seconds();
+    table.add(FULL_CPU, size, cpu / CHANGES as f64);
+    table.add(FULL_BYTES, size, used / CHANGES as f64);
+    close(lights).await;
+    baseline.stop().await;
+    Ok(())
+}
+
+async fn close(lights: Vec<Light>) {
+    for light in lights {
+        light.close().await;
+    }
+    // The other ends notice the closed links before the next measurement.
+    task::sleep(Duration::from_millis(200)).await;
+}
+
+async fn return_at_once(table: &mut Table, rate: u32, with_view: bool) -> eyre::Result<()> {
+    let replica = Replica::start(SERVICES, rate).await?;
+    let have = with_view.then(|| replica.hub().view().version());
+    let counts = Arc::new(Counts::default());
+    let meter = Meter::process();
+    let lights = connect(replica.address(), HERD, have, &counts).await?;
+    if !with_view {
+        confirmed(&lights, 1).await?;
+    }
+    let (time, cpu) = (meter.seconds(), meter.cpu_us() / 1e3);
+    let used = bytes(&lights) + counts.refused_bytes.load(Ordering::Relaxed) as f64;
+    let measures = match with_view {
+        true => [HERD_TIME, HERD_BYTES, HERD_CPU],
+        false => [FRESH_TIME, FRESH_BYTES, FRESH_CPU],
+    };
+    for (measure, value) in measures.into_iter().zip([time, used, cpu]) {
+        table.add(measure, f64::from(rate), value);
+    }
+    close(lights).await;
+    replica.stop().await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/testbed/examples/capacity/world.rs
@@ -0,0 +1,135 @@
+//! Configurations, endpoints and views of a given size.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use sycamoreflow_coordination::machine::{Command, ControlState};
+use sycamoreflow_state::config::{
+    FinishTime, LowTraffic, MeshConfig, RolloutRule, RouteConfig, ServiceConfig, Share,
+    TenantConfig,
+};
+use sycamoreflow_state::endpoint::Endpoint;
+use sycamoreflow_state::ids::{ConfigVersion, EndpointVersion, Millis, ViewVersion};
+use sycamoreflow_state::view::{Interest, Resource, ResourceKey, View};
+
+/// Services of the target mesh.
+pub(crate) const SERVICES: usize = 880;
+/// Sizes of the endpoint table.
+pub(crate) const ENDPOINTS: [usize; 3] = [1_000, 5_000, 14_000];
+
+/// Returns a configuration with three tenants and one route for each service.
+pub(crate) fn config(services: usize) -> MeshConfig {
+    let mut config = MeshConfig::default();
+    for tenant in ["grocers", "restaurants", "exporters"] {
+        config
+            .tenants
+            .insert(tenant.into(), TenantConfig { weight: 1 });
+    }
+    for at in 0..services {
+        let name = service(at);
+        let route = RouteConfig {
+            service: name.as_str().into(),
+            prefix: format!("/{name}"),
+            methods: vec!["GET".to_owned()],
+            idempotent: true,
+            tenants: vec!["grocers".into()],
+            timeout: Millis(1_000),
+        };
+        config
+            .services
+            .insert(name.as_str().into(), service_config());
+        config.routes.insert(name.as_str().into(), route);
+    }
+    config
+}
+
+/// Returns the name of a service.
+pub(crate) fn service(at: usize) -> String {
+    format!("service-{at:03}")
+}
+
+fn service_config() -> ServiceConfig {
+    ServiceConfig {
+        version: "v1".into(),
+        callers: Vec::new(),
+        rollout: RolloutRule {
+            steps: vec![Share::percent(1), Share::percent(10), Share::ALL],
+            finish: FinishTime::Within(Millis(600_000)),
+            watch: Millis(60_000),
+            max_extra_failures: Share::percent(1),
+            max_slowdown_percent: 200,
+            false_alarm: Share::percent(1),
+            low_traffic: LowTraffic::Finish,
+        },
+        min_endpoints: Share::percent(50),
+        retry_budget: Share::percent(10),
+    }
+}
+
+/// Changes one service of `config`, in a way that starts no rollout.
+pub(crate) fn change(config: &mut MeshConfig, step: u32) {
+    let at = step as usize % config.services.len();
+    if let Some((_, service)) = config.services.get_index_mut(at) {
+        service.retry_budget = Share(100_000 + step + 1);
+    }
+}
+
+/// Returns the endpoint of daemon `at`, one for each daemon, spread over the services.
+pub(crate) fn endpoint(at: usize, services: usize) -> Endpoint {
+    Endpoint {
+        daemon: daemon(at).as_str().into(),
+        service: service(at % services).as_str().into(),
+        version: "v1".into(),
+        data_centre: format!("region-{}-dc-{}", at % 7, at % 16).as_str().into(),
+        address: SocketAddr::from(([10, 0, (at / 250) as u8, (at % 250) as u8], 7_000)),
+        slots: 9,
+        draining: false,
+    }
+}
+
+/// Returns the name of a daemon.
+pub(crate) fn daemon(at: usize) -> String {
+    format!("daemon-{at:05}")
+}
+
+/// Returns a state that has accepted `config`.
+pub(crate) fn state(config: &MeshConfig) -> ControlState {
+    let mut state = ControlState::default();
+    state.apply(1, &approval(config, ConfigVersion(0), 1));
+    state
+}
+
+/// Returns the command that approves `config`.
+pub(crate) fn approval(config: &MeshConfig, base: ConfigVersion, number: u32) -> Command {
+    Command::Approve {
+        request: format!("capacity-{number}").into(),
+        base,
+        operator: "capacity".to_owned(),
+        answers: String::new(),
+        config: config.clone(),
+        at: Millis(1),
+    }
+}
+
+/// Returns a view with the target's services and `endpoints` endpoints.
+pub(crate) fn view(services: usize, endpoints: usize) -> View {
+    let mut view = View::new(Interest::All);
+    for (key, resource) in state(&config(services)).resources() {
+        view.insert(key, Arc::new(resource));
+    }
+    for at in 0..endpoints {
+        let endpoint = endpoint(at, services);
+        let key = ResourceKey::Endpoint(endpoint.daemon.clone(), endpoint.service.clone());
+        view.insert(key, Arc::new(Resource::Endpoint(endpoint)));
+    }
+    view.set_version(version(1, 1));
+    view
+}
+
+/// Returns a view version.
+pub(crate) fn version(config: u64, seq: u64) -> ViewVersion {
+    ViewVersion {
+        config: ConfigVersion(config),
+        endpoints: EndpointVersion { term: 1, seq },
+    }
+}
