--- /dev/null
+++ b/crates/testbed/examples/capacity/calls.rs
@@ -0,0 +1,170 @@
+//! Costs of calls through one and through two daemons, beside direct calls.
+//!
+//! The whole mesh is in this process. The processor time of a daemon is the difference between
+//! calls with it and without it at the same rate: one daemon (entry and owner in one) against
+//! direct calls, and two daemons against one. The load is open, and latency counts from the time at
+//! which a call was due.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use async_std::task;
+use bytes::Bytes;
+use futures::future::join_all;
+use hdrhistogram::Histogram;
+use http::Request;
+use parking_lot::Mutex;
+use sycamoreflow_testbed::caller;
+use sycamoreflow_testbed::mesh::Mesh;
+use sycamoreflow_testbed::upstream::{Behaviour, Upstream};
+use sycamoreflow_transport::http::client::Client;
+
+use crate::convergence::{ANSWERS, LIMIT, hosts};
+use crate::meter::Meter;
+use crate::table::{Measure, Table, measure};
+
+const REPEATS: usize = 3;
+const RATES: [u32; 3] = [500, 1_000, 2_000];
+const DURATION: Duration = Duration::from_millis(2_500);
+const SLOTS: u32 = 256;
+/// Longest latency that is recorded, in microseconds.
+const MAX_LATENCY_US: u64 = 10_000_000;
+/// Host of the upstream, and a host without one. The first three are control replicas.
+const OWNER: usize = 3;
+const ENTRY: usize = 4;
+
+const DIRECT_CPU: Measure = measure("direct: processor time of a call", "calls/s", "us");
+const ONE_CPU: Measure = measure("first daemon: processor time of a call", "calls/s", "us");
+const TWO_CPU: Measure = measure("second daemon: processor time of a call", "calls/s", "us");
+const DIRECT_50: Measure = measure("direct: latency p50", "calls/s", "us");
+const DIRECT_99: Measure = measure("direct: latency p99", "calls/s", "us");
+const ONE_50: Measure = measure("one daemon: added latency p50", "calls/s", "us");
+const ONE_99: Measure = measure("one daemon: added latency p99", "calls/s", "us");
+const TWO_50: Measure = measure("two daemons: added latency p50", "calls/s", "us");
+const TWO_99: Measure = measure("two daemons: added latency p99", "calls/s", "us");
+const FAILED: Measure = measure("calls without an answer of status 200", "calls/s", "calls");
+
+/// What one load measured.
+struct Load {
+    cpu_us: f64,
+    p50: f64,
+    p99: f64,
+    failed: u64,
+}
+
+/// Measures calls at several rates.
+pub(crate) fn calls(table: &mut Table) -> eyre::Result<()> {
+    task::block_on(measure_calls(table))
+}
+
+async fn measure_calls(table: &mut Table) -> eyre::Result<()> {
+    let mesh = Mesh::start("capacity-calls", &hosts(5)).await?;
+    let behaviour = Behaviour {
+        service_time: Duration::ZERO,
+        fails: false,
+    };
+    let announce = mesh.announce_address(OWNER);
+    let upstream = Upstream::start("catalogue", "v1", SLOTS, behaviour, announce).await?;
+    let operator = mesh.operator();
+    let approved = operator.approve("calls", ANSWERS, LIMIT).await?;
+    operator.converged(approved.version, 5, LIMIT).await?;
+    let targets = [
+        upstream.address(),
+        mesh.calls_address(OWNER),
+        mesh.calls_address(ENTRY),
+    ];
+    wait_until_served(&targets).await?;
+    for _ in 0..REPEATS {
+        for rate in RATES {
+            let direct = load(targets[0], rate).await?;
+            let one = load(targets[1], rate).await?;
+            let two = load(targets[2], rate).await?;
+            record(table, f64::from(rate), &direct, &one, &two);
+        }
+    }
+    upstream.kill().await;
+    Ok(())
+}
+
+fn record(table: &mut Table, rate: f64, direct: &Load, one: &Load, two: &Load) {
+    table.add(DIRECT_CPU, rate, direct.cpu_us);
+    table.add(ONE_CPU, rate, one.cpu_us - direct.cpu_us);
+    table.add(TWO_CPU, rate, two.cpu_us - one.cpu_us);
+    table.add(DIRECT_50, rate, direct.p50);
+    table.add(DIRECT_99, rate, direct.p99);
+    table.add(ONE_50, rate, one.p50 - direct.p50);
+    table.add(ONE_99, rate, one.p99 - direct.p99);
+    table.add(TWO_50, rate, two.p50 - direct.p50);
+    table.add(TWO_99, rate, two.p99 - direct.p99);
+    let failed = direct.failed + one.failed + two.failed;
+    table.add(FAILED, rate, failed as f64);
+}
+
+/// Waits until calls through both daemons are answered.
+async fn wait_until_served(targets: &[SocketAddr]) -> eyre::Result<()> {
+    let client = caller::client();
+    let end = Instant::now() + LIMIT;
+    for target in targets {
+        while !call(&client, *target).await {
+            if Instant::now() > end {
+                eyre::bail!("{target} did not answer a call");
+            }
+            task::sleep(Duration::from_millis(50)).await;
+        }
+    }
+    Ok(())
+}
+
+/// Sends calls at a fixed rate. A thread of its own paces them, since the timers of the runtime
+/// are too coarse for it.
+async fn load(target: SocketAddr, rate: u32) -> eyre::Result<Load> {
+    let client = caller::client();
+    let latency = Histogram::<u64>::new_with_bounds(1, MAX_LATENCY_US, 3)?;
+    let latency = Arc::new(Mutex::new(latency));
+    let failed = Arc::new(AtomicU64::new(0));
+    let count = (f64::from(rate) * DURATION.as_secs_f64()) as u32;
+    let meter = Meter::process();
+    let (counting, recording) = (failed.clone(), latency.clone());
+    let pacing = task::spawn_blocking(move || {
+        let start = Instant::now();
+        let mut pending = Vec::new();
+        for at in 0..count {
+            let due = start + Duration::from_secs_f64(f64::from(at) / f64::from(rate));
+            std::thread::sleep(due.saturating_duration_since(Instant::now()));
+            let (client, failed, latency) = (client.clone(), counting.clone(), recording.clone());
+            pending.push(task::spawn(async move {
+                if !call(&client, target).await {
+                    failed.fetch_add(1, Ordering::Relaxed);
+                    return;
+                }
+                let micros = due.elapsed().as_micros() as u64;
+                latency.lock().saturating_record(micros.max(1));
+            }));
+        }
+        pending
+    });
+    join_all(pacing.await).await;
+    let cpu_us = meter.cpu_us() / f64::from(count);
+    let latency = latency.lock();
+    Ok(Load {
+        cpu_us,
+        p50: latency.value_at_quantile(0.5) as f64,
+        p99: latency.value_at_quantile(0.99) as f64,
+        failed: failed.load(Ordering::Relaxed),
+    })
+}
+
+/// Sends one call and returns whether it was answered with status 200.
+async fn call(client: &Client, target: SocketAddr) -> bool {
+    let request = Request::get("/stock/harissa")
+        .header("sycamoreflow-tenant", "grocers")
+        .body(Bytes::new());
+    let Ok(request) = request else {
+        return false;
+    };
+    let limit = Instant::now() + Duration::from_secs(5);
+    let answer = client.send(target, request, limit).await;
+    answer.is_ok_and(|response| response.status() == 200)
+}
--- /dev/null
+++ b/crates/testbed/examples/capacity/convergence.rs
@@ -0,0 +1,134 @@
+//! Convergence of whole meshes by the number of daemons, and the costs of daemons at rest.
+//!
+//! All daemons are in this process: three control replicas with synced logs and, for each daemon,
+//! three witnesses of its floor.
+
+use std::time::{Duration, Instant};
+
+use async_std::task;
+use sycamoreflow_state::ids::ConfigVersion;
+use sycamoreflow_testbed::mesh::{Host, Mesh};
+
+use crate::meter::{Meter, resident_kib};
+use crate::table::{Measure, Table, measure};
+
+/// Answers with one service.
+pub(crate) const ANSWERS: &str = r#"
+mesh = "capacity"
+
+[[tenants]]
+name = "grocers"
+weight = 1
+
+[[services]]
+name = "catalogue"
+version = "v1"
+
+[[routes]]
+name = "stock"
+service = "catalogue"
+prefix = "/stock"
+methods = ["GET"]
+timeout = "1s"
+"#;
+
+/// Longest wait for a mesh.
+pub(crate) const LIMIT: Duration = Duration::from_secs(20);
+
+const REPEATS: usize = 2;
+const DAEMONS: [usize; 3] = [5, 15, 30];
+const CHANGES: usize = 5;
+const REST: Duration = Duration::from_secs(3);
+const DATA_CENTRES: [&str; 3] = ["sfax-a", "sfax-b", "sfax-c"];
+
+const EVERYWHERE: Measure = measure("approval sent to in force everywhere", "daemons", "ms");
+const LEADER_VIEW: Measure = measure("convergence as the leader measures it", "daemons", "ms");
+const MEMORY: Measure = measure("memory of the mesh", "daemons", "KiB");
+const REST_CPU: Measure = measure("processor time of the mesh per second", "daemons", "us");
+const REST_BYTES: Measure = measure("control bytes of all daemons per second", "daemons", "B");
+
+/// Returns hosts in three data centres.
+pub(crate) fn hosts(count: usize) -> Vec<Host> {
+    let host = |at: usize| Host {
+        daemon: format!("host-{at:02}"),
+        data_centre: DATA_CENTRES[at % 3].to_owned(),
+    };
+    (0..count).map(host).collect()
+}
+
+/// Measures meshes of several sizes.
+pub(crate) fn convergence(table: &mut Table) -> eyre::Result<()> {
+    let before = resident_kib();
+    for repeat in 0..REPEATS {
+        for count in DAEMONS {
+            // Later meshes of the same size reuse freed memory, so only the first ones count.
+            let before = (repeat == 0).then_some(before);
+            task::block_on(measure_mesh(table, count, before))?;
+        }
+    }
+    Ok(())
+}
+
+async fn measure_mesh(table: &mut Table, count: usize, before: Option<f64>) -> eyre::Result<()> {
+    let size = count as f64;
+    let mut mesh = Mesh::start("capacity", &hosts(count)).await?;
+    let operator = mesh.operator();
+    let first = operator.approve("first", ANSWERS, LIMIT).await?;
+    in_force(&mesh, first.version).await?;
+    task::sleep(Duration::from_secs(1)).await;
+    if let Some(before) = before {
+        table.add(MEMORY, size, resident_kib() - before);
+    }
+
+    let bytes = control_bytes(&mesh);
+    let meter = Meter::process();
+    task::sleep(REST).await;
+    table.add(REST_CPU, size, meter.cpu_us() / meter.seconds());
+    let used = control_bytes(&mesh) - bytes;
+    table.add(REST_BYTES, size, used / meter.seconds());
+
+    for change in 0..CHANGES {
+        let timeout = format!("timeout = \"{}ms\"", 1_001 + change);
+        let answers = ANSWERS.replace("timeout = \"1s\"", &timeout);
+        let start = Instant::now();
+        let approved = operator
+            .approve(&format!("change-{change}"), &answers, LIMIT)
+            .await?;
+        in_force(&mesh, approved.version).await?;
+        table.add(EVERYWHERE, size, start.elapsed().as_secs_f64() * 1e3);
+        let measured = operator
+            .converged(approved.version, count as u64, LIMIT)
+            .await?;
+        table.add(LEADER_VIEW, size, measured.0 as f64);
+    }
+    for at in 0..count {
+        mesh.kill(at).await;
+    }
+    Ok(())
+}
+
+/// Waits until every daemon of the mesh has a version in force.
+async fn in_force(mesh: &Mesh, version: ConfigVersion) -> eyre::Result<()> {
+    let end = Instant::now() + LIMIT;
+    for at in 0..mesh.len() {
+        let has = || {
+            let view = mesh.daemon(at).and_then(|daemon| daemon.proxy().view());
+            view.is_some_and(|view| view.version().config >= version)
+        };
+        while !has() {
+            if Instant::now() > end {
+                eyre::bail!("daemon {at} does not have version {version} in force");
+            }
+            task::sleep(Duration::from_millis(1)).await;
+        }
+    }
+    Ok(())
+}
+
+/// Returns the control bytes of all daemons in both directions. Each link is counted at the daemon
+/// that opened it.
+fn control_bytes(mesh: &Mesh) -> f64 {
+    let daemons = (0..mesh.len()).filter_map(|at| mesh.daemon(at));
+    let bytes = daemons.map(|daemon| daemon.control_traffic().bytes());
+    bytes.map(|b| (b.sent + b.received) as f64).sum()
+}
--- /dev/null
+++ b/crates/testbed/examples/capacity/proxies.rs
@@ -0,0 +1,105 @@
+//! Costs of a view at a daemon: preparation for calls by the number of endpoints, and the records
+//! that daemons keep for others.
+
+use std::sync::Arc;
+
+use sycamoreflow_coordination::floor::Witness;
+use sycamoreflow_daemon::proxy::Proxy;
+use sycamoreflow_daemon::proxy::links::CallLinks;
+use sycamoreflow_daemon::proxy::owner::{Owner, OwnerLimits};
+use sycamoreflow_protocol::codec;
+use sycamoreflow_state::ids::{ConfigVersion, DaemonId, Millis};
+use sycamoreflow_state::view::{Delta, View};
+use sycamoreflow_transport::http::client::{self, Client};
+use sycamoreflow_transport::link;
+
+use crate::meter::{Meter, resident_kib};
+use crate::replica::identity;
+use crate::table::{Measure, Table, measure};
+use crate::world;
+
+const REPEATS: usize = 3;
+/// Proxies that are held at once, so that memory is averaged over several.
+const PROXIES: usize = 4;
+
+const MEMORY: Measure = measure("memory of a proxy and its view", "endpoints", "KiB");
+const FIRST: Measure = measure("processor time of the first activation", "endpoints", "us");
+const NEXT: Measure = measure("processor time of an activation", "endpoints", "us");
+const STAGE: Measure = measure("processor time of a staged version", "daemons", "us");
+
+/// Measures proxies with views of several sizes. Every proxy decodes a copy of its own.
+pub(crate) fn proxies(table: &mut Table) -> eyre::Result<()> {
+    for _ in 0..REPEATS {
+        for endpoints in world::ENDPOINTS {
+            activate(table, endpoints)?;
+        }
+        for daemons in [3, 300, 14_000] {
+            stage(table, daemons);
+        }
+    }
+    Ok(())
+}
+
+fn proxy() -> eyre::Result<Proxy> {
+    let limits = OwnerLimits {
+        max_wait: Millis(100),
+        queue_per_slot: 4,
+    };
+    let address = world::endpoint(0, 1).address;
+    let client = Client::new(client::Limits::default());
+    let owner = Owner::new(
+        world::daemon(0).into(),
+        "dc".into(),
+        address,
+        limits,
+        client,
+    );
+    let links = CallLinks::new(identity(&world::daemon(0))?, link::Limits::default());
+    let daemon = world::daemon(0).into();
+    Ok(Proxy::new(daemon, "dc".into(), 1, links, Arc::new(owner)))
+}
+
+fn activate(table: &mut Table, endpoints: usize) -> eyre::Result<()> {
+    let size = endpoints as f64;
+    let frame = codec::encode(&Delta::full(&world::view(world::SERVICES, endpoints)))?;
+    let mut kept = Vec::new();
+    let before = resident_kib();
+    for _ in 0..PROXIES {
+        let delta: Delta = codec::decode(&frame)?;
+        let view = View::from_full(&sycamoreflow_state::view::Interest::All, &delta);
+        drop(delta);
+        let view =
+            view.map_err(|rejection| eyre::eyre!("a full state was rejected: {rejection}"))?;
+        let proxy = proxy()?;
+        let view = Arc::new(view);
+        let meter = Meter::thread();
+        proxy.activate(view.clone());
+        table.add(FIRST, size, meter.cpu_us());
+        let meter = Meter::thread();
+        proxy.activate(view);
+        table.add(NEXT, size, meter.cpu_us());
+        kept.push(proxy);
+    }
+    let each = (resident_kib() - before) / PROXIES as f64;
+    table.add(MEMORY, size, each);
+    // Freed memory would be reused by later measurements of memory, which would then show less.
+    std::mem::forget(kept);
+    Ok(())
+}
+
+fn stage(table: &mut Table, daemons: usize) {
+    let ids: Vec<DaemonId> = (0..daemons).map(|at| world::daemon(at).into()).collect();
+    let mut witness = Witness::default();
+    for id in &ids {
+        witness.stage(id, ConfigVersion(1));
+    }
+    let rounds = (14_000 / daemons).max(1);
+    let meter = Meter::thread();
+    for round in 0..rounds {
+        for id in &ids {
+            witness.stage(id, ConfigVersion(2 + round as u64));
+        }
+    }
+    let count = (rounds * daemons) as f64;
+    table.add(STAGE, daemons as f64, meter.cpu_us() / count);
+}
--- a/crates/testbed/examples/capacity/reports.rs
+++ b/crates/testbed/examples/capacity/reports.rs
@@ -22,7 +22,7 @@
 
 const REPORT: Measure = measure("processor time of a report", "daemons", "us");
 const TICK: Measure = measure("processor time of a tick of the pacer", "daemons", "us");
-const REPORT_ROUTES: Measure = measure("processor time of a report", "routes", "us");
+const REPORT_ROUTES: Measure = measure("processor time of a report by routes", "routes", "us");
 const BYTES: Measure = measure("bytes of a report", "routes", "B");
 
 /// Measures reports by the number of daemons and of routes.
