--- a/crates/testbed/examples/capacity/main.rs
+++ b/crates/testbed/examples/capacity/main.rs
@@ -35,11 +35,11 @@
     ("convergence", convergence::convergence),
     ("view-memory", leader::view_memory),
     ("proxies", proxies::proxies),
+    ("keys", keys::keys),
     ("distribution", subscribers::distribution),
     ("herd", subscribers::herd),
     ("leader", leader::leader),
     ("reports", reports::reports),
-    ("keys", keys::keys),
     ("storage", storage::storage),
     ("calls", calls::calls),
 ];
