--- a/crates/testbed/src/mesh.rs
+++ b/crates/testbed/src/mesh.rs
@@ -52,8 +52,17 @@
     ///
     /// If an address can't be bound or a folder can't be made.
     pub async fn start(name: &str, hosts: &[Host]) -> eyre::Result<Self> {
+        Self::start_with(name, hosts, REPLICAS).await
+    }
+
+    /// Starts daemons on `hosts`. The first `replicas` are control replicas, of which three vote.
+    ///
+    /// # Errors
+    ///
+    /// If an address can't be bound or a folder can't be made.
+    pub async fn start_with(name: &str, hosts: &[Host], replicas: usize) -> eyre::Result<Self> {
         let folder = tempfile::tempdir()?;
-        let settings = settings(name, hosts, folder.path())?;
+        let settings = settings(name, hosts, replicas, folder.path())?;
         let mut mesh = Self {
             daemons: Vec::new(),
             settings,
@@ -129,7 +138,14 @@
 }
 
 /// Makes the settings of the daemons on `hosts` and writes the secrets that they name into `folder`.
-pub(crate) fn settings(name: &str, hosts: &[Host], folder: &Path) -> eyre::Result<Vec<Settings>> {
+/// Returns the settings of a mesh whose first `replicas` hosts are control replicas. The first
+/// [`REPLICAS`] of them vote.
+pub(crate) fn settings(
+    name: &str,
+    hosts: &[Host],
+    replicas: usize,
+    folder: &Path,
+) -> eyre::Result<Vec<Settings>> {
     fs::write(folder.join("mesh.key"), MESH_KEY)?;
     fs::write(folder.join("operator.token"), OPERATOR_TOKEN)?;
     let ports = free_addresses(hosts.len() * 4)?;
@@ -137,11 +153,12 @@
         daemon: hosts[at].daemon.as_str().into(),
         link: ports[at * 4 + 1],
     };
-    let replicas: Vec<ReplicaAddress> = (0..REPLICAS).map(link_of).collect();
-    let voters: Vec<_> = replicas.iter().map(|r| r.daemon.clone()).collect();
+    let addresses: Vec<ReplicaAddress> = (0..replicas).map(link_of).collect();
+    let voters = addresses.iter().take(REPLICAS);
+    let voters: Vec<_> = voters.map(|r| r.daemon.clone()).collect();
     let mut settings = Vec::new();
     for (at, host) in hosts.iter().enumerate() {
-        let control = (at < REPLICAS).then(|| ControlSettings {
+        let control = (at < replicas).then(|| ControlSettings {
             data: folder.join(&host.daemon),
             voters: voters.clone(),
             joins_per_second: 200,
@@ -157,9 +174,9 @@
                 calls: ports[at * 4],
                 link: ports[at * 4 + 1],
                 announce: ports[at * 4 + 2],
-                operator: (at < REPLICAS).then_some(ports[at * 4 + 3]),
+                operator: (at < replicas).then_some(ports[at * 4 + 3]),
             },
-            control_replicas: replicas.clone(),
+            control_replicas: addresses.clone(),
             control,
             floor: FloorSettings {
                 witnesses: witnesses.collect(),
--- a/crates/testbed/src/process.rs
+++ b/crates/testbed/src/process.rs
@@ -40,7 +40,7 @@
     /// If a settings file can't be written or a process can't be started.
     pub fn start(program: &str, name: &str, hosts: &[Host]) -> eyre::Result<Self> {
         let folder = tempfile::tempdir()?;
-        let settings = settings(name, hosts, folder.path())?;
+        let settings = settings(name, hosts, REPLICAS, folder.path())?;
         let mut mesh = Self {
             program: program.into(),
             processes: settings.iter().map(|_| None).collect(),
