Reuse routes while only endpoints change, ask for the full state after a divergence

Cause: every change of an endpoint built the route table again and compared every link with every endpoint; a subscriber whose view had diverged asked for changes on the same version again. Change: routes are kept while the configuration version stays; sets replace the nested searches; a subscription after a failed digest asks for the full state, which may replace a view of the same version but never a newer one.

--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -4,7 +4,7 @@
 //! the rules of `docs/design.md`, section 2; the owner role runs calls at the upstream beside the
 //! daemon.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -72,7 +72,7 @@
 #[derive(Debug)]
 struct Active {
     view: Arc<View>,
-    routes: RouteTable,
+    routes: Arc<RouteTable>,
 }
 
 /// A request that has passed all checks of the entry role.
@@ -157,7 +157,7 @@
             let of_service = endpoints.entry(&endpoint.service).or_default();
             of_service.push(endpoint.clone());
         }
-        let mut used = Vec::new();
+        let mut used = HashSet::new();
         for (name, config) in view.services() {
             let Some(split) = view.traffic(name) else {
                 continue;
@@ -167,23 +167,33 @@
             });
             let endpoints = endpoints.remove(name).unwrap_or_default();
             service.update(config, split, &endpoints);
-            used.push(name);
+            used.insert(name);
         }
         self.keys.update(self.view().as_deref(), &view);
         self.owner.set_weights(tenant_weights(&view));
         self.owner.follow_marks(&view);
-        let routes = RouteTable::new(&view);
         let active = Active {
+            routes: self.routes_of(&view),
             view: view.clone(),
-            routes,
         };
         self.active.store(Some(Arc::new(active)));
-        self.services.write().retain(|name, _| used.contains(&name));
-        self.links
-            .retain(|daemon| view.endpoints().any(|endpoint| endpoint.daemon == *daemon));
+        self.services.write().retain(|name, _| used.contains(name));
+        let daemons: HashSet<&DaemonId> = view.endpoints().map(|e| &e.daemon).collect();
+        self.links.retain(|daemon| daemons.contains(daemon));
         metrics::gauge!("sycamoreflow_view_config_version").set(view.version().config.0 as f64);
     }
 
+    /// Returns the routes of a view. Those in force are used again if only endpoints have changed.
+    fn routes_of(&self, view: &View) -> Arc<RouteTable> {
+        let active = self.active.load();
+        if let Some(active) = active.as_ref()
+            && active.view.version().config == view.version().config
+        {
+            return active.routes.clone();
+        }
+        Arc::new(RouteTable::new(view))
+    }
+
     /// Serves a request of a caller.
     pub async fn serve(self: &Arc<Self>, req: Request<Bytes>) -> Response<Bytes> {
         let started = Instant::now();
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -91,7 +91,7 @@
 pub struct ControlSettings {
     /// Folder for the replica's own state.
     pub data: PathBuf,
-    /// Voters of a new group. Used only when the data folder is new.
+    /// Replicas that vote. They found the group; others serve subscribers only.
     pub voters: Vec<DaemonId>,
     /// Subscriptions that this replica admits per second.
     #[serde(default = "default_joins_per_second")]
--- a/crates/daemon/src/subscriber.rs
+++ b/crates/daemon/src/subscriber.rs
@@ -52,6 +52,8 @@
     RetryAfter(Millis),
     NoQuorum,
     NotAdmitted,
+    /// The own view can't be brought up to date by changes.
+    Diverged,
 }
 
 impl fmt::Display for Ended {
@@ -62,6 +64,7 @@
             Self::RetryAfter(wait) => write!(f, "the replica is busy for {} ms", wait.0),
             Self::NoQuorum => f.write_str("the replica has no quorum"),
             Self::NotAdmitted => f.write_str("the subscription was not admitted"),
+            Self::Diverged => f.write_str("the own view differs from that of the replica"),
         }
     }
 }
@@ -110,6 +113,7 @@
         let mut rng = StdRng::seed_from_u64(self.seed);
         let mut bound = BACKOFF_MIN;
         let mut order: Vec<usize> = Vec::new();
+        let mut diverged = false;
         let mut unserved_since = clock::now();
         let mut warned = false;
         loop {
@@ -123,7 +127,8 @@
             };
             let replica = &self.replicas[next];
             let started = clock::now();
-            let ended = self.subscribe(replica).await;
+            let ended = self.subscribe(replica, diverged).await;
+            diverged = matches!(ended, Ended::Diverged);
             metrics::counter!("sycamoreflow_subscriptions_ended_total").increment(1);
             if clock::now().since(started) > BACKOFF_MAX {
                 bound = BACKOFF_MIN;
@@ -164,7 +169,7 @@
         self.enforce(view).await;
     }
 
-    async fn subscribe(&self, replica: &ReplicaAddress) -> Ended {
+    async fn subscribe(&self, replica: &ReplicaAddress, diverged: bool) -> Ended {
         let opened = link::connect(
             replica.link,
             &self.identity,
@@ -176,7 +181,7 @@
             Err(error) => return Ended::Link(error),
         };
         let meter = LinkMeter::new(self.traffic.clone());
-        let result = self.follow(&tx, rx, &meter).await;
+        let result = self.follow(&tx, rx, &meter, diverged).await;
         meter.update(tx.bytes());
         match result {
             Ok(()) => Ended::Link(LinkError::Closed),
@@ -184,10 +189,17 @@
         }
     }
 
-    async fn follow(&self, tx: &Sender, mut rx: Receiver, meter: &LinkMeter) -> Result<()> {
+    async fn follow(
+        &self,
+        tx: &Sender,
+        mut rx: Receiver,
+        meter: &LinkMeter,
+        diverged: bool,
+    ) -> Result<()> {
+        let view = self.proxy.view().filter(|_| !diverged);
         tx.send(&FromSubscriber::Subscribe {
             interest: self.interest.clone(),
-            have: self.proxy.view().map(|view| view.version()),
+            have: view.map(|view| view.version()),
             endpoints: self.proxy.owner().endpoints(),
         })?;
         self.wait_for_admission(&mut rx).await?;
@@ -251,8 +263,8 @@
                 match rejection {
                     // The content itself is wrong, so another copy would be no better.
                     Rejection::Invalid(_) => Ok(()),
-                    // A new subscription starts from the version that this daemon has.
-                    _ => Err(Ended::NotAdmitted),
+                    // A new subscription asks for the full state.
+                    _ => Err(Ended::Diverged),
                 }
             }
         }
@@ -260,6 +272,10 @@
 
     fn apply(&self, delta: &Delta) -> std::result::Result<View, Rejection> {
         match self.proxy.view() {
+            // A full state replaces the own view also if that has diverged, but never by an older one.
+            Some(own) if delta.from.is_none() && delta.to.is_at_least(&own.version()) => {
+                View::from_full(&self.interest, delta)
+            }
             Some(own) => own.apply(delta),
             None => View::from_full(&self.interest, delta),
         }
