--- a/crates/daemon/src/proxy/keys.rs
+++ b/crates/daemon/src/proxy/keys.rs
@@ -3,7 +3,7 @@
 //! The decisions are those of [`sycamoreflow_coordination::dedup`]; this module carries their
 //! messages and follows the groups of holders in the view (`docs/design.md`, section 2.5).
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -205,6 +205,9 @@
                 .or_insert_with(|| self.new_holder(before, service, group));
             holder.set_group(clock::now(), group.clone());
         }
+        if holders.is_empty() {
+            return;
+        }
         for lost in lost_daemons(before, view) {
             for holder in holders.values_mut() {
                 holder.claimer_lost(&lost);
@@ -377,16 +380,17 @@
 }
 
 /// Returns the daemons whose last endpoint has gone.
+///
+/// It is called for every change of endpoints, so it must not compare each one with each other: that
+/// took 2.5 s at 14,000 endpoints.
 fn lost_daemons(before: Option<&View>, view: &View) -> Vec<DaemonId> {
     let Some(before) = before else {
         return Vec::new();
     };
-    let mut lost = Vec::new();
-    for endpoint in before.endpoints() {
-        let remains = view.endpoints().any(|e| e.daemon == endpoint.daemon);
-        if !remains && !lost.contains(&endpoint.daemon) {
-            lost.push(endpoint.daemon.clone());
-        }
-    }
-    lost
+    let remaining: HashSet<&DaemonId> = view.endpoints().map(|e| &e.daemon).collect();
+    let known: HashSet<&DaemonId> = before.endpoints().map(|e| &e.daemon).collect();
+    known
+        .difference(&remaining)
+        .map(|id| (*id).clone())
+        .collect()
 }
