Say in status whether the group survives one more loss

Cause: operators had to count voters, reachability and log positions to know whether a repair was complete. Conclusion: a repair is reported as complete only when one more voter may go.

--- a/crates/cli/tests/cli/watch.rs
+++ b/crates/cli/tests/cli/watch.rs
@@ -152,6 +152,7 @@
 
 replicas
   c1  voter  reachable  log 12
+  one more loss stops changes; see docs/control-group.md
 
 rollouts
   orders  v1 -> v2  taken-back  25%  by 2026-12-04T09:00:00Z  failures
--- a/crates/state/src/operator.rs
+++ b/crates/state/src/operator.rs
@@ -27,6 +27,13 @@
 /// `POST`, [`DrainRequest`] to [`DrainResponse`].
 pub const DRAIN_PATH: &str = "/v1/drain";
 
+/// Log entries by which a voter may lag and still count as caught up. It receives them within a
+/// heartbeat.
+const MAX_LAG: u64 = 16;
+
+#[cfg(test)]
+mod tests;
+
 /// Asks to put a configuration in force.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case")]
@@ -91,6 +98,20 @@
     pub rollouts: Vec<RolloutStatus>,
 }
 
+impl StatusResponse {
+    /// Returns whether the control group goes on accepting changes if it loses any one more voter.
+    ///
+    /// Only voters count that are in reach and have caught up: a replaced replica that is still
+    /// copying the log can't stand in for another one yet.
+    pub fn survives_one_loss(&self) -> bool {
+        let voters: Vec<_> = self.replicas.iter().filter(|r| r.voter).collect();
+        let newest = voters.iter().map(|r| r.log_index).max().unwrap_or(0);
+        let caught_up = |r: &&&ReplicaStatus| r.reachable && r.log_index + MAX_LAG >= newest;
+        let usable = voters.iter().filter(caught_up).count();
+        usable > voters.len() / 2 + 1
+    }
+}
+
 /// State of a control replica as the leader sees it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
