Give the leading part of a replica a module of its own

Change: what a replica does as the leader moves to replica/leading.rs, unchanged. Conclusion: one job per file.

--- /dev/null
+++ b/crates/daemon/src/control/replica/leading.rs
@@ -0,0 +1,103 @@
+//! What a replica does as the leader, and for it: publications, grants, admissions, and the messages
+//! of subscribers.
+
+use std::sync::Arc;
+
+use sycamoreflow_coordination::raft::{Input, MemberChange, Standing};
+use sycamoreflow_coordination::shares::Grant;
+use sycamoreflow_coordination::suspect::SuspectReport;
+use sycamoreflow_protocol::replica::{Forwarded, ReplicaMessage};
+use sycamoreflow_state::ids::{DaemonId, Millis};
+use sycamoreflow_state::view::View;
+
+use super::event::Waiting;
+use super::{Replica, Stored};
+use crate::clock;
+use crate::control::hub::SessionCommand;
+use crate::control::leader::Leader;
+
+/// How often the leader looks for replicas that it has to admit.
+const ADMISSION_INTERVAL: Millis = Millis(1_000);
+
+impl Replica {
+    /// Admits a replica of the settings that is no member yet: as a voter if the settings say so,
+    /// else to serve subscribers. Only one change of members can be under way, and the log refuses
+    /// replicas that have not contacted this leader.
+    pub(super) fn admit_replica(&mut self, now: Millis) -> Stored {
+        if now < self.next_admission {
+            return Ok(());
+        }
+        self.next_admission = now.after(ADMISSION_INTERVAL);
+        let members = &self.raft.members().members;
+        let mut replicas = self.group.replicas.iter();
+        let Some(id) = replicas.find(|id| !members.contains_key(*id)).cloned() else {
+            return Ok(());
+        };
+        // Another one is tried next time if this one has not been started.
+        self.group.replicas.rotate_left(1);
+        let change = MemberChange::AddLearner {
+            promote: self.group.voters.contains(&id),
+            id,
+        };
+        let token = self.wait(Waiting::Nobody);
+        self.step(Input::ChangeMembers { token, change })
+    }
+
+    /// Starts to lead once an entry of the own term is applied: then the state contains all that
+    /// was accepted before.
+    pub(super) fn lead_if_ready(&mut self, entry_term: u64) {
+        let is_ready = self.standing == Standing::Leader && entry_term == self.term;
+        if !is_ready || self.leader.is_some() {
+            return;
+        }
+        let followed = self.hub.view();
+        let accepted = self.state.version();
+        self.leader = Some(Leader::new(clock::now(), self.term, &followed, accepted));
+    }
+
+    pub(super) fn publish(&mut self) {
+        let Some(leader) = &mut self.leader else {
+            return;
+        };
+        let view: Option<View> = leader.publication(clock::now(), &self.state);
+        if let Some(view) = view {
+            self.hub.publish(view);
+        }
+    }
+
+    pub(super) fn take_forwarded(&mut self, messages: Vec<Forwarded>) {
+        if let Some(leader) = &mut self.leader {
+            for message in messages {
+                leader.take(clock::now(), clock::unix_now(), message);
+            }
+            return;
+        }
+        // Without a leader the messages are lost; renewals and reports are repeated.
+        if let Some(id) = self.leader_id.as_ref().filter(|id| **id != self.id) {
+            self.peers.send(id, &ReplicaMessage::Forward(messages));
+        }
+    }
+
+    pub(super) fn send_grants(&mut self, grants: Vec<(DaemonId, Grant)>) {
+        if grants.is_empty() {
+            return;
+        }
+        let elsewhere = self.hub.grant(grants);
+        if elsewhere.is_empty() {
+            return;
+        }
+        let message = ReplicaMessage::Grants(elsewhere);
+        self.peers.send_to_all(&message);
+    }
+
+    /// Hands a report to all subscribers of the group. It needs no order and no leader, since
+    /// merging it is idempotent.
+    pub(super) fn spread_suspects(&self, report: SuspectReport, from_subscriber: bool) {
+        if from_subscriber {
+            self.peers
+                .send_to_all(&ReplicaMessage::Suspects(report.clone()));
+        }
+        let command = SessionCommand::Suspects(Arc::new(report));
+        self.hub.command_all(&command);
+    }
+}
