Remove dead state and keep the exit codes in one place

Cause: the read-through of the whole change found a flag that was only written (Daemon::draining), two accessors without a caller (Keys::is_ready, Leader::pacer), the list of exit codes written twice in the client, and the same encoding twice in the state machine.

Conclusion: no behaviour changes.

--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -16,8 +16,8 @@
 pub mod status;
 pub mod watch;
 
-/// Order of the commands and the exit codes, for the help text.
-const HELP: &str = "A first configuration:
+/// Order of the commands, for the help text.
+const FIRST_STEPS: &str = "A first configuration:
   sycamoreflow init --template         writes answers.toml, to be edited
   sycamoreflow check answers.toml      lists its problems, offline
   sycamoreflow plan answers.toml       shows what would change
@@ -26,18 +26,7 @@
  
 All commands but init and check need the operator address of a control replica (--address or \
 SYCAMOREFLOW_ADDRESS) and the operator token (--token-file, SYCAMOREFLOW_TOKEN_FILE or \
-SYCAMOREFLOW_TOKEN).
- 
-Exit codes:
-  0  success
-  1  failure
-  2  wrong usage
-  3  conflict with a newer version of the configuration
-  4  invalid answers
-  5  no daemon reachable
-  6  the watched rollout was taken back
- 
-Documentation: docs/commands.md";
+SYCAMOREFLOW_TOKEN).";
 
 /// A command with its arguments.
 #[derive(Clone, Debug)]
@@ -109,12 +98,14 @@
         "Give the endpoints at a daemon no new work",
         drain::options().map(Command::Drain),
     );
+    let exit_codes = exit::HELP;
+    let footer = format!("{FIRST_STEPS}\n \n{exit_codes}\n \nDocumentation: docs/commands.md");
     construct!([
         init, check, plan, approve, status, watch, history, endpoints, drain
     ])
     .to_options()
     .descr("Configures a service mesh from the answers to a questionnaire.")
-    .footer(HELP)
+    .footer(footer.as_str())
     .version(env!("CARGO_PKG_VERSION"))
 }
 
--- a/crates/coordination/src/machine.rs
+++ b/crates/coordination/src/machine.rs
@@ -74,9 +74,7 @@
 impl Command {
     /// Encodes the command for the log.
     pub fn encode(&self) -> Result<Vec<u8>, CodecError> {
-        let mut buf = Vec::new();
-        ciborium::into_writer(self, &mut buf)?;
-        Ok(buf)
+        encode(self)
     }
 
     /// Decodes a command from the log.
@@ -391,9 +389,7 @@
 
     /// Encodes the state for a snapshot.
     pub fn encode(&self) -> Result<Vec<u8>, CodecError> {
-        let mut buf = Vec::new();
-        ciborium::into_writer(self, &mut buf)?;
-        Ok(buf)
+        encode(self)
     }
 
     /// Decodes the state of a snapshot.
@@ -416,3 +412,9 @@
 fn refused(reason: String) -> Outcome {
     Outcome::Refused { reason }
 }
+
+fn encode<T: Serialize>(value: &T) -> Result<Vec<u8>, CodecError> {
+    let mut buf = Vec::new();
+    ciborium::into_writer(value, &mut buf)?;
+    Ok(buf)
+}
--- a/crates/daemon/src/control/leader.rs
+++ b/crates/daemon/src/control/leader.rs
@@ -208,11 +208,6 @@
         &self.leases
     }
 
-    /// Returns the pace of rollouts.
-    pub fn pacer(&self) -> &Pacer {
-        &self.pacer
-    }
-
     /// Returns how far the accepted version has come.
     pub fn convergence(&self, approved: ConfigVersion) -> Convergence {
         let version = approved;
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use async_lock::{Semaphore, SemaphoreGuardArc};
@@ -78,7 +77,6 @@
     interfaces: Vec<OperatorHandle>,
     traffic: Arc<Traffic>,
     addresses: Addresses,
-    draining: Arc<AtomicBool>,
     endpoints_changed: channel::Sender<()>,
     tasks: Vec<JoinHandle<()>>,
     drain_timeout: Duration,
@@ -197,7 +195,6 @@
             interfaces,
             traffic,
             addresses,
-            draining: Arc::new(AtomicBool::new(false)),
             endpoints_changed: changed_tx,
             tasks,
             drain_timeout: Duration::from_millis(settings.limits.drain_timeout_ms),
@@ -223,7 +220,6 @@
     /// are told before the listeners close. Returns the number of calls that were cut because they
     /// did not finish in time.
     pub async fn drain(mut self) -> usize {
-        self.draining.store(true, Ordering::SeqCst);
         let limit = Instant::now() + self.drain_timeout;
         self.proxy.owner().drain();
         let _ = self.endpoints_changed.try_send(());
--- a/crates/daemon/src/proxy/keys.rs
+++ b/crates/daemon/src/proxy/keys.rs
@@ -182,11 +182,6 @@
             .unwrap_or(Err(Failure::may_have_run(Reason::Draining)))
     }
 
-    /// Returns whether the keys of all services that this daemon holds can be claimed here.
-    pub fn is_ready(&self) -> bool {
-        self.holders.lock().values().all(KeyHolder::is_ready)
-    }
-
     fn update_holders(
         &self,
         before: Option<&View>,
