--- a/crates/coordination/src/admission.rs
+++ b/crates/coordination/src/admission.rs
@@ -39,6 +39,8 @@
     pub queue_per_slot: u32,
     /// Longest time that a call waits in the queue.
     pub max_wait: Millis,
+    /// Whether the limit falls below the slots while answers are slow.
+    pub reduces_when_slow: bool,
 }
 
 impl AdmissionConfig {
@@ -49,10 +51,22 @@
             weights: Vec::new(),
             queue_per_slot: 2,
             max_wait: Millis(50),
+            reduces_when_slow: true,
         }
     }
 }
 
+/// How urgent a call is, for [`Admission::offer_urgent`].
+#[derive(Clone, Copy, Debug)]
+pub struct Urgency {
+    /// Rank; calls of lower rank start first.
+    pub priority: u32,
+    /// When the answer must be there for the call to be worth a place in the queue.
+    pub due: Millis,
+    /// Time that the call is expected to take at the upstream.
+    pub expected: Micros,
+}
+
 /// What to do with an offered call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Decision {
@@ -117,7 +131,7 @@
     /// Makes the admission state of an idle upstream.
     pub fn new(cfg: AdmissionConfig) -> Self {
         Self {
-            limit: Limit::new(cfg.slots),
+            limit: Limit::new(cfg.slots).reducing_when_slow(cfg.reduces_when_slow),
             cfg,
             running: BTreeMap::new(),
             queue: Queue::default(),
@@ -150,6 +164,7 @@
         }
         let waiting = Waiting {
             id,
+            priority: 0,
             deadline,
             until: deadline.min(now.after(self.cfg.max_wait)),
         };
@@ -157,6 +172,67 @@
         Decision::Queued
     }
 
+    /// Decides about a new call as [`Admission::offer`] does, but places it in the queue by its
+    /// urgency, and only if it can be answered when it is due. A call that can't is refused at
+    /// once, so that its caller loses no time. A queued call waits for as long as its deadline
+    /// leaves time to run it.
+    pub fn offer_urgent(
+        &mut self,
+        now: Millis,
+        id: CallId,
+        tenant: &TenantName,
+        deadline: Millis,
+        urgency: Urgency,
+    ) -> Decision {
+        if let Some(reason) = self.refusal(now, id, deadline) {
+            return Decision::Refused(Failure::not_run(reason));
+        }
+        self.queue.enter(tenant, self.weight(tenant));
+        if self.queue.len() == 0 && self.running.len() < self.limit.get() {
+            self.start(now, id, tenant);
+            return Decision::Start;
+        }
+        let expected = Millis(urgency.expected.0 / 1_000);
+        let wait = self.expected_wait(urgency.priority);
+        if now.after(wait).after(expected) > urgency.due {
+            self.queue.leave(tenant);
+            return Decision::Refused(Failure::not_run(Reason::Overloaded));
+        }
+        let waiting = Waiting {
+            id,
+            priority: urgency.priority,
+            deadline,
+            until: Millis(deadline.0.saturating_sub(expected.0)).max(now.after(Millis(1))),
+        };
+        self.queue.push(tenant, waiting);
+        Decision::Queued
+    }
+
+    /// Returns how long a new call of this rank is expected to wait for a slot.
+    pub fn expected_wait(&self, priority: u32) -> Millis {
+        if self.queue.len() == 0 && self.running.len() < self.limit.get() {
+            return Millis(0);
+        }
+        let ahead = self.queue.len_up_to(priority) as u64 + 1;
+        let service = self.limit.recent_latency().0;
+        Millis(ahead * service / self.limit.get().max(1) as u64 / 1_000)
+    }
+
+    /// Returns the mean time of recent answers.
+    pub fn recent_latency(&self) -> Micros {
+        self.limit.recent_latency()
+    }
+
+    /// Takes all calls out of the queue, because their upstream is leaving.
+    pub fn refuse_queued(&mut self) -> Vec<Released> {
+        let queued = self.queue.clear();
+        let failure = Failure::not_run(Reason::Draining);
+        let released = queued.into_iter();
+        released
+            .map(|waiting| Released::Refused(waiting.id, failure))
+            .collect()
+    }
+
     /// Frees the slot of a started call and returns the calls that leave the queue.
     pub fn finish(&mut self, now: Millis, id: CallId, result: UpstreamResult) -> Vec<Released> {
         let count = self.running.len();
--- a/crates/coordination/src/admission/limit.rs
+++ b/crates/coordination/src/admission/limit.rs
@@ -34,6 +34,7 @@
     shed_at: Option<usize>,
     recent: f64,
     usual: f64,
+    reduces_when_slow: bool,
     reduced: Option<Millis>,
 }
 
@@ -46,10 +47,17 @@
             shed_at: None,
             recent: 0.0,
             usual: 0.0,
+            reduces_when_slow: true,
             reduced: None,
         }
     }
 
+    /// Sets whether slow answers lower the limit.
+    pub(super) fn reducing_when_slow(mut self, reduces: bool) -> Self {
+        self.reduces_when_slow = reduces;
+        self
+    }
+
     /// Returns the number of calls that may run at once.
     pub(super) fn get(&self) -> usize {
         self.limit as usize
@@ -83,7 +91,7 @@
         let sample = latency.min(self.recent * 10.0 + 1_000.0);
         self.recent += (sample - self.recent) * RECENT_WEIGHT;
         self.usual += (sample - self.usual) * USUAL_WEIGHT;
-        if self.recent > self.usual * SLOW_RATIO {
+        if self.reduces_when_slow && self.recent > self.usual * SLOW_RATIO {
             self.reduce(now, SLOW_FACTOR, f64::from(self.slots) * SLOW_FLOOR);
         } else if running >= self.get() {
             self.rise(running);
--- a/crates/coordination/src/admission/queue.rs
+++ b/crates/coordination/src/admission/queue.rs
@@ -2,7 +2,7 @@
 //!
 //! Each tenant has a virtual time: the slot time that it has used, divided by its weight. The next
 //! slot goes to the queued tenant with the lowest virtual time, and within the tenant to the
-//! earliest deadline. A tenant that becomes active starts at the virtual time of the latest start,
+//! lowest rank and then to the earliest deadline. A tenant that becomes active starts at the virtual time of the latest start,
 //! so idle time earns no credit.
 
 use std::collections::BTreeMap;
@@ -15,6 +15,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Waiting {
     pub(super) id: CallId,
+    /// Rank; lower ranks start first.
+    pub(super) priority: u32,
     /// Time after which the caller has no use for an answer.
     pub(super) deadline: Millis,
     /// Time until which the call stays in the queue.
@@ -27,8 +29,8 @@
     weight: f64,
     virtual_time: f64,
     running: usize,
-    /// Ordered by deadline and then by arrival.
-    queue: BTreeMap<(Millis, u64), Waiting>,
+    /// Ordered by rank, then by deadline and then by arrival.
+    queue: BTreeMap<(u32, Millis, u64), Waiting>,
 }
 
 /// All tenants that have calls running or queued.
@@ -46,6 +48,18 @@
         self.queued
     }
 
+    /// Returns the number of calls up to a rank.
+    pub(super) fn len_up_to(&self, priority: u32) -> usize {
+        let queues = self.tenants.values().map(|t| &t.queue);
+        let counts = queues.map(|queue| queue.range(..(priority + 1, Millis(0), 0)).count());
+        counts.sum()
+    }
+
+    /// Removes all calls.
+    pub(super) fn clear(&mut self) -> Vec<Waiting> {
+        self.take(|_| true)
+    }
+
     #[cfg(test)]
     pub(super) fn is_idle(&self) -> bool {
         self.tenants.is_empty()
@@ -94,7 +108,7 @@
         self.queued += 1;
         entry
             .queue
-            .insert((waiting.deadline, self.arrivals), waiting);
+            .insert((waiting.priority, waiting.deadline, self.arrivals), waiting);
     }
 
     /// Removes the call that starts next. `overrun` is the slot time that running calls of a
--- a/crates/coordination/src/machine.rs
+++ b/crates/coordination/src/machine.rs
@@ -11,18 +11,20 @@
 
 use serde::{Deserialize, Serialize};
 use sycamoreflow_state::config::MeshConfig;
-use sycamoreflow_state::ids::{ConfigVersion, Millis, RequestId, ServiceName};
+use sycamoreflow_state::ids::{ConfigVersion, Millis, RequestId, ServiceName, VersionName};
 use sycamoreflow_state::view::{KeyHolder, KeyHolders, Resource, ResourceKey, config_resources};
 
 mod check;
+pub mod document;
 mod history;
 mod requests;
 
 #[cfg(test)]
 pub(crate) mod tests;
 
-use crate::rollout::{ApprovalEffect, RolloutCommand, Rollouts};
+use crate::rollout::{ApprovalEffect, OrderEffect, RolloutCommand, Rollouts};
 use check::check_key_holders;
+use document::{Documents, Replacement, Verdict};
 use history::History;
 use requests::Requests;
 
@@ -56,6 +58,26 @@
         /// Time at the leader, counted from the Unix epoch.
         at: Millis,
     },
+    /// Replaces the configuration by a document of the operator.
+    Replace(Replacement),
+    /// Moves the traffic of a service to another version, as an operator orders.
+    StartRollout {
+        /// Service.
+        service: ServiceName,
+        /// Version that is to receive all traffic.
+        to: VersionName,
+        /// Time in which it is to have it.
+        within: Millis,
+        /// Time at the leader, counted from the Unix epoch.
+        at: Millis,
+    },
+    /// Names the version that a service runs when its first endpoints appear.
+    Introduce {
+        /// Service.
+        service: ServiceName,
+        /// Version of its endpoints.
+        version: VersionName,
+    },
     /// Changes a rollout.
     Rollout(RolloutCommand),
     /// Sets the group of key holders of a service.
@@ -87,7 +109,11 @@
         match self {
             Self::Approve { config, .. } => check_config(config),
             Self::SetKeyHolders { daemons, .. } => check_key_holders(daemons),
-            Self::Rollout(_) | Self::Noop => Vec::new(),
+            Self::Replace(_)
+            | Self::StartRollout { .. }
+            | Self::Introduce { .. }
+            | Self::Rollout(_)
+            | Self::Noop => Vec::new(),
         }
     }
 }
@@ -114,6 +140,21 @@
         /// Whether this is the outcome of an earlier request with the same identifier.
         repeated: bool,
     },
+    /// The document is the configuration in force, or was before.
+    Replaced {
+        /// Number of the document.
+        number: u64,
+        /// Whether it was accepted by an earlier entry.
+        repeated: bool,
+    },
+    /// Another document than the base is in force.
+    BaseOutdated {
+        /// Number of the document in force.
+        current: u64,
+    },
+    /// The changes of the document were computed against a state that has changed since. The
+    /// document itself may still be acceptable.
+    ComputedOnOther,
     /// The configuration or the key holders are unusable. Nothing changed.
     Invalid {
         /// What is wrong.
@@ -159,6 +200,8 @@
     version: ConfigVersion,
     approved: Approved,
     rollouts: Rollouts,
+    #[serde(default)]
+    documents: Documents,
     key_holders: BTreeMap<ServiceName, KeyHolders>,
     /// Highest epoch of a service that was removed. Groups of a service that returns start above
     /// it, so that claims of the earlier groups are not taken for theirs.
@@ -178,6 +221,14 @@
         self.applied = index;
         match command {
             Command::Approve { .. } => self.apply_approval(command),
+            Command::Replace(replacement) => self.apply_replacement(replacement),
+            Command::StartRollout {
+                service,
+                to,
+                within,
+                at,
+            } => self.apply_order(service, to, *within, *at),
+            Command::Introduce { service, version } => self.apply_introduction(service, version),
             Command::Rollout(rollout) => self.apply_rollout(rollout),
             Command::SetKeyHolders {
                 service,
@@ -264,6 +315,97 @@
         });
     }
 
+    fn apply_replacement(&mut self, replacement: &Replacement) -> Outcome {
+        match self.documents.judge(replacement) {
+            Verdict::Accepted => {}
+            Verdict::Repeated => {
+                return Outcome::Replaced {
+                    number: replacement.number,
+                    repeated: true,
+                };
+            }
+            Verdict::BaseOutdated => {
+                return Outcome::BaseOutdated {
+                    current: self.documents.number(),
+                };
+            }
+            Verdict::ComputedOnOther => return Outcome::ComputedOnOther,
+            Verdict::NumberTooLow => {
+                let problem = format!(
+                    "version {} is not above the version in force, {}",
+                    replacement.number,
+                    self.documents.number()
+                );
+                return Outcome::Invalid {
+                    problems: vec![problem],
+                };
+            }
+        }
+        let mut config = self.approved.config.clone();
+        replacement.change(&mut config);
+        let problems = check_config(&config);
+        if !problems.is_empty() {
+            return Outcome::Invalid { problems };
+        }
+        self.documents.accept(replacement);
+        self.rollouts.retain_services(&config, replacement.at);
+        self.drop_key_holders(&config);
+        self.version.0 += 1;
+        self.approved = Approved {
+            version: self.version,
+            operator: String::new(),
+            at: replacement.at,
+            answers: String::new(),
+            config,
+        };
+        let event = HistoryEvent::Replaced {
+            number: replacement.number,
+        };
+        self.history
+            .add(self.version, self.requests.time(replacement.at), event);
+        Outcome::Replaced {
+            number: replacement.number,
+            repeated: false,
+        }
+    }
+
+    fn apply_order(
+        &mut self,
+        service: &ServiceName,
+        to: &VersionName,
+        within: Millis,
+        at: Millis,
+    ) -> Outcome {
+        let Some(config) = self.approved.config.services.get(service) else {
+            return refused(format!("there is no service {service}"));
+        };
+        match self.rollouts.order(service, config, to, within, at) {
+            OrderEffect::Unknown => refused(format!("no endpoint of {service} is known yet")),
+            OrderEffect::Repeated => self.done(false),
+            OrderEffect::Started => {
+                self.version.0 += 1;
+                let event = HistoryEvent::Ordered {
+                    service: service.clone(),
+                    to: to.clone(),
+                };
+                self.history
+                    .add(self.version, self.requests.time(at), event);
+                self.done(true)
+            }
+        }
+    }
+
+    fn apply_introduction(&mut self, service: &ServiceName, version: &VersionName) -> Outcome {
+        let Some(config) = self.approved.config.services.get(service) else {
+            return refused(format!("there is no service {service}"));
+        };
+        let changed = self.rollouts.introduce_version(service, config, version);
+        if changed {
+            self.version.0 += 1;
+        }
+        self.done(changed)
+    }
+
     fn apply_rollout(&mut self, command: &RolloutCommand) -> Outcome {
         let changed = match self.rollouts.apply(command) {
             Ok(changed) => changed,
@@ -346,6 +488,11 @@
         &self.approved
     }
 
+    /// Returns the documents of the operator.
+    pub fn documents(&self) -> &Documents {
+        &self.documents
+    }
+
     /// Returns the rollouts.
     pub fn rollouts(&self) -> &Rollouts {
         &self.rollouts
@@ -357,7 +504,7 @@
     }
 
     /// Yields the latest events, the oldest one first.
-    pub fn history(&self) -> impl Iterator<Item = &HistoryRecord> {
+    pub fn history(&self) -> impl DoubleEndedIterator<Item = &HistoryRecord> {
         self.history.iter()
     }
 
@@ -375,10 +522,9 @@
     pub fn resources(&self) -> Vec<(ResourceKey, Resource)> {
         let mut resources: Vec<_> = config_resources(&self.approved.config).collect();
         for service in self.approved.config.services.keys() {
-            if let Some(split) = self.rollouts.traffic(service) {
-                let key = ResourceKey::Traffic(service.clone());
-                resources.push((key, Resource::Traffic(split)));
-            }
+            let split = self.rollouts.traffic(service);
+            let key = ResourceKey::Traffic(service.clone());
+            resources.push((key, Resource::Traffic(split.unwrap_or_default())));
             if let Some(holders) = self.key_holders.get(service) {
                 let key = ResourceKey::KeyHolders(service.clone());
                 resources.push((key, Resource::KeyHolders(holders.clone())));
--- a/crates/coordination/src/machine/check.rs
+++ b/crates/coordination/src/machine/check.rs
@@ -61,11 +61,19 @@
     route: &RouteConfig,
     problems: &mut Vec<String>,
 ) {
-    if !config.services.contains_key(&route.service) {
-        let service = &route.service;
-        problems.push(format!(
-            "route {name} leads to the unknown service {service}"
-        ));
+    for service in route.services() {
+        if !config.services.contains_key(service) {
+            problems.push(format!(
+                "route {name} leads to the unknown service {service}"
+            ));
+        }
+    }
+    let split = &route.delivery.split;
+    if !split.is_empty() && split.iter().all(|part| part.weight == 0) {
+        problems.push(format!("the weights of route {name} add up to 0"));
+    }
+    if route.delivery.max_attempts == Some(0) {
+        problems.push(format!("route {name} allows no attempt"));
     }
     for tenant in &route.tenants {
         if !config.tenants.contains_key(tenant) {
@@ -82,14 +90,14 @@
     let mut any_method = BTreeSet::new();
     let mut with_method = BTreeSet::new();
     for (name, route) in &config.routes {
-        let prefix = route.prefix.as_str();
+        let place = (route.delivery.host.as_deref(), route.prefix.as_str());
         let shadowed = if route.methods.is_empty() {
-            any_method.insert(prefix);
-            !seen.insert((prefix, "")) || with_method.contains(prefix)
+            any_method.insert(place);
+            !seen.insert((place, "")) || with_method.contains(&place)
         } else {
-            with_method.insert(prefix);
+            with_method.insert(place);
             let mut methods = route.methods.iter();
-            any_method.contains(prefix) || methods.any(|m| !seen.insert((prefix, m.as_str())))
+            any_method.contains(&place) || methods.any(|m| !seen.insert((place, m.as_str())))
         };
         if shadowed {
             problems.push(format!("route {name} covers requests of another route"));
--- a/crates/coordination/src/machine/history.rs
+++ b/crates/coordination/src/machine/history.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 
 use serde::{Deserialize, Serialize};
-use sycamoreflow_state::ids::{ConfigVersion, Millis, RequestId, ServiceName};
+use sycamoreflow_state::ids::{ConfigVersion, Millis, RequestId, ServiceName, VersionName};
 
 use crate::rollout::RolloutCommand;
 
@@ -33,6 +33,18 @@
         /// Who approved it.
         operator: String,
     },
+    /// A document of the operator came into force.
+    Replaced {
+        /// Number of the document.
+        number: u64,
+    },
+    /// A rollout was ordered.
+    Ordered {
+        /// Service.
+        service: ServiceName,
+        /// New version.
+        to: VersionName,
+    },
     /// A rollout changed.
     Rollout(RolloutCommand),
     /// A group of key holders changed.
@@ -58,7 +70,7 @@
         self.records.push_back(HistoryRecord { version, at, event });
     }
 
-    pub(super) fn iter(&self) -> impl Iterator<Item = &HistoryRecord> {
+    pub(super) fn iter(&self) -> impl DoubleEndedIterator<Item = &HistoryRecord> {
         self.records.iter()
     }
 }
--- a/crates/coordination/src/machine/tests.rs
+++ b/crates/coordination/src/machine/tests.rs
@@ -40,6 +40,7 @@
         idempotent: false,
         tenants: Vec::new(),
         timeout: Millis(1000),
+        delivery: Default::default(),
     }
 }
 
--- a/crates/coordination/src/pacing/plan.rs
+++ b/crates/coordination/src/pacing/plan.rs
@@ -11,6 +11,12 @@
 const RESERVE_PART: u64 = 20;
 /// Interval between steps that are taken at the finish time for lack of traffic.
 const FORCED_INTERVAL: Millis = Millis(3_000);
+/// Rollouts of this length or less stay at the first share for as long as possible. Divided evenly,
+/// their time would show a fault that begins late to most of the traffic.
+const BRISK_WINDOW: Millis = Millis(60_000);
+/// Interval between the later steps of such a rollout. It covers a report, a tick of the leader and
+/// an update.
+const BRISK_STEP: Millis = Millis(1_300);
 /// Time from a call to a take-back in force: a report, a tick, a log entry and an update.
 const REACTION_SECONDS: f64 = 3.0;
 /// Calls that show a clear fault, as a multiple of the inverse of the permitted extra failures. At
@@ -65,6 +71,15 @@
         };
         match rollout.phase {
             RolloutPhase::Planned => at(rollout.started),
+            RolloutPhase::Moving if window <= BRISK_WINDOW.0 => {
+                let later = left.saturating_sub(1) * BRISK_STEP.0;
+                let due = Millis(target.0.saturating_sub(later));
+                Self {
+                    next_step: due.max(entered.after(BRISK_STEP)),
+                    forced_step: due.max(entered.after(BRISK_STEP)),
+                    target,
+                }
+            }
             RolloutPhase::Moving => {
                 let dwell = target.since(entered).0 / left.max(1);
                 let forced = rollout.finish_by.0.saturating_sub(left * FORCED_INTERVAL.0);
--- a/crates/coordination/src/raft.rs
+++ b/crates/coordination/src/raft.rs
@@ -85,6 +85,8 @@
 pub struct Raft {
     me: Peer,
     initial: Vec<DaemonId>,
+    /// Whether this replica may found a group, or waits until an existing one admits it.
+    may_found: bool,
     hard: HardState,
     log: Log,
     members: Membership,
@@ -154,6 +156,7 @@
         let mut raft = Self {
             me,
             initial: sorted(initial),
+            may_found: true,
             commit: log.snapshot().map_or(0, |snapshot| snapshot.index),
             durability: Durability::new(log.last().index),
             hard,
@@ -181,6 +184,19 @@
         raft
     }
 
+    /// Keeps this replica from founding a group. An empty disk then never begins a second group
+    /// beside one that it has forgotten.
+    pub fn without_founding(mut self) -> Self {
+        self.may_found = false;
+        self
+    }
+
+    /// Replaces the replicas that are contacted while none is known from the log. It has no effect
+    /// on the founding of a group, which takes the replicas named at the start.
+    pub fn set_contacts(&mut self, contacts: Vec<DaemonId>) {
+        self.contacts = contacts;
+    }
+
     /// Processes one event and returns what must be done.
     ///
     /// `now` counts from any origin and should not decrease; a pause of the clock is harmless.
--- a/crates/coordination/src/raft/formation.rs
+++ b/crates/coordination/src/raft/formation.rs
@@ -90,7 +90,7 @@
     }
 
     fn found_if_all_fresh(&mut self) {
-        let founds = self.initial.first() == Some(&self.me.id);
+        let founds = self.may_found && self.initial.first() == Some(&self.me.id);
         if !founds || !self.is_fresh() {
             return;
         }
--- a/crates/coordination/src/raft/leader.rs
+++ b/crates/coordination/src/raft/leader.rs
@@ -9,6 +9,7 @@
 use super::message::Body;
 use super::reads::LeaderRead;
 use super::replication::Progress;
+use super::members::PROBE_VALID;
 use super::types::{
     Entry, Incarnation, Membership, Output, Payload, Peer, Refusal, ReplicaProgress, Token,
 };
@@ -54,19 +55,35 @@
         let mut replicas = Vec::new();
         for (id, member) in &self.members.members {
             let progress = state.progress.get(id);
-            let recent = progress.is_some_and(|p| self.now.since(p.heard) < QUORUM_TIMEOUT);
             let own = *id == self.me.id;
+            let silent_for = match progress {
+                Some(progress) if !own => self.now.since(progress.heard),
+                _ => Millis(0),
+            };
             let durable = self.durability.durable();
             replicas.push(ReplicaProgress {
                 id: id.clone(),
                 role: member.role,
-                reachable: recent || own,
+                reachable: silent_for < QUORUM_TIMEOUT && (own || progress.is_some()),
+                silent_for,
                 matched: progress.map_or(durable, |progress| progress.matched),
             });
         }
         replicas
     }
 
+    /// Returns the replicas that have contacted this leader lately and are no members.
+    pub fn applicants(&self) -> Vec<DaemonId> {
+        let State::Leader(state) = &self.state else {
+            return Vec::new();
+        };
+        let unadmitted = state.unadmitted.iter();
+        let recent = unadmitted.filter(|(id, (_, at))| {
+            self.now.since(*at) < PROBE_VALID && !self.members.members.contains_key(*id)
+        });
+        recent.map(|(id, _)| id.clone()).collect()
+    }
+
     pub(super) fn become_leader(&mut self) {
         let term_start = self.log.last().index + 1;
         self.leader = Some(self.me.id.clone());
--- a/crates/coordination/src/raft/members.rs
+++ b/crates/coordination/src/raft/members.rs
@@ -11,7 +11,7 @@
 /// processes that run under one name therefore do not displace each other in turn.
 const REPLACEMENT_SILENCE: Millis = Millis(1000);
 /// Age beyond which a probe no longer counts as a sign of life.
-const PROBE_VALID: Millis = Millis(3000);
+pub(super) const PROBE_VALID: Millis = Millis(3000);
 /// Non-members that a leader remembers.
 const MAX_UNADMITTED: usize = 64;
 
--- a/crates/coordination/src/raft/types.rs
+++ b/crates/coordination/src/raft/types.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
-use sycamoreflow_state::ids::DaemonId;
+use sycamoreflow_state::ids::{DaemonId, Millis};
 
 use super::message::Message;
 
@@ -387,6 +387,8 @@
     pub role: Role,
     /// Whether it was heard from lately.
     pub reachable: bool,
+    /// Time since it was last heard from.
+    pub silent_for: Millis,
     /// Last entry that it is known to have on disk.
     pub matched: u64,
 }
--- a/crates/coordination/src/retry.rs
+++ b/crates/coordination/src/retry.rs
@@ -100,6 +100,10 @@
     deadline: Millis,
     max_attempts: usize,
     tried: Vec<DaemonId>,
+    /// Refusals by daemons that are followed by another attempt without a charge.
+    free_refusals: usize,
+    /// Attempts that were refused by a daemon, so that no upstream received them.
+    refused: usize,
     verdict: Verdict,
 }
 
@@ -111,10 +115,19 @@
             deadline,
             max_attempts,
             tried: Vec::new(),
+            free_refusals: 0,
+            refused: 0,
             verdict: Verdict::NotRun,
         }
     }
 
+    /// Lets up to `count` refusals by daemons pass without a charge. A request that no upstream has
+    /// received adds no load to the service, so it uses neither the budget nor an attempt.
+    pub fn with_free_refusals(mut self, count: usize) -> Self {
+        self.free_refusals = count;
+        self
+    }
+
     /// Picks the endpoint of the next attempt and records it as tried.
     ///
     /// `choose` receives the endpoints to avoid and is typically [`crate::routing::Router::choose`].
@@ -132,11 +145,33 @@
         Some(id)
     }
 
+    /// Picks an endpoint as [`Attempts::pick`] does, but after a refusal only one that was not
+    /// tried: a daemon that has refused a request for lack of room would do so again.
+    pub fn pick_with_room(
+        &mut self,
+        mut choose: impl FnMut(&[DaemonId]) -> Option<DaemonId>,
+    ) -> Option<DaemonId> {
+        if self.refused == 0 {
+            return self.pick(choose);
+        }
+        let id = choose(&self.tried).filter(|id| !self.tried.contains(id))?;
+        self.tried.push(id.clone());
+        Some(id)
+    }
+
     /// Decides what follows a failed attempt.
     pub fn failed(&mut self, now: Millis, failure: Failure, budget: &mut RetryBudget) -> Next {
         self.verdict = self.verdict.max(failure.verdict);
+        // An upstream that sheds a request has received it.
+        let unsent = failure.verdict == Verdict::NotRun && failure.reason != Reason::Shed;
+        if unsent && self.refused < self.free_refusals {
+            self.refused += 1;
+            if self.may_send_again(failure) && now < self.deadline {
+                return Next::Retry;
+            }
+        }
         let allowed = self.may_send_again(failure)
-            && self.tried.len() < self.max_attempts
+            && self.tried.len() - self.refused < self.max_attempts
             && now < self.deadline
             && budget.withdraw(now);
         if allowed {
--- a/crates/coordination/src/rollout.rs
+++ b/crates/coordination/src/rollout.rs
@@ -20,7 +20,7 @@
 
 use serde::{Deserialize, Serialize};
 use sycamoreflow_state::config::{
-    Candidate, FinishTime, MeshConfig, ServiceConfig, Share, TrafficSplit,
+    Candidate, FinishTime, MeshConfig, RolloutRule, ServiceConfig, Share, TrafficSplit,
 };
 use sycamoreflow_state::ids::{Millis, ServiceName, VersionName};
 use sycamoreflow_state::rollout::{
@@ -30,6 +30,11 @@
 #[cfg(test)]
 mod tests;
 
+/// An order for a version that ended this recently is a resend of the order that led to it. The
+/// operators' clients repeat an unanswered order for a few seconds.
+pub const ORDER_REPEATS: Millis = Millis(15_000);
+/// Part of the time of an order that is kept for the last log entries and their distribution.
+const ORDER_RESERVE: Millis = Millis(600);
 /// Ended rollouts kept per service for the history.
 pub const HISTORY_PER_SERVICE: usize = 32;
 /// Taken-back versions listed per service. Older ones receive nothing either, since only the
@@ -123,6 +128,17 @@
     },
 }
 
+/// What an order of an operator did.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderEffect {
+    /// No version of the service is known yet.
+    Unknown,
+    /// The order was given before, or the version has all traffic already.
+    Repeated,
+    /// A rollout started, or waits for the running one to end.
+    Started,
+}
+
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case")]
 struct ServiceState {
@@ -130,6 +146,26 @@
     approved: ServiceConfig,
     blocked: Vec<VersionName>,
     running: Option<u64>,
+    /// Order that waits until the running rollout has ended.
+    #[serde(default)]
+    waiting: Option<Order>,
+}
+
+/// An order of an operator that has not become a rollout yet.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+struct Order {
+    to: VersionName,
+    finish_by: Millis,
+}
+
+/// What an operator is told about the latest order for a service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OrderStatus {
+    /// Ordered version.
+    pub to: VersionName,
+    /// Phase of its rollout. An order that waits is planned.
+    pub phase: RolloutPhase,
 }
 
 /// All rollouts of the mesh, as replicated.
@@ -324,10 +360,133 @@
             approved: config.clone(),
             blocked: Vec::new(),
             running: None,
+            waiting: None,
         };
         self.services.insert(name.clone(), state);
     }
 
+    /// Names the version of a service that has none yet. Returns whether anything changed.
+    pub fn introduce_version(
+        &mut self,
+        service: &ServiceName,
+        config: &ServiceConfig,
+        version: &VersionName,
+    ) -> bool {
+        if self.services.contains_key(service) {
+            return false;
+        }
+        let config = ServiceConfig {
+            version: version.clone(),
+            ..config.clone()
+        };
+        self.introduce(service, &config);
+        true
+    }
+
+    /// Takes an order to move the traffic of `service` to version `to` within a time.
+    pub fn order(
+        &mut self,
+        service: &ServiceName,
+        config: &ServiceConfig,
+        to: &VersionName,
+        within: Millis,
+        at: Millis,
+    ) -> OrderEffect {
+        let Some(state) = self.services.get(service) else {
+            return OrderEffect::Unknown;
+        };
+        if self.is_repeated_order(service, state, to, at) {
+            return OrderEffect::Repeated;
+        }
+        // The order counts until the old version may go, which is after the watch period.
+        let ending = Millis(config.rollout.watch.0 + ORDER_RESERVE.0);
+        let finish_by = at.after(within.since(ending));
+        let Some(state) = self.services.get_mut(service) else {
+            return OrderEffect::Unknown;
+        };
+        let rollout = RolloutRule {
+            finish: FinishTime::By(finish_by),
+            ..config.rollout.clone()
+        };
+        state.approved = ServiceConfig {
+            version: state.approved.version.clone(),
+            rollout,
+            ..config.clone()
+        };
+        let order = Order {
+            to: to.clone(),
+            finish_by,
+        };
+        if state.running.is_some() {
+            state.waiting = Some(order);
+            return OrderEffect::Started;
+        }
+        self.start_order(service, order, at);
+        OrderEffect::Started
+    }
+
+    fn is_repeated_order(
+        &self,
+        service: &ServiceName,
+        state: &ServiceState,
+        to: &VersionName,
+        at: Millis,
+    ) -> bool {
+        let waits = state.waiting.as_ref().is_some_and(|order| order.to == *to);
+        let of_service = |rollout: &&Rollout| rollout.service == *service && rollout.to == *to;
+        let latest = self.rollouts.values().rev().find(of_service);
+        let known = latest.is_some_and(|rollout| {
+            !rollout.phase.is_final()
+                || rollout
+                    .ended
+                    .is_some_and(|ended| at.since(ended) < ORDER_REPEATS)
+        });
+        waits || known || state.stable == *to
+    }
+
+    fn start_order(&mut self, service: &ServiceName, order: Order, at: Millis) {
+        if let Some(state) = self.services.get_mut(service) {
+            state.approved.version = order.to;
+            state.approved.rollout.finish = FinishTime::By(order.finish_by);
+        }
+        self.start(service, at);
+    }
+
+    /// Starts the order that waited for a rollout to end.
+    fn start_waiting(&mut self, service: &ServiceName, at: Millis) {
+        let Some(state) = self.services.get_mut(service) else {
+            return;
+        };
+        let Some(order) = state.waiting.take() else {
+            return;
+        };
+        if state.stable != order.to {
+            self.start_order(service, order, at);
+        }
+    }
+
+    /// Returns what became of the latest order for a service.
+    pub fn order_status(&self, service: &ServiceName) -> Option<OrderStatus> {
+        let state = self.services.get(service)?;
+        if let Some(order) = &state.waiting {
+            return Some(OrderStatus {
+                to: order.to.clone(),
+                phase: RolloutPhase::Planned,
+            });
+        }
+        let mut newest = self.rollouts.values().rev();
+        let latest = newest.find(|rollout| rollout.service == *service)?;
+        Some(OrderStatus {
+            to: latest.to.clone(),
+            phase: latest.phase,
+        })
+    }
+
+    /// Forgets the services that a configuration no longer has.
+    pub fn retain_services(&mut self, config: &MeshConfig, at: Millis) {
+        self.remove_missing(config, at);
+    }
+
     fn start(&mut self, service: &ServiceName, at: Millis) -> Option<u64> {
         let state = self.services.get_mut(service)?;
         self.last_number += 1;
@@ -374,6 +533,8 @@
         if state.blocked.len() > MAX_BLOCKED {
             state.blocked.remove(0);
         }
+        let service = rollout.service.clone();
+        self.start_waiting(&service, at);
     }
 
     fn finish(&mut self, number: u64, at: Millis) {
@@ -386,6 +547,8 @@
             state.running = None;
             state.stable = rollout.to.clone();
         }
+        let service = rollout.service.clone();
+        self.start_waiting(&service, at);
     }
 
     fn drop_old_history(&mut self, service: &ServiceName) {
--- a/crates/coordination/src/routing.rs
+++ b/crates/coordination/src/routing.rs
@@ -6,15 +6,20 @@
 //! to an endpoint outside of the subset, so every endpoint receives load even from few entry
 //! daemons.
 //!
-//! Reported load is not used. Weighted by its correlation with observed latency it made no
-//! difference to entry daemons with much traffic, and with little traffic it raised the mean 99th
-//! percentile from 29.9 to 31.9 ms (`examples/load.rs --scale 10 --entries 10`): all daemons
-//! followed the same reports.
+//! Load that upstreams report is not used by [`Router::choose`]. Weighted by its correlation with
+//! observed latency it made no difference to entry daemons with much traffic, and with little
+//! traffic it raised the mean 99th percentile from 29.9 to 31.9 ms
+//! (`examples/load.rs --scale 10 --entries 10`): all daemons followed the same reports.
 //!
 //! The same data centre is preferred by cost alone: observed latencies of other data centres
 //! contain the hop, and unobserved endpoints there start with the hop added.
+//!
+//! For a request with a target latency, [`Router::choose_for`] compares the chances of an answer in
+//! time. It knows the load of an endpoint from the daemon beside it, which counts the work exactly
+//! and sends it with every reply.
 
 mod estimate;
+mod load;
 mod subset;
 #[cfg(test)]
 mod tests;
@@ -22,9 +27,12 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use sycamoreflow_state::endpoint::Endpoint;
-use sycamoreflow_state::ids::{DaemonId, DataCentre, Micros, Millis, VersionName};
+use sycamoreflow_state::ids::{DaemonId, DataCentre, Micros, Millis, RouteName, VersionName};
 
 use estimate::Estimate;
+use load::KnownLoad;
+
+pub use load::{Goal, Load};
 
 /// Latency expected of a service before the first observation.
 const FIRST_GUESS: Micros = Micros(1_000);
@@ -146,6 +154,7 @@
     /// When a cold endpoint was added; `None` for one that counts as warm.
     added: Option<Millis>,
     estimate: Estimate,
+    load: KnownLoad,
 }
 
 /// The endpoints of one version as indices into the members.
@@ -217,10 +226,77 @@
         Some(self.members[index].id.clone())
     }
 
+    /// Chooses the endpoint of `version` where a request is the most likely to be answered within
+    /// its target, among those that are neither draining nor in `exclude`.
+    pub fn choose_for(
+        &mut self,
+        now: Millis,
+        version: &VersionName,
+        exclude: &[DaemonId],
+        goal: &Goal,
+    ) -> Option<DaemonId> {
+        let group = self.groups.iter().position(|g| g.version == *version)?;
+        let mut best: Option<(f64, usize)> = None;
+        for local in [true, false] {
+            for index in self.candidates(now, group, local, exclude) {
+                let noise = self.rng.random_range(0.0..load::TIE_BREAK);
+                let value = self.value(now, index, goal) + noise;
+                if best.is_none_or(|(highest, _)| value > highest) {
+                    best = Some((value, index));
+                }
+            }
+        }
+        let chosen = best.map(|(_, index)| index);
+        let index = chosen.or_else(|| self.choose_any(now, group, exclude))?;
+        Some(self.members[index].id.clone())
+    }
+
+    /// Takes in the load that the daemon beside an endpoint has reported.
+    pub fn observe_load(&mut self, now: Millis, id: &DaemonId, load: Load, route: &RouteName) {
+        if let Some(index) = self.find(id) {
+            self.members[index].load.observe(now, load, route);
+        }
+    }
+
+    /// Returns when a request that was refused everywhere is likely to find room, spread so that
+    /// refused callers do not return together.
+    pub fn time_to_room(&mut self, now: Millis) -> Millis {
+        let usable = self.members.iter().filter(|m| m.available && !m.draining);
+        let waits = usable.map(|m| m.load.wait(now, m.slots));
+        let shortest = waits.fold(f64::INFINITY, f64::min);
+        let millis = (shortest / 1_000.0).clamp(load::MIN_RETURN_MS, load::MAX_RETURN_MS);
+        Millis((millis * self.rng.random_range(0.8..1.6)) as u64)
+    }
+
+    /// Returns what a request sent to a member now is expected to be worth, as the chance of an
+    /// answer within the target less the price of the way there.
+    fn value(&self, now: Millis, index: usize, goal: &Goal) -> f64 {
+        let member = &self.members[index];
+        let unknown = self.service_time(&goal.route);
+        let expected = member.load.expected(now, member.slots, &goal.route, unknown);
+        let silent = member.estimate.silence(now, expected);
+        let in_time = goal.chance(expected.max(silent) + self.hop_of(member));
+        let price = if member.local { 0.0 } else { goal.remote_price };
+        in_time * member.estimate.success(now, &self.tuning) - price
+    }
+
+    /// Returns the mean service time of a route in microseconds over the endpoints that have
+    /// reported it.
+    fn service_time(&self, route: &RouteName) -> f64 {
+        let known = self.members.iter().filter_map(|m| m.load.service_time(route));
+        let (sum, count) = known.fold((0.0, 0), |(sum, count), time| (sum + time, count + 1));
+        match count {
+            0 => load::FIRST_SERVICE_TIME,
+            _ => sum / f64::from(count),
+        }
+    }
+
     /// Records that a call was sent to `id`.
     pub fn started(&mut self, now: Millis, id: &DaemonId) {
         if let Some(index) = self.find(id) {
-            self.members[index].estimate.started(now);
+            let member = &mut self.members[index];
+            member.estimate.started(now);
+            member.load.sent();
         }
     }
 
@@ -286,6 +362,7 @@
             refused_draining: None,
             added: (!first).then_some(now),
             estimate,
+            load: KnownLoad::default(),
         }
     }
 
--- a/crates/coordination/src/routing/estimate.rs
+++ b/crates/coordination/src/routing/estimate.rs
@@ -86,6 +86,21 @@
         base * (1.0 + queue) / success.max(MIN_SUCCESS)
     }
 
+    /// Returns the time in microseconds without any answer, if it is much longer than `expected`.
+    pub(super) fn silence(&self, now: Millis, expected: f64) -> f64 {
+        let waited = Micros::from(self.waiting_time(now)).0 as f64;
+        if waited > expected * SILENCE_FACTOR {
+            return waited;
+        }
+        0.0
+    }
+
+    /// Returns the probability that a call succeeds.
+    pub(super) fn success(&self, now: Millis, tuning: &Tuning) -> f64 {
+        let success = 1.0 - self.failing * self.confidence(now, tuning);
+        success.max(MIN_SUCCESS)
+    }
+
     /// Returns the latency estimate, drawn towards slightly less than `prior` as it ages.
     fn latency_at(&self, now: Millis, prior: f64, tuning: &Tuning) -> f64 {
         let unknown = prior * UNKNOWN_DISCOUNT;
--- a/crates/coordination/tests/subscribers/content.rs
+++ b/crates/coordination/tests/subscribers/content.rs
@@ -71,6 +71,7 @@
         idempotent: rng.random_bool(0.5),
         tenants: vec!["grocers".into()],
         timeout: Millis(rng.random_range(500..2_000)),
+        delivery: Default::default(),
     }
 }
 
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -17,6 +17,7 @@
 use crate::clock;
 use crate::settings::{ControlSettings, Settings};
 
+pub mod documents;
 pub mod hub;
 pub mod leader;
 pub mod operator_api;
@@ -51,11 +52,18 @@
     ) -> eyre::Result<Self> {
         let (tx, rx) = mpsc::channel();
         let hub = Arc::new(Hub::new(control.joins_per_second, tx));
-        let peers = Arc::new(Peers::new(&settings.control_replicas, identity, limits));
-        let replicas = settings.control_replicas.iter();
+        let named = settings.named_replicas();
+        let peers = Arc::new(Peers::new(&named, identity, limits));
+        let replicas: Vec<_> = named.iter().map(|r| r.daemon.clone()).collect();
+        let found_by_seeds = !settings.seeds.is_empty();
         let group = GroupSettings {
-            replicas: replicas.map(|replica| replica.daemon.clone()).collect(),
-            voters: control.voters.clone(),
+            voters: match found_by_seeds {
+                true => replicas.clone(),
+                false => control.voters.clone(),
+            },
+            replicas,
+            wanted_voters: found_by_seeds.then_some(control.wanted_voters),
+            may_found: !found_by_seeds || control.bootstrap,
         };
         let start = open(&control.data, &identity.daemon, group, seed)?;
         let replica = Replica::new(start, hub.clone(), peers.clone());
@@ -122,7 +130,7 @@
         state.skip(snapshot.index);
         snapshot_index = snapshot.index;
     }
-    let raft = Raft::new(
+    let mut raft = Raft::new(
         id.clone(),
         group.voters.clone(),
         opened.hard_state,
@@ -130,6 +138,9 @@
         seed,
         clock::now(),
     );
+    if !group.may_found {
+        raft = raft.without_founding();
+    }
     Ok(Start {
         id: id.clone(),
         group,
--- /dev/null
+++ b/crates/daemon/src/control/documents.rs
@@ -0,0 +1,140 @@
+//! What an operator does with whole configurations and rollouts, apart from the interface by which
+//! the operator asks.
+//!
+//! Every function may be called at any replica. Changes are made by the leader; another replica
+//! returns [`Unavailable`] with the leader to ask. Reads are confirmed by a quorum.
+
+use std::time::Duration;
+
+use async_std::future::timeout;
+use futures::channel::oneshot;
+use sycamoreflow_coordination::machine::document::Document;
+use sycamoreflow_coordination::machine::{Command, Outcome};
+use sycamoreflow_coordination::rollout::OrderStatus;
+use sycamoreflow_state::ids::{Millis, ServiceName, VersionName};
+
+use crate::clock;
+use crate::control::hub::Hub;
+use crate::control::replica::{Event, Result, Unavailable};
+
+/// Longest wait for the outcome of a change or read. Operators' clients go to another replica after
+/// a second.
+const OUTCOME_TIMEOUT: Duration = Duration::from_millis(900);
+
+/// Times that a document is proposed when others are accepted meanwhile.
+const MAX_PROPOSALS: usize = 4;
+
+/// What became of a document.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Replaced {
+    /// It is in force, or was before a later one.
+    Accepted {
+        /// Whether it had been accepted earlier.
+        repeated: bool,
+    },
+    /// Another document than its base is in force.
+    BaseOutdated {
+        /// Number of the document in force.
+        current: u64,
+    },
+    /// Its content is unusable.
+    Invalid(Vec<String>),
+}
+
+/// What became of an order for a rollout.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Ordered {
+    /// The rollout has started, waits for another one, or had been ordered earlier.
+    Accepted,
+    /// It can't be started now.
+    Refused(String),
+}
+
+/// Proposes a document as the configuration.
+///
+/// # Errors
+///
+/// If this replica does not lead, or there was no outcome in time. The document may be in force all
+/// the same, and may be sent again.
+pub async fn replace(hub: &Hub, document: Document) -> Result<Replaced> {
+    let problems = document.problems();
+    if !problems.is_empty() {
+        return Ok(Replaced::Invalid(problems));
+    }
+    for _ in 0..MAX_PROPOSALS {
+        let (tx, rx) = oneshot::channel();
+        let event = Event::Replace(Box::new(document.clone()), tx);
+        match outcome(hub, event, rx).await? {
+            Outcome::Replaced { repeated, .. } => return Ok(Replaced::Accepted { repeated }),
+            Outcome::BaseOutdated { current } => return Ok(Replaced::BaseOutdated { current }),
+            Outcome::Invalid { problems } => return Ok(Replaced::Invalid(problems)),
+            Outcome::ComputedOnOther => {}
+            _ => return Err(Unavailable::default()),
+        }
+    }
+    Err(Unavailable::default())
+}
+
+/// Returns the document in force, or `None` if there is none yet.
+///
+/// # Errors
+///
+/// If no quorum confirms in time which document is in force.
+pub async fn current(hub: &Hub) -> Result<Option<Document>> {
+    let reading = hub.read(|replica| replica.state().documents().current());
+    in_time(reading).await
+}
+
+/// Orders that the traffic of a service moves to another version within a time.
+///
+/// # Errors
+///
+/// As for [`replace`].
+pub async fn order_rollout(
+    hub: &Hub,
+    service: ServiceName,
+    to: VersionName,
+    within: Millis,
+) -> Result<Ordered> {
+    let command = Command::StartRollout {
+        service,
+        to,
+        within,
+        at: clock::unix_now(),
+    };
+    let (tx, rx) = oneshot::channel();
+    let event = Event::Propose(Box::new(command), tx);
+    match outcome(hub, event, rx).await? {
+        Outcome::Done { .. } => Ok(Ordered::Accepted),
+        Outcome::Refused { reason } => Ok(Ordered::Refused(reason)),
+        _ => Err(Unavailable::default()),
+    }
+}
+
+/// Returns what became of the latest order for a service.
+///
+/// # Errors
+///
+/// As for [`current`].
+pub async fn order_status(hub: &Hub, service: ServiceName) -> Result<Option<OrderStatus>> {
+    let reading = hub.read(move |replica| replica.state().rollouts().order_status(&service));
+    in_time(reading).await
+}
+
+async fn outcome(
+    hub: &Hub,
+    event: Event,
+    rx: oneshot::Receiver<Result<Outcome>>,
+) -> Result<Outcome> {
+    if !hub.send(event) {
+        return Err(Unavailable::default());
+    }
+    in_time(async { rx.await.unwrap_or_else(|_| Err(Unavailable::default())) }).await
+}
+
+async fn in_time<T>(work: impl Future<Output = Result<T>>) -> Result<T> {
+    match timeout(OUTCOME_TIMEOUT, work).await {
+        Ok(result) => result,
+        Err(_) => Err(Unavailable::default()),
+    }
+}
--- a/crates/daemon/src/control/hub.rs
+++ b/crates/daemon/src/control/hub.rs
@@ -18,7 +18,7 @@
 use sycamoreflow_state::view::{Delta, Interest, View};
 
 use crate::clock;
-use crate::control::replica::Event;
+use crate::control::replica::{self as event, Event, Replica, Unavailable};
 
 /// Commands that may wait for a session. Grants beyond it are lost, which is harmless as they are
 /// cumulative; a wake-up beyond it is not needed, as one is waiting already.
@@ -33,6 +33,8 @@
     Grant(Grant),
     /// Requests have crashed upstreams at other daemons.
     Suspects(Arc<SuspectReport>),
+    /// The members of the group have changed.
+    Members,
     /// The quorum is lost: the subscriber has to move to another replica.
     NoQuorum,
 }
@@ -44,6 +46,7 @@
     updates: Mutex<UpdateCache<Bytes>>,
     joins: Mutex<JoinLimiter>,
     sessions: Mutex<Sessions>,
+    members: Mutex<Arc<Vec<DaemonId>>>,
     events: mpsc::Sender<Event>,
 }
 
@@ -83,6 +86,7 @@
             updates: Mutex::default(),
             joins: Mutex::new(JoinLimiter::new(clock::now(), joins_per_second)),
             sessions: Mutex::default(),
+            members: Mutex::default(),
             events,
         }
     }
@@ -113,6 +117,17 @@
         }
     }
 
+    /// Takes over the members of the group and tells the sessions.
+    pub fn set_members(&self, members: Vec<DaemonId>) {
+        *self.members.lock() = Arc::new(members);
+        self.command_all(&SessionCommand::Members);
+    }
+
+    /// Returns the members of the group.
+    pub fn members(&self) -> Arc<Vec<DaemonId>> {
+        self.members.lock().clone()
+    }
+
     /// Returns the published view.
     pub fn view(&self) -> Arc<View> {
         self.distribution.lock().view().clone()
@@ -159,6 +174,26 @@
         rx.await.ok().flatten()
     }
 
+    /// Reads the state of this replica once a quorum has confirmed that it is current.
+    ///
+    /// # Errors
+    ///
+    /// If no quorum confirms it, or the replica has stopped.
+    pub async fn read<T: Send + 'static>(
+        &self,
+        read: impl FnOnce(&Replica) -> T + Send + 'static,
+    ) -> event::Result<T> {
+        let (tx, rx) = oneshot::channel();
+        let event = Event::Read(Box::new(move |replica| {
+            // Fails if the reader has gone.
+            let _ = tx.send(replica.map(read));
+        }));
+        if !self.send(event) {
+            return Err(Unavailable::default());
+        }
+        rx.await.unwrap_or_else(|_| Err(Unavailable::default()))
+    }
+
     /// Passes a message of a subscriber to the replica, which hands it to the leader.
     pub fn forward(&self, daemon: &DaemonId, content: Content) {
         let forwarded = Forwarded {
--- a/crates/daemon/src/control/leader.rs
+++ b/crates/daemon/src/control/leader.rs
@@ -5,9 +5,10 @@
 
 use sycamoreflow_coordination::key_holders::{EndpointIndex, HolderWatch};
 use sycamoreflow_coordination::leases::{LEASE, Leases, RENEW_INTERVAL};
-use sycamoreflow_coordination::machine::{Command, ControlState};
+use sycamoreflow_coordination::machine::{Command, ControlState, HistoryEvent};
 use sycamoreflow_coordination::pacing::{Capacity, Pacer, TICK_INTERVAL};
 use sycamoreflow_coordination::publication::Publication;
+use sycamoreflow_coordination::rollout::RolloutAction;
 use sycamoreflow_coordination::shares::Grant;
 use sycamoreflow_protocol::replica::{Content, Forwarded};
 use sycamoreflow_state::config::Share;
@@ -18,6 +19,10 @@
 use sycamoreflow_state::operator::{Convergence, RejectedBy};
 use sycamoreflow_state::view::View;
 
+/// Time since the last renewal of a daemon up to which a rollout waits for it. It covers one renewal
+/// that was late.
+const HEARD: Millis = Millis(RENEW_INTERVAL.0 + 1_500);
+
 /// How often the groups of key holders are checked.
 const HOLDER_CHECK_INTERVAL: Millis = Millis(500);
 
@@ -151,8 +156,57 @@
             capacity_of(leases.endpoints(), service, version)
         };
         let steps = self.pacer.tick(unix_now, state.rollouts(), capacity);
-        let mut commands: Vec<Command> = steps.into_iter().map(Command::Rollout).collect();
-        commands.extend(self.decide_holders(now, state));
+        let mut commands = Vec::new();
+        for step in steps {
+            if step.action == RolloutAction::Finish && !self.follows(now, state, step.rollout) {
+                continue;
+            }
+            commands.push(Command::Rollout(step));
+        }
+        // Operators who hand over documents use no idempotency keys.
+        if state.documents().number() == 0 {
+            commands.extend(self.decide_holders(now, state));
+        } else {
+            commands.extend(self.introduce_versions(state));
+        }
+        commands
+    }
+
+    /// Returns whether all daemons that are heard follow the latest step of a rollout, so that none
+    /// of them sends anything to the old version.
+    fn follows(&self, now: Millis, state: &ControlState, rollout: u64) -> bool {
+        let of_rollout = |event: &HistoryEvent| match event {
+            HistoryEvent::Rollout(command) => command.rollout == rollout,
+            _ => false,
+        };
+        let mut steps = state.history().filter(|record| of_rollout(&record.event));
+        let Some(step) = steps.next_back() else {
+            return true;
+        };
+        let heard = self.daemons.values();
+        let mut heard = heard.filter(|daemon| now.since(daemon.last_seen) < HEARD);
+        heard.all(|daemon| daemon.in_force.config >= step.version)
+    }
+
+    /// Names the versions of services whose first endpoints have appeared.
+    fn introduce_versions(&self, state: &ControlState) -> Vec<Command> {
+        let mut commands = Vec::new();
+        for service in state.approved().config.services.keys() {
+            if state.rollouts().traffic(service).is_some() {
+                continue;
+            }
+            let mut versions: BTreeMap<&VersionName, u32> = BTreeMap::new();
+            for endpoint in self.leases.endpoints().filter(|e| e.service == *service) {
+                *versions.entry(&endpoint.version).or_default() += 1;
+            }
+            let usual = versions.into_iter().max_by_key(|(_, count)| *count);
+            if let Some((version, _)) = usual {
+                commands.push(Command::Introduce {
+                    service: service.clone(),
+                    version: version.clone(),
+                });
+            }
+        }
         commands
     }
 
--- a/crates/daemon/src/control/operator_api.rs
+++ b/crates/daemon/src/control/operator_api.rs
@@ -125,7 +125,10 @@
             "the request identifier was used for another request; use a new one",
         )),
         Outcome::Refused { reason } => Err(ErrorResponse::new(ErrorCode::Unavailable, reason)),
-        Outcome::Done { .. } => Err(stopped()),
+        Outcome::Done { .. }
+        | Outcome::Replaced { .. }
+        | Outcome::BaseOutdated { .. }
+        | Outcome::ComputedOnOther => Err(stopped()),
     }
 }
 
@@ -206,22 +209,11 @@
     Err(ErrorResponse::new(ErrorCode::Unavailable, message))
 }
 
-/// Reads the state of this replica once a quorum has confirmed that it is current.
 async fn read<T: Send + 'static>(
     hub: &Hub,
     read: impl FnOnce(&Replica) -> T + Send + 'static,
 ) -> Result<T> {
-    let (tx, rx) = oneshot::channel();
-    let event = Event::Read(Box::new(move |replica| {
-        let _ = tx.send(replica.map(read));
-    }));
-    if !hub.send(event) {
-        return Err(stopped());
-    }
-    match rx.await {
-        Ok(result) => result.map_err(|error| unavailable(&error)),
-        Err(_) => Err(stopped()),
-    }
+    hub.read(read).await.map_err(|error| unavailable(&error))
 }
 
 /// Reads what only the leader knows.
--- a/crates/daemon/src/control/peers.rs
+++ b/crates/daemon/src/control/peers.rs
@@ -16,17 +16,21 @@
 
 use crate::control::hub::Hub;
 use crate::control::replica::Event;
+use crate::replicas;
 use crate::settings::ReplicaAddress;
 
 /// Wait before a failed link is opened again. The replicated log repeats what was lost.
 const RECONNECT_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Replicas that this one keeps links to at most. A group has far fewer members and applicants.
+const MAX_PEERS: usize = 64;
+
 /// The other replicas of the group.
 #[derive(Debug)]
 pub struct Peers {
     identity: Identity,
     limits: link::Limits,
-    addresses: BTreeMap<DaemonId, ReplicaAddress>,
+    addresses: Mutex<BTreeMap<DaemonId, ReplicaAddress>>,
     links: Mutex<BTreeMap<DaemonId, Sender>>,
     leader: Mutex<Option<DaemonId>>,
     leader_changed: (channel::Sender<()>, channel::Receiver<()>),
@@ -39,17 +43,21 @@
         Self {
             identity: identity.clone(),
             limits: limits.clone(),
-            addresses: others.map(|r| (r.daemon.clone(), r.clone())).collect(),
+            addresses: Mutex::new(others.map(|r| (r.daemon.clone(), r.clone())).collect()),
             links: Mutex::default(),
             leader: Mutex::default(),
             leader_changed: channel::bounded(1),
         }
     }
 
-    /// Sends a message, or loses it if there is no link.
-    pub fn send(&self, to: &DaemonId, message: &ReplicaMessage) {
+    /// Sends a message, or loses it if there is no link. A replica whose id is its address gets a
+    /// link with the first message to it.
+    pub fn send(self: &Arc<Self>, to: &DaemonId, message: &ReplicaMessage) {
         let link = self.links.lock().get(to).cloned();
         let Some(link) = link else {
+            if let Some(address) = replicas::address_of(to) {
+                self.add(address);
+            }
             return;
         };
         if link.send(message).is_err() {
@@ -58,10 +66,31 @@
     }
 
     /// Sends a message to all other replicas.
-    pub fn send_to_all(&self, message: &ReplicaMessage) {
-        for to in self.addresses.keys() {
-            self.send(to, message);
+    pub fn send_to_all(self: &Arc<Self>, message: &ReplicaMessage) {
+        let all: Vec<DaemonId> = self.addresses.lock().keys().cloned().collect();
+        for to in all {
+            self.send(&to, message);
+        }
+    }
+
+    /// Ends the links to replicas that are found by their addresses and are no longer `wanted`.
+    pub fn retain(&self, wanted: impl Fn(&DaemonId) -> bool) {
+        let mut addresses = self.addresses.lock();
+        addresses.retain(|id, _| replicas::address_of(id).is_none() || wanted(id));
+        let known: Vec<DaemonId> = addresses.keys().cloned().collect();
+        drop(addresses);
+        self.links.lock().retain(|id, _| known.contains(id));
+    }
+
+    fn add(self: &Arc<Self>, address: ReplicaAddress) {
+        let mut addresses = self.addresses.lock();
+        let is_known = addresses.contains_key(&address.daemon);
+        if is_known || addresses.len() >= MAX_PEERS || address.daemon == self.identity.daemon {
+            return;
         }
+        addresses.insert(address.daemon.clone(), address.clone());
+        drop(addresses);
+        task::spawn(self.clone().keep_link(address));
     }
 
     /// Notes the leader, whose view this replica follows.
@@ -71,29 +100,38 @@
     }
 
     /// Returns the address of a replica.
-    pub fn address(&self, daemon: &DaemonId) -> Option<&ReplicaAddress> {
-        self.addresses.get(daemon)
+    pub fn address(&self, daemon: &DaemonId) -> Option<ReplicaAddress> {
+        let known = self.addresses.lock().get(daemon).cloned();
+        known.or_else(|| replicas::address_of(daemon))
     }
 
     /// Keeps the links to all other replicas open.
     pub fn start(self: &Arc<Self>) {
-        for address in self.addresses.values() {
-            task::spawn(self.clone().keep_link(address.clone()));
+        let all: Vec<ReplicaAddress> = self.addresses.lock().values().cloned().collect();
+        for address in all {
+            task::spawn(self.clone().keep_link(address));
         }
     }
 
     async fn keep_link(self: Arc<Self>, address: ReplicaAddress) {
-        loop {
+        let mut lost = false;
+        while self.addresses.lock().contains_key(&address.daemon) {
             let opened =
                 link::connect(address.link, &self.identity, Purpose::Raft, &self.limits).await;
             if let Ok((tx, mut rx)) = opened
                 && tx.peer().daemon == address.daemon
             {
+                tracing::info!(event = "replica_link", replica = %address.daemon, up = true);
+                lost = false;
                 self.links.lock().insert(address.daemon.clone(), tx);
                 // The other replica sends over its own link; this one only tells when it breaks.
                 while rx.receive_encoded().await.is_ok() {}
                 self.links.lock().remove(&address.daemon);
             }
+            if !lost {
+                tracing::warn!(event = "replica_link", replica = %address.daemon, up = false);
+                lost = true;
+            }
             task::sleep(RECONNECT_INTERVAL).await;
         }
     }
@@ -102,7 +140,10 @@
     pub async fn follow(self: Arc<Self>, hub: Arc<Hub>) {
         loop {
             let leader = self.leader.lock().clone();
-            let address = leader.and_then(|leader| self.address(&leader).cloned());
+            let own = &self.identity.daemon;
+            let address = leader
+                .filter(|leader| leader != own)
+                .and_then(|leader| self.address(&leader));
             let changed = self.leader_changed.1.recv().fuse();
             let following = self.follow_one(&hub, address).fuse();
             futures::pin_mut!(changed, following);
@@ -136,7 +177,9 @@
             let delta = match message {
                 FromReplica::Update(delta) => delta,
                 // Subscribers of this replica get them by the link between the replicas.
-                FromReplica::Suspects(_) | FromReplica::Grants(_) => continue,
+                FromReplica::Suspects(_) | FromReplica::Grants(_) | FromReplica::Members(_) => {
+                    continue;
+                }
                 _ => return,
             };
             if let Err(reason) = hub.publish_delta(&delta) {
--- a/crates/daemon/src/control/replica.rs
+++ b/crates/daemon/src/control/replica.rs
@@ -9,9 +9,11 @@
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::time::{Duration, Instant};
 
+use sycamoreflow_coordination::machine::document::Document;
 use sycamoreflow_coordination::machine::{CodecError, Command, ControlState, Outcome};
 use sycamoreflow_coordination::raft::{
-    Input, Output, Payload, Raft, Refusal, SharedEntry, Snapshot, Standing, TICK_MS, Token,
+    Input, Membership, Output, Payload, Raft, Refusal, SharedEntry, Snapshot, Standing, TICK_MS,
+    Token,
 };
 use sycamoreflow_protocol::replica::ReplicaMessage;
 use sycamoreflow_state::ids::{DaemonId, Millis};
@@ -75,8 +77,12 @@
 pub struct GroupSettings {
     /// All replicas.
     pub replicas: Vec<DaemonId>,
-    /// Those that vote.
+    /// Those that vote, or that found the group if it is found by seeds.
     pub voters: Vec<DaemonId>,
+    /// Number of voters that a group found by seeds keeps. `None` if the settings name the voters.
+    pub wanted_voters: Option<usize>,
+    /// Whether this replica may take part in founding the group.
+    pub may_found: bool,
 }
 
 /// What a replica starts from.
@@ -197,6 +203,11 @@
             Event::Confirm(tx) => self.read_index(Waiting::Confirm(tx)),
             Event::Read(read) => self.read_index(Waiting::Read(read)),
             Event::Propose(command, tx) => self.propose(&command, Waiting::Outcome(tx)),
+            Event::Replace(document, tx) => self.replace(*document, Waiting::Outcome(tx)),
+            Event::Contacts(contacts) => {
+                self.raft.set_contacts(contacts);
+                Ok(())
+            }
             Event::ChangeMembers(change, tx) => {
                 let token = self.wait(Waiting::Members(tx));
                 self.step(Input::ChangeMembers { token, change })
@@ -265,9 +276,7 @@
                     term,
                     leader,
                 } => self.change_leadership(standing, term, leader),
-                Output::MembersChanged(_) => {
-                    metrics::counter!("sycamoreflow_member_changes_total").increment(1);
-                }
+                Output::MembersChanged(members) => self.change_members(&members),
             }
         }
         self.save_snapshot_if_due()?;
@@ -395,6 +404,23 @@
         self.step(Input::Propose { token, data })
     }
 
+    fn replace(&mut self, document: Document, waiting: Waiting) -> Stored {
+        let now = clock::unix_now();
+        let replacement = self.state.documents().replacement(document, now);
+        self.propose(&Command::Replace(replacement), waiting)
+    }
+
+    fn change_members(&mut self, members: &Membership) {
+        metrics::counter!("sycamoreflow_member_changes_total").increment(1);
+        let ids: Vec<DaemonId> = members.members.keys().cloned().collect();
+        let voters: Vec<&str> = members.voters().map(DaemonId::as_str).collect();
+        tracing::info!(event = "members", voters = ?voters, members = ids.len());
+        let named = &self.group.replicas;
+        self.peers
+            .retain(|id| ids.contains(id) || named.contains(id));
+        self.hub.set_members(ids);
+    }
+
     fn read_index(&mut self, waiting: Waiting) -> Stored {
         let token = self.wait(waiting);
         self.step(Input::ReadIndex { token })
--- a/crates/daemon/src/control/replica/event.rs
+++ b/crates/daemon/src/control/replica/event.rs
@@ -1,6 +1,7 @@
 //! What happens to a control replica, and who waits for the outcome.
 
 use futures::channel::oneshot;
+use sycamoreflow_coordination::machine::document::Document;
 use sycamoreflow_coordination::machine::{Command, Outcome};
 use sycamoreflow_coordination::raft::message::Message;
 use sycamoreflow_coordination::raft::{MemberChange, Refusal};
@@ -50,6 +51,10 @@
     Confirm(oneshot::Sender<Option<ConfigVersion>>),
     /// Proposes a command and returns its outcome.
     Propose(Box<Command>, oneshot::Sender<Result<Outcome>>),
+    /// Proposes a document as the configuration and returns its outcome.
+    Replace(Box<Document>, oneshot::Sender<Result<Outcome>>),
+    /// Names replicas to contact while this one knows no group.
+    Contacts(Vec<DaemonId>),
     /// Changes the members of the group.
     ChangeMembers(MemberChange, oneshot::Sender<Result<()>>),
     /// Reads the state, confirmed by a quorum.
@@ -97,13 +102,14 @@
     pub(super) fn into_waiting(self) -> Waiting {
         match self {
             Self::Confirm(tx) => Waiting::Confirm(tx),
-            Self::Propose(_, tx) => Waiting::Outcome(tx),
+            Self::Propose(_, tx) | Self::Replace(_, tx) => Waiting::Outcome(tx),
             Self::ChangeMembers(_, tx) => Waiting::Members(tx),
             Self::Read(read) => Waiting::Read(read),
             Self::Raft { .. }
             | Self::Forwarded(_)
             | Self::Grants(_)
             | Self::Suspects { .. }
+            | Self::Contacts(_)
             | Self::TransferLeadership
             | Self::Stop => Waiting::Nobody,
         }
--- a/crates/daemon/src/control/replica/leading.rs
+++ b/crates/daemon/src/control/replica/leading.rs
@@ -3,6 +3,7 @@
 
 use std::sync::Arc;
 
+use sycamoreflow_coordination::open_group;
 use sycamoreflow_coordination::raft::{Input, MemberChange, Standing};
 use sycamoreflow_coordination::shares::Grant;
 use sycamoreflow_coordination::suspect::SuspectReport;
@@ -19,6 +20,9 @@
 /// How often the leader looks for replicas that it has to admit.
 const ADMISSION_INTERVAL: Millis = Millis(1_000);
 
+/// The same for a group found by seeds, where a lost voter has to be replaced soon.
+const OPEN_ADMISSION_INTERVAL: Millis = Millis(250);
+
 impl Replica {
     /// Admits a replica of the settings that is no member yet: as a voter if the settings say so,
     /// else to serve subscribers. Only one change of members can be under way, and the log refuses
@@ -27,6 +31,10 @@
         if now < self.next_admission {
             return Ok(());
         }
+        if let Some(wanted_voters) = self.group.wanted_voters {
+            self.next_admission = now.after(OPEN_ADMISSION_INTERVAL);
+            return self.keep_members(wanted_voters);
+        }
         self.next_admission = now.after(ADMISSION_INTERVAL);
         let members = &self.raft.members().members;
         let mut replicas = self.group.replicas.iter();
@@ -43,6 +51,17 @@
         self.step(Input::ChangeMembers { token, change })
     }
 
+    /// Changes the members of a group found by seeds, if needed.
+    fn keep_members(&mut self, wanted_voters: usize) -> Stored {
+        let replicas = self.raft.replicas();
+        let applicants = self.raft.applicants();
+        let Some(change) = open_group::next_change(&replicas, &applicants, wanted_voters) else {
+            return Ok(());
+        };
+        let token = self.wait(Waiting::Nobody);
+        self.step(Input::ChangeMembers { token, change })
+    }
+
     /// Starts to lead once an entry of the own term is applied: then the state contains all that
     /// was accepted before.
     pub(super) fn lead_if_ready(&mut self, entry_term: u64) {
--- a/crates/daemon/src/control/sessions.rs
+++ b/crates/daemon/src/control/sessions.rs
@@ -105,6 +105,7 @@
         let registration = self.hub.register(&self.daemon);
         let floor = self.hub.view().version().config;
         self.tx.send(&FromReplica::Admitted { floor })?;
+        self.send_members()?;
         self.follow(&registration, rx).await
     }
 
@@ -133,6 +134,7 @@
     fn execute(&mut self, command: SessionCommand) -> Result<bool> {
         match command {
             SessionCommand::Changed => self.send_update()?,
+            SessionCommand::Members => self.send_members()?,
             SessionCommand::Grant(grant) => self.tx.send(&FromReplica::Grants(vec![grant]))?,
             SessionCommand::Suspects(report) => {
                 self.tx
@@ -172,6 +174,11 @@
         Ok(())
     }
 
+    fn send_members(&self) -> Result<()> {
+        let members = self.hub.members().as_ref().clone();
+        self.tx.send(&FromReplica::Members(members))
+    }
+
     fn send_update(&mut self) -> Result<()> {
         let Some((frame, to)) = self.hub.update_for(&self.interest, self.have) else {
             return Ok(());
--- a/crates/daemon/src/control/status.rs
+++ b/crates/daemon/src/control/status.rs
@@ -147,6 +147,8 @@
             };
             Some((None, event))
         }
+        // The command line shows the approvals and rollouts that follow from these.
+        machine::HistoryEvent::Replaced { .. } | machine::HistoryEvent::Ordered { .. } => None,
         machine::HistoryEvent::KeyHolders { service, epoch } => {
             let event = HistoryEvent::KeyHoldersChanged { epoch: *epoch };
             Some((Some(service.clone()), event))
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -27,15 +27,19 @@
 use crate::announce_api::{self, AnnounceState};
 use crate::clock;
 use crate::control::Control;
+use crate::control::hub::Hub;
 use crate::control::operator_api::{self, OperatorState};
+use crate::control::replica::Event;
 use crate::floor::{self, Floor};
 use crate::proxy::crashes::Crashes;
+use crate::proxy::dialect::Dialect;
 use crate::proxy::keys::Keys;
 use crate::proxy::links::CallLinks;
 use crate::proxy::owner::{Owner, OwnerLimits};
 use crate::proxy::{Parts, Proxy};
 use crate::rpc;
-use crate::settings::Settings;
+use crate::replicas::{self, Replicas};
+use crate::settings::{ReplicaAddress, Settings};
 use crate::subscriber::Subscriber;
 use crate::traffic::Traffic;
 
@@ -58,12 +62,12 @@
 /// Addresses that a daemon listens on.
 #[derive(Clone, Copy, Debug)]
 pub struct Addresses {
-    /// HTTP calls from callers.
-    pub calls: SocketAddr,
+    /// HTTP calls from callers, if the daemon serves them.
+    pub calls: Option<SocketAddr>,
     /// Links from other daemons.
     pub link: SocketAddr,
-    /// Announcements and metrics.
-    pub announce: SocketAddr,
+    /// Announcements and metrics, if the daemon serves them.
+    pub announce: Option<SocketAddr>,
     /// Operator interface, if there is one.
     pub operator: Option<SocketAddr>,
 }
@@ -72,7 +76,8 @@
 pub struct Daemon {
     proxy: Arc<Proxy>,
     control: Option<Arc<Mutex<Control>>>,
-    calls: server::ServerHandle,
+    replicas: Arc<Replicas>,
+    calls: Option<server::ServerHandle>,
     /// Interfaces for the upstream and for operators. They end when they are dropped.
     interfaces: Vec<OperatorHandle>,
     traffic: Arc<Traffic>,
@@ -80,6 +85,7 @@
     endpoints_changed: channel::Sender<()>,
     tasks: Vec<JoinHandle<()>>,
     drain_timeout: Duration,
+    leave_notice: Duration,
 }
 
 /// What the link listener needs to serve a link.
@@ -93,9 +99,9 @@
 
 /// The listening sockets of a daemon, bound before any part starts.
 struct Listeners {
-    calls: TcpListener,
+    calls: Option<TcpListener>,
     link: TcpListener,
-    announce: TcpListener,
+    announce: Option<TcpListener>,
     operator: Option<TcpListener>,
 }
 
@@ -108,9 +114,22 @@
     pub async fn start(
         settings: &Settings,
         metrics: Option<PrometheusHandle>,
+    ) -> eyre::Result<Self> {
+        Self::start_with(settings, Dialect::default(), metrics).await
+    }
+
+    /// Starts as [`Daemon::start`] does, with callers and upstreams that speak another dialect.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Daemon::start`].
+    pub async fn start_with(
+        settings: &Settings,
+        dialect: Dialect,
+        metrics: Option<PrometheusHandle>,
     ) -> eyre::Result<Self> {
         let identity = identity(settings)?;
-        let limits = link::Limits::default();
+        let limits = link_limits(settings);
         let listeners = Listeners::bind(settings)?;
         let addresses = listeners.addresses()?;
         let incarnation = new_incarnation()?;
@@ -123,21 +142,16 @@
             limits: &limits,
             link_address: addresses.link,
             incarnation,
+            dialect: Arc::new(dialect),
         };
         let proxy = Arc::new(context.proxy(urgent_tx));
         let control = start_control(settings, &identity, &limits, incarnation)?;
         let mut tasks = Vec::new();
 
-        let serving = proxy.clone();
-        let server_limits = server::Limits {
-            max_connections: settings.limits.connections,
-            max_body_bytes: settings.limits.body_bytes as u64,
-            ..server::Limits::default()
+        let calls = match listeners.calls {
+            Some(listener) => Some(serve_callers(listener, settings, &proxy)?),
+            None => None,
         };
-        let calls = server::serve(listeners.calls, server_limits, move |req| {
-            let proxy = serving.clone();
-            async move { proxy.serve(req).await }
-        })?;
 
         let context = Arc::new(LinkContext {
             identity: identity.clone(),
@@ -155,8 +169,10 @@
         };
         let app = announce_api::app(state);
         let http_limits = operator::Limits::default();
-        let announce = operator::serve(listeners.announce, app, None, http_limits.clone())?;
-        let mut interfaces = vec![announce];
+        let mut interfaces = Vec::new();
+        if let Some(listener) = listeners.announce {
+            interfaces.push(operator::serve(listener, app, None, http_limits.clone())?);
+        }
         if let (Some(listener), Some(control)) = (listeners.operator, &control) {
             let app = operator_api::app(OperatorState {
                 hub: control.lock().hub().clone(),
@@ -171,11 +187,13 @@
         let floor = Arc::new(Floor::new(witnesses, &identity, &limits, &traffic));
         let resending = floor.clone();
         tasks.push(task::spawn(async move { resending.resend().await }));
+        let replicas = Arc::new(Replicas::new(settings.named_replicas()));
         let subscriber = Subscriber {
             daemon: settings.daemon.clone(),
             identity,
             limits,
-            replicas: settings.control_replicas.clone(),
+            replicas: replicas.clone(),
+            max_backoff: Millis(settings.limits.reconnect_ms),
             interest: interest(settings),
             proxy: proxy.clone(),
             floor,
@@ -184,13 +202,17 @@
             endpoints_changed: changed_rx,
             urgent_report: urgent_rx,
         };
-        tasks.push(task::spawn(subscriber.run()));
+        // A replica that serves no calls distributes the view without enforcing it.
+        if settings.listen.calls.is_some() {
+            tasks.push(task::spawn(subscriber.run()));
+        }
         tasks.push(task::spawn(copy_keys(proxy.clone())));
         tasks.push(task::spawn(probe_endpoints(proxy.clone())));
         tasks.push(task::spawn(keep_house(proxy.clone(), changed_tx.clone())));
         Ok(Self {
             proxy,
             control,
+            replicas,
             calls,
             interfaces,
             traffic,
@@ -198,6 +220,7 @@
             endpoints_changed: changed_tx,
             tasks,
             drain_timeout: Duration::from_millis(settings.limits.drain_timeout_ms),
+            leave_notice: Duration::from_millis(settings.limits.leave_notice_ms),
         })
     }
 
@@ -216,22 +239,56 @@
         &self.proxy
     }
 
+    /// Returns the shared part of the control replica, if this daemon is one.
+    pub fn control_hub(&self) -> Option<Arc<Hub>> {
+        let control = self.control.as_ref()?;
+        Some(control.lock().hub().clone())
+    }
+
+    /// Returns the sender that wakes the subscription when the own endpoints have changed.
+    pub fn endpoints_changed(&self) -> &channel::Sender<()> {
+        &self.endpoints_changed
+    }
+
+    /// Replaces the seeds, which may name other replicas than at the start.
+    pub fn set_seeds(&self, seeds: &[SocketAddr]) {
+        let named = seeds.iter().map(|link| ReplicaAddress {
+            daemon: replicas::id_of(*link),
+            link: *link,
+        });
+        let named: Vec<ReplicaAddress> = named.collect();
+        let ids = named.iter().map(|replica| replica.daemon.clone()).collect();
+        self.replicas.set_named(named);
+        if let Some(hub) = self.control_hub() {
+            hub.send(Event::Contacts(ids));
+        }
+    }
+
     /// Stops gracefully: new work is refused as not run, what runs finishes, and the other daemons
     /// are told before the listeners close. Returns the number of calls that were cut because they
     /// did not finish in time.
     pub async fn drain(mut self) -> usize {
         let limit = Instant::now() + self.drain_timeout;
-        self.proxy.owner().drain();
+        self.proxy.owner().announce_leaving();
         let _ = self.endpoints_changed.try_send(());
         if let Some(control) = &self.control {
             control.lock().transfer_leadership();
         }
-        let drained = self.calls.drain(self.drain_timeout).await;
-        task::sleep(LEAVE_NOTICE.min(self.drain_timeout)).await;
+        // Callers and other daemons learn meanwhile that this one is leaving.
+        task::sleep(self.leave_notice).await;
+        self.proxy.owner().drain();
+        let _ = self.endpoints_changed.try_send(());
+        let left = limit.saturating_duration_since(Instant::now());
+        let cut_connections = match &self.calls {
+            Some(calls) => calls.drain(left).await.cut_connections,
+            None => 0,
+        };
+        let left = limit.saturating_duration_since(Instant::now());
+        task::sleep(LEAVE_NOTICE.saturating_sub(self.leave_notice).min(left)).await;
         while self.proxy.owner().in_flight() > 0 && Instant::now() < limit {
             task::sleep(Duration::from_millis(10)).await;
         }
-        let cut = drained.cut_connections + self.proxy.owner().in_flight();
+        let cut = cut_connections + self.proxy.owner().in_flight();
         self.stop_tasks().await;
         cut
     }
@@ -259,21 +316,28 @@
             Some(address) => Some(bind("listen.operator", address)?),
             None => None,
         };
+        let optional = |field, address: Option<SocketAddr>| {
+            let bound = address.map(|address| bind(field, address));
+            bound.transpose()
+        };
         Ok(Self {
-            calls: bind("listen.calls", listen.calls)?,
+            calls: optional("listen.calls", listen.calls)?,
             link: bind("listen.link", listen.link)?,
-            announce: bind("listen.announce", listen.announce)?,
+            announce: optional("listen.announce", listen.announce)?,
             operator,
         })
     }
 
     fn addresses(&self) -> eyre::Result<Addresses> {
-        let operator = self.operator.as_ref().map(TcpListener::local_addr);
+        let optional = |listener: &Option<TcpListener>| {
+            let address = listener.as_ref().map(TcpListener::local_addr);
+            address.transpose()
+        };
         Ok(Addresses {
-            calls: self.calls.local_addr()?,
+            calls: optional(&self.calls)?,
             link: self.link.local_addr()?,
-            announce: self.announce.local_addr()?,
-            operator: operator.transpose()?,
+            announce: optional(&self.announce)?,
+            operator: optional(&self.operator)?,
         })
     }
 }
@@ -311,6 +375,7 @@
     limits: &'a link::Limits,
     link_address: SocketAddr,
     incarnation: u64,
+    dialect: Arc<Dialect>,
 }
 
 impl ProxyContext<'_> {
@@ -329,6 +394,12 @@
             owner: Arc::new(self.owner(crashes.clone())),
             keys: Arc::new(self.keys()),
             crashes,
+            dialect: self.dialect.clone(),
+            own_service: settings.own_service.clone(),
+            shared_retries: match settings.limits.shared_retries {
+                0 => None,
+                retries => Some(retries),
+            },
             urgent_report,
         })
     }
@@ -337,11 +408,13 @@
         let settings = self.settings;
         let client = client::Client::new(client::Limits {
             max_body_bytes: settings.limits.body_bytes,
+            idle_time: Duration::from_millis(settings.limits.upstream_idle_ms),
             ..client::Limits::default()
         });
         let limits = OwnerLimits {
             max_wait: Millis(settings.limits.queue_ms),
             queue_per_slot: settings.limits.queue_per_slot,
+            reduces_when_slow: settings.limits.reduce_when_slow,
         };
         Owner::new(
             settings.daemon.clone(),
@@ -351,6 +424,7 @@
             client,
             crashes,
         )
+        .with_dialect(self.dialect.clone())
     }
 
     fn keys(&self) -> Keys {
@@ -368,6 +442,39 @@
     }
 }
 
+fn serve_callers(
+    listener: TcpListener,
+    settings: &Settings,
+    proxy: &Arc<Proxy>,
+) -> eyre::Result<server::ServerHandle> {
+    let limits = server::Limits {
+        max_connections: settings.limits.connections,
+        max_body_bytes: settings.limits.body_bytes as u64,
+        max_pipelined: settings.limits.pipelined,
+        idle_time: Duration::from_millis(settings.limits.idle_ms),
+        ..server::Limits::default()
+    };
+    let proxy = proxy.clone();
+    let server = server::serve(listener, limits, move |req| {
+        let proxy = proxy.clone();
+        async move { proxy.serve(req).await }
+    })?;
+    Ok(server)
+}
+
+/// Returns the limits of links. Heartbeats are sent often enough that one of them may be late.
+fn link_limits(settings: &Settings) -> link::Limits {
+    let silence = Duration::from_millis(settings.limits.link_silence_ms);
+    let default = link::Limits::default();
+    link::Limits {
+        connect: default.connect.min(silence),
+        handshake: default.handshake.min(silence),
+        ping_interval: default.ping_interval.min(silence / 3),
+        silence,
+        ..default
+    }
+}
+
 fn start_control(
     settings: &Settings,
     identity: &Identity,
@@ -445,7 +552,7 @@
 }
 
 async fn serve_calls(proxy: &Arc<Proxy>, tx: Sender, rx: Receiver) {
-    call_link::serve(tx, rx, MAX_CALLS_PER_LINK, |call, _| {
+    call_link::serve_with_load(tx, rx, MAX_CALLS_PER_LINK, |call, _| {
         let proxy = proxy.clone();
         async move { proxy.run_owned(call).await }
     })
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -10,6 +10,7 @@
 mod daemon;
 pub mod floor;
 pub mod proxy;
+pub mod replicas;
 pub mod rpc;
 pub mod settings;
 pub mod subscriber;
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -6,37 +6,42 @@
 
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwapOption;
 use async_std::channel;
 use bytes::Bytes;
 use http::{Request, Response};
-use parking_lot::RwLock;
+use parking_lot::{Mutex, RwLock};
 use sycamoreflow_coordination::dedup::Key;
 use sycamoreflow_coordination::evidence::EvidenceReport;
 use sycamoreflow_coordination::fingerprint::Fingerprint;
 use sycamoreflow_coordination::retry::{Attempts, Next};
-use sycamoreflow_coordination::routing::RouterConfig;
+use sycamoreflow_coordination::routing::{Goal, Load, RouterConfig};
 use sycamoreflow_coordination::shares::Grant;
-use sycamoreflow_protocol::call::{Answer, Call, CallResult, RequestHead};
+use sycamoreflow_coordination::split::SplitCounter;
+use sycamoreflow_protocol::call::{Answer, Call, CallResult, CallUrgency, RequestHead};
 use sycamoreflow_state::endpoint::Endpoint;
 use sycamoreflow_state::ids::{
-    DaemonId, DataCentre, Micros, Millis, RouteName, ServiceName, TenantName,
+    DaemonId, DataCentre, Micros, Millis, RouteName, ServiceName, TenantName, VersionName,
+    ViewVersion,
 };
 use sycamoreflow_state::verdict::{Failure, Reason};
-use sycamoreflow_state::view::View;
+use sycamoreflow_state::view::{ResourceKey, View};
 
 use crate::clock;
 use crate::proxy::crashes::Crashes;
+use crate::proxy::dialect::Dialect;
 use crate::proxy::headers::{CallerHeaders, DEFAULT_TENANT};
 use crate::proxy::keys::{KeyedRequest, Keys};
 use crate::proxy::links::CallLinks;
 use crate::proxy::owner::Owner;
 use crate::proxy::service::{AttemptEnd, Service, Target};
-use crate::proxy::table::RouteTable;
+use crate::proxy::table::{Route, RouteTable};
+use crate::telemetry::{ANSWERS, REFUSALS};
 
 pub mod crashes;
+pub mod dialect;
 pub mod headers;
 pub mod keys;
 pub mod links;
@@ -47,6 +52,19 @@
 /// Sends of one call at most, including the first.
 const MAX_ATTEMPTS: usize = 3;
 
+/// Daemons that may refuse a request for lack of room before its caller is refused.
+const MAX_REFUSALS: usize = 4;
+
+/// Value of an answer after the target of its route, relative to one in time.
+const LATE_VALUE: f64 = 0.3;
+
+/// Price of a request to another data centre, relative to the value of its answer. It stands for the
+/// bytes that cross between data centres.
+const REMOTE_PRICE: f64 = 0.06;
+
+/// When a caller may come back if nothing better is known.
+const RETRY_AFTER: Millis = Millis(300);
+
 /// Latency between data centres that the first estimates assume.
 const FIRST_HOP: Micros = Micros(1_000);
 
@@ -64,6 +82,12 @@
     owner: Arc<Owner>,
     keys: Arc<Keys>,
     crashes: Arc<Crashes>,
+    dialect: Arc<Dialect>,
+    /// Service beside this daemon, if the settings name it.
+    own_service: Option<ServiceName>,
+    /// Retries that all daemons together may make beyond their share of a service's requests.
+    shared_retries: Option<u64>,
+    splits: Mutex<HashMap<RouteName, SplitCounter>>,
     /// Wakes the subscription when evidence has to be reported at once.
     urgent_report: channel::Sender<()>,
 }
@@ -85,6 +109,25 @@
     deadline: Millis,
     idempotent: bool,
     key: Option<String>,
+    request_id: Option<String>,
+    priority: u32,
+    /// When the answer loses part of its value, if the route says so.
+    target: Option<Millis>,
+    max_attempts: usize,
+}
+
+/// What became of a request, for the log and the response.
+#[derive(Debug, Default)]
+struct Trace {
+    request_id: Option<String>,
+    route: Option<RouteName>,
+    service: Option<ServiceName>,
+    version: Option<VersionName>,
+    endpoint: Option<DaemonId>,
+    view: Option<ViewVersion>,
+    attempts: u32,
+    /// When the caller may come back after a refusal.
+    retry_after: Option<Millis>,
 }
 
 /// The parts that a request path is made of.
@@ -103,6 +146,13 @@
     pub keys: Arc<Keys>,
     /// Requests that crash upstreams.
     pub crashes: Arc<Crashes>,
+    /// Dialect of callers.
+    pub dialect: Arc<Dialect>,
+    /// Service beside this daemon, if the settings name it.
+    pub own_service: Option<ServiceName>,
+    /// Retries that all daemons together may make beyond their share of a service's requests. `None`
+    /// leaves the number to each daemon.
+    pub shared_retries: Option<u64>,
     /// Wakes the subscription when evidence has to be reported at once.
     pub urgent_report: channel::Sender<()>,
 }
@@ -120,6 +170,10 @@
             owner: parts.owner,
             keys: parts.keys,
             crashes: parts.crashes,
+            dialect: parts.dialect,
+            own_service: parts.own_service,
+            shared_retries: parts.shared_retries,
+            splits: Mutex::default(),
             urgent_report: parts.urgent_report,
         }
     }
@@ -157,6 +211,9 @@
             let of_service = endpoints.entry(&endpoint.service).or_default();
             of_service.push(endpoint.clone());
         }
+        let daemons: HashSet<&DaemonId> = view.endpoints().map(|e| &e.daemon).collect();
+        let sharing = daemons.len().max(1) as u64;
+        let retry_burst = self.shared_retries.map(|all| (all / sharing).max(1));
         let mut used = HashSet::new();
         for (name, config) in view.services() {
             let Some(split) = view.traffic(name) else {
@@ -167,6 +224,7 @@
             });
             let endpoints = endpoints.remove(name).unwrap_or_default();
             service.update(config, split, &endpoints);
+            service.set_retry_burst(retry_burst);
             used.insert(name);
         }
         self.keys.update(self.view().as_deref(), &view);
@@ -178,7 +236,8 @@
         };
         self.active.store(Some(Arc::new(active)));
         self.services.write().retain(|name, _| used.contains(name));
-        let daemons: HashSet<&DaemonId> = view.endpoints().map(|e| &e.daemon).collect();
+        let has_route = |name: &RouteName| view.get(&ResourceKey::Route(name.clone())).is_some();
+        self.splits.lock().retain(|name, _| has_route(name));
         self.links.retain(|daemon| daemons.contains(daemon));
         metrics::gauge!("sycamoreflow_view_config_version").set(view.version().config.0 as f64);
     }
@@ -197,34 +256,51 @@
     /// Serves a request of a caller.
     pub async fn serve(self: &Arc<Self>, req: Request<Bytes>) -> Response<Bytes> {
         let started = Instant::now();
-        let (result, tenant) = self.run(req).await;
+        let id_header = self.dialect.request_id.clone();
+        let id_header = id_header.and_then(|name| Some((req.headers().get(&name)?.clone(), name)));
+        let mut trace = Trace::default();
+        let (result, tenant) = self.run(req, &mut trace).await;
+        let elapsed = started.elapsed();
+        trace.log(&result, elapsed);
         let response = match result {
-            Ok(answer) => headers::response(answer),
+            Ok(answer) => headers::response(answer, &self.dialect),
             Err(failure) => {
                 let reason = headers::reason_text(failure.reason);
                 let verdict = failure.verdict.as_str();
                 metrics::counter!("sycamoreflow_calls_failed_total",
                     "reason" => reason, "verdict" => verdict)
                 .increment(1);
-                headers::refusal(failure)
+                let wait = trace.retry_after.unwrap_or(RETRY_AFTER);
+                let mut response = headers::refusal_in(failure, &self.dialect, Some(wait));
+                if let Some((id, name)) = id_header {
+                    response.headers_mut().insert(name, id);
+                }
+                response
             }
         };
         let tenant = tenant.as_str().to_owned();
         metrics::counter!("sycamoreflow_calls_total", "tenant" => tenant.clone()).increment(1);
         metrics::histogram!("sycamoreflow_call_seconds", "tenant" => tenant)
-            .record(started.elapsed().as_secs_f64());
+            .record(elapsed.as_secs_f64());
         response
     }
 
-    /// Runs a call that another daemon has sent here.
-    pub async fn run_owned(&self, call: Call) -> CallResult {
+    /// Runs a call that another daemon has sent here. Returns the load of the upstream with it.
+    pub async fn run_owned(&self, call: Call) -> (CallResult, Option<Load>) {
         let deadline = clock::now().after(Millis(u64::from(call.remaining_ms)));
-        match self.owner.deliver(&call, deadline).await {
-            Ok(answer) => CallResult::Answer(answer),
-            Err(failure) => CallResult::Refused(failure),
+        let (result, load) = self.owner.deliver_with_load(&call, deadline).await;
+        match result {
+            Ok(answer) => (CallResult::Answer(answer), load),
+            Err(failure) => (CallResult::Refused(failure), load),
         }
     }
 
+    /// Returns whether callers may send requests here: there is a view, and the daemon is not
+    /// leaving.
+    pub fn is_ready(&self) -> bool {
+        self.active.load().is_some() && !self.owner.is_leaving()
+    }
+
     /// Returns whether any service is under rollout.
     pub fn has_rollout(&self) -> bool {
         let services = self.services.read();
@@ -271,22 +347,30 @@
         }
     }
 
-    async fn run(self: &Arc<Self>, req: Request<Bytes>) -> (Result<Answer>, TenantName) {
-        let caller = match headers::read_caller(req.headers()) {
+    async fn run(
+        self: &Arc<Self>,
+        req: Request<Bytes>,
+        trace: &mut Trace,
+    ) -> (Result<Answer>, TenantName) {
+        let caller = match headers::read_caller(req.headers(), &self.dialect) {
             Ok(caller) => caller,
             Err(failure) => return (Err(failure), TenantName::from(DEFAULT_TENANT)),
         };
         let tenant = caller.tenant.clone();
+        trace.request_id = caller.request_id.clone();
         let Some(active) = self.active.load_full() else {
             return (Err(Failure::not_run(Reason::NotReady)), tenant);
         };
+        trace.view = Some(active.view.version());
         let admitted = match self.admit(&active, caller, &req) {
             Ok(admitted) => admitted,
             // A tenant that is not in the configuration must not become a metric label.
             Err(failure) => return (Err(failure), TenantName::from(DEFAULT_TENANT)),
         };
-        let (head, body) = headers::request_head(req);
-        (self.run_admitted(admitted, head, body).await, tenant)
+        trace.route = Some(admitted.route.clone());
+        trace.service = Some(admitted.service_name.clone());
+        let (head, body) = headers::request_head(req, &self.dialect);
+        (self.run_admitted(admitted, head, body, trace).await, tenant)
     }
 
     /// Runs a request, at most once if it has an idempotency key.
@@ -295,10 +379,11 @@
         admitted: Admitted,
         head: RequestHead,
         body: Bytes,
+        trace: &mut Trace,
     ) -> Result<Answer> {
         let content = Fingerprint::of(&admitted.tenant, &head.method, &head.path_and_query, &body);
         let Some(key) = admitted.key.clone() else {
-            return self.attempt(&admitted, content, head, body).await;
+            return self.attempt(&admitted, content, head, body, trace).await;
         };
         let key = Key {
             service: admitted.service_name.clone(),
@@ -312,7 +397,13 @@
             deadline: admitted.deadline,
         };
         let proxy = self.clone();
-        let run = async move { proxy.attempt(&admitted, identity, head, body).await };
+        let run = async move {
+            // The run may outlive its caller, so it has a trace of its own.
+            let mut trace = Trace::default();
+            proxy
+                .attempt(&admitted, identity, head, body, &mut trace)
+                .await
+        };
         self.keys.run_once(keyed, run).await
     }
 
@@ -329,28 +420,53 @@
         }
         let route = active
             .routes
-            .find(req.method().as_str(), req.uri().path())
+            .find_at(
+                &host_of(req),
+                req.method().as_str(),
+                req.uri().path(),
+            )
             .ok_or(Failure::not_run(Reason::NoRoute))?;
         let allowed = &route.config.tenants;
         if !allowed.is_empty() && !allowed.contains(&tenant) {
             return Err(Failure::not_run(Reason::TenantRefused));
         }
-        let service = self.services.read().get(&route.config.service).cloned();
+        let service_name = self.service_of(route);
+        let service = self.services.read().get(&service_name).cloned();
         let service = service.ok_or(Failure::not_run(Reason::NoEndpoint))?;
+        let delivery = &route.config.delivery;
+        let now = clock::now();
         let timeout = route.config.timeout;
         let remaining = caller.remaining.map_or(timeout, |r| r.min(timeout));
-        let idempotent = route.config.idempotent || req.method().is_idempotent();
+        // A route that says how often a request may be sent also says whether it may be repeated.
+        let by_method = delivery.max_attempts.is_none() && req.method().is_idempotent();
+        let idempotent = route.config.idempotent || by_method;
         Ok(Admitted {
             route: route.name.clone(),
-            service_name: route.config.service.clone(),
+            service_name,
             service,
             tenant,
-            deadline: clock::now().after(remaining),
+            deadline: now.after(remaining),
             idempotent,
             key: caller.key.filter(|_| !idempotent),
+            request_id: caller.request_id,
+            priority: delivery.priority,
+            target: delivery.target_latency.map(|target| now.after(target)),
+            max_attempts: delivery.max_attempts.map_or(MAX_ATTEMPTS, |max| max as usize),
         })
     }
 
+    /// Chooses the service of a request by the weights of its route.
+    fn service_of(&self, route: &Route) -> ServiceName {
+        let split = &route.config.delivery.split;
+        if split.is_empty() {
+            return route.config.service.clone();
+        }
+        let mut splits = self.splits.lock();
+        let counter = splits.entry(route.name.clone()).or_default();
+        let chosen = counter.next(split);
+        chosen.unwrap_or_else(|| route.config.service.clone())
+    }
+
     /// Sends a request until it is answered or the rules for retries end it.
     async fn attempt(
         &self,
@@ -358,18 +474,29 @@
         fingerprint: Fingerprint,
         head: RequestHead,
         body: Bytes,
+        trace: &mut Trace,
     ) -> Result<Answer> {
         let deadline = admitted.deadline;
         let service = &admitted.service;
-        let mut attempts = Attempts::new(admitted.idempotent, deadline, MAX_ATTEMPTS);
+        let mut attempts = Attempts::new(admitted.idempotent, deadline, admitted.max_attempts)
+            .with_free_refusals(match admitted.target {
+                Some(_) => MAX_REFUSALS,
+                None => 0,
+            });
         let mut sent = 0;
+        let mut last_reason = Reason::NoEndpoint;
         loop {
             if let Err(refused) = self.crashes.check(&fingerprint) {
                 return Err(attempts.failure(refused.reason));
             }
-            let Some(target) = service.pick(&mut attempts, sent == 0) else {
-                return Err(attempts.failure(Reason::NoEndpoint));
+            let goal = admitted.goal(clock::now());
+            let Some(target) = service.pick(&mut attempts, sent == 0, goal.as_ref()) else {
+                trace.retry_after = Some(service.retry_after());
+                return Err(attempts.failure(last_reason));
             };
+            trace.attempts += 1;
+            trace.version = Some(target.version.clone());
+            trace.endpoint = Some(target.daemon.clone());
             let call = Call {
                 id: 0,
                 remaining_ms: 0,
@@ -380,6 +507,8 @@
                 attempt: sent,
                 key: admitted.key.clone(),
                 fingerprint: Some(fingerprint),
+                urgency: admitted.urgency(clock::now()),
+                caller: self.own_service.clone(),
                 head: head.clone(),
                 body: body.to_vec(),
             };
@@ -392,9 +521,19 @@
                 }
                 Err(failure) => failure,
             };
+            last_reason = failure.reason;
             match service.failed(&mut attempts, failure) {
-                Next::Retry => metrics::counter!("sycamoreflow_retries_total").increment(1),
-                Next::GiveUp(failure) => return Err(failure),
+                Next::Retry => {
+                    metrics::counter!("sycamoreflow_retries_total").increment(1);
+                    tracing::info!(target: REFUSALS, event = "retry",
+                        request = admitted.request_id.as_deref(), endpoint = %target.daemon,
+                        reason = headers::reason_text(failure.reason),
+                        verdict = failure.verdict.as_str(), attempt = sent);
+                }
+                Next::GiveUp(failure) => {
+                    trace.retry_after = Some(service.retry_after());
+                    return Err(failure);
+                }
             }
         }
     }
@@ -413,10 +552,10 @@
             ended: false,
         };
         let deadline = admitted.deadline;
-        let result = if target.daemon == self.daemon {
+        let (result, load) = if target.daemon == self.daemon {
             let mut call = call;
             call.remaining_ms = deadline.since(clock::now()).0 as u32;
-            self.owner.deliver(&call, deadline).await
+            self.owner.deliver_with_load(&call, deadline).await
         } else {
             let limit = clock::instant(deadline);
             self.links
@@ -424,6 +563,9 @@
                 .await
         };
         pending.ended = true;
+        if let Some(load) = load {
+            admitted.service.observe_load(target, &admitted.route, load);
+        }
         let end = AttemptEnd {
             result: result.as_ref().map(|answer| answer.status).map_err(|f| *f),
             latency: Micros(started.elapsed().as_micros() as u64),
@@ -459,6 +601,60 @@
     }
 }
 
+impl Admitted {
+    /// Returns what the next attempt is to achieve, if the route has a target.
+    fn goal(&self, now: Millis) -> Option<Goal> {
+        let target = self.target?.min(self.deadline);
+        Some(Goal {
+            route: self.route.clone(),
+            target: Micros::from(target.since(now)),
+            late_value: LATE_VALUE,
+            remote_price: REMOTE_PRICE,
+        })
+    }
+
+    fn urgency(&self, now: Millis) -> CallUrgency {
+        let target = self.target.map(|target| target.min(self.deadline));
+        CallUrgency {
+            priority: self.priority,
+            target_ms: target.map(|target| target.since(now).0 as u32),
+            idempotent: self.idempotent,
+        }
+    }
+}
+
+impl Trace {
+    fn log(&self, result: &Result<Answer>, elapsed: Duration) {
+        let request = self.request_id.as_deref();
+        let route = self.route.as_ref().map(RouteName::as_str);
+        let service = self.service.as_ref().map(ServiceName::as_str);
+        let version = self.version.as_ref().map(VersionName::as_str);
+        let endpoint = self.endpoint.as_ref().map(DaemonId::as_str);
+        let config = self.view.map(|view| view.config.0);
+        let endpoints = self.view.map(|view| view.endpoints.seq);
+        let took_ms = elapsed.as_millis() as u64;
+        let attempts = self.attempts;
+        match result {
+            Ok(answer) => tracing::info!(target: ANSWERS, event = "request", request, route,
+                service, version, endpoint, config, endpoints, attempts, took_ms,
+                status = answer.status),
+            Err(failure) => tracing::info!(target: REFUSALS, event = "request", request, route,
+                service, version, endpoint, config, endpoints, attempts, took_ms,
+                reason = headers::reason_text(failure.reason), verdict = failure.verdict.as_str(),
+                retry_after_ms = self.retry_after.map(|wait| wait.0)),
+        }
+    }
+}
+
+/// Returns the host that a request names, without its port, in lower case.
+fn host_of(req: &Request<Bytes>) -> String {
+    let named = req.headers().get(http::header::HOST);
+    let named = named.and_then(|value| value.to_str().ok());
+    let host = named.or_else(|| req.uri().host()).unwrap_or_default();
+    let without_port = host.rsplit_once(':').map_or(host, |(name, _)| name);
+    without_port.to_ascii_lowercase()
+}
+
 /// Records the attempt as cancelled if its future is dropped before it ends.
 struct PendingAttempt<'a> {
     service: &'a Service,
--- a/crates/daemon/src/proxy/headers.rs
+++ b/crates/daemon/src/proxy/headers.rs
@@ -2,12 +2,14 @@
 //! reads and writes. They are listed in `docs/headers.md`.
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
+use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode};
 use sycamoreflow_protocol::call::{Answer, Call, RequestHead};
 use sycamoreflow_state::ids::{Millis, TenantName};
-use sycamoreflow_state::verdict::{Failure, Reason, VERDICT_HEADER, Verdict};
+use sycamoreflow_state::verdict::{Failure, Reason, Verdict};
 use sycamoreflow_transport::http::headers::{from_call, to_call};
 
+use super::dialect::Dialect;
+
 /// Request header that names the tenant of a caller.
 pub const TENANT_HEADER: &str = "sycamoreflow-tenant";
 
@@ -36,6 +38,8 @@
     pub remaining: Option<Millis>,
     /// Idempotency key, if any.
     pub key: Option<String>,
+    /// Id of the request, if the dialect has one.
+    pub request_id: Option<String>,
 }
 
 /// Reads the headers that the system understands.
@@ -43,30 +47,36 @@
 /// # Errors
 ///
 /// [`Reason::BadRequest`] if one of them is malformed.
-pub fn read_caller(headers: &HeaderMap) -> Result<CallerHeaders, Failure> {
-    let tenant = text(headers, TENANT_HEADER)?.unwrap_or(DEFAULT_TENANT);
-    let remaining = match text(headers, DEADLINE_HEADER)? {
+pub fn read_caller(headers: &HeaderMap, dialect: &Dialect) -> Result<CallerHeaders, Failure> {
+    let tenant = optional_text(headers, dialect.tenant.as_ref())?.unwrap_or(DEFAULT_TENANT);
+    let remaining = match optional_text(headers, Some(&dialect.deadline))? {
         Some(value) => Some(Millis(value.parse().map_err(|_| bad_request())?)),
         None => None,
     };
-    let key = text(headers, KEY_HEADER)?;
+    let key = optional_text(headers, dialect.key.as_ref())?;
     if key.is_some_and(|key| key.is_empty() || key.len() > MAX_KEY_BYTES) {
         return Err(bad_request());
     }
+    let request_id = optional_text(headers, dialect.request_id.as_ref())?;
     Ok(CallerHeaders {
         tenant: TenantName::from(tenant),
         remaining,
         key: key.map(str::to_owned),
+        request_id: request_id.map(str::to_owned),
     })
 }
 
 /// Takes the head and the body of a caller's request. The server has removed the headers that
 /// concern one connection only.
-pub fn request_head(mut req: Request<Bytes>) -> (RequestHead, Bytes) {
+pub fn request_head(mut req: Request<Bytes>, dialect: &Dialect) -> (RequestHead, Bytes) {
     let path = req.uri().path_and_query().map_or("/", |p| p.as_str());
     let path_and_query = path.to_owned();
     let method = req.method().as_str().to_owned();
-    req.headers_mut().remove(DEADLINE_HEADER);
+    // What the system sets itself must not come from a caller.
+    let own = [&dialect.caller_service, &dialect.instance];
+    for name in own.into_iter().flatten().chain([&dialect.deadline]) {
+        req.headers_mut().remove(name);
+    }
     let head = RequestHead {
         method,
         path_and_query,
@@ -75,24 +85,42 @@
     (head, req.into_body())
 }
 
-/// Makes the request to the upstream.
+/// Makes the request to the upstream. `instance` names the upstream that must run it.
 ///
 /// # Errors
 ///
 /// [`Reason::BadRequest`], not run, if the head from the entry daemon is malformed.
-pub fn upstream_request(call: &Call, remaining: Millis) -> Result<Request<Bytes>, Failure> {
+pub fn upstream_request(
+    call: &Call,
+    remaining: Millis,
+    instance: Option<&str>,
+    dialect: &Dialect,
+) -> Result<Request<Bytes>, Failure> {
     let mut req = Request::builder()
         .method(call.head.method.as_str())
         .uri(call.head.path_and_query.as_str())
         .body(Bytes::copy_from_slice(&call.body))
         .map_err(|_| bad_request())?;
     *req.headers_mut() = from_call(call.head.headers.clone()).ok_or_else(bad_request)?;
-    req.headers_mut().remove(http::header::CONTENT_LENGTH);
-    let deadline = HeaderValue::from(remaining.0);
-    req.headers_mut().insert(DEADLINE_HEADER, deadline);
+    let headers = req.headers_mut();
+    headers.remove(http::header::CONTENT_LENGTH);
+    headers.insert(dialect.deadline.clone(), HeaderValue::from(remaining.0));
+    if let Some(name) = &dialect.caller_service {
+        let caller = call.caller.as_ref().map_or("", |service| service.as_str());
+        insert_text(headers, name, caller)?;
+    }
+    if let (Some(name), Some(instance)) = (&dialect.instance, instance) {
+        insert_text(headers, name, instance)?;
+    }
     Ok(req)
 }
 
+fn insert_text(headers: &mut HeaderMap, name: &HeaderName, text: &str) -> Result<(), Failure> {
+    let value = HeaderValue::from_str(text).map_err(|_| bad_request())?;
+    headers.insert(name.clone(), value);
+    Ok(())
+}
+
 /// Makes the answer of a call from the response of the upstream.
 pub fn answer(response: Response<Bytes>) -> Answer {
     Answer {
@@ -103,43 +131,72 @@
 }
 
 /// Makes the response to the caller from an answer.
-pub fn response(answer: Answer) -> Response<Bytes> {
+pub fn response(answer: Answer, dialect: &Dialect) -> Response<Bytes> {
     let status = StatusCode::from_u16(answer.status);
     let headers = from_call(answer.headers);
     let (Ok(status), Some(headers)) = (status, headers) else {
-        return refusal(Failure {
+        let failure = Failure {
             verdict: Verdict::Ran,
             reason: Reason::BadAnswer,
-        });
+        };
+        return refusal_in(failure, dialect, None);
     };
     let mut response = Response::new(Bytes::from(answer.body));
     *response.status_mut() = status;
     *response.headers_mut() = headers;
-    let verdict = HeaderValue::from_static(Verdict::Ran.as_str());
-    response.headers_mut().insert(VERDICT_HEADER, verdict);
+    if let Some(name) = &dialect.verdict {
+        let verdict = HeaderValue::from_static(Verdict::Ran.as_str());
+        response.headers_mut().insert(name.clone(), verdict);
+    }
     // The reason is the daemon's to give, and an answered request has none.
-    response.headers_mut().remove(REASON_HEADER);
+    if let Some(name) = &dialect.reason {
+        response.headers_mut().remove(name);
+    }
     response
 }
 
-/// Makes the response to the caller of a request without an answer.
+/// Makes the response to the caller of a request without an answer, in the daemon's own dialect.
 pub fn refusal(failure: Failure) -> Response<Bytes> {
+    refusal_in(failure, &Dialect::default(), None)
+}
+
+/// Makes the response to the caller of a request without an answer. `wait` says when the caller
+/// may come back, if the request has not run.
+pub fn refusal_in(failure: Failure, dialect: &Dialect, wait: Option<Millis>) -> Response<Bytes> {
     let reason = reason_text(failure.reason);
     let body = format!(
         "{{\"verdict\":\"{}\",\"reason\":\"{reason}\"}}\n",
         failure.verdict
     );
     let mut response = Response::new(Bytes::from(body));
-    *response.status_mut() = status_of(failure);
+    *response.status_mut() = (dialect.status)(failure);
     let headers = response.headers_mut();
     let json = HeaderValue::from_static("application/json");
     headers.insert(http::header::CONTENT_TYPE, json);
-    let verdict = HeaderValue::from_static(failure.verdict.as_str());
-    headers.insert(VERDICT_HEADER, verdict);
-    headers.insert(REASON_HEADER, HeaderValue::from_static(reason));
+    if let Some(name) = &dialect.verdict {
+        let verdict = HeaderValue::from_static(failure.verdict.as_str());
+        headers.insert(name.clone(), verdict);
+    }
+    if let Some(name) = &dialect.reason {
+        headers.insert(name.clone(), HeaderValue::from_static(reason));
+    }
+    if let Some(wait) = wait.filter(|_| dialect.retry_after && failure.verdict == Verdict::NotRun) {
+        let seconds = format!("{}.{:03}", wait.0 / 1_000, wait.0 % 1_000);
+        if let Ok(value) = HeaderValue::from_str(&seconds) {
+            headers.insert(http::header::RETRY_AFTER, value);
+        }
+    }
     response
 }
 
+/// Returns the id of a request in a call, if its dialect has one.
+pub fn request_id<'a>(call: &'a Call, dialect: &Dialect) -> Option<&'a str> {
+    let name = dialect.request_id.as_ref()?;
+    let mut headers = call.head.headers.iter();
+    let (_, value) = headers.find(|(known, _)| known == name.as_str())?;
+    std::str::from_utf8(value).ok()
+}
+
 /// Returns the value of [`REASON_HEADER`].
 pub fn reason_text(reason: Reason) -> &'static str {
     match reason {
@@ -160,7 +217,8 @@
     }
 }
 
-fn status_of(failure: Failure) -> StatusCode {
+/// Returns the status of a failure in the daemon's own dialect.
+pub fn status_of(failure: Failure) -> StatusCode {
     match failure.reason {
         Reason::BadRequest => StatusCode::BAD_REQUEST,
         Reason::TenantRefused => StatusCode::FORBIDDEN,
@@ -186,8 +244,11 @@
     Failure::not_run(Reason::BadRequest)
 }
 
-fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Failure> {
-    let Some(value) = headers.get(name) else {
+fn optional_text<'a>(
+    headers: &'a HeaderMap,
+    name: Option<&HeaderName>,
+) -> Result<Option<&'a str>, Failure> {
+    let Some(value) = name.and_then(|name| headers.get(name)) else {
         return Ok(None);
     };
     let text = value.to_str().map_err(|_| bad_request())?;
--- a/crates/daemon/src/proxy/links.rs
+++ b/crates/daemon/src/proxy/links.rs
@@ -7,6 +7,7 @@
 
 use async_std::sync::Mutex as AsyncMutex;
 use parking_lot::Mutex;
+use sycamoreflow_coordination::routing::Load;
 use sycamoreflow_protocol::call::{Answer, Call};
 use sycamoreflow_protocol::handshake::{Identity, Purpose};
 use sycamoreflow_state::ids::DaemonId;
@@ -42,7 +43,7 @@
         }
     }
 
-    /// Runs a call at `daemon`.
+    /// Runs a call at `daemon`. Returns the load of the upstream there with the result.
     ///
     /// # Errors
     ///
@@ -53,9 +54,11 @@
         address: SocketAddr,
         call: Call,
         deadline: Instant,
-    ) -> Result<Answer> {
-        let client = self.client(daemon, address, deadline).await?;
-        client.call(call, deadline).await
+    ) -> (Result<Answer>, Option<Load>) {
+        match self.client(daemon, address, deadline).await {
+            Ok(client) => client.exchange(call, deadline).await,
+            Err(failure) => (Err(failure), None),
+        }
     }
 
     /// Returns whether a link to `daemon` can be used or opened.
--- a/crates/daemon/src/proxy/owner.rs
+++ b/crates/daemon/src/proxy/owner.rs
@@ -3,7 +3,7 @@
 //! Admission is decided here, since only this daemon knows the work in flight exactly. A refusal
 //! from here proves that nothing ran (`docs/design.md`, section 2.4).
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -17,34 +17,46 @@
 use indexmap::IndexMap;
 use parking_lot::Mutex;
 use sycamoreflow_coordination::admission::{
-    Admission, AdmissionConfig, CallId, Decision, Released, UpstreamResult,
+    Admission, AdmissionConfig, CallId, Decision, Released, UpstreamResult, Urgency,
 };
+use sycamoreflow_coordination::routing::Load;
 use sycamoreflow_protocol::call::{Answer, Call};
 use sycamoreflow_state::endpoint::{Announcement, Endpoint};
 use sycamoreflow_state::ids::{
-    DaemonId, DataCentre, Micros, Millis, ServiceName, TenantName, VersionName,
+    DaemonId, DataCentre, Micros, Millis, RouteName, ServiceName, TenantName, VersionName,
 };
-use sycamoreflow_state::verdict::{Failure, Reason, VERDICT_HEADER, Verdict};
+use sycamoreflow_state::verdict::{Failure, Reason, Verdict};
 use sycamoreflow_state::view::{Resource, ResourceKey, View};
-use sycamoreflow_transport::http::client::Client;
+use sycamoreflow_transport::http::client::{Client, Demand};
 
 use crate::clock;
 use crate::proxy::crashes::Crashes;
+use crate::proxy::dialect::Dialect;
 use crate::proxy::headers;
+use crate::telemetry::{ANSWERS, REFUSALS};
 
 /// Result of a delivery.
 pub type Result<T> = std::result::Result<T, Failure>;
 
-/// Pauses before the probes of an upstream that has broken a connection. A process that dies closes
-/// its connections and its listener one after the other, so the first probe may still succeed.
-const PROBE_PAUSES: [Duration; 3] = [
-    Duration::ZERO,
-    Duration::from_millis(20),
-    Duration::from_millis(80),
-];
+/// Pauses before further probes of an upstream that has broken a connection. A process that dies
+/// closes its connections and its listener one after the other, so the first probe may succeed.
+const PROBE_PAUSES: [Duration; 2] = [Duration::from_millis(20), Duration::from_millis(80)];
 
 /// How often a waiting call looks at the timeouts of the queue.
-const QUEUE_TICK: Duration = Duration::from_millis(5);
+const QUEUE_TICK: Duration = Duration::from_millis(25);
+
+/// Idle time up to which a connection carries requests that must not run twice. An upstream that
+/// drops idle connections early does so after a longer time.
+const FRESH_CONNECTION: Duration = Duration::from_millis(250);
+
+/// Instances that have left and are remembered. One host has one upstream at a time.
+const MAX_DEPARTED: usize = 64;
+
+/// Weight of one answer in the mean time of a route.
+const ROUTE_WEIGHT: f64 = 0.1;
+
+/// Routes whose times are kept per upstream.
+const MAX_ROUTES: usize = 64;
 
 /// How long the probe of an upstream that has broken a connection may take.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
@@ -62,6 +74,11 @@
     crashes: Arc<Crashes>,
     upstreams: Mutex<IndexMap<ServiceName, Arc<Upstream>>>,
     weights: Mutex<Vec<(TenantName, u32)>>,
+    dialect: Arc<Dialect>,
+    /// Instances that have left, so that a late report does not bring them back.
+    departed: Mutex<VecDeque<(String, u64)>>,
+    /// Whether the other daemons are told that the host is leaving.
+    leaving: AtomicBool,
     draining: AtomicBool,
     next_call: AtomicU64,
 }
@@ -73,14 +90,38 @@
     pub max_wait: Millis,
     /// Waiting calls per slot.
     pub queue_per_slot: u32,
+    /// Whether fewer calls run at once while answers are slow.
+    pub reduces_when_slow: bool,
+}
+
+/// What an upstream that identifies its instances says about itself. It is repeated, and a report
+/// may arrive late, after the upstream has started again or has been replaced by another one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct InstanceReport {
+    /// Identifier of the instance.
+    pub instance: String,
+    /// When the instance started, in milliseconds since the Unix epoch.
+    pub born: u64,
+    /// Number that rises with each report of the instance.
+    pub sequence: u64,
+    /// Whether the instance is leaving.
+    pub draining: bool,
+    /// What else the instance announces.
+    pub announcement: Announcement,
 }
 
 /// An upstream that has announced itself.
 #[derive(Debug)]
 struct Upstream {
     announcement: Announcement,
+    /// Latest report, if the upstream identifies its instances.
+    report: Mutex<Option<InstanceReport>>,
+    /// Mean time of recent calls in microseconds, by route.
+    route_times: Mutex<IndexMap<RouteName, f64>>,
     renewed: Mutex<Millis>,
     draining: AtomicBool,
+    /// Whether the upstream has said that it is gone.
+    departed: AtomicBool,
     /// Whether the upstream was found dead. It has to announce itself again.
     dead: AtomicBool,
     admission: Mutex<Admission>,
@@ -106,17 +147,120 @@
             crashes,
             upstreams: Mutex::default(),
             weights: Mutex::default(),
+            dialect: Arc::default(),
+            departed: Mutex::default(),
+            leaving: AtomicBool::new(false),
             draining: AtomicBool::new(false),
             next_call: AtomicU64::new(1),
         }
     }
 
+    /// Makes the role speak another dialect to its upstreams.
+    pub fn with_dialect(mut self, dialect: Arc<Dialect>) -> Self {
+        self.dialect = dialect;
+        self
+    }
+
     /// Takes in an announcement or its renewal. Returns whether the endpoints have changed.
     pub fn announce(&self, announcement: Announcement) -> bool {
+        self.announce_instance(announcement, None)
+    }
+
+    /// Takes in the report of an instance. Late reports of earlier instances, and of instances that
+    /// have left, have no effect. Returns whether the endpoints have changed.
+    pub fn report(&self, report: InstanceReport) -> bool {
+        if self.is_outdated(&report) {
+            metrics::counter!("sycamoreflow_outdated_reports_total").increment(1);
+            tracing::info!(event = "report_ignored", instance = report.instance,
+                born = report.born, sequence = report.sequence);
+            return false;
+        }
+        let service = report.announcement.service.clone();
+        let mut changed = self.displace(&report);
+        changed |= self.announce_instance(report.announcement.clone(), Some(&report));
+        let Some(upstream) = self.upstreams.lock().get(&service).cloned() else {
+            return changed;
+        };
+        let draining = report.draining;
+        *upstream.report.lock() = Some(report);
+        if draining && !upstream.draining.load(Ordering::SeqCst) {
+            tracing::info!(event = "upstream_draining", %service);
+            upstream.leave();
+            changed = true;
+        }
+        changed
+    }
+
+    /// Takes in that an instance is about to end. It gets no new work from now on. Returns whether
+    /// the endpoints have changed.
+    pub fn depart(&self, instance: &str, born: u64) -> bool {
+        let mut departed = self.departed.lock();
+        if departed.len() >= MAX_DEPARTED {
+            departed.pop_front();
+        }
+        departed.push_back((instance.to_owned(), born));
+        drop(departed);
+        let mut changed = false;
+        for (service, upstream) in self.upstreams.lock().iter() {
+            let is_it = upstream.report.lock().as_ref().is_some_and(|known| {
+                known.instance == instance && (born == 0 || known.born == born)
+            });
+            if !is_it {
+                continue;
+            }
+            tracing::info!(event = "upstream_departed", %service, instance, born);
+            upstream.departed.store(true, Ordering::SeqCst);
+            upstream.leave();
+            changed = true;
+        }
+        changed
+    }
+
+    fn is_outdated(&self, report: &InstanceReport) -> bool {
+        let has_left = |(instance, born): &(String, u64)| {
+            *instance == report.instance && (*born == 0 || *born >= report.born)
+        };
+        if self.departed.lock().iter().any(has_left) {
+            return true;
+        }
+        let upstreams = self.upstreams.lock();
+        let mut others = upstreams.values().filter(|upstream| {
+            upstream.announcement.address == report.announcement.address
+        });
+        others.any(|upstream| {
+            let known = upstream.report.lock();
+            known.as_ref().is_some_and(|known| {
+                let same = known.instance == report.instance && known.born == report.born;
+                report.born < known.born || (same && report.sequence <= known.sequence)
+            })
+        })
+    }
+
+    /// Removes the upstreams whose address the reporting instance has taken over.
+    fn displace(&self, report: &InstanceReport) -> bool {
+        let mut upstreams = self.upstreams.lock();
+        let before = upstreams.len();
+        upstreams.retain(|service, upstream| {
+            let same_address = upstream.announcement.address == report.announcement.address;
+            let stays = !same_address || *service == report.announcement.service;
+            if !stays {
+                tracing::info!(event = "upstream_displaced", %service, by = report.instance);
+                upstream.refuse_waiting();
+            }
+            stays
+        });
+        upstreams.len() != before
+    }
+
+    fn announce_instance(
+        &self,
+        announcement: Announcement,
+        report: Option<&InstanceReport>,
+    ) -> bool {
         let mut upstreams = self.upstreams.lock();
         if let Some(known) = upstreams.get(&announcement.service) {
             let is_alive = !known.dead.load(Ordering::SeqCst);
-            if is_alive && known.announcement == announcement {
+            if is_alive && known.announcement == announcement && known.is_instance(report) {
                 *known.renewed.lock() = clock::now();
                 return false;
             }
@@ -124,8 +268,11 @@
         }
         let upstream = Upstream {
             admission: Mutex::new(Admission::new(self.admission_config(&announcement))),
+            report: Mutex::new(report.cloned()),
+            route_times: Mutex::default(),
             renewed: Mutex::new(clock::now()),
             draining: AtomicBool::new(false),
+            departed: AtomicBool::new(false),
             dead: AtomicBool::new(false),
             waiting: Mutex::default(),
             announcement,
@@ -135,7 +282,10 @@
             upstream.drain();
         }
         let service = upstream.announcement.service.clone();
-        tracing::info!(%service, version = %upstream.announcement.version, "upstream announced");
+        tracing::info!(event = "upstream_announced", %service,
+            version = %upstream.announcement.version, address = %upstream.announcement.address,
+            instance = report.map(|report| report.instance.as_str()),
+            born = report.map(|report| report.born));
         upstreams.insert(service, Arc::new(upstream));
         true
     }
@@ -151,17 +301,30 @@
         true
     }
 
+    /// Tells the other daemons that the host is leaving. Work that arrives before
+    /// [`Owner::drain`] is still done.
+    pub fn announce_leaving(&self) {
+        if !self.leaving.swap(true, Ordering::SeqCst) {
+            tracing::info!(event = "leaving");
+        }
+    }
+
     /// Stops new work to all upstreams, because the host is leaving.
     pub fn drain(&self) {
         if self.draining.swap(true, Ordering::SeqCst) {
             return;
         }
-        tracing::info!("draining: new work is refused");
+        tracing::info!(event = "draining");
         for upstream in self.upstreams.lock().values() {
             upstream.drain();
         }
     }
 
+    /// Returns whether the host is leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::SeqCst) || self.draining.load(Ordering::SeqCst)
+    }
+
     /// Follows the drain marks of operators in a view: a marked upstream gets no new work, also from
     /// daemons that do not know the mark yet.
     pub fn follow_marks(&self, view: &View) {
@@ -192,9 +355,15 @@
         let before = upstreams.len();
         upstreams.retain(|service, upstream| {
             let silent = now.since(*upstream.renewed.lock()) > ANNOUNCEMENT_LEASE;
-            let left = upstream.draining.load(Ordering::SeqCst) && upstream.is_idle();
+            // An upstream that reports its instance says itself when it is gone.
+            let leaves = match upstream.report.lock().is_some() {
+                true => upstream.departed.load(Ordering::SeqCst),
+                false => upstream.draining.load(Ordering::SeqCst),
+            };
+            let left = leaves && upstream.is_idle();
             if silent {
-                tracing::warn!(%service, "upstream stopped renewing its announcement");
+                tracing::warn!(event = "upstream_silent", %service,
+                    lease_ms = ANNOUNCEMENT_LEASE.0);
                 upstream.refuse_waiting();
             }
             let dead = upstream.dead.load(Ordering::SeqCst);
@@ -217,7 +386,7 @@
 
     /// Returns the endpoints as they are announced to the control replicas.
     pub fn endpoints(&self) -> Vec<Endpoint> {
-        let draining = self.draining.load(Ordering::SeqCst);
+        let draining = self.is_leaving();
         let upstreams = self.upstreams.lock();
         let endpoints = upstreams.values().map(|upstream| Endpoint {
             daemon: self.daemon.clone(),
@@ -248,24 +417,60 @@
     /// The verdict is [`Verdict::NotRun`] if no byte of the request reached the upstream, or if
     /// the upstream itself says so.
     pub async fn deliver(&self, call: &Call, deadline: Millis) -> Result<Answer> {
-        let upstream = self.upstream(&call.service, &call.version)?;
+        self.deliver_with_load(call, deadline).await.0
+    }
+
+    /// Runs a call as [`Owner::deliver`] does, and returns the load of the upstream with the
+    /// result, if there is one.
+    pub async fn deliver_with_load(
+        &self,
+        call: &Call,
+        deadline: Millis,
+    ) -> (Result<Answer>, Option<Load>) {
+        let upstream = match self.upstream(&call.service, &call.version) {
+            Ok(upstream) => upstream,
+            Err(failure) => return (Err(failure), None),
+        };
+        let result = self.run(&upstream, call, deadline).await;
+        (result, Some(upstream.load(&call.route)))
+    }
+
+    async fn run(&self, upstream: &Arc<Upstream>, call: &Call, deadline: Millis) -> Result<Answer> {
         let id = CallId(self.next_call.fetch_add(1, Ordering::Relaxed));
-        let mut slot = self.admit(&upstream, id, &call.tenant, deadline).await?;
-        let request = headers::upstream_request(call, deadline.since(clock::now()))?;
+        let offered = clock::now();
+        let admitted = self.admit(upstream, id, call, deadline).await;
+        let mut slot = match admitted {
+            Ok(slot) => slot,
+            Err(failure) => {
+                upstream.log_refusal(call, &self.dialect, failure);
+                return Err(failure);
+            }
+        };
+        let waited = clock::now().since(offered);
+        let request = self.request(upstream, call, deadline.since(clock::now()))?;
         let started_request = match call.fingerprint {
             Some(fingerprint) => Some(self.crashes.start(fingerprint)?),
             None => None,
         };
+        let demand = Demand {
+            echo: self.dialect.request_id.clone(),
+            max_idle: (!call.urgency.idempotent).then_some(FRESH_CONNECTION),
+        };
         let started = std::time::Instant::now();
         let address = upstream.announcement.address;
-        let response = self
-            .client
-            .send(address, request, clock::instant(deadline))
-            .await;
+        let limit = clock::instant(deadline);
+        let response = self.client.send_demanding(address, request, limit, &demand);
+        let response = response.await;
         let latency = Micros(started.elapsed().as_micros() as u64);
-        let (mut result, outcome) = judge(response, latency);
-        if matches!(&result, Err(f) if f.reason == Reason::ConnectionLost) {
-            self.note_if_dead(&upstream).await;
+        let (mut result, outcome) = judge(response, latency, &self.dialect);
+        if let UpstreamResult::Answered(latency) = outcome {
+            upstream.learn(&call.route, latency);
+        }
+        upstream.log_end(call, &self.dialect, waited, latency, &result);
+        match &result {
+            Err(f) if f.reason == Reason::ConnectionLost => self.note_if_dead(upstream).await,
+            Err(f) if f.reason == Reason::NoEndpoint => upstream.retire(),
+            _ => {}
         }
         if let Some(request) = started_request {
             match &mut result {
@@ -279,22 +484,38 @@
         result
     }
 
+    fn request(
+        &self,
+        upstream: &Upstream,
+        call: &Call,
+        remaining: Millis,
+    ) -> Result<http::Request<Bytes>> {
+        let report = upstream.report.lock();
+        let instance = report.as_ref().map(|report| report.instance.as_str());
+        headers::upstream_request(call, remaining, instance, &self.dialect)
+    }
+
     /// Finds out whether a lost connection means that the upstream has died, and blames the
     /// requests in flight if so. An upstream that refuses connections has no process any more.
-    async fn note_if_dead(&self, upstream: &Upstream) {
-        let mut refused = false;
-        for pause in PROBE_PAUSES {
-            task::sleep(pause).await;
-            refused = refuses_connections(upstream.announcement.address).await;
-            if refused {
-                break;
-            }
-        }
-        if !refused || upstream.dead.swap(true, Ordering::SeqCst) {
+    ///
+    /// Only the first probe delays the answer, since most lost connections have another cause.
+    async fn note_if_dead(&self, upstream: &Arc<Upstream>) {
+        let address = upstream.announcement.address;
+        if refuses_connections(address).await {
+            upstream.note_death(&self.crashes);
             return;
         }
-        self.crashes.upstream_died();
-        upstream.drain();
+        let crashes = self.crashes.clone();
+        let upstream = upstream.clone();
+        task::spawn(async move {
+            for pause in PROBE_PAUSES {
+                task::sleep(pause).await;
+                if refuses_connections(address).await {
+                    upstream.note_death(&crashes);
+                    return;
+                }
+            }
+        });
     }
 
     fn upstream(&self, service: &ServiceName, version: &VersionName) -> Result<Arc<Upstream>> {
@@ -310,7 +531,7 @@
         &self,
         upstream: &Arc<Upstream>,
         id: CallId,
-        tenant: &TenantName,
+        call: &Call,
         deadline: Millis,
     ) -> Result<Slot> {
         let (tx, rx) = oneshot::channel();
@@ -320,10 +541,7 @@
             id,
             held: true,
         };
-        let decision = upstream
-            .admission
-            .lock()
-            .offer(clock::now(), id, tenant, deadline);
+        let decision = upstream.offer(id, call, deadline);
         match decision {
             Decision::Start => {
                 upstream.waiting.lock().remove(&id);
@@ -348,6 +566,7 @@
         cfg.weights = self.weights.lock().clone();
         cfg.max_wait = self.limits.max_wait;
         cfg.queue_per_slot = self.limits.queue_per_slot;
+        cfg.reduces_when_slow = self.limits.reduces_when_slow;
         cfg
     }
 }
@@ -358,6 +577,116 @@
         self.admission.lock().drain();
     }
 
+    /// Stops new work at once, also that which waits: other upstreams can run it.
+    fn leave(&self) {
+        self.drain();
+        let released = self.admission.lock().refuse_queued();
+        self.release(released);
+    }
+
+    /// Takes the upstream out of use until it reports again, since another instance has its
+    /// address.
+    fn retire(&self) {
+        self.dead.store(true, Ordering::SeqCst);
+        self.leave();
+    }
+
+    fn note_death(&self, crashes: &Crashes) {
+        if self.dead.swap(true, Ordering::SeqCst) {
+            return;
+        }
+        crashes.upstream_died();
+        self.leave();
+    }
+
+    /// Returns whether a report is of the instance that this one stands for.
+    fn is_instance(&self, report: Option<&InstanceReport>) -> bool {
+        let identity = |report: &InstanceReport| (report.instance.clone(), report.born);
+        self.report.lock().as_ref().map(identity) == report.map(identity)
+    }
+
+    fn offer(&self, id: CallId, call: &Call, deadline: Millis) -> Decision {
+        let now = clock::now();
+        let mut admission = self.admission.lock();
+        let Some(target) = call.urgency.target_ms else {
+            return admission.offer(now, id, &call.tenant, deadline);
+        };
+        let urgency = Urgency {
+            priority: call.urgency.priority,
+            due: now.after(Millis(u64::from(target))).min(deadline),
+            expected: self.route_time(&call.route),
+        };
+        admission.offer_urgent(now, id, &call.tenant, deadline, urgency)
+    }
+
+    fn route_time(&self, route: &RouteName) -> Micros {
+        let times = self.route_times.lock();
+        Micros(times.get(route).map_or(0, |time| *time as u64))
+    }
+
+    fn learn(&self, route: &RouteName, latency: Micros) {
+        let latency = latency.0 as f64;
+        let mut times = self.route_times.lock();
+        if let Some(time) = times.get_mut(route) {
+            *time += (latency - *time) * ROUTE_WEIGHT;
+        } else if times.len() < MAX_ROUTES {
+            times.insert(route.clone(), latency);
+        }
+    }
+
+    fn load(&self, route: &RouteName) -> Load {
+        let admission = self.admission.lock();
+        Load {
+            running: admission.running() as u32,
+            queued: admission.queued() as u32,
+            limit: admission.limit() as u32,
+            mean: admission.recent_latency(),
+            route: self.route_time(route),
+        }
+    }
+
+    fn log_refusal(&self, call: &Call, dialect: &Dialect, failure: Failure) {
+        let load = self.load(&call.route);
+        tracing::info!(
+            target: REFUSALS,
+            event = "owner_refused",
+            request = headers::request_id(call, dialect),
+            route = %call.route,
+            reason = headers::reason_text(failure.reason),
+            running = load.running,
+            queued = load.queued,
+            limit = load.limit,
+            mean_us = load.mean.0,
+            target_ms = call.urgency.target_ms,
+        );
+    }
+
+    fn log_end(
+        &self,
+        call: &Call,
+        dialect: &Dialect,
+        waited: Millis,
+        latency: Micros,
+        result: &Result<Answer>,
+    ) {
+        let (status, failure) = match result {
+            Ok(answer) => (Some(answer.status), None),
+            Err(failure) => (None, Some(failure)),
+        };
+        let target_name = if failure.is_some() { REFUSALS } else { ANSWERS };
+        let running = self.admission.lock().running();
+        let reason = failure.map(|f| headers::reason_text(f.reason));
+        let verdict = failure.map(|f| f.verdict.as_str());
+        let request = headers::request_id(call, dialect);
+        if target_name == REFUSALS {
+            tracing::info!(target: REFUSALS, event = "owner_ran", request, route = %call.route,
+                running, waited_ms = waited.0, took_us = latency.0, reason, verdict);
+            return;
+        }
+        tracing::info!(target: ANSWERS, event = "owner_ran", request, route = %call.route,
+            running, waited_ms = waited.0, took_us = latency.0, status);
+    }
+
     fn is_idle(&self) -> bool {
         let admission = self.admission.lock();
         admission.running() + admission.queued() == 0
@@ -451,16 +780,23 @@
 fn judge(
     response: std::result::Result<http::Response<Bytes>, Failure>,
     latency: Micros,
+    dialect: &Dialect,
 ) -> (Result<Answer>, UpstreamResult) {
     let response = match response {
         Ok(response) => response,
         Err(failure) => return (Err(failure), UpstreamResult::Failed),
     };
-    let verdict = response.headers().get(VERDICT_HEADER);
-    let shed = verdict.is_some_and(|value| value == Verdict::NotRun.as_str());
-    if shed && response.status() == http::StatusCode::SERVICE_UNAVAILABLE {
-        let failure = Failure::not_run(Reason::Shed);
-        return (Err(failure), UpstreamResult::Shed);
+    if (dialect.says_not_run)(&response) {
+        // Another instance has the address of the one that was expected.
+        let reason = match response.status() {
+            http::StatusCode::MISDIRECTED_REQUEST => Reason::NoEndpoint,
+            _ => Reason::Shed,
+        };
+        return (Err(Failure::not_run(reason)), UpstreamResult::Shed);
+    }
+    if !(dialect.is_genuine)(&response) {
+        let failure = Failure::may_have_run(Reason::BadAnswer);
+        return (Err(failure), UpstreamResult::Failed);
     }
     let answer = headers::answer(response);
     (Ok(answer), UpstreamResult::Answered(latency))
--- a/crates/daemon/src/proxy/service.rs
+++ b/crates/daemon/src/proxy/service.rs
@@ -11,11 +11,11 @@
     CallOutcome, EvidenceRecorder, FinishedCall, RolloutEvidence,
 };
 use sycamoreflow_coordination::retry::{Attempts, BudgetConfig, Next, RetryBudget};
-use sycamoreflow_coordination::routing::{CallResult, Outcome, Router, RouterConfig};
+use sycamoreflow_coordination::routing::{CallResult, Goal, Load, Outcome, Router, RouterConfig};
 use sycamoreflow_coordination::shares::{Attempt, Grant, ShareCounter};
 use sycamoreflow_state::config::{ServiceConfig, Share, TrafficSplit};
 use sycamoreflow_state::endpoint::Endpoint;
-use sycamoreflow_state::ids::{DaemonId, Micros, RouteName, VersionName};
+use sycamoreflow_state::ids::{DaemonId, Micros, Millis, RouteName, VersionName};
 use sycamoreflow_state::verdict::{Failure, Reason, Verdict};
 
 use crate::clock;
@@ -36,6 +36,9 @@
     router: Router,
     ejector: Ejector,
     budget: RetryBudget,
+    /// Retries that can be saved up. `None` leaves it to the default, which does not depend on the
+    /// number of daemons that share a budget.
+    retry_burst: Option<u64>,
     shares: ShareCounter,
     evidence: EvidenceRecorder,
 }
@@ -78,7 +81,8 @@
             addresses: HashMap::new(),
             router: Router::new(router),
             ejector: Ejector::new(config.min_endpoints).with_seed(incarnation),
-            budget: RetryBudget::new(budget_config(config)),
+            budget: RetryBudget::new(budget_config(config, None)),
+            retry_burst: None,
             shares: ShareCounter::new(incarnation),
             evidence: EvidenceRecorder::new(),
         };
@@ -97,7 +101,7 @@
             state.endpoints.clear();
         }
         if state.config.retry_budget != config.retry_budget {
-            state.budget = RetryBudget::new(budget_config(config));
+            state.budget = RetryBudget::new(budget_config(config, state.retry_burst));
         }
         state.config = config.clone();
         state.split = split.clone();
@@ -113,8 +117,14 @@
         state.apply(changes);
     }
 
-    /// Chooses the version and the endpoint of the next attempt, and counts it as started.
-    pub fn pick(&self, attempts: &mut Attempts, first: bool) -> Option<Target> {
+    /// Chooses the version and the endpoint of the next attempt, and counts it as started. With a
+    /// goal, the chance of an answer in time decides; without one, the expected latency.
+    pub fn pick(
+        &self,
+        attempts: &mut Attempts,
+        first: bool,
+        goal: Option<&Goal>,
+    ) -> Option<Target> {
         let now = clock::now();
         let mut state = self.state.lock();
         let state = &mut *state;
@@ -128,10 +138,10 @@
         };
         state.shares.compare(state.evidence.wants_comparison());
         let mut version = state.shares.pick(now, &state.split, attempt);
-        let mut daemon = attempts.pick(|exclude| state.router.choose(now, &version, exclude));
+        let mut daemon = state.choose(now, attempts, &version, goal);
         if daemon.is_none() {
             version = state.other_version(&version)?;
-            daemon = attempts.pick(|exclude| state.router.choose(now, &version, exclude));
+            daemon = state.choose(now, attempts, &version, goal);
         }
         let daemon = daemon?;
         state.router.started(now, &daemon);
@@ -176,6 +186,23 @@
         true
     }
 
+    /// Takes in the load of an endpoint that came with a reply on a route.
+    pub fn observe_load(&self, target: &Target, route: &RouteName, load: Load) {
+        let mut state = self.state.lock();
+        let router = &mut state.router;
+        router.observe_load(clock::now(), &target.daemon, load, route);
+    }
+
+    /// Sets the number of retries that can be saved up at this daemon.
+    pub fn set_retry_burst(&self, burst: Option<u64>) {
+        let mut state = self.state.lock();
+        if state.retry_burst == burst {
+            return;
+        }
+        state.retry_burst = burst;
+        state.budget = RetryBudget::new(budget_config(&state.config, burst));
+    }
+
     /// Takes in that the caller has gone before the attempt ended.
     pub fn cancelled(&self, target: &Target) {
         let outcome = Outcome {
@@ -199,6 +226,11 @@
         attempts.failed(clock::now(), failure, &mut state.budget)
     }
 
+    /// Returns when a refused caller is likely to find room.
+    pub fn retry_after(&self) -> Millis {
+        self.state.lock().router.time_to_room(clock::now())
+    }
+
     /// Returns whether the service is under rollout.
     pub fn has_rollout(&self) -> bool {
         self.state.lock().split.candidate.is_some()
@@ -238,6 +270,21 @@
 }
 
 impl State {
+    fn choose(
+        &mut self,
+        now: Millis,
+        attempts: &mut Attempts,
+        version: &VersionName,
+        goal: Option<&Goal>,
+    ) -> Option<DaemonId> {
+        let router = &mut self.router;
+        match goal {
+            Some(goal) => attempts
+                .pick_with_room(|exclude| router.choose_for(now, version, exclude, goal)),
+            None => attempts.pick(|exclude| router.choose(now, version, exclude)),
+        }
+    }
+
     fn apply(&mut self, changes: Vec<Change>) {
         for change in changes {
             let (id, available) = match &change {
@@ -274,10 +321,18 @@
     }
 }
 
-fn budget_config(config: &ServiceConfig) -> BudgetConfig {
-    BudgetConfig {
+fn budget_config(config: &ServiceConfig, burst: Option<u64>) -> BudgetConfig {
+    let default = BudgetConfig {
         per_first_send: config.retry_budget,
         ..BudgetConfig::default()
+    };
+    match burst {
+        Some(burst) => BudgetConfig {
+            per_second: 0,
+            burst,
+            ..default
+        },
+        None => default,
     }
 }
 
--- a/crates/daemon/src/proxy/table.rs
+++ b/crates/daemon/src/proxy/table.rs
@@ -9,15 +9,18 @@
 #[cfg(test)]
 mod tests;
 
-/// The routes of a view, by prefix.
+/// The routes of a view, by host and prefix.
 ///
 /// A lookup walks the segments of the path from the longest prefix to the shortest, so its cost
 /// does not depend on the number of routes.
 #[derive(Debug, Default)]
 pub struct RouteTable {
-    by_prefix: HashMap<String, Vec<Route>>,
+    any_host: ByPrefix,
+    by_host: HashMap<String, ByPrefix>,
 }
 
+type ByPrefix = HashMap<String, Vec<Route>>;
+
 /// A route and its name.
 #[derive(Clone, Debug)]
 pub struct Route {
@@ -30,31 +33,53 @@
 impl RouteTable {
     /// Makes the table of a view.
     pub fn new(view: &View) -> Self {
-        let mut by_prefix: HashMap<String, Vec<Route>> = HashMap::new();
+        let mut table = Self::default();
         for (name, config) in view.routes() {
             let prefix = config.prefix.trim_end_matches('/').to_owned();
             let route = Route {
                 name: name.clone(),
                 config: config.clone(),
             };
+            let by_prefix = match &config.delivery.host {
+                Some(host) => table.by_host.entry(host.clone()).or_default(),
+                None => &mut table.any_host,
+            };
             by_prefix.entry(prefix).or_default().push(route);
         }
-        Self { by_prefix }
+        table
     }
 
-    /// Returns the route with the longest prefix of `path` that allows `method`.
+    /// Returns the route with the longest prefix of `path` that allows `method`, whatever host the
+    /// request names.
     pub fn find(&self, method: &str, path: &str) -> Option<&Route> {
-        let mut prefix = path.trim_end_matches('/');
-        loop {
-            let routes = self.by_prefix.get(prefix).into_iter().flatten();
-            for route in routes {
-                let methods = &route.config.methods;
-                if methods.is_empty() || methods.iter().any(|m| m == method) {
-                    return Some(route);
-                }
+        find_prefix(&self.any_host, method, path)
+    }
+
+    /// Returns the route with the longest prefix of `path` that allows `method` among those of
+    /// `host`, or among those of all hosts if there is none.
+    pub fn find_at(&self, host: &str, method: &str, path: &str) -> Option<&Route> {
+        let of_host = self.by_host.get(host);
+        let found = of_host.and_then(|by_prefix| find_prefix(by_prefix, method, path));
+        found.or_else(|| self.find(method, path))
+    }
+}
+
+fn find_prefix<'a>(by_prefix: &'a ByPrefix, method: &str, path: &str) -> Option<&'a Route> {
+    let mut prefix = path.trim_end_matches('/');
+    loop {
+        let routes = by_prefix.get(prefix).into_iter().flatten();
+        for route in routes {
+            // Prefixes of a host are matched to the letter.
+            let of_host = route.config.delivery.host.is_some();
+            if of_host && !path.starts_with(&route.config.prefix) {
+                continue;
+            }
+            let methods = &route.config.methods;
+            if methods.is_empty() || methods.iter().any(|m| m == method) {
+                return Some(route);
             }
-            let end = prefix.rfind('/')?;
-            prefix = &prefix[..end];
         }
+        let end = prefix.rfind('/')?;
+        prefix = &prefix[..end];
     }
 }
--- a/crates/daemon/src/proxy/table/tests.rs
+++ b/crates/daemon/src/proxy/table/tests.rs
@@ -17,6 +17,7 @@
             idempotent: false,
             tenants: Vec::new(),
             timeout: Millis(1_000),
+            delivery: Default::default(),
         };
         let key = ResourceKey::Route((*name).into());
         view.insert(key, Arc::new(Resource::Route(config)));
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -43,13 +43,21 @@
     pub operator_token_file: Option<PathBuf>,
     /// Addresses that the daemon listens on.
     pub listen: Listen,
-    /// Control replicas that this daemon may subscribe to.
+    /// Control replicas that this daemon may subscribe to. Empty if they are found by `seeds`.
+    #[serde(default)]
     pub control_replicas: Vec<ReplicaAddress>,
+    /// Link addresses of some control replicas, from which the others are found. The identifier of
+    /// a daemon of such a mesh is the address of its link listener.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
     /// Present if this daemon is itself a control replica.
     pub control: Option<ControlSettings>,
     /// Witnesses of the version floor.
     #[serde(default)]
     pub floor: FloorSettings,
+    /// Service of the upstream on this host, which calls other services. It is named to them.
+    #[serde(default)]
+    pub own_service: Option<ServiceName>,
     /// Services whose configuration is kept from the start. Empty means all services.
     #[serde(default)]
     pub interest: Vec<ServiceName>,
@@ -65,12 +73,12 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case")]
 pub struct Listen {
-    /// HTTP calls from callers.
-    pub calls: SocketAddr,
+    /// HTTP calls from callers. Without it, the daemon serves no calls.
+    pub calls: Option<SocketAddr>,
     /// Links from other daemons.
     pub link: SocketAddr,
     /// Announcements of the upstream on this host, and metrics.
-    pub announce: SocketAddr,
+    pub announce: Option<SocketAddr>,
     /// Operator interface. Required on control replicas.
     pub operator: Option<SocketAddr>,
 }
@@ -91,8 +99,17 @@
 pub struct ControlSettings {
     /// Folder for the replica's own state.
     pub data: PathBuf,
-    /// Replicas that vote. They found the group; others serve subscribers only.
+    /// Replicas that vote. They found the group; others serve subscribers only. With seeds, the
+    /// seeds found the group, and `wanted_voters` decides who votes.
+    #[serde(default)]
     pub voters: Vec<DaemonId>,
+    /// Number of voters that a group found by seeds keeps.
+    #[serde(default = "default_wanted_voters")]
+    pub wanted_voters: usize,
+    /// Whether the mesh starts for the first time, so that the seeds may found a group. A replica
+    /// that finds its folder empty later must not.
+    #[serde(default)]
+    pub bootstrap: bool,
     /// Subscriptions that this replica admits per second.
     #[serde(default = "default_joins_per_second")]
     pub joins_per_second: u32,
@@ -122,6 +139,24 @@
     pub drain_timeout_ms: u64,
     /// How long an answer is kept for resends with the same idempotency key, in milliseconds.
     pub key_record_ms: u64,
+    /// Longest wait between two attempts to subscribe, in milliseconds.
+    pub reconnect_ms: u64,
+    /// Requests of one connection that run at the same time.
+    pub pipelined: usize,
+    /// Time that a connection of a caller may be idle, in milliseconds.
+    pub idle_ms: u64,
+    /// Time that a connection to an upstream may be idle, in milliseconds.
+    pub upstream_idle_ms: u64,
+    /// Time without a sign of another daemon after which a link to it has ended, in milliseconds.
+    pub link_silence_ms: u64,
+    /// How long a stopping daemon still takes requests after it says that it is not ready, in
+    /// milliseconds.
+    pub leave_notice_ms: u64,
+    /// Retries that all daemons together may make for a service beyond its retry budget. Zero leaves
+    /// the number to each daemon.
+    pub shared_retries: u64,
+    /// Whether fewer requests run at an upstream at once while its answers are slow.
+    pub reduce_when_slow: bool,
 }
 
 /// Log output.
@@ -154,6 +189,14 @@
             queue_per_slot: 4,
             drain_timeout_ms: 30_000,
             key_record_ms: 600_000,
+            reconnect_ms: 5_000,
+            pipelined: 1,
+            idle_ms: 60_000,
+            upstream_idle_ms: 20_000,
+            link_silence_ms: 2_000,
+            leave_notice_ms: 0,
+            shared_retries: 0,
+            reduce_when_slow: true,
         }
     }
 }
@@ -162,6 +205,10 @@
     200
 }
 
+fn default_wanted_voters() -> usize {
+    3
+}
+
 /// A secret that never appears in a log.
 #[derive(Clone, PartialEq, Eq)]
 pub struct Secret(String);
@@ -185,6 +232,15 @@
 }
 
 impl Settings {
+    /// Returns the control replicas that are named, or the seeds.
+    pub fn named_replicas(&self) -> Vec<ReplicaAddress> {
+        let seeds = self.seeds.iter().map(|link| ReplicaAddress {
+            daemon: crate::replicas::id_of(*link),
+            link: *link,
+        });
+        self.control_replicas.iter().cloned().chain(seeds).collect()
+    }
+
     /// Reads and checks the settings in `path`.
     ///
     /// # Errors
@@ -203,9 +259,19 @@
     /// Names every field that is wrong.
     pub fn parse(text: &str) -> Result<Self> {
         let settings: Self = toml::from_str(text)?;
-        let problems = settings.problems();
+        settings.check()?;
+        Ok(settings)
+    }
+
+    /// Checks the settings as a whole.
+    ///
+    /// # Errors
+    ///
+    /// Names every field that is wrong.
+    pub fn check(&self) -> Result<()> {
+        let problems = self.problems();
         if problems.is_empty() {
-            return Ok(settings);
+            return Ok(());
         }
         Err(eyre::eyre!("{}", problems.join("\n")))
     }
@@ -244,9 +310,15 @@
         if self.daemon.as_str().is_empty() {
             problems.push("daemon: must not be empty".to_owned());
         }
-        if self.control_replicas.is_empty() {
+        if self.control_replicas.is_empty() && self.seeds.is_empty() {
             problems.push("control-replicas: name at least one control replica".to_owned());
         }
+        if !self.seeds.is_empty() && !self.control_replicas.is_empty() {
+            problems.push("seeds: must be empty if control-replicas names the replicas".to_owned());
+        }
+        if !self.seeds.is_empty() && self.daemon.as_str() != self.listen.link.to_string() {
+            problems.push("daemon: must be listen.link if replicas are found by seeds".to_owned());
+        }
         self.check_listen(&mut problems);
         self.check_control(&mut problems);
         self.check_witnesses(&mut problems);
@@ -257,7 +329,7 @@
     fn check_listen(&self, problems: &mut Vec<String>) {
         let listen = &self.listen;
         let mut seen = BTreeSet::new();
-        let addresses = [Some(listen.calls), Some(listen.link), Some(listen.announce)];
+        let addresses = [listen.calls, Some(listen.link), listen.announce];
         for address in addresses.into_iter().chain([listen.operator]).flatten() {
             // Port 0 asks the system for a free port, so it never collides.
             if address.port() != 0 && !seen.insert(address) {
@@ -279,6 +351,18 @@
         let Some(control) = &self.control else {
             return;
         };
+        if control.joins_per_second == 0 {
+            problems.push("control.joins-per-second: must be at least 1".into());
+        }
+        if !self.seeds.is_empty() {
+            if !matches!(control.wanted_voters, 1 | 3 | 5 | 7) {
+                let count = control.wanted_voters;
+                problems.push(format!(
+                    "control.wanted-voters: {count} voters; use 3, 5 or 7 (1 for a trial)"
+                ));
+            }
+            return;
+        }
         if !seen.contains(&self.daemon) {
             problems
                 .push("control-replicas: must name this daemon too, as it has [control]".into());
@@ -299,9 +383,6 @@
         if self.listen.operator.is_none() {
             problems.push("listen.operator: a control replica needs an address".into());
         }
-        if control.joins_per_second == 0 {
-            problems.push("control.joins-per-second: must be at least 1".into());
-        }
     }
 
     fn check_witnesses(&self, problems: &mut Vec<String>) {
@@ -330,7 +411,12 @@
         let limits = &self.limits;
         let bounds = [
             ("body-bytes", limits.body_bytes, 1, 3 << 20),
+            ("reconnect-ms", limits.reconnect_ms as usize, 1, 600_000),
+            ("idle-ms", limits.idle_ms as usize, 1, 3_600_000),
+            ("upstream-idle-ms", limits.upstream_idle_ms as usize, 1, 3_600_000),
+            ("link-silence-ms", limits.link_silence_ms as usize, 100, 600_000),
             ("connections", limits.connections, 1, 100_000),
+            ("pipelined", limits.pipelined, 1, 64),
             ("queue-per-slot", limits.queue_per_slot as usize, 0, 1_000),
         ];
         for (name, value, low, high) in bounds {
--- a/crates/daemon/src/subscriber.rs
+++ b/crates/daemon/src/subscriber.rs
@@ -26,13 +26,14 @@
 use crate::clock;
 use crate::floor::Floor;
 use crate::proxy::Proxy;
+use crate::replicas::Replicas;
 use crate::settings::ReplicaAddress;
 use crate::traffic::{LinkMeter, Traffic};
 
-/// Shortest and longest upper bound of the wait before another attempt. The wait is drawn between
-/// zero and the bound, which doubles, so that daemons that failed together do not return together.
+/// Shortest upper bound of the wait before another attempt. The wait is drawn between zero and the
+/// bound, which doubles up to that of the settings, so that daemons that failed together do not
+/// return together.
 const BACKOFF_MIN: Millis = Millis(100);
-const BACKOFF_MAX: Millis = Millis(5_000);
 
 /// How long no replica has served the daemon when it logs a warning. Founding a group and electing
 /// its first leader took 2 to 3 s on loopback.
@@ -90,7 +91,9 @@
     /// Limits of links.
     pub limits: link::Limits,
     /// Replicas that it may subscribe to.
-    pub replicas: Vec<ReplicaAddress>,
+    pub replicas: Arc<Replicas>,
+    /// Longest wait between two attempts.
+    pub max_backoff: Millis,
     /// Resources that it wants.
     pub interest: Interest,
     /// The request path that enforces views.
@@ -112,25 +115,26 @@
     pub async fn run(self) {
         let mut rng = StdRng::seed_from_u64(self.seed);
         let mut bound = BACKOFF_MIN;
-        let mut order: Vec<usize> = Vec::new();
+        let mut order: Vec<ReplicaAddress> = Vec::new();
         let mut diverged = false;
         let mut unserved_since = clock::now();
         let mut warned = false;
         loop {
             if order.is_empty() {
-                order = (0..self.replicas.len()).collect();
+                order = self.replicas.all();
                 order.shuffle(&mut rng);
             }
-            let Some(next) = order.pop() else {
+            let Some(replica) = order.pop() else {
                 tracing::error!("no control replica in the settings");
-                return;
+                task::sleep(clock::duration(self.max_backoff)).await;
+                continue;
             };
-            let replica = &self.replicas[next];
+            let replica = &replica;
             let started = clock::now();
             let ended = self.subscribe(replica, diverged).await;
             diverged = matches!(ended, Ended::Diverged);
             metrics::counter!("sycamoreflow_subscriptions_ended_total").increment(1);
-            if clock::now().since(started) > BACKOFF_MAX {
+            if clock::now().since(started) > self.max_backoff {
                 bound = BACKOFF_MIN;
                 unserved_since = clock::now();
                 warned = false;
@@ -147,8 +151,9 @@
                 Ended::RetryAfter(wait) => Millis(wait.0 + rng.random_range(0..=BACKOFF_MIN.0)),
                 _ => Millis(rng.random_range(0..=bound.0)),
             };
-            tracing::debug!(replica = %replica.daemon, %ended, ?wait, "subscription ended");
-            bound = Millis((bound.0 * 2).min(BACKOFF_MAX.0));
+            tracing::info!(event = "subscription", up = false, replica = %replica.daemon,
+                reason = %ended, wait_ms = wait.0);
+            bound = Millis((bound.0 * 2).min(self.max_backoff.0));
             if self.proxy.view().is_none() && order.is_empty() {
                 self.start_from_witnesses().await;
             }
@@ -203,6 +208,7 @@
             endpoints: self.proxy.owner().endpoints(),
         })?;
         self.wait_for_admission(&mut rx).await?;
+        tracing::info!(event = "subscription", up = true, replica = %tx.peer().daemon);
         let updates = self.take_updates(tx, rx).fuse();
         let renewals = self.send_renewals(tx).fuse();
         let reports = self.send_reports(tx, meter).fuse();
@@ -232,6 +238,7 @@
             match rx.receive::<FromReplica>().await? {
                 FromReplica::Update(delta) => self.take_update(tx, &delta).await?,
                 FromReplica::Grants(grants) => self.proxy.grant(&grants),
+                FromReplica::Members(members) => self.replicas.set_members(&members),
                 FromReplica::Suspects(report) => self.proxy.crashes().merge(&report),
                 FromReplica::NoQuorum => return Err(Ended::NoQuorum),
                 FromReplica::RetryAfter(wait) => return Err(Ended::RetryAfter(wait)),
--- a/crates/daemon/src/telemetry.rs
+++ b/crates/daemon/src/telemetry.rs
@@ -6,6 +6,11 @@
 
 use crate::settings::{LogFormat, LogSettings};
 
+/// Log target of requests that ended without an answer of an upstream.
+pub const REFUSALS: &str = "sycamoreflow::refusals";
+/// Log target of requests that were answered.
+pub const ANSWERS: &str = "sycamoreflow::answers";
+
 /// Upper bounds of the latency buckets in seconds. They are dense around 0.36 ms, the time that a
 /// call may be delayed at the size aimed at.
 const LATENCY_BUCKETS: [f64; 16] = [
--- a/crates/daemon/tests/owner.rs
+++ b/crates/daemon/tests/owner.rs
@@ -54,6 +54,8 @@
             attempt: 0,
             key: None,
             fingerprint: None,
+            urgency: Default::default(),
+            caller: None,
             head: RequestHead {
                 method: "GET".to_owned(),
                 path_and_query: "/orders".to_owned(),
--- a/crates/protocol/src/call.rs
+++ b/crates/protocol/src/call.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
 use sycamoreflow_coordination::fingerprint::Fingerprint;
+use sycamoreflow_coordination::routing::Load;
 use sycamoreflow_state::ids::{RouteName, ServiceName, TenantName, VersionName};
 use sycamoreflow_state::verdict::Failure;
 
@@ -46,6 +47,12 @@
     pub key: Option<String>,
     /// Fingerprint of the request, by which requests that crash upstreams are recognised.
     pub fingerprint: Option<Fingerprint>,
+    /// How urgent the request is among those for the same upstream.
+    #[serde(default)]
+    pub urgency: CallUrgency,
+    /// Service on the host where the request began.
+    #[serde(default)]
+    pub caller: Option<ServiceName>,
     /// Request line and headers.
     pub head: RequestHead,
     /// Whole body of the request.
@@ -53,6 +60,19 @@
     pub body: Vec<u8>,
 }
 
+/// How urgent a request is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct CallUrgency {
+    /// Rank of the route; 0 is the most urgent.
+    pub priority: u32,
+    /// Time left until the answer loses part of its value, in milliseconds. `None` means that only
+    /// the deadline counts.
+    pub target_ms: Option<u32>,
+    /// Whether the request may be run more than once.
+    pub idempotent: bool,
+}
+
 /// Request line and headers of a request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case")]
@@ -81,6 +101,9 @@
     pub id: u64,
     /// What came of it.
     pub result: CallResult,
+    /// Load of the upstream when the reply was sent.
+    #[serde(default)]
+    pub load: Option<Load>,
 }
 
 /// What came of a call.
--- a/crates/protocol/src/call/tests.rs
+++ b/crates/protocol/src/call/tests.rs
@@ -14,6 +14,8 @@
         attempt: 1,
         key,
         fingerprint: Some(Fingerprint::of(&"t".into(), "GET", "/", b"")),
+        urgency: Default::default(),
+        caller: None,
         head: RequestHead {
             method: "POST".into(),
             path_and_query: "/orders?a=1".into(),
--- a/crates/protocol/src/codec/tests.rs
+++ b/crates/protocol/src/codec/tests.rs
@@ -62,6 +62,8 @@
         attempt: 1,
         key: Some("key".into()),
         fingerprint: Some(Fingerprint::of(&"t".into(), "GET", "/", b"")),
+        urgency: Default::default(),
+        caller: None,
         head: crate::call::RequestHead {
             method: "POST".into(),
             path_and_query: "/orders".into(),
--- a/crates/protocol/src/distribution.rs
+++ b/crates/protocol/src/distribution.rs
@@ -5,7 +5,7 @@
 use sycamoreflow_coordination::shares::Grant;
 use sycamoreflow_coordination::suspect::SuspectReport;
 use sycamoreflow_state::endpoint::Endpoint;
-use sycamoreflow_state::ids::{ConfigVersion, Millis, ViewVersion};
+use sycamoreflow_state::ids::{ConfigVersion, DaemonId, Millis, ViewVersion};
 use sycamoreflow_state::view::{Delta, Interest};
 
 /// What a subscriber sends.
@@ -59,6 +59,8 @@
         /// Lowest version that the subscriber may serve.
         floor: ConfigVersion,
     },
+    /// The replicas of the group, at which the subscriber may subscribe as well.
+    Members(Vec<DaemonId>),
     /// Brings the subscriber to a newer version.
     Update(Box<Delta>),
     /// The replica is busy: come back after this time.
--- a/crates/state/src/answers.rs
+++ b/crates/state/src/answers.rs
@@ -240,5 +240,6 @@
         idempotent,
         tenants: tenants.into_iter().map(TenantName::from).collect(),
         timeout,
+        delivery: Default::default(),
     })
 }
--- a/crates/state/src/answers/tests.rs
+++ b/crates/state/src/answers/tests.rs
@@ -71,6 +71,7 @@
         idempotent: true,
         tenants: vec!["grocers".into()],
         timeout: Millis(250),
+        delivery: Default::default(),
     };
     assert_eq!(answers.routes, [("blend".into(), expected)]);
     assert_eq!(answers.line("services.orders.rollout.watch"), Some(17));
--- a/crates/state/src/config.rs
+++ b/crates/state/src/config.rs
@@ -45,6 +45,36 @@
     pub retry_budget: Share,
 }
 
+impl ServiceConfig {
+    /// Returns the configuration of a service about which an operator says nothing else. Its
+    /// version is learned from its endpoints.
+    pub fn plain(retry_budget: Share) -> Self {
+        Self {
+            version: VersionName::default(),
+            callers: Vec::new(),
+            rollout: RolloutRule::brisk(),
+            min_endpoints: Share::percent(50),
+            retry_budget,
+        }
+    }
+}
+
+impl RolloutRule {
+    /// Returns a rule for rollouts that are to be done within seconds: a small share for most of the
+    /// time, so that faults that show late meet few calls, then all traffic in two steps.
+    pub fn brisk() -> Self {
+        Self {
+            steps: vec![Share::percent(5), Share::percent(50), Share::ALL],
+            finish: FinishTime::Within(Millis(30_000)),
+            watch: Millis(1_200),
+            max_extra_failures: Share::percent(5),
+            max_slowdown_percent: 250,
+            false_alarm: Share(2_000),
+            low_traffic: LowTraffic::Finish,
+        }
+    }
+}
+
 /// How a new version reaches traffic and what counts as bad.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case")]
@@ -99,13 +129,54 @@
     pub idempotent: bool,
     /// Tenants that may use the route. Empty means all tenants.
     pub tenants: Vec<TenantName>,
-    /// Time limit of a call that brings no deadline of its own.
+    /// Longest time that a call may take, also if its caller would wait longer.
     pub timeout: Millis,
+    /// Host, distribution, attempts and urgency.
+    #[serde(default)]
+    pub delivery: Delivery,
+}
+
+impl RouteConfig {
+    /// Yields the services that requests of the route may go to.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceName> {
+        let alone = self.delivery.split.is_empty().then_some(&self.service);
+        let split = self.delivery.split.iter();
+        alone.into_iter().chain(split.map(|part| &part.service))
+    }
 }
 
-/// The division of a service's traffic between versions, as proxies enforce it.
+/// How the requests of a route are matched and delivered beyond its service and prefix. The
+/// default leaves everything to the daemon.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Delivery {
+    /// Host that requests must name, in lower case. `None` matches every host.
+    pub host: Option<String>,
+    /// Services among which the requests are distributed by weight. Empty means that all go to the
+    /// service of the route.
+    pub split: Vec<WeightedService>,
+    /// Endpoints that one request may be sent to at most. `None` leaves it to the daemon.
+    pub max_attempts: Option<u32>,
+    /// Time within which a response has its full value to the caller.
+    pub target_latency: Option<Millis>,
+    /// Rank among the routes that lead to the same service; 0 is the most urgent.
+    pub priority: u32,
+}
+
+/// A part of a route's requests.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct WeightedService {
+    /// Service that answers this part.
+    pub service: ServiceName,
+    /// Size of the part, relative to the sum of the weights.
+    pub weight: u32,
+}
+
+/// The division of a service's traffic between versions, as proxies enforce it. The default has no
+/// version, which no endpoint runs: the service has no known endpoint yet.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
 pub struct TrafficSplit {
     /// Version that receives the traffic that the candidate does not.
     pub stable: VersionName,
--- a/crates/state/src/ids.rs
+++ b/crates/state/src/ids.rs
@@ -20,6 +20,12 @@
             }
         }
 
+        impl Default for $name {
+            fn default() -> Self {
+                Self("".into())
+            }
+        }
+
         impl From<&str> for $name {
             fn from(text: &str) -> Self {
                 Self(text.into())
--- a/crates/state/src/plan.rs
+++ b/crates/state/src/plan.rs
@@ -212,6 +212,7 @@
         idempotent,
         tenants,
         timeout,
+        delivery: _,
     } = route;
     vec![
         ("service", service.to_string()),
--- a/crates/state/src/view.rs
+++ b/crates/state/src/view.rs
@@ -397,8 +397,10 @@
         interest: &Interest,
     ) -> std::result::Result<(), Violation> {
         let key = ResourceKey::Route(name.clone());
-        if interest.wants_service(&route.service) {
-            self.require(&key, ResourceKey::Service(route.service.clone()))?;
+        for service in route.services() {
+            if interest.wants_service(service) {
+                self.require(&key, ResourceKey::Service(service.clone()))?;
+            }
         }
         for tenant in &route.tenants {
             self.require(&key, ResourceKey::Tenant(tenant.clone()))?;
--- a/crates/state/src/view/tests.rs
+++ b/crates/state/src/view/tests.rs
@@ -64,6 +64,7 @@
         idempotent: false,
         tenants: tenants.iter().map(|&name| name.into()).collect(),
         timeout: Millis(1000),
+        delivery: Default::default(),
     })
 }
 
--- a/crates/testbed/examples/capacity/world.rs
+++ b/crates/testbed/examples/capacity/world.rs
@@ -34,6 +34,7 @@
             idempotent: true,
             tenants: vec!["grocers".into()],
             timeout: Millis(1_000),
+            delivery: Default::default(),
         };
         config
             .services
--- a/crates/transport/examples/hop_cost.rs
+++ b/crates/transport/examples/hop_cost.rs
@@ -341,6 +341,8 @@
         attempt: 0,
         key: None,
         fingerprint: None,
+        urgency: Default::default(),
+        caller: None,
         head: RequestHead {
             method: parts.method.as_str().to_owned(),
             path_and_query: parts.uri.to_string(),
--- a/crates/transport/src/call_link.rs
+++ b/crates/transport/src/call_link.rs
@@ -15,6 +15,7 @@
 use futures::channel::oneshot;
 use futures::future::{AbortHandle, Abortable};
 use parking_lot::Mutex;
+use sycamoreflow_coordination::routing::Load;
 use sycamoreflow_protocol::call::{Answer, Call, CallReply, CallRequest, CallResult, Cancel};
 use sycamoreflow_protocol::codec;
 use sycamoreflow_state::verdict::{Failure, Reason};
@@ -37,7 +38,7 @@
     sender: Sender,
     next_id: AtomicU64,
     /// Calls that wait for an answer; `None` once the link has ended.
-    pending: Mutex<Option<HashMap<u64, oneshot::Sender<CallResult>>>>,
+    pending: Mutex<Option<HashMap<u64, oneshot::Sender<CallReply>>>>,
     dropped_answers: AtomicU64,
 }
 
@@ -62,7 +63,23 @@
     ///
     /// The verdict is `NotRun` if the call was never queued for writing or the other end says so.
     /// It is `MayHaveRun` if the link ended or the deadline passed after the call was queued.
-    pub async fn call(&self, mut call: Call, deadline: Instant) -> Result<Answer> {
+    pub async fn call(&self, call: Call, deadline: Instant) -> Result<Answer> {
+        self.exchange(call, deadline).await.0
+    }
+
+    /// Runs a call as [`CallClient::call`] does, and returns the load of the upstream with the
+    /// result, if the other end has reported it.
+    pub async fn exchange(&self, call: Call, deadline: Instant) -> (Result<Answer>, Option<Load>) {
+        match self.reply(call, deadline).await {
+            Ok(reply) => match reply.result {
+                CallResult::Answer(answer) => (Ok(answer), reply.load),
+                CallResult::Refused(failure) => (Err(failure), reply.load),
+            },
+            Err(failure) => (Err(failure), None),
+        }
+    }
+
+    async fn reply(&self, mut call: Call, deadline: Instant) -> Result<CallReply> {
         let remaining = deadline.saturating_duration_since(Instant::now());
         if remaining.is_zero() {
             return Err(Failure::not_run(Reason::DeadlineExceeded));
@@ -82,8 +99,7 @@
             .map_err(refused_by_queue)?;
         withdrawal.queued = true;
         match before(deadline, answer).await {
-            Some(Ok(CallResult::Answer(answer))) => Ok(answer),
-            Some(Ok(CallResult::Refused(failure))) => Err(failure),
+            Some(Ok(reply)) => Ok(reply),
             Some(Err(_)) => Err(Failure::may_have_run(Reason::ConnectionLost)),
             None => Err(Failure::may_have_run(Reason::DeadlineExceeded)),
         }
@@ -126,7 +142,7 @@
 }
 
 impl ClientShared {
-    fn register(&self, id: u64) -> Result<oneshot::Receiver<CallResult>> {
+    fn register(&self, id: u64) -> Result<oneshot::Receiver<CallReply>> {
         let (tx, rx) = oneshot::channel();
         let mut pending = self.pending.lock();
         let Some(pending) = pending.as_mut() else {
@@ -136,7 +152,7 @@
         Ok(rx)
     }
 
-    fn take(&self, id: u64) -> Option<oneshot::Sender<CallResult>> {
+    fn take(&self, id: u64) -> Option<oneshot::Sender<CallReply>> {
         self.pending.lock().as_mut()?.remove(&id)
     }
 
@@ -146,7 +162,7 @@
             return;
         };
         // Fails if the call is withdrawn at this moment; then nobody wants the answer.
-        let _ = waiting.send(reply.result);
+        let _ = waiting.send(reply);
     }
 }
 
@@ -198,13 +214,31 @@
 /// a call is dropped when the caller withdraws it or the link ends.
 pub async fn serve<H, F>(
     sender: Sender,
-    mut receiver: Receiver,
+    receiver: Receiver,
     max_in_flight: usize,
     handler: H,
 ) -> LinkError
 where
     H: Fn(Call, Peer) -> F,
     F: Future<Output = CallResult> + Send + 'static,
+{
+    serve_with_load(sender, receiver, max_in_flight, |call, peer| {
+        let work = handler(call, peer);
+        async move { (work.await, None) }
+    })
+    .await
+}
+
+/// Serves calls as [`serve`] does, and sends the load that the handler returns with each result.
+pub async fn serve_with_load<H, F>(
+    sender: Sender,
+    mut receiver: Receiver,
+    max_in_flight: usize,
+    handler: H,
+) -> LinkError
+where
+    H: Fn(Call, Peer) -> F,
+    F: Future<Output = (CallResult, Option<Load>)> + Send + 'static,
 {
     let running = Running::default();
     loop {
@@ -222,7 +256,7 @@
         let id = call.id;
         if running.len() >= max_in_flight {
             let overloaded = CallResult::Refused(Failure::not_run(Reason::Overloaded));
-            task::spawn(reply(sender.clone(), id, overloaded));
+            task::spawn(reply(sender.clone(), id, overloaded, None));
             continue;
         }
         let Some(registration) = running.add(id) else {
@@ -234,19 +268,20 @@
         task::spawn(async move {
             let outcome = Abortable::new(work, registration).await;
             calls.lock().remove(&id);
-            if let Ok(result) = outcome {
-                reply(sender, id, result).await;
+            if let Ok((result, load)) = outcome {
+                reply(sender, id, result, load).await;
             }
         });
     }
 }
 
-async fn reply(sender: Sender, id: u64, result: CallResult) {
-    let reply = CallReply { id, result };
+async fn reply(sender: Sender, id: u64, result: CallResult, load: Option<Load>) {
+    let reply = CallReply { id, result, load };
     if let Err(SendError::Codec(_)) = sender.send_waiting(&reply).await {
         let unsendable = CallReply {
             id,
             result: CallResult::Refused(Failure::may_have_run(Reason::BadAnswer)),
+            load: None,
         };
         // Fails only if the link has ended.
         let _ = sender.send_waiting(&unsendable).await;
--- a/crates/transport/src/call_link/tests.rs
+++ b/crates/transport/src/call_link/tests.rs
@@ -20,6 +20,8 @@
         attempt: 0,
         key: None,
         fingerprint: None,
+        urgency: Default::default(),
+        caller: None,
         head: RequestHead {
             method: "POST".into(),
             path_and_query: "/".into(),
@@ -74,7 +76,11 @@
         }
         for (id, body) in [(ids[0], 0), (77, 1), (ids[1], 2), (ids[1], 3)] {
             let result = answer(vec![body]);
-            b_tx.send(&CallReply { id, result }).unwrap();
+            b_tx.send(&CallReply {
+                id,
+                result,
+                load: None,
+            }).unwrap();
         }
     };
     let calls = async {
--- a/crates/transport/src/http.rs
+++ b/crates/transport/src/http.rs
@@ -15,4 +15,3 @@
 
 mod adapter;
 mod framing;
-mod guard;
--- a/crates/transport/src/http/client.rs
+++ b/crates/transport/src/http/client.rs
@@ -17,7 +17,7 @@
 use async_std::task;
 use bytes::Bytes;
 use futures::future::{Either, select};
-use http::header::{CONTENT_LENGTH, EXPECT, HOST, HeaderValue};
+use http::header::{CONTENT_LENGTH, EXPECT, HOST, HeaderName, HeaderValue};
 use http::uri::PathAndQuery;
 use http::{Method, Request, Response, Uri, Version};
 use http_body_util::Full;
@@ -71,6 +71,17 @@
     }
 }
 
+/// What a request demands of its connection and of the answer.
+#[derive(Clone, Debug, Default)]
+pub struct Demand {
+    /// Request header whose value the answer must repeat. An answer with another value belongs to
+    /// another request.
+    pub echo: Option<HeaderName>,
+    /// Longest time for which a connection may have been idle. An upstream may have dropped it
+    /// meanwhile, and a request that meets that may have run.
+    pub max_idle: Option<Duration>,
+}
+
 /// A client with a pool of connections. Clones share the pool.
 #[derive(Clone)]
 pub struct Client {
@@ -82,6 +93,27 @@
     pool: Pool,
 }
 
+/// A header of a request that its answer must repeat.
+struct Echo {
+    name: HeaderName,
+    value: HeaderValue,
+}
+
+impl Echo {
+    fn of(request: &Request<Bytes>, demand: &Demand) -> Option<Self> {
+        let name = demand.echo.clone()?;
+        let value = request.headers().get(&name)?.clone();
+        Some(Self { name, value })
+    }
+
+    /// Returns whether the answer names another request. One that names none may be an error that
+    /// the upstream made before it read the header.
+    fn contradicts(&self, response: &Response<Bytes>) -> bool {
+        let repeated = response.headers().get(&self.name);
+        repeated.is_some_and(|value| *value != self.value)
+    }
+}
+
 /// What an attempt on one connection came to.
 enum Attempt {
     Done(Result<Response<Bytes>>),
@@ -112,13 +144,33 @@
         request: Request<Bytes>,
         deadline: Instant,
     ) -> Result<Response<Bytes>> {
+        let demand = Demand::default();
+        self.send_demanding(address, request, deadline, &demand)
+            .await
+    }
+
+    /// Sends a request as [`Client::send`] does, with demands on connection and answer.
+    ///
+    /// # Errors
+    ///
+    /// [`Reason::BadAnswer`] if the answer belongs to another request.
+    pub async fn send_demanding(
+        &self,
+        address: SocketAddr,
+        request: Request<Bytes>,
+        deadline: Instant,
+        demand: &Demand,
+    ) -> Result<Response<Bytes>> {
+        let echo = Echo::of(&request, demand);
         let mut request = prepare(request, address)?;
         loop {
-            let (connection, is_pooled) = match self.shared.pool.take(address) {
+            let pooled = self.shared.pool.take(address, demand.max_idle);
+            let (connection, is_pooled) = match pooled {
                 Some(connection) => (connection, true),
                 None => (self.shared.connect(address, deadline).await?, false),
             };
-            match self.attempt(connection, is_pooled, request, deadline).await {
+            let attempt = self.attempt(connection, is_pooled, request, deadline, echo.as_ref());
+            match attempt.await {
                 Attempt::Done(outcome) => return outcome,
                 Attempt::Retry(unsent) => request = unsent,
             }
@@ -142,6 +194,7 @@
         is_pooled: bool,
         request: Request<Full<Bytes>>,
         deadline: Instant,
+        echo: Option<&Echo>,
     ) -> Attempt {
         if is_pooled && !connection.is_alive().await {
             return Attempt::Retry(request);
@@ -159,6 +212,10 @@
             return Attempt::Done(Err(traffic.failure(Reason::DeadlineExceeded)));
         };
         match outcome {
+            // The right answer may follow on the connection, which is not used again.
+            Ok((response, _)) if echo.is_some_and(|echo| echo.contradicts(&response)) => {
+                Attempt::Done(Err(Failure::may_have_run(Reason::BadAnswer)))
+            }
             Ok((response, connection)) => {
                 if connection.is_reusable() {
                     self.shared.pool.put(connection);
--- a/crates/transport/src/http/client/connection.rs
+++ b/crates/transport/src/http/client/connection.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use async_std::net::TcpStream;
 use bytes::{Bytes, BytesMut};
@@ -25,6 +26,10 @@
 /// hyper's buffer for a head must be at least this large.
 const MIN_HYPER_BUFFER: usize = 8 * 1024;
 
+/// Part of the time stated by `Keep-Alive` for which a connection is reused, since the peer counts
+/// from an earlier moment.
+const IDLE_MARGIN: f64 = 0.8;
+
 type Driver = http1::Connection<HyperIo<CountedStream>, Full<Bytes>>;
 
 /// Why an exchange has no answer.
@@ -38,6 +43,8 @@
 /// A connection that carries one request at a time.
 pub(super) struct Connection {
     pub(super) address: SocketAddr,
+    /// Time for which the peer keeps the connection idle, less a margin, if it has told that.
+    pub(super) idle_limit: Option<Duration>,
     sender: http1::SendRequest<Full<Bytes>>,
     /// `None` once the connection has ended.
     driver: Option<Pin<Box<Driver>>>,
@@ -89,6 +96,7 @@
             .ok()?;
         Some(Self {
             address,
+            idle_limit: None,
             sender,
             driver: Some(Box::pin(driver)),
             counters,
@@ -143,6 +151,7 @@
         let body = run(driver, body).await.map_err(Lost::Failed)?;
         // Lets the driver see the end of the exchange, after which it takes the next one.
         self.is_alive().await;
+        self.idle_limit = idle_limit(&parts).or(self.idle_limit);
         remove_hop_by_hop(&mut parts.headers);
         parts.extensions.clear();
         Ok((Response::from_parts(parts, body), self))
@@ -212,6 +221,15 @@
     }
 }
 
+/// Returns for how long a connection may be reused by its `Keep-Alive` header.
+fn idle_limit(parts: &http::response::Parts) -> Option<Duration> {
+    let value = parts.headers.get("keep-alive")?.to_str().ok()?;
+    let mut parameters = value.split(',').map(str::trim);
+    let timeout = parameters.find_map(|parameter| parameter.strip_prefix("timeout="))?;
+    let seconds: u64 = timeout.parse().ok()?;
+    Some(Duration::from_secs(seconds).mul_f64(IDLE_MARGIN))
+}
+
 fn reason(error: &hyper::Error) -> Reason {
     if error.is_parse() {
         return Reason::BadAnswer;
--- a/crates/transport/src/http/client/pool.rs
+++ b/crates/transport/src/http/client/pool.rs
@@ -45,14 +45,25 @@
         }
     }
 
-    /// Takes the connection that was used last, since it is the least likely to have ended.
-    pub(super) fn take(&self, address: SocketAddr) -> Option<Connection> {
+    /// Takes the connection that was used last, since it is the least likely to have ended. One that
+    /// has been idle for longer than `max_idle` stays for other requests.
+    pub(super) fn take(
+        &self,
+        address: SocketAddr,
+        max_idle: Option<Duration>,
+    ) -> Option<Connection> {
         let now = Instant::now();
         let aged;
         let mut state = self.state.lock();
         let pool = state.addresses.get_mut(&address)?;
         let newest = pool.idle.pop()?;
-        if now.duration_since(newest.since) < self.idle_time {
+        let idle = now.duration_since(newest.since);
+        let limit = newest.connection.idle_limit.unwrap_or(self.idle_time);
+        if idle < limit.min(self.idle_time) {
+            if max_idle.is_some_and(|max_idle| idle > max_idle) {
+                pool.idle.push(newest);
+                return None;
+            }
             return Some(newest.connection);
         }
         // The others are older still. They are closed after the lock is released.
