--- a/crates/transport/src/http/framing.rs
+++ b/crates/transport/src/http/framing.rs
@@ -1,13 +1,18 @@
-//! Strict tracking of the framing of requests in a byte stream, sans I/O.
+//! Strict framing of requests in a byte stream, sans I/O.
 //!
 //! HTTP libraries resolve some ambiguous requests silently: hyper drops a `Content-Length` that
 //! accompanies `Transfer-Encoding`, and both hyper and async-h1 accept lists of codings. A proxy
 //! or upstream that resolves them differently sees other request boundaries, which allows a
-//! caller to smuggle a request. The tracker sees every byte before the library does and rejects
-//! what is ambiguous.
+//! caller to smuggle a request. Heads are parsed by `httparse`; what is ambiguous is rejected.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
+use bytes::{Bytes, BytesMut};
+use http::header::{CONNECTION, EXPECT, HeaderName, HeaderValue};
+use http::request::Parts;
+use http::{Method, Request, Uri, Version};
+
 use self::chunked::Chunked;
 
 mod chunked;
@@ -66,7 +71,15 @@
     }
 }
 
-/// Tracks the requests in a stream.
+/// A request that has arrived whole.
+#[derive(Debug)]
+pub(super) struct Arrived {
+    pub(super) request: Request<Bytes>,
+    /// Whether the caller expects the connection to end after the response.
+    pub(super) closes: bool,
+}
+
+/// Reads the requests in a stream.
 #[derive(Debug)]
 pub(super) struct RequestFraming {
     limits: FramingLimits,
@@ -75,7 +88,13 @@
     head: Vec<u8>,
     /// Where the current line of the head starts.
     line_start: usize,
+    /// Head of the request whose body is being read.
+    parts: Option<Parts>,
+    body: BytesMut,
+    arrived: VecDeque<Arrived>,
     completed: u64,
+    /// Whether the caller waits for permission to send the body that is being read.
+    expects_continue: bool,
 }
 
 #[derive(Debug)]
@@ -92,7 +111,11 @@
             state: State::Head,
             head: Vec::new(),
             line_start: 0,
+            parts: None,
+            body: BytesMut::new(),
+            arrived: VecDeque::new(),
             completed: 0,
+            expects_continue: false,
         }
     }
 
@@ -101,6 +124,22 @@
         self.completed
     }
 
+    /// Takes the oldest request that has arrived whole.
+    pub(super) fn take(&mut self) -> Option<Arrived> {
+        self.arrived.pop_front()
+    }
+
+    /// Returns the number of requests that have arrived whole and were not taken.
+    pub(super) fn arrived(&self) -> usize {
+        self.arrived.len()
+    }
+
+    /// Returns whether the caller waits for an interim response before it sends the body. The
+    /// next call returns false.
+    pub(super) fn take_expectation(&mut self) -> bool {
+        std::mem::take(&mut self.expects_continue)
+    }
+
     pub(super) fn position(&self) -> Position {
         match self.state {
             State::Head if self.head.is_empty() => Position::BetweenRequests,
@@ -129,13 +168,15 @@
             State::Body { remaining } => {
                 let count = (*remaining).min(bytes.len() as u64);
                 *remaining -= count;
-                if *remaining == 0 {
+                let is_whole = *remaining == 0;
+                self.body.extend_from_slice(&bytes[..count as usize]);
+                if is_whole {
                     self.finish_request();
                 }
                 Ok(count as usize)
             }
             State::Chunked(chunked) => {
-                let (count, done) = chunked.push(bytes)?;
+                let (count, done) = chunked.push(bytes, &mut self.body)?;
                 if done {
                     self.finish_request();
                 }
@@ -180,10 +221,16 @@
     }
 
     fn finish_head(&mut self) -> Result<(), Violation> {
-        self.state = read_head(&self.head, &self.limits)?;
+        let (parts, state) = read_head(&self.head, &self.limits)?;
+        self.state = state;
         self.head.clear();
         self.line_start = 0;
-        if matches!(self.state, State::Head) {
+        let has_body = !matches!(self.state, State::Head);
+        let expectation = parts.headers.get(EXPECT);
+        self.expects_continue = has_body
+            && expectation.is_some_and(|e| e.as_bytes().eq_ignore_ascii_case(b"100-continue"));
+        self.parts = Some(parts);
+        if !has_body {
             self.finish_request();
         }
         Ok(())
@@ -191,12 +238,32 @@
 
     fn finish_request(&mut self) {
         self.state = State::Head;
+        self.expects_continue = false;
+        let body = self.body.split().freeze();
+        let Some(parts) = self.parts.take() else {
+            return;
+        };
         self.completed += 1;
+        self.arrived.push_back(Arrived {
+            closes: closes_connection(&parts),
+            request: Request::from_parts(parts, body),
+        });
     }
 }
 
+/// Returns whether the connection ends after this request.
+fn closes_connection(parts: &Parts) -> bool {
+    let mut tokens = parts
+        .headers
+        .get_all(CONNECTION)
+        .iter()
+        .flat_map(|value| value.as_bytes().split(|byte| *byte == b','));
+    parts.version != Version::HTTP_11
+        || tokens.any(|token| token.trim_ascii().eq_ignore_ascii_case(b"close"))
+}
+
 /// Validates a whole head and returns the state that its body starts in.
-fn read_head(head: &[u8], limits: &FramingLimits) -> Result<State, Violation> {
+fn read_head(head: &[u8], limits: &FramingLimits) -> Result<(Parts, State), Violation> {
     let mut headers = vec![httparse::EMPTY_HEADER; limits.max_headers];
     let mut request = httparse::Request::new(&mut headers);
     match request.parse(head) {
@@ -214,14 +281,36 @@
     if hosts > 1 || (is_http_11 && hosts == 0) {
         return Err(Violation::Malformed);
     }
-    match (length, chunked) {
-        (Some(_), true) => Err(Violation::Malformed),
-        (None, true) if !is_http_11 => Err(Violation::Malformed),
-        (None, true) => Ok(State::Chunked(Chunked::new(limits.max_body_bytes))),
-        (Some(length), false) if length > limits.max_body_bytes => Err(Violation::BodyTooLarge),
-        (Some(remaining), false) if remaining > 0 => Ok(State::Body { remaining }),
-        _ => Ok(State::Head),
+    let state = match (length, chunked) {
+        (Some(_), true) => return Err(Violation::Malformed),
+        (None, true) if !is_http_11 => return Err(Violation::Malformed),
+        (None, true) => State::Chunked(Chunked::new(limits.max_body_bytes)),
+        (Some(length), false) if length > limits.max_body_bytes => {
+            return Err(Violation::BodyTooLarge);
+        }
+        (Some(remaining), false) if remaining > 0 => State::Body { remaining },
+        _ => State::Head,
+    };
+    let parts = parts_of(&request).ok_or(Violation::Malformed)?;
+    Ok((parts, state))
+}
+
+/// Converts a parsed head. Returns `None` if a part is not valid in HTTP.
+fn parts_of(request: &httparse::Request<'_, '_>) -> Option<Parts> {
+    let mut built = Request::new(());
+    *built.method_mut() = Method::from_bytes(request.method?.as_bytes()).ok()?;
+    *built.uri_mut() = request.path?.parse::<Uri>().ok()?;
+    *built.version_mut() = match request.version? {
+        1 => Version::HTTP_11,
+        _ => Version::HTTP_10,
+    };
+    built.headers_mut().reserve(request.headers.len());
+    for header in request.headers.iter() {
+        let name = HeaderName::from_bytes(header.name.as_bytes()).ok()?;
+        let value = HeaderValue::from_bytes(header.value).ok()?;
+        built.headers_mut().append(name, value);
     }
+    Some(built.into_parts().0)
 }
 
 fn values<'a>(
--- a/crates/transport/src/http/framing/chunked.rs
+++ b/crates/transport/src/http/framing/chunked.rs
@@ -1,4 +1,6 @@
-//! Tracking of a chunked body.
+//! Decoding of a chunked body.
+
+use bytes::BytesMut;
 
 use super::Violation;
 
@@ -43,12 +45,18 @@
         }
     }
 
-    /// Takes bytes up to the end of the body. Returns how many, and whether the body ended.
-    pub(super) fn push(&mut self, bytes: &[u8]) -> Result<(usize, bool), Violation> {
+    /// Takes bytes up to the end of the body and appends the data among them to `body`. Returns how
+    /// many bytes were taken, and whether the body ended.
+    pub(super) fn push(
+        &mut self,
+        bytes: &[u8],
+        body: &mut BytesMut,
+    ) -> Result<(usize, bool), Violation> {
         let mut taken = 0;
         while taken < bytes.len() {
             if let Step::Data { remaining } = self.step {
                 let count = remaining.min((bytes.len() - taken) as u64);
+                body.extend_from_slice(&bytes[taken..taken + count as usize]);
                 taken += count as usize;
                 self.step = match remaining - count {
                     0 => Step::DataCr,
--- a/crates/transport/src/http/server.rs
+++ b/crates/transport/src/http/server.rs
@@ -1,9 +1,9 @@
 //! HTTP/1.1 server for callers.
 //!
-//! A connection runs one request at a time. A request is handed to the handler only when it has
-//! arrived whole and its framing is unambiguous. The handler's future is dropped when the caller
-//! closes its connection. A caller that pipelines requests is noticed only after its current
-//! request.
+//! A request is handed to the handler only when it has arrived whole and its framing is
+//! unambiguous. A connection runs up to [`Limits::max_pipelined`] requests at a time and sends the
+//! responses in the order of the requests. The handlers' futures are dropped when the caller closes
+//! its connection.
 
 use std::fmt;
 use std::future::Future;
@@ -46,6 +46,9 @@
     pub max_headers: usize,
     /// Largest body of a request in bytes.
     pub max_body_bytes: u64,
+    /// Requests of one connection that run at the same time. One keeps the order in which a caller
+    /// sent them.
+    pub max_pipelined: usize,
     /// Time that a connection may be idle between requests.
     pub idle_time: Duration,
     /// Time limit for reading a head, from its first byte.
@@ -65,6 +68,7 @@
             max_head_bytes: 16 * 1024,
             max_headers: 100,
             max_body_bytes: 1024 * 1024,
+            max_pipelined: 1,
             idle_time: Duration::from_secs(60),
             head_time: Duration::from_secs(5),
             body_time: Duration::from_secs(10),
