--- a/crates/coordination/src/admission.rs
+++ b/crates/coordination/src/admission.rs
@@ -9,6 +9,7 @@
 //! next ones that become free until it has its share.
 
 mod limit;
+mod pressure;
 mod queue;
 #[cfg(test)]
 mod tests;
@@ -19,8 +20,13 @@
 use sycamoreflow_state::verdict::{Failure, Reason};
 
 use limit::Limit;
+use pressure::Pressure;
 use queue::{Queue, Waiting};
 
+/// Weight of one call in the mean time for which calls hold their slots.
+const HELD_WEIGHT: f64 = 0.05;
+/// Slots per call that may always wait.
+const SLOTS_PER_WAITING: usize = 4;
 /// Slot time charged at least for each call, so that calls that fail at once are not free.
 const MIN_CHARGE: f64 = 100.0;
 
@@ -108,6 +114,9 @@
     running: BTreeMap<CallId, Running>,
     queue: Queue,
     draining: bool,
+    /// Mean time in microseconds for which calls hold their slots, whatever comes of them.
+    held: f64,
+    pressure: Pressure,
 }
 
 /// A call at the upstream.
@@ -136,6 +145,8 @@
             running: BTreeMap::new(),
             queue: Queue::default(),
             draining: false,
+            held: 0.0,
+            pressure: Pressure::default(),
         }
     }
 
@@ -189,12 +200,17 @@
         }
         self.queue.enter(tenant, self.weight(tenant));
         if self.queue.len() == 0 && self.running.len() < self.limit.get() {
+            self.pressure.offered(urgency.priority, false);
             self.start(now, id, tenant);
             return Decision::Start;
         }
         let expected = Millis(urgency.expected.0 / 1_000);
         let wait = self.expected_wait(urgency.priority);
-        if now.after(wait).after(expected) > urgency.due {
+        let slack = urgency.due.since(now).since(expected);
+        let allowed = self.pressure.allowed_wait(urgency.priority, slack);
+        let full = wait > allowed.max(self.shortest_queue(slack));
+        self.pressure.offered(urgency.priority, full);
+        if full {
             self.queue.leave(tenant);
             return Decision::Refused(Failure::not_run(Reason::Overloaded));
         }
@@ -213,9 +229,21 @@
         if self.queue.len() == 0 && self.running.len() < self.limit.get() {
             return Millis(0);
         }
-        let ahead = self.queue.len_up_to(priority) as u64 + 1;
-        let service = self.limit.recent_latency().0;
-        Millis(ahead * service / self.limit.get().max(1) as u64 / 1_000)
+        let ahead = self.queue.len_up_to(priority) + 1;
+        self.time_for(ahead)
+    }
+
+    /// Returns the time in which `calls` slots become free.
+    fn time_for(&self, calls: usize) -> Millis {
+        let micros = calls as f64 * self.held / self.limit.get().max(1) as f64;
+        Millis((micros / 1_000.0) as u64)
+    }
+
+    /// Returns the wait in a queue that just keeps all slots in use. Without it, slots would be idle
+    /// between the end of a call and the arrival of the next one.
+    fn shortest_queue(&self, slack: Millis) -> Millis {
+        let calls = self.limit.get().div_ceil(SLOTS_PER_WAITING);
+        self.time_for(calls).min(slack)
     }
 
     /// Returns the mean time of recent answers.
@@ -240,6 +268,11 @@
             return self.tick(now);
         };
         let held = Micros::from(now.since(call.started));
+        if result != UpstreamResult::Shed {
+            let sample = held.0 as f64;
+            let weight = if self.held == 0.0 { 1.0 } else { HELD_WEIGHT };
+            self.held += (sample - self.held) * weight;
+        }
         let used = match result {
             UpstreamResult::Answered(latency) => latency,
             _ => held,
--- a/crates/coordination/src/machine/document.rs
+++ b/crates/coordination/src/machine/document.rs
@@ -208,8 +208,14 @@
                 replacement.removals.push(removal);
             }
         }
-        let kept = self.parts.keys().filter(|k| document.parts.contains_key(*k));
-        let added = document.parts.keys().filter(|k| !self.parts.contains_key(*k));
+        let kept = self
+            .parts
+            .keys()
+            .filter(|k| document.parts.contains_key(*k));
+        let added = document
+            .parts
+            .keys()
+            .filter(|k| !self.parts.contains_key(*k));
         if !kept.chain(added).eq(document.parts.keys()) {
             replacement.order = Some(document.parts.keys().cloned().collect());
         }
--- a/crates/coordination/src/raft/leader.rs
+++ b/crates/coordination/src/raft/leader.rs
@@ -6,10 +6,10 @@
 use sycamoreflow_state::ids::{DaemonId, Millis};
 
 use super::faults::Fault;
+use super::members::PROBE_VALID;
 use super::message::Body;
 use super::reads::LeaderRead;
 use super::replication::Progress;
-use super::members::PROBE_VALID;
 use super::types::{
     Entry, Incarnation, Membership, Output, Payload, Peer, Refusal, ReplicaProgress, Token,
 };
--- a/crates/coordination/src/routing.rs
+++ b/crates/coordination/src/routing.rs
@@ -32,7 +32,7 @@
 use estimate::Estimate;
 use load::KnownLoad;
 
-pub use load::{Goal, Load};
+pub use load::{CallSizes, Goal, Load};
 
 /// Latency expected of a service before the first observation.
 const FIRST_GUESS: Micros = Micros(1_000);
@@ -273,7 +273,9 @@
     fn value(&self, now: Millis, index: usize, goal: &Goal) -> f64 {
         let member = &self.members[index];
         let unknown = self.service_time(&goal.route);
-        let expected = member.load.expected(now, member.slots, &goal.route, unknown);
+        let expected = member
+            .load
+            .expected(now, member.slots, &goal.route, unknown);
         let silent = member.estimate.silence(now, expected);
         let in_time = goal.chance(expected.max(silent) + self.hop_of(member));
         let price = if member.local { 0.0 } else { goal.remote_price };
@@ -283,7 +285,10 @@
     /// Returns the mean service time of a route in microseconds over the endpoints that have
     /// reported it.
     fn service_time(&self, route: &RouteName) -> f64 {
-        let known = self.members.iter().filter_map(|m| m.load.service_time(route));
+        let known = self
+            .members
+            .iter()
+            .filter_map(|m| m.load.service_time(route));
         let (sum, count) = known.fold((0.0, 0), |(sum, count), time| (sum + time, count + 1));
         match count {
             0 => load::FIRST_SERVICE_TIME,
--- a/crates/coordination/src/routing/load.rs
+++ b/crates/coordination/src/routing/load.rs
@@ -55,6 +55,36 @@
     pub remote_price: f64,
 }
 
+/// Price of a KiB that crosses between data centres, relative to the value of an answer in time.
+const PRICE_PER_KIB: f64 = 0.015;
+/// Weight of one call in the mean size of the calls of a route.
+const SIZE_WEIGHT: f64 = 0.05;
+
+/// Mean sizes of the calls of routes, from which the price of another data centre follows.
+#[derive(Clone, Debug, Default)]
+pub struct CallSizes {
+    /// Bytes of requests and answers together.
+    routes: IndexMap<RouteName, f64>,
+}
+
+impl CallSizes {
+    /// Counts the bytes of a call and its answer.
+    pub fn record(&mut self, route: &RouteName, bytes: usize) {
+        let bytes = bytes as f64;
+        if let Some(mean) = self.routes.get_mut(route) {
+            *mean += (bytes - *mean) * SIZE_WEIGHT;
+        } else if self.routes.len() < MAX_ROUTES {
+            self.routes.insert(route.clone(), bytes);
+        }
+    }
+
+    /// Returns the price of sending a call of a route to another data centre.
+    pub fn remote_price(&self, route: &RouteName) -> f64 {
+        let bytes = self.routes.get(route).copied().unwrap_or(0.0);
+        bytes / 1_024.0 * PRICE_PER_KIB
+    }
+}
+
 impl Goal {
     /// Returns the expected value of an answer that takes `expected` microseconds on average.
     pub(super) fn chance(&self, expected: f64) -> f64 {
@@ -95,13 +125,7 @@
     /// Returns the expected time in microseconds until a call sent now is answered, apart from the
     /// way there. `unknown` is the service time that is assumed of an endpoint that has not
     /// reported the route.
-    pub(super) fn expected(
-        &self,
-        now: Millis,
-        slots: u32,
-        route: &RouteName,
-        unknown: f64,
-    ) -> f64 {
+    pub(super) fn expected(&self, now: Millis, slots: u32, route: &RouteName, unknown: f64) -> f64 {
         let service = self.routes.get(route).copied().unwrap_or(unknown);
         service + self.wait(now, slots)
     }
--- a/crates/coordination/src/split/tests.rs
+++ b/crates/coordination/src/split/tests.rs
@@ -31,7 +31,10 @@
         counts[index] += 1;
         for (count, weight) in counts.iter().zip(weights) {
             let share = f64::from(sent * weight) / f64::from(total);
-            assert!((f64::from(*count) - share).abs() <= 1.0, "{counts:?} of {sent}");
+            assert!(
+                (f64::from(*count) - share).abs() <= 1.0,
+                "{counts:?} of {sent}"
+            );
         }
     }
 }
--- a/crates/daemon/src/control/replica.rs
+++ b/crates/daemon/src/control/replica.rs
@@ -305,6 +305,7 @@
                 }
             }
         };
+        self.log_rollouts(entry);
         self.answer(index, entry.term, &outcome);
         self.lead_if_ready(entry.term);
         if let Some(leader) = &mut self.leader {
@@ -312,6 +313,24 @@
         }
     }
 
+    /// Logs the changes of rollouts, once per mesh.
+    fn log_rollouts(&self, entry: &SharedEntry) {
+        let Payload::Data(data) = &entry.payload else {
+            return;
+        };
+        if self.standing != Standing::Leader {
+            return;
+        }
+        let Ok(Command::Rollout(command)) = Command::decode(data) else {
+            return;
+        };
+        let Some(rollout) = self.state.rollouts().get(command.rollout) else {
+            return;
+        };
+        tracing::info!(event = "rollout", %rollout, action = ?command.action,
+            version = %self.state.version());
+    }
+
     /// Answers the proposal at `index`, and those that other entries have displaced.
     fn answer(&mut self, index: u64, term: u64, outcome: &Outcome) {
         let later = self.proposed.split_off(&(index + 1));
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -37,8 +37,8 @@
 use crate::proxy::links::CallLinks;
 use crate::proxy::owner::{Owner, OwnerLimits};
 use crate::proxy::{Parts, Proxy};
-use crate::rpc;
 use crate::replicas::{self, Replicas};
+use crate::rpc;
 use crate::settings::{ReplicaAddress, Settings};
 use crate::subscriber::Subscriber;
 use crate::traffic::Traffic;
@@ -59,6 +59,10 @@
 /// mark reaches them before its link listener closes.
 const LEAVE_NOTICE: Duration = Duration::from_millis(1_000);
 
+/// How long before its listener closes a daemon that takes callers' requests until then marks its
+/// endpoints as leaving. It covers the distribution of the mark.
+const MARK_NOTICE: Duration = Duration::from_millis(600);
+
 /// Addresses that a daemon listens on.
 #[derive(Clone, Copy, Debug)]
 pub struct Addresses {
@@ -269,13 +273,16 @@
     /// did not finish in time.
     pub async fn drain(mut self) -> usize {
         let limit = Instant::now() + self.drain_timeout;
-        self.proxy.owner().announce_leaving();
-        let _ = self.endpoints_changed.try_send(());
+        self.proxy.owner().refuse_readiness();
         if let Some(control) = &self.control {
             control.lock().transfer_leadership();
         }
-        // Callers and other daemons learn meanwhile that this one is leaving.
-        task::sleep(self.leave_notice).await;
+        // Callers learn first that this daemon is leaving, since they take longer to go elsewhere.
+        let marking = MARK_NOTICE.min(self.leave_notice);
+        task::sleep(self.leave_notice - marking).await;
+        self.proxy.owner().announce_leaving();
+        let _ = self.endpoints_changed.try_send(());
+        task::sleep(marking).await;
         self.proxy.owner().drain();
         let _ = self.endpoints_changed.try_send(());
         let left = limit.saturating_duration_since(Instant::now());
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -17,7 +17,7 @@
 use sycamoreflow_coordination::evidence::EvidenceReport;
 use sycamoreflow_coordination::fingerprint::Fingerprint;
 use sycamoreflow_coordination::retry::{Attempts, Next};
-use sycamoreflow_coordination::routing::{Goal, Load, RouterConfig};
+use sycamoreflow_coordination::routing::{CallSizes, Goal, Load, RouterConfig};
 use sycamoreflow_coordination::shares::Grant;
 use sycamoreflow_coordination::split::SplitCounter;
 use sycamoreflow_protocol::call::{Answer, Call, CallResult, CallUrgency, RequestHead};
@@ -26,7 +26,7 @@
     DaemonId, DataCentre, Micros, Millis, RouteName, ServiceName, TenantName, VersionName,
     ViewVersion,
 };
-use sycamoreflow_state::verdict::{Failure, Reason};
+use sycamoreflow_state::verdict::{Failure, Reason, Verdict};
 use sycamoreflow_state::view::{ResourceKey, View};
 
 use crate::clock;
@@ -58,9 +58,8 @@
 /// Value of an answer after the target of its route, relative to one in time.
 const LATE_VALUE: f64 = 0.3;
 
-/// Price of a request to another data centre, relative to the value of its answer. It stands for the
-/// bytes that cross between data centres.
-const REMOTE_PRICE: f64 = 0.06;
+/// Bytes of a call and its answer beyond their bodies: heads and the envelopes of links.
+const ENVELOPE_BYTES: usize = 600;
 
 /// When a caller may come back if nothing better is known.
 const RETRY_AFTER: Millis = Millis(300);
@@ -88,6 +87,7 @@
     /// Retries that all daemons together may make beyond their share of a service's requests.
     shared_retries: Option<u64>,
     splits: Mutex<HashMap<RouteName, SplitCounter>>,
+    sizes: Mutex<CallSizes>,
     /// Wakes the subscription when evidence has to be reported at once.
     urgent_report: channel::Sender<()>,
 }
@@ -174,6 +174,7 @@
             own_service: parts.own_service,
             shared_retries: parts.shared_retries,
             splits: Mutex::default(),
+            sizes: Mutex::default(),
             urgent_report: parts.urgent_report,
         }
     }
@@ -298,7 +299,7 @@
     /// Returns whether callers may send requests here: there is a view, and the daemon is not
     /// leaving.
     pub fn is_ready(&self) -> bool {
-        self.active.load().is_some() && !self.owner.is_leaving()
+        self.active.load().is_some() && !self.owner.is_unready()
     }
 
     /// Returns whether any service is under rollout.
@@ -420,11 +421,7 @@
         }
         let route = active
             .routes
-            .find_at(
-                &host_of(req),
-                req.method().as_str(),
-                req.uri().path(),
-            )
+            .find_at(&host_of(req), req.method().as_str(), req.uri().path())
             .ok_or(Failure::not_run(Reason::NoRoute))?;
         let allowed = &route.config.tenants;
         if !allowed.is_empty() && !allowed.contains(&tenant) {
@@ -451,7 +448,9 @@
             request_id: caller.request_id,
             priority: delivery.priority,
             target: delivery.target_latency.map(|target| now.after(target)),
-            max_attempts: delivery.max_attempts.map_or(MAX_ATTEMPTS, |max| max as usize),
+            max_attempts: delivery
+                .max_attempts
+                .map_or(MAX_ATTEMPTS, |max| max as usize),
         })
     }
 
@@ -484,12 +483,13 @@
                 None => 0,
             });
         let mut sent = 0;
+        let mut reached = false;
         let mut last_reason = Reason::NoEndpoint;
         loop {
             if let Err(refused) = self.crashes.check(&fingerprint) {
                 return Err(attempts.failure(refused.reason));
             }
-            let goal = admitted.goal(clock::now());
+            let goal = admitted.goal(clock::now(), &self.sizes.lock());
             let Some(target) = service.pick(&mut attempts, sent == 0, goal.as_ref()) else {
                 trace.retry_after = Some(service.retry_after());
                 return Err(attempts.failure(last_reason));
@@ -512,11 +512,19 @@
                 head: head.clone(),
                 body: body.to_vec(),
             };
-            let result = self.send(admitted, &target, call, sent == 0).await;
+            let result = self.send(admitted, &target, call, !reached).await;
             sent += 1;
+            reached |= match &result {
+                Ok(_) => true,
+                Err(failure) => {
+                    failure.verdict != Verdict::NotRun || failure.reason == Reason::Shed
+                }
+            };
             let failure = match result {
                 Ok(answer) => {
                     self.crashes.completed(fingerprint);
+                    let bytes = body.len() + answer.body.len() + ENVELOPE_BYTES;
+                    self.sizes.lock().record(&admitted.route, bytes);
                     return Ok(answer);
                 }
                 Err(failure) => failure,
@@ -570,6 +578,8 @@
             result: result.as_ref().map(|answer| answer.status).map_err(|f| *f),
             latency: Micros(started.elapsed().as_micros() as u64),
             first,
+            refused_for_room: admitted.target.is_some()
+                && matches!(&result, Err(f) if *f == Failure::not_run(Reason::Overloaded)),
         };
         if admitted.service.finished(&admitted.route, target, end) {
             // A wake-up that is waiting already is enough.
@@ -603,13 +613,13 @@
 
 impl Admitted {
     /// Returns what the next attempt is to achieve, if the route has a target.
-    fn goal(&self, now: Millis) -> Option<Goal> {
+    fn goal(&self, now: Millis, sizes: &CallSizes) -> Option<Goal> {
         let target = self.target?.min(self.deadline);
         Some(Goal {
             route: self.route.clone(),
             target: Micros::from(target.since(now)),
             late_value: LATE_VALUE,
-            remote_price: REMOTE_PRICE,
+            remote_price: sizes.remote_price(&self.route),
         })
     }
 
--- a/crates/daemon/src/proxy/owner.rs
+++ b/crates/daemon/src/proxy/owner.rs
@@ -77,6 +77,8 @@
     dialect: Arc<Dialect>,
     /// Instances that have left, so that a late report does not bring them back.
     departed: Mutex<VecDeque<(String, u64)>>,
+    /// Whether callers are told that the host is leaving.
+    unready: AtomicBool,
     /// Whether the other daemons are told that the host is leaving.
     leaving: AtomicBool,
     draining: AtomicBool,
@@ -149,6 +151,7 @@
             weights: Mutex::default(),
             dialect: Arc::default(),
             departed: Mutex::default(),
+            unready: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
             draining: AtomicBool::new(false),
             next_call: AtomicU64::new(1),
@@ -171,8 +174,12 @@
     pub fn report(&self, report: InstanceReport) -> bool {
         if self.is_outdated(&report) {
             metrics::counter!("sycamoreflow_outdated_reports_total").increment(1);
-            tracing::info!(event = "report_ignored", instance = report.instance,
-                born = report.born, sequence = report.sequence);
+            tracing::info!(
+                event = "report_ignored",
+                instance = report.instance,
+                born = report.born,
+                sequence = report.sequence
+            );
             return false;
         }
         let service = report.announcement.service.clone();
@@ -224,9 +231,9 @@
             return true;
         }
         let upstreams = self.upstreams.lock();
-        let mut others = upstreams.values().filter(|upstream| {
-            upstream.announcement.address == report.announcement.address
-        });
+        let mut others = upstreams
+            .values()
+            .filter(|upstream| upstream.announcement.address == report.announcement.address);
         others.any(|upstream| {
             let known = upstream.report.lock();
             known.as_ref().is_some_and(|known| {
@@ -301,6 +308,11 @@
         true
     }
 
+    /// Tells callers that the host is leaving. The upstream still takes work.
+    pub fn refuse_readiness(&self) {
+        self.unready.store(true, Ordering::SeqCst);
+    }
+
     /// Tells the other daemons that the host is leaving. Work that arrives before
     /// [`Owner::drain`] is still done.
     pub fn announce_leaving(&self) {
@@ -320,6 +332,11 @@
         }
     }
 
+    /// Returns whether callers are told to go elsewhere.
+    pub fn is_unready(&self) -> bool {
+        self.unready.load(Ordering::SeqCst) || self.is_leaving()
+    }
+
     /// Returns whether the host is leaving.
     pub fn is_leaving(&self) -> bool {
         self.leaving.load(Ordering::SeqCst) || self.draining.load(Ordering::SeqCst)
@@ -680,11 +697,11 @@
         let request = headers::request_id(call, dialect);
         if target_name == REFUSALS {
             tracing::info!(target: REFUSALS, event = "owner_ran", request, route = %call.route,
-                running, waited_ms = waited.0, took_us = latency.0, reason, verdict);
+                priority = call.urgency.priority, running, waited_ms = waited.0, took_us = latency.0, reason, verdict);
             return;
         }
         tracing::info!(target: ANSWERS, event = "owner_ran", request, route = %call.route,
-            running, waited_ms = waited.0, took_us = latency.0, status);
+            priority = call.urgency.priority, running, waited_ms = waited.0, took_us = latency.0, status);
     }
 
     fn is_idle(&self) -> bool {
--- a/crates/daemon/src/proxy/service.rs
+++ b/crates/daemon/src/proxy/service.rs
@@ -61,8 +61,10 @@
     pub result: Result<u16, Failure>,
     /// Time from the send to the end.
     pub latency: Micros,
-    /// Whether this was the first send of the call.
+    /// Whether no earlier send of the call has reached an upstream.
     pub first: bool,
+    /// Whether a daemon refused the send for lack of room, which says nothing about the version.
+    pub refused_for_room: bool,
 }
 
 impl Service {
@@ -165,6 +167,10 @@
         state.router.finished(now, &target.daemon, outcome);
         let changes = state.ejector.observe(now, &target.daemon, outcome);
         state.apply(changes);
+        if end.refused_for_room {
+            state.return_share(&target.version);
+            return false;
+        }
         if !end.first {
             return false;
         }
@@ -279,8 +285,9 @@
     ) -> Option<DaemonId> {
         let router = &mut self.router;
         match goal {
-            Some(goal) => attempts
-                .pick_with_room(|exclude| router.choose_for(now, version, exclude, goal)),
+            Some(goal) => {
+                attempts.pick_with_room(|exclude| router.choose_for(now, version, exclude, goal))
+            }
             None => attempts.pick(|exclude| router.choose(now, version, exclude)),
         }
     }
@@ -311,6 +318,14 @@
         (candidate.share == Share::ALL).then(|| candidate.version.clone())
     }
 
+    /// Gives back the allowance of a send that did not reach the candidate.
+    fn return_share(&mut self, version: &VersionName) {
+        let candidate = self.split.candidate.as_ref();
+        if let Some(candidate) = candidate.filter(|c| c.version == *version) {
+            self.shares.unsent(candidate.rollout);
+        }
+    }
+
     /// Returns the rank of the endpoint among those of its version, ordered by daemon.
     fn rank_of(&self, target: &Target) -> usize {
         let same_version = self
--- a/crates/transport/src/call_link/tests.rs
+++ b/crates/transport/src/call_link/tests.rs
@@ -80,7 +80,8 @@
                 id,
                 result,
                 load: None,
-            }).unwrap();
+            })
+            .unwrap();
         }
     };
     let calls = async {
--- a/crates/transport/src/http/server/connection.rs
+++ b/crates/transport/src/http/server/connection.rs
@@ -192,7 +192,9 @@
         let (mut parts, body) = arrived.request.into_parts();
         remove_hop_by_hop(&mut parts.headers);
         parts.headers.remove(EXPECT);
-        parts.extensions.insert(CallerAddress(self.connection.caller));
+        parts
+            .extensions
+            .insert(CallerAddress(self.connection.caller));
         let method = parts.method.clone();
         let answer = (self.connection.handler)(http::Request::from_parts(parts, body));
         self.running.push_back(Box::pin(async move {
