--- a/crates/coordination/src/routing/load.rs
+++ b/crates/coordination/src/routing/load.rs
@@ -14,7 +14,7 @@
 const MEMORY: Millis = Millis(1_000);
 /// Steepness of the chance around the target. Service times vary by a factor of about two around
 /// their median, which a log-logistic distribution of this shape describes.
-const SHAPE: f64 = 2.5;
+const SHAPE: f64 = 3.5;
 /// Bounds of the time after which refused callers are asked to return, in milliseconds.
 pub(super) const MIN_RETURN_MS: f64 = 60.0;
 pub(super) const MAX_RETURN_MS: f64 = 1_000.0;
@@ -56,7 +56,7 @@
 }
 
 /// Price of a KiB that crosses between data centres, relative to the value of an answer in time.
-const PRICE_PER_KIB: f64 = 0.015;
+const PRICE_PER_KIB: f64 = 0.03;
 /// Weight of one call in the mean size of the calls of a route.
 const SIZE_WEIGHT: f64 = 0.05;
 
