Refuse routes of one rank equally often, keep slots while an upstream sheds, publish remembered endpoints

Under srv_grey an upstream that sheds at random took the limit down to one call. After the kill of all processes the new leader waited 3 s for renewals.

--- a/crates/coordination/src/admission.rs
+++ b/crates/coordination/src/admission.rs
@@ -16,7 +16,7 @@
 
 use std::collections::BTreeMap;
 
-use sycamoreflow_state::ids::{Micros, Millis, TenantName};
+use sycamoreflow_state::ids::{Micros, Millis, RouteName, TenantName};
 use sycamoreflow_state::verdict::{Failure, Reason};
 
 use limit::Limit;
@@ -45,8 +45,9 @@
     pub queue_per_slot: u32,
     /// Longest time that a call waits in the queue.
     pub max_wait: Millis,
-    /// Whether the limit falls below the slots while answers are slow.
-    pub reduces_when_slow: bool,
+    /// Whether the limit falls below the slots while the upstream sheds or is slow. Where nobody
+    /// else sends to the upstream, it is never full below its slots, and sheds for other reasons.
+    pub adapts: bool,
 }
 
 impl AdmissionConfig {
@@ -57,14 +58,16 @@
             weights: Vec::new(),
             queue_per_slot: 2,
             max_wait: Millis(50),
-            reduces_when_slow: true,
+            adapts: true,
         }
     }
 }
 
 /// How urgent a call is, for [`Admission::offer_urgent`].
 #[derive(Clone, Copy, Debug)]
-pub struct Urgency {
+pub struct Urgency<'a> {
+    /// Route of the call. Among routes of one rank, none is refused much more often than others.
+    pub route: &'a RouteName,
     /// Rank; calls of lower rank start first.
     pub priority: u32,
     /// When the answer must be there for the call to be worth a place in the queue.
@@ -140,7 +143,7 @@
     /// Makes the admission state of an idle upstream.
     pub fn new(cfg: AdmissionConfig) -> Self {
         Self {
-            limit: Limit::new(cfg.slots).reducing_when_slow(cfg.reduces_when_slow),
+            limit: Limit::new(cfg.slots).adapting(cfg.adapts),
             cfg,
             running: BTreeMap::new(),
             queue: Queue::default(),
@@ -176,6 +179,7 @@
         let waiting = Waiting {
             id,
             priority: 0,
+            order: deadline,
             deadline,
             until: deadline.min(now.after(self.cfg.max_wait)),
         };
@@ -193,23 +197,27 @@
         id: CallId,
         tenant: &TenantName,
         deadline: Millis,
-        urgency: Urgency,
+        urgency: Urgency<'_>,
     ) -> Decision {
         if let Some(reason) = self.refusal(now, id, deadline) {
             return Decision::Refused(Failure::not_run(reason));
         }
         self.queue.enter(tenant, self.weight(tenant));
         if self.queue.len() == 0 && self.running.len() < self.limit.get() {
-            self.pressure.offered(urgency.priority, false);
+            self.pressure
+                .offered(urgency.priority, urgency.route, false);
             self.start(now, id, tenant);
             return Decision::Start;
         }
         let expected = Millis(urgency.expected.0 / 1_000);
-        let wait = self.expected_wait(urgency.priority);
-        let slack = urgency.due.since(now).since(expected);
-        let allowed = self.pressure.allowed_wait(urgency.priority, slack);
+        let advantage = self.pressure.advantage(urgency.priority, urgency.route);
+        let due = advantage.due(urgency.due, deadline);
+        let order = advantage.order(due);
+        let wait = self.wait_behind(urgency.priority, order);
+        let slack = due.since(now).since(expected);
+        let allowed = advantage.allowed_wait(slack);
         let full = wait > allowed.max(self.shortest_queue(slack));
-        self.pressure.offered(urgency.priority, full);
+        self.pressure.offered(urgency.priority, urgency.route, full);
         if full {
             self.queue.leave(tenant);
             return Decision::Refused(Failure::not_run(Reason::Overloaded));
@@ -217,6 +225,7 @@
         let waiting = Waiting {
             id,
             priority: urgency.priority,
+            order,
             deadline,
             until: Millis(deadline.0.saturating_sub(expected.0)).max(now.after(Millis(1))),
         };
@@ -224,13 +233,9 @@
         Decision::Queued
     }
 
-    /// Returns how long a new call of this rank is expected to wait for a slot.
-    pub fn expected_wait(&self, priority: u32) -> Millis {
-        if self.queue.len() == 0 && self.running.len() < self.limit.get() {
-            return Millis(0);
-        }
-        let ahead = self.queue.len_up_to(priority) + 1;
-        self.time_for(ahead)
+    /// Returns how long a new call is expected to wait for a slot in its place of the queue.
+    fn wait_behind(&self, priority: u32, order: Millis) -> Millis {
+        self.time_for(self.queue.len_before(priority, order) + 1)
     }
 
     /// Returns the time in which `calls` slots become free.
--- a/crates/coordination/src/admission/limit.rs
+++ b/crates/coordination/src/admission/limit.rs
@@ -34,7 +34,7 @@
     shed_at: Option<usize>,
     recent: f64,
     usual: f64,
-    reduces_when_slow: bool,
+    adapts: bool,
     reduced: Option<Millis>,
 }
 
@@ -47,14 +47,14 @@
             shed_at: None,
             recent: 0.0,
             usual: 0.0,
-            reduces_when_slow: true,
+            adapts: true,
             reduced: None,
         }
     }
 
-    /// Sets whether slow answers lower the limit.
-    pub(super) fn reducing_when_slow(mut self, reduces: bool) -> Self {
-        self.reduces_when_slow = reduces;
+    /// Sets whether the limit falls below the slots.
+    pub(super) fn adapting(mut self, reduces: bool) -> Self {
+        self.adapts = reduces;
         self
     }
 
@@ -77,6 +77,9 @@
 
     /// Records that the upstream refused one of `running` calls.
     pub(super) fn shed(&mut self, running: usize) {
+        if !self.adapts {
+            return;
+        }
         self.shed_at = Some(running);
         let accepted = running.saturating_sub(1).max(1);
         self.limit = self.limit.min(accepted as f64);
@@ -91,7 +94,7 @@
         let sample = latency.min(self.recent * 10.0 + 1_000.0);
         self.recent += (sample - self.recent) * RECENT_WEIGHT;
         self.usual += (sample - self.usual) * USUAL_WEIGHT;
-        if self.reduces_when_slow && self.recent > self.usual * SLOW_RATIO {
+        if self.adapts && self.recent > self.usual * SLOW_RATIO {
             self.reduce(now, SLOW_FACTOR, f64::from(self.slots) * SLOW_FLOOR);
         } else if running >= self.get() {
             self.rise(running);
--- a/crates/coordination/src/admission/pressure.rs
+++ b/crates/coordination/src/admission/pressure.rs
@@ -1,34 +1,87 @@
-//! How long calls may wait under lasting overload.
+//! Who waits, and for how long, under lasting overload.
 //!
 //! While all calls find room, a queue evens out the differences between arrivals. Under lasting
 //! overload it only makes every call late by its length, and a short one uses the slots as well. The
 //! wait that is allowed therefore shrinks with the part of the calls that is refused.
+//!
+//! Routes that share an upstream differ in how long their calls may wait. Those with little time
+//! would be refused nearly always, although each of their calls takes little of the upstream, and
+//! may be part of a request that has already cost much elsewhere. A route that is refused more often
+//! than others of its rank therefore gets an advantage until the parts are equal.
 
 use indexmap::IndexMap;
-use sycamoreflow_state::ids::Millis;
+use sycamoreflow_state::ids::{Millis, RouteName};
 
 /// Weight of one offer in the part that is refused.
 const OFFER_WEIGHT: f64 = 0.02;
-/// Ranks that are told apart. Further ones count as the last.
-const MAX_RANKS: u32 = 16;
+/// Routes that are told apart. Further ones count as the last.
+const MAX_ROUTES: usize = 64;
+/// Time by which a call moves ahead in the queue when all calls of its route are refused and none of
+/// the others. It is about the time by which targets differ.
+const MOVE_AHEAD: f64 = 1_000.0;
+/// Difference of the refused parts from which on a route may use the time up to its deadline.
+const DISADVANTAGE: f64 = 0.1;
+/// Change of the allowed wait per difference of the refused parts.
+const WAIT_GAIN: f64 = 4.0;
 
-/// The part of the calls that is refused, by rank: urgent calls may find room while others do not.
+/// The parts of the calls that are refused, by rank and by route.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Pressure {
-    refused: IndexMap<u32, f64>,
+    ranks: IndexMap<u32, f64>,
+    routes: IndexMap<RouteName, f64>,
+}
+
+/// What a route is granted because of how often it and the others are refused.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Advantage {
+    /// Part of the calls of its rank that is refused.
+    refused: f64,
+    /// By how much the part of the route exceeds that.
+    behind: f64,
 }
 
 impl Pressure {
     /// Counts an offer.
-    pub(super) fn offered(&mut self, priority: u32, refused: bool) {
-        let part = self.refused.entry(priority.min(MAX_RANKS)).or_default();
-        *part += (f64::from(u8::from(refused)) - *part) * OFFER_WEIGHT;
+    pub(super) fn offered(&mut self, priority: u32, route: &RouteName, refused: bool) {
+        let sample = f64::from(u8::from(refused));
+        let rank = self.ranks.entry(priority).or_default();
+        *rank += (sample - *rank) * OFFER_WEIGHT;
+        if let Some(part) = self.routes.get_mut(route) {
+            *part += (sample - *part) * OFFER_WEIGHT;
+        } else if self.routes.len() < MAX_ROUTES {
+            self.routes.insert(route.clone(), sample * OFFER_WEIGHT);
+        }
+    }
+
+    /// Returns what a call of a route is granted.
+    pub(super) fn advantage(&self, priority: u32, route: &RouteName) -> Advantage {
+        let refused = self.ranks.get(&priority).copied().unwrap_or(0.0);
+        let part = self.routes.get(route).copied().unwrap_or(refused);
+        Advantage {
+            refused,
+            behind: part - refused,
+        }
+    }
+}
+
+impl Advantage {
+    /// Returns by when a call has to be answered to be worth a place in the queue.
+    pub(super) fn due(&self, target: Millis, deadline: Millis) -> Millis {
+        if self.behind > DISADVANTAGE {
+            return deadline;
+        }
+        target
+    }
+
+    /// Returns the place of a call in the queue.
+    pub(super) fn order(&self, due: Millis) -> Millis {
+        let ahead = (self.behind * MOVE_AHEAD) as i64;
+        Millis(due.0.saturating_add_signed(-ahead))
     }
 
     /// Returns how long a call may wait that has `slack` until it would be late.
-    pub(super) fn allowed_wait(&self, priority: u32, slack: Millis) -> Millis {
-        let refused = self.refused.get(&priority.min(MAX_RANKS));
-        let free = 1.0 - refused.copied().unwrap_or(0.0);
-        Millis((slack.0 as f64 * free) as u64)
+    pub(super) fn allowed_wait(&self, slack: Millis) -> Millis {
+        let part = (1.0 - self.refused) * (1.0 + WAIT_GAIN * self.behind);
+        Millis((slack.0 as f64 * part.clamp(0.0, 1.0)) as u64)
     }
 }
--- a/crates/coordination/src/admission/queue.rs
+++ b/crates/coordination/src/admission/queue.rs
@@ -2,7 +2,7 @@
 //!
 //! Each tenant has a virtual time: the slot time that it has used, divided by its weight. The next
 //! slot goes to the queued tenant with the lowest virtual time, and within the tenant to the
-//! lowest rank and then to the earliest deadline. A tenant that becomes active starts at the virtual time of the latest start,
+//! lowest rank and then to the earliest time by which an answer is wanted. A tenant that becomes active starts at the virtual time of the latest start,
 //! so idle time earns no credit.
 
 use std::collections::BTreeMap;
@@ -17,6 +17,8 @@
     pub(super) id: CallId,
     /// Rank; lower ranks start first.
     pub(super) priority: u32,
+    /// Place among calls of one rank, earliest first.
+    pub(super) order: Millis,
     /// Time after which the caller has no use for an answer.
     pub(super) deadline: Millis,
     /// Time until which the call stays in the queue.
@@ -29,7 +31,7 @@
     weight: f64,
     virtual_time: f64,
     running: usize,
-    /// Ordered by rank, then by deadline and then by arrival.
+    /// Ordered by rank, then by place and then by arrival.
     queue: BTreeMap<(u32, Millis, u64), Waiting>,
 }
 
@@ -48,10 +50,10 @@
         self.queued
     }
 
-    /// Returns the number of calls up to a rank.
-    pub(super) fn len_up_to(&self, priority: u32) -> usize {
+    /// Returns the number of calls that start before one of this rank and place.
+    pub(super) fn len_before(&self, priority: u32, order: Millis) -> usize {
         let queues = self.tenants.values().map(|t| &t.queue);
-        let counts = queues.map(|queue| queue.range(..(priority + 1, Millis(0), 0)).count());
+        let counts = queues.map(|queue| queue.range(..(priority, order, u64::MAX)).count());
         counts.sum()
     }
 
@@ -108,7 +110,7 @@
         self.queued += 1;
         entry
             .queue
-            .insert((waiting.priority, waiting.deadline, self.arrivals), waiting);
+            .insert((waiting.priority, waiting.order, self.arrivals), waiting);
     }
 
     /// Removes the call that starts next. `overrun` is the slot time that running calls of a
--- a/crates/coordination/src/routing.rs
+++ b/crates/coordination/src/routing.rs
@@ -44,6 +44,10 @@
 /// view follows within 2 s (`docs/design.md`, P8).
 const DRAINING_PERIOD: Millis = Millis(5_000);
 
+/// Margin by which the success of another endpoint must exceed that of one whose failed calls are
+/// sent again.
+const OUTLIER_MARGIN: f64 = 0.1;
+
 /// Settings of a [`Router`].
 #[derive(Clone, Debug)]
 pub struct RouterConfig {
@@ -258,6 +262,21 @@
         }
     }
 
+    /// Returns whether an endpoint fails much more often than the others of its version, so that a
+    /// call that it has failed is likely to succeed elsewhere.
+    pub fn is_outlier(&self, now: Millis, id: &DaemonId) -> bool {
+        let Some(index) = self.find(id) else {
+            return false;
+        };
+        let member = &self.members[index];
+        let success = |m: &Member| m.estimate.success(now, &self.tuning);
+        let others = self.members.iter().filter(|m| {
+            m.version == member.version && m.id != member.id && m.available && !m.draining
+        });
+        let best = others.map(success).fold(0.0, f64::max);
+        best >= success(member) + OUTLIER_MARGIN
+    }
+
     /// Returns when a request that was refused everywhere is likely to find room, spread so that
     /// refused callers do not return together.
     pub fn time_to_room(&mut self, now: Millis) -> Millis {
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -18,6 +18,7 @@
 use crate::settings::{ControlSettings, Settings};
 
 pub mod documents;
+pub mod hints;
 pub mod hub;
 pub mod leader;
 pub mod operator_api;
@@ -26,10 +27,14 @@
 pub mod sessions;
 pub mod status;
 
+use hints::EndpointHints;
 use hub::Hub;
 use peers::Peers;
 use replica::{Event, GroupSettings, Replica, Start};
 
+/// Folder of the log in the data folder of a replica that is found by seeds.
+const LOG_FOLDER: &str = "log";
+
 /// A running control replica.
 #[derive(Debug)]
 pub struct Control {
@@ -116,8 +121,14 @@
 }
 
 fn open(data: &Path, id: &DaemonId, group: GroupSettings, seed: u64) -> eyre::Result<Start> {
-    let opened = Storage::open(data, Incarnation(seed.max(1)), Files::default())
-        .wrap_err_with(|| format!("data folder {}", data.display()))?;
+    // The folder of the log has files of the log only, so the copy of the endpoints lies beside it.
+    let folder = match group.wanted_voters {
+        Some(_) => data.join(LOG_FOLDER),
+        None => data.to_owned(),
+    };
+    let opened = Storage::open(&folder, Incarnation(seed.max(1)), Files::default())
+        .wrap_err_with(|| format!("data folder {}", folder.display()))?;
+    let (hints, endpoints) = EndpointHints::open(&folder);
     if opened.cut_bytes > 0 {
         let bytes = opened.cut_bytes;
         tracing::info!(bytes, "torn tail of the log cut off");
@@ -148,5 +159,7 @@
         storage: opened.storage,
         state,
         snapshot: snapshot_index,
+        hints,
+        endpoints,
     })
 }
--- /dev/null
+++ b/crates/daemon/src/control/hints.rs
@@ -0,0 +1,80 @@
+//! A copy of the endpoint table on disk.
+//!
+//! The table is soft state that is rebuilt from renewals (`docs/design.md`, section 2.2). When all
+//! replicas have restarted, a new leader would publish nothing until the renewals are in. With the
+//! copy it publishes at once; what is outdated in it ends with the leases, and the daemons beside
+//! the upstreams refuse what they can't serve meanwhile. The copy is therefore neither synced nor
+//! needed: a file that can't be read is ignored.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+
+use sycamoreflow_protocol::codec;
+use sycamoreflow_state::endpoint::Endpoint;
+use sycamoreflow_state::ids::{EndpointVersion, Millis};
+use sycamoreflow_state::view::View;
+
+/// Shortest time between two writes of the copy.
+const WRITE_INTERVAL: Millis = Millis(1_000);
+
+/// Name of the file beside the data folder of the replica.
+const SUFFIX: &str = "endpoints";
+
+/// The copy of one replica.
+#[derive(Debug)]
+pub struct EndpointHints {
+    path: PathBuf,
+    written: EndpointVersion,
+    next_write: Millis,
+    failing: bool,
+}
+
+impl EndpointHints {
+    /// Opens the copy that belongs to a data folder, and returns the endpoints in it.
+    pub fn open(data: &Path) -> (Self, Vec<Endpoint>) {
+        let hints = Self {
+            path: data.with_extension(SUFFIX),
+            written: EndpointVersion::default(),
+            next_write: Millis::default(),
+            failing: false,
+        };
+        let endpoints = hints.read();
+        tracing::info!(event = "endpoint_hints", endpoints = endpoints.len());
+        (hints, endpoints)
+    }
+
+    fn read(&self) -> Vec<Endpoint> {
+        let Ok(bytes) = fs::read(&self.path) else {
+            return Vec::new();
+        };
+        codec::decode(&bytes).unwrap_or_else(|error| {
+            tracing::warn!(event = "endpoint_hints_unreadable", %error);
+            Vec::new()
+        })
+    }
+
+    /// Writes the endpoints of a view if they have changed and the last write is not too recent.
+    pub fn follow(&mut self, now: Millis, view: &View) {
+        let version = view.version().endpoints;
+        if version == self.written || now < self.next_write {
+            return;
+        }
+        self.next_write = now.after(WRITE_INTERVAL);
+        self.written = version;
+        let endpoints: Vec<&Endpoint> = view.endpoints().collect();
+        let written = codec::encode(&endpoints)
+            .map_err(|error| error.to_string())
+            .and_then(|bytes| self.replace(&bytes).map_err(|error| error.to_string()));
+        let failing = written.is_err();
+        if failing && !self.failing {
+            tracing::warn!(event = "endpoint_hints_unwritten", error = ?written.err());
+        }
+        self.failing = failing;
+    }
+
+    fn replace(&self, bytes: &[u8]) -> std::io::Result<()> {
+        let temporary = self.path.with_extension("tmp");
+        fs::write(&temporary, bytes)?;
+        fs::rename(&temporary, &self.path)
+    }
+}
--- a/crates/daemon/src/control/leader.rs
+++ b/crates/daemon/src/control/leader.rs
@@ -70,15 +70,26 @@
     /// Takes over from the view that this replica distributed as a follower.
     ///
     /// `accepted` is the newest accepted version. A group that has accepted something but whose new
-    /// leader has followed nobody has endpoints that the leader does not know yet.
-    pub fn new(now: Millis, term: u64, followed: &View, accepted: ConfigVersion) -> Self {
+    /// leader has followed nobody has endpoints that the leader does not know yet; `hinted` are those
+    /// that the replica remembers from before its restart.
+    pub fn new(
+        now: Millis,
+        term: u64,
+        followed: &View,
+        accepted: ConfigVersion,
+        hinted: &[Endpoint],
+    ) -> Self {
         let is_new_mesh = accepted == ConfigVersion::default();
-        let settled_at = match followed.is_empty() && !is_new_mesh {
-            true => now.after(SETTLE_TIME),
-            false => now,
+        let knows_endpoints = !followed.is_empty() || !hinted.is_empty();
+        let settled_at = match knows_endpoints || is_new_mesh {
+            true => now,
+            false => now.after(SETTLE_TIME),
         };
         let mut leases = Leases::default();
-        leases.take_over(now, term, followed.endpoints().cloned());
+        match followed.is_empty() {
+            true => leases.take_over(now, term, hinted.iter().cloned()),
+            false => leases.take_over(now, term, followed.endpoints().cloned()),
+        }
         Self {
             leases,
             pacer: Pacer::new(term),
--- a/crates/daemon/src/control/replica.rs
+++ b/crates/daemon/src/control/replica.rs
@@ -16,10 +16,12 @@
     Token,
 };
 use sycamoreflow_protocol::replica::ReplicaMessage;
+use sycamoreflow_state::endpoint::Endpoint;
 use sycamoreflow_state::ids::{DaemonId, Millis};
 use sycamoreflow_transport::storage::{Storage, StorageError};
 
 use crate::clock;
+use crate::control::hints::EndpointHints;
 use crate::control::hub::{Hub, SessionCommand};
 use crate::control::leader::Leader;
 use crate::control::peers::Peers;
@@ -70,6 +72,9 @@
     proposed: BTreeMap<u64, Proposed>,
     next_token: u64,
     last_snapshot: u64,
+    hints: EndpointHints,
+    /// Endpoints of the copy, until a table has been published or followed.
+    hinted: Vec<Endpoint>,
 }
 
 /// The replicas in the settings.
@@ -99,6 +104,10 @@
     pub state: ControlState,
     /// Index of the latest snapshot.
     pub snapshot: u64,
+    /// The copy of the endpoint table.
+    pub hints: EndpointHints,
+    /// The endpoints in it.
+    pub endpoints: Vec<Endpoint>,
 }
 
 impl Replica {
@@ -122,6 +131,8 @@
             proposed: BTreeMap::new(),
             next_token: 1,
             last_snapshot: start.snapshot,
+            hints: start.hints,
+            hinted: start.endpoints,
         }
     }
 
@@ -221,6 +232,10 @@
         self.step(Input::Tick)?;
         self.dismiss_without_quorum();
         let now = clock::now();
+        let view = self.hub.view();
+        if !view.is_empty() {
+            self.hints.follow(now, &view);
+        }
         let unix_now = clock::unix_now();
         let Some(leader) = &mut self.leader else {
             return Ok(());
--- a/crates/daemon/src/control/replica/leading.rs
+++ b/crates/daemon/src/control/replica/leading.rs
@@ -71,7 +71,9 @@
         }
         let followed = self.hub.view();
         let accepted = self.state.version();
-        self.leader = Some(Leader::new(clock::now(), self.term, &followed, accepted));
+        let hinted = std::mem::take(&mut self.hinted);
+        let leader = Leader::new(clock::now(), self.term, &followed, accepted, &hinted);
+        self.leader = Some(leader);
     }
 
     pub(super) fn publish(&mut self) {
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -421,7 +421,7 @@
         let limits = OwnerLimits {
             max_wait: Millis(settings.limits.queue_ms),
             queue_per_slot: settings.limits.queue_per_slot,
-            reduces_when_slow: settings.limits.reduce_when_slow,
+            adapts: settings.limits.adapt_limit,
         };
         Owner::new(
             settings.daemon.clone(),
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -61,6 +61,9 @@
 /// Bytes of a call and its answer beyond their bodies: heads and the envelopes of links.
 const ENVELOPE_BYTES: usize = 600;
 
+/// First status by which an upstream says that it has failed a call.
+const FIRST_SERVER_ERROR: u16 = 500;
+
 /// When a caller may come back if nothing better is known.
 const RETRY_AFTER: Millis = Millis(300);
 
@@ -484,6 +487,8 @@
             });
         let mut sent = 0;
         let mut reached = false;
+        // What an endpoint has answered is better than no answer, if another one does not succeed.
+        let mut failed: Option<Answer> = None;
         let mut last_reason = Reason::NoEndpoint;
         loop {
             if let Err(refused) = self.crashes.check(&fingerprint) {
@@ -492,7 +497,7 @@
             let goal = admitted.goal(clock::now(), &self.sizes.lock());
             let Some(target) = service.pick(&mut attempts, sent == 0, goal.as_ref()) else {
                 trace.retry_after = Some(service.retry_after());
-                return Err(attempts.failure(last_reason));
+                return failed.ok_or(attempts.failure(last_reason));
             };
             trace.attempts += 1;
             trace.version = Some(target.version.clone());
@@ -521,6 +526,15 @@
                 }
             };
             let failure = match result {
+                Ok(answer)
+                    if answer.status >= FIRST_SERVER_ERROR
+                        && admitted.target.is_some()
+                        && service.failed_by_outlier(&mut attempts, &target) =>
+                {
+                    admitted.log_retry(&target, Failure::may_have_run(Reason::BadAnswer), sent);
+                    failed = Some(answer);
+                    continue;
+                }
                 Ok(answer) => {
                     self.crashes.completed(fingerprint);
                     let bytes = body.len() + answer.body.len() + ENVELOPE_BYTES;
@@ -531,16 +545,10 @@
             };
             last_reason = failure.reason;
             match service.failed(&mut attempts, failure) {
-                Next::Retry => {
-                    metrics::counter!("sycamoreflow_retries_total").increment(1);
-                    tracing::info!(target: REFUSALS, event = "retry",
-                        request = admitted.request_id.as_deref(), endpoint = %target.daemon,
-                        reason = headers::reason_text(failure.reason),
-                        verdict = failure.verdict.as_str(), attempt = sent);
-                }
+                Next::Retry => admitted.log_retry(&target, failure, sent),
                 Next::GiveUp(failure) => {
                     trace.retry_after = Some(service.retry_after());
-                    return Err(failure);
+                    return failed.ok_or(failure);
                 }
             }
         }
@@ -612,6 +620,13 @@
 }
 
 impl Admitted {
+    fn log_retry(&self, target: &Target, failure: Failure, attempt: u32) {
+        metrics::counter!("sycamoreflow_retries_total").increment(1);
+        tracing::info!(target: REFUSALS, event = "retry", request = self.request_id.as_deref(),
+            endpoint = %target.daemon, reason = headers::reason_text(failure.reason),
+            verdict = failure.verdict.as_str(), attempt);
+    }
+
     /// Returns what the next attempt is to achieve, if the route has a target.
     fn goal(&self, now: Millis, sizes: &CallSizes) -> Option<Goal> {
         let target = self.target?.min(self.deadline);
--- a/crates/daemon/src/proxy/owner.rs
+++ b/crates/daemon/src/proxy/owner.rs
@@ -92,8 +92,8 @@
     pub max_wait: Millis,
     /// Waiting calls per slot.
     pub queue_per_slot: u32,
-    /// Whether fewer calls run at once while answers are slow.
-    pub reduces_when_slow: bool,
+    /// Whether fewer calls run at once while the upstream sheds or is slow.
+    pub adapts: bool,
 }
 
 /// What an upstream that identifies its instances says about itself. It is repeated, and a report
@@ -583,7 +583,7 @@
         cfg.weights = self.weights.lock().clone();
         cfg.max_wait = self.limits.max_wait;
         cfg.queue_per_slot = self.limits.queue_per_slot;
-        cfg.reduces_when_slow = self.limits.reduces_when_slow;
+        cfg.adapts = self.limits.adapts;
         cfg
     }
 }
@@ -629,6 +629,7 @@
             return admission.offer(now, id, &call.tenant, deadline);
         };
         let urgency = Urgency {
+            route: &call.route,
             priority: call.urgency.priority,
             due: now.after(Millis(u64::from(target))).min(deadline),
             expected: self.route_time(&call.route),
--- a/crates/daemon/src/proxy/service.rs
+++ b/crates/daemon/src/proxy/service.rs
@@ -232,6 +232,19 @@
         attempts.failed(clock::now(), failure, &mut state.budget)
     }
 
+    /// Decides whether a call that an endpoint has failed is sent again: the endpoint fails more than
+    /// others do, and the call may be repeated.
+    pub fn failed_by_outlier(&self, attempts: &mut Attempts, target: &Target) -> bool {
+        let now = clock::now();
+        let mut state = self.state.lock();
+        let state = &mut *state;
+        if !state.router.is_outlier(now, &target.daemon) {
+            return false;
+        }
+        let failure = Failure::may_have_run(Reason::BadAnswer);
+        attempts.failed(now, failure, &mut state.budget) == Next::Retry
+    }
+
     /// Returns when a refused caller is likely to find room.
     pub fn retry_after(&self) -> Millis {
         self.state.lock().router.time_to_room(clock::now())
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -155,8 +155,8 @@
     /// Retries that all daemons together may make for a service beyond its retry budget. Zero leaves
     /// the number to each daemon.
     pub shared_retries: u64,
-    /// Whether fewer requests run at an upstream at once while its answers are slow.
-    pub reduce_when_slow: bool,
+    /// Whether fewer requests run at an upstream at once while it sheds or is slow.
+    pub adapt_limit: bool,
 }
 
 /// Log output.
@@ -196,7 +196,7 @@
             link_silence_ms: 2_000,
             leave_notice_ms: 0,
             shared_retries: 0,
-            reduce_when_slow: true,
+            adapt_limit: true,
         }
     }
 }
