--- a/crates/coordination/src/raft.rs
+++ b/crates/coordination/src/raft.rs
@@ -72,6 +72,9 @@
 const ELECTION_MIN: Millis = Millis(800);
 /// Longest time without a leader before an election.
 const ELECTION_MAX: Millis = Millis(1400);
+/// Shortest and longest time without a leader after a start. A leader that exists makes itself heard
+/// within a heartbeat, and a pre-vote disturbs nobody who hears it.
+const STARTUP_MS: std::ops::Range<u64> = 300..700;
 /// Shortest and longest duration of a round of pre-votes or votes.
 const ROUND_MS: std::ops::Range<u64> = 200..500;
 /// How often the duration of a vote is doubled after votes without a result. Disks that take
@@ -180,7 +183,8 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             now,
         };
-        raft.reset_deadline();
+        let wait = raft.rng.random_range(STARTUP_MS);
+        raft.deadline = now.after(Millis(wait));
         raft
     }
 
--- a/crates/coordination/src/routing/load.rs
+++ b/crates/coordination/src/routing/load.rs
@@ -18,6 +18,13 @@
 /// Bounds of the time after which refused callers are asked to return, in milliseconds.
 pub(super) const MIN_RETURN_MS: f64 = 60.0;
 pub(super) const MAX_RETURN_MS: f64 = 1_000.0;
+/// Time after which a second endpoint is asked, as a multiple of the usual service time. Answers
+/// take longer in a few percent of the calls.
+pub(super) const HEDGE_FACTOR: f64 = 3.0;
+/// Bounds of that time as parts of the time left until the target. An endpoint that gets less has
+/// had no chance; after more, a second answer is late as well.
+pub(super) const HEDGE_EARLIEST: f64 = 0.4;
+pub(super) const HEDGE_LATEST: f64 = 0.8;
 /// Routes whose service times are kept per endpoint.
 const MAX_ROUTES: usize = 32;
 
--- a/crates/daemon/src/control/hints.rs
+++ b/crates/daemon/src/control/hints.rs
@@ -3,10 +3,11 @@
 //! The table is soft state that is rebuilt from renewals (`docs/design.md`, section 2.2). When all
 //! replicas have restarted, a new leader would publish nothing until the renewals are in. With the
 //! copy it publishes at once; what is outdated in it ends with the leases, and the daemons beside
-//! the upstreams refuse what they can't serve meanwhile. The copy is therefore neither synced nor
-//! needed: a file that can't be read is ignored.
+//! the upstreams refuse what they can't serve meanwhile. Nothing depends on the copy: a file that
+//! can't be read is ignored, and one that can't be written is logged.
 
-use std::fs;
+use std::fs::{self, File};
+use std::io::Write;
 use std::path::{Path, PathBuf};
 
 use sycamoreflow_protocol::codec;
@@ -14,8 +15,8 @@
 use sycamoreflow_state::ids::{EndpointVersion, Millis};
 use sycamoreflow_state::view::View;
 
-/// Shortest time between two writes of the copy.
-const WRITE_INTERVAL: Millis = Millis(1_000);
+/// Shortest time between two writes of the copy. Each costs two syncs.
+const WRITE_INTERVAL: Millis = Millis(2_000);
 
 /// Name of the file beside the data folder of the replica.
 const SUFFIX: &str = "endpoints";
@@ -74,7 +75,13 @@
 
     fn replace(&self, bytes: &[u8]) -> std::io::Result<()> {
         let temporary = self.path.with_extension("tmp");
-        fs::write(&temporary, bytes)?;
-        fs::rename(&temporary, &self.path)
+        let mut file = File::create(&temporary)?;
+        file.write_all(bytes)?;
+        file.sync_data()?;
+        fs::rename(&temporary, &self.path)?;
+        match self.path.parent() {
+            Some(folder) => File::open(folder)?.sync_all(),
+            None => Ok(()),
+        }
     }
 }
