--- a/crates/coordination/src/admission.rs
+++ b/crates/coordination/src/admission.rs
@@ -211,10 +211,9 @@
         }
         let expected = Millis(urgency.expected.0 / 1_000);
         let advantage = self.pressure.advantage(urgency.priority, urgency.route);
-        let due = advantage.due(urgency.due, deadline);
-        let order = advantage.order(due);
+        let order = advantage.order(urgency.due);
         let wait = self.wait_behind(urgency.priority, order);
-        let slack = due.since(now).since(expected);
+        let slack = urgency.due.since(now).since(expected);
         let allowed = advantage.allowed_wait(slack);
         let full = wait > allowed.max(self.shortest_queue(slack));
         self.pressure.offered(urgency.priority, urgency.route, full);
--- a/crates/coordination/src/admission/pressure.rs
+++ b/crates/coordination/src/admission/pressure.rs
@@ -19,8 +19,6 @@
 /// Time by which a call moves ahead in the queue when all calls of its route are refused and none of
 /// the others. It is about the time by which targets differ.
 const MOVE_AHEAD: f64 = 1_000.0;
-/// Difference of the refused parts from which on a route may use the time up to its deadline.
-const DISADVANTAGE: f64 = 0.1;
 /// Change of the allowed wait per difference of the refused parts.
 const WAIT_GAIN: f64 = 4.0;
 
@@ -65,14 +63,6 @@
 }
 
 impl Advantage {
-    /// Returns by when a call has to be answered to be worth a place in the queue.
-    pub(super) fn due(&self, target: Millis, deadline: Millis) -> Millis {
-        if self.behind > DISADVANTAGE {
-            return deadline;
-        }
-        target
-    }
-
     /// Returns the place of a call in the queue.
     pub(super) fn order(&self, due: Millis) -> Millis {
         let ahead = (self.behind * MOVE_AHEAD) as i64;
--- a/crates/coordination/src/routing.rs
+++ b/crates/coordination/src/routing.rs
@@ -255,6 +255,21 @@
         Some(self.members[index].id.clone())
     }
 
+    /// Chooses as [`Router::choose_for`] does, but only an endpoint that is known to have room, since
+    /// the request is already somewhere else.
+    pub fn choose_idle(
+        &mut self,
+        now: Millis,
+        version: &VersionName,
+        exclude: &[DaemonId],
+        goal: &Goal,
+    ) -> Option<DaemonId> {
+        let id = self.choose_for(now, version, exclude, goal)?;
+        let index = self.find(&id)?;
+        let member = &self.members[index];
+        member.load.has_room(now, member.slots).then_some(id)
+    }
+
     /// Takes in the load that the daemon beside an endpoint has reported.
     pub fn observe_load(&mut self, now: Millis, id: &DaemonId, load: Load, route: &RouteName) {
         if let Some(index) = self.find(id) {
--- a/crates/daemon/src/proxy/service.rs
+++ b/crates/daemon/src/proxy/service.rs
@@ -246,7 +246,7 @@
         let state = &mut *state;
         let router = &mut state.router;
         let daemon = attempts.hedge(now, &mut state.budget, |exclude| {
-            router.choose_for(now, &first.version, exclude, goal)
+            router.choose_idle(now, &first.version, exclude, goal)
         })?;
         router.started(now, &daemon);
         let address = *state.addresses.get(&daemon)?;
