Tell a bad host from a bad version only when the other hosts had enough calls, log the progress of rollouts

Cause: unproved. Of the ways in which the evidence could be held back, failures that come from one group of endpoints were: two calls of another group sufficed to take them for a bad host.

--- a/crates/coordination/src/evidence/comparison.rs
+++ b/crates/coordination/src/evidence/comparison.rs
@@ -43,6 +43,9 @@
 const DROP_AGE: Millis = Millis(30_000);
 /// Part of the bad calls that may come from one group of endpoints.
 const MAX_GROUP_PART: f64 = 0.8;
+/// Bad calls that the other groups must be expected to have before their absence means anything. By
+/// chance, none of five occurs in less than 1% of all cases.
+const MIN_EXPECTED_BAD: f64 = 5.0;
 /// Calls from which on a group of endpoints is compared with the others.
 const MIN_GROUP_CALLS: u64 = 5;
 /// Highest usable false-alarm rate. At 100% the threshold is zero, by which suspicion is divided.
@@ -304,12 +307,22 @@
         }
     }
 
-    /// Returns whether one of several groups of endpoints has nearly all bad calls.
+    /// Returns whether one of several groups of endpoints has nearly all bad calls, although the
+    /// others have had enough calls to show a fault of the version.
     fn concentrated(&self) -> bool {
         let used = self.calls.iter().filter(|calls| **calls >= MIN_GROUP_CALLS);
-        let most = self.bad.iter().copied().max().unwrap_or(0);
+        let worst = (0..GROUPS)
+            .max_by_key(|group| self.bad[*group])
+            .unwrap_or(0);
+        let most = self.bad[worst];
         let all: u64 = self.bad.iter().sum();
-        used.count() > 1 && most as f64 > MAX_GROUP_PART * all as f64
+        let calls: u64 = self.calls.iter().sum();
+        let other_calls = calls - self.calls[worst];
+        // Bad calls that the others would have had at the rate of the worst group.
+        let expected = other_calls as f64 * most as f64 / self.calls[worst].max(1) as f64;
+        used.count() > 1
+            && most as f64 > MAX_GROUP_PART * all as f64
+            && expected >= MIN_EXPECTED_BAD
     }
 }
 
--- a/crates/coordination/src/pacing.rs
+++ b/crates/coordination/src/pacing.rs
@@ -87,6 +87,23 @@
     pub late: bool,
 }
 
+/// What the leader knows of a running rollout.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Progress {
+    /// Number of the rollout.
+    pub rollout: u64,
+    /// What the next step waits for.
+    pub waiting: Option<Waiting>,
+    /// Calls of the new version that were reported.
+    pub candidate_calls: u64,
+    /// Those of the current step.
+    pub step_calls: u64,
+    /// Evidence against the new version; 1 condemns it.
+    pub suspicion: f64,
+    /// Daemons that have cut the new version off by themselves.
+    pub cut_off: usize,
+}
+
 /// Decides the pace of all rollouts at the leader. A new leader starts with an empty one.
 #[derive(Clone, Debug)]
 pub struct Pacer {
@@ -160,6 +177,18 @@
         self.trackers.get(&rollout)?.outlook
     }
 
+    /// Returns what is known of the running rollouts, for the log.
+    pub fn progress(&self) -> impl Iterator<Item = Progress> {
+        self.trackers.iter().map(|(rollout, tracker)| Progress {
+            rollout: *rollout,
+            waiting: tracker.outlook.map(|outlook| outlook.waiting),
+            candidate_calls: tracker.comparison.candidate_calls(),
+            step_calls: tracker.step_calls,
+            suspicion: tracker.comparison.suspicion(),
+            cut_off: tracker.cut_off(),
+        })
+    }
+
     /// Returns the daemons that have cut the candidate off by themselves.
     pub fn cut_off(&self, rollout: u64) -> usize {
         let tracker = self.trackers.get(&rollout);
--- a/crates/daemon/src/control/leader.rs
+++ b/crates/daemon/src/control/leader.rs
@@ -23,6 +23,9 @@
 /// that was late.
 const HEARD: Millis = Millis(RENEW_INTERVAL.0 + 1_500);
 
+/// How often the progress of running rollouts is logged.
+const PROGRESS_INTERVAL: Millis = Millis(1_000);
+
 /// How often the groups of key holders are checked.
 const HOLDER_CHECK_INTERVAL: Millis = Millis(500);
 
@@ -45,6 +48,7 @@
     publication: Publication,
     dirty: bool,
     last_pace: Millis,
+    last_progress: Millis,
     last_holder_check: Millis,
     /// Nothing is published before this time.
     settled_at: Millis,
@@ -99,6 +103,7 @@
             publication: Publication::new(followed.clone()),
             dirty: true,
             last_pace: now,
+            last_progress: now,
             last_holder_check: Millis::default(),
             settled_at,
         }
@@ -167,6 +172,7 @@
             capacity_of(leases.endpoints(), service, version)
         };
         let steps = self.pacer.tick(unix_now, state.rollouts(), capacity);
+        self.log_progress(now);
         let mut commands = Vec::new();
         for step in steps {
             if step.action == RolloutAction::Finish && !self.follows(now, state, step.rollout) {
@@ -183,6 +189,19 @@
         commands
     }
 
+    fn log_progress(&mut self, now: Millis) {
+        if now.since(self.last_progress) < PROGRESS_INTERVAL {
+            return;
+        }
+        self.last_progress = now;
+        for progress in self.pacer.progress() {
+            tracing::info!(event = "rollout_progress", rollout = progress.rollout,
+                waiting = ?progress.waiting, candidate_calls = progress.candidate_calls,
+                step_calls = progress.step_calls, suspicion = progress.suspicion,
+                cut_off = progress.cut_off);
+        }
+    }
+
     /// Returns whether all daemons that are heard follow the latest step of a rollout, so that none
     /// of them sends anything to the old version.
     fn follows(&self, now: Millis, state: &ControlState, rollout: u64) -> bool {
