--- a/crates/coordination/src/admission/pressure.rs
+++ b/crates/coordination/src/admission/pressure.rs
@@ -12,6 +12,9 @@
 use indexmap::IndexMap;
 use sycamoreflow_state::ids::{Millis, RouteName};
 
+#[cfg(test)]
+mod tests;
+
 /// Weight of one offer in the part that is refused.
 const OFFER_WEIGHT: f64 = 0.02;
 /// Routes that are told apart. Further ones count as the last.
--- a/crates/coordination/src/machine.rs
+++ b/crates/coordination/src/machine.rs
@@ -38,10 +38,6 @@
 /// A change of the replicated state.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case")]
-#[expect(
-    clippy::large_enum_variant,
-    reason = "commands are not kept; almost all are approvals"
-)]
 pub enum Command {
     /// Accepts a configuration.
     Approve {
--- a/crates/coordination/src/machine/document.rs
+++ b/crates/coordination/src/machine/document.rs
@@ -18,6 +18,9 @@
 
 use super::check::check_config;
 
+#[cfg(test)]
+mod tests;
+
 /// Digests of accepted documents that are remembered. At 45,000 changes a day, a resend is
 /// recognised for two hours.
 pub const MAX_ACCEPTED: usize = 4_096;
--- a/crates/coordination/src/routing/load.rs
+++ b/crates/coordination/src/routing/load.rs
@@ -4,6 +4,9 @@
 use serde::{Deserialize, Serialize};
 use sycamoreflow_state::ids::{Micros, Millis, RouteName};
 
+#[cfg(test)]
+mod tests;
+
 /// Service time in microseconds that is assumed of a route that nobody has reported.
 pub(super) const FIRST_SERVICE_TIME: f64 = 100_000.0;
 /// Chances that differ by less are taken for equal, so that daemons with the same reports do not
--- /dev/null
+++ b/crates/coordination/src/routing/load/tests.rs
@@ -0,0 +1,149 @@
+use rstest::rstest;
+use sycamoreflow_state::endpoint::Endpoint;
+use sycamoreflow_state::ids::{DaemonId, Millis};
+
+use super::*;
+use crate::routing::{CallResult, Outcome, Router, RouterConfig};
+
+fn endpoint(name: &str, data_centre: &str) -> Endpoint {
+    Endpoint {
+        daemon: name.into(),
+        service: "catalogue".into(),
+        version: "v1".into(),
+        data_centre: data_centre.into(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        slots: 9,
+        draining: false,
+    }
+}
+
+/// A router in data centre `a` with a local endpoint and a remote one.
+fn router() -> Router {
+    let mut router = Router::new(RouterConfig {
+        daemon: "entry".into(),
+        data_centre: "a".into(),
+        hop: Micros(1_000),
+        seed: 7,
+    });
+    let endpoints = [endpoint("near", "a"), endpoint("far", "b")];
+    router.set_endpoints(Millis(1_000), &endpoints);
+    router
+}
+
+fn load(running: u32, queued: u32, route_ms: u64) -> Load {
+    Load {
+        running,
+        queued,
+        limit: 9,
+        mean: Micros(120_000),
+        route: Micros(route_ms * 1_000),
+    }
+}
+
+fn goal(remote_price: f64) -> Goal {
+    Goal {
+        route: "stock-check".into(),
+        target: Micros(400_000),
+        late_value: 0.3,
+        remote_price,
+    }
+}
+
+fn observe(router: &mut Router, near: Load, far: Load) {
+    let route = RouteName::from("stock-check");
+    router.observe_load(Millis(1_000), &"near".into(), near, &route);
+    router.observe_load(Millis(1_000), &"far".into(), far, &route);
+}
+
+/// Patterns: where work goes when endpoints differ in load, speed and distance.
+///
+/// Guards against requests that cross data centres without need, and against requests that stay
+/// near although they would be late there.
+#[rstest]
+#[case::both_idle(load(0, 0, 120), load(0, 0, 120), 0.06, "near")]
+#[case::near_busy(load(8, 0, 120), load(0, 0, 120), 0.06, "near")]
+#[case::near_full(load(9, 20, 120), load(2, 0, 120), 0.06, "far")]
+#[case::near_slow(load(0, 0, 600), load(0, 0, 120), 0.06, "far")]
+#[case::near_slower(load(0, 0, 170), load(0, 0, 100), 0.06, "near")]
+#[case::large_bodies(load(9, 8, 120), load(2, 0, 120), 0.9, "near")]
+#[case::both_full(load(9, 20, 120), load(9, 40, 120), 0.06, "near")]
+fn choose_for_load(
+    #[case] near: Load,
+    #[case] far: Load,
+    #[case] remote_price: f64,
+    #[case] expected: &str,
+) {
+    let mut router = router();
+    observe(&mut router, near, far);
+    let goal = goal(remote_price);
+    let chosen = router.choose_for(Millis(1_010), &"v1".into(), &[], &goal);
+    assert_eq!(chosen, Some(DaemonId::from(expected)));
+}
+
+/// Pattern: an endpoint takes requests and answers none of them.
+///
+/// Guards against a frozen endpoint that goes on receiving work because its last report was good.
+#[test]
+fn choose_for_silent() {
+    let mut router = router();
+    observe(&mut router, load(0, 0, 120), load(0, 0, 120));
+    let near = DaemonId::from("near");
+    router.started(Millis(1_010), &near);
+    let later = Millis(2_000);
+    let chosen = router.choose_for(later, &"v1".into(), &[], &goal(0.06));
+    assert_eq!(chosen, Some("far".into()));
+}
+
+/// Pattern: a second send of a request that an endpoint has not answered.
+///
+/// Guards against second sends that take slots which first sends need.
+#[rstest]
+#[case::room(load(3, 0, 120), true)]
+#[case::nearly_full(load(7, 0, 120), false)]
+#[case::queue(load(9, 1, 120), false)]
+fn choose_idle_room(#[case] far: Load, #[case] expected: bool) {
+    let mut router = router();
+    observe(&mut router, load(9, 0, 120), far);
+    let exclude = [DaemonId::from("near")];
+    let chosen = router.choose_idle(Millis(1_010), &"v1".into(), &exclude, &goal(0.06));
+    assert_eq!(chosen.is_some(), expected);
+}
+
+/// Guards against second sends that come before most answers or after the target.
+#[rstest]
+#[case::fast(20, 160)]
+#[case::usual(80, 240)]
+#[case::slow(300, 320)]
+fn hedge_delay_bounds(#[case] service_ms: u64, #[case] expected_ms: u64) {
+    let mut router = router();
+    observe(&mut router, load(0, 0, service_ms), load(0, 0, service_ms));
+    let delay = router.hedge_delay(&"near".into(), &goal(0.06));
+    assert_eq!(delay, Micros(expected_ms * 1_000));
+}
+
+/// Pattern: one endpoint fails part of its requests while its health is good.
+///
+/// Guards against repeating failures that every endpoint has.
+#[rstest]
+#[case::one_fails(8, 0, true)]
+#[case::all_fail(8, 8, false)]
+#[case::none_fails(0, 0, false)]
+fn is_outlier_failures(#[case] near: u32, #[case] far: u32, #[case] expected: bool) {
+    let mut router = router();
+    for (id, failures) in [("near", near), ("far", far)] {
+        let id = DaemonId::from(id);
+        for call in 0..16 {
+            let result = match call % 2 == 0 && call < 2 * failures {
+                true => CallResult::Failure,
+                false => CallResult::Success,
+            };
+            let outcome = Outcome {
+                latency: Micros(100_000),
+                result,
+            };
+            router.started(Millis(1_000), &id);
+            router.finished(Millis(1_000), &id, outcome);
+        }
+    }
+    assert_eq!(router.is_outlier(Millis(1_000), &"near".into()), expected);
+}
--- a/crates/daemon/src/control/status.rs
+++ b/crates/daemon/src/control/status.rs
@@ -69,10 +69,10 @@
 
 /// Returns the version that was approved at `at`, or zero if the history no longer has it.
 fn approval_at(state: &ControlState, at: Millis) -> ConfigVersion {
-    let approvals = state
+    let mut approvals = state
         .history()
         .filter(|record| matches!(record.event, machine::HistoryEvent::Approved { .. }));
-    let approval = approvals.filter(|record| record.at == at).last();
+    let approval = approvals.rfind(|record| record.at == at);
     approval.map_or_else(ConfigVersion::default, |record| record.version)
 }
 
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -328,6 +328,9 @@
 
     fn check_listen(&self, problems: &mut Vec<String>) {
         let listen = &self.listen;
+        if self.seeds.is_empty() && (listen.calls.is_none() || listen.announce.is_none()) {
+            problems.push("listen: calls and announce are required".to_owned());
+        }
         let mut seen = BTreeSet::new();
         let addresses = [listen.calls, Some(listen.link), listen.announce];
         for address in addresses.into_iter().chain([listen.operator]).flatten() {
--- a/crates/daemon/src/telemetry.rs
+++ b/crates/daemon/src/telemetry.rs
@@ -1,11 +1,22 @@
 //! Logs and metrics of the process.
 
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
 use eyre::WrapErr;
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
-use tracing_subscriber::EnvFilter;
+use tracing_subscriber::filter::dynamic_filter_fn;
+use tracing_subscriber::layer::SubscriberExt;
+use tracing_subscriber::util::SubscriberInitExt;
+use tracing_subscriber::{EnvFilter, Layer};
 
 use crate::settings::{LogFormat, LogSettings};
 
+mod log_queue;
+
+use log_queue::{LogQueue, Quota};
+
 /// Log target of requests that ended without an answer of an upstream.
 pub const REFUSALS: &str = "sycamoreflow::refusals";
 /// Log target of requests that were answered.
@@ -18,7 +29,10 @@
     2.0, 5.0,
 ];
 
-/// Starts logging to standard error.
+/// How often the number of lines that were left out is logged.
+const LEFT_OUT_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Starts logging to standard output. Logging never blocks, and its volume is bounded.
 ///
 /// # Errors
 ///
@@ -29,14 +43,38 @@
         filter => filter,
     };
     let filter = EnvFilter::try_new(filter).wrap_err("log.filter")?;
-    let builder = tracing_subscriber::fmt()
-        .with_env_filter(filter)
-        .with_writer(std::io::stderr);
+    let queue = LogQueue::start().wrap_err("logging can't be started")?;
+    let quota = Arc::new(Quota::default());
+    let bounding = quota.clone();
+    let bounded = dynamic_filter_fn(move |metadata, _| {
+        metadata.is_span() || bounding.allows(metadata.target(), Instant::now())
+    });
+    let lines = tracing_subscriber::fmt::layer().with_writer(queue);
+    let registry = tracing_subscriber::registry().with(filter);
     let started = match settings.format {
-        LogFormat::Text => builder.try_init(),
-        LogFormat::Json => builder.json().try_init(),
+        LogFormat::Text => registry.with(lines.with_filter(bounded)).try_init(),
+        LogFormat::Json => {
+            let lines = lines.json().flatten_event(true);
+            registry.with(lines.with_filter(bounded)).try_init()
+        }
     };
-    started.map_err(|error| eyre::eyre!("logging can't be started: {error}"))
+    started.map_err(|error| eyre::eyre!("logging can't be started: {error}"))?;
+    thread::Builder::new()
+        .name("log-quota".into())
+        .spawn(move || report_left_out(&quota))
+        .wrap_err("logging can't be started")?;
+    Ok(())
+}
+
+/// Logs how many lines about requests were left out, for ever.
+fn report_left_out(quota: &Quota) {
+    loop {
+        thread::sleep(LEFT_OUT_INTERVAL);
+        let (answers, refusals) = quota.take_left_out();
+        if answers + refusals > 0 {
+            tracing::info!(event = "log_lines_left_out", answers, refusals);
+        }
+    }
 }
 
 /// Starts recording metrics.
--- a/crates/daemon/tests/example_settings.rs
+++ b/crates/daemon/tests/example_settings.rs
@@ -91,8 +91,8 @@
                 "data folder is used twice",
             );
         }
-        let listen = [s.listen.calls, s.listen.link, s.listen.announce];
-        for address in listen.into_iter().chain(s.listen.operator) {
+        let listen = [s.listen.calls, Some(s.listen.link), s.listen.announce];
+        for address in listen.into_iter().flatten().chain(s.listen.operator) {
             check(address.ip().is_loopback(), file, "not a loopback address");
             check(addresses.insert(address), file, "address is used twice");
         }
@@ -128,8 +128,8 @@
 #[case::witness_unknown(|s: &mut Settings| s.floor.witnesses[0].daemon = "x".into(), "address of a witness")]
 #[case::witness_missing(|s: &mut Settings| drop(s.floor.witnesses.pop()), "three witnesses")]
 #[case::link(|s: &mut Settings| s.listen.link.set_port(1), "address of a replica")]
-#[case::shared_port(|s: &mut Settings| s.listen.calls.set_port(7210), "used twice")]
-#[case::public(|s: &mut Settings| s.listen.calls.set_ip([10, 0, 0, 1].into()), "loopback")]
+#[case::shared_port(|s: &mut Settings| s.listen.calls.as_mut().unwrap().set_port(7210), "used twice")]
+#[case::public(|s: &mut Settings| s.listen.calls.as_mut().unwrap().set_ip([10, 0, 0, 1].into()), "loopback")]
 #[case::key(|s: &mut Settings| s.mesh_key_file = None, "mesh-key-file")]
 #[case::token(|s: &mut Settings| s.operator_token_file = None, "operator-token-file")]
 fn problems_wrong(#[case] change: fn(&mut Settings), #[case] expected: &str) {
--- a/crates/daemon/tests/owner.rs
+++ b/crates/daemon/tests/owner.rs
@@ -27,6 +27,7 @@
         OwnerLimits {
             max_wait: Millis(100),
             queue_per_slot: 4,
+            adapts: true,
         },
         Client::new(Limits::default()),
         Arc::new(Crashes::new("sfax-a-1".into(), 1, urgent_report)),
--- a/crates/testbed/examples/capacity/leader.rs
+++ b/crates/testbed/examples/capacity/leader.rs
@@ -102,7 +102,7 @@
     let size = count as f64;
     let state = world::state(&world::config(world::SERVICES));
     let empty = View::new(Interest::All);
-    let mut leader = Leader::new(Millis(1_000), 1, &empty, ConfigVersion(0));
+    let mut leader = Leader::new(Millis(1_000), 1, &empty, ConfigVersion(0), &[]);
     let renew = |at: usize| {
         let endpoint = world::endpoint(at, world::SERVICES);
         Forwarded {
--- a/crates/testbed/examples/capacity/proxies.rs
+++ b/crates/testbed/examples/capacity/proxies.rs
@@ -49,6 +49,7 @@
     let limits = OwnerLimits {
         max_wait: Millis(100),
         queue_per_slot: 4,
+        adapts: true,
     };
     let address = world::endpoint(0, 1).address;
     let identity = identity(&world::daemon(0))?;
@@ -78,6 +79,9 @@
         owner: Arc::new(owner),
         keys: Arc::new(keys),
         crashes,
+        dialect: Arc::default(),
+        own_service: None,
+        shared_retries: None,
         urgent_report,
     }))
 }
--- a/crates/testbed/examples/capacity/replica.rs
+++ b/crates/testbed/examples/capacity/replica.rs
@@ -46,6 +46,8 @@
         let control_settings = ControlSettings {
             data: folder.path().join("data"),
             voters: vec![REPLICA.into()],
+            wanted_voters: 1,
+            bootstrap: false,
             joins_per_second,
         };
         let settings = settings(address, control_settings.clone());
@@ -132,15 +134,17 @@
         mesh_key_file: None,
         operator_token_file: None,
         listen: Listen {
-            calls: address,
+            calls: Some(address),
             link: address,
-            announce: address,
+            announce: Some(address),
             operator: None,
         },
         control_replicas: vec![ReplicaAddress {
             daemon: REPLICA.into(),
             link: address,
         }],
+        seeds: Vec::new(),
+        own_service: None,
         control: Some(control),
         floor: FloorSettings::default(),
         interest: Vec::new(),
--- a/crates/testbed/src/mesh.rs
+++ b/crates/testbed/src/mesh.rs
@@ -87,12 +87,18 @@
 
     /// Returns the address for callers of the daemon on host `at`.
     pub fn calls_address(&self, at: usize) -> SocketAddr {
-        self.settings[at].listen.calls
+        self.settings[at]
+            .listen
+            .calls
+            .expect("every daemon of the testbed serves calls")
     }
 
     /// Returns the address for announcements of the daemon on host `at`.
     pub fn announce_address(&self, at: usize) -> SocketAddr {
-        self.settings[at].listen.announce
+        self.settings[at]
+            .listen
+            .announce
+            .expect("every daemon of the testbed takes announcements")
     }
 
     /// Returns the running daemon on host `at`.
@@ -161,6 +167,8 @@
         let control = (at < replicas).then(|| ControlSettings {
             data: folder.join(&host.daemon),
             voters: voters.clone(),
+            wanted_voters: REPLICAS,
+            bootstrap: false,
             joins_per_second: 200,
         });
         let witnesses = (1..=WITNESSES).map(|step| link_of((at + step) % hosts.len()));
@@ -171,12 +179,14 @@
             mesh_key_file: Some(folder.join("mesh.key")),
             operator_token_file: Some(folder.join("operator.token")),
             listen: Listen {
-                calls: ports[at * 4],
+                calls: Some(ports[at * 4]),
                 link: ports[at * 4 + 1],
-                announce: ports[at * 4 + 2],
+                announce: Some(ports[at * 4 + 2]),
                 operator: (at < replicas).then_some(ports[at * 4 + 3]),
             },
             control_replicas: addresses.clone(),
+            seeds: Vec::new(),
+            own_service: None,
             control,
             floor: FloorSettings {
                 witnesses: witnesses.collect(),
--- a/crates/testbed/src/process.rs
+++ b/crates/testbed/src/process.rs
@@ -88,12 +88,18 @@
 
     /// Returns the address for callers of the daemon on host `at`.
     pub fn calls_address(&self, at: usize) -> SocketAddr {
-        self.settings[at].listen.calls
+        self.settings[at]
+            .listen
+            .calls
+            .expect("every daemon of the testbed serves calls")
     }
 
     /// Returns the address for announcements of the daemon on host `at`.
     pub fn announce_address(&self, at: usize) -> SocketAddr {
-        self.settings[at].listen.announce
+        self.settings[at]
+            .listen
+            .announce
+            .expect("every daemon of the testbed takes announcements")
     }
 
     /// Returns the folder of the settings, logs and data.
@@ -127,7 +133,7 @@
             .arg("--config")
             .arg(self.settings_file(at))
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
         self.processes[at] = Some(child);
