--- a/crates/daemon/src/proxy/owner.rs
+++ b/crates/daemon/src/proxy/owner.rs
@@ -38,9 +38,13 @@
 /// Result of a delivery.
 pub type Result<T> = std::result::Result<T, Failure>;
 
-/// Pauses before further probes of an upstream that has broken a connection. A process that dies
-/// closes its connections and its listener one after the other, so the first probe may succeed.
-const PROBE_PAUSES: [Duration; 2] = [Duration::from_millis(20), Duration::from_millis(80)];
+/// Pauses before the probes of an upstream that has broken a connection. A process that dies closes
+/// its connections and its listener one after the other, so the first probe may still succeed.
+const PROBE_PAUSES: [Duration; 3] = [
+    Duration::ZERO,
+    Duration::from_millis(20),
+    Duration::from_millis(80),
+];
 
 /// How often a waiting call looks at the timeouts of the queue.
 const QUEUE_TICK: Duration = Duration::from_millis(25);
@@ -515,24 +519,16 @@
     /// Finds out whether a lost connection means that the upstream has died, and blames the
     /// requests in flight if so. An upstream that refuses connections has no process any more.
     ///
-    /// Only the first probe delays the answer, since most lost connections have another cause.
-    async fn note_if_dead(&self, upstream: &Arc<Upstream>) {
-        let address = upstream.announcement.address;
-        if refuses_connections(address).await {
-            upstream.note_death(&self.crashes);
-            return;
-        }
-        let crashes = self.crashes.clone();
-        let upstream = upstream.clone();
-        task::spawn(async move {
-            for pause in PROBE_PAUSES {
-                task::sleep(pause).await;
-                if refuses_connections(address).await {
-                    upstream.note_death(&crashes);
-                    return;
-                }
+    /// The request waits for the result, since it must not be sent to another upstream if it has
+    /// crashed this one.
+    async fn note_if_dead(&self, upstream: &Upstream) {
+        for pause in PROBE_PAUSES {
+            task::sleep(pause).await;
+            if refuses_connections(upstream.announcement.address).await {
+                upstream.note_death(&self.crashes);
+                return;
             }
-        });
+        }
     }
 
     fn upstream(&self, service: &ServiceName, version: &VersionName) -> Result<Arc<Upstream>> {
