--- a/crates/coordination/src/retry.rs
+++ b/crates/coordination/src/retry.rs
@@ -159,28 +159,6 @@
         Some(id)
     }
 
-    /// Picks a second endpoint for a request that another one has not answered yet, if the request
-    /// may be repeated and the budget allows it.
-    pub fn hedge(
-        &mut self,
-        now: Millis,
-        budget: &mut RetryBudget,
-        mut choose: impl FnMut(&[DaemonId]) -> Option<DaemonId>,
-    ) -> Option<DaemonId> {
-        let may_repeat = self.idempotent
-            && self.tried.len() - self.refused < self.max_attempts
-            && now < self.deadline;
-        if !may_repeat {
-            return None;
-        }
-        let id = choose(&self.tried).filter(|id| !self.tried.contains(id))?;
-        if !budget.withdraw(now) {
-            return None;
-        }
-        self.tried.push(id.clone());
-        Some(id)
-    }
-
     /// Decides what follows a failed attempt.
     pub fn failed(&mut self, now: Millis, failure: Failure, budget: &mut RetryBudget) -> Next {
         self.verdict = self.verdict.max(failure.verdict);
--- a/crates/coordination/src/routing.rs
+++ b/crates/coordination/src/routing.rs
@@ -255,21 +255,6 @@
         Some(self.members[index].id.clone())
     }
 
-    /// Chooses as [`Router::choose_for`] does, but only an endpoint that is known to have room, since
-    /// the request is already somewhere else.
-    pub fn choose_idle(
-        &mut self,
-        now: Millis,
-        version: &VersionName,
-        exclude: &[DaemonId],
-        goal: &Goal,
-    ) -> Option<DaemonId> {
-        let id = self.choose_for(now, version, exclude, goal)?;
-        let index = self.find(&id)?;
-        let member = &self.members[index];
-        member.load.has_room(now, member.slots).then_some(id)
-    }
-
     /// Takes in the load that the daemon beside an endpoint has reported.
     pub fn observe_load(&mut self, now: Millis, id: &DaemonId, load: Load, route: &RouteName) {
         if let Some(index) = self.find(id) {
@@ -277,32 +262,6 @@
         }
     }
 
-    /// Returns how long to wait for an endpoint before a second one is asked as well: longer than
-    /// nearly all answers take, and early enough that the second answer is in time.
-    pub fn hedge_delay(&self, id: &DaemonId, goal: &Goal) -> Micros {
-        let known = self.find(id).and_then(|index| {
-            let load = &self.members[index].load;
-            load.service_time(&goal.route)
-        });
-        let service = known.unwrap_or_else(|| self.service_time(&goal.route));
-        let target = goal.target.0 as f64;
-        let delay = (service * load::HEDGE_FACTOR)
-            .clamp(target * load::HEDGE_EARLIEST, target * load::HEDGE_LATEST);
-        Micros(delay as u64)
-    }
-
-    /// Records that another endpoint has answered a call first that was sent to `id` as well.
-    pub fn overtaken(&mut self, now: Millis, id: &DaemonId, outcome: Outcome) {
-        if let Some(index) = self.find(id) {
-            let prior = self.prior_of(&self.members[index]);
-            let tuning = self.tuning.clone();
-            let member = &mut self.members[index];
-            // The end of the call itself is counted when its future is dropped.
-            member.estimate.started(now);
-            member.estimate.finished(now, outcome, prior, &tuning);
-        }
-    }
-
     /// Returns whether an endpoint fails much more often than the others of its version, so that a
     /// call that it has failed is likely to succeed elsewhere.
     pub fn is_outlier(&self, now: Millis, id: &DaemonId) -> bool {
--- a/crates/coordination/src/routing/load.rs
+++ b/crates/coordination/src/routing/load.rs
@@ -21,15 +21,6 @@
 /// Bounds of the time after which refused callers are asked to return, in milliseconds.
 pub(super) const MIN_RETURN_MS: f64 = 60.0;
 pub(super) const MAX_RETURN_MS: f64 = 1_000.0;
-/// Time after which a second endpoint is asked, as a multiple of the usual service time. Answers
-/// take longer in a few percent of the calls.
-pub(super) const HEDGE_FACTOR: f64 = 3.0;
-/// Part of the slots that may be in use at an endpoint that gets such a call. Others need the rest.
-const IDLE_PART: f64 = 0.6;
-/// Bounds of that time as parts of the time left until the target. An endpoint that gets less has
-/// had no chance; after more, a second answer is late as well.
-pub(super) const HEDGE_EARLIEST: f64 = 0.4;
-pub(super) const HEDGE_LATEST: f64 = 0.8;
 /// Routes whose service times are kept per endpoint.
 const MAX_ROUTES: usize = 32;
 
@@ -142,16 +133,6 @@
         service + self.wait(now, slots)
     }
 
-    /// Returns whether a part of the slots is known to be free.
-    pub(super) fn has_room(&self, now: Millis, slots: u32) -> bool {
-        let Some((at, load)) = &self.latest else {
-            return false;
-        };
-        let busy = f64::from(load.running + load.queued + self.sent_since);
-        let limit = f64::from(load.limit.min(slots));
-        now.since(*at) <= MEMORY && busy <= limit * IDLE_PART
-    }
-
     /// Returns the expected time in microseconds until a call sent now gets a slot.
     pub(super) fn wait(&self, now: Millis, slots: u32) -> f64 {
         let Some((at, load)) = &self.latest else {
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -5,14 +5,12 @@
 //! daemon.
 
 use std::collections::{HashMap, HashSet};
-use std::pin::pin;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwapOption;
-use async_std::{channel, task};
+use async_std::channel;
 use bytes::Bytes;
-use futures::future::{Either, select};
 use http::{Request, Response};
 use parking_lot::{Mutex, RwLock};
 use sycamoreflow_coordination::dedup::Key;
@@ -519,18 +517,7 @@
                 head: head.clone(),
                 body: body.to_vec(),
             };
-            let result = match &goal {
-                Some(goal) if admitted.idempotent => {
-                    let hedging = Hedging {
-                        admitted,
-                        goal,
-                        first: &target,
-                        is_first: !reached,
-                    };
-                    self.send_hedged(hedging, call, &mut attempts).await
-                }
-                _ => self.send(admitted, &target, call, !reached).await,
-            };
+            let result = self.send(admitted, &target, call, !reached).await;
             sent += 1;
             reached |= match &result {
                 Ok(_) => true,
@@ -567,52 +554,6 @@
         }
     }
 
-    /// Sends a call that may be repeated, and sends it to a second endpoint as well if the first one
-    /// takes unusually long. The first success counts.
-    async fn send_hedged(
-        &self,
-        hedging: Hedging<'_>,
-        call: Call,
-        attempts: &mut Attempts,
-    ) -> Result<Answer> {
-        let Hedging {
-            admitted,
-            goal,
-            first,
-            is_first,
-        } = hedging;
-        let service = &admitted.service;
-        let delay = Duration::from_micros(service.hedge_delay(first, goal).0);
-        let started = Instant::now();
-        let sending = pin!(self.send(admitted, first, call.clone(), is_first));
-        let sending = match select(sending, pin!(task::sleep(delay))).await {
-            Either::Left((result, _)) => return result,
-            Either::Right(((), sending)) => sending,
-        };
-        let Some(second) = service.hedge(attempts, first, goal) else {
-            return sending.await;
-        };
-        tracing::info!(target: REFUSALS, event = "hedge",
-            request = admitted.request_id.as_deref(), first = %first.daemon,
-            second = %second.daemon, after_ms = delay.as_millis() as u64);
-        metrics::counter!("sycamoreflow_hedges_total").increment(1);
-        let again = Call {
-            urgency: admitted.urgency(clock::now()),
-            ..call
-        };
-        let hedge = pin!(self.send(admitted, &second, again, false));
-        match select(sending, hedge).await {
-            Either::Left((result, _)) if is_success(&result) => result,
-            Either::Left((result, hedge)) => prefer(hedge.await, result),
-            Either::Right((result, _)) if is_success(&result) => {
-                let waited = Micros(started.elapsed().as_micros() as u64);
-                service.overtaken(first, waited);
-                result
-            }
-            Either::Right((result, sending)) => prefer(sending.await, result),
-        }
-    }
-
     async fn send(
         &self,
         admitted: &Admitted,
@@ -678,36 +619,6 @@
     }
 }
 
-/// What a hedged send is about.
-struct Hedging<'a> {
-    admitted: &'a Admitted,
-    goal: &'a Goal,
-    first: &'a Target,
-    /// Whether no earlier send of the call has reached an upstream.
-    is_first: bool,
-}
-
-fn is_success(result: &Result<Answer>) -> bool {
-    result
-        .as_ref()
-        .is_ok_and(|answer| answer.status < FIRST_SERVER_ERROR)
-}
-
-/// Returns the better of two results of the same call: an answer before a failure, and the failure
-/// that says more about what may have run.
-fn prefer(one: Result<Answer>, other: Result<Answer>) -> Result<Answer> {
-    match (one, other) {
-        (Ok(answer), other) if answer.status < FIRST_SERVER_ERROR || other.is_err() => Ok(answer),
-        (_, Ok(answer)) => Ok(answer),
-        (Ok(answer), Err(_)) => Ok(answer),
-        (Err(one), Err(other)) => Err(if one.verdict >= other.verdict {
-            one
-        } else {
-            other
-        }),
-    }
-}
-
 impl Admitted {
     fn log_retry(&self, target: &Target, failure: Failure, attempt: u32) {
         metrics::counter!("sycamoreflow_retries_total").increment(1);
--- a/crates/daemon/src/proxy/service.rs
+++ b/crates/daemon/src/proxy/service.rs
@@ -232,43 +232,6 @@
         attempts.failed(clock::now(), failure, &mut state.budget)
     }
 
-    /// Returns how long to wait for an endpoint before a second one is asked as well.
-    pub fn hedge_delay(&self, target: &Target, goal: &Goal) -> Micros {
-        let state = self.state.lock();
-        state.router.hedge_delay(&target.daemon, goal)
-    }
-
-    /// Chooses a second endpoint of the same version for a call that another one has not answered,
-    /// and counts the attempt as started, if the budget allows it.
-    pub fn hedge(&self, attempts: &mut Attempts, first: &Target, goal: &Goal) -> Option<Target> {
-        let now = clock::now();
-        let mut state = self.state.lock();
-        let state = &mut *state;
-        let router = &mut state.router;
-        let daemon = attempts.hedge(now, &mut state.budget, |exclude| {
-            router.choose_idle(now, &first.version, exclude, goal)
-        })?;
-        router.started(now, &daemon);
-        let address = *state.addresses.get(&daemon)?;
-        Some(Target {
-            daemon,
-            address,
-            version: first.version.clone(),
-        })
-    }
-
-    /// Takes in that a second endpoint has answered a call before the first one.
-    pub fn overtaken(&self, target: &Target, waited: Micros) {
-        let outcome = Outcome {
-            latency: waited,
-            result: CallResult::Failure,
-        };
-        let mut state = self.state.lock();
-        state
-            .router
-            .overtaken(clock::now(), &target.daemon, outcome);
-    }
-
     /// Decides whether a call that an endpoint has failed is sent again: the endpoint fails more than
     /// others do, and the call may be repeated.
     pub fn failed_by_outlier(&self, attempts: &mut Attempts, target: &Target) -> bool {
