--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::sync::mpsc;
 use std::thread::{self, JoinHandle};
+use std::time::Duration;
 
 use async_std::task;
 use eyre::WrapErr;
@@ -30,7 +31,11 @@
 use hints::EndpointHints;
 use hub::Hub;
 use peers::Peers;
-use replica::{Event, GroupSettings, Replica, Start};
+use replica::{End, Event, GroupSettings, Replica, Start};
+
+/// Time between a failure of the storage and an attempt to open it again, as a restart of the process
+/// would. The log is read anew, so nothing depends on what the failed operation has left.
+const REOPEN_INTERVAL: Duration = Duration::from_millis(1_000);
 
 /// Folder of the log in the data folder of a replica that is found by seeds.
 const LOG_FOLDER: &str = "log";
@@ -70,13 +75,25 @@
             wanted_voters: found_by_seeds.then_some(control.wanted_voters),
             may_found: !found_by_seeds || control.bootstrap,
         };
-        let start = open(&control.data, &identity.daemon, group, seed)?;
+        let data = control.data.clone();
+        let id = identity.daemon.clone();
+        let start = open(&data, &id, group.clone(), seed)?;
         let replica = Replica::new(start, hub.clone(), peers.clone());
         peers.start();
-        task::spawn(peers.follow(hub.clone()));
+        task::spawn(peers.clone().follow(hub.clone()));
+        let shared = hub.clone();
         let thread = thread::Builder::new()
             .name("control-replica".into())
-            .spawn(move || replica.run(&rx))
+            .spawn(move || {
+                let mut replica = Some(replica);
+                while let Some(running) = replica.take() {
+                    if running.run(&rx) == End::Stopped {
+                        return;
+                    }
+                    let reopened = reopen(&rx, || open(&data, &id, group.clone(), seed));
+                    replica = reopened.map(|s| Replica::new(s, shared.clone(), peers.clone()));
+                }
+            })
             .wrap_err("can't start the thread of the control replica")?;
         Ok(Self {
             hub,
@@ -120,6 +137,23 @@
     }
 }
 
+/// Waits until the data folder can be used again after a failure of its storage. Until then the
+/// replica promises nothing. Returns `None` if it is told to stop.
+fn reopen(events: &mpsc::Receiver<Event>, open: impl Fn() -> eyre::Result<Start>) -> Option<Start> {
+    loop {
+        if !replica::refuse_for(events, REOPEN_INTERVAL) {
+            return None;
+        }
+        match open() {
+            Ok(start) => {
+                tracing::info!(event = "storage", usable = true);
+                return Some(start);
+            }
+            Err(error) => tracing::warn!(event = "storage", usable = false, error = %error),
+        }
+    }
+}
+
 fn open(data: &Path, id: &DaemonId, group: GroupSettings, seed: u64) -> eyre::Result<Start> {
     // The folder of the log has files of the log only, so the copy of the endpoints lies beside it.
     let folder = match group.wanted_voters {
--- a/crates/daemon/src/control/replica.rs
+++ b/crates/daemon/src/control/replica.rs
@@ -53,6 +53,15 @@
     waiting: Waiting,
 }
 
+/// Why a replica has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// It was told to stop.
+    Stopped,
+    /// Its storage has failed, and nothing is promised any more.
+    StorageFailed,
+}
+
 /// The state of a control replica.
 pub struct Replica {
     id: DaemonId,
@@ -137,13 +146,13 @@
     }
 
     /// Runs the replica until it is told to stop or its storage fails.
-    pub fn run(mut self, events: &Receiver<Event>) {
+    pub fn run(mut self, events: &Receiver<Event>) -> End {
         let tick = Duration::from_millis(TICK_MS);
         let mut next_tick = Instant::now();
         loop {
             let wait = next_tick.saturating_duration_since(Instant::now());
             let result = match events.recv_timeout(wait) {
-                Ok(Event::Stop) | Err(RecvTimeoutError::Disconnected) => return,
+                Ok(Event::Stop) | Err(RecvTimeoutError::Disconnected) => return End::Stopped,
                 Ok(event) => self.handle(event),
                 Err(RecvTimeoutError::Timeout) => {
                     next_tick = Instant::now() + tick;
@@ -152,10 +161,13 @@
             };
             if let Err(error) = result {
                 metrics::counter!("sycamoreflow_storage_failures_total").increment(1);
-                tracing::error!(%error, "storage failed: this replica takes no further part");
+                tracing::error!(event = "storage", usable = false, %error);
                 self.hub.command_all(&SessionCommand::NoQuorum);
-                self.refuse_forever(events);
-                return;
+                self.fail_waiting();
+                for (_, waiting) in std::mem::take(&mut self.waiting) {
+                    waiting.refuse(Unavailable::default());
+                }
+                return End::StorageFailed;
             }
         }
     }
@@ -180,16 +192,6 @@
         &self.raft
     }
 
-    /// Answers all further events without promising anything.
-    fn refuse_forever(&mut self, events: &Receiver<Event>) {
-        while let Ok(event) = events.recv() {
-            if matches!(event, Event::Stop) {
-                return;
-            }
-            event.into_waiting().refuse(Unavailable::default());
-        }
-    }
-
     fn handle(&mut self, event: Event) -> Stored {
         match event {
             Event::Raft { from, message } => {
@@ -486,6 +488,19 @@
     }
 }
 
+/// Answers events for a time without promising anything. Returns whether the replica goes on.
+pub(super) fn refuse_for(events: &Receiver<Event>, time: Duration) -> bool {
+    let end = Instant::now() + time;
+    loop {
+        let left = end.saturating_duration_since(Instant::now());
+        match events.recv_timeout(left) {
+            Ok(Event::Stop) | Err(RecvTimeoutError::Disconnected) => return false,
+            Ok(event) => event.into_waiting().refuse(Unavailable::default()),
+            Err(RecvTimeoutError::Timeout) => return true,
+        }
+    }
+}
+
 fn undecodable(error: &CodecError) -> StorageError {
     StorageError::Encode {
         reason: error.to_string(),
--- a/crates/daemon/src/proxy/owner.rs
+++ b/crates/daemon/src/proxy/owner.rs
@@ -459,6 +459,27 @@
     async fn run(&self, upstream: &Arc<Upstream>, call: &Call, deadline: Millis) -> Result<Answer> {
         let id = CallId(self.next_call.fetch_add(1, Ordering::Relaxed));
         let offered = clock::now();
+        let mut withdrawal = WithdrawalLog {
+            call,
+            dialect: &self.dialect,
+            offered,
+            ended: false,
+        };
+        let result = self
+            .run_offered(upstream, id, call, deadline, offered)
+            .await;
+        withdrawal.ended = true;
+        result
+    }
+
+    async fn run_offered(
+        &self,
+        upstream: &Arc<Upstream>,
+        id: CallId,
+        call: &Call,
+        deadline: Millis,
+        offered: Millis,
+    ) -> Result<Answer> {
         let admitted = self.admit(upstream, id, call, deadline).await;
         let mut slot = match admitted {
             Ok(slot) => slot,
@@ -744,6 +765,26 @@
     }
 }
 
+/// Logs that a call was withdrawn, if its future is dropped before it ends.
+struct WithdrawalLog<'a> {
+    call: &'a Call,
+    dialect: &'a Dialect,
+    offered: Millis,
+    ended: bool,
+}
+
+impl Drop for WithdrawalLog<'_> {
+    fn drop(&mut self) {
+        if self.ended {
+            return;
+        }
+        let after = clock::now().since(self.offered);
+        tracing::info!(target: REFUSALS, event = "owner_withdrawn",
+            request = headers::request_id(self.call, self.dialect), route = %self.call.route,
+            after_ms = after.0);
+    }
+}
+
 /// A place in the admission of an upstream. Dropping it before the end frees the place: the caller
 /// is gone, and the connection to the upstream is closed with the request.
 #[derive(Debug)]
