Split the request path into smaller modules

The attempts of a request, its trace and the upstream beside a daemon move to modules of their own. No behaviour changes.

--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -6,7 +6,7 @@
 
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use arc_swap::ArcSwapOption;
 use async_std::channel;
@@ -16,30 +16,30 @@
 use sycamoreflow_coordination::dedup::Key;
 use sycamoreflow_coordination::evidence::EvidenceReport;
 use sycamoreflow_coordination::fingerprint::Fingerprint;
-use sycamoreflow_coordination::retry::{Attempts, Next};
-use sycamoreflow_coordination::routing::{CallSizes, Goal, Load, RouterConfig};
+use sycamoreflow_coordination::routing::{CallSizes, Load, RouterConfig};
 use sycamoreflow_coordination::shares::Grant;
 use sycamoreflow_coordination::split::SplitCounter;
-use sycamoreflow_protocol::call::{Answer, Call, CallResult, CallUrgency, RequestHead};
+use sycamoreflow_protocol::call::{Answer, Call, CallResult, RequestHead};
 use sycamoreflow_state::endpoint::Endpoint;
 use sycamoreflow_state::ids::{
-    DaemonId, DataCentre, Micros, Millis, RouteName, ServiceName, TenantName, VersionName,
-    ViewVersion,
+    DaemonId, DataCentre, Micros, Millis, RouteName, ServiceName, TenantName,
 };
-use sycamoreflow_state::verdict::{Failure, Reason, Verdict};
+use sycamoreflow_state::verdict::{Failure, Reason};
 use sycamoreflow_state::view::{ResourceKey, View};
 
 use crate::clock;
+use crate::proxy::attempts::Admitted;
 use crate::proxy::crashes::Crashes;
 use crate::proxy::dialect::Dialect;
 use crate::proxy::headers::{CallerHeaders, DEFAULT_TENANT};
 use crate::proxy::keys::{KeyedRequest, Keys};
 use crate::proxy::links::CallLinks;
 use crate::proxy::owner::Owner;
-use crate::proxy::service::{AttemptEnd, Service, Target};
+use crate::proxy::service::Service;
 use crate::proxy::table::{Route, RouteTable};
-use crate::telemetry::{ANSWERS, REFUSALS};
+use crate::proxy::trace::Trace;
 
+mod attempts;
 pub mod crashes;
 pub mod dialect;
 pub mod headers;
@@ -48,22 +48,11 @@
 pub mod owner;
 pub mod service;
 pub mod table;
+mod trace;
 
 /// Sends of one call at most, including the first.
 const MAX_ATTEMPTS: usize = 3;
 
-/// Daemons that may refuse a request for lack of room before its caller is refused.
-const MAX_REFUSALS: usize = 4;
-
-/// Value of an answer after the target of its route, relative to one in time.
-const LATE_VALUE: f64 = 0.3;
-
-/// Bytes of a call and its answer beyond their bodies: heads and the envelopes of links.
-const ENVELOPE_BYTES: usize = 600;
-
-/// First status by which an upstream says that it has failed a call.
-const FIRST_SERVER_ERROR: u16 = 500;
-
 /// When a caller may come back if nothing better is known.
 const RETRY_AFTER: Millis = Millis(300);
 
@@ -102,37 +91,6 @@
     routes: Arc<RouteTable>,
 }
 
-/// A request that has passed all checks of the entry role.
-#[derive(Debug)]
-struct Admitted {
-    route: RouteName,
-    service_name: ServiceName,
-    service: Arc<Service>,
-    tenant: TenantName,
-    deadline: Millis,
-    idempotent: bool,
-    key: Option<String>,
-    request_id: Option<String>,
-    priority: u32,
-    /// When the answer loses part of its value, if the route says so.
-    target: Option<Millis>,
-    max_attempts: usize,
-}
-
-/// What became of a request, for the log and the response.
-#[derive(Debug, Default)]
-struct Trace {
-    request_id: Option<String>,
-    route: Option<RouteName>,
-    service: Option<ServiceName>,
-    version: Option<VersionName>,
-    endpoint: Option<DaemonId>,
-    view: Option<ViewVersion>,
-    attempts: u32,
-    /// When the caller may come back after a refusal.
-    retry_after: Option<Millis>,
-}
-
 /// The parts that a request path is made of.
 pub struct Parts {
     /// This daemon.
@@ -469,137 +427,6 @@
         chosen.unwrap_or_else(|| route.config.service.clone())
     }
 
-    /// Sends a request until it is answered or the rules for retries end it.
-    async fn attempt(
-        &self,
-        admitted: &Admitted,
-        fingerprint: Fingerprint,
-        head: RequestHead,
-        body: Bytes,
-        trace: &mut Trace,
-    ) -> Result<Answer> {
-        let deadline = admitted.deadline;
-        let service = &admitted.service;
-        let mut attempts = Attempts::new(admitted.idempotent, deadline, admitted.max_attempts)
-            .with_free_refusals(match admitted.target {
-                Some(_) => MAX_REFUSALS,
-                None => 0,
-            });
-        let mut sent = 0;
-        let mut reached = false;
-        // What an endpoint has answered is better than no answer, if another one does not succeed.
-        let mut failed: Option<Answer> = None;
-        let mut last_reason = Reason::NoEndpoint;
-        loop {
-            if let Err(refused) = self.crashes.check(&fingerprint) {
-                return Err(attempts.failure(refused.reason));
-            }
-            let goal = admitted.goal(clock::now(), &self.sizes.lock());
-            let Some(target) = service.pick(&mut attempts, sent == 0, goal.as_ref()) else {
-                trace.retry_after = Some(service.retry_after());
-                return failed.ok_or(attempts.failure(last_reason));
-            };
-            trace.attempts += 1;
-            trace.version = Some(target.version.clone());
-            trace.endpoint = Some(target.daemon.clone());
-            let call = Call {
-                id: 0,
-                remaining_ms: 0,
-                service: admitted.service_name.clone(),
-                version: target.version.clone(),
-                route: admitted.route.clone(),
-                tenant: admitted.tenant.clone(),
-                attempt: sent,
-                key: admitted.key.clone(),
-                fingerprint: Some(fingerprint),
-                urgency: admitted.urgency(clock::now()),
-                caller: self.own_service.clone(),
-                head: head.clone(),
-                body: body.to_vec(),
-            };
-            let result = self.send(admitted, &target, call, !reached).await;
-            sent += 1;
-            reached |= match &result {
-                Ok(_) => true,
-                Err(failure) => {
-                    failure.verdict != Verdict::NotRun || failure.reason == Reason::Shed
-                }
-            };
-            let failure = match result {
-                Ok(answer)
-                    if answer.status >= FIRST_SERVER_ERROR
-                        && admitted.target.is_some()
-                        && service.failed_by_outlier(&mut attempts, &target) =>
-                {
-                    admitted.log_retry(&target, Failure::may_have_run(Reason::BadAnswer), sent);
-                    failed = Some(answer);
-                    continue;
-                }
-                Ok(answer) => {
-                    self.crashes.completed(fingerprint);
-                    let bytes = body.len() + answer.body.len() + ENVELOPE_BYTES;
-                    self.sizes.lock().record(&admitted.route, bytes);
-                    return Ok(answer);
-                }
-                Err(failure) => failure,
-            };
-            last_reason = failure.reason;
-            match service.failed(&mut attempts, failure) {
-                Next::Retry => admitted.log_retry(&target, failure, sent),
-                Next::GiveUp(failure) => {
-                    trace.retry_after = Some(service.retry_after());
-                    return failed.ok_or(failure);
-                }
-            }
-        }
-    }
-
-    async fn send(
-        &self,
-        admitted: &Admitted,
-        target: &Target,
-        call: Call,
-        first: bool,
-    ) -> Result<Answer> {
-        let started = Instant::now();
-        let mut pending = PendingAttempt {
-            service: &admitted.service,
-            target,
-            ended: false,
-        };
-        let deadline = admitted.deadline;
-        let (result, load) = if target.daemon == self.daemon {
-            let mut call = call;
-            call.remaining_ms = deadline.since(clock::now()).0 as u32;
-            self.owner.deliver_with_load(&call, deadline).await
-        } else {
-            let limit = clock::instant(deadline);
-            self.links
-                .call(&target.daemon, target.address, call, limit)
-                .await
-        };
-        pending.ended = true;
-        if let Some(load) = load {
-            admitted.service.observe_load(target, &admitted.route, load);
-        }
-        let end = AttemptEnd {
-            result: result.as_ref().map(|answer| answer.status).map_err(|f| *f),
-            latency: Micros(started.elapsed().as_micros() as u64),
-            first,
-            refused_for_room: admitted.target.is_some()
-                && matches!(&result, Err(f) if *f == Failure::not_run(Reason::Overloaded)),
-        };
-        if admitted.service.finished(&admitted.route, target, end) {
-            // A wake-up that is waiting already is enough.
-            let _ = self.urgent_report.try_send(());
-        }
-        let lost = matches!(&result, Err(f) if f.reason == Reason::ConnectionLost);
-        if lost && target.daemon != self.daemon && !self.links.is_open(&target.daemon) {
-            admitted.service.link_down(&target.daemon);
-        }
-        result
-    }
-
     fn service_or_new(&self, name: &ServiceName, make: impl FnOnce() -> Service) -> Arc<Service> {
         if let Some(service) = self.services.read().get(name) {
             return service.clone();
@@ -619,58 +446,6 @@
     }
 }
 
-impl Admitted {
-    fn log_retry(&self, target: &Target, failure: Failure, attempt: u32) {
-        metrics::counter!("sycamoreflow_retries_total").increment(1);
-        tracing::info!(target: REFUSALS, event = "retry", request = self.request_id.as_deref(),
-            endpoint = %target.daemon, reason = headers::reason_text(failure.reason),
-            verdict = failure.verdict.as_str(), attempt);
-    }
-
-    /// Returns what the next attempt is to achieve, if the route has a target.
-    fn goal(&self, now: Millis, sizes: &CallSizes) -> Option<Goal> {
-        let target = self.target?.min(self.deadline);
-        Some(Goal {
-            route: self.route.clone(),
-            target: Micros::from(target.since(now)),
-            late_value: LATE_VALUE,
-            remote_price: sizes.remote_price(&self.route),
-        })
-    }
-
-    fn urgency(&self, now: Millis) -> CallUrgency {
-        let target = self.target.map(|target| target.min(self.deadline));
-        CallUrgency {
-            priority: self.priority,
-            target_ms: target.map(|target| target.since(now).0 as u32),
-            idempotent: self.idempotent,
-        }
-    }
-}
-
-impl Trace {
-    fn log(&self, result: &Result<Answer>, elapsed: Duration) {
-        let request = self.request_id.as_deref();
-        let route = self.route.as_ref().map(RouteName::as_str);
-        let service = self.service.as_ref().map(ServiceName::as_str);
-        let version = self.version.as_ref().map(VersionName::as_str);
-        let endpoint = self.endpoint.as_ref().map(DaemonId::as_str);
-        let config = self.view.map(|view| view.config.0);
-        let endpoints = self.view.map(|view| view.endpoints.seq);
-        let took_ms = elapsed.as_millis() as u64;
-        let attempts = self.attempts;
-        match result {
-            Ok(answer) => tracing::info!(target: ANSWERS, event = "request", request, route,
-                service, version, endpoint, config, endpoints, attempts, took_ms,
-                status = answer.status),
-            Err(failure) => tracing::info!(target: REFUSALS, event = "request", request, route,
-                service, version, endpoint, config, endpoints, attempts, took_ms,
-                reason = headers::reason_text(failure.reason), verdict = failure.verdict.as_str(),
-                retry_after_ms = self.retry_after.map(|wait| wait.0)),
-        }
-    }
-}
-
 /// Returns the host that a request names, without its port, in lower case.
 fn host_of(req: &Request<Bytes>) -> String {
     let named = req.headers().get(http::header::HOST);
@@ -680,21 +455,6 @@
     without_port.to_ascii_lowercase()
 }
 
-/// Records the attempt as cancelled if its future is dropped before it ends.
-struct PendingAttempt<'a> {
-    service: &'a Service,
-    target: &'a Target,
-    ended: bool,
-}
-
-impl Drop for PendingAttempt<'_> {
-    fn drop(&mut self) {
-        if !self.ended {
-            self.service.cancelled(self.target);
-        }
-    }
-}
-
 fn tenant_weights(view: &View) -> Vec<(TenantName, u32)> {
     let mut weights: Vec<_> = view
         .tenants()
--- /dev/null
+++ b/crates/daemon/src/proxy/owner/upstream.rs
@@ -0,0 +1,252 @@
+//! One upstream beside this daemon: what it has announced, its admission, and the calls that wait.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use async_std::future::timeout;
+use futures::channel::oneshot;
+use indexmap::IndexMap;
+use parking_lot::Mutex;
+use sycamoreflow_coordination::admission::{
+    Admission, CallId, Decision, Released, UpstreamResult, Urgency,
+};
+use sycamoreflow_coordination::routing::Load;
+use sycamoreflow_protocol::call::{Answer, Call};
+use sycamoreflow_state::endpoint::Announcement;
+use sycamoreflow_state::ids::{Micros, Millis, RouteName};
+use sycamoreflow_state::verdict::{Failure, Reason};
+
+use super::{InstanceReport, Result};
+use crate::clock;
+use crate::proxy::crashes::Crashes;
+use crate::proxy::dialect::Dialect;
+use crate::proxy::headers;
+use crate::telemetry::{ANSWERS, REFUSALS};
+
+/// How often a waiting call looks at the timeouts of the queue.
+const QUEUE_TICK: Duration = Duration::from_millis(25);
+
+/// Weight of one answer in the mean time of a route.
+const ROUTE_WEIGHT: f64 = 0.1;
+
+/// Routes whose times are kept per upstream.
+const MAX_ROUTES: usize = 64;
+
+/// An upstream that has announced itself.
+#[derive(Debug)]
+pub(super) struct Upstream {
+    pub(super) announcement: Announcement,
+    /// Latest report, if the upstream identifies its instances.
+    pub(super) report: Mutex<Option<InstanceReport>>,
+    /// Mean time of recent calls in microseconds, by route.
+    pub(super) route_times: Mutex<IndexMap<RouteName, f64>>,
+    pub(super) renewed: Mutex<Millis>,
+    pub(super) draining: AtomicBool,
+    /// Whether the upstream has said that it is gone.
+    pub(super) departed: AtomicBool,
+    /// Whether the upstream was found dead. It has to announce itself again.
+    pub(super) dead: AtomicBool,
+    pub(super) admission: Mutex<Admission>,
+    pub(super) waiting: Mutex<HashMap<CallId, oneshot::Sender<Result<()>>>>,
+}
+
+impl Upstream {
+    pub(super) fn drain(&self) {
+        self.draining.store(true, Ordering::SeqCst);
+        self.admission.lock().drain();
+    }
+
+    /// Stops new work at once, also that which waits: other upstreams can run it.
+    pub(super) fn leave(&self) {
+        self.drain();
+        let released = self.admission.lock().refuse_queued();
+        self.release(released);
+    }
+
+    /// Takes the upstream out of use until it reports again, since another instance has its
+    /// address.
+    pub(super) fn retire(&self) {
+        self.dead.store(true, Ordering::SeqCst);
+        self.leave();
+    }
+
+    pub(super) fn note_death(&self, crashes: &Crashes) {
+        if self.dead.swap(true, Ordering::SeqCst) {
+            return;
+        }
+        crashes.upstream_died();
+        self.leave();
+    }
+
+    /// Returns whether a report is of the instance that this one stands for.
+    pub(super) fn is_instance(&self, report: Option<&InstanceReport>) -> bool {
+        let identity = |report: &InstanceReport| (report.instance.clone(), report.born);
+        self.report.lock().as_ref().map(identity) == report.map(identity)
+    }
+
+    pub(super) fn offer(&self, id: CallId, call: &Call, deadline: Millis) -> Decision {
+        let now = clock::now();
+        let mut admission = self.admission.lock();
+        let Some(target) = call.urgency.target_ms else {
+            return admission.offer(now, id, &call.tenant, deadline);
+        };
+        let urgency = Urgency {
+            route: &call.route,
+            priority: call.urgency.priority,
+            due: now.after(Millis(u64::from(target))).min(deadline),
+            expected: self.route_time(&call.route),
+        };
+        admission.offer_urgent(now, id, &call.tenant, deadline, urgency)
+    }
+
+    pub(super) fn route_time(&self, route: &RouteName) -> Micros {
+        let times = self.route_times.lock();
+        Micros(times.get(route).map_or(0, |time| *time as u64))
+    }
+
+    pub(super) fn learn(&self, route: &RouteName, latency: Micros) {
+        let latency = latency.0 as f64;
+        let mut times = self.route_times.lock();
+        if let Some(time) = times.get_mut(route) {
+            *time += (latency - *time) * ROUTE_WEIGHT;
+        } else if times.len() < MAX_ROUTES {
+            times.insert(route.clone(), latency);
+        }
+    }
+
+    pub(super) fn load(&self, route: &RouteName) -> Load {
+        let admission = self.admission.lock();
+        Load {
+            running: admission.running() as u32,
+            queued: admission.queued() as u32,
+            limit: admission.limit() as u32,
+            mean: admission.recent_latency(),
+            route: self.route_time(route),
+        }
+    }
+
+    pub(super) fn log_refusal(&self, call: &Call, dialect: &Dialect, failure: Failure) {
+        let load = self.load(&call.route);
+        tracing::info!(
+            target: REFUSALS,
+            event = "owner_refused",
+            request = headers::request_id(call, dialect),
+            route = %call.route,
+            reason = headers::reason_text(failure.reason),
+            running = load.running,
+            queued = load.queued,
+            limit = load.limit,
+            mean_us = load.mean.0,
+            target_ms = call.urgency.target_ms,
+        );
+    }
+
+    pub(super) fn log_end(
+        &self,
+        call: &Call,
+        dialect: &Dialect,
+        waited: Millis,
+        latency: Micros,
+        result: &Result<Answer>,
+    ) {
+        let (status, failure) = match result {
+            Ok(answer) => (Some(answer.status), None),
+            Err(failure) => (None, Some(failure)),
+        };
+        let target_name = if failure.is_some() { REFUSALS } else { ANSWERS };
+        let running = self.admission.lock().running();
+        let reason = failure.map(|f| headers::reason_text(f.reason));
+        let verdict = failure.map(|f| f.verdict.as_str());
+        let request = headers::request_id(call, dialect);
+        if target_name == REFUSALS {
+            tracing::info!(target: REFUSALS, event = "owner_ran", request, route = %call.route,
+                priority = call.urgency.priority, running, waited_ms = waited.0, took_us = latency.0, reason, verdict);
+            return;
+        }
+        tracing::info!(target: ANSWERS, event = "owner_ran", request, route = %call.route,
+            priority = call.urgency.priority, running, waited_ms = waited.0, took_us = latency.0, status);
+    }
+
+    pub(super) fn is_idle(&self) -> bool {
+        let admission = self.admission.lock();
+        admission.running() + admission.queued() == 0
+    }
+
+    /// Waits until the queue releases or refuses a call. While calls wait, they advance the queue's
+    /// timeouts themselves, so that an idle upstream costs nothing.
+    pub(super) async fn wait_for_slot(&self, mut rx: oneshot::Receiver<Result<()>>) -> Result<()> {
+        loop {
+            match timeout(QUEUE_TICK, &mut rx).await {
+                Ok(Ok(result)) => return result,
+                Ok(Err(_)) => return Err(Failure::not_run(Reason::Draining)),
+                Err(_) => {
+                    let released = self.admission.lock().tick(clock::now());
+                    self.release(released);
+                }
+            }
+        }
+    }
+
+    pub(super) fn release(&self, released: Vec<Released>) {
+        let mut waiting = self.waiting.lock();
+        for release in released {
+            let (id, result) = match release {
+                Released::Start(id) => (id, Ok(())),
+                Released::Refused(id, failure) => (id, Err(failure)),
+            };
+            let Some(tx) = waiting.remove(&id) else {
+                continue;
+            };
+            // A receiver that is gone frees its slot when it is dropped.
+            let _ = tx.send(result);
+        }
+    }
+
+    /// Refuses all waiting calls, because the upstream is replaced or gone.
+    pub(super) fn refuse_waiting(&self) {
+        for (_, tx) in self.waiting.lock().drain() {
+            let _ = tx.send(Err(Failure::not_run(Reason::NoEndpoint)));
+        }
+    }
+}
+
+/// A place in the admission of an upstream. Dropping it before the end frees the place: the caller
+/// is gone, and the connection to the upstream is closed with the request.
+#[derive(Debug)]
+pub(super) struct Slot {
+    pub(super) upstream: Arc<Upstream>,
+    pub(super) id: CallId,
+    pub(super) held: bool,
+}
+
+impl Slot {
+    pub(super) fn finish(&mut self, outcome: UpstreamResult) {
+        self.held = false;
+        let released = {
+            let mut admission = self.upstream.admission.lock();
+            admission.finish(clock::now(), self.id, outcome)
+        };
+        self.upstream.release(released);
+    }
+
+    /// Drops the place of a call that admission does not hold.
+    pub(super) fn forget(mut self) {
+        self.held = false;
+        self.upstream.waiting.lock().remove(&self.id);
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        if !self.held {
+            return;
+        }
+        self.upstream.waiting.lock().remove(&self.id);
+        let was_queued = self.upstream.admission.lock().cancel(self.id);
+        if !was_queued {
+            self.finish(UpstreamResult::Abandoned);
+        }
+    }
+}
