Take steps of a rollout only on less suspicion

Lost reports were ruled out: the leader waited for them before.

Steps are held from 0.25 on, and the one to all traffic from 0 on.

--- a/crates/coordination/src/pacing.rs
+++ b/crates/coordination/src/pacing.rs
@@ -18,7 +18,7 @@
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
-use sycamoreflow_state::config::LowTraffic;
+use sycamoreflow_state::config::{LowTraffic, Share};
 use sycamoreflow_state::ids::{DaemonId, Millis, ServiceName, VersionName};
 use sycamoreflow_state::rollout::{Rollout, RolloutPhase};
 
@@ -41,9 +41,12 @@
 pub const REPEAT_AFTER: Millis = Millis(2_000);
 /// Level of suspicion from which on no step is taken; see
 /// [`Comparison::suspicion`](crate::evidence::comparison::Comparison::suspicion). A good version
-/// reaches it with a probability of at most the square root of the false-alarm rate, and only for
-/// a while.
-pub const MAX_SUSPICION: f64 = 0.5;
+/// reaches it with a probability of at most the fourth root of the false-alarm rate, and only for a
+/// while.
+pub const MAX_SUSPICION: f64 = 0.25;
+/// The same for the step to all traffic. Above zero, the evidence is against the version rather than
+/// for it. A good version that has had its calls is below.
+pub const MAX_LAST_SUSPICION: f64 = 0.0;
 
 /// Endpoints of one version that can take calls.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -248,6 +251,14 @@
     })
 }
 
+/// Returns the level of suspicion from which on the next step is not taken.
+fn max_suspicion(rollout: &Rollout) -> f64 {
+    match rollout.rule.steps.get(rollout.step as usize) {
+        Some(share) if *share == Share::ALL => MAX_LAST_SUSPICION,
+        _ => MAX_SUSPICION,
+    }
+}
+
 fn waiting(
     now: Millis,
     rollout: &Rollout,
@@ -264,7 +275,7 @@
     if rollout.phase == RolloutPhase::Planned {
         return Waiting::OnPlan;
     }
-    if tracker.comparison.suspicion() >= MAX_SUSPICION {
+    if tracker.comparison.suspicion() >= max_suspicion(rollout) {
         return Waiting::Suspicion;
     }
     if !heard || !tracker.has_reports(now) {
--- a/crates/coordination/src/pacing/tests.rs
+++ b/crates/coordination/src/pacing/tests.rs
@@ -4,7 +4,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
-use sycamoreflow_state::config::{FinishTime, MeshConfig, RolloutRule, ServiceConfig, Share};
+use sycamoreflow_state::config::{FinishTime, MeshConfig, RolloutRule, ServiceConfig};
 use sycamoreflow_state::ids::RouteName;
 
 use super::*;
@@ -28,6 +28,10 @@
         false_alarm: Share::percent(1),
         low_traffic,
     };
+    mesh_with(version, rule)
+}
+
+fn mesh_with(version: &str, rule: RolloutRule) -> MeshConfig {
     let service = ServiceConfig {
         version: version.into(),
         callers: Vec::new(),
@@ -50,6 +54,8 @@
 /// A daemon that counts calls without the real counters: every `1 / share`-th call is a new one.
 struct Daemon {
     name: DaemonId,
+    /// Calls that the new version got.
+    exposed: u64,
     evidence: RolloutEvidence,
     rng: ChaCha8Rng,
 }
@@ -58,6 +64,7 @@
     fn new(index: usize) -> Self {
         Self {
             name: format!("d{index}").into(),
+            exposed: 0,
             evidence: RolloutEvidence {
                 rollout: 1,
                 ..RolloutEvidence::default()
@@ -79,6 +86,7 @@
         let counts: &mut RouteEvidence = self.evidence.routes.entry(route.clone()).or_default();
         for _ in 0..count {
             let new = self.rng.random_bool(share.ratio());
+            self.exposed += u64::from(new);
             let failed = self.rng.random_bool(failure[usize::from(new)]);
             let call = FinishedCall {
                 route: &route,
@@ -141,25 +149,30 @@
     /// Runs one second at each whole second from `from` to `to`.
     fn run(&mut self, from: u64, to: u64) {
         for second in from..to {
-            let now = Millis(second * 1000);
             if self.new_leader_at.contains(&second) {
                 self.pacer = Pacer::new(second);
             }
-            let share = self.rollout().share();
-            for daemon in &mut self.daemons {
-                daemon.calls(self.calls, share, self.failure);
-                if self.reports {
-                    self.pacer.report(now, &daemon.name, &daemon.report());
-                }
+            self.step(Millis(second * 1000));
+        }
+    }
+
+    /// Runs the calls of one interval and a tick of the leader after them.
+    fn step(&mut self, now: Millis) {
+        let second = now.0 / 1_000;
+        let share = self.rollout().share();
+        for daemon in &mut self.daemons {
+            daemon.calls(self.calls, share, self.failure);
+            if self.reports {
+                self.pacer.report(now, &daemon.name, &daemon.report());
             }
-            let capacity = self.capacity;
-            for command in self.pacer.tick(now, &self.rollouts, |_, _| capacity) {
-                if self.lost_commands && second % 3 != 0 {
-                    continue;
-                }
-                assert_eq!(self.rollouts.apply(&command), Ok(true));
-                self.steps.push((second, self.rollout().step));
+        }
+        let capacity = self.capacity;
+        for command in self.pacer.tick(now, &self.rollouts, |_, _| capacity) {
+            if self.lost_commands && !second.is_multiple_of(3) {
+                continue;
             }
+            assert_eq!(self.rollouts.apply(&command), Ok(true));
+            self.steps.push((second, self.rollout().step));
         }
     }
 
@@ -206,6 +219,71 @@
     assert_eq!(sim.phase(), expected);
 }
 
+/// A rollout of 16 s among 1,920 calls, played with many seeds.
+struct BriskOutcome {
+    /// Rollouts in which the new version got more than a tenth of all calls and 50.
+    exceeded: usize,
+    /// Rollouts that have reached all traffic in time.
+    complete: usize,
+}
+
+const BRISK_ROLLOUTS: u64 = 60;
+
+fn run_brisk(failure: [f64; 2]) -> BriskOutcome {
+    const SECONDS: u64 = 16;
+    /// Calls of a daemon between two ticks of 100 ms.
+    const CALLS: u64 = 3;
+    let rule = RolloutRule {
+        finish: FinishTime::Within(Millis(SECONDS * 1_000)),
+        ..RolloutRule::brisk()
+    };
+    let mut outcome = BriskOutcome {
+        exceeded: 0,
+        complete: 0,
+    };
+    for seed in 0..BRISK_ROLLOUTS {
+        let mut sim = Sim::new(rule.low_traffic, CALLS);
+        sim.rollouts = Rollouts::default();
+        for version in ["v1", "v2"] {
+            let mesh = mesh_with(version, rule.clone());
+            sim.rollouts.approve(&mesh, Millis(0));
+        }
+        sim.failure = failure;
+        for (index, daemon) in sim.daemons.iter_mut().enumerate() {
+            daemon.rng = ChaCha8Rng::seed_from_u64(seed * 100 + index as u64);
+        }
+        for tick in 0..SECONDS * 10 {
+            sim.step(Millis(tick * 100));
+        }
+        let exposed: u64 = sim.daemons.iter().map(|daemon| daemon.exposed).sum();
+        let allowed = SECONDS * CALLS * DAEMONS as u64 + 50;
+        outcome.exceeded += usize::from(exposed > allowed);
+        outcome.complete += usize::from(sim.phase() == RolloutPhase::Watching);
+    }
+    outcome
+}
+
+/// Pattern: a version that fails one call in five is rolled out within seconds.
+///
+/// Guards against steps to large shares while the evidence against the version grows. No rollout
+/// should exceed its part; the one in twenty that may is listed as open in `docs/platform.md`.
+#[test]
+fn tick_brisk_bad_version() {
+    let outcome = run_brisk([0.02, 0.2]);
+    assert!(
+        outcome.exceeded as u64 <= BRISK_ROLLOUTS / 20,
+        "{}",
+        outcome.exceeded
+    );
+}
+
+/// Guards against good versions that miss their time because of weak evidence against them.
+#[test]
+fn tick_brisk_good_version() {
+    let outcome = run_brisk([0.02, 0.02]);
+    assert_eq!(outcome.complete as u64, BRISK_ROLLOUTS);
+}
+
 /// Guards against a new leader that steps or takes back on missing data, at each step, and against
 /// one that never goes on.
 #[rstest]
