Share code that the platform work had written again

- Hub::ask sends an event to the replica and waits for its result.
Hub::read and the documents module each did that.
- The owner counts the calls in flight of an upstream in one place.
- Digests of documents and fingerprints of requests share the step that keeps parts apart.
The digests are the same bytes as before.
- Functions that only their own module calls are private again after the split of proxy.rs and owner.rs.

--- a/crates/coordination/src/fingerprint.rs
+++ b/crates/coordination/src/fingerprint.rs
@@ -29,10 +29,14 @@
     fn hash(parts: &[&[u8]]) -> Self {
         let mut hasher = Sha256::new();
         for part in parts {
-            // The length keeps parts apart whose bytes could move from one to the next.
-            hasher.update((part.len() as u64).to_le_bytes());
-            hasher.update(part);
+            add_part(&mut hasher, part);
         }
         Self(hasher.finalize().into())
     }
 }
+
+/// Adds a part to a hash. Its length keeps parts apart whose bytes could move from one to the next.
+pub(crate) fn add_part(hasher: &mut Sha256, part: &[u8]) {
+    hasher.update((part.len() as u64).to_le_bytes());
+    hasher.update(part);
+}
--- a/crates/coordination/src/machine/document.rs
+++ b/crates/coordination/src/machine/document.rs
@@ -17,6 +17,7 @@
 use sycamoreflow_state::ids::{Millis, RouteName, ServiceName};
 
 use super::check::check_config;
+use crate::fingerprint::add_part;
 
 #[cfg(test)]
 mod tests;
@@ -134,8 +135,7 @@
         hash.update(self.base.to_le_bytes());
         for (key, part) in &self.parts {
             for text in [key, &part.source] {
-                hash.update((text.len() as u64).to_le_bytes());
-                hash.update(text.as_bytes());
+                add_part(&mut hash, text.as_bytes());
             }
         }
         let whole: [u8; 32] = hash.finalize().into();
--- a/crates/daemon/src/control/documents.rs
+++ b/crates/daemon/src/control/documents.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use async_std::future::timeout;
-use futures::channel::oneshot;
 use sycamoreflow_coordination::machine::document::Document;
 use sycamoreflow_coordination::machine::{Command, Outcome};
 use sycamoreflow_coordination::rollout::OrderStatus;
@@ -62,9 +61,8 @@
         return Ok(Replaced::Invalid(problems));
     }
     for _ in 0..MAX_PROPOSALS {
-        let (tx, rx) = oneshot::channel();
-        let event = Event::Replace(Box::new(document.clone()), tx);
-        match outcome(hub, event, rx).await? {
+        let proposed = Box::new(document.clone());
+        match in_time(hub.ask(|tx| Event::Replace(proposed, tx))).await? {
             Outcome::Replaced { repeated, .. } => return Ok(Replaced::Accepted { repeated }),
             Outcome::BaseOutdated { current } => return Ok(Replaced::BaseOutdated { current }),
             Outcome::Invalid { problems } => return Ok(Replaced::Invalid(problems)),
@@ -102,9 +100,7 @@
         within,
         at: clock::unix_now(),
     };
-    let (tx, rx) = oneshot::channel();
-    let event = Event::Propose(Box::new(command), tx);
-    match outcome(hub, event, rx).await? {
+    match in_time(hub.ask(|tx| Event::Propose(Box::new(command), tx))).await? {
         Outcome::Done { .. } => Ok(Ordered::Accepted),
         Outcome::Refused { reason } => Ok(Ordered::Refused(reason)),
         _ => Err(Unavailable::default()),
@@ -121,17 +117,6 @@
     in_time(reading).await
 }
 
-async fn outcome(
-    hub: &Hub,
-    event: Event,
-    rx: oneshot::Receiver<Result<Outcome>>,
-) -> Result<Outcome> {
-    if !hub.send(event) {
-        return Err(Unavailable::default());
-    }
-    in_time(async { rx.await.unwrap_or_else(|_| Err(Unavailable::default())) }).await
-}
-
 async fn in_time<T>(work: impl Future<Output = Result<T>>) -> Result<T> {
     match timeout(OUTCOME_TIMEOUT, work).await {
         Ok(result) => result,
--- a/crates/daemon/src/control/hub.rs
+++ b/crates/daemon/src/control/hub.rs
@@ -182,13 +182,28 @@
     pub async fn read<T: Send + 'static>(
         &self,
         read: impl FnOnce(&Replica) -> T + Send + 'static,
+    ) -> event::Result<T> {
+        self.ask(|tx| {
+            Event::Read(Box::new(move |replica| {
+                // Fails if the reader has gone.
+                let _ = tx.send(replica.map(read));
+            }))
+        })
+        .await
+    }
+
+    /// Sends the replica the event that `make` builds around a sender, and returns what the replica
+    /// sends back.
+    ///
+    /// # Errors
+    ///
+    /// Those of the replica, or if it has stopped.
+    pub async fn ask<T>(
+        &self,
+        make: impl FnOnce(oneshot::Sender<event::Result<T>>) -> Event,
     ) -> event::Result<T> {
         let (tx, rx) = oneshot::channel();
-        let event = Event::Read(Box::new(move |replica| {
-            // Fails if the reader has gone.
-            let _ = tx.send(replica.map(read));
-        }));
-        if !self.send(event) {
+        if !self.send(make(tx)) {
             return Err(Unavailable::default());
         }
         rx.await.unwrap_or_else(|_| Err(Unavailable::default()))
--- a/crates/daemon/src/proxy/attempts.rs
+++ b/crates/daemon/src/proxy/attempts.rs
@@ -133,7 +133,7 @@
         }
     }
 
-    pub(super) async fn send(
+    async fn send(
         &self,
         admitted: &Admitted,
         target: &Target,
@@ -181,7 +181,7 @@
 }
 
 impl Admitted {
-    pub(super) fn log_retry(&self, target: &Target, failure: Failure, attempt: u32) {
+    fn log_retry(&self, target: &Target, failure: Failure, attempt: u32) {
         metrics::counter!("sycamoreflow_retries_total").increment(1);
         tracing::info!(target: REFUSALS, event = "retry", request = self.request_id.as_deref(),
             endpoint = %target.daemon, reason = headers::reason_text(failure.reason),
@@ -189,7 +189,7 @@
     }
 
     /// Returns what the next attempt is to achieve, if the route has a target.
-    pub(super) fn goal(&self, now: Millis, sizes: &CallSizes) -> Option<Goal> {
+    fn goal(&self, now: Millis, sizes: &CallSizes) -> Option<Goal> {
         let target = self.target?.min(self.deadline);
         Some(Goal {
             route: self.route.clone(),
@@ -199,7 +199,7 @@
         })
     }
 
-    pub(super) fn urgency(&self, now: Millis) -> CallUrgency {
+    fn urgency(&self, now: Millis) -> CallUrgency {
         let target = self.target.map(|target| target.min(self.deadline));
         CallUrgency {
             priority: self.priority,
--- a/crates/daemon/src/proxy/owner.rs
+++ b/crates/daemon/src/proxy/owner.rs
@@ -357,7 +357,7 @@
                 true => upstream.departed.load(Ordering::SeqCst),
                 false => upstream.draining.load(Ordering::SeqCst),
             };
-            let left = leaves && upstream.is_idle();
+            let left = leaves && upstream.in_flight() == 0;
             if silent {
                 tracing::warn!(event = "upstream_silent", %service,
                     lease_ms = ANNOUNCEMENT_LEASE.0);
@@ -400,11 +400,10 @@
     /// Returns the number of calls that run or wait.
     pub fn in_flight(&self) -> usize {
         let upstreams = self.upstreams.lock();
-        let counts = upstreams.values().map(|upstream| {
-            let admission = upstream.admission.lock();
-            admission.running() + admission.queued()
-        });
-        counts.sum()
+        upstreams
+            .values()
+            .map(|upstream| upstream.in_flight())
+            .sum()
     }
 
     /// Runs a call at the upstream beside this daemon.
--- a/crates/daemon/src/proxy/owner/upstream.rs
+++ b/crates/daemon/src/proxy/owner/upstream.rs
@@ -101,7 +101,7 @@
         admission.offer_urgent(now, id, &call.tenant, deadline, urgency)
     }
 
-    pub(super) fn route_time(&self, route: &RouteName) -> Micros {
+    fn route_time(&self, route: &RouteName) -> Micros {
         let times = self.route_times.lock();
         Micros(times.get(route).map_or(0, |time| *time as u64))
     }
@@ -169,9 +169,10 @@
             priority = call.urgency.priority, running, waited_ms = waited.0, took_us = latency.0, status);
     }
 
-    pub(super) fn is_idle(&self) -> bool {
+    /// Returns the number of calls that run or wait.
+    pub(super) fn in_flight(&self) -> usize {
         let admission = self.admission.lock();
-        admission.running() + admission.queued() == 0
+        admission.running() + admission.queued()
     }
 
     /// Waits until the queue releases or refuses a call. While calls wait, they advance the queue's
@@ -189,7 +190,7 @@
         }
     }
 
-    pub(super) fn release(&self, released: Vec<Released>) {
+    fn release(&self, released: Vec<Released>) {
         let mut waiting = self.waiting.lock();
         for release in released {
             let (id, result) = match release {
