Shorten the recovery of a restarted mesh

Ruled out: disks (5 ms a sync), replication (two round trips), lost links (all up within 0.3 s), the rate of joins (nobody was deferred).

Change: - A replacement is checked by what it touches; a property test compares the short check with the whole one. - The leader rebuilds configuration resources only when their version changes. - A replica without a leader lets subscribers wait for the election up to 0.9 s and sends them away after that, not after 1.5 s. Subscribers double their backoff once per pass over the replicas, not per replica: in a cut, 3 of 100 met all replicas without a quorum first. - Full states are compressed. First elections begin after 0.15 to 0.45 s, and of two replicas that stand at once one yields. - Callers of a daemon without a view are asked to return when it is expected to have one.

check_notices_fault runs 400 instead of 50 sequences, since split votes have become rare.

--- a/crates/coordination/src/machine.rs
+++ b/crates/coordination/src/machine.rs
@@ -29,6 +29,7 @@
 use requests::Requests;
 
 pub use check::check_config;
+use check::keeps_usable;
 pub use history::{HistoryEvent, HistoryRecord, MAX_HISTORY};
 pub use requests::{MAX_OUTCOMES, OUTCOME_RETENTION};
 
@@ -337,12 +338,18 @@
                 };
             }
         }
-        let mut config = self.approved.config.clone();
+        let mut config = if keeps_usable(&self.approved.config, replacement) {
+            std::mem::take(&mut self.approved.config)
+        } else {
+            let mut changed = self.approved.config.clone();
+            replacement.change(&mut changed);
+            let problems = check_config(&changed);
+            if !problems.is_empty() {
+                return Outcome::Invalid { problems };
+            }
+            std::mem::take(&mut self.approved.config)
+        };
         replacement.change(&mut config);
-        let problems = check_config(&config);
-        if !problems.is_empty() {
-            return Outcome::Invalid { problems };
-        }
         self.documents.accept(replacement);
         self.rollouts.retain_services(&config, replacement.at);
         self.drop_key_holders(&config);
--- a/crates/coordination/src/machine/check.rs
+++ b/crates/coordination/src/machine/check.rs
@@ -2,10 +2,16 @@
 
 use std::collections::BTreeSet;
 
+use indexmap::IndexMap;
 use sycamoreflow_state::config::{MeshConfig, RouteConfig, ServiceConfig, Share};
 use sycamoreflow_state::ids::{RouteName, ServiceName};
 use sycamoreflow_state::view::KeyHolder;
 
+use super::document::{Meaning, Replacement};
+
+#[cfg(test)]
+mod tests;
+
 /// Holders of the keys of a service. A record is kept on a majority of them.
 const MAX_KEY_HOLDERS: usize = 3;
 
@@ -25,13 +31,76 @@
     for (name, service) in &config.services {
         check_service(config, name, service, &mut problems);
     }
+    let is_service = |service: &ServiceName| config.services.contains_key(service);
     for (name, route) in &config.routes {
-        check_route(config, name, route, &mut problems);
+        check_route(config, name, route, is_service, &mut problems);
     }
     check_shadowing(config, &mut problems);
     problems
 }
 
+/// Returns whether a change keeps a usable configuration usable, looking only at what it touches. A
+/// restarted replica applies hundreds of changes before it can serve, and each would otherwise cost a
+/// check of all routes.
+///
+/// `false` means that only [`check_config`] can tell.
+pub(super) fn keeps_usable(config: &MeshConfig, change: &Replacement) -> bool {
+    let removes_service =
+        |(_, meaning): &(String, Meaning)| matches!(meaning, Meaning::Service(..));
+    if change.removals.iter().any(removes_service) {
+        return false;
+    }
+    let mut routes: IndexMap<&RouteName, Option<&RouteConfig>> = IndexMap::new();
+    for (_, meaning) in &change.removals {
+        if let Meaning::Route(name, _) = meaning {
+            routes.insert(name, None);
+        }
+    }
+    let mut services = BTreeSet::new();
+    let mut problems = Vec::new();
+    for part in change.upserts.values() {
+        match &part.meaning {
+            Meaning::Service(name, service) if service.callers.is_empty() => {
+                check_service(config, name, service, &mut problems);
+                services.insert(name);
+            }
+            Meaning::Service(..) => return false,
+            Meaning::Route(name, route) => drop(routes.insert(name, Some(route))),
+            Meaning::Other => {}
+        }
+    }
+    let is_service =
+        |service: &ServiceName| config.services.contains_key(service) || services.contains(service);
+    for (name, route) in &routes {
+        let Some(route) = route else { continue };
+        check_route(config, name, route, is_service, &mut problems);
+        let unchanged = config
+            .routes
+            .iter()
+            .filter(|(n, _)| !routes.contains_key(n));
+        let changed = routes.iter().filter(|(n, _)| *n != name);
+        let others = unchanged
+            .map(|(_, other)| other)
+            .chain(changed.filter_map(|(_, other)| *other));
+        if repeats_method(route) || others.into_iter().any(|other| overlap(route, other)) {
+            return false;
+        }
+    }
+    problems.is_empty()
+}
+
+/// Returns whether some request matches two routes equally well.
+fn overlap(a: &RouteConfig, b: &RouteConfig) -> bool {
+    let same_place = a.prefix == b.prefix && a.delivery.host == b.delivery.host;
+    let shared = |method: &String| b.methods.contains(method);
+    same_place && (a.methods.is_empty() || b.methods.is_empty() || a.methods.iter().any(shared))
+}
+
+fn repeats_method(route: &RouteConfig) -> bool {
+    let distinct: BTreeSet<&String> = route.methods.iter().collect();
+    distinct.len() != route.methods.len()
+}
+
 fn check_service(
     config: &MeshConfig,
     name: &ServiceName,
@@ -59,10 +128,11 @@
     config: &MeshConfig,
     name: &RouteName,
     route: &RouteConfig,
+    is_service: impl Fn(&ServiceName) -> bool,
     problems: &mut Vec<String>,
 ) {
     for service in route.services() {
-        if !config.services.contains_key(service) {
+        if !is_service(service) {
             problems.push(format!(
                 "route {name} leads to the unknown service {service}"
             ));
--- a/crates/coordination/src/machine/document.rs
+++ b/crates/coordination/src/machine/document.rs
@@ -68,7 +68,7 @@
 }
 
 /// A document as the parts in which it differs from its base.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case")]
 pub struct Replacement {
     /// Number of the document.
--- a/crates/coordination/src/publication.rs
+++ b/crates/coordination/src/publication.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use sycamoreflow_state::ids::ViewVersion;
+use sycamoreflow_state::ids::{ConfigVersion, ViewVersion};
 use sycamoreflow_state::view::{Resource, ResourceKey, View};
 
 use crate::leases::Leases;
@@ -14,17 +14,26 @@
 #[derive(Debug)]
 pub struct Publication {
     view: View,
+    /// Version of the configuration resources in the view, if they come from this leader.
+    config: Option<ConfigVersion>,
 }
 
 impl Publication {
     /// Starts from the view that this replica distributed as a follower.
     pub fn new(followed: View) -> Self {
-        Self { view: followed }
+        Self {
+            view: followed,
+            config: None,
+        }
     }
 
     /// Returns the view at the present versions of the replicated state and the endpoint table.
     pub fn update(&mut self, state: &ControlState, leases: &Leases) -> View {
-        self.replace_config(state);
+        // Most publications change endpoints only, and the configuration has hundreds of routes.
+        if self.config != Some(state.version()) {
+            self.replace_config(state);
+            self.config = Some(state.version());
+        }
         self.replace_endpoints(leases);
         self.view.set_version(ViewVersion {
             config: state.version(),
--- a/crates/coordination/src/raft.rs
+++ b/crates/coordination/src/raft.rs
@@ -74,7 +74,7 @@
 const ELECTION_MAX: Millis = Millis(1400);
 /// Shortest and longest time without a leader after a start. A leader that exists makes itself heard
 /// within a heartbeat, and a pre-vote disturbs nobody who hears it.
-const STARTUP_MS: std::ops::Range<u64> = 300..700;
+const STARTUP_MS: std::ops::Range<u64> = 150..450;
 /// Shortest and longest duration of a round of pre-votes or votes.
 const ROUND_MS: std::ops::Range<u64> = 200..500;
 /// How often the duration of a vote is doubled after votes without a result. Disks that take
--- a/crates/coordination/src/raft/election.rs
+++ b/crates/coordination/src/raft/election.rs
@@ -61,6 +61,12 @@
         let follows = self.leader.is_some() && self.now.since(self.leader_heard) < ELECTION_MIN;
         let leads = matches!(self.state, State::Leader(_));
         let granted = !follows && !leads && term >= self.hard.term && last >= self.log.last();
+        // Two replicas that stand at the same time would split the votes and wait for another round.
+        let both_stand = matches!(self.state, State::PreCandidate { .. });
+        if granted && both_stand && peer.id > self.me.id {
+            self.state = State::Follower;
+            self.start_round(0);
+        }
         let body = Body::PreVoteAnswer { term, granted };
         self.send_to_peer(peer, body);
     }
--- a/crates/coordination/src/raft/tests/faults.rs
+++ b/crates/coordination/src/raft/tests/faults.rs
@@ -101,6 +101,9 @@
     check_recovery(&mut sim)
 }
 
+/// Runs of random events. Split votes are rare, since one of two candidates yields.
+const RANDOM_RUNS: usize = 400;
+
 /// Random events, as in the property tests.
 fn random_events(fault: Option<Fault>) -> Verdict {
     let config = ProptestConfig {
@@ -109,7 +112,7 @@
     };
     let mut runner = TestRunner::new(config);
     let strategy = (any::<u64>(), events(60));
-    for _ in 0..50 {
+    for _ in 0..RANDOM_RUNS {
         let (seed, list) = strategy.new_tree(&mut runner).unwrap().current();
         run_events(&mut Sim::formed(5, seed, fault), &list)?;
     }
--- a/crates/daemon/src/control/hub.rs
+++ b/crates/daemon/src/control/hub.rs
@@ -4,6 +4,7 @@
 use std::sync::mpsc;
 
 use async_std::channel;
+use async_std::future::timeout;
 use bytes::Bytes;
 use futures::channel::oneshot;
 use parking_lot::Mutex;
@@ -47,9 +48,17 @@
     joins: Mutex<JoinLimiter>,
     sessions: Mutex<Sessions>,
     members: Mutex<Arc<Vec<DaemonId>>>,
+    leaderless: Mutex<Leaderless>,
     events: mpsc::Sender<Event>,
 }
 
+/// Since when the replica knows no leader, and who waits for one.
+#[derive(Debug)]
+struct Leaderless {
+    since: Option<Millis>,
+    waiting: Vec<oneshot::Sender<()>>,
+}
+
 #[derive(Debug, Default)]
 struct Sessions {
     next_id: u64,
@@ -87,6 +96,10 @@
             joins: Mutex::new(JoinLimiter::new(clock::now(), joins_per_second)),
             sessions: Mutex::default(),
             members: Mutex::default(),
+            leaderless: Mutex::new(Leaderless {
+                since: Some(clock::now()),
+                waiting: Vec::new(),
+            }),
             events,
         }
     }
@@ -128,6 +141,46 @@
         self.members.lock().clone()
     }
 
+    /// Notes whether the replica knows a leader.
+    pub fn set_leader_known(&self, known: bool) {
+        let mut leaderless = self.leaderless.lock();
+        if !known {
+            leaderless.since = leaderless.since.or(Some(clock::now()));
+            return;
+        }
+        leaderless.since = None;
+        for waiting in leaderless.waiting.drain(..) {
+            // The one who waits may have gone.
+            let _ = waiting.send(());
+        }
+    }
+
+    /// Returns whether no leader has been known for `limit`, so that an election is unlikely to
+    /// succeed here.
+    pub fn has_no_leader_for(&self, limit: Millis) -> bool {
+        let since = self.leaderless.lock().since;
+        since.is_some_and(|since| clock::now().since(since) >= limit)
+    }
+
+    /// Waits for a leader until none has been known for `limit`. Returns whether there is one.
+    pub async fn wait_for_leader(&self, limit: Millis) -> bool {
+        let (left, rx) = {
+            let mut leaderless = self.leaderless.lock();
+            let Some(since) = leaderless.since else {
+                return true;
+            };
+            let left = since.after(limit).since(clock::now());
+            if left == Millis(0) {
+                return false;
+            }
+            let (tx, rx) = oneshot::channel();
+            leaderless.waiting.push(tx);
+            (left, rx)
+        };
+        let known = timeout(clock::duration(left), rx).await;
+        matches!(known, Ok(Ok(())))
+    }
+
     /// Returns the published view.
     pub fn view(&self) -> Arc<View> {
         self.distribution.lock().view().clone()
@@ -150,7 +203,7 @@
             let Some(delta) = distribution.update_for(interest, have) else {
                 return Bytes::new();
             };
-            let update = FromReplica::Update(Box::new(delta));
+            let update = FromReplica::Update(Box::new(delta)).pack();
             codec::encode(&update).map_or_else(|_| Bytes::new(), Bytes::from)
         });
         // An empty frame stands for "nothing that this interest wants has changed".
--- a/crates/daemon/src/control/peers.rs
+++ b/crates/daemon/src/control/peers.rs
@@ -20,7 +20,7 @@
 use crate::settings::ReplicaAddress;
 
 /// Wait before a failed link is opened again. The replicated log repeats what was lost.
-const RECONNECT_INTERVAL: Duration = Duration::from_millis(200);
+const RECONNECT_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Replicas that this one keeps links to at most. A group has far fewer members and applicants.
 const MAX_PEERS: usize = 64;
@@ -174,6 +174,13 @@
             return;
         }
         while let Ok(message) = rx.receive::<FromReplica>().await {
+            let Ok(message) = message.unpack() else {
+                tracing::warn!(
+                    event = "replica_update",
+                    "update of the leader can't be unpacked"
+                );
+                return;
+            };
             let delta = match message {
                 FromReplica::Update(delta) => delta,
                 // Subscribers of this replica get them by the link between the replicas.
--- a/crates/daemon/src/control/replica.rs
+++ b/crates/daemon/src/control/replica.rs
@@ -40,9 +40,10 @@
 /// about 0.4 MB with 880 services.
 const SNAPSHOT_BYTES: usize = 8 << 20;
 
-/// How long a replica may know no leader before its subscribers are sent away. An election takes
-/// less, and must not cause a herd of reconnects.
-const NO_QUORUM_AFTER: Millis = Millis(1_500);
+/// How long a replica may know no leader before its subscribers are sent away. An election after a
+/// lost leader takes 0.2 to 0.7 s from then on, and must not cause a herd of reconnects. Subscribers
+/// at a replica that is cut off need the rest of the 2 s in which a change has to be in force.
+pub(crate) const NO_QUORUM_AFTER: Millis = Millis(900);
 
 /// Result of a step. After an error the replica takes no further part.
 type Stored = std::result::Result<(), StorageError>;
@@ -75,7 +76,8 @@
     standing: Standing,
     term: u64,
     leader_id: Option<DaemonId>,
-    leaderless_since: Option<Millis>,
+    /// When subscribers were last sent away for lack of a leader.
+    dismissed: Millis,
     leader: Option<Leader>,
     waiting: BTreeMap<Token, Waiting>,
     proposed: BTreeMap<u64, Proposed>,
@@ -134,7 +136,7 @@
             standing: Standing::Unformed,
             term: 0,
             leader_id: None,
-            leaderless_since: None,
+            dismissed: Millis::default(),
             leader: None,
             waiting: BTreeMap::new(),
             proposed: BTreeMap::new(),
@@ -404,21 +406,17 @@
             self.fail_waiting();
         }
         self.peers.set_leader(self.leader_id.clone());
-        self.leaderless_since = match self.leader_id {
-            Some(_) => None,
-            None => self.leaderless_since.or(Some(clock::now())),
-        };
+        self.hub.set_leader_known(self.leader_id.is_some());
     }
 
     /// Sends subscribers to other replicas once no quorum has been in reach for some time.
     fn dismiss_without_quorum(&mut self) {
-        let Some(since) = self.leaderless_since else {
-            return;
-        };
-        if clock::now().since(since) < NO_QUORUM_AFTER {
+        let now = clock::now();
+        let is_due = now.since(self.dismissed) >= NO_QUORUM_AFTER;
+        if !is_due || !self.hub.has_no_leader_for(NO_QUORUM_AFTER) {
             return;
         }
-        self.leaderless_since = Some(clock::now());
+        self.dismissed = now;
         self.hub.command_all(&SessionCommand::NoQuorum);
     }
 
--- a/crates/daemon/src/control/sessions.rs
+++ b/crates/daemon/src/control/sessions.rs
@@ -13,7 +13,7 @@
 use sycamoreflow_transport::link::{Receiver, SendError, Sender};
 
 use crate::control::hub::{Hub, Registration, SessionCommand};
-use crate::control::replica::Event;
+use crate::control::replica::{Event, NO_QUORUM_AFTER};
 
 /// How long a subscriber may take to say what it wants.
 const SUBSCRIBE_TIMEOUT: Duration = Duration::from_secs(2);
@@ -21,6 +21,12 @@
 /// How long an admission waits for the published view to reach the confirmed version.
 const CATCH_UP_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// How long an admission waits for a quorum. Subscribers give up after 3 s.
+const CONFIRM_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Pause before a failed confirmation is asked for again while a leader is known.
+const CONFIRM_PAUSE: Duration = Duration::from_millis(50);
+
 /// Result of a part of a session.
 type Result<T> = std::result::Result<T, SendError>;
 
@@ -88,8 +94,21 @@
 }
 
 /// Returns when the published view has reached what a quorum confirms, or the refusal.
+///
+/// While an election may be under way, the subscriber waits here: to open links at one replica after
+/// the other would cost all of them more than the election.
 async fn admission(hub: &Hub) -> std::result::Result<ConfigVersion, FromReplica> {
-    let floor = hub.confirm().await.ok_or(FromReplica::NoQuorum)?;
+    let limit = Instant::now() + CONFIRM_TIMEOUT;
+    let floor = loop {
+        if let Some(floor) = hub.confirm().await {
+            break floor;
+        }
+        if Instant::now() > limit || !hub.wait_for_leader(NO_QUORUM_AFTER).await {
+            return Err(FromReplica::NoQuorum);
+        }
+        // A leader that can't confirm its lead steps down within its own time limit.
+        task::sleep(CONFIRM_PAUSE).await;
+    };
     let limit = Instant::now() + CATCH_UP_TIMEOUT;
     while hub.view().version().config < floor {
         if Instant::now() > limit {
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -56,6 +56,13 @@
 /// When a caller may come back if nothing better is known.
 const RETRY_AFTER: Millis = Millis(300);
 
+/// Time from the start of a daemon to its first view when the whole mesh has restarted: an election,
+/// the subscription and the transfer of the state. Measured: 0.6 to 1.2 s.
+const START_TIME: Millis = Millis(1_000);
+
+/// Shortest time after which a caller is asked to return to a daemon without a view.
+const MIN_START_LEFT: Millis = Millis(150);
+
 /// Latency between data centres that the first estimates assume.
 const FIRST_HOP: Micros = Micros(1_000);
 
@@ -67,6 +74,7 @@
     daemon: DaemonId,
     data_centre: DataCentre,
     incarnation: u64,
+    started: Millis,
     active: ArcSwapOption<Active>,
     services: RwLock<HashMap<ServiceName, Arc<Service>>>,
     links: CallLinks,
@@ -125,6 +133,7 @@
             daemon: parts.daemon,
             data_centre: parts.data_centre,
             incarnation: parts.incarnation,
+            started: clock::now(),
             active: ArcSwapOption::empty(),
             services: RwLock::default(),
             links: parts.links,
@@ -321,6 +330,8 @@
         let tenant = caller.tenant.clone();
         trace.request_id = caller.request_id.clone();
         let Some(active) = self.active.load_full() else {
+            let left = self.started.after(START_TIME).since(clock::now());
+            trace.retry_after = Some(left.max(MIN_START_LEFT));
             return (Err(Failure::not_run(Reason::NotReady)), tenant);
         };
         trace.view = Some(active.view.version());
--- a/crates/daemon/src/subscriber.rs
+++ b/crates/daemon/src/subscriber.rs
@@ -17,6 +17,7 @@
 use rand::{RngExt, SeedableRng};
 use sycamoreflow_coordination::evidence::REPORT_INTERVAL;
 use sycamoreflow_coordination::leases::RENEW_INTERVAL;
+use sycamoreflow_protocol::codec::CodecError;
 use sycamoreflow_protocol::distribution::{FromReplica, FromSubscriber};
 use sycamoreflow_protocol::handshake::{Identity, Purpose};
 use sycamoreflow_state::ids::{DaemonId, Millis};
@@ -31,8 +32,8 @@
 use crate::traffic::{LinkMeter, Traffic};
 
 /// Shortest upper bound of the wait before another attempt. The wait is drawn between zero and the
-/// bound, which doubles up to that of the settings, so that daemons that failed together do not
-/// return together.
+/// bound, so that daemons that failed together do not return together. The bound doubles, up to that
+/// of the settings, each time that all known replicas have been tried.
 const BACKOFF_MIN: Millis = Millis(100);
 
 /// How long no replica has served the daemon when it logs a warning. Founding a group and electing
@@ -76,6 +77,12 @@
     }
 }
 
+impl From<CodecError> for Ended {
+    fn from(error: CodecError) -> Self {
+        Self::Link(LinkError::Codec(error))
+    }
+}
+
 impl From<SendError> for Ended {
     fn from(error: SendError) -> Self {
         Self::Send(error)
@@ -153,7 +160,9 @@
             };
             tracing::info!(event = "subscription", up = false, replica = %replica.daemon,
                 reason = %ended, wait_ms = wait.0);
-            bound = Millis((bound.0 * 2).min(self.max_backoff.0));
+            if order.is_empty() {
+                bound = Millis((bound.0 * 2).min(self.max_backoff.0));
+            }
             if self.proxy.view().is_none() && order.is_empty() {
                 self.start_from_witnesses().await;
             }
@@ -235,7 +244,8 @@
 
     async fn take_updates(&self, tx: &Sender, mut rx: Receiver) -> Result<()> {
         loop {
-            match rx.receive::<FromReplica>().await? {
+            match rx.receive::<FromReplica>().await?.unpack()? {
+                FromReplica::Packed(_) => return Err(Ended::Diverged),
                 FromReplica::Update(delta) => self.take_update(tx, &delta).await?,
                 FromReplica::Grants(grants) => self.proxy.grant(&grants),
                 FromReplica::Members(members) => self.replicas.set_members(&members),
--- a/crates/protocol/src/distribution.rs
+++ b/crates/protocol/src/distribution.rs
@@ -1,6 +1,9 @@
 //! Conversation between a subscriber (every daemon) and a control replica.
 
+use miniz_oxide::deflate::compress_to_vec;
+use miniz_oxide::inflate::decompress_to_vec_with_limit;
 use serde::{Deserialize, Serialize};
+use serde_bytes::ByteBuf;
 use sycamoreflow_coordination::evidence::EvidenceReport;
 use sycamoreflow_coordination::shares::Grant;
 use sycamoreflow_coordination::suspect::SuspectReport;
@@ -8,6 +11,11 @@
 use sycamoreflow_state::ids::{ConfigVersion, DaemonId, Millis, ViewVersion};
 use sycamoreflow_state::view::{Delta, Interest};
 
+use crate::codec::{self, CodecError};
+
+#[cfg(test)]
+mod tests;
+
 /// What a subscriber sends.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -63,6 +71,9 @@
     Members(Vec<DaemonId>),
     /// Brings the subscriber to a newer version.
     Update(Box<Delta>),
+    /// Another message of a replica, compressed. A full state repeats its names many times, and all
+    /// subscribers fetch it at once after a restart.
+    Packed(ByteBuf),
     /// The replica is busy: come back after this time.
     RetryAfter(Millis),
     /// The replica has lost its quorum: use another one.
@@ -72,3 +83,40 @@
     /// Requests that have crashed upstreams at other daemons.
     Suspects(SuspectReport),
 }
+
+/// Messages below this size in bytes are sent as they are: a deflate stream would save little.
+const MIN_PACKED: usize = 1_024;
+
+/// Level of compression. The lowest one takes a full state to an eighth of its size, at a third of the
+/// time of the usual one.
+const PACK_LEVEL: u8 = 1;
+
+impl FromReplica {
+    /// Returns the message in its shorter form.
+    pub fn pack(self) -> Self {
+        let Ok(encoded) = codec::encode(&self) else {
+            return self;
+        };
+        if encoded.len() < MIN_PACKED {
+            return self;
+        }
+        Self::Packed(ByteBuf::from(compress_to_vec(&encoded, PACK_LEVEL)))
+    }
+
+    /// Returns the message that [`FromReplica::pack`] was given.
+    ///
+    /// # Errors
+    ///
+    /// [`CodecError`] if the compressed bytes hold no message, or one above the size of a frame.
+    pub fn unpack(self) -> codec::Result<Self> {
+        let Self::Packed(packed) = self else {
+            return Ok(self);
+        };
+        let encoded = decompress_to_vec_with_limit(&packed, codec::MAX_FRAME_BYTES)
+            .map_err(|error| CodecError::Malformed(error.to_string()))?;
+        match codec::decode(&encoded)? {
+            Self::Packed(_) => Err(CodecError::Malformed("packed twice".to_owned())),
+            message => Ok(message),
+        }
+    }
+}
