Publish changes of endpoints alone at most every 200 ms

Cause: after a restart of all daemons their renewals made the leader publish four times within 0.4 s; each publication goes to 82 daemons, which all answered that it was in force. That is most of the processor time of a replica with 0.075 cores in that second.

Change: an interval between publications that differ in endpoints only, and no answer to those. The short check of a replacement is left to the whole one from 17 changed parts on.

--- a/crates/coordination/src/machine/check.rs
+++ b/crates/coordination/src/machine/check.rs
@@ -15,6 +15,10 @@
 /// Holders of the keys of a service. A record is kept on a majority of them.
 const MAX_KEY_HOLDERS: usize = 3;
 
+/// Parts of a change up to which looking at what it touches is less work than a whole check, for
+/// which every changed route is compared with all others.
+const MAX_TOUCHED: usize = 16;
+
 /// Returns what would make the configuration unusable for a proxy.
 ///
 /// It covers the references between resources and the invariants of
@@ -47,7 +51,7 @@
 pub(super) fn keeps_usable(config: &MeshConfig, change: &Replacement) -> bool {
     let removes_service =
         |(_, meaning): &(String, Meaning)| matches!(meaning, Meaning::Service(..));
-    if change.removals.iter().any(removes_service) {
+    if change.removals.iter().any(removes_service) || change.upserts.len() > MAX_TOUCHED {
         return false;
     }
     let mut routes: IndexMap<&RouteName, Option<&RouteConfig>> = IndexMap::new();
--- a/crates/daemon/src/control/leader.rs
+++ b/crates/daemon/src/control/leader.rs
@@ -23,6 +23,11 @@
 /// that was late.
 const HEARD: Millis = Millis(RENEW_INTERVAL.0 + 1_500);
 
+/// Shortest time between two publications that differ in endpoints only. Each goes to all daemons; the
+/// daemon beside an upstream refuses at once what the others don't know yet, and a drain has 2 s to
+/// become known.
+const ENDPOINTS_INTERVAL: Millis = Millis(200);
+
 /// How often the progress of running rollouts is logged.
 const PROGRESS_INTERVAL: Millis = Millis(1_000);
 
@@ -52,6 +57,10 @@
     last_holder_check: Millis,
     /// Nothing is published before this time.
     settled_at: Millis,
+    /// Version of the configuration that was published last.
+    published: Option<ConfigVersion>,
+    /// Endpoints alone are not published before this time.
+    next_endpoints: Millis,
 }
 
 /// What the leader knows of a subscriber.
@@ -106,6 +115,8 @@
             last_progress: now,
             last_holder_check: Millis::default(),
             settled_at,
+            published: None,
+            next_endpoints: now,
         }
     }
 
@@ -277,7 +288,13 @@
         if !self.dirty || now < self.settled_at {
             return None;
         }
+        let is_same_config = self.published == Some(state.version());
+        if is_same_config && now < self.next_endpoints {
+            return None;
+        }
         self.dirty = false;
+        self.published = Some(state.version());
+        self.next_endpoints = now.after(ENDPOINTS_INTERVAL);
         if state.approved().version > self.accepted.version {
             self.accepted = Accepted {
                 version: state.approved().version,
--- a/crates/daemon/src/subscriber.rs
+++ b/crates/daemon/src/subscriber.rs
@@ -261,7 +261,9 @@
         match self.apply(delta) {
             Ok(view) => {
                 let version = view.version();
-                if self.enforce(view).await {
+                let before = self.proxy.view().map(|view| view.version().config);
+                // Nobody waits for endpoints to be in force; renewals name them soon enough.
+                if self.enforce(view).await && before != Some(version.config) {
                     tx.send(&FromSubscriber::InForce(version))?;
                 }
                 Ok(())
