Compare all endpoints nearby when a request is routed

Cause: a daemon kept estimates for 8 endpoints of a version, 4 of them in other data centres, so of 8 endpoints nearby each was known to half of the daemons.

Ruled out: the load that endpoints report (few of the slow ones were full), the price of distance.

Change: estimates for 16 endpoints, of which up to 4 are remote.

--- a/crates/coordination/src/routing.rs
+++ b/crates/coordination/src/routing.rs
@@ -66,6 +66,9 @@
 pub struct Tuning {
     /// Endpoints per version that estimates are kept for.
     pub subset: usize,
+    /// How many of them are of other data centres, if there are as many. They are used when those
+    /// nearby have no room.
+    pub remote_subset: usize,
     /// Random candidates per choice from each of the own and the other data centres.
     pub choices: usize,
     /// Weight of one sample in an estimate.
@@ -85,7 +88,8 @@
 impl Default for Tuning {
     fn default() -> Self {
         Self {
-            subset: 8,
+            subset: 16,
+            remote_subset: 4,
             choices: 2,
             sample_weight: 0.2,
             memory: Millis(10_000),
@@ -415,9 +419,10 @@
         };
         let rank = |index: usize| subset::rank(&self.cfg.daemon, &self.members[index].id);
         let (mut local, mut remote) = (usable(true), usable(false));
-        let for_remote = remote.len().min(self.tuning.subset / 2);
+        let for_remote = remote.len().min(self.tuning.remote_subset);
         let mut outside = subset::split(&mut local, self.tuning.subset - for_remote, rank);
-        let left = self.tuning.subset - local.len();
+        let missing = (self.tuning.subset / 2).saturating_sub(local.len());
+        let left = self.tuning.remote_subset.max(missing);
         outside.extend(subset::split(&mut remote, left, rank));
         Group {
             version,
--- a/crates/coordination/src/routing/load/tests.rs
+++ b/crates/coordination/src/routing/load/tests.rs
@@ -1,3 +1,5 @@
+mod mixed_speeds;
+
 use rstest::rstest;
 use sycamoreflow_state::endpoint::Endpoint;
 use sycamoreflow_state::ids::{DaemonId, Millis};
--- /dev/null
+++ b/crates/coordination/src/routing/load/tests/mixed_speeds.rs
@@ -0,0 +1,176 @@
+//! Pattern: many entry daemons, and endpoints of which a few are twice as fast as the others.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, VecDeque};
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use sycamoreflow_state::ids::{Micros, Millis, RouteName};
+
+use super::{endpoint, goal};
+use crate::routing::{CallResult, Load, Outcome, Router, RouterConfig};
+
+const ENTRIES: usize = 22;
+/// Time per call relative to the mean, by endpoint.
+const SPEEDS: [f64; 8] = [0.55, 1.2, 1.2, 1.2, 0.55, 1.2, 1.2, 1.2];
+/// Endpoints of the same kind in another data centre, which have their own callers.
+const REMOTE: usize = 8;
+const SLOTS: usize = 9;
+const MEAN_MS: f64 = 150.0;
+/// Calls per second. All endpoints together can run about 530.
+const RATE: f64 = 300.0;
+const SECONDS: u64 = 30;
+const TARGET: Millis = Millis(400);
+
+/// A call at an endpoint.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Call {
+    arrived: Millis,
+    entry: usize,
+}
+
+struct Server {
+    name: String,
+    speed: f64,
+    running: usize,
+    queue: VecDeque<Call>,
+    mean_us: f64,
+    calls: u64,
+}
+
+struct Mesh {
+    rng: ChaCha8Rng,
+    entries: Vec<Router>,
+    servers: Vec<Server>,
+    /// Ends of running calls, with the server and the start.
+    ends: BinaryHeap<Reverse<(Millis, usize, Call)>>,
+    late: u64,
+    /// Calls that went to the other data centre.
+    remote: u64,
+}
+
+impl Mesh {
+    fn new(seed: u64) -> Self {
+        let servers: Vec<Server> = SPEEDS
+            .iter()
+            .enumerate()
+            .map(|(index, speed)| Server {
+                name: format!("s{index}"),
+                speed: *speed,
+                running: 0,
+                queue: VecDeque::new(),
+                mean_us: MEAN_MS * 1_000.0,
+                calls: 0,
+            })
+            .collect();
+        let local = servers.iter().map(|s| endpoint(&s.name, "a"));
+        let remote = (0..REMOTE).map(|index| endpoint(&format!("r{index}"), "b"));
+        let endpoints: Vec<_> = local.chain(remote).collect();
+        let entries = (0..ENTRIES).map(|index| {
+            let mut router = Router::new(RouterConfig {
+                daemon: format!("entry{index}").into(),
+                data_centre: "a".into(),
+                hop: Micros(1_000),
+                seed: seed * 100 + index as u64,
+            });
+            router.set_endpoints(Millis(0), &endpoints);
+            router
+        });
+        Self {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            entries: entries.collect(),
+            servers,
+            ends: BinaryHeap::new(),
+            late: 0,
+            remote: 0,
+        }
+    }
+
+    fn send(&mut self, now: Millis) {
+        let entry = self.rng.random_range(0..ENTRIES);
+        let router = &mut self.entries[entry];
+        let chosen = router.choose_for(now, &"v1".into(), &[], &goal(0.06)).unwrap();
+        router.started(now, &chosen);
+        let index = self.servers.iter().position(|s| *s.name == *chosen.as_str());
+        let Some(index) = index else {
+            self.remote += 1;
+            return;
+        };
+        let call = Call { arrived: now, entry };
+        self.servers[index].calls += 1;
+        if self.servers[index].running < SLOTS {
+            self.run(now, index, call);
+        } else {
+            self.servers[index].queue.push_back(call);
+        }
+    }
+
+    fn run(&mut self, now: Millis, index: usize, call: Call) {
+        let server = &mut self.servers[index];
+        server.running += 1;
+        // The sum of uniform numbers is about normal; its exponential varies by a factor of two.
+        let spread: f64 = (0..6).map(|_| self.rng.random_range(-0.5..0.5_f64)).sum();
+        let took = MEAN_MS * server.speed * (0.8 * spread).exp() * 0.8;
+        let end = now.after(Millis(took.max(1.0) as u64));
+        self.ends.push(Reverse((end, index, call)));
+    }
+
+    fn finish(&mut self, now: Millis, index: usize, call: Call) {
+        let took = now.since(call.arrived);
+        let server = &mut self.servers[index];
+        server.running -= 1;
+        server.mean_us += (Micros::from(took).0 as f64 - server.mean_us) * 0.1;
+        self.late += u64::from(took > TARGET);
+        let name = server.name.as_str().into();
+        let load = Load {
+            running: server.running as u32,
+            queued: server.queue.len() as u32,
+            limit: SLOTS as u32,
+            mean: Micros(server.mean_us as u64),
+            route: Micros(server.mean_us as u64),
+        };
+        let route = RouteName::from("stock-check");
+        let router = &mut self.entries[call.entry];
+        router.observe_load(now, &name, load, &route);
+        let outcome = Outcome {
+            latency: Micros::from(took),
+            result: CallResult::Success,
+        };
+        router.finished(now, &name, outcome);
+        if let Some(next) = self.servers[index].queue.pop_front() {
+            self.run(now, index, next);
+        }
+    }
+
+    fn play(&mut self) {
+        for now in (0..SECONDS * 1_000).map(Millis) {
+            while let Some(Reverse((end, index, call))) = self.ends.peek().copied()
+                && end <= now
+            {
+                self.ends.pop();
+                self.finish(now, index, call);
+            }
+            if self.rng.random_bool(RATE / 1_000.0) {
+                self.send(now);
+            }
+        }
+    }
+}
+
+/// Guards against fast endpoints that stay idle because few entry daemons compare them with others.
+/// They are two of eight and can run 42% of what all can.
+#[test]
+fn choose_for_prefers_fast_endpoints() {
+    for seed in 0..5 {
+        let mut mesh = Mesh::new(seed);
+        mesh.play();
+        let local: u64 = mesh.servers.iter().map(|server| server.calls).sum();
+        let all = local + mesh.remote;
+        let fast = mesh.servers.iter().filter(|server| server.speed < 1.0);
+        let fast: u64 = fast.map(|server| server.calls).sum();
+        let share = fast as f64 / all as f64;
+        let (late, remote) = (mesh.late, mesh.remote);
+        println!("seed {seed}: {share:.2} of {all} calls, {late} late, {remote} remote");
+        assert!(share >= 0.4, "{share:.2}");
+    }
+}
--- a/crates/coordination/src/routing/tests.rs
+++ b/crates/coordination/src/routing/tests.rs
@@ -190,7 +190,7 @@
         let counts = run(&mut router, 0, calls, |_, _| success(1_000));
         used.extend(counts.into_keys());
         let tracked = router.members.iter().filter(|m| m.tracked).count();
-        assert_eq!(tracked, 8);
+        assert_eq!(tracked, Tuning::default().subset);
     }
     assert_eq!(used.len(), 100);
 }
