Hand messages of subscribers to the leader once a tick, shorten calls on the wire

Cause: each message of a subscriber woke the leader's process by itself, 40 a second in calm and some hundreds within a second after a restart.

Change: a replica collects the messages of its subscribers and sends them with its tick of 50 ms. Fields of calls have names of one letter.

--- a/crates/coordination/src/routing/load/tests/mixed_speeds.rs
+++ b/crates/coordination/src/routing/load/tests/mixed_speeds.rs
@@ -89,14 +89,22 @@
     fn send(&mut self, now: Millis) {
         let entry = self.rng.random_range(0..ENTRIES);
         let router = &mut self.entries[entry];
-        let chosen = router.choose_for(now, &"v1".into(), &[], &goal(0.06)).unwrap();
+        let chosen = router
+            .choose_for(now, &"v1".into(), &[], &goal(0.06))
+            .unwrap();
         router.started(now, &chosen);
-        let index = self.servers.iter().position(|s| *s.name == *chosen.as_str());
+        let index = self
+            .servers
+            .iter()
+            .position(|s| *s.name == *chosen.as_str());
         let Some(index) = index else {
             self.remote += 1;
             return;
         };
-        let call = Call { arrived: now, entry };
+        let call = Call {
+            arrived: now,
+            entry,
+        };
         self.servers[index].calls += 1;
         if self.servers[index].running < SLOTS {
             self.run(now, index, call);
--- a/crates/daemon/src/control/replica.rs
+++ b/crates/daemon/src/control/replica.rs
@@ -15,7 +15,7 @@
     Input, Membership, Output, Payload, Raft, Refusal, SharedEntry, Snapshot, Standing, TICK_MS,
     Token,
 };
-use sycamoreflow_protocol::replica::ReplicaMessage;
+use sycamoreflow_protocol::replica::{Forwarded, ReplicaMessage};
 use sycamoreflow_state::endpoint::Endpoint;
 use sycamoreflow_state::ids::{DaemonId, Millis};
 use sycamoreflow_transport::storage::{Storage, StorageError};
@@ -78,6 +78,8 @@
     leader_id: Option<DaemonId>,
     /// When subscribers were last sent away for lack of a leader.
     dismissed: Millis,
+    /// Messages of subscribers for the leader.
+    outbox: Vec<Forwarded>,
     leader: Option<Leader>,
     waiting: BTreeMap<Token, Waiting>,
     proposed: BTreeMap<u64, Proposed>,
@@ -137,6 +139,7 @@
             term: 0,
             leader_id: None,
             dismissed: Millis::default(),
+            outbox: Vec::new(),
             leader: None,
             waiting: BTreeMap::new(),
             proposed: BTreeMap::new(),
@@ -235,6 +238,7 @@
     fn tick(&mut self) -> Stored {
         self.step(Input::Tick)?;
         self.dismiss_without_quorum();
+        self.forward_outbox();
         let now = clock::now();
         let view = self.hub.view();
         if !view.is_empty() {
--- a/crates/daemon/src/control/replica/leading.rs
+++ b/crates/daemon/src/control/replica/leading.rs
@@ -23,6 +23,9 @@
 /// The same for a group found by seeds, where a lost voter has to be replaced soon.
 const OPEN_ADMISSION_INTERVAL: Millis = Millis(250);
 
+/// Messages that wait for the next tick at most.
+const MAX_OUTBOX: usize = 64;
+
 impl Replica {
     /// Admits a replica of the settings that is no member yet: as a voter if the settings say so,
     /// else to serve subscribers. Only one change of members can be under way, and the log refuses
@@ -93,6 +96,20 @@
             }
             return;
         }
+        self.outbox.extend(messages);
+        if self.outbox.len() >= MAX_OUTBOX {
+            self.forward_outbox();
+        }
+    }
+
+    /// Sends the collected messages of subscribers to the leader. It gets one message for all that
+    /// arrived between two ticks, since each costs it a wake-up, and after a restart hundreds of
+    /// subscribers report at once.
+    pub(super) fn forward_outbox(&mut self) {
+        if self.outbox.is_empty() {
+            return;
+        }
+        let messages = std::mem::take(&mut self.outbox);
         // Without a leader the messages are lost; renewals and reports are repeated.
         if let Some(id) = self.leader_id.as_ref().filter(|id| **id != self.id) {
             self.peers.send(id, &ReplicaMessage::Forward(messages));
--- a/crates/protocol/src/call.rs
+++ b/crates/protocol/src/call.rs
@@ -1,6 +1,9 @@
 //! Messages of the conversation by which an entry daemon runs requests at an owner daemon.
 //!
 //! Many calls share a link. Answers may arrive in any order and are matched by [`Call::id`].
+//!
+//! Field names are single letters on the wire: most calls are shorter than one KiB, and spelled out
+//! the names would be a tenth of that.
 
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
@@ -30,33 +33,43 @@
 #[serde(deny_unknown_fields, rename_all = "kebab-case")]
 pub struct Call {
     /// Number of the call, unique on its link for the life of the link.
+    #[serde(rename = "i")]
     pub id: u64,
     /// Time left until the caller's deadline, in milliseconds.
+    #[serde(rename = "m")]
     pub remaining_ms: u32,
     /// Service that is called.
+    #[serde(rename = "s")]
     pub service: ServiceName,
     /// Version that is called. A daemon beside another version refuses the call.
+    #[serde(rename = "v")]
     pub version: VersionName,
     /// Route that matched the request.
+    #[serde(rename = "r")]
     pub route: RouteName,
     /// Tenant that the request counts against.
+    #[serde(rename = "t")]
     pub tenant: TenantName,
     /// Number of earlier sends of the same request.
+    #[serde(rename = "a")]
     pub attempt: u32,
     /// Idempotency key, if the caller gave one.
+    #[serde(rename = "k")]
     pub key: Option<String>,
     /// Fingerprint of the request, by which requests that crash upstreams are recognised.
+    #[serde(rename = "f")]
     pub fingerprint: Option<Fingerprint>,
     /// How urgent the request is among those for the same upstream.
-    #[serde(default)]
+    #[serde(rename = "u", default)]
     pub urgency: CallUrgency,
     /// Service on the host where the request began.
-    #[serde(default)]
+    #[serde(rename = "c", default)]
     pub caller: Option<ServiceName>,
     /// Request line and headers.
+    #[serde(rename = "h")]
     pub head: RequestHead,
     /// Whole body of the request.
-    #[serde(with = "serde_bytes")]
+    #[serde(rename = "b", with = "serde_bytes")]
     pub body: Vec<u8>,
 }
 
@@ -65,11 +78,14 @@
 #[serde(deny_unknown_fields, rename_all = "kebab-case")]
 pub struct CallUrgency {
     /// Rank of the route; 0 is the most urgent.
+    #[serde(rename = "p")]
     pub priority: u32,
     /// Time left until the answer loses part of its value, in milliseconds. `None` means that only
     /// the deadline counts.
+    #[serde(rename = "t")]
     pub target_ms: Option<u32>,
     /// Whether the request may be run more than once.
+    #[serde(rename = "i")]
     pub idempotent: bool,
 }
 
@@ -78,10 +94,13 @@
 #[serde(deny_unknown_fields, rename_all = "kebab-case")]
 pub struct RequestHead {
     /// Method in upper case.
+    #[serde(rename = "m")]
     pub method: String,
     /// Path and query as the caller sent them.
+    #[serde(rename = "p")]
     pub path_and_query: String,
     /// End-to-end headers.
+    #[serde(rename = "h")]
     pub headers: Headers,
 }
 
@@ -98,11 +117,13 @@
 #[serde(deny_unknown_fields, rename_all = "kebab-case")]
 pub struct CallReply {
     /// Number of the call that is answered.
+    #[serde(rename = "i")]
     pub id: u64,
     /// What came of it.
+    #[serde(rename = "r")]
     pub result: CallResult,
     /// Load of the upstream when the reply was sent.
-    #[serde(default)]
+    #[serde(rename = "l", default)]
     pub load: Option<Load>,
 }
 
@@ -121,10 +142,12 @@
 #[serde(deny_unknown_fields, rename_all = "kebab-case")]
 pub struct Answer {
     /// HTTP status.
+    #[serde(rename = "s")]
     pub status: u16,
     /// End-to-end headers.
+    #[serde(rename = "h")]
     pub headers: Headers,
     /// Whole body of the response.
-    #[serde(with = "serde_bytes")]
+    #[serde(rename = "b", with = "serde_bytes")]
     pub body: Vec<u8>,
 }
--- a/crates/testbed/examples/capacity/light.rs
+++ b/crates/testbed/examples/capacity/light.rs
@@ -114,7 +114,7 @@
 
 async fn confirm(tx: Sender, mut rx: Receiver, config: Arc<AtomicU64>, counts: Arc<Counts>) {
     while let Ok(message) = rx.receive::<FromReplica>().await {
-        let FromReplica::Update(delta) = message else {
+        let Ok(FromReplica::Update(delta)) = message.unpack() else {
             continue;
         };
         counts.updates.fetch_add(1, Ordering::Relaxed);
