Send fewer heartbeats on idle links

Cause: every daemon keeps a link to each endpoint that it compares, 30 to 36 on the grown deployments, and both ends of each sent a heartbeat every 0.67 s.

Ruled out: heartbeats only after silence of the own end, as most links carry less than one call a second.

Change: a call link on which neither end waits for the other has a heartbeat every 3 s and may be silent for 7 s. While a call is in flight both ends send one every 0.67 s as before, and the one that waits gives up after 2 s of silence, counted from the start of the wait.

--- a/crates/transport/src/call_link.rs
+++ b/crates/transport/src/call_link.rs
@@ -45,6 +45,7 @@
 impl CallClient {
     /// Starts a client on a link that was opened for calls.
     pub fn start(sender: Sender, receiver: Receiver) -> Self {
+        sender.set_idle(true);
         let shared = Arc::new(ClientShared {
             sender,
             next_id: AtomicU64::new(1),
@@ -148,12 +149,21 @@
         let Some(pending) = pending.as_mut() else {
             return Err(Failure::not_run(Reason::ConnectionLost));
         };
+        if pending.is_empty() {
+            self.sender.set_idle(false);
+        }
         pending.insert(id, tx);
         Ok(rx)
     }
 
     fn take(&self, id: u64) -> Option<oneshot::Sender<CallReply>> {
-        self.pending.lock().as_mut()?.remove(&id)
+        let mut pending = self.pending.lock();
+        let pending = pending.as_mut()?;
+        let taken = pending.remove(&id);
+        if pending.is_empty() {
+            self.sender.set_idle(true);
+        }
+        taken
     }
 
     fn deliver(&self, reply: CallReply) {
@@ -240,7 +250,9 @@
     H: Fn(Call, Peer) -> F,
     F: Future<Output = (CallResult, Option<Load>)> + Send + 'static,
 {
-    let running = Running::default();
+    sender.set_idle(true);
+    let running = Running::new(sender.clone());
+    let _abort = AbortOnEnd(running.clone());
     loop {
         let request = match receiver.receive::<CallRequest>().await {
             Ok(request) => request,
@@ -263,11 +275,11 @@
             return LinkError::Protocol("call id is in use".into());
         };
         let work = handler(call, sender.peer().clone());
-        let calls = running.calls.clone();
+        let running = running.clone();
         let sender = sender.clone();
         task::spawn(async move {
             let outcome = Abortable::new(work, registration).await;
-            calls.lock().remove(&id);
+            running.remove(id);
             if let Ok((result, load)) = outcome {
                 reply(sender, id, result, load).await;
             }
@@ -288,13 +300,21 @@
     }
 }
 
-/// Calls that run for one link; they are aborted when it is dropped.
-#[derive(Default)]
+/// Calls that run for one link.
+#[derive(Clone)]
 struct Running {
     calls: Arc<Mutex<HashMap<u64, AbortHandle>>>,
+    sender: Sender,
 }
 
 impl Running {
+    fn new(sender: Sender) -> Self {
+        Self {
+            calls: Arc::default(),
+            sender,
+        }
+    }
+
     fn len(&self) -> usize {
         self.calls.lock().len()
     }
@@ -305,24 +325,43 @@
         if calls.contains_key(&id) {
             return None;
         }
+        if calls.is_empty() {
+            self.sender.set_idle(false);
+        }
         calls.insert(id, handle);
         Some(registration)
     }
 
+    fn remove(&self, id: u64) -> Option<AbortHandle> {
+        let mut calls = self.calls.lock();
+        let handle = calls.remove(&id);
+        if calls.is_empty() {
+            self.sender.set_idle(true);
+        }
+        handle
+    }
+
     fn abort(&self, id: u64) {
-        if let Some(handle) = self.calls.lock().remove(&id) {
+        if let Some(handle) = self.remove(id) {
             handle.abort();
         }
     }
-}
 
-impl Drop for Running {
-    fn drop(&mut self) {
+    fn abort_all(&self) {
         for handle in self.calls.lock().values() {
             handle.abort();
         }
     }
 }
 
+/// Aborts the calls of a link when it ends.
+struct AbortOnEnd(Running);
+
+impl Drop for AbortOnEnd {
+    fn drop(&mut self) {
+        self.0.abort_all();
+    }
+}
+
 /// Largest body of a call or an answer, so that it fits into a frame with its headers.
 pub const MAX_BODY_BYTES: usize = codec::MAX_FRAME_BYTES - 256 * 1024;
--- a/crates/transport/src/link.rs
+++ b/crates/transport/src/link.rs
@@ -2,7 +2,8 @@
 //!
 //! A link is usable only after the handshake of [`sycamoreflow_protocol::handshake`] has succeeded
 //! in both directions. Each end then sends a heartbeat every [`Limits::ping_interval`], and a link
-//! on which nothing was heard for [`Limits::silence`] is dead. The send queue is bounded and refuses
+//! on which nothing was heard for [`Limits::silence`] is dead. Links that carry calls are often idle;
+//! their heartbeats are rarer meanwhile. The send queue is bounded and refuses
 //! frames instead of growing. A [`Receiver`] must be received from continuously, since it is also
 //! what detects a silent peer.
 
@@ -10,9 +11,10 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use parking_lot::Mutex;
 use serde::Serialize;
 use sycamoreflow_protocol::codec::{self, CodecError};
 use sycamoreflow_protocol::handshake::HandshakeError;
@@ -106,6 +108,11 @@
     pub ping_interval: Duration,
     /// A link is dead when nothing was heard for this long. Must exceed `ping_interval`.
     pub silence: Duration,
+    /// Time between two heartbeats of a link on which neither end waits for the other, see
+    /// [`Sender::set_idle`].
+    pub idle_ping_interval: Duration,
+    /// Such a link is dead when nothing was heard for this long. Must exceed `idle_ping_interval`.
+    pub idle_silence: Duration,
     /// A link is dead when the peer takes no byte of a write for this long.
     pub write_stall: Duration,
     /// Largest number of frames in the send queue.
@@ -121,6 +128,8 @@
             handshake: Duration::from_secs(2),
             ping_interval: Duration::from_secs(1),
             silence: Duration::from_secs(2),
+            idle_ping_interval: Duration::from_secs(3),
+            idle_silence: Duration::from_secs(7),
             write_stall: Duration::from_secs(5),
             queue_frames: 4096,
             queue_bytes: 8 * 1024 * 1024,
@@ -151,6 +160,8 @@
     peer: Peer,
     queue: SendQueue,
     socket: LinkSocket,
+    /// Since when an end waits for the other; `None` on an idle link.
+    in_use_since: Mutex<Option<Instant>>,
 }
 
 impl Shared {
@@ -220,6 +231,17 @@
         self.queue().push_waiting(frame).await
     }
 
+    /// Says whether this end has nothing to wait for and nothing to do for the other one. An idle link
+    /// has fewer heartbeats and may be silent for longer. A link is in use until this is called, and
+    /// both ends have to agree, so that the one that waits hears the other.
+    pub fn set_idle(&self, idle: bool) {
+        let mut since = self.handle.shared.in_use_since.lock();
+        match idle {
+            true => *since = None,
+            false => *since = since.or_else(|| Some(Instant::now())),
+        }
+    }
+
     /// Closes the link after the queued frames are written.
     pub fn close(&self) {
         self.queue().close();
--- a/crates/transport/src/link/open.rs
+++ b/crates/transport/src/link/open.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Instant;
 
 use async_std::future::timeout;
 use async_std::net::TcpStream;
@@ -11,6 +12,7 @@
 use async_tungstenite::tungstenite::{Error as WsError, Message};
 use bytes::Bytes;
 use futures::{SinkExt, StreamExt};
+use parking_lot::Mutex;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use sycamoreflow_protocol::codec::{self, MAX_FRAME_BYTES};
@@ -127,6 +129,7 @@
         peer,
         queue: SendQueue::new(limits.queue_frames, limits.queue_bytes),
         socket,
+        in_use_since: Mutex::new(Some(Instant::now())),
     });
     let (ws_sender, ws_receiver) = ws.split();
     let write = writer::run(ws_sender, shared.clone(), limits.clone());
--- a/crates/transport/src/link/receiver.rs
+++ b/crates/transport/src/link/receiver.rs
@@ -32,16 +32,18 @@
 /// carries many messages would otherwise set a timer for each of them.
 struct Silence {
     limit: Duration,
+    idle_limit: Duration,
     timer: Sleep,
     received: u64,
     heard_at: Instant,
 }
 
 impl Silence {
-    fn new(limit: Duration, received: u64) -> Self {
+    fn new(limits: &Limits, received: u64) -> Self {
         Self {
-            limit,
-            timer: sleep(limit),
+            limit: limits.silence,
+            idle_limit: limits.idle_silence,
+            timer: sleep(limits.silence),
             received,
             heard_at: Instant::now(),
         }
@@ -53,18 +55,29 @@
         self.heard_at = Instant::now();
     }
 
-    /// Is ready when nothing was heard for the limit. `received` is the number of bytes read.
-    fn poll_exceeded(&mut self, cx: &mut Context<'_>, received: u64) -> Poll<()> {
+    /// Is ready when nothing was heard for the limit. `received` is the number of bytes read, and
+    /// `in_use_since` is the start of the wait for the other end, if there is one.
+    fn poll_exceeded(
+        &mut self,
+        cx: &mut Context<'_>,
+        received: u64,
+        in_use_since: Option<Instant>,
+    ) -> Poll<()> {
         while Pin::new(&mut self.timer).poll(cx).is_ready() {
             // A large message may arrive for longer than the limit.
             if self.received != received {
                 self.heard(received);
             }
-            let elapsed = self.heard_at.elapsed();
-            if elapsed >= self.limit {
+            let (limit, from) = match in_use_since {
+                Some(since) => (self.limit, self.heard_at.max(since)),
+                None => (self.idle_limit, self.heard_at),
+            };
+            let elapsed = from.elapsed();
+            if elapsed >= limit {
                 return Poll::Ready(());
             }
-            self.timer = sleep(self.limit - elapsed);
+            // The link may come into use before the limit of an idle one.
+            self.timer = sleep((limit - elapsed).min(self.limit));
         }
         Poll::Pending
     }
@@ -76,7 +89,7 @@
         shared: Arc<Shared>,
         limits: &Limits,
     ) -> Self {
-        let silence = Silence::new(limits.silence, shared.socket.received());
+        let silence = Silence::new(limits, shared.socket.received());
         Self {
             ws,
             shared,
@@ -129,7 +142,8 @@
             Poll::Ready(None) => Poll::Ready(Err(LinkError::Closed)),
             Poll::Pending => {
                 let received = self.shared.socket.received();
-                let exceeded = self.silence.poll_exceeded(cx, received);
+                let in_use_since = *self.shared.in_use_since.lock();
+                let exceeded = self.silence.poll_exceeded(cx, received, in_use_since);
                 exceeded.map(|()| Err(LinkError::Silent))
             }
         }
--- a/crates/transport/src/link/tests.rs
+++ b/crates/transport/src/link/tests.rs
@@ -1,3 +1,4 @@
+use async_std::future::timeout;
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 use futures::{AsyncReadExt, AsyncWriteExt, SinkExt, StreamExt, join};
@@ -183,8 +184,8 @@
 async fn receive_idle_link() {
     let ((a_tx, mut a_rx), (b_tx, mut b_rx)) = open(&limits(), &limits()).await;
     let idle = limits().silence * 3;
-    let a_waits = async_std::future::timeout(idle, a_rx.receive::<u32>());
-    let b_waits = async_std::future::timeout(idle, b_rx.receive::<u32>());
+    let a_waits = timeout(idle, a_rx.receive::<u32>());
+    let b_waits = timeout(idle, b_rx.receive::<u32>());
     let (a_outcome, b_outcome) = join!(a_waits, b_waits);
     assert!(a_outcome.is_err() && b_outcome.is_err());
     assert!(!a_tx.is_closed() && !b_tx.is_closed());
@@ -204,6 +205,42 @@
     assert_eq!(a_tx.send(&1), Err(SendError::Closed));
 }
 
+/// Guards against heartbeats of idle links, which made up most of the work of a calm daemon, and
+/// against idle links that are taken for dead.
+#[async_std::test]
+async fn receive_idle_heartbeats() {
+    let ((a_tx, mut a_rx), (b_tx, mut b_rx)) = open(&limits(), &limits()).await;
+    a_tx.set_idle(true);
+    b_tx.set_idle(true);
+    let before = a_tx.bytes().received;
+    let wait = limits().silence * 3;
+    let (a, b) = join!(
+        timeout(wait, a_rx.receive_encoded()),
+        timeout(wait, b_rx.receive_encoded())
+    );
+    assert!(a.is_err() && b.is_err(), "the link has ended");
+    // Without rarer heartbeats, twelve of two bytes and more arrive in this time.
+    let received = a_tx.bytes().received - before;
+    assert!(received <= 10, "{received} bytes");
+}
+
+/// Guards against a peer that falls silent on an idle link and is noticed late by a call that waits
+/// for it.
+#[async_std::test]
+async fn receive_silent_peer_in_use() {
+    let silent = Limits {
+        ping_interval: Duration::from_secs(60),
+        ..limits()
+    };
+    let ((a_tx, mut a_rx), _b) = open(&limits(), &silent).await;
+    a_tx.set_idle(true);
+    let idle = limits().silence * 2;
+    assert!(timeout(idle, a_rx.receive_encoded()).await.is_err());
+    a_tx.set_idle(false);
+    let ended = timeout(ENDS_WITHIN, a_rx.receive_encoded()).await;
+    assert_eq!(ended.unwrap(), Err(LinkError::Silent));
+}
+
 /// Guards against a send queue that grows without bound while the peer reads nothing, and against
 /// a link that stays open for ever in that state.
 #[async_std::test]
--- a/crates/transport/src/link/writer.rs
+++ b/crates/transport/src/link/writer.rs
@@ -4,7 +4,7 @@
 use std::future::poll_fn;
 use std::sync::Arc;
 use std::task::Poll;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_std::future::timeout;
 use async_std::stream::{Interval, interval};
@@ -34,6 +34,8 @@
         ws,
         shared,
         ticks: interval(limits.ping_interval),
+        idle_interval: limits.idle_ping_interval,
+        last_heartbeat: Instant::now(),
         stall: limits.write_stall,
     };
     if writer.write_all().await.is_ok() {
@@ -53,6 +55,8 @@
     ws: WebSocketSender<LinkSocket>,
     shared: Arc<Shared>,
     ticks: Interval,
+    idle_interval: Duration,
+    last_heartbeat: Instant,
     stall: Duration,
 }
 
@@ -62,7 +66,11 @@
         loop {
             match self.next_wake(&mut batch).await {
                 Wake::Closed => return Ok(()),
-                Wake::Heartbeat => self.feed(heartbeat()).await?,
+                Wake::Heartbeat if !self.is_heartbeat_due() => continue,
+                Wake::Heartbeat => {
+                    self.last_heartbeat = Instant::now();
+                    self.feed(heartbeat()).await?;
+                }
                 Wake::Frames => self.write_batch(&mut batch).await?,
             }
             // Frames queued in the meantime are written before the flush, so that they share it.
@@ -73,6 +81,11 @@
         }
     }
 
+    fn is_heartbeat_due(&self) -> bool {
+        let is_idle = self.shared.in_use_since.lock().is_none();
+        !is_idle || self.last_heartbeat.elapsed() >= self.idle_interval
+    }
+
     async fn next_wake(&mut self, batch: &mut VecDeque<Bytes>) -> Wake {
         poll_fn(|cx| {
             // Heartbeats go first, so that a steady load of frames does not delay them.
