--- a/crates/daemon/src/subscriber.rs
+++ b/crates/daemon/src/subscriber.rs
@@ -31,10 +31,9 @@
 use crate::settings::ReplicaAddress;
 use crate::traffic::{LinkMeter, Traffic};
 
-/// Shortest upper bound of the wait before another attempt. The wait is drawn between zero and the
-/// bound, so that daemons that failed together do not return together. The bound doubles, up to that
-/// of the settings, each time that all known replicas have been tried.
-const BACKOFF_MIN: Millis = Millis(100);
+use backoff::{BACKOFF_MIN, Backoff};
+
+mod backoff;
 
 /// How long no replica has served the daemon when it logs a warning. Founding a group and electing
 /// its first leader took 2 to 3 s on loopback.
@@ -121,7 +120,7 @@
     /// Keeps a subscription until the process ends.
     pub async fn run(self) {
         let mut rng = StdRng::seed_from_u64(self.seed);
-        let mut bound = BACKOFF_MIN;
+        let mut backoff = Backoff::new(self.max_backoff);
         let mut order: Vec<ReplicaAddress> = Vec::new();
         let mut diverged = false;
         let mut unserved_since = clock::now();
@@ -142,7 +141,7 @@
             diverged = matches!(ended, Ended::Diverged);
             metrics::counter!("sycamoreflow_subscriptions_ended_total").increment(1);
             if clock::now().since(started) > self.max_backoff {
-                bound = BACKOFF_MIN;
+                backoff.reset();
                 unserved_since = clock::now();
                 warned = false;
             } else if !warned && clock::now().since(unserved_since) > UNSERVED_WARNING {
@@ -154,15 +153,13 @@
                      control-replicas, the mesh name and the mesh key"
                 );
             }
+            let drawn = backoff.next(&mut rng, order.is_empty());
             let wait = match ended {
                 Ended::RetryAfter(wait) => Millis(wait.0 + rng.random_range(0..=BACKOFF_MIN.0)),
-                _ => Millis(rng.random_range(0..=bound.0)),
+                _ => drawn,
             };
             tracing::info!(event = "subscription", up = false, replica = %replica.daemon,
                 reason = %ended, wait_ms = wait.0);
-            if order.is_empty() {
-                bound = Millis((bound.0 * 2).min(self.max_backoff.0));
-            }
             if self.proxy.view().is_none() && order.is_empty() {
                 self.start_from_witnesses().await;
             }
