--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -56,8 +56,9 @@
 /// When a caller may come back if nothing better is known.
 const RETRY_AFTER: Millis = Millis(300);
 
-/// Time from the start of a daemon to its first view when the whole mesh has restarted: an election,
-/// the subscription and the transfer of the state. Measured: 0.6 to 1.2 s.
+/// Time from the start of a daemon after which callers may return to it when the whole mesh has
+/// restarted: an election, the subscription and the transfer of the state. With replicas of 0.075 cores
+/// it took 1.4 s; most callers return earlier, as they wait for a third of their time at most.
 const START_TIME: Millis = Millis(1_000);
 
 /// Shortest time after which a caller is asked to return to a daemon without a view.
--- a/crates/protocol/src/distribution.rs
+++ b/crates/protocol/src/distribution.rs
@@ -87,8 +87,8 @@
 /// Messages below this size in bytes are sent as they are: a deflate stream would save little.
 const MIN_PACKED: usize = 1_024;
 
-/// Level of compression. The lowest one takes a full state to an eighth of its size, at a third of the
-/// time of the usual one.
+/// Level of compression, 1 to 10. The lowest one, since replicas have least time to spare when all
+/// subscribers ask for the state.
 const PACK_LEVEL: u8 = 1;
 
 impl FromReplica {
