Remove work done twice and copies from the changes for the platform

Behaviour is as before: - A replacement that needs the whole check was applied twice, to a copy that was dropped and then in place. check::apply_change applies it once. - Updates below 1 KiB were encoded twice.

Tests keep their assertions; those of packed updates call the new functions.

--- a/crates/coordination/src/machine.rs
+++ b/crates/coordination/src/machine.rs
@@ -28,8 +28,8 @@
 use history::History;
 use requests::Requests;
 
+use check::apply_change;
 pub use check::check_config;
-use check::keeps_usable;
 pub use history::{HistoryEvent, HistoryRecord, MAX_HISTORY};
 pub use requests::{MAX_OUTCOMES, OUTCOME_RETENTION};
 
@@ -338,18 +338,10 @@
                 };
             }
         }
-        let mut config = if keeps_usable(&self.approved.config, replacement) {
-            std::mem::take(&mut self.approved.config)
-        } else {
-            let mut changed = self.approved.config.clone();
-            replacement.change(&mut changed);
-            let problems = check_config(&changed);
-            if !problems.is_empty() {
-                return Outcome::Invalid { problems };
-            }
-            std::mem::take(&mut self.approved.config)
-        };
-        replacement.change(&mut config);
+        if let Err(problems) = apply_change(&mut self.approved.config, replacement) {
+            return Outcome::Invalid { problems };
+        }
+        let config = std::mem::take(&mut self.approved.config);
         self.documents.accept(replacement);
         self.rollouts.retain_services(&config, replacement.at);
         self.drop_key_holders(&config);
--- a/crates/coordination/src/machine/check.rs
+++ b/crates/coordination/src/machine/check.rs
@@ -43,12 +43,35 @@
     problems
 }
 
+/// Applies a change to a usable configuration, unless the result would be unusable.
+///
+/// # Errors
+///
+/// What would make it unusable. The configuration is as before.
+pub(super) fn apply_change(
+    config: &mut MeshConfig,
+    change: &Replacement,
+) -> Result<(), Vec<String>> {
+    if keeps_usable(config, change) {
+        change.change(config);
+        return Ok(());
+    }
+    let mut changed = config.clone();
+    change.change(&mut changed);
+    let problems = check_config(&changed);
+    if !problems.is_empty() {
+        return Err(problems);
+    }
+    *config = changed;
+    Ok(())
+}
+
 /// Returns whether a change keeps a usable configuration usable, looking only at what it touches. A
 /// restarted replica applies hundreds of changes before it can serve, and each would otherwise cost a
 /// check of all routes.
 ///
 /// `false` means that only [`check_config`] can tell.
-pub(super) fn keeps_usable(config: &MeshConfig, change: &Replacement) -> bool {
+fn keeps_usable(config: &MeshConfig, change: &Replacement) -> bool {
     let removes_service =
         |(_, meaning): &(String, Meaning)| matches!(meaning, Meaning::Service(..));
     if change.removals.iter().any(removes_service) || change.upserts.len() > MAX_TOUCHED {
--- a/crates/coordination/src/publication.rs
+++ b/crates/coordination/src/publication.rs
@@ -27,10 +27,15 @@
         }
     }
 
+    /// Returns whether the configuration of the state has been published by this leader.
+    pub fn has_config(&self, state: &ControlState) -> bool {
+        self.config == Some(state.version())
+    }
+
     /// Returns the view at the present versions of the replicated state and the endpoint table.
     pub fn update(&mut self, state: &ControlState, leases: &Leases) -> View {
         // Most publications change endpoints only, and the configuration has hundreds of routes.
-        if self.config != Some(state.version()) {
+        if !self.has_config(state) {
             self.replace_config(state);
             self.config = Some(state.version());
         }
--- a/crates/daemon/src/control/hub.rs
+++ b/crates/daemon/src/control/hub.rs
@@ -12,7 +12,6 @@
 use sycamoreflow_coordination::distribution::{Distribution, JoinLimiter, UpdateCache};
 use sycamoreflow_coordination::shares::Grant;
 use sycamoreflow_coordination::suspect::SuspectReport;
-use sycamoreflow_protocol::codec;
 use sycamoreflow_protocol::distribution::FromReplica;
 use sycamoreflow_protocol::replica::{Content, Forwarded};
 use sycamoreflow_state::ids::{ConfigVersion, DaemonId, Millis, ViewVersion};
@@ -203,8 +202,8 @@
             let Some(delta) = distribution.update_for(interest, have) else {
                 return Bytes::new();
             };
-            let update = FromReplica::Update(Box::new(delta)).pack();
-            codec::encode(&update).map_or_else(|_| Bytes::new(), Bytes::from)
+            let update = FromReplica::Update(Box::new(delta));
+            update.to_frame().map_or_else(|_| Bytes::new(), Bytes::from)
         });
         // An empty frame stands for "nothing that this interest wants has changed".
         (!encoded.is_empty()).then_some((encoded, to))
--- a/crates/daemon/src/control/leader.rs
+++ b/crates/daemon/src/control/leader.rs
@@ -57,8 +57,6 @@
     last_holder_check: Millis,
     /// Nothing is published before this time.
     settled_at: Millis,
-    /// Version of the configuration that was published last.
-    published: Option<ConfigVersion>,
     /// Endpoints alone are not published before this time.
     next_endpoints: Millis,
 }
@@ -115,7 +113,6 @@
             last_progress: now,
             last_holder_check: Millis::default(),
             settled_at,
-            published: None,
             next_endpoints: now,
         }
     }
@@ -288,12 +285,10 @@
         if !self.dirty || now < self.settled_at {
             return None;
         }
-        let is_same_config = self.published == Some(state.version());
-        if is_same_config && now < self.next_endpoints {
+        if self.publication.has_config(state) && now < self.next_endpoints {
             return None;
         }
         self.dirty = false;
-        self.published = Some(state.version());
         self.next_endpoints = now.after(ENDPOINTS_INTERVAL);
         if state.approved().version > self.accepted.version {
             self.accepted = Accepted {
--- a/crates/daemon/src/control/peers.rs
+++ b/crates/daemon/src/control/peers.rs
@@ -173,13 +173,13 @@
         if tx.send(&FromSubscriber::Follow { have }).is_err() {
             return;
         }
-        while let Ok(message) = rx.receive::<FromReplica>().await {
-            let Ok(message) = message.unpack() else {
-                tracing::warn!(
-                    event = "replica_update",
-                    "update of the leader can't be unpacked"
-                );
-                return;
+        while let Ok(frame) = rx.receive_encoded().await {
+            let message = match FromReplica::from_frame(&frame) {
+                Ok(message) => message,
+                Err(error) => {
+                    tracing::warn!(event = "replica_update", %error);
+                    return;
+                }
             };
             let delta = match message {
                 FromReplica::Update(delta) => delta,
--- a/crates/daemon/src/control/replica.rs
+++ b/crates/daemon/src/control/replica.rs
@@ -40,11 +40,6 @@
 /// about 0.4 MB with 880 services.
 const SNAPSHOT_BYTES: usize = 8 << 20;
 
-/// How long a replica may know no leader before its subscribers are sent away. Most elections after a
-/// lost leader take less, and must not cause a herd of reconnects. In a cut, a leader without a quorum
-/// steps down after 1.5 s, and 3 s after the cut all daemons are to be up to date.
-const NO_QUORUM_AFTER: Millis = Millis(600);
-
 /// Result of a step. After an error the replica takes no further part.
 type Stored = std::result::Result<(), StorageError>;
 
@@ -413,17 +408,6 @@
         self.hub.set_leader_known(self.leader_id.is_some());
     }
 
-    /// Sends subscribers to other replicas once no quorum has been in reach for some time.
-    fn dismiss_without_quorum(&mut self) {
-        let now = clock::now();
-        let is_due = now.since(self.dismissed) >= NO_QUORUM_AFTER;
-        if !is_due || !self.hub.has_no_leader_for(NO_QUORUM_AFTER) {
-            return;
-        }
-        self.dismissed = now;
-        self.hub.command_all(&SessionCommand::NoQuorum);
-    }
-
     /// Refuses proposals that were made as the leader. Their fate is unknown to this replica.
     fn fail_waiting(&mut self) {
         let leader = self.leader_id.clone();
--- a/crates/daemon/src/control/replica/leading.rs
+++ b/crates/daemon/src/control/replica/leading.rs
@@ -1,5 +1,5 @@
-//! What a replica does as the leader, and for it: publications, grants, admissions, and the messages
-//! of subscribers.
+//! What a replica does as the leader, and for it: publications, grants, admissions, the messages of
+//! subscribers, and their dismissal without a leader.
 
 use std::sync::Arc;
 
@@ -23,6 +23,11 @@
 /// The same for a group found by seeds, where a lost voter has to be replaced soon.
 const OPEN_ADMISSION_INTERVAL: Millis = Millis(250);
 
+/// How long a replica may know no leader before its subscribers are sent away. Most elections after a
+/// lost leader take less, and must not cause a herd of reconnects. In a cut, a leader without a quorum
+/// steps down after 1.5 s, and 3 s after the cut all daemons are to be up to date.
+const NO_QUORUM_AFTER: Millis = Millis(600);
+
 /// Messages that wait for the next tick at most.
 const MAX_OUTBOX: usize = 64;
 
@@ -116,6 +121,17 @@
         }
     }
 
+    /// Sends subscribers to other replicas once no quorum has been in reach for some time.
+    pub(super) fn dismiss_without_quorum(&mut self) {
+        let now = clock::now();
+        let is_due = now.since(self.dismissed) >= NO_QUORUM_AFTER;
+        if !is_due || !self.hub.has_no_leader_for(NO_QUORUM_AFTER) {
+            return;
+        }
+        self.dismissed = now;
+        self.hub.command_all(&SessionCommand::NoQuorum);
+    }
+
     pub(super) fn send_grants(&mut self, grants: Vec<(DaemonId, Grant)>) {
         if grants.is_empty() {
             return;
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -469,8 +469,7 @@
     Ok(server)
 }
 
-/// Returns the limits of links. Heartbeats are sent often enough that one of them may be late. Idle
-/// links have a quarter of them, since nobody waits on one.
+/// Returns the limits of links. Heartbeats are sent often enough that one of them may be late.
 fn link_limits(settings: &Settings) -> link::Limits {
     let silence = Duration::from_millis(settings.limits.link_silence_ms);
     let default = link::Limits::default();
@@ -479,8 +478,6 @@
         handshake: default.handshake.min(silence),
         ping_interval: default.ping_interval.min(silence / 3),
         silence,
-        idle_ping_interval: silence * 3 / 2,
-        idle_silence: silence * 7 / 2,
         ..default
     }
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod control;
 mod daemon;
 pub mod floor;
+pub mod program;
 pub mod proxy;
 pub mod replicas;
 pub mod rpc;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -8,7 +8,7 @@
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use sycamoreflow_daemon::settings::Settings;
-use sycamoreflow_daemon::{Daemon, telemetry};
+use sycamoreflow_daemon::{Daemon, program, telemetry};
 
 /// What a newcomer has to know beside the options.
 const HELP: &str = "The settings name the addresses, the control replicas and the files with \
@@ -43,9 +43,7 @@
         .short('c')
         .help("Settings file (TOML). See docs/settings.md")
         .argument::<PathBuf>("FILE");
-    let check = long("check")
-        .help("Check the settings and exit without binding any address")
-        .switch();
+    let check = program::check_switch();
     construct!(Options { config, check })
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
@@ -55,20 +53,15 @@
 
 fn main() -> ExitCode {
     let options = options().run();
-    match run(&options) {
-        Ok(code) => code,
-        Err(error) => {
-            eprintln!("sycamoreflowd: {error:#}");
-            ExitCode::FAILURE
-        }
-    }
+    program::exit_code("sycamoreflowd", run(&options))
 }
 
-fn run(options: &Options) -> eyre::Result<ExitCode> {
+/// Runs the daemon until it is told to stop. Returns the number of calls that were cut.
+fn run(options: &Options) -> eyre::Result<usize> {
     let settings = Settings::load(&options.config)?;
     if options.check {
-        println!("{}: the settings are valid", options.config.display());
-        return Ok(ExitCode::SUCCESS);
+        program::report_valid(&options.config);
+        return Ok(0);
     }
     telemetry::start_logs(&settings.log)?;
     let metrics = telemetry::start_metrics()?;
@@ -81,7 +74,7 @@
         tracing::info!("stopping");
         let cut = daemon.drain().await;
         tracing::info!(cut, "stopped");
-        Ok(ExitCode::from(if cut == 0 { 0 } else { 3 }))
+        Ok(cut)
     })
 }
 
--- a/crates/daemon/src/subscriber.rs
+++ b/crates/daemon/src/subscriber.rs
@@ -241,15 +241,17 @@
 
     async fn take_updates(&self, tx: &Sender, mut rx: Receiver) -> Result<()> {
         loop {
-            match rx.receive::<FromReplica>().await?.unpack()? {
-                FromReplica::Packed(_) => return Err(Ended::Diverged),
+            let frame = rx.receive_encoded().await?;
+            match FromReplica::from_frame(&frame)? {
                 FromReplica::Update(delta) => self.take_update(tx, &delta).await?,
                 FromReplica::Grants(grants) => self.proxy.grant(&grants),
                 FromReplica::Members(members) => self.replicas.set_members(&members),
                 FromReplica::Suspects(report) => self.proxy.crashes().merge(&report),
                 FromReplica::NoQuorum => return Err(Ended::NoQuorum),
                 FromReplica::RetryAfter(wait) => return Err(Ended::RetryAfter(wait)),
-                FromReplica::Admitted { .. } => return Err(Ended::NotAdmitted),
+                FromReplica::Admitted { .. } | FromReplica::Packed(_) => {
+                    return Err(Ended::NotAdmitted);
+                }
             }
         }
     }
--- a/crates/protocol/src/distribution.rs
+++ b/crates/protocol/src/distribution.rs
@@ -92,25 +92,30 @@
 const PACK_LEVEL: u8 = 1;
 
 impl FromReplica {
-    /// Returns the message in its shorter form.
-    pub fn pack(self) -> Self {
-        let Ok(encoded) = codec::encode(&self) else {
-            return self;
-        };
+    /// Encodes the message, compressed if that is worth it.
+    ///
+    /// # Errors
+    ///
+    /// Those of [`codec::encode`].
+    pub fn to_frame(&self) -> codec::Result<Vec<u8>> {
+        let encoded = codec::encode(self)?;
         if encoded.len() < MIN_PACKED {
-            return self;
+            return Ok(encoded);
         }
-        Self::Packed(ByteBuf::from(compress_to_vec(&encoded, PACK_LEVEL)))
+        let packed = ByteBuf::from(compress_to_vec(&encoded, PACK_LEVEL));
+        codec::encode(&Self::Packed(packed))
     }
 
-    /// Returns the message that [`FromReplica::pack`] was given.
+    /// Decodes the message of a frame, never to [`FromReplica::Packed`].
     ///
     /// # Errors
     ///
-    /// [`CodecError`] if the compressed bytes hold no message, or one above the size of a frame.
-    pub fn unpack(self) -> codec::Result<Self> {
-        let Self::Packed(packed) = self else {
-            return Ok(self);
+    /// Those of [`codec::decode`], also if the compressed bytes hold no message, or one above the size
+    /// of a frame.
+    pub fn from_frame(frame: &[u8]) -> codec::Result<Self> {
+        let packed = match codec::decode(frame)? {
+            Self::Packed(packed) => packed,
+            message => return Ok(message),
         };
         let encoded = decompress_to_vec_with_limit(&packed, codec::MAX_FRAME_BYTES)
             .map_err(|error| CodecError::Malformed(error.to_string()))?;
--- a/crates/protocol/src/distribution/tests.rs
+++ b/crates/protocol/src/distribution/tests.rs
@@ -9,31 +9,30 @@
 
 /// Guards against messages that change on their way, or that aren't made shorter.
 #[test]
-fn pack_round_trip() {
+fn to_frame_round_trip() {
     let message = members(500);
-    let packed = message.clone().pack();
-    let (long, short) = (
-        codec::encode(&message).unwrap().len(),
-        codec::encode(&packed).unwrap().len(),
-    );
+    let frame = message.to_frame().unwrap();
+    let (long, short) = (codec::encode(&message).unwrap().len(), frame.len());
     assert!(short * 3 < long, "{short} of {long} bytes");
-    assert_eq!(packed.unpack(), Ok(message));
+    assert_eq!(FromReplica::from_frame(&frame), Ok(message));
 }
 
 /// Guards against work on messages that compression can't shorten by much.
 #[test]
-fn pack_small() {
-    assert_eq!(members(3).pack(), members(3));
+fn to_frame_small() {
+    assert_eq!(members(3).to_frame(), codec::encode(&members(3)));
 }
 
 /// Guards against peers whose packed bytes hold no message, nest, or grow without bound.
 #[test]
-fn unpack_malformed() {
-    let garbage = FromReplica::Packed(ByteBuf::from(vec![7; 100]));
-    assert!(garbage.unpack().is_err());
-    let inner = codec::encode(&members(500).pack()).unwrap();
-    let nested = FromReplica::Packed(ByteBuf::from(compress_to_vec(&inner, PACK_LEVEL)));
-    assert!(nested.unpack().is_err());
-    let bomb = compress_to_vec(&vec![0; codec::MAX_FRAME_BYTES + 1], PACK_LEVEL);
-    assert!(FromReplica::Packed(ByteBuf::from(bomb)).unpack().is_err());
+fn from_frame_malformed() {
+    let from_packed = |bytes: Vec<u8>| {
+        let frame = codec::encode(&FromReplica::Packed(ByteBuf::from(bytes))).unwrap();
+        FromReplica::from_frame(&frame)
+    };
+    assert!(from_packed(vec![7; 100]).is_err());
+    let inner = members(500).to_frame().unwrap();
+    assert!(from_packed(compress_to_vec(&inner, PACK_LEVEL)).is_err());
+    let bomb = vec![0; codec::MAX_FRAME_BYTES + 1];
+    assert!(from_packed(compress_to_vec(&bomb, PACK_LEVEL)).is_err());
 }
--- a/crates/testbed/examples/capacity/leader.rs
+++ b/crates/testbed/examples/capacity/leader.rs
@@ -223,7 +223,7 @@
         eyre::bail!("a change gave no update");
     };
     table.add(HUB_UPDATE, size, meter.cpu_us());
-    let update = codec::decode::<FromReplica>(&frame)?.unpack()?;
+    let update = FromReplica::from_frame(&frame)?;
     let FromReplica::Update(delta) = update else {
         eyre::bail!("an update is not one");
     };
--- a/crates/testbed/examples/capacity/light.rs
+++ b/crates/testbed/examples/capacity/light.rs
@@ -113,8 +113,8 @@
 }
 
 async fn confirm(tx: Sender, mut rx: Receiver, config: Arc<AtomicU64>, counts: Arc<Counts>) {
-    while let Ok(message) = rx.receive::<FromReplica>().await {
-        let Ok(FromReplica::Update(delta)) = message.unpack() else {
+    while let Ok(frame) = rx.receive_encoded().await {
+        let Ok(FromReplica::Update(delta)) = FromReplica::from_frame(&frame) else {
             continue;
         };
         counts.updates.fetch_add(1, Ordering::Relaxed);
--- a/crates/transport/src/call_link.rs
+++ b/crates/transport/src/call_link.rs
@@ -346,12 +346,6 @@
             handle.abort();
         }
     }
-
-    fn abort_all(&self) {
-        for handle in self.calls.lock().values() {
-            handle.abort();
-        }
-    }
 }
 
 /// Aborts the calls of a link when it ends.
@@ -359,7 +353,9 @@
 
 impl Drop for AbortOnEnd {
     fn drop(&mut self) {
-        self.0.abort_all();
+        for handle in self.0.calls.lock().values() {
+            handle.abort();
+        }
     }
 }
 
--- a/crates/transport/src/link.rs
+++ b/crates/transport/src/link.rs
@@ -108,11 +108,6 @@
     pub ping_interval: Duration,
     /// A link is dead when nothing was heard for this long. Must exceed `ping_interval`.
     pub silence: Duration,
-    /// Time between two heartbeats of a link on which neither end waits for the other, see
-    /// [`Sender::set_idle`].
-    pub idle_ping_interval: Duration,
-    /// Such a link is dead when nothing was heard for this long. Must exceed `idle_ping_interval`.
-    pub idle_silence: Duration,
     /// A link is dead when the peer takes no byte of a write for this long.
     pub write_stall: Duration,
     /// Largest number of frames in the send queue.
@@ -128,8 +123,6 @@
             handshake: Duration::from_secs(2),
             ping_interval: Duration::from_secs(1),
             silence: Duration::from_secs(2),
-            idle_ping_interval: Duration::from_secs(3),
-            idle_silence: Duration::from_secs(7),
             write_stall: Duration::from_secs(5),
             queue_frames: 4096,
             queue_bytes: 8 * 1024 * 1024,
@@ -137,6 +130,25 @@
     }
 }
 
+/// Time between two heartbeats of an idle link, relative to the silence limit of one in use. Nobody
+/// waits for an idle link, so far fewer heartbeats are enough.
+const IDLE_PING_PER_SILENCE: f64 = 1.5;
+/// Silence limit of an idle link, relative to that of one in use. It leaves room for a late heartbeat.
+const IDLE_SILENCE_FACTOR: f64 = 3.5;
+
+impl Limits {
+    /// Returns the time between two heartbeats of a link on which neither end waits for the other, see
+    /// [`Sender::set_idle`].
+    fn idle_ping_interval(&self) -> Duration {
+        self.silence.mul_f64(IDLE_PING_PER_SILENCE)
+    }
+
+    /// Returns for how long nothing may be heard on such a link before it is dead.
+    fn idle_silence(&self) -> Duration {
+        self.silence.mul_f64(IDLE_SILENCE_FACTOR)
+    }
+}
+
 /// The authenticated other end of a link.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Peer {
--- a/crates/transport/src/link/receiver.rs
+++ b/crates/transport/src/link/receiver.rs
@@ -42,7 +42,7 @@
     fn new(limits: &Limits, received: u64) -> Self {
         Self {
             limit: limits.silence,
-            idle_limit: limits.idle_silence,
+            idle_limit: limits.idle_silence(),
             timer: sleep(limits.silence),
             received,
             heard_at: Instant::now(),
--- a/crates/transport/src/link/writer.rs
+++ b/crates/transport/src/link/writer.rs
@@ -34,7 +34,7 @@
         ws,
         shared,
         ticks: interval(limits.ping_interval),
-        idle_interval: limits.idle_ping_interval,
+        idle_interval: limits.idle_ping_interval(),
         last_heartbeat: Instant::now(),
         stall: limits.write_stall,
     };
