Log the evidence of a rollout by route and by group of endpoints

It now has the odds of both kinds of fault, and the new line rollout_evidence shows for up to four routes the calls, bad calls and quantiles of each group of endpoints of both versions, and how many calls had their latencies compared.

No decision changes.

--- a/crates/coordination/src/evidence.rs
+++ b/crates/coordination/src/evidence.rs
@@ -24,8 +24,8 @@
 #[cfg(test)]
 mod tests;
 
-/// Groups of endpoints of the candidate that are counted separately, in order to tell a bad host
-/// from a bad version. Four keep reports small, and a majority of them is three.
+/// Groups of endpoints of a version that are counted separately, in order to tell a bad host from a
+/// bad version. Four keep reports small, and a majority of them is three.
 pub const GROUPS: usize = 4;
 /// Interval between reports of a daemon.
 pub const REPORT_INTERVAL: Millis = Millis(1000);
@@ -69,18 +69,34 @@
     pub refusals: u64,
 }
 
+/// Calls of one group of endpoints.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "(Counts, Histogram)", into = "(Counts, Histogram)")]
+pub struct GroupEvidence {
+    /// Calls by outcome.
+    pub counts: Counts,
+    /// Latency of the successful ones.
+    pub latency: Histogram,
+}
+
+/// Calls of one version on a route, by group of endpoints, at most [`GROUPS`].
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "Vec<GroupEvidence>", into = "Vec<GroupEvidence>")]
+pub struct VersionEvidence {
+    groups: Vec<GroupEvidence>,
+}
+
 /// Counts of a route for both versions.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(from = "WireRoute", into = "WireRoute")]
+#[serde(
+    from = "(VersionEvidence, VersionEvidence)",
+    into = "(VersionEvidence, VersionEvidence)"
+)]
 pub struct RouteEvidence {
     /// Calls of the stable version.
-    pub stable: Counts,
-    /// Latency of its successful calls.
-    pub stable_latency: Histogram,
-    /// Calls of the candidate by group of endpoints, at most [`GROUPS`].
-    pub candidate: Vec<Counts>,
-    /// Latency of its successful calls, by the same groups.
-    pub candidate_latency: Vec<Histogram>,
+    pub stable: VersionEvidence,
+    /// Calls of the candidate.
+    pub candidate: VersionEvidence,
 }
 
 /// Evidence of one rollout at a daemon, cumulative since its current share is in force there.
@@ -117,7 +133,6 @@
 }
 
 type WireCounts = (u64, u64, u64);
-type WireRoute = (Counts, Histogram, Vec<(Counts, Histogram)>);
 
 impl From<WireCounts> for Counts {
     fn from((calls, failures, refusals): WireCounts) -> Self {
@@ -135,22 +150,41 @@
     }
 }
 
-impl From<WireRoute> for RouteEvidence {
-    fn from((stable, stable_latency, groups): WireRoute) -> Self {
-        let (candidate, candidate_latency) = groups.into_iter().take(GROUPS).unzip();
-        Self {
-            stable,
-            stable_latency,
-            candidate,
-            candidate_latency,
-        }
+impl From<(Counts, Histogram)> for GroupEvidence {
+    fn from((counts, latency): (Counts, Histogram)) -> Self {
+        Self { counts, latency }
+    }
+}
+
+impl From<GroupEvidence> for (Counts, Histogram) {
+    fn from(group: GroupEvidence) -> Self {
+        (group.counts, group.latency)
+    }
+}
+
+impl From<Vec<GroupEvidence>> for VersionEvidence {
+    /// Drops groups beyond [`GROUPS`], so that no input can make the evidence grow.
+    fn from(mut groups: Vec<GroupEvidence>) -> Self {
+        groups.truncate(GROUPS);
+        Self { groups }
     }
 }
 
-impl From<RouteEvidence> for WireRoute {
+impl From<VersionEvidence> for Vec<GroupEvidence> {
+    fn from(version: VersionEvidence) -> Self {
+        version.groups
+    }
+}
+
+impl From<(VersionEvidence, VersionEvidence)> for RouteEvidence {
+    fn from((stable, candidate): (VersionEvidence, VersionEvidence)) -> Self {
+        Self { stable, candidate }
+    }
+}
+
+impl From<RouteEvidence> for (VersionEvidence, VersionEvidence) {
     fn from(route: RouteEvidence) -> Self {
-        let groups = route.candidate.into_iter().zip(route.candidate_latency);
-        (route.stable, route.stable_latency, groups.collect())
+        (route.stable, route.candidate)
     }
 }
 
@@ -179,91 +213,127 @@
     }
 }
 
+impl VersionEvidence {
+    /// Returns the groups of endpoints that calls were counted for, by rank.
+    pub fn groups(&self) -> &[GroupEvidence] {
+        &self.groups
+    }
+
+    /// Returns the number of calls.
+    pub fn calls(&self) -> u64 {
+        self.groups.iter().map(|group| group.counts.calls).sum()
+    }
+
+    /// Returns the counts of all groups together.
+    pub fn totals(&self) -> Counts {
+        let mut totals = Counts::default();
+        for group in &self.groups {
+            totals.merge(&group.counts);
+        }
+        totals
+    }
+
+    /// Returns the latencies of all groups together.
+    pub fn latency(&self) -> Histogram {
+        let mut latency = Histogram::default();
+        for group in &self.groups {
+            latency.merge(&group.latency);
+        }
+        latency
+    }
+
+    /// Counts a call without its latency. Returns the group of its endpoint.
+    fn count(&mut self, call: &FinishedCall<'_>) -> &mut GroupEvidence {
+        let group = call.endpoint % GROUPS;
+        self.reserve(group + 1);
+        let group = &mut self.groups[group];
+        group.counts.record(call.outcome);
+        group
+    }
+
+    fn merge(&mut self, other: &Self) {
+        self.reserve(other.groups.len());
+        for (group, other) in self.groups.iter_mut().zip(&other.groups) {
+            group.counts.merge(&other.counts);
+            group.latency.merge(&other.latency);
+        }
+    }
+
+    fn since(&self, earlier: &Self) -> Self {
+        let nothing = GroupEvidence::default();
+        let groups = self.groups.iter().enumerate().map(|(index, group)| {
+            let earlier = earlier.groups.get(index).unwrap_or(&nothing);
+            GroupEvidence {
+                counts: group.counts.since(&earlier.counts),
+                latency: group.latency.since(&earlier.latency),
+            }
+        });
+        Self {
+            groups: groups.collect(),
+        }
+    }
+
+    fn encoded_size(&self) -> usize {
+        const COUNTS: usize = 16;
+        const BUCKET: usize = 7;
+        let size = |group: &GroupEvidence| COUNTS + BUCKET * group.latency.len();
+        self.groups.iter().map(size).sum()
+    }
+
+    fn reserve(&mut self, groups: usize) {
+        if self.groups.len() < groups {
+            self.groups.resize(groups, GroupEvidence::default());
+        }
+    }
+}
+
 impl RouteEvidence {
     /// Counts a call with its latency.
     pub fn record(&mut self, call: &FinishedCall<'_>, to_candidate: bool) {
         let group = self.count(call, to_candidate);
-        if call.outcome != CallOutcome::Succeeded {
-            return;
-        }
-        match group {
-            Some(group) => self.candidate_latency[group].record(call.latency_us),
-            None => self.stable_latency.record(call.latency_us),
+        if call.outcome == CallOutcome::Succeeded {
+            group.latency.record(call.latency_us);
         }
     }
 
     /// Counts a call without its latency. Returns the group of its endpoint.
-    fn count(&mut self, call: &FinishedCall<'_>, to_candidate: bool) -> Option<usize> {
-        if !to_candidate {
-            self.stable.record(call.outcome);
-            return None;
+    fn count(&mut self, call: &FinishedCall<'_>, to_candidate: bool) -> &mut GroupEvidence {
+        match to_candidate {
+            true => self.candidate.count(call),
+            false => self.stable.count(call),
         }
-        let group = call.endpoint % GROUPS;
-        self.reserve(group + 1);
-        self.candidate[group].record(call.outcome);
-        Some(group)
     }
 
     /// Returns whether nothing was counted.
     pub fn is_empty(&self) -> bool {
-        self.stable.calls == 0 && self.candidate_calls() == 0
-    }
-
-    /// Returns the calls of the candidate.
-    pub fn candidate_calls(&self) -> u64 {
-        self.candidate.iter().map(|counts| counts.calls).sum()
+        self.stable.calls() == 0 && self.candidate.calls() == 0
     }
 
     /// Adds the counts of other calls.
     pub fn merge(&mut self, other: &Self) {
         self.stable.merge(&other.stable);
-        self.stable_latency.merge(&other.stable_latency);
-        self.reserve(other.candidate.len());
-        let groups = other.candidate.iter().zip(&other.candidate_latency);
-        for (group, (counts, latency)) in groups.enumerate() {
-            self.candidate[group].merge(counts);
-            self.candidate_latency[group].merge(latency);
-        }
+        self.candidate.merge(&other.candidate);
     }
 
     /// Returns what these cumulative counts have more than earlier ones.
     pub fn since(&self, earlier: &Self) -> Self {
-        let no_counts = Counts::default();
-        let no_latency = Histogram::default();
-        let counts = self.candidate.iter().enumerate().map(|(group, counts)| {
-            counts.since(earlier.candidate.get(group).unwrap_or(&no_counts))
-        });
-        let latency = self.candidate_latency.iter().enumerate();
-        let latency = latency.map(|(group, latency)| {
-            latency.since(earlier.candidate_latency.get(group).unwrap_or(&no_latency))
-        });
         Self {
             stable: self.stable.since(&earlier.stable),
-            stable_latency: self.stable_latency.since(&earlier.stable_latency),
-            candidate: counts.collect(),
-            candidate_latency: latency.collect(),
+            candidate: self.candidate.since(&earlier.candidate),
         }
     }
 
     /// Removes the latencies, for calls that must not count as slow.
     pub fn without_latency(mut self) -> Self {
-        self.stable_latency = Histogram::default();
-        self.candidate_latency.fill(Histogram::default());
+        let groups = self.stable.groups.iter_mut();
+        for group in groups.chain(&mut self.candidate.groups) {
+            group.latency = Histogram::default();
+        }
         self
     }
 
     /// Returns an upper bound of the encoded size in bytes for counts below 2³² per bucket.
     pub fn encoded_size(&self) -> usize {
-        const COUNTS: usize = 16;
-        const BUCKET: usize = 7;
-        let buckets: usize = self.candidate_latency.iter().map(Histogram::len).sum();
-        COUNTS * (1 + self.candidate.len()) + BUCKET * (buckets + self.stable_latency.len())
-    }
-
-    fn reserve(&mut self, groups: usize) {
-        if self.candidate.len() < groups {
-            self.candidate.resize(groups, Counts::default());
-            self.candidate_latency.resize(groups, Histogram::default());
-        }
+        self.stable.encoded_size() + self.candidate.encoded_size()
     }
 }
--- a/crates/coordination/src/evidence/clearance.rs
+++ b/crates/coordination/src/evidence/clearance.rs
@@ -32,6 +32,15 @@
     step: Counts,
 }
 
+/// Logarithms of the likelihood of a clear fault relative to that of none, by kind of fault.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Odds {
+    /// For failed calls.
+    pub failures: f64,
+    /// For slow calls.
+    pub slow: f64,
+}
+
 #[derive(Clone, Debug, Default)]
 struct Counts {
     failures: Batch,
@@ -52,15 +61,25 @@
         self.step = Counts::default();
     }
 
+    /// Returns the log odds of a fault by failures and by slow calls, the higher one of the whole
+    /// rollout and of the current step.
+    pub fn odds(&self) -> Odds {
+        let of = |batch: fn(&Counts) -> &Batch, fault| {
+            let [all, step] = [&self.all, &self.step].map(|counts| log_odds(batch(counts), fault));
+            all.max(step)
+        };
+        Odds {
+            failures: of(|counts| &counts.failures, CLEAR_FAILURES),
+            slow: of(|counts| &counts.slow, CLEAR_SLOW),
+        }
+    }
+
     /// Returns the logarithm of the likelihood of a clear fault relative to that of none. It is
     /// positive if the calls are more likely under a fault, of the whole rollout or of the current
     /// step.
     pub fn log_odds(&self) -> f64 {
-        let [all, step] = [&self.all, &self.step].map(|counts| {
-            let failures = log_odds(&counts.failures, CLEAR_FAILURES);
-            failures.max(log_odds(&counts.slow, CLEAR_SLOW))
-        });
-        all.max(step)
+        let odds = self.odds();
+        odds.failures.max(odds.slow)
     }
 }
 
--- a/crates/coordination/src/evidence/comparison.rs
+++ b/crates/coordination/src/evidence/comparison.rs
@@ -16,10 +16,10 @@
 use sycamoreflow_state::ids::{Millis, RouteName};
 use sycamoreflow_state::rollout::{BadRatio, TakeBackReason};
 
-use super::clearance::Clearance;
+use super::clearance::{Clearance, Odds};
 use super::histogram::{Histogram, shift};
 use super::sequential::{Batch, EProcess, LogFactors, log_sum};
-use super::{Counts, GROUPS, RouteEvidence};
+use super::{Counts, GROUPS, RouteEvidence, VersionEvidence};
 
 /// Calls per endpoint of the candidate that don't count as slow, for caches to fill.
 pub const COLD_CALLS: u64 = 30;
@@ -85,6 +85,21 @@
     first_call: Option<Millis>,
 }
 
+/// What is known of one route, for the log.
+#[derive(Clone, Copy, Debug)]
+pub struct RouteSummary<'a> {
+    /// The route.
+    pub route: &'a RouteName,
+    /// Calls of the stable version since the first report.
+    pub stable: &'a VersionEvidence,
+    /// Calls of the candidate since the first report.
+    pub candidate: &'a VersionEvidence,
+    /// Calls whose latencies were compared.
+    pub compared: Batch,
+    /// Log odds of a clear fault on this route.
+    pub odds: Odds,
+}
+
 #[derive(Clone, Debug, Default)]
 struct Tests {
     bad: EProcess,
@@ -105,6 +120,8 @@
 #[derive(Clone, Debug, Default)]
 struct RouteState {
     tests: Tests,
+    /// All calls that were added.
+    seen: RouteEvidence,
     pending: RouteEvidence,
     opened: Millis,
     stable_latency: Histogram,
@@ -146,7 +163,7 @@
         if calls.is_empty() {
             return;
         }
-        self.candidate_calls += calls.candidate_calls();
+        self.candidate_calls += calls.candidate.calls();
         if self.first_call.is_none() && self.candidate_calls > 0 {
             self.first_call = Some(now);
         }
@@ -158,6 +175,7 @@
             state.opened = now;
         }
         state.pending.merge(calls);
+        state.seen.merge(calls);
     }
 
     /// Closes the batches that are due. It is called at fixed times, since times that depend on
@@ -170,8 +188,8 @@
                 .first_call
                 .is_some_and(|at| now.since(at).0 >= self.horizon.0 / COLD_PART);
         for state in self.routes.values_mut() {
-            let candidate = state.pending.candidate_calls();
-            let stable = state.pending.stable.calls;
+            let candidate = state.pending.candidate.calls();
+            let stable = state.pending.stable.calls();
             let age = now.since(state.opened);
             if candidate > 0 && stable > 0 {
                 if state.is_full() || age >= CLOSE_AGE {
@@ -179,7 +197,7 @@
                     self.all.multiply(&factors, progress);
                 }
             } else if age >= DROP_AGE || candidate >= CLOSE_CALLS {
-                state.stable_latency.merge(&state.pending.stable_latency);
+                state.stable_latency.merge(&state.pending.stable.latency());
                 state.pending = RouteEvidence::default();
             }
         }
@@ -202,6 +220,22 @@
         odds.fold(f64::NEG_INFINITY, f64::max)
     }
 
+    /// Returns what is known of each route.
+    pub fn routes(&self) -> impl Iterator<Item = RouteSummary<'_>> {
+        self.routes.iter().map(|(route, state)| RouteSummary {
+            route,
+            stable: &state.seen.stable,
+            candidate: &state.seen.candidate,
+            compared: state.tests.slow_totals,
+            odds: state.tests.clearance.odds(),
+        })
+    }
+
+    /// Returns the log odds of a clear fault over all routes together.
+    pub fn odds(&self) -> Odds {
+        self.all.clearance.odds()
+    }
+
     /// Returns the candidate's calls that have been added.
     pub fn candidate_calls(&self) -> u64 {
         self.candidate_calls
@@ -321,14 +355,15 @@
             let refused = if refusals_are_bad { counts.refusals } else { 0 };
             counts.failures + refused
         };
+        let stable = calls.stable.totals();
         let mut totals = Self {
-            stable_calls: calls.stable.calls,
-            stable_bad: bad(&calls.stable),
+            stable_calls: stable.calls,
+            stable_bad: bad(&stable),
             ..Self::default()
         };
-        for (group, counts) in calls.candidate.iter().enumerate().take(GROUPS) {
-            totals.calls[group] = counts.calls;
-            totals.bad[group] = bad(counts);
+        for (index, group) in calls.candidate.groups().iter().enumerate() {
+            totals.calls[index] = group.counts.calls;
+            totals.bad[index] = bad(&group.counts);
         }
         totals
     }
@@ -383,8 +418,8 @@
 impl RouteState {
     /// Decides by the numbers of calls alone, never by their outcome, which would bias the test.
     fn is_full(&self) -> bool {
-        let stable = self.pending.stable.calls;
-        let candidate = self.pending.candidate_calls();
+        let stable = self.pending.stable.calls();
+        let candidate = self.pending.candidate.calls();
         let ratio = stable as f64 / candidate as f64;
         let totals = &self.tests.totals;
         let all: u64 = totals.calls.iter().sum();
@@ -408,26 +443,27 @@
         if warm && self.stable_latency.total() >= MIN_QUANTILE_CALLS {
             self.compare_latency(&calls, rules.slow_shift, &mut factors);
         }
-        self.stable_latency.merge(&calls.stable_latency);
+        self.stable_latency.merge(&calls.stable.latency());
         self.tests.multiply(&factors, progress);
         factors
     }
 
     /// The thresholds come from the calls before this batch, as the test requires.
     fn compare_latency(&self, calls: &RouteEvidence, slow_shift: u8, factors: &mut Factors) {
+        let stable_latency = calls.stable.latency();
         for (tail, share) in SLOW_TAILS.iter().enumerate() {
             let threshold = self.stable_latency.upper_bucket(*share);
             let stable = Batch {
-                stable_calls: calls.stable_latency.total(),
-                stable_bad: calls.stable_latency.above(threshold),
+                stable_calls: stable_latency.total(),
+                stable_bad: stable_latency.above(threshold),
                 ..Batch::default()
             };
             let slow = threshold.saturating_add(slow_shift);
             let mut total = stable;
-            for (group, latency) in calls.candidate_latency.iter().enumerate().take(GROUPS) {
+            for (group, evidence) in calls.candidate.groups().iter().enumerate() {
                 let batch = Batch {
-                    candidate_calls: latency.total(),
-                    candidate_bad: latency.above(slow),
+                    candidate_calls: evidence.latency.total(),
+                    candidate_bad: evidence.latency.above(slow),
                     ..stable
                 };
                 factors.slow[group][tail] = batch.log_factors(0.0);
@@ -436,7 +472,7 @@
             }
             if tail == 0 {
                 factors.slow_alike = Batch {
-                    stable_bad: calls.stable_latency.above(slow),
+                    stable_bad: stable_latency.above(slow),
                     ..total
                 };
             }
--- a/crates/coordination/src/evidence/histogram.rs
+++ b/crates/coordination/src/evidence/histogram.rs
@@ -65,6 +65,12 @@
         0
     }
 
+    /// Returns the latency in microseconds that at most the share `tail` of all calls exceed, to within
+    /// the width of a bucket.
+    pub fn quantile_us(&self, tail: f64) -> Option<u64> {
+        (!self.is_empty()).then(|| upper_edge_us(self.upper_bucket(tail)) as u64)
+    }
+
     /// Returns the mean latency in microseconds, to within the width of a bucket.
     pub fn mean_us(&self) -> Option<f64> {
         let total = self.total();
--- a/crates/coordination/src/evidence/tests.rs
+++ b/crates/coordination/src/evidence/tests.rs
@@ -340,19 +340,17 @@
 #[case::one_host([50, 0, 0], false)]
 #[case::all_hosts([17, 17, 16], true)]
 fn verdict_failing_host(#[case] failures: [u64; 3], #[case] condemned: bool) {
-    let group = |failures| Counts {
-        calls: 50,
-        failures,
-        refusals: 0,
+    let group = |calls, failures| GroupEvidence {
+        counts: Counts {
+            calls,
+            failures,
+            refusals: 0,
+        },
+        ..GroupEvidence::default()
     };
     let calls = RouteEvidence {
-        stable: Counts {
-            calls: 3_000,
-            ..Counts::default()
-        },
-        candidate: failures.map(group).to_vec(),
-        candidate_latency: vec![histogram::Histogram::default(); 3],
-        ..RouteEvidence::default()
+        stable: vec![group(3_000, 0)].into(),
+        candidate: failures.map(|failures| group(50, failures)).to_vec().into(),
     };
     let mut comparison = Comparison::new(&rule());
     comparison.add(Millis(0), &"r".into(), &calls);
--- a/crates/coordination/src/pacing.rs
+++ b/crates/coordination/src/pacing.rs
@@ -23,6 +23,7 @@
 use sycamoreflow_state::rollout::{Rollout, RolloutPhase};
 
 use crate::evidence::EvidenceReport;
+use crate::evidence::comparison::Comparison;
 use crate::rollout::{RolloutAction, RolloutCommand, Rollouts};
 use crate::shares::{Grant, MAX_REPORT_AGE};
 
@@ -97,8 +98,8 @@
 }
 
 /// What the leader knows of a running rollout.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Progress {
+#[derive(Clone, Copy, Debug)]
+pub struct Progress<'a> {
     /// Number of the rollout.
     pub rollout: u64,
     /// What the next step waits for.
@@ -111,6 +112,8 @@
     pub suspicion: f64,
     /// Log odds of a clear fault.
     pub log_odds: f64,
+    /// The evidence behind it.
+    pub comparison: &'a Comparison,
     /// Daemons that have cut the new version off by themselves.
     pub cut_off: usize,
 }
@@ -189,7 +192,7 @@
     }
 
     /// Returns what is known of the running rollouts, for the log.
-    pub fn progress(&self) -> impl Iterator<Item = Progress> {
+    pub fn progress(&self) -> impl Iterator<Item = Progress<'_>> {
         self.trackers.iter().map(|(rollout, tracker)| Progress {
             rollout: *rollout,
             waiting: tracker.outlook.map(|outlook| outlook.waiting),
@@ -197,6 +200,7 @@
             step_calls: tracker.step_calls,
             suspicion: tracker.comparison.suspicion(),
             log_odds: tracker.comparison.log_odds(),
+            comparison: &tracker.comparison,
             cut_off: tracker.cut_off(),
         })
     }
--- a/crates/coordination/src/pacing/tracker.rs
+++ b/crates/coordination/src/pacing/tracker.rs
@@ -95,9 +95,9 @@
         for (route, counts) in &evidence.routes {
             let new = known.increase(route, counts);
             if evidence.share == self.pool.share() {
-                self.step_calls += new.candidate_calls();
+                self.step_calls += new.candidate.calls();
             }
-            self.stable_latency.merge(&new.stable_latency);
+            self.stable_latency.merge(&new.stable.latency());
             self.comparison.add(now, route, &new);
         }
     }
--- a/crates/daemon/src/control/leader.rs
+++ b/crates/daemon/src/control/leader.rs
@@ -1,8 +1,12 @@
 //! The soft state of the leader: leases, convergence and the pace of rollouts. A new leader starts
 //! it anew.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::fmt::Write;
 
+use sycamoreflow_coordination::evidence::VersionEvidence;
+use sycamoreflow_coordination::evidence::comparison::{Comparison, RouteSummary};
 use sycamoreflow_coordination::key_holders::{EndpointIndex, HolderWatch};
 use sycamoreflow_coordination::leases::{LEASE, Leases, RENEW_INTERVAL};
 use sycamoreflow_coordination::machine::{Command, ControlState, HistoryEvent};
@@ -31,6 +35,9 @@
 /// How often the progress of running rollouts is logged.
 const PROGRESS_INTERVAL: Millis = Millis(1_000);
 
+/// Routes of a rollout whose evidence is logged.
+const LOGGED_ROUTES: usize = 4;
+
 /// How often the groups of key holders are checked.
 const HOLDER_CHECK_INTERVAL: Millis = Millis(500);
 
@@ -203,11 +210,13 @@
         }
         self.last_progress = now;
         for progress in self.pacer.progress() {
+            let odds = progress.comparison.odds();
             tracing::info!(event = "rollout_progress", rollout = progress.rollout,
                 waiting = ?progress.waiting, candidate_calls = progress.candidate_calls,
                 step_calls = progress.step_calls, suspicion = progress.suspicion,
-                log_odds = progress.log_odds,
+                log_odds = progress.log_odds, failure_odds = odds.failures, slow_odds = odds.slow,
                 cut_off = progress.cut_off);
+            log_routes(progress.rollout, progress.comparison);
         }
     }
 
@@ -350,6 +359,32 @@
     }
 }
 
+/// Logs the evidence of the routes with the most calls of the new version.
+fn log_routes(rollout: u64, comparison: &Comparison) {
+    let mut routes: Vec<RouteSummary<'_>> = comparison.routes().collect();
+    routes.sort_by_key(|summary| Reverse(summary.candidate.calls()));
+    for summary in routes.iter().take(LOGGED_ROUTES) {
+        tracing::info!(event = "rollout_evidence", rollout, route = %summary.route,
+            stable = describe(summary.stable), candidate = describe(summary.candidate),
+            compared = summary.compared.candidate_calls,
+            failure_odds = summary.odds.failures, slow_odds = summary.odds.slow);
+    }
+}
+
+/// Writes each group of endpoints as calls, bad calls, and the milliseconds that 50%, 25% and 5% of
+/// its successful calls exceed.
+fn describe(version: &VersionEvidence) -> String {
+    let mut text = String::new();
+    for group in version.groups() {
+        let [p50, p75, p95] = [0.5, 0.25, 0.05]
+            .map(|tail| group.latency.quantile_us(tail).unwrap_or_default() / 1_000);
+        let bad = group.counts.failures + group.counts.refusals;
+        // Writing to a string cannot fail.
+        let _ = write!(text, "{}:{bad}:{p50}/{p75}/{p95} ", group.counts.calls);
+    }
+    text
+}
+
 fn capacity_of<'a>(
     endpoints: impl Iterator<Item = &'a Endpoint>,
     service: &ServiceName,
