--- a/crates/coordination/src/pacing/tests.rs
+++ b/crates/coordination/src/pacing/tests.rs
@@ -11,6 +11,8 @@
 use crate::evidence::{CallOutcome, FinishedCall, RolloutEvidence, RouteEvidence};
 use crate::shares::ShareReport;
 
+mod orders;
+
 const FINISH: u64 = 100_000;
 const DAEMONS: usize = 4;
 const PLENTY: Capacity = Capacity {
--- /dev/null
+++ b/crates/coordination/src/pacing/tests/orders.rs
@@ -0,0 +1,346 @@
+//! Rollouts that an operator orders for seconds, played call by call: entry daemons with the real
+//! recorder and share counter, endpoints of different speed, reports and commands that take time.
+
+use std::ops::Range;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+use sycamoreflow_state::config::{ServiceConfig, Share, TrafficSplit};
+use sycamoreflow_state::ids::{Millis, RouteName, ServiceName, VersionName};
+use sycamoreflow_state::rollout::RolloutPhase;
+
+use super::PLENTY;
+use crate::evidence::{
+    CallOutcome, EvidenceRecorder, EvidenceReport, FinishedCall, REPORT_INTERVAL,
+};
+use crate::pacing::{Capacity, Pacer, TICK_INTERVAL};
+use crate::rollout::Rollouts;
+use crate::shares::{Attempt, ShareCounter};
+
+const ORDERED: Millis = Millis(2_000);
+const WITHIN: Millis = Millis(16_000);
+const END: Millis = Millis(26_000);
+/// Part of the calls that a bad version may get until its time is over, and calls beside it.
+const ALLOWED: (u64, u64) = (10, 50);
+/// Bad answers, and the time after them from which on a bad version may get no call.
+const BAD_ANSWERS: (usize, Millis) = (50, Millis(5_000));
+const SEEDS: u64 = 40;
+
+const ENTRIES: usize = 9;
+const ENDPOINTS: usize = 3;
+const STEP: Millis = Millis(10);
+const CALLS_PER_SECOND: f64 = 130.0;
+const CALLERS_WAIT: Millis = Millis(1_500);
+/// Milliseconds in which some endpoints are slow.
+const SLOW: Range<u64> = 4_000..16_000;
+/// From the order until the endpoints of the new version are known.
+const STARTS_IN: Millis = Millis(1_500);
+/// From the decision of the leader until all daemons enforce it.
+const ENFORCED_AFTER: Millis = Millis(150);
+
+/// What a play is like.
+#[derive(Clone, Copy)]
+struct Case {
+    /// Part of the answers of the new version that are bad.
+    bad: f64,
+    /// How many times as long they take; 0 for answers that are failures.
+    factor: f64,
+    /// Endpoints of the old version that take five times as long for 12 s.
+    slow_upstreams: usize,
+    /// Endpoints of the new version that do.
+    slow_candidates: usize,
+    /// Whether 2% of the calls are on a route that fails for both versions.
+    failing_route: bool,
+}
+
+const GOOD: Case = Case {
+    bad: 0.0,
+    factor: 1.0,
+    slow_upstreams: 0,
+    slow_candidates: 0,
+    failing_route: false,
+};
+
+/// What callers saw.
+struct Outcome {
+    calls: u64,
+    exposed: u64,
+    bad_answers: Vec<Millis>,
+    last_exposed: Millis,
+    completed_at: Option<Millis>,
+    taken_back_at: Option<Millis>,
+}
+
+impl Outcome {
+    /// Whether the new version got more calls than a bad version may.
+    fn is_exposed(&self) -> bool {
+        let (part, beside) = ALLOWED;
+        let (answers, time) = BAD_ANSWERS;
+        let shown = self.bad_answers.get(answers - 1);
+        self.exposed > self.calls / part + beside
+            || shown.is_some_and(|at| self.last_exposed > at.after(time))
+    }
+
+    fn is_in_time(at: Option<Millis>) -> bool {
+        at.is_some_and(|at| at <= ORDERED.after(WITHIN))
+    }
+}
+
+struct Entry {
+    recorder: EvidenceRecorder,
+    shares: ShareCounter,
+}
+
+struct InFlight {
+    ends: Millis,
+    started: Millis,
+    entry: usize,
+    endpoint: usize,
+    to_candidate: bool,
+    on_failing_route: bool,
+    failed: bool,
+    bad: bool,
+}
+
+struct World {
+    case: Case,
+    rng: ChaCha8Rng,
+    service: ServiceName,
+    versions: [VersionName; 2],
+    routes: [RouteName; 2],
+    config: ServiceConfig,
+    /// Factor of the latency by version and endpoint.
+    speeds: [[f64; ENDPOINTS]; 2],
+    rollouts: Rollouts,
+    pacer: Pacer,
+    entries: Vec<Entry>,
+    split: TrafficSplit,
+    next_split: Option<(Millis, TrafficSplit)>,
+    in_flight: Vec<InFlight>,
+    outcome: Outcome,
+}
+
+impl World {
+    fn new(case: &Case, seed: u64) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let service = ServiceName::from("catalogue");
+        let versions = ["v1", "v2"].map(VersionName::from);
+        let config = ServiceConfig::plain(Share::NONE);
+        let mut rollouts = Rollouts::default();
+        rollouts.introduce_version(&service, &config, &versions[0]);
+        let entries = (1..=ENTRIES as u64).map(|incarnation| Entry {
+            recorder: EvidenceRecorder::new(),
+            shares: ShareCounter::new(incarnation),
+        });
+        Self {
+            case: *case,
+            speeds: std::array::from_fn(|_| std::array::from_fn(|_| rng.random_range(0.7..1.5))),
+            rng,
+            versions,
+            routes: ["stock", "broken"].map(RouteName::from),
+            config,
+            pacer: Pacer::new(1),
+            entries: entries.collect(),
+            split: rollouts.traffic(&service).unwrap(),
+            rollouts,
+            service,
+            next_split: None,
+            in_flight: Vec::new(),
+            outcome: Outcome {
+                calls: 0,
+                exposed: 0,
+                bad_answers: Vec::new(),
+                last_exposed: Millis(0),
+                completed_at: None,
+                taken_back_at: None,
+            },
+        }
+    }
+
+    fn play(mut self) -> Outcome {
+        for step in 0..END.0 / STEP.0 {
+            let now = Millis(step * STEP.0);
+            if now == ORDERED {
+                let to = &self.versions[1];
+                self.rollouts
+                    .order(&self.service, &self.config, to, WITHIN, now);
+            }
+            if let Some((_, split)) = self.next_split.take_if(|(at, _)| *at <= now) {
+                self.split = split;
+            }
+            self.start_calls(now);
+            self.finish_calls(now);
+            self.report(now);
+            if now.0.is_multiple_of(TICK_INTERVAL.0) {
+                self.tick(now);
+            }
+        }
+        self.outcome
+    }
+
+    fn start_calls(&mut self, now: Millis) {
+        let mut arrivals = CALLS_PER_SECOND * STEP.0 as f64 / 1_000.0;
+        while self.rng.random_bool(arrivals.clamp(0.0, 1.0)) {
+            arrivals -= 1.0;
+            self.start_call(now);
+        }
+    }
+
+    fn start_call(&mut self, now: Millis) {
+        let case = self.case;
+        let entry = self.rng.random_range(0..ENTRIES);
+        let shares = &mut self.entries[entry].shares;
+        let to_candidate = shares.pick(now, &self.split, Attempt::First) == self.versions[1];
+        let endpoint = self.rng.random_range(0..ENDPOINTS);
+        let bad = to_candidate && self.rng.random_bool(case.bad);
+        let on_failing_route = case.failing_route && self.rng.random_bool(0.02);
+        // The product of three uniform variables has a tail like that of service times.
+        let spread: f64 = (0..3).map(|_| self.rng.random_range(0.6..1.7)).product();
+        let mut latency = 110.0 * spread * self.speeds[usize::from(to_candidate)][endpoint];
+        let slow = match to_candidate {
+            true => case.slow_candidates,
+            false => case.slow_upstreams,
+        };
+        if endpoint < slow && SLOW.contains(&now.0) {
+            latency *= 5.0;
+        }
+        if bad && case.factor > 0.0 {
+            latency *= case.factor;
+        }
+        let latency = Millis(latency as u64).min(CALLERS_WAIT);
+        let fails = (bad && case.factor == 0.0) || on_failing_route || self.rng.random_bool(0.005);
+        let outcome = &mut self.outcome;
+        if now >= ORDERED && now < ORDERED.after(WITHIN) {
+            outcome.calls += 1;
+            outcome.exposed += u64::from(to_candidate);
+        }
+        if to_candidate {
+            outcome.last_exposed = now;
+        }
+        self.in_flight.push(InFlight {
+            ends: now.after(latency),
+            started: now,
+            entry,
+            endpoint,
+            to_candidate,
+            on_failing_route,
+            failed: fails || latency == CALLERS_WAIT,
+            bad,
+        });
+    }
+
+    fn finish_calls(&mut self, now: Millis) {
+        for call in self.in_flight.extract_if(.., |call| call.ends <= now) {
+            if call.bad {
+                self.outcome.bad_answers.push(now);
+            }
+            let finished = FinishedCall {
+                route: &self.routes[usize::from(call.on_failing_route)],
+                version: &self.versions[usize::from(call.to_candidate)],
+                endpoint: call.endpoint,
+                outcome: match call.failed {
+                    true => CallOutcome::Failed,
+                    false => CallOutcome::Succeeded,
+                },
+                latency_us: now.since(call.started).0 * 1_000,
+            };
+            let entry = &mut self.entries[call.entry];
+            let rule = &self.config.rollout;
+            if let Some(rollout) = entry.recorder.record(now, &self.split, rule, &finished) {
+                entry.shares.stop(rollout);
+            }
+        }
+    }
+
+    /// Reports of one daemon after the other, spread over the interval.
+    fn report(&mut self, now: Millis) {
+        let between = REPORT_INTERVAL.0 / ENTRIES as u64 / STEP.0 * STEP.0;
+        for index in 0..ENTRIES {
+            if now.0 % REPORT_INTERVAL.0 != index as u64 * between {
+                continue;
+            }
+            let entry = &mut self.entries[index];
+            let shares = entry.shares.report(now);
+            let report = EvidenceReport {
+                incarnation: index as u64 + 1,
+                rollouts: entry.recorder.report(shares).into_iter().collect(),
+            };
+            let daemon = format!("d{index}").into();
+            self.pacer.report(now, &daemon, &report);
+        }
+        for (daemon, grant) in self.pacer.grants(now) {
+            let index: usize = daemon.as_str()[1..].parse().unwrap();
+            self.entries[index].shares.grant(now, &grant);
+        }
+    }
+
+    fn tick(&mut self, now: Millis) {
+        // The endpoints of the new version start with the order.
+        let stable = &self.versions[0];
+        let capacity = |_: &ServiceName, version: &VersionName| match version == stable
+            || now >= ORDERED.after(STARTS_IN)
+        {
+            true => PLENTY,
+            false => Capacity::default(),
+        };
+        for command in self.pacer.tick(now, &self.rollouts, capacity) {
+            self.rollouts.apply(&command).unwrap();
+            let split = self.rollouts.traffic(&self.service).unwrap();
+            self.next_split = Some((now.after(ENFORCED_AFTER), split));
+        }
+        let Some(rollout) = self.rollouts.get(1) else {
+            return;
+        };
+        match rollout.phase {
+            RolloutPhase::Done => self.outcome.completed_at = rollout.ended,
+            RolloutPhase::TakenBack => self.outcome.taken_back_at = rollout.ended,
+            RolloutPhase::Planned | RolloutPhase::Moving | RolloutPhase::Watching => {}
+        }
+    }
+}
+
+fn play_all(case: &Case) -> impl Iterator<Item = Outcome> {
+    (0..SEEDS).map(move |seed| World::new(case, seed).play())
+}
+
+/// Guards against the incident EXPOSURE: a version that answers slowly gets traffic on the strength
+/// of its successful answers, keeps what it has when its time is over, or is hidden by slow upstreams
+/// of the old version.
+#[rstest]
+#[case::slow(Case { bad: 0.5, factor: 8.0, ..GOOD })]
+#[case::slow_among_slow(Case { bad: 0.5, factor: 8.0, slow_upstreams: 1, ..GOOD })]
+#[case::slow_among_mostly_slow(Case { bad: 0.5, factor: 8.0, slow_upstreams: 2, ..GOOD })]
+#[case::four_times(Case { bad: 0.5, factor: 4.0, ..GOOD })]
+#[case::four_times_among_slow(Case { bad: 0.5, factor: 4.0, slow_upstreams: 1, ..GOOD })]
+#[case::third_four_times(Case { bad: 0.33, factor: 4.0, ..GOOD })]
+#[case::all_three_times(Case { bad: 1.0, factor: 3.0, ..GOOD })]
+#[case::fails(Case { bad: 0.3, factor: 0.0, ..GOOD })]
+#[case::fails_among_slow(Case { bad: 0.3, factor: 0.0, slow_upstreams: 1, ..GOOD })]
+fn order_bad_version(#[case] case: Case) {
+    let outcomes: Vec<Outcome> = play_all(&case).collect();
+    let exposed = outcomes.iter().filter(|o| o.is_exposed()).count();
+    let kept = outcomes
+        .iter()
+        .filter(|o| !Outcome::is_in_time(o.taken_back_at))
+        .count();
+    println!("{exposed} exposed, {kept} not taken back in time, of {SEEDS}");
+    assert_eq!((exposed, kept), (0, 0), "exposed, not taken back in time");
+}
+
+/// Guards against good versions that miss their time because a few calls of one route, or slow
+/// upstreams, count against them.
+#[rstest]
+#[case::plain(GOOD)]
+#[case::failing_route(Case { failing_route: true, ..GOOD })]
+#[case::slow_upstream(Case { slow_upstreams: 1, ..GOOD })]
+#[case::slow_candidate(Case { slow_candidates: 1, ..GOOD })]
+fn order_good_version(#[case] case: Case) {
+    let outcomes: Vec<Outcome> = play_all(&case).collect();
+    let missed = outcomes
+        .iter()
+        .filter(|o| !Outcome::is_in_time(o.completed_at))
+        .count();
+    println!("{missed} of {SEEDS} missed their time");
+    assert_eq!(missed, 0);
+}
