Take back a version that is under suspicion when its time is over

Suspicion held steps back and had no end. At 5% the 50th bad answer comes near the deadline, so calls 5 s after it break the rule; at 100% the version kept all traffic.

The leader now takes a version back that calls speak against at the finish time, or at the end of the watch period. This bounds what an unclear verdict can cost.

--- a/crates/coordination/src/evidence/comparison.rs
+++ b/crates/coordination/src/evidence/comparison.rs
@@ -262,6 +262,15 @@
         None
     }
 
+    /// Returns the ratio of the kind of bad calls that speaks most against the candidate.
+    pub fn worst_ratio(&self) -> BadRatio {
+        let odds = self.odds();
+        match odds.slow > odds.failures {
+            true => self.slow_ratio(),
+            false => self.bad_ratio(),
+        }
+    }
+
     fn log_bad(&self) -> f64 {
         let half = 0.5_f64.ln();
         half + self.log_weighted(|tests| tests.bad.log_value())
--- a/crates/coordination/src/pacing.rs
+++ b/crates/coordination/src/pacing.rs
@@ -12,7 +12,10 @@
 //! - the daemons that reported so far still do, so a new leader waits until its evidence is
 //!   refilled, and missing data never moves anything.
 //!
-//! When traffic is too low for that, the rule decides at the finish time. A take-back needs evidence
+//! A version that the evidence still speaks against when its time is over, or when the watch period
+//! ends, is taken back: otherwise it would keep its share for as long as the evidence stays unclear.
+//!
+//! When traffic is too low for a step, the rule decides at the finish time. A take-back needs evidence
 //! at this leader; the absence of reports is none.
 
 use std::collections::BTreeMap;
@@ -20,7 +23,7 @@
 use serde::{Deserialize, Serialize};
 use sycamoreflow_state::config::{LowTraffic, Share};
 use sycamoreflow_state::ids::{DaemonId, Millis, ServiceName, VersionName};
-use sycamoreflow_state::rollout::{Rollout, RolloutPhase};
+use sycamoreflow_state::rollout::{Rollout, RolloutPhase, TakeBackReason};
 
 use crate::evidence::EvidenceReport;
 use crate::evidence::comparison::Comparison;
@@ -254,6 +257,10 @@
         total_calls: tracker.comparison.candidate_calls(),
     };
     tracker.outlook = Some(plan.outlook(now, rollout, &known, waiting));
+    if waiting == Waiting::Suspicion && is_over(now, rollout) {
+        let ratio = tracker.comparison.worst_ratio();
+        return Some(RolloutAction::TakeBack(TakeBackReason::Suspected(ratio)));
+    }
     if waiting != Waiting::OnPlan || now < plan.next_step {
         return None;
     }
@@ -264,6 +271,11 @@
     })
 }
 
+/// Returns whether the time that the current step may take is over.
+fn is_over(now: Millis, rollout: &Rollout) -> bool {
+    now >= rollout.watch_until().unwrap_or(rollout.finish_by)
+}
+
 /// Returns whether the evidence is too much against the new version for the next step.
 fn is_suspect(rollout: &Rollout, tracker: &Tracker) -> bool {
     let next = rollout.rule.steps.get(rollout.step as usize);
--- a/crates/state/src/rollout.rs
+++ b/crates/state/src/rollout.rs
@@ -62,6 +62,9 @@
     Failures(BadRatio),
     /// The new version was slower than the old one.
     Slow(BadRatio),
+    /// The time of the rollout was over while its calls spoke against the new version, without being
+    /// sufficient on their own.
+    Suspected(BadRatio),
     /// An operator approved the old version again.
     Withdrawn,
     /// An operator approved another version during the rollout.
@@ -109,6 +112,7 @@
         match self {
             Self::Failures(ratio) => write!(f, "failed calls: {ratio}"),
             Self::Slow(ratio) => write!(f, "slow calls: {ratio}"),
+            Self::Suspected(ratio) => write!(f, "its time was over under suspicion: {ratio}"),
             Self::Withdrawn => f.write_str("the old version was approved again"),
             Self::Superseded { by } => write!(f, "version {by} was approved instead"),
             Self::ServiceRemoved => f.write_str("the service was removed"),
