Scale the evidence of a rollout by its own time

Callers got a slow version at 50% and 100% of the traffic although 60 calls had been reported: their latencies did not count. They count from a quarter of the horizon on, or from 30 calls per endpoint, and the horizon of a rule that names a point in time was a constant of 600 s. All orders of operators name a point in time, so the horizon of a rollout of 16 s was 37 times too long. The weight of faults that begin late was too small by the same factor.

Existing models approve a configuration with a duration, for which the horizon was right.

The candidate in a traffic split now carries the time of its rollout, so leader and daemons use the same figure and no default is left.

--- a/crates/coordination/examples/rollouts/world.rs
+++ b/crates/coordination/examples/rollouts/world.rs
@@ -154,7 +154,7 @@
             first_call: None,
             endpoint_calls: [0; ENDPOINTS],
             load: (0, 0),
-            oracle: Comparison::new(&rule),
+            oracle: Comparison::new(&rule, settings::FINISH),
             shown_at: None,
             last_call: 0,
             earned: 0.0,
--- a/crates/coordination/src/evidence/comparison.rs
+++ b/crates/coordination/src/evidence/comparison.rs
@@ -12,7 +12,7 @@
 //!   be on slower hosts. The first calls of the candidate don't count, since its endpoints are cold.
 
 use indexmap::IndexMap;
-use sycamoreflow_state::config::{FinishTime, RolloutRule, Share};
+use sycamoreflow_state::config::{RolloutRule, Share};
 use sycamoreflow_state::ids::{Millis, RouteName};
 use sycamoreflow_state::rollout::{BadRatio, TakeBackReason};
 
@@ -61,8 +61,6 @@
 const CLEAR_SUSPICION: f64 = 0.25;
 /// Highest usable false-alarm rate. At 100% the threshold is zero, by which suspicion is divided.
 const MAX_FALSE_ALARM: Share = Share::percent(50);
-/// Assumed duration of a rollout that is to finish by a point in time.
-const DEFAULT_DURATION: Millis = Millis(600_000);
 
 #[derive(Clone, Copy, Debug)]
 struct Rules {
@@ -76,6 +74,7 @@
 pub struct Comparison {
     rules: Rules,
     log_alpha: f64,
+    /// Time over which changes are expected. Half of the weight of late starts is spent within it.
     horizon: Millis,
     started: Option<Millis>,
     all: Tests,
@@ -128,8 +127,9 @@
 }
 
 impl Comparison {
-    /// Starts without evidence, with the false-alarm rate of the rule.
-    pub fn new(rule: &RolloutRule) -> Self {
+    /// Starts without evidence, with the false-alarm rate of the rule. `window` is the time from the
+    /// start of the rollout to its finish time.
+    pub fn new(rule: &RolloutRule, window: Millis) -> Self {
         Self {
             rules: Rules {
                 margin: rule.max_extra_failures.ratio(),
@@ -141,7 +141,7 @@
                 .clamp(Share(1), MAX_FALSE_ALARM)
                 .ratio()
                 .ln(),
-            horizon: horizon(rule),
+            horizon: window.after(rule.watch).max(Millis(1)),
             started: None,
             all: Tests::default(),
             routes: IndexMap::new(),
@@ -151,8 +151,8 @@
     }
 
     /// Starts a comparison that counts only failures, with a false-alarm rate of its own.
-    pub fn of_failures(rule: &RolloutRule, false_alarm: f64) -> Self {
-        let mut comparison = Self::new(rule);
+    pub fn of_failures(rule: &RolloutRule, window: Millis, false_alarm: f64) -> Self {
+        let mut comparison = Self::new(rule, window);
         comparison.log_alpha = false_alarm.ln();
         comparison.rules.refusals_are_bad = false;
         comparison
@@ -490,16 +490,6 @@
     }
 }
 
-/// Returns the time over which changes are expected. Half of the weight of late starts is spent
-/// within it. It is a guess where the rule names a point in time, since the clocks differ.
-fn horizon(rule: &RolloutRule) -> Millis {
-    let moving = match rule.finish {
-        FinishTime::Within(duration) => duration,
-        FinishTime::By(_) => DEFAULT_DURATION,
-    };
-    moving.after(rule.watch).max(Millis(1))
-}
-
 fn share(part: u64, whole: u64) -> Share {
     let ratio = part as f64 / whole.max(1) as f64;
     Share((ratio * f64::from(Share::ALL.0)) as u32)
--- a/crates/coordination/src/evidence/recorder.rs
+++ b/crates/coordination/src/evidence/recorder.rs
@@ -108,7 +108,7 @@
             *self = Self {
                 rollout: Some(candidate.rollout),
                 share: candidate.share,
-                cut_off: LocalCutoff::new(now, rule),
+                cut_off: LocalCutoff::new(now, candidate, rule),
                 ..Self::default()
             };
         }
@@ -146,9 +146,10 @@
 }
 
 impl LocalCutoff {
-    fn new(now: Millis, rule: &RolloutRule) -> Self {
+    fn new(now: Millis, candidate: &Candidate, rule: &RolloutRule) -> Self {
+        let comparison = Comparison::of_failures(rule, candidate.window, LOCAL_FALSE_ALARM);
         Self {
-            comparison: Some(Comparison::of_failures(rule, LOCAL_FALSE_ALARM)),
+            comparison: Some(comparison),
             recent: IndexMap::new(),
             next_look: now.after(LOCAL_INTERVAL),
             active: false,
--- a/crates/coordination/src/evidence/tests.rs
+++ b/crates/coordination/src/evidence/tests.rs
@@ -11,10 +11,12 @@
 use super::sequential::{Batch, EProcess};
 use super::*;
 
+const WINDOW: Millis = Millis(600_000);
+
 fn rule() -> RolloutRule {
     RolloutRule {
         steps: vec![Share::percent(1), Share::ALL],
-        finish: FinishTime::Within(Millis(600_000)),
+        finish: FinishTime::Within(WINDOW),
         watch: Millis(60_000),
         max_extra_failures: Share::percent(1),
         max_slowdown_percent: 200,
@@ -59,7 +61,7 @@
 /// Runs one mesh until a verdict or the end.
 fn run(case: &Case, seed: u64) -> Option<Detection> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let mut comparison = Comparison::new(&rule());
+    let mut comparison = Comparison::new(&rule(), WINDOW);
     let mut candidate_calls = 0;
     let (stable, candidate) = (VersionName::from("v1"), VersionName::from("v2"));
     for second in 0..case.seconds {
@@ -229,6 +231,7 @@
             version: "v2".into(),
             share,
             rollout: 1,
+            window: WINDOW,
         }),
         blocked: Vec::new(),
     }
@@ -352,7 +355,7 @@
         stable: vec![group(3_000, 0)].into(),
         candidate: failures.map(|failures| group(50, failures)).to_vec().into(),
     };
-    let mut comparison = Comparison::new(&rule());
+    let mut comparison = Comparison::new(&rule(), WINDOW);
     comparison.add(Millis(0), &"r".into(), &calls);
     comparison.close_batches(Millis(1_000), 3);
     assert_eq!(comparison.verdict().is_some(), condemned);
--- a/crates/coordination/src/pacing/plan.rs
+++ b/crates/coordination/src/pacing/plan.rs
@@ -56,7 +56,7 @@
 
 impl Plan {
     pub(super) fn new(rollout: &Rollout) -> Self {
-        let window = rollout.finish_by.since(rollout.started).0;
+        let window = rollout.window().0;
         let target = Millis(rollout.finish_by.0.saturating_sub(window / RESERVE_PART));
         let entered = rollout.step_entered();
         let left = rollout
--- a/crates/coordination/src/pacing/tracker.rs
+++ b/crates/coordination/src/pacing/tracker.rs
@@ -55,7 +55,7 @@
     pub(super) fn new(now: Millis, term: u64, rollout: &Rollout) -> Self {
         Self {
             pool: CreditPool::new(term, rollout.number, rollout.share()),
-            comparison: Comparison::new(&rollout.rule),
+            comparison: Comparison::new(&rollout.rule, rollout.window()),
             step_calls: 0,
             proposed: None,
             outlook: None,
--- a/crates/coordination/src/rollout.rs
+++ b/crates/coordination/src/rollout.rs
@@ -241,6 +241,7 @@
                 version: rollout.to.clone(),
                 share: rollout.share(),
                 rollout: rollout.number,
+                window: rollout.window(),
             }),
             blocked: state.blocked.clone(),
         })
--- a/crates/coordination/src/shares/tests.rs
+++ b/crates/coordination/src/shares/tests.rs
@@ -17,6 +17,7 @@
             version: "v2".into(),
             share: Share(share),
             rollout: 1,
+            window: Millis(60_000),
         }),
         blocked: Vec::new(),
     }
--- a/crates/state/src/config.rs
+++ b/crates/state/src/config.rs
@@ -196,6 +196,9 @@
     pub share: Share,
     /// Number of the rollout, unique in the mesh, so that late reports and grants are recognised.
     pub rollout: u64,
+    /// Time from the start of the rollout to its finish time, in which faults are expected to show.
+    /// The rule alone doesn't tell it, since it may name a point in time.
+    pub window: Millis,
 }
 
 /// A share in parts per million.
--- a/crates/state/src/rollout.rs
+++ b/crates/state/src/rollout.rs
@@ -164,6 +164,11 @@
 }
 
 impl Rollout {
+    /// Returns the time from the start to the finish time.
+    pub fn window(&self) -> Millis {
+        self.finish_by.since(self.started)
+    }
+
     /// Returns the share of traffic that the new version may receive.
     pub fn share(&self) -> Share {
         match self.phase {
