Compare latencies with one healthy endpoint, and step only on calls that speak for a version

Callers got a slow version while an upstream of the old version was slow too, and good versions missed their time. Three faults of the odds that decide steps:

- A call was slow if it took longer than 2.5 times a quantile of all calls of the old version together.
One slow upstream raises that quantile, and calls that are 3 times slower stay below it in any case.
- The odds were the highest of all routes.
A route without calls has odds of 0, so they were never negative, and no step needed calls that speak for the version.
- The first report of each daemon at each step had its latencies dropped.
A step of 1.3 s has little more than one report.
This now holds only for a leader that took over during the first step.

evidence::odds replaces evidence::clearance. It is a Bayes factor: failures against a common share of failures, latencies against the shape of one endpoint of the faster half of the old version, moved by the speed of the host. An endpoint may be on a bad host, so one of them decides nothing. Steps need log odds of -2, the last one -4; 6 condemn a version, and so does staying above 2 for a sixth of the time. Odds of a step add to those of earlier ones.

--- a/crates/coordination/src/evidence.rs
+++ b/crates/coordination/src/evidence.rs
@@ -8,7 +8,7 @@
 
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
-use sycamoreflow_state::config::Share;
+use sycamoreflow_state::config::{Share, TrafficSplit};
 use sycamoreflow_state::ids::{Millis, RouteName, VersionName};
 
 use crate::shares::ShareReport;
@@ -16,9 +16,9 @@
 
 pub use recorder::{EvidenceRecorder, LOCAL_FALSE_ALARM};
 
-pub mod clearance;
 pub mod comparison;
 pub mod histogram;
+pub mod odds;
 pub mod recorder;
 pub mod sequential;
 #[cfg(test)]
@@ -29,6 +29,11 @@
 pub const GROUPS: usize = 4;
 /// Interval between reports of a daemon.
 pub const REPORT_INTERVAL: Millis = Millis(1000);
+/// Interval between reports during a brisk rollout, the later steps of which take about two seconds.
+pub const BRISK_REPORT_INTERVAL: Millis = Millis(400);
+/// Rollouts of this length or less are brisk: they stay at the first share for as long as possible,
+/// since divided evenly, their time would show a fault that begins late to most of the traffic.
+pub const BRISK_WINDOW: Millis = Millis(60_000);
 
 /// How a send to an upstream ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -120,6 +125,14 @@
     pub routes: IndexMap<RouteName, RouteEvidence>,
 }
 
+/// Returns the interval between reports while the candidate of `split` is rolled out.
+pub fn report_interval(split: &TrafficSplit) -> Millis {
+    match &split.candidate {
+        Some(candidate) if candidate.window <= BRISK_WINDOW => BRISK_REPORT_INTERVAL,
+        _ => REPORT_INTERVAL,
+    }
+}
+
 /// The evidence that a daemon reports every [`REPORT_INTERVAL`].
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -224,6 +237,14 @@
         self.groups.iter().map(|group| group.counts.calls).sum()
     }
 
+    /// Returns the number of calls that failed, were refused, or have a known latency.
+    fn weighed_calls(&self) -> u64 {
+        let weighed = |group: &GroupEvidence| {
+            group.counts.failures + group.counts.refusals + group.latency.total()
+        };
+        self.groups.iter().map(weighed).sum()
+    }
+
     /// Returns the counts of all groups together.
     pub fn totals(&self) -> Counts {
         let mut totals = Counts::default();
--- a/crates/coordination/src/evidence/comparison.rs
+++ b/crates/coordination/src/evidence/comparison.rs
@@ -16,8 +16,8 @@
 use sycamoreflow_state::ids::{Millis, RouteName};
 use sycamoreflow_state::rollout::{BadRatio, TakeBackReason};
 
-use super::clearance::{Clearance, Odds};
 use super::histogram::{Histogram, shift};
+use super::odds::{Odds, failure_odds, latency::latency_odds};
 use super::sequential::{Batch, EProcess, LogFactors, log_sum};
 use super::{Counts, GROUPS, RouteEvidence, VersionEvidence};
 
@@ -26,7 +26,7 @@
 /// Part of the horizon after which its calls count as slow whatever their number, counted from the
 /// first one. A rollout of seconds has too few calls otherwise; platforms that order one announce
 /// cold starts of 3 s.
-const COLD_PART: u64 = 4;
+const COLD_PART: u64 = 5;
 /// Shares of the stable version's calls above the thresholds of slowness. The wider one finds a
 /// shift of all calls, the narrower one a longer tail.
 const SLOW_TAILS: [f64; 2] = [0.25, 0.05];
@@ -53,12 +53,9 @@
 const MIN_EXPECTED_BAD: f64 = 5.0;
 /// Calls from which on a group of endpoints is compared with the others.
 const MIN_GROUP_CALLS: u64 = 5;
-/// Log odds of a clear fault that condemn a candidate together with [`CLEAR_SUSPICION`]. By chance
-/// they are reached in less than one of 20,000 rollouts.
-const CLEAR_LOG_ODDS: f64 = 10.0;
-/// Part of the evidence that suffices at such odds. It keeps a single bad host from condemning a
-/// version, since most groups of endpoints must agree.
-const CLEAR_SUSPICION: f64 = 0.25;
+/// Log odds of a clear fault that condemn a candidate at least, whatever the false-alarm rate. One bad
+/// host contributes 3.5 to them.
+const MIN_VERDICT_ODDS: f64 = 6.0;
 /// Highest usable false-alarm rate. At 100% the threshold is zero, by which suspicion is divided.
 const MAX_FALSE_ALARM: Share = Share::percent(50);
 
@@ -82,6 +79,8 @@
     candidate_calls: u64,
     /// When the first call of the candidate was added.
     first_call: Option<Millis>,
+    /// Whether the latencies of the candidate count.
+    warm: bool,
 }
 
 /// What is known of one route, for the log.
@@ -105,7 +104,6 @@
     slow: [[EProcess; SLOW_TAILS.len()]; GROUPS],
     totals: Totals,
     slow_totals: Batch,
-    clearance: Clearance,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -121,6 +119,17 @@
     tests: Tests,
     /// All calls that were added.
     seen: RouteEvidence,
+    /// Those of the current step whose odds are taken. Latencies of the time in which the endpoints of
+    /// the candidate are cold are missing.
+    step: RouteEvidence,
+    /// Odds of the current step.
+    step_odds: Odds,
+    /// Whether calls were added after the odds were taken.
+    changed: bool,
+    /// Calls of the candidate that came while it was warm, at all steps.
+    weighed_calls: u64,
+    /// Odds of the steps before, each from calls of both versions over the same time.
+    earlier_odds: Odds,
     pending: RouteEvidence,
     opened: Millis,
     stable_latency: Histogram,
@@ -147,6 +156,7 @@
             routes: IndexMap::new(),
             candidate_calls: 0,
             first_call: None,
+            warm: false,
         }
     }
 
@@ -176,6 +186,13 @@
         }
         state.pending.merge(calls);
         state.seen.merge(calls);
+        state.changed = true;
+        if self.warm {
+            state.weighed_calls += calls.candidate.weighed_calls();
+            state.step.merge(calls);
+        } else {
+            state.step.merge(&calls.clone().without_latency());
+        }
     }
 
     /// Closes the batches that are due. It is called at fixed times, since times that depend on
@@ -183,7 +200,7 @@
     pub fn close_batches(&mut self, now: Millis, endpoints: u32) {
         let elapsed = now.since(*self.started.get_or_insert(now)).0 as f64;
         let progress = elapsed / (elapsed + self.horizon.0 as f64);
-        let warm = self.candidate_calls >= COLD_CALLS * u64::from(endpoints)
+        self.warm = self.candidate_calls >= COLD_CALLS * u64::from(endpoints)
             || self
                 .first_call
                 .is_some_and(|at| now.since(at).0 >= self.horizon.0 / COLD_PART);
@@ -193,31 +210,58 @@
             let age = now.since(state.opened);
             if candidate > 0 && stable > 0 {
                 if state.is_full() || age >= CLOSE_AGE {
-                    let factors = state.close(&self.rules, warm, progress);
+                    let factors = state.close(&self.rules, self.warm, progress);
                     self.all.multiply(&factors, progress);
                 }
             } else if age >= DROP_AGE || candidate >= CLOSE_CALLS {
                 state.stable_latency.merge(&state.pending.stable.latency());
                 state.pending = RouteEvidence::default();
             }
+            state.take_odds(&self.rules);
         }
     }
 
-    /// Starts the counts of a step of the rollout, for faults that show only at a larger share.
+    /// Starts the counts of a step of the rollout. Calls of both versions are compared within a step
+    /// only, as the part that one of them has in a bad time depends on the share.
     pub fn enter_step(&mut self) {
-        self.all.clearance.enter_step();
         for state in self.routes.values_mut() {
-            state.tests.clearance.enter_step();
+            state.take_odds(&self.rules);
+            state.earlier_odds.add(std::mem::take(&mut state.step_odds));
+            state.step = RouteEvidence::default();
+        }
+    }
+
+    /// Returns the log odds of a clear fault by all calls; see [`odds`](super::odds). They are far
+    /// below zero only if the calls speak for the candidate.
+    pub fn odds(&self) -> Odds {
+        let mut odds = self.step_odds();
+        for state in self.routes.values() {
+            odds.add(state.earlier_odds);
+        }
+        odds
+    }
+
+    fn step_odds(&self) -> Odds {
+        let mut odds = Odds::default();
+        for state in self.routes.values() {
+            odds.add(state.step_odds);
         }
+        odds
     }
 
-    /// Returns the highest log odds of a clear fault over all routes together and each of them; see
-    /// [`Clearance::log_odds`].
-    pub fn log_odds(&self) -> f64 {
-        let routes = self.routes.values().map(|state| &state.tests);
-        let tests = routes.chain([&self.all]);
-        let odds = tests.map(|tests| tests.clearance.log_odds());
-        odds.fold(f64::NEG_INFINITY, f64::max)
+    /// Returns the highest log odds of a clear fault: of the whole rollout or the current step, and of
+    /// all routes or a single one. A fault may be confined to any of them.
+    pub fn worst_odds(&self) -> Odds {
+        // One of many routes is the worst by chance.
+        let chance = (self.routes.len().max(1) as f64).ln();
+        let mut worst = self.odds().max(self.step_odds());
+        for state in self.routes.values() {
+            let mut odds = state.all_odds().max(state.step_odds);
+            odds.failures -= chance;
+            odds.slow -= chance;
+            worst = worst.max(odds);
+        }
+        worst
     }
 
     /// Returns what is known of each route.
@@ -227,36 +271,37 @@
             stable: &state.seen.stable,
             candidate: &state.seen.candidate,
             compared: state.tests.slow_totals,
-            odds: state.tests.clearance.odds(),
+            odds: state.all_odds(),
         })
     }
 
-    /// Returns the log odds of a clear fault over all routes together.
-    pub fn odds(&self) -> Odds {
-        self.all.clearance.odds()
-    }
-
     /// Returns the candidate's calls that have been added.
     pub fn candidate_calls(&self) -> u64 {
         self.candidate_calls
     }
 
+    /// Returns the candidate's calls whose failures and latencies are both weighed.
+    pub fn weighed_calls(&self) -> u64 {
+        self.routes.values().map(|state| state.weighed_calls).sum()
+    }
+
     /// Returns the logarithm of the evidence against the candidate in units of that which is
     /// sufficient: 1 condemns it, 0 and less says nothing.
     pub fn suspicion(&self) -> f64 {
         self.log_bad().max(self.log_slow()) / -self.log_alpha
     }
 
-    /// Returns why the candidate is bad, if the evidence suffices.
+    /// Returns why the candidate is bad, if the evidence suffices: that of the sequential test, or the
+    /// odds of a clear fault, which good versions reach with about the same probability.
     pub fn verdict(&self) -> Option<TakeBackReason> {
-        let needed = match self.log_odds() >= CLEAR_LOG_ODDS {
-            true => -self.log_alpha * CLEAR_SUSPICION,
-            false => -self.log_alpha,
-        };
-        if self.log_bad() >= needed && !self.all.totals.concentrated() {
+        let needed = -self.log_alpha;
+        let clear = needed.max(MIN_VERDICT_ODDS);
+        let odds = self.worst_odds();
+        let fails = self.log_bad() >= needed && !self.all.totals.concentrated();
+        if fails || odds.failures >= clear {
             return Some(TakeBackReason::Failures(self.bad_ratio()));
         }
-        if self.log_slow() >= needed {
+        if self.log_slow() >= needed || odds.slow >= clear {
             return Some(TakeBackReason::Slow(self.slow_ratio()));
         }
         None
@@ -264,7 +309,7 @@
 
     /// Returns the ratio of the kind of bad calls that speaks most against the candidate.
     pub fn worst_ratio(&self) -> BadRatio {
-        let odds = self.odds();
+        let odds = self.worst_odds();
         match odds.slow > odds.failures {
             true => self.slow_ratio(),
             false => self.bad_ratio(),
@@ -348,8 +393,6 @@
         self.bad.multiply(&factors.bad, progress);
         self.totals.add(&factors.totals);
         self.slow_totals.add(&factors.slow_totals);
-        self.clearance
-            .add(&factors.totals.batch(), &factors.slow_alike);
         for (processes, factors) in self.slow.iter_mut().zip(&factors.slow) {
             for (process, factors) in processes.iter_mut().zip(factors) {
                 process.multiply(factors, progress);
@@ -420,11 +463,26 @@
     slow: [[LogFactors; SLOW_TAILS.len()]; GROUPS],
     totals: Totals,
     slow_totals: Batch,
-    /// Calls of both versions above one threshold, that of the candidate.
-    slow_alike: Batch,
 }
 
 impl RouteState {
+    fn all_odds(&self) -> Odds {
+        let mut odds = self.earlier_odds;
+        odds.add(self.step_odds);
+        odds
+    }
+
+    fn take_odds(&mut self, rules: &Rules) {
+        if !std::mem::take(&mut self.changed) {
+            return;
+        }
+        let RouteEvidence { stable, candidate } = &self.step;
+        self.step_odds = Odds {
+            failures: failure_odds(stable, candidate, rules.refusals_are_bad),
+            slow: latency_odds(stable, candidate, rules.slow_shift),
+        };
+    }
+
     /// Decides by the numbers of calls alone, never by their outcome, which would bias the test.
     fn is_full(&self) -> bool {
         let stable = self.pending.stable.calls();
@@ -447,7 +505,6 @@
             slow: Default::default(),
             totals,
             slow_totals: Batch::default(),
-            slow_alike: Batch::default(),
         };
         if warm && self.stable_latency.total() >= MIN_QUANTILE_CALLS {
             self.compare_latency(&calls, rules.slow_shift, &mut factors);
@@ -479,12 +536,6 @@
                 total.candidate_calls += batch.candidate_calls;
                 total.candidate_bad += batch.candidate_bad;
             }
-            if tail == 0 {
-                factors.slow_alike = Batch {
-                    stable_bad: stable_latency.above(slow),
-                    ..total
-                };
-            }
             factors.slow_totals = total;
         }
     }
--- a/crates/coordination/src/evidence/histogram.rs
+++ b/crates/coordination/src/evidence/histogram.rs
@@ -78,6 +78,11 @@
         (total > 0).then(|| self.counts.iter().map(sum).sum::<f64>() / total as f64)
     }
 
+    /// Returns the buckets with calls and their counts, ordered by bucket.
+    pub fn counts(&self) -> &[(u8, u64)] {
+        &self.counts
+    }
+
     /// Returns the number of buckets with calls, which determines the encoded size.
     pub fn len(&self) -> usize {
         self.counts.len()
--- /dev/null
+++ b/crates/coordination/src/evidence/odds.rs
@@ -0,0 +1,124 @@
+//! The odds that a candidate has a clear fault.
+//!
+//! The sequential test condemns a version only when chance is ruled out, whatever the circumstances.
+//! A step to a larger share asks more: are the calls so far likelier under a version as good as the
+//! stable one than under a clearly faulty one? The answer is a Bayes factor, as a logarithm: it is
+//! negative if the calls speak for the version, zero without calls, and positive if they speak
+//! against it. By chance a good version reaches `x` with a probability of about `exp(-x)`, and a
+//! faulty one `-x`.
+//!
+//! Both hypotheses are averages over what is not known:
+//!
+//! - A fault hits all endpoints of the candidate alike, with an unknown part of their calls.
+//! - Without a fault, each endpoint may still be on a bad host, with the probability [`BAD_HOST`]. One
+//!   bad host can therefore neither condemn a version nor hold it back while others do well.
+//! - Failures are compared with a share of failures that both versions have in common, which is known
+//!   from the stable version as well as its calls allow. Latencies: see [`latency`].
+
+use super::{Counts, VersionEvidence};
+
+pub mod latency;
+#[cfg(test)]
+mod tests;
+
+/// Probability that an endpoint of a good version is on a bad host. Its inverse bounds what a single
+/// endpoint can contribute.
+pub(super) const BAD_HOST: f64 = 0.03;
+/// Parts of the calls that a clear fault makes fail, each as likely as the others. Versions that are
+/// really bad fail a tenth of their calls or more.
+const FAULTY_PARTS: [f64; 3] = [0.12, 0.3, 0.6];
+/// Calls of the stable version that count at most. Its hosts differ, so that more calls don't tell
+/// more about those of the candidate.
+const MAX_STABLE_CALLS: f64 = 400.0;
+/// Shares of failures that a good version may have, evenly spaced by their log odds.
+const USUAL_SHARES: usize = 24;
+const USUAL_LOG_ODDS: (f64, f64) = (-7.0, 4.0);
+
+/// Logarithms of the likelihood of a clear fault relative to that of none, by kind of fault.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Odds {
+    /// For failed calls.
+    pub failures: f64,
+    /// For slow calls.
+    pub slow: f64,
+}
+
+impl Odds {
+    /// Adds the odds of other calls.
+    pub fn add(&mut self, other: Self) {
+        self.failures += other.failures;
+        self.slow += other.slow;
+    }
+
+    /// Returns the odds of the kind of fault that is likelier.
+    pub fn highest(self) -> f64 {
+        self.failures.max(self.slow)
+    }
+
+    /// Returns the higher odds of each kind.
+    pub fn max(self, other: Self) -> Self {
+        Self {
+            failures: self.failures.max(other.failures),
+            slow: self.slow.max(other.slow),
+        }
+    }
+}
+
+/// Returns the log odds of a fault by the calls that failed or, with `refusals`, were refused.
+pub fn failure_odds(stable: &VersionEvidence, candidate: &VersionEvidence, refusals: bool) -> f64 {
+    if candidate.calls() == 0 || stable.calls() == 0 {
+        return 0.0;
+    }
+    let split = |counts: &Counts| {
+        let refused = if refusals { counts.refusals } else { 0 };
+        let bad = (counts.failures + refused) as f64;
+        (bad, counts.calls as f64 - bad)
+    };
+    let (stable_bad, stable_good) = split(&stable.totals());
+    let weight = (MAX_STABLE_CALLS / (stable_bad + stable_good)).min(1.0);
+    let groups: Vec<(f64, f64)> = candidate
+        .groups()
+        .iter()
+        .map(|group| split(&group.counts))
+        .collect();
+    let likelihood =
+        |(bad, good): (f64, f64), share: f64| bad * share.ln() + good * (-share).ln_1p();
+    let mut faulty = Vec::with_capacity(USUAL_SHARES * FAULTY_PARTS.len());
+    let mut faultless = Vec::with_capacity(USUAL_SHARES);
+    for usual in usual_shares() {
+        let known = weight * likelihood((stable_bad, stable_good), usual);
+        let with = FAULTY_PARTS.map(|part| usual + (1.0 - usual) * part);
+        let mut sums = [known; FAULTY_PARTS.len()];
+        let mut without = known;
+        for group in &groups {
+            let bad = with.map(|share| likelihood(*group, share));
+            without += host_likelihood(likelihood(*group, usual), &bad);
+            for (sum, bad) in sums.iter_mut().zip(bad) {
+                *sum += bad;
+            }
+        }
+        faulty.extend(sums);
+        faultless.push(without);
+    }
+    log_mean(&faulty) - log_mean(&faultless)
+}
+
+/// Returns the log likelihood of the calls of an endpoint of a good version: on a good host, or on a
+/// bad one, which does as a faulty version would.
+pub(super) fn host_likelihood(good: f64, bad: &[f64]) -> f64 {
+    let bad = BAD_HOST.ln() + log_mean(bad);
+    let good = (1.0 - BAD_HOST).ln() + good;
+    let max = good.max(bad);
+    max + ((good - max).exp() + (bad - max).exp()).ln()
+}
+
+/// Returns the logarithm of the mean of numbers that are given by their logarithms.
+pub(super) fn log_mean(logs: &[f64]) -> f64 {
+    super::sequential::log_sum(logs.iter().copied()) - (logs.len() as f64).ln()
+}
+
+fn usual_shares() -> impl Iterator<Item = f64> {
+    let (low, high) = USUAL_LOG_ODDS;
+    let step = (high - low) / (USUAL_SHARES - 1) as f64;
+    (0..USUAL_SHARES).map(move |index| 1.0 / (1.0 + (-(low + step * index as f64)).exp()))
+}
--- /dev/null
+++ b/crates/coordination/src/evidence/odds/latency.rs
@@ -0,0 +1,178 @@
+//! The odds of a fault by the latencies of successful calls.
+//!
+//! A fault makes a part of the calls slower by a factor. Hosts differ in speed too, but a host is
+//! slower for all of its calls. So the question is whether the latencies of an endpoint look like
+//! those of a single endpoint of the stable version, moved on a logarithmic scale by the speed of its
+//! host, or like a mixture of such calls and slower ones.
+//!
+//! The shape of the latencies is that of one endpoint of the stable version: of the faster half, the
+//! one whose calls vary least. All of them together would be wrong as soon as one has turned slow:
+//! calls of the candidate that are several times slower would look like those of the slow endpoint.
+//! The calls of a slow endpoint alone vary too little, as the slowest of them reach their deadline.
+
+use std::ops::RangeInclusive;
+
+use super::super::VersionEvidence;
+use super::super::histogram::{BUCKETS, BUCKETS_PER_DOUBLING, Histogram};
+use super::{host_likelihood, log_mean};
+
+/// Factors by which a fault makes calls slower, in buckets: 2.8, 4 and 8 times.
+const SLOWER: [usize; 3] = [6, 8, 12];
+/// Parts of the calls that it makes slower. A fault may also make all of them slower, which shows as a
+/// speed of all hosts beyond the permitted slowdown.
+const SLOWED_PARTS: [f64; 3] = [0.25, 0.5, 0.75];
+const PARTIAL_FAULTS: usize = SLOWER.len() * SLOWED_PARTS.len();
+/// Calls of an endpoint of the stable version from which on its latencies are used.
+const MIN_HOST_CALLS: u64 = 25;
+/// Part of the calls of the stable version that must be of such endpoints.
+const MIN_KNOWN_PART: f64 = 0.8;
+/// Standard deviation of the speed of hosts, in buckets: a factor of 1.5.
+const SPEED_DEVIATION: f64 = 2.5;
+/// Highest speed of a host, four times the usual one, in buckets.
+const FASTEST: i32 = -2 * BUCKETS_PER_DOUBLING as i32;
+/// Slowdowns below the permitted one, in buckets, at which all calls may already be slow because of a
+/// fault: the hosts of the candidate may be faster than the others.
+const OVERLAP: i32 = 3;
+/// Lowest speed beyond the permitted slowdown, 16 times slower, in buckets.
+const SLOWEST: i32 = 4 * BUCKETS_PER_DOUBLING as i32;
+/// Probability of a latency in a bucket that the shape doesn't have. It keeps one call that took
+/// unusually long from deciding.
+const UNSEEN: f64 = 0.002;
+/// Offsets from the median that are distinguished.
+const OFFSETS: usize = 2 * BUCKETS as usize + 1;
+const MEDIAN: usize = BUCKETS as usize;
+
+/// Logarithms of probabilities by offset from the median of a host of usual speed.
+type Shape = [f64; OFFSETS];
+
+/// Returns the log odds of a fault. `max_shift` is the highest permitted slowdown in buckets.
+pub fn latency_odds(stable: &VersionEvidence, candidate: &VersionEvidence, max_shift: u8) -> f64 {
+    let groups: Vec<&Histogram> = candidate
+        .groups()
+        .iter()
+        .map(|group| &group.latency)
+        .filter(|latency| !latency.is_empty())
+        .collect();
+    let Some(reference) = Reference::of(stable) else {
+        return 0.0;
+    };
+    let usual = reference.shape(0, 0.0);
+    let partial = std::array::from_fn::<Shape, PARTIAL_FAULTS, _>(|index| {
+        let part = SLOWED_PARTS[index % SLOWED_PARTS.len()];
+        reference.shape(SLOWER[index / SLOWED_PARTS.len()], part)
+    });
+    let max_shift = i32::from(max_shift);
+    let permitted = speeds(FASTEST..=max_shift, 0);
+    let excessive = speeds(max_shift - OVERLAP..=max_shift + SLOWEST, max_shift + 1);
+    let mut faultless = 0.0;
+    let mut all_slow = 0.0;
+    let mut some_slow = [0.0; PARTIAL_FAULTS];
+    for latency in groups {
+        // Few calls of the stable version know the shape as badly as few of the candidate.
+        let weight = reference.calls / (reference.calls + latency.total() as f64);
+        let likelihood = |shape: &Shape, speeds: &[(i32, f64)]| {
+            let at_speed = |&(speed, log_prior): &(i32, f64)| {
+                let log = |&(bucket, count): &(u8, u64)| {
+                    let offset = i32::from(bucket) - reference.median - speed + MEDIAN as i32;
+                    count as f64 * shape[offset.clamp(0, OFFSETS as i32 - 1) as usize]
+                };
+                log_prior + weight * latency.counts().iter().map(log).sum::<f64>()
+            };
+            let logs: Vec<f64> = speeds.iter().map(at_speed).collect();
+            super::super::sequential::log_sum(logs.into_iter())
+        };
+        let all = likelihood(&usual, &excessive);
+        let some = partial
+            .each_ref()
+            .map(|shape| likelihood(shape, &permitted));
+        let bad = [all, log_mean(&some)];
+        faultless += host_likelihood(likelihood(&usual, &permitted), &bad);
+        all_slow += all;
+        for (sum, some) in some_slow.iter_mut().zip(some) {
+            *sum += some;
+        }
+    }
+    log_mean(&[all_slow, log_mean(&some_slow)]) - faultless
+}
+
+/// What the stable version tells about latencies.
+struct Reference {
+    /// Median bucket of a host of usual speed.
+    median: i32,
+    /// Probability by offset from the median.
+    shape: [f64; OFFSETS],
+    /// Calls behind the shape.
+    calls: f64,
+}
+
+impl Reference {
+    /// Returns `None` while too few endpoints are known: the first one may be the only slow one.
+    fn of(stable: &VersionEvidence) -> Option<Self> {
+        let groups = stable.groups().iter().map(|group| &group.latency);
+        let all: u64 = groups.clone().map(Histogram::total).sum();
+        let known: Vec<&Histogram> = groups.filter(|l| l.total() >= MIN_HOST_CALLS).collect();
+        let known_calls: u64 = known.iter().map(|latency| latency.total()).sum();
+        if (known_calls as f64) < MIN_KNOWN_PART * all as f64 {
+            return None;
+        }
+        let mut hosts: Vec<(u8, &Histogram)> = known
+            .into_iter()
+            .map(|l| (l.upper_bucket(0.5), l))
+            .collect();
+        hosts.sort_by_key(|(median, _)| *median);
+        let (median, _) = *hosts.get(hosts.len().checked_sub(1)? / 2)?;
+        let faster = &hosts[..(hosts.len() / 2).max(1)];
+        let (_, steadiest) = faster
+            .iter()
+            .min_by(|(_, a), (_, b)| deviation(a).total_cmp(&deviation(b)))?;
+        Some(Self {
+            median: i32::from(median),
+            shape: smooth(steadiest),
+            calls: steadiest.total() as f64,
+        })
+    }
+
+    /// Returns the logarithms of the shape if `part` of the calls is slower by `slower` buckets.
+    fn shape(&self, slower: usize, part: f64) -> Shape {
+        std::array::from_fn(|offset| {
+            let slowed = offset.checked_sub(slower).map_or(0.0, |at| self.shape[at]);
+            let share = (1.0 - part) * self.shape[offset] + part * slowed;
+            (share + UNSEEN).ln()
+        })
+    }
+}
+
+/// Returns the mean distance from the median in buckets.
+fn deviation(latency: &Histogram) -> f64 {
+    let median = f64::from(latency.upper_bucket(0.5));
+    let distance = |&(bucket, count): &(u8, u64)| (f64::from(bucket) - median).abs() * count as f64;
+    latency.counts().iter().map(distance).sum::<f64>() / latency.total().max(1) as f64
+}
+
+/// Returns the shape of latencies by offset from their median, smoothed over neighbouring buckets.
+fn smooth(latency: &Histogram) -> [f64; OFFSETS] {
+    const KERNEL: [(i32, f64); 3] = [(-1, 0.25), (0, 0.5), (1, 0.25)];
+    let median = i32::from(latency.upper_bucket(0.5));
+    let mut shape = [0.0; OFFSETS];
+    for &(bucket, count) in latency.counts() {
+        let share = count as f64 / latency.total() as f64;
+        for (shift, weight) in KERNEL {
+            let offset = i32::from(bucket) - median + shift + MEDIAN as i32;
+            shape[offset.clamp(0, OFFSETS as i32 - 1) as usize] += weight * share;
+        }
+    }
+    shape
+}
+
+/// Returns the speeds of hosts in a range around a mean, in buckets relative to the usual speed, with
+/// the logarithms of their probabilities.
+fn speeds(range: RangeInclusive<i32>, mean: i32) -> Vec<(i32, f64)> {
+    let density = |speed: i32| {
+        let deviation = f64::from(speed - mean) / SPEED_DEVIATION;
+        (-0.5 * deviation.powi(2)).exp()
+    };
+    let total: f64 = range.clone().map(density).sum();
+    range
+        .map(|speed| (speed, (density(speed) / total).ln()))
+        .collect()
+}
--- /dev/null
+++ b/crates/coordination/src/evidence/odds/tests.rs
@@ -0,0 +1,110 @@
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+
+use super::super::{GroupEvidence, histogram::shift};
+use super::latency::latency_odds;
+use super::*;
+use crate::pacing::MAX_LOG_ODDS;
+
+/// Calls and failures by endpoint.
+fn version(groups: &[[u64; 2]]) -> VersionEvidence {
+    let group = |&[calls, failures]: &[u64; 2]| GroupEvidence {
+        counts: Counts {
+            calls,
+            failures,
+            refusals: 0,
+        },
+        ..GroupEvidence::default()
+    };
+    groups.iter().map(group).collect::<Vec<_>>().into()
+}
+
+/// Guards against odds that hold a good version back, or let a faulty one on, also when both
+/// versions fail alike, one host is bad, or a route fails for everyone.
+#[rstest]
+#[case::good(&[[27, 1], [27, 0], [26, 1]], [1_500, 30], false)]
+#[case::fifth_fails(&[[27, 5], [27, 5], [26, 6]], [1_500, 30], true)]
+#[case::both_fail(&[[27, 8], [27, 8], [26, 8]], [1_500, 450], false)]
+#[case::faulty_among_failures(&[[27, 13], [27, 13], [26, 14]], [1_500, 450], true)]
+#[case::one_bad_host(&[[27, 20], [27, 0], [26, 1]], [1_500, 30], false)]
+#[case::route_that_fails(&[[1, 1], [2, 2]], [8, 8], false)]
+fn failure_odds_hold(
+    #[case] candidate: &[[u64; 2]],
+    #[case] stable: [u64; 2],
+    #[case] holds: bool,
+) {
+    let odds = failure_odds(&version(&[stable]), &version(candidate), true);
+    assert_eq!(odds > MAX_LOG_ODDS, holds, "{odds}");
+}
+
+/// Guards against a verdict without calls.
+#[test]
+fn failure_odds_no_calls() {
+    assert_eq!(
+        failure_odds(&version(&[[100, 2]]), &version(&[]), true),
+        0.0
+    );
+    assert_eq!(failure_odds(&version(&[]), &version(&[[5, 5]]), true), 0.0);
+}
+
+/// Latencies of a version in milliseconds: by endpoint, the speed and the part of the calls that take
+/// `factor` times as long.
+fn latencies(
+    rng: &mut ChaCha8Rng,
+    calls: usize,
+    hosts: &[(f64, f64)],
+    factor: f64,
+) -> VersionEvidence {
+    let mut groups = Vec::new();
+    for (speed, part) in hosts {
+        let mut group = GroupEvidence::default();
+        for _ in 0..calls / hosts.len() {
+            let spread: f64 = (0..3).map(|_| rng.random_range(0.6..1.7)).product();
+            let slowed = if rng.random_bool(*part) { factor } else { 1.0 };
+            let millis = 110.0 * spread * speed * slowed;
+            group.latency.record((millis * 1_000.0) as u64);
+        }
+        groups.push(group);
+    }
+    groups.into()
+}
+
+/// Pattern: 60 calls of a new version, three endpoints each.
+///
+/// Guards against latencies that say nothing although a version is several times slower, and against
+/// good versions that are suspected for the speed of their hosts, one slow host, or slow hosts of
+/// the old version. The last step needs odds of 4, which the wrong side reaches with a probability of exp(-4), 2%.
+#[rstest]
+#[case::good(&[(0.8, 0.0), (1.0, 0.0), (1.4, 0.0)], &[(0.7, 0.0), (1.1, 0.0), (1.5, 0.0)], false)]
+#[case::slower_hosts(&[(0.8, 0.0), (1.0, 0.0), (1.0, 0.0)], &[(1.4, 0.0), (1.4, 0.0), (1.6, 0.0)], false)]
+#[case::slow_host(&[(0.8, 0.0), (1.0, 0.0), (1.4, 0.0)], &[(0.7, 0.0), (1.1, 0.0), (5.0, 0.0)], false)]
+#[case::slow_upstream(&[(0.8, 0.0), (1.0, 0.6), (1.4, 0.0)], &[(0.7, 0.0), (1.1, 0.0), (1.5, 0.0)], false)]
+#[case::half(&[(0.8, 0.0), (1.0, 0.0), (1.4, 0.0)], &[(0.7, 0.5), (1.1, 0.5), (1.5, 0.5)], true)]
+#[case::third(&[(0.8, 0.0), (1.0, 0.0), (1.4, 0.0)], &[(0.7, 0.33), (1.1, 0.33), (1.5, 0.33)], true)]
+#[case::all(&[(0.8, 0.0), (1.0, 0.0), (1.4, 0.0)], &[(0.7, 1.0), (1.1, 1.0), (1.5, 1.0)], true)]
+#[case::half_among_slow(&[(0.8, 0.0), (1.0, 0.6), (1.4, 0.0)], &[(0.7, 0.5), (1.1, 0.5), (1.5, 0.5)], true)]
+#[case::half_among_two_slow(&[(0.8, 0.6), (1.0, 0.6), (1.4, 0.0)], &[(0.7, 0.5), (1.1, 0.5), (1.5, 0.5)], true)]
+fn latency_odds_sides(
+    #[case] stable: &[(f64, f64)],
+    #[case] candidate: &[(f64, f64)],
+    #[case] is_faulty: bool,
+) {
+    let mut wrong = [0; 2];
+    let mut all = Vec::new();
+    for seed in 0..200 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let stable = latencies(&mut rng, 1_000, stable, 5.0);
+        let candidate = latencies(&mut rng, 60, candidate, 4.0);
+        let odds = latency_odds(&stable, &candidate, shift(250));
+        all.push(odds);
+        wrong[0] += usize::from((odds > 0.0) != is_faulty);
+        wrong[1] += usize::from((odds.abs() > 4.0) && (odds > 0.0) != is_faulty);
+    }
+    all.sort_by(f64::total_cmp);
+    println!(
+        "wrong {wrong:?}, odds {:.1} {:.1} {:.1} {:.1} {:.1}",
+        all[0], all[20], all[100], all[180], all[199]
+    );
+    assert!(wrong[0] <= 20 && wrong[1] <= 4, "{wrong:?}");
+}
--- a/crates/coordination/src/evidence/tests.rs
+++ b/crates/coordination/src/evidence/tests.rs
@@ -360,3 +360,36 @@
     comparison.close_batches(Millis(1_000), 3);
     assert_eq!(comparison.verdict().is_some(), condemned);
 }
+
+/// Guards against a fault that shows only at a larger share and is outweighed by the good calls
+/// before it.
+#[test]
+fn worst_odds_of_step() {
+    let calls = |candidate: [u64; 2], stable: [u64; 2]| {
+        let version = |[calls, failures]: [u64; 2]| {
+            let counts = Counts {
+                calls,
+                failures,
+                refusals: 0,
+            };
+            let group = GroupEvidence {
+                counts,
+                ..GroupEvidence::default()
+            };
+            vec![group].into()
+        };
+        RouteEvidence {
+            stable: version(stable),
+            candidate: version(candidate),
+        }
+    };
+    let mut comparison = Comparison::new(&rule(), WINDOW);
+    comparison.add(Millis(0), &"r".into(), &calls([400, 8], [1_500, 30]));
+    comparison.close_batches(Millis(0), 1);
+    assert!(comparison.worst_odds().failures <= 0.0);
+    comparison.enter_step();
+    comparison.add(Millis(1_000), &"r".into(), &calls([40, 12], [40, 1]));
+    comparison.close_batches(Millis(1_000), 1);
+    assert!(comparison.odds().failures < 0.0);
+    assert!(comparison.worst_odds().failures > 0.0);
+}
--- a/crates/coordination/src/pacing.rs
+++ b/crates/coordination/src/pacing.rs
@@ -8,12 +8,13 @@
 //!   will receive there until a fault could be noticed, and before the last step as many as a clear
 //!   fault takes to show;
 //! - the new version has endpoints with enough slots for the next share;
-//! - the evidence doesn't speak against the new version;
+//! - the evidence doesn't speak against the new version, and its calls speak for it;
 //! - the daemons that reported so far still do, so a new leader waits until its evidence is
 //!   refilled, and missing data never moves anything.
 //!
-//! A version that the evidence still speaks against when its time is over, or when the watch period
-//! ends, is taken back: otherwise it would keep its share for as long as the evidence stays unclear.
+//! A version whose calls don't speak for it when its time is over, or when the watch period ends, is
+//! taken back, and so is one that stays under strong suspicion: otherwise it would keep its share for
+//! as long as the evidence stays unclear.
 //!
 //! When traffic is too low for a step, the rule decides at the finish time. A take-back needs evidence
 //! at this leader; the absence of reports is none.
@@ -48,15 +49,19 @@
 /// reaches it with a probability of at most the fourth root of the false-alarm rate, and only for a
 /// while.
 pub const MAX_SUSPICION: f64 = 0.25;
-/// The same for the step to all traffic. Above zero, the evidence is against the version rather than
-/// for it. A good version that has had its calls is below.
-pub const MAX_LAST_SUSPICION: f64 = 0.0;
 /// Log odds of a clear fault from which on no step is taken; see
-/// [`Comparison::log_odds`](crate::evidence::comparison::Comparison::log_odds). A good version that
-/// fails 2% of its calls is above this after 80 calls in one of 150 rollouts.
-pub const MAX_LOG_ODDS: f64 = 1.5;
-/// The same for the step to all traffic, which exposes most calls.
-pub const MAX_LAST_LOG_ODDS: f64 = 0.0;
+/// [`Comparison::worst_odds`](crate::evidence::comparison::Comparison::worst_odds).
+pub const MAX_LOG_ODDS: f64 = 1.0;
+/// Log odds of a clear fault above which a version may not stay for long: it is faulty with a
+/// probability of seven in eight.
+pub const SUSPECT_LOG_ODDS: f64 = 2.0;
+/// Part of the time of a rollout after which a version that stays above is taken back.
+const MAX_SUSPECT_PART: u64 = 6;
+/// Log odds of a clear fault that a step needs: the calls must speak for the version. A faulty version
+/// is below with a probability of about exp(-2), 14%.
+pub const STEP_LOG_ODDS: f64 = -2.0;
+/// The same for the step to all traffic, which exposes most calls: about 2%.
+pub const LAST_STEP_LOG_ODDS: f64 = -4.0;
 
 /// Endpoints of one version that can take calls.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -75,6 +80,8 @@
     OnPlan,
     /// Too few calls have been reported at this step.
     Evidence,
+    /// The calls are enough, but they don't speak for the new version clearly enough.
+    Support,
     /// The new version has too few endpoints for the next share.
     Endpoints,
     /// The evidence speaks against the new version, without being sufficient.
@@ -202,7 +209,7 @@
             candidate_calls: tracker.comparison.candidate_calls(),
             step_calls: tracker.step_calls,
             suspicion: tracker.comparison.suspicion(),
-            log_odds: tracker.comparison.log_odds(),
+            log_odds: tracker.comparison.worst_odds().highest(),
             comparison: &tracker.comparison,
             cut_off: tracker.cut_off(),
         })
@@ -257,7 +264,9 @@
         total_calls: tracker.comparison.candidate_calls(),
     };
     tracker.outlook = Some(plan.outlook(now, rollout, &known, waiting));
-    if waiting == Waiting::Suspicion && is_over(now, rollout) {
+    let is_suspect = tracker.is_suspect_for(rollout.window().0 / MAX_SUSPECT_PART, now);
+    let is_unproven = matches!(waiting, Waiting::Suspicion | Waiting::Support);
+    if is_suspect || (is_unproven && is_over(now, rollout)) {
         let ratio = tracker.comparison.worst_ratio();
         return Some(RolloutAction::TakeBack(TakeBackReason::Suspected(ratio)));
     }
@@ -276,15 +285,19 @@
     now >= rollout.watch_until().unwrap_or(rollout.finish_by)
 }
 
-/// Returns whether the evidence is too much against the new version for the next step.
-fn is_suspect(rollout: &Rollout, tracker: &Tracker) -> bool {
-    let next = rollout.rule.steps.get(rollout.step as usize);
-    let (suspicion, log_odds) = match next {
-        Some(share) if *share == Share::ALL => (MAX_LAST_SUSPICION, MAX_LAST_LOG_ODDS),
-        _ => (MAX_SUSPICION, MAX_LOG_ODDS),
+/// Returns whether the evidence is too much against the version for the next step.
+fn is_suspect(comparison: &Comparison) -> bool {
+    comparison.suspicion() >= MAX_SUSPICION || comparison.worst_odds().highest() > MAX_LOG_ODDS
+}
+
+/// Returns whether the calls speak for the version, as far as the next step needs it.
+fn is_supported(rollout: &Rollout, comparison: &Comparison) -> bool {
+    let needed = match rollout.next_share() {
+        None => return true,
+        Some(Share::ALL) => LAST_STEP_LOG_ODDS,
+        Some(_) => STEP_LOG_ODDS,
     };
-    let comparison = &tracker.comparison;
-    comparison.suspicion() >= suspicion || comparison.log_odds() > log_odds
+    comparison.odds().highest() <= needed
 }
 
 fn waiting(
@@ -303,7 +316,7 @@
     if rollout.phase == RolloutPhase::Planned {
         return Waiting::OnPlan;
     }
-    if is_suspect(rollout, tracker) {
+    if is_suspect(&tracker.comparison) {
         return Waiting::Suspicion;
     }
     if !heard || !tracker.has_reports(now) {
@@ -312,9 +325,18 @@
     let need = Need::of_next_step(rollout, rate);
     let enough = tracker.step_calls >= need.step_calls
         && tracker.comparison.candidate_calls() >= need.total_calls;
-    if enough {
+    let clear_calls = plan::clear_calls(&rollout.rule);
+    let supported = is_supported(rollout, &tracker.comparison);
+    if enough && supported {
         return Waiting::OnPlan;
     }
+    if !supported && tracker.comparison.weighed_calls() >= clear_calls {
+        return Waiting::Support;
+    }
+    // A new leader learns the number of earlier calls at once, but not what they say.
+    if !supported && tracker.comparison.candidate_calls() >= clear_calls {
+        return Waiting::Evidence;
+    }
     match rollout.rule.low_traffic {
         LowTraffic::Finish if now >= plan.forced_step => Waiting::OnPlan,
         LowTraffic::Stay if now >= rollout.finish_by => Waiting::LowTraffic,
--- a/crates/coordination/src/pacing/plan.rs
+++ b/crates/coordination/src/pacing/plan.rs
@@ -1,21 +1,19 @@
 //! The plan of a rollout, computed back from its finish time.
 
-use sycamoreflow_state::config::Share;
+use sycamoreflow_state::config::{RolloutRule, Share};
 use sycamoreflow_state::ids::Millis;
 use sycamoreflow_state::rollout::{Rollout, RolloutPhase};
 
 use super::{Outlook, Waiting};
+use crate::evidence::BRISK_WINDOW;
 
 /// Part of the time between approval and finish time that is kept free for delays, such as a change
 /// of leader.
 const RESERVE_PART: u64 = 20;
 /// Interval between steps that are taken at the finish time for lack of traffic.
 const FORCED_INTERVAL: Millis = Millis(3_000);
-/// Rollouts of this length or less stay at the first share for as long as possible. Divided evenly,
-/// their time would show a fault that begins late to most of the traffic.
-const BRISK_WINDOW: Millis = Millis(60_000);
-/// Interval between the later steps of such a rollout. It covers a report, a tick of the leader and
-/// an update.
+/// Interval between the later steps of a [brisk](BRISK_WINDOW) rollout. It covers the answers of slow
+/// calls, a report, a tick of the leader and an update.
 const BRISK_STEP: Millis = Millis(1_300);
 /// Time from a call to a take-back in force: a report, a tick, a log entry and an update.
 const REACTION_SECONDS: f64 = 3.0;
@@ -56,8 +54,8 @@
 
 impl Plan {
     pub(super) fn new(rollout: &Rollout) -> Self {
-        let window = rollout.window().0;
-        let target = Millis(rollout.finish_by.0.saturating_sub(window / RESERVE_PART));
+        let window = rollout.window();
+        let target = Millis(rollout.finish_by.0.saturating_sub(window.0 / RESERVE_PART));
         let entered = rollout.step_entered();
         let left = rollout
             .rule
@@ -71,7 +69,7 @@
         };
         match rollout.phase {
             RolloutPhase::Planned => at(rollout.started),
-            RolloutPhase::Moving if window <= BRISK_WINDOW.0 => {
+            RolloutPhase::Moving if window <= BRISK_WINDOW => {
                 let later = left.saturating_sub(1) * BRISK_STEP.0;
                 let due = Millis(target.0.saturating_sub(later));
                 Self {
@@ -156,17 +154,21 @@
         let Some(next) = rollout.rule.steps.get(step) else {
             return nothing;
         };
-        let (min, max) = CLEAR_CALLS;
-        let margin = rollout.rule.max_extra_failures.ratio();
-        let clear = (CLEAR_FACTOR / margin).clamp(min, max);
+        let clear = clear_calls(&rollout.rule);
         let exposed = calls_per_second.map(|rate| rate * next.ratio() * REACTION_SECONDS);
         Self {
-            step_calls: exposed.map_or(clear, |calls| calls.min(clear)) as u64,
-            total_calls: if *next == Share::ALL { clear as u64 } else { 0 },
+            step_calls: exposed.map_or(clear, |calls| clear.min(calls as u64)),
+            total_calls: if *next == Share::ALL { clear } else { 0 },
         }
     }
 }
 
+/// Returns the calls that show a clear fault.
+pub(super) fn clear_calls(rule: &RolloutRule) -> u64 {
+    let (min, max) = CLEAR_CALLS;
+    (CLEAR_FACTOR / rule.max_extra_failures.ratio()).clamp(min, max) as u64
+}
+
 /// Returns the slots that the new version needs for the next share: as many as the calls will use,
 /// or the same part of slots as the old version has.
 pub(super) fn slots_needed(
--- a/crates/coordination/src/pacing/tests/orders.rs
+++ b/crates/coordination/src/pacing/tests/orders.rs
@@ -255,9 +255,10 @@
 
     /// Reports of one daemon after the other, spread over the interval.
     fn report(&mut self, now: Millis) {
-        let between = REPORT_INTERVAL.0 / ENTRIES as u64 / STEP.0 * STEP.0;
+        let interval = REPORT_INTERVAL.0;
+        let between = interval / ENTRIES as u64 / STEP.0 * STEP.0;
         for index in 0..ENTRIES {
-            if now.0 % REPORT_INTERVAL.0 != index as u64 * between {
+            if now.0 % interval != index as u64 * between {
                 continue;
             }
             let entry = &mut self.entries[index];
--- a/crates/coordination/src/pacing/tracker.rs
+++ b/crates/coordination/src/pacing/tracker.rs
@@ -7,7 +7,7 @@
 use sycamoreflow_state::ids::{DaemonId, Millis, RouteName};
 use sycamoreflow_state::rollout::Rollout;
 
-use super::Outlook;
+use super::{Outlook, SUSPECT_LOG_ODDS};
 use crate::evidence::comparison::Comparison;
 use crate::evidence::histogram::Histogram;
 use crate::evidence::{RolloutEvidence, RouteEvidence};
@@ -26,11 +26,15 @@
     pub(super) comparison: Comparison,
     /// Calls of the candidate reported at the current step.
     pub(super) step_calls: u64,
+    /// Since when the log odds of a fault are above [`SUSPECT_LOG_ODDS`].
+    suspect_since: Option<Millis>,
     /// The last command, by step and kind, and when it was proposed.
     pub(super) proposed: Option<((u32, bool), Millis)>,
     pub(super) outlook: Option<Outlook>,
     term: u64,
     created: Millis,
+    /// Whether counts that arrive first may be of calls to cold endpoints.
+    may_be_cold: bool,
     daemons: BTreeMap<DaemonId, DaemonState>,
     evidence: BTreeMap<(DaemonId, u64), DaemonEvidence>,
     stable_latency: Histogram,
@@ -57,10 +61,12 @@
             pool: CreditPool::new(term, rollout.number, rollout.share()),
             comparison: Comparison::new(&rollout.rule, rollout.window()),
             step_calls: 0,
+            suspect_since: None,
             proposed: None,
             outlook: None,
             term,
             created: now,
+            may_be_cold: rollout.step == 1,
             daemons: BTreeMap::new(),
             evidence: BTreeMap::new(),
             stable_latency: Histogram::default(),
@@ -93,7 +99,7 @@
             known.routes.clear();
         }
         for (route, counts) in &evidence.routes {
-            let new = known.increase(route, counts);
+            let new = known.increase(route, counts, self.may_be_cold);
             if evidence.share == self.pool.share() {
                 self.step_calls += new.candidate.calls();
             }
@@ -107,9 +113,13 @@
         if self.pool.share() != rollout.share() {
             self.pool = CreditPool::new(self.term, rollout.number, rollout.share());
             self.step_calls = 0;
+            self.may_be_cold = false;
             self.comparison.enter_step();
         }
         self.comparison.close_batches(now, endpoints);
+        let is_suspect = self.comparison.worst_odds().highest() > SUSPECT_LOG_ODDS;
+        let since = self.suspect_since.unwrap_or(now);
+        self.suspect_since = is_suspect.then_some(since);
         let calls = std::mem::take(&mut self.new_calls);
         self.rates.push_back((now, calls));
         while let Some((time, _)) = self.rates.front()
@@ -119,6 +129,12 @@
         }
     }
 
+    /// Returns whether the version has been under strong suspicion for this many milliseconds.
+    pub(super) fn is_suspect_for(&self, millis: u64, now: Millis) -> bool {
+        self.suspect_since
+            .is_some_and(|since| now.since(since).0 >= millis)
+    }
+
     /// Returns the calls per second over the mesh, once a few seconds of reports are known.
     pub(super) fn calls_per_second(&self) -> Option<f64> {
         let (first, _) = self.rates.front()?;
@@ -153,12 +169,21 @@
 }
 
 impl DaemonEvidence {
-    /// Takes in cumulative counts of a route and returns what is new in them. The latencies of the
-    /// first counts are left out, as they may be of endpoints that were cold at an earlier time.
-    fn increase(&mut self, route: &RouteName, counts: &RouteEvidence) -> RouteEvidence {
+    /// Takes in cumulative counts of a route and returns what is new in them. A leader that took over
+    /// during the first step leaves out the latencies of the first counts: they may be of endpoints
+    /// that were cold at an earlier time.
+    fn increase(
+        &mut self,
+        route: &RouteName,
+        counts: &RouteEvidence,
+        may_be_cold: bool,
+    ) -> RouteEvidence {
         let Some(known) = self.routes.get_mut(route) else {
             self.routes.insert(route.clone(), counts.clone());
-            return counts.clone().without_latency();
+            return match may_be_cold {
+                true => counts.clone().without_latency(),
+                false => counts.clone(),
+            };
         };
         let new = counts.since(known);
         known.merge(&new);
