Weigh calls of a new version that still wait for their answer

Callers got a version that is slow only under load: after the step to 50%, the fast half of its answers had arrived when the step to 100% was due, and vouched for it. Slow answers count only when they arrive, which takes longer than the step, and calls whose callers leave never counted. The class of fault is survivorship: the evidence is taken from calls that have ended.

Daemons now report how long calls of the new version have waited that have not ended or were given up, and the odds use the probability of a longer latency for them. The shape of latencies comes from all calls of the rollout, as that of a young step has the same bias.

--- a/crates/coordination/examples/rollouts/world.rs
+++ b/crates/coordination/examples/rollouts/world.rs
@@ -383,7 +383,11 @@
             let shares = entry.counter.report(Millis(self.now));
             let report = EvidenceReport {
                 incarnation: entry.incarnation,
-                rollouts: entry.recorder.report(shares).into_iter().collect(),
+                rollouts: entry
+                    .recorder
+                    .report(Millis(self.now), shares)
+                    .into_iter()
+                    .collect(),
             };
             let simple = entry.simple;
             self.count_bytes(&report);
--- a/crates/coordination/src/evidence.rs
+++ b/crates/coordination/src/evidence.rs
@@ -62,6 +62,17 @@
     pub latency_us: u64,
 }
 
+/// The send of a first attempt of a call.
+#[derive(Clone, Copy, Debug)]
+pub struct StartedCall<'a> {
+    /// Route of the call.
+    pub route: &'a RouteName,
+    /// Version that it is sent to.
+    pub version: &'a VersionName,
+    /// Rank of the endpoint among those of its version in the view, ordered by daemon.
+    pub endpoint: usize,
+}
+
 /// Counts of calls by outcome.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(from = "(u64, u64, u64)", into = "(u64, u64, u64)")]
@@ -123,6 +134,10 @@
     /// Some of the routes, or all of them.
     #[serde(rename = "r")]
     pub routes: IndexMap<RouteName, RouteEvidence>,
+    /// How long calls of the candidate on these routes have waited that were not answered yet, or whose
+    /// callers have left.
+    #[serde(rename = "w")]
+    pub waiting: IndexMap<RouteName, VersionEvidence>,
 }
 
 /// Returns the interval between reports while the candidate of `split` is rolled out.
@@ -263,16 +278,30 @@
         latency
     }
 
+    /// Returns whether any latency is known.
+    pub fn has_latency(&self) -> bool {
+        self.groups.iter().any(|group| !group.latency.is_empty())
+    }
+
     /// Counts a call without its latency. Returns the group of its endpoint.
     fn count(&mut self, call: &FinishedCall<'_>) -> &mut GroupEvidence {
-        let group = call.endpoint % GROUPS;
-        self.reserve(group + 1);
-        let group = &mut self.groups[group];
+        let group = self.group_of(call.endpoint);
         group.counts.record(call.outcome);
         group
     }
 
-    fn merge(&mut self, other: &Self) {
+    /// Counts a latency without its call.
+    fn record_latency(&mut self, endpoint: usize, latency_us: u64) {
+        self.group_of(endpoint).latency.record(latency_us);
+    }
+
+    fn group_of(&mut self, endpoint: usize) -> &mut GroupEvidence {
+        let group = endpoint % GROUPS;
+        self.reserve(group + 1);
+        &mut self.groups[group]
+    }
+
+    pub(crate) fn merge(&mut self, other: &Self) {
         self.reserve(other.groups.len());
         for (group, other) in self.groups.iter_mut().zip(&other.groups) {
             group.counts.merge(&other.counts);
--- a/crates/coordination/src/evidence/comparison.rs
+++ b/crates/coordination/src/evidence/comparison.rs
@@ -17,7 +17,8 @@
 use sycamoreflow_state::rollout::{BadRatio, TakeBackReason};
 
 use super::histogram::{Histogram, shift};
-use super::odds::{Odds, failure_odds, latency::latency_odds};
+use super::odds::latency::{Latencies, latency_odds};
+use super::odds::{Odds, failure_odds};
 use super::sequential::{Batch, EProcess, LogFactors, log_sum};
 use super::{Counts, GROUPS, RouteEvidence, VersionEvidence};
 
@@ -54,7 +55,7 @@
 /// Calls from which on a group of endpoints is compared with the others.
 const MIN_GROUP_CALLS: u64 = 5;
 /// Log odds of a clear fault that condemn a candidate at least, whatever the false-alarm rate. One bad
-/// host contributes 3.5 to them.
+/// host contributes 2.5 to them.
 const MIN_VERDICT_ODDS: f64 = 6.0;
 /// Highest usable false-alarm rate. At 100% the threshold is zero, by which suspicion is divided.
 const MAX_FALSE_ALARM: Share = Share::percent(50);
@@ -122,6 +123,10 @@
     /// Those of the current step whose odds are taken. Latencies of the time in which the endpoints of
     /// the candidate are cold are missing.
     step: RouteEvidence,
+    /// Calls of the candidate that have not ended, by age.
+    waiting: VersionEvidence,
+    /// Calls of the stable version at earlier steps.
+    earlier_stable: VersionEvidence,
     /// Odds of the current step.
     step_odds: Odds,
     /// Whether calls were added after the odds were taken.
@@ -195,6 +200,15 @@
         }
     }
 
+    /// Takes in how long the calls of the candidate have waited that have not ended, by route.
+    pub fn set_waiting(&mut self, mut routes: IndexMap<RouteName, VersionEvidence>) {
+        for (route, state) in &mut self.routes {
+            let waiting = routes.swap_remove(route).unwrap_or_default();
+            state.changed |= waiting != state.waiting;
+            state.waiting = waiting;
+        }
+    }
+
     /// Closes the batches that are due. It is called at fixed times, since times that depend on
     /// the outcome of calls would bias the test. `endpoints` is the candidate's number.
     pub fn close_batches(&mut self, now: Millis, endpoints: u32) {
@@ -227,7 +241,9 @@
         for state in self.routes.values_mut() {
             state.take_odds(&self.rules);
             state.earlier_odds.add(std::mem::take(&mut state.step_odds));
-            state.step = RouteEvidence::default();
+            let step = std::mem::take(&mut state.step);
+            state.earlier_stable.merge(&step.stable);
+            state.waiting = VersionEvidence::default();
         }
     }
 
@@ -477,9 +493,15 @@
             return;
         }
         let RouteEvidence { stable, candidate } = &self.step;
+        let latencies = Latencies {
+            stable,
+            earlier_stable: &self.earlier_stable,
+            candidate,
+            waiting: &self.waiting,
+        };
         self.step_odds = Odds {
             failures: failure_odds(stable, candidate, rules.refusals_are_bad),
-            slow: latency_odds(stable, candidate, rules.slow_shift),
+            slow: latency_odds(&latencies, rules.slow_shift),
         };
     }
 
--- a/crates/coordination/src/evidence/odds/latency.rs
+++ b/crates/coordination/src/evidence/odds/latency.rs
@@ -12,8 +12,9 @@
 
 use std::ops::RangeInclusive;
 
-use super::super::VersionEvidence;
 use super::super::histogram::{BUCKETS, BUCKETS_PER_DOUBLING, Histogram};
+use super::super::sequential::log_sum;
+use super::super::{GROUPS, VersionEvidence};
 use super::{host_likelihood, log_mean};
 
 /// Factors by which a fault makes calls slower, in buckets: 2.8, 4 and 8 times.
@@ -42,24 +43,42 @@
 const OFFSETS: usize = 2 * BUCKETS as usize + 1;
 const MEDIAN: usize = BUCKETS as usize;
 
-/// Logarithms of probabilities by offset from the median of a host of usual speed.
+/// Logarithms of probabilities by offset from the median.
 type Shape = [f64; OFFSETS];
 
+/// Logarithms of probabilities by offset from the median of a host of usual speed.
+struct Likelihood {
+    /// Of calls that took that long.
+    ended: Shape,
+    /// Of calls that have waited that long without an end.
+    waiting: Shape,
+}
+
+/// Latencies on one route.
+#[derive(Clone, Copy, Debug)]
+pub struct Latencies<'a> {
+    /// Calls of the stable version over the same time as those of the candidate.
+    pub stable: &'a VersionEvidence,
+    /// Calls of the stable version before that.
+    pub earlier_stable: &'a VersionEvidence,
+    /// Calls of the candidate.
+    pub candidate: &'a VersionEvidence,
+    /// Calls of the candidate that have not ended, by how long they have waited.
+    pub waiting: &'a VersionEvidence,
+}
+
 /// Returns the log odds of a fault. `max_shift` is the highest permitted slowdown in buckets.
-pub fn latency_odds(stable: &VersionEvidence, candidate: &VersionEvidence, max_shift: u8) -> f64 {
-    let groups: Vec<&Histogram> = candidate
-        .groups()
-        .iter()
-        .map(|group| &group.latency)
-        .filter(|latency| !latency.is_empty())
-        .collect();
-    let Some(reference) = Reference::of(stable) else {
+pub fn latency_odds(latencies: &Latencies<'_>, max_shift: u8) -> f64 {
+    if !latencies.candidate.has_latency() && !latencies.waiting.has_latency() {
+        return 0.0;
+    }
+    let Some(reference) = Reference::of(latencies) else {
         return 0.0;
     };
-    let usual = reference.shape(0, 0.0);
-    let partial = std::array::from_fn::<Shape, PARTIAL_FAULTS, _>(|index| {
+    let usual = reference.likelihood(0, 0.0);
+    let partial = std::array::from_fn::<Likelihood, PARTIAL_FAULTS, _>(|index| {
         let part = SLOWED_PARTS[index % SLOWED_PARTS.len()];
-        reference.shape(SLOWER[index / SLOWED_PARTS.len()], part)
+        reference.likelihood(SLOWER[index / SLOWED_PARTS.len()], part)
     });
     let max_shift = i32::from(max_shift);
     let permitted = speeds(FASTEST..=max_shift, 0);
@@ -67,26 +86,31 @@
     let mut faultless = 0.0;
     let mut all_slow = 0.0;
     let mut some_slow = [0.0; PARTIAL_FAULTS];
-    for latency in groups {
+    let none = Histogram::default();
+    for index in 0..GROUPS {
+        let of = |version: &VersionEvidence| {
+            let group = version.groups().get(index);
+            group.map_or_else(|| none.clone(), |group| group.latency.clone())
+        };
+        let [ended, waiting] = [latencies.candidate, latencies.waiting].map(of);
+        let calls = ended.total() + waiting.total();
+        if calls == 0 {
+            continue;
+        }
         // Few calls of the stable version know the shape as badly as few of the candidate.
-        let weight = reference.calls / (reference.calls + latency.total() as f64);
-        let likelihood = |shape: &Shape, speeds: &[(i32, f64)]| {
-            let at_speed = |&(speed, log_prior): &(i32, f64)| {
-                let log = |&(bucket, count): &(u8, u64)| {
-                    let offset = i32::from(bucket) - reference.median - speed + MEDIAN as i32;
-                    count as f64 * shape[offset.clamp(0, OFFSETS as i32 - 1) as usize]
-                };
-                log_prior + weight * latency.counts().iter().map(log).sum::<f64>()
-            };
-            let logs: Vec<f64> = speeds.iter().map(at_speed).collect();
-            super::super::sequential::log_sum(logs.into_iter())
+        let weight = reference.calls / (reference.calls + calls as f64);
+        let log = |likelihood: &Likelihood, speeds: &[(i32, f64)]| {
+            let logs = speeds.iter().map(|(speed, log_prior)| {
+                let zero = reference.median + speed;
+                let calls = sum_at(&likelihood.ended, &ended, zero)
+                    + sum_at(&likelihood.waiting, &waiting, zero);
+                log_prior + weight * calls
+            });
+            log_sum(logs)
         };
-        let all = likelihood(&usual, &excessive);
-        let some = partial
-            .each_ref()
-            .map(|shape| likelihood(shape, &permitted));
-        let bad = [all, log_mean(&some)];
-        faultless += host_likelihood(likelihood(&usual, &permitted), &bad);
+        let all = log(&usual, &excessive);
+        let some = partial.each_ref().map(|fault| log(fault, &permitted));
+        faultless += host_likelihood(log(&usual, &permitted), &[all, log_mean(&some)]);
         all_slow += all;
         for (sum, some) in some_slow.iter_mut().zip(some) {
             *sum += some;
@@ -95,6 +119,15 @@
     log_mean(&[all_slow, log_mean(&some_slow)]) - faultless
 }
 
+/// Returns the log likelihood of latencies whose median on a good host is the bucket `zero`.
+fn sum_at(shape: &Shape, latency: &Histogram, zero: i32) -> f64 {
+    let log = |&(bucket, count): &(u8, u64)| {
+        let offset = i32::from(bucket) - zero + MEDIAN as i32;
+        count as f64 * shape[offset.clamp(0, OFFSETS as i32 - 1) as usize]
+    };
+    latency.counts().iter().map(log).sum()
+}
+
 /// What the stable version tells about latencies.
 struct Reference {
     /// Median bucket of a host of usual speed.
@@ -106,25 +139,17 @@
 }
 
 impl Reference {
-    /// Returns `None` while too few endpoints are known: the first one may be the only slow one.
-    fn of(stable: &VersionEvidence) -> Option<Self> {
-        let groups = stable.groups().iter().map(|group| &group.latency);
-        let all: u64 = groups.clone().map(Histogram::total).sum();
-        let known: Vec<&Histogram> = groups.filter(|l| l.total() >= MIN_HOST_CALLS).collect();
-        let known_calls: u64 = known.iter().map(|latency| latency.total()).sum();
-        if (known_calls as f64) < MIN_KNOWN_PART * all as f64 {
-            return None;
-        }
-        let mut hosts: Vec<(u8, &Histogram)> = known
-            .into_iter()
-            .map(|l| (l.upper_bucket(0.5), l))
-            .collect();
-        hosts.sort_by_key(|(median, _)| *median);
-        let (median, _) = *hosts.get(hosts.len().checked_sub(1)? / 2)?;
-        let faster = &hosts[..(hosts.len() / 2).max(1)];
-        let (_, steadiest) = faster
+    /// The speed of hosts is that of the same time, as load changes it. The shape is that of all calls.
+    /// Returns `None` while too few endpoints are known.
+    fn of(latencies: &Latencies<'_>) -> Option<Self> {
+        let mut all = latencies.earlier_stable.clone();
+        all.merge(latencies.stable);
+        let hosts = hosts(&all)?;
+        let (_, steadiest) = hosts[..(hosts.len() / 2).max(1)]
             .iter()
             .min_by(|(_, a), (_, b)| deviation(a).total_cmp(&deviation(b)))?;
+        let same_time = self::hosts(latencies.stable);
+        let median = middle(same_time.as_deref().unwrap_or(&hosts));
         Some(Self {
             median: i32::from(median),
             shape: smooth(steadiest),
@@ -132,16 +157,48 @@
         })
     }
 
-    /// Returns the logarithms of the shape if `part` of the calls is slower by `slower` buckets.
-    fn shape(&self, slower: usize, part: f64) -> Shape {
-        std::array::from_fn(|offset| {
+    /// Returns the likelihood if `part` of the calls is slower by `slower` buckets.
+    fn likelihood(&self, slower: usize, part: f64) -> Likelihood {
+        let share = std::array::from_fn::<f64, OFFSETS, _>(|offset| {
             let slowed = offset.checked_sub(slower).map_or(0.0, |at| self.shape[at]);
-            let share = (1.0 - part) * self.shape[offset] + part * slowed;
-            (share + UNSEEN).ln()
-        })
+            (1.0 - part) * self.shape[offset] + part * slowed
+        });
+        let mut longer = 0.0;
+        let mut waiting = [0.0; OFFSETS];
+        for (offset, share) in share.iter().enumerate().rev() {
+            longer += share;
+            waiting[offset] = (longer + UNSEEN).ln();
+        }
+        Likelihood {
+            ended: share.map(|share| (share + UNSEEN).ln()),
+            waiting,
+        }
     }
 }
 
+/// Returns the endpoints with enough calls, ordered by their median bucket, or `None` while they have
+/// too small a part of all calls: the first one that is known may be the only slow one.
+fn hosts(version: &VersionEvidence) -> Option<Vec<(u8, &Histogram)>> {
+    let groups = version.groups().iter().map(|group| &group.latency);
+    let all: u64 = groups.clone().map(Histogram::total).sum();
+    let known: Vec<&Histogram> = groups.filter(|l| l.total() >= MIN_HOST_CALLS).collect();
+    let calls: u64 = known.iter().map(|latency| latency.total()).sum();
+    if calls == 0 || (calls as f64) < MIN_KNOWN_PART * all as f64 {
+        return None;
+    }
+    let with_median = |latency: &'_ Histogram| latency.upper_bucket(0.5);
+    let mut hosts: Vec<_> = known.into_iter().map(|l| (with_median(l), l)).collect();
+    hosts.sort_by_key(|(median, _)| *median);
+    Some(hosts)
+}
+
+/// Returns the median of the medians.
+fn middle(hosts: &[(u8, &Histogram)]) -> u8 {
+    hosts
+        .get(hosts.len().saturating_sub(1) / 2)
+        .map_or(0, |(median, _)| *median)
+}
+
 /// Returns the mean distance from the median in buckets.
 fn deviation(latency: &Histogram) -> f64 {
     let median = f64::from(latency.upper_bucket(0.5));
--- a/crates/coordination/src/evidence/odds/tests.rs
+++ b/crates/coordination/src/evidence/odds/tests.rs
@@ -3,7 +3,7 @@
 use rstest::rstest;
 
 use super::super::{GroupEvidence, histogram::shift};
-use super::latency::latency_odds;
+use super::latency::{Latencies, latency_odds};
 use super::*;
 use crate::pacing::MAX_LOG_ODDS;
 
@@ -96,7 +96,14 @@
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let stable = latencies(&mut rng, 1_000, stable, 5.0);
         let candidate = latencies(&mut rng, 60, candidate, 4.0);
-        let odds = latency_odds(&stable, &candidate, shift(250));
+        let none = VersionEvidence::default();
+        let latencies = Latencies {
+            stable: &stable,
+            earlier_stable: &none,
+            candidate: &candidate,
+            waiting: &none,
+        };
+        let odds = latency_odds(&latencies, shift(250));
         all.push(odds);
         wrong[0] += usize::from((odds > 0.0) != is_faulty);
         wrong[1] += usize::from((odds.abs() > 4.0) && (odds > 0.0) != is_faulty);
@@ -108,3 +115,29 @@
     );
     assert!(wrong[0] <= 20 && wrong[1] <= 4, "{wrong:?}");
 }
+
+/// Pattern: one second after a step, the fast answers of a slow version have arrived.
+///
+/// Guards against a version that looks good because its slow answers are still to come.
+#[test]
+fn latency_odds_waiting() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let stable = latencies(&mut rng, 300, &[(0.8, 0.0), (1.0, 0.0), (1.4, 0.0)], 1.0);
+    let ended = latencies(&mut rng, 30, &[(0.8, 0.0), (1.0, 0.0), (1.4, 0.0)], 1.0);
+    let mut waiting = VersionEvidence::default();
+    for call in 0..30 {
+        waiting.record_latency(call % 3, 500_000 + 15_000 * call as u64);
+    }
+    let none = VersionEvidence::default();
+    let odds = |waiting| {
+        let latencies = Latencies {
+            stable: &stable,
+            earlier_stable: &none,
+            candidate: &ended,
+            waiting,
+        };
+        latency_odds(&latencies, shift(250))
+    };
+    assert!(odds(&none) < -2.0);
+    assert!(odds(&waiting) > 2.0);
+}
--- a/crates/coordination/src/evidence/recorder.rs
+++ b/crates/coordination/src/evidence/recorder.rs
@@ -6,9 +6,13 @@
 
 use super::comparison::Comparison;
 use super::histogram::{Histogram, bucket, shift};
-use super::{CallOutcome, FinishedCall, RolloutEvidence, RouteEvidence};
+use waiting::WaitingCalls;
+
+use super::{CallOutcome, FinishedCall, RolloutEvidence, RouteEvidence, StartedCall};
 use crate::shares::ShareReport;
 
+mod waiting;
+
 /// Probability that a daemon cuts a good version off during one rollout. It is far below usual
 /// false-alarm rates of the whole mesh, since thousands of daemons decide independently.
 pub const LOCAL_FALSE_ALARM: f64 = 1e-4;
@@ -26,6 +30,7 @@
     rollout: Option<u64>,
     share: Share,
     routes: IndexMap<RouteName, RouteEvidence>,
+    waiting: WaitingCalls,
     next_route: usize,
     cut_off: LocalCutoff,
     change: ChangeDetector,
@@ -37,6 +42,32 @@
         Self::default()
     }
 
+    /// Notes the send of a first attempt. Returns a number for its end if it is watched until then.
+    pub fn started(
+        &mut self,
+        now: Millis,
+        split: &TrafficSplit,
+        rule: &RolloutRule,
+        call: &StartedCall<'_>,
+    ) -> Option<u64> {
+        let candidate = split.candidate.as_ref()?;
+        if *call.version != candidate.version {
+            return None;
+        }
+        self.enter(now, candidate, rule);
+        self.waiting.start(now, call.route, call.endpoint)
+    }
+
+    /// Ends a watched call that was answered.
+    pub fn ended(&mut self, number: u64) {
+        self.waiting.end(number);
+    }
+
+    /// Ends a watched call whose caller has left.
+    pub fn abandoned(&mut self, now: Millis, number: u64) {
+        self.waiting.abandon(now, number);
+    }
+
     /// Counts a finished call. Returns the rollout that is to be stopped here, if the candidate is
     /// clearly bad. Calls are not counted after that.
     pub fn record(
@@ -72,26 +103,37 @@
     }
 
     /// Returns the evidence for the report, or `None` if no rollout is known here.
-    pub fn report(&mut self, shares: ShareReport) -> Option<RolloutEvidence> {
-        self.report_within(shares, DEFAULT_BUDGET)
+    pub fn report(&mut self, now: Millis, shares: ShareReport) -> Option<RolloutEvidence> {
+        self.report_within(now, shares, DEFAULT_BUDGET)
     }
 
     /// Returns the evidence that fits into `budget` encoded bytes. Routes that don't fit take their
     /// turn in the next reports; counts are cumulative, so nothing is lost by that.
-    pub fn report_within(&mut self, shares: ShareReport, budget: usize) -> Option<RolloutEvidence> {
+    pub fn report_within(
+        &mut self,
+        now: Millis,
+        shares: ShareReport,
+        budget: usize,
+    ) -> Option<RolloutEvidence> {
         let rollout = self.rollout?;
         let mut routes = IndexMap::new();
+        let mut ages = self.waiting.ages(now);
+        let mut waiting = IndexMap::new();
         let mut size = 0;
         for _ in 0..self.routes.len() {
             let index = self.next_route % self.routes.len();
             let Some((route, evidence)) = self.routes.get_index(index) else {
                 break;
             };
-            size += evidence.encoded_size() + route.as_str().len();
+            let age = ages.swap_remove(route).unwrap_or_default();
+            size += evidence.encoded_size() + age.encoded_size() + route.as_str().len();
             if size > budget && !routes.is_empty() {
                 break;
             }
             routes.insert(route.clone(), evidence.clone());
+            if age.has_latency() {
+                waiting.insert(route.clone(), age);
+            }
             self.next_route = index + 1;
         }
         Some(RolloutEvidence {
@@ -100,6 +142,7 @@
             shares,
             cut_off: self.cut_off.active,
             routes,
+            waiting,
         })
     }
 
@@ -115,6 +158,7 @@
         if self.share != candidate.share {
             self.share = candidate.share;
             self.routes.clear();
+            self.waiting.clear();
         }
     }
 
--- a/crates/coordination/src/evidence/tests.rs
+++ b/crates/coordination/src/evidence/tests.rs
@@ -296,7 +296,9 @@
     record(&mut recorder, 1, [0.01, 0.01]);
     let mut reported = std::collections::BTreeSet::new();
     for _ in 0..4 {
-        let evidence = recorder.report(ShareReport::default()).unwrap();
+        let evidence = recorder
+            .report(Millis(300_000), ShareReport::default())
+            .unwrap();
         reported.extend(evidence.routes.keys().cloned());
         let report = EvidenceReport {
             incarnation: u64::MAX,
@@ -393,3 +395,58 @@
     assert!(comparison.odds().failures < 0.0);
     assert!(comparison.worst_odds().failures > 0.0);
 }
+
+/// Guards against slow answers that say nothing until they arrive: reports show calls that still
+/// wait or whose callers have left, and no others.
+#[test]
+fn report_waiting_calls() {
+    let route = RouteName::from("r");
+    let version = VersionName::from("v2");
+    let mut recorder = EvidenceRecorder::new();
+    let start = |recorder: &mut EvidenceRecorder, share, at, endpoint| {
+        let call = StartedCall {
+            route: &route,
+            version: &version,
+            endpoint,
+        };
+        recorder.started(Millis(at), &split(share), &rule(), &call)
+    };
+    let [answered, left, waits] =
+        [0, 1, 2].map(|endpoint| start(&mut recorder, Share::percent(5), 1_000, endpoint).unwrap());
+    recorder.ended(answered);
+    recorder.abandoned(Millis(1_300), left);
+    let finished = FinishedCall {
+        route: &route,
+        version: &version,
+        endpoint: 0,
+        outcome: CallOutcome::Succeeded,
+        latency_us: 50_000,
+    };
+    let small = split(Share::percent(5));
+    recorder.record(Millis(1_050), &small, &rule(), &finished);
+    let evidence = recorder
+        .report(Millis(1_600), ShareReport::default())
+        .unwrap();
+    let ages: Vec<Option<u64>> = evidence.waiting[&route]
+        .groups()
+        .iter()
+        .map(|group| group.latency.quantile_us(0.0))
+        .collect();
+    assert_eq!(ages.len(), 3);
+    assert_eq!(ages[0], None);
+    assert!((300_000..400_000).contains(&ages[1].unwrap()), "{ages:?}");
+    assert!((600_000..750_000).contains(&ages[2].unwrap()), "{ages:?}");
+
+    start(&mut recorder, Share::percent(50), 2_000, 0).unwrap();
+    recorder.ended(waits);
+    recorder.record(
+        Millis(2_010),
+        &split(Share::percent(50)),
+        &rule(),
+        &finished,
+    );
+    let evidence = recorder
+        .report(Millis(2_100), ShareReport::default())
+        .unwrap();
+    assert_eq!(evidence.waiting[&route].groups().len(), 1);
+}
--- a/crates/coordination/src/pacing/tests/orders.rs
+++ b/crates/coordination/src/pacing/tests/orders.rs
@@ -12,7 +12,7 @@
 
 use super::PLENTY;
 use crate::evidence::{
-    CallOutcome, EvidenceRecorder, EvidenceReport, FinishedCall, REPORT_INTERVAL,
+    CallOutcome, EvidenceRecorder, EvidenceReport, FinishedCall, StartedCall, report_interval,
 };
 use crate::pacing::{Capacity, Pacer, TICK_INTERVAL};
 use crate::rollout::Rollouts;
@@ -46,6 +46,8 @@
     bad: f64,
     /// How many times as long they take; 0 for answers that are failures.
     factor: f64,
+    /// Share of the traffic from which on they are: a fault that shows under load.
+    bad_from: Share,
     /// Endpoints of the old version that take five times as long for 12 s.
     slow_upstreams: usize,
     /// Endpoints of the new version that do.
@@ -57,6 +59,7 @@
 const GOOD: Case = Case {
     bad: 0.0,
     factor: 1.0,
+    bad_from: Share::NONE,
     slow_upstreams: 0,
     slow_candidates: 0,
     failing_route: false,
@@ -101,6 +104,8 @@
     on_failing_route: bool,
     failed: bool,
     bad: bool,
+    /// Number of the call in the evidence.
+    watched: Option<u64>,
 }
 
 struct World {
@@ -193,7 +198,9 @@
         let shares = &mut self.entries[entry].shares;
         let to_candidate = shares.pick(now, &self.split, Attempt::First) == self.versions[1];
         let endpoint = self.rng.random_range(0..ENDPOINTS);
-        let bad = to_candidate && self.rng.random_bool(case.bad);
+        let share = self.split.candidate.as_ref().map(|c| c.share);
+        let is_loaded = share.is_some_and(|share| share >= case.bad_from);
+        let bad = to_candidate && is_loaded && self.rng.random_bool(case.bad);
         let on_failing_route = case.failing_route && self.rng.random_bool(0.02);
         // The product of three uniform variables has a tail like that of service times.
         let spread: f64 = (0..3).map(|_| self.rng.random_range(0.6..1.7)).product();
@@ -210,6 +217,14 @@
         }
         let latency = Millis(latency as u64).min(CALLERS_WAIT);
         let fails = (bad && case.factor == 0.0) || on_failing_route || self.rng.random_bool(0.005);
+        let started = StartedCall {
+            route: &self.routes[usize::from(on_failing_route)],
+            version: &self.versions[usize::from(to_candidate)],
+            endpoint,
+        };
+        let rule = &self.config.rollout;
+        let recorder = &mut self.entries[entry].recorder;
+        let watched = recorder.started(now, &self.split, rule, &started);
         let outcome = &mut self.outcome;
         if now >= ORDERED && now < ORDERED.after(WITHIN) {
             outcome.calls += 1;
@@ -227,6 +242,7 @@
             on_failing_route,
             failed: fails || latency == CALLERS_WAIT,
             bad,
+            watched,
         });
     }
 
@@ -246,6 +262,9 @@
                 latency_us: now.since(call.started).0 * 1_000,
             };
             let entry = &mut self.entries[call.entry];
+            if let Some(number) = call.watched {
+                entry.recorder.ended(number);
+            }
             let rule = &self.config.rollout;
             if let Some(rollout) = entry.recorder.record(now, &self.split, rule, &finished) {
                 entry.shares.stop(rollout);
@@ -255,7 +274,7 @@
 
     /// Reports of one daemon after the other, spread over the interval.
     fn report(&mut self, now: Millis) {
-        let interval = REPORT_INTERVAL.0;
+        let interval = report_interval(&self.split).0;
         let between = interval / ENTRIES as u64 / STEP.0 * STEP.0;
         for index in 0..ENTRIES {
             if now.0 % interval != index as u64 * between {
@@ -265,7 +284,7 @@
             let shares = entry.shares.report(now);
             let report = EvidenceReport {
                 incarnation: index as u64 + 1,
-                rollouts: entry.recorder.report(shares).into_iter().collect(),
+                rollouts: entry.recorder.report(now, shares).into_iter().collect(),
             };
             let daemon = format!("d{index}").into();
             self.pacer.report(now, &daemon, &report);
@@ -316,6 +335,8 @@
 #[case::four_times_among_slow(Case { bad: 0.5, factor: 4.0, slow_upstreams: 1, ..GOOD })]
 #[case::third_four_times(Case { bad: 0.33, factor: 4.0, ..GOOD })]
 #[case::all_three_times(Case { bad: 1.0, factor: 3.0, ..GOOD })]
+#[case::slow_under_load(Case { bad: 0.5, factor: 8.0, bad_from: Share::percent(50), ..GOOD })]
+#[case::fails_under_load(Case { bad: 0.3, factor: 0.0, bad_from: Share::percent(50), ..GOOD })]
 #[case::fails(Case { bad: 0.3, factor: 0.0, ..GOOD })]
 #[case::fails_among_slow(Case { bad: 0.3, factor: 0.0, slow_upstreams: 1, ..GOOD })]
 fn order_bad_version(#[case] case: Case) {
--- a/crates/coordination/src/pacing/tracker.rs
+++ b/crates/coordination/src/pacing/tracker.rs
@@ -10,7 +10,7 @@
 use super::{Outlook, SUSPECT_LOG_ODDS};
 use crate::evidence::comparison::Comparison;
 use crate::evidence::histogram::Histogram;
-use crate::evidence::{RolloutEvidence, RouteEvidence};
+use crate::evidence::{RolloutEvidence, RouteEvidence, VersionEvidence};
 use crate::shares::{CreditPool, MAX_REPORT_AGE, ShareReport};
 
 /// A new leader takes no step before this time has passed, so that all daemons have reported.
@@ -52,6 +52,9 @@
 struct DaemonEvidence {
     share: Share,
     routes: IndexMap<RouteName, RouteEvidence>,
+    /// Calls that had not ended at the latest report.
+    waiting: IndexMap<RouteName, VersionEvidence>,
+    reported: Millis,
     shares: Option<ShareReport>,
 }
 
@@ -97,8 +100,14 @@
         if evidence.share > known.share {
             known.share = evidence.share;
             known.routes.clear();
+            known.waiting.clear();
         }
+        known.reported = now;
         for (route, counts) in &evidence.routes {
+            match evidence.waiting.get(route) {
+                Some(waiting) => known.waiting.insert(route.clone(), waiting.clone()),
+                None => known.waiting.swap_remove(route),
+            };
             let new = known.increase(route, counts, self.may_be_cold);
             if evidence.share == self.pool.share() {
                 self.step_calls += new.candidate.calls();
@@ -116,6 +125,7 @@
             self.may_be_cold = false;
             self.comparison.enter_step();
         }
+        self.comparison.set_waiting(self.waiting(now));
         self.comparison.close_batches(now, endpoints);
         let is_suspect = self.comparison.worst_odds().highest() > SUSPECT_LOG_ODDS;
         let since = self.suspect_since.unwrap_or(now);
@@ -135,6 +145,20 @@
             .is_some_and(|since| now.since(since).0 >= millis)
     }
 
+    /// Returns the calls of the current step that have not ended, over all daemons that still report.
+    fn waiting(&self, now: Millis) -> IndexMap<RouteName, VersionEvidence> {
+        let mut routes: IndexMap<RouteName, VersionEvidence> = IndexMap::new();
+        for known in self.evidence.values() {
+            if known.share != self.pool.share() || now.since(known.reported) >= MAX_REPORT_AGE {
+                continue;
+            }
+            for (route, waiting) in &known.waiting {
+                routes.entry(route.clone()).or_default().merge(waiting);
+            }
+        }
+        routes
+    }
+
     /// Returns the calls per second over the mesh, once a few seconds of reports are known.
     pub(super) fn calls_per_second(&self) -> Option<f64> {
         let (first, _) = self.rates.front()?;
--- a/crates/daemon/src/proxy/attempts.rs
+++ b/crates/daemon/src/proxy/attempts.rs
@@ -141,9 +141,14 @@
         first: bool,
     ) -> Result<Answer> {
         let started = Instant::now();
+        let watched = match first {
+            true => admitted.service.started(&admitted.route, target),
+            false => None,
+        };
         let mut pending = PendingAttempt {
             service: &admitted.service,
             target,
+            watched,
             ended: false,
         };
         let deadline = admitted.deadline;
@@ -165,6 +170,7 @@
             result: result.as_ref().map(|answer| answer.status).map_err(|f| *f),
             latency: Micros(started.elapsed().as_micros() as u64),
             first,
+            watched,
             refused_for_room: admitted.target.is_some()
                 && matches!(&result, Err(f) if *f == Failure::not_run(Reason::Overloaded)),
         };
@@ -213,13 +219,15 @@
 struct PendingAttempt<'a> {
     service: &'a Service,
     target: &'a Target,
+    /// Number of the attempt in the evidence.
+    watched: Option<u64>,
     ended: bool,
 }
 
 impl Drop for PendingAttempt<'_> {
     fn drop(&mut self) {
         if !self.ended {
-            self.service.cancelled(self.target);
+            self.service.cancelled(self.target, self.watched);
         }
     }
 }
--- a/crates/daemon/src/proxy/service.rs
+++ b/crates/daemon/src/proxy/service.rs
@@ -8,7 +8,7 @@
 use parking_lot::Mutex;
 use sycamoreflow_coordination::ejection::{Change, Ejector};
 use sycamoreflow_coordination::evidence::{
-    CallOutcome, EvidenceRecorder, FinishedCall, RolloutEvidence,
+    CallOutcome, EvidenceRecorder, FinishedCall, RolloutEvidence, StartedCall, report_interval,
 };
 use sycamoreflow_coordination::retry::{Attempts, BudgetConfig, Next, RetryBudget};
 use sycamoreflow_coordination::routing::{CallResult, Goal, Load, Outcome, Router, RouterConfig};
@@ -63,6 +63,8 @@
     pub latency: Micros,
     /// Whether no earlier send of the call has reached an upstream.
     pub first: bool,
+    /// Number of the attempt in the evidence, from [`Service::started`].
+    pub watched: Option<u64>,
     /// Whether a daemon refused the send for lack of room, which says nothing about the version.
     pub refused_for_room: bool,
 }
@@ -155,6 +157,21 @@
         })
     }
 
+    /// Notes the send of an attempt. Returns its number in the evidence if it is watched until its end.
+    pub fn started(&self, route: &RouteName, target: &Target) -> Option<u64> {
+        let now = clock::now();
+        let mut state = self.state.lock();
+        let state = &mut *state;
+        state.split.candidate.as_ref()?;
+        let call = StartedCall {
+            route,
+            version: &target.version,
+            endpoint: state.rank_of(target),
+        };
+        let rule = &state.config.rollout;
+        state.evidence.started(now, &state.split, rule, &call)
+    }
+
     /// Takes in the end of an attempt. Returns whether the evidence has to be reported at once.
     pub fn finished(&self, route: &RouteName, target: &Target, end: AttemptEnd) -> bool {
         let now = clock::now();
@@ -167,6 +184,9 @@
         state.router.finished(now, &target.daemon, outcome);
         let changes = state.ejector.observe(now, &target.daemon, outcome);
         state.apply(changes);
+        if let Some(number) = end.watched {
+            state.evidence.ended(number);
+        }
         if end.refused_for_room {
             state.return_share(&target.version);
             return false;
@@ -209,14 +229,19 @@
         state.budget = RetryBudget::new(budget_config(&state.config, burst));
     }
 
-    /// Takes in that the caller has gone before the attempt ended.
-    pub fn cancelled(&self, target: &Target) {
+    /// Takes in that the caller has gone before the attempt ended. `watched` is its number in the
+    /// evidence.
+    pub fn cancelled(&self, target: &Target, watched: Option<u64>) {
         let outcome = Outcome {
             latency: Micros(0),
             result: CallResult::Cancelled,
         };
+        let now = clock::now();
         let mut state = self.state.lock();
-        state.router.finished(clock::now(), &target.daemon, outcome);
+        state.router.finished(now, &target.daemon, outcome);
+        if let Some(number) = watched {
+            state.evidence.abandoned(now, number);
+        }
     }
 
     /// Takes in that the link to a daemon has broken.
@@ -255,12 +280,18 @@
         self.state.lock().split.candidate.is_some()
     }
 
+    /// Returns the interval between reports of its evidence.
+    pub fn report_interval(&self) -> Millis {
+        report_interval(&self.state.lock().split)
+    }
+
     /// Returns the evidence of a running rollout.
     pub fn report(&self) -> Option<RolloutEvidence> {
         let mut state = self.state.lock();
         state.split.candidate.as_ref()?;
-        let shares = state.shares.report(clock::now());
-        state.evidence.report(shares)
+        let now = clock::now();
+        let shares = state.shares.report(now);
+        state.evidence.report(now, shares)
     }
 
     /// Takes in credits from the leader. Returns whether they were meant for this service.
--- a/crates/testbed/examples/capacity/reports.rs
+++ b/crates/testbed/examples/capacity/reports.rs
@@ -98,7 +98,7 @@
         candidate: CALLS * routes as u64 / 100,
         ..ShareReport::default()
     };
-    let rollouts = recorder.report(shares).into_iter().collect();
+    let rollouts = recorder.report(Millis(2_000), shares).into_iter().collect();
     Ok(EvidenceReport {
         incarnation: seed + 1,
         rollouts,
