Give the steps of a brisk rollout the time that their evidence takes

With steps of 1.3 s and a report each second, the step to 100% was decided on calls of the first half second. Daemons report each 400 ms during a rollout of a minute or less, a step takes 1.8 s, and latencies count from an eighth of the time on instead of a fifth, as the endpoints are up for longer than that before their first call. The step to all traffic needs log odds of -6.

A version that is taken back under suspicion says which route showed it, with calls that callers got: before, the ratio could be one of no calls.

--- a/crates/coordination/src/evidence/comparison.rs
+++ b/crates/coordination/src/evidence/comparison.rs
@@ -27,7 +27,7 @@
 /// Part of the horizon after which its calls count as slow whatever their number, counted from the
 /// first one. A rollout of seconds has too few calls otherwise; platforms that order one announce
 /// cold starts of 3 s.
-const COLD_PART: u64 = 5;
+const COLD_PART: u64 = 8;
 /// Shares of the stable version's calls above the thresholds of slowness. The wider one finds a
 /// shift of all calls, the narrower one a longer tail.
 const SLOW_TAILS: [f64; 2] = [0.25, 0.05];
@@ -323,12 +323,31 @@
         None
     }
 
-    /// Returns the ratio of the kind of bad calls that speaks most against the candidate.
+    /// Returns the bad calls of the route whose odds of a fault are highest: failures, or calls above a
+    /// latency that one in twenty calls of the stable version exceeds.
     pub fn worst_ratio(&self) -> BadRatio {
-        let odds = self.worst_odds();
-        match odds.slow > odds.failures {
-            true => self.slow_ratio(),
-            false => self.bad_ratio(),
+        let highest = |state: &RouteState| state.all_odds().max(state.step_odds).highest();
+        let routes = self.routes.iter();
+        let worst = routes.max_by(|(_, a), (_, b)| highest(a).total_cmp(&highest(b)));
+        let Some((route, state)) = worst else {
+            return self.bad_ratio();
+        };
+        let odds = state.all_odds().max(state.step_odds);
+        let RouteEvidence { stable, candidate } = &state.seen;
+        let (candidate, stable) = if odds.slow > odds.failures {
+            let latency = stable.latency();
+            let threshold = latency.upper_bucket(SLOW_TAILS[1]);
+            let slow = |version: &Histogram| (version.above(threshold), version.total());
+            (slow(&candidate.latency()), slow(&latency))
+        } else {
+            let bad = |counts: Counts| (counts.failures + counts.refusals, counts.calls);
+            (bad(candidate.totals()), bad(stable.totals()))
+        };
+        BadRatio {
+            route: Some(route.clone()),
+            candidate: share(candidate.0, candidate.1),
+            stable: share(stable.0, stable.1),
+            calls: candidate.1,
         }
     }
 
--- a/crates/coordination/src/pacing.rs
+++ b/crates/coordination/src/pacing.rs
@@ -60,8 +60,8 @@
 /// Log odds of a clear fault that a step needs: the calls must speak for the version. A faulty version
 /// is below with a probability of about exp(-2), 14%.
 pub const STEP_LOG_ODDS: f64 = -2.0;
-/// The same for the step to all traffic, which exposes most calls: about 2%.
-pub const LAST_STEP_LOG_ODDS: f64 = -4.0;
+/// The same for the step to all traffic, which exposes most calls: about exp(-6), one in 400.
+pub const LAST_STEP_LOG_ODDS: f64 = -6.0;
 
 /// Endpoints of one version that can take calls.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/crates/coordination/src/pacing/plan.rs
+++ b/crates/coordination/src/pacing/plan.rs
@@ -14,7 +14,7 @@
 const FORCED_INTERVAL: Millis = Millis(3_000);
 /// Interval between the later steps of a [brisk](BRISK_WINDOW) rollout. It covers the answers of slow
 /// calls, a report, a tick of the leader and an update.
-const BRISK_STEP: Millis = Millis(1_300);
+const BRISK_STEP: Millis = Millis(1_800);
 /// Time from a call to a take-back in force: a report, a tick, a log entry and an update.
 const REACTION_SECONDS: f64 = 3.0;
 /// Calls that show a clear fault, as a multiple of the inverse of the permitted extra failures. At
--- a/crates/coordination/src/pacing/tests/orders.rs
+++ b/crates/coordination/src/pacing/tests/orders.rs
@@ -334,6 +334,8 @@
 #[case::four_times(Case { bad: 0.5, factor: 4.0, ..GOOD })]
 #[case::four_times_among_slow(Case { bad: 0.5, factor: 4.0, slow_upstreams: 1, ..GOOD })]
 #[case::third_four_times(Case { bad: 0.33, factor: 4.0, ..GOOD })]
+#[case::half_three_times(Case { bad: 0.5, factor: 3.0, ..GOOD })]
+#[case::half_three_times_among_slow(Case { bad: 0.5, factor: 3.0, slow_upstreams: 1, ..GOOD })]
 #[case::all_three_times(Case { bad: 1.0, factor: 3.0, ..GOOD })]
 #[case::slow_under_load(Case { bad: 0.5, factor: 8.0, bad_from: Share::percent(50), ..GOOD })]
 #[case::fails_under_load(Case { bad: 0.3, factor: 0.0, bad_from: Share::percent(50), ..GOOD })]
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -14,7 +14,7 @@
 use http::{Request, Response};
 use parking_lot::{Mutex, RwLock};
 use sycamoreflow_coordination::dedup::Key;
-use sycamoreflow_coordination::evidence::EvidenceReport;
+use sycamoreflow_coordination::evidence::{EvidenceReport, REPORT_INTERVAL};
 use sycamoreflow_coordination::fingerprint::Fingerprint;
 use sycamoreflow_coordination::routing::{CallSizes, Load, RouterConfig};
 use sycamoreflow_coordination::shares::Grant;
@@ -289,6 +289,13 @@
         }
     }
 
+    /// Returns the interval between reports of evidence.
+    pub fn report_interval(&self) -> Millis {
+        let services = self.services.read();
+        let intervals = services.values().map(|service| service.report_interval());
+        intervals.min().unwrap_or(REPORT_INTERVAL)
+    }
+
     /// Hands credits of the leader to the services that they are meant for.
     pub fn grant(&self, grants: &[Grant]) {
         let services = self.services.read();
--- a/crates/daemon/src/subscriber.rs
+++ b/crates/daemon/src/subscriber.rs
@@ -15,7 +15,6 @@
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
-use sycamoreflow_coordination::evidence::REPORT_INTERVAL;
 use sycamoreflow_coordination::leases::RENEW_INTERVAL;
 use sycamoreflow_protocol::codec::CodecError;
 use sycamoreflow_protocol::distribution::{FromReplica, FromSubscriber};
@@ -333,7 +332,7 @@
 
     async fn send_reports(&self, tx: &Sender, meter: &LinkMeter) -> Result<()> {
         loop {
-            let interval = clock::duration(REPORT_INTERVAL);
+            let interval = clock::duration(self.proxy.report_interval());
             let _ = timeout(interval, self.urgent_report.recv()).await;
             meter.update(tx.bytes());
             // During a rollout an empty report says that there was no traffic.
