Take the shape of latencies from endpoints that do not fail more than others

The faster half by median held a slow endpoint, since the slowest quarter of its calls fail at the deadline and leave no latency; its spread was taken for that of a healthy one. Its log line says so: 165 calls, 43 failed, 311/524/741 ms, next to 1,155 calls, none failed, 311/370/440 ms.

Endpoints whose share of failures is 5% above the lowest no longer give the reference.

--- a/crates/coordination/src/evidence/odds/latency.rs
+++ b/crates/coordination/src/evidence/odds/latency.rs
@@ -8,13 +8,13 @@
 //! The shape of the latencies is that of one endpoint of the stable version: of the faster half, the
 //! one whose calls vary least. All of them together would be wrong as soon as one has turned slow:
 //! calls of the candidate that are several times slower would look like those of the slow endpoint.
-//! The calls of a slow endpoint alone vary too little, as the slowest of them reach their deadline.
+//! Endpoints that fail more than others are left out: their slowest calls have reached a deadline.
 
 use std::ops::RangeInclusive;
 
 use super::super::histogram::{BUCKETS, BUCKETS_PER_DOUBLING, Histogram};
 use super::super::sequential::log_sum;
-use super::super::{GROUPS, VersionEvidence};
+use super::super::{GROUPS, GroupEvidence, VersionEvidence};
 use super::{host_likelihood, log_mean};
 
 /// Factors by which a fault makes calls slower, in buckets: 2.8, 4 and 8 times.
@@ -27,6 +27,8 @@
 const MIN_HOST_CALLS: u64 = 25;
 /// Part of the calls of the stable version that must be of such endpoints.
 const MIN_KNOWN_PART: f64 = 0.8;
+/// Share of failures above that of the best endpoint up to which an endpoint counts as sound.
+const MAX_EXTRA_FAILURES: f64 = 0.05;
 /// Standard deviation of the speed of hosts, in buckets: a factor of 1.5.
 const SPEED_DEVIATION: f64 = 2.5;
 /// Highest speed of a host, four times the usual one, in buckets.
@@ -176,18 +178,26 @@
     }
 }
 
-/// Returns the endpoints with enough calls, ordered by their median bucket, or `None` while they have
-/// too small a part of all calls: the first one that is known may be the only slow one.
+/// Returns the sound endpoints with enough calls, ordered by their median bucket, or `None` while those
+/// with enough calls have too small a part of all: the first one that is known may be the only slow
+/// one. The answers of an endpoint that fails more than others do are those that it gave in time.
 fn hosts(version: &VersionEvidence) -> Option<Vec<(u8, &Histogram)>> {
-    let groups = version.groups().iter().map(|group| &group.latency);
-    let all: u64 = groups.clone().map(Histogram::total).sum();
-    let known: Vec<&Histogram> = groups.filter(|l| l.total() >= MIN_HOST_CALLS).collect();
-    let calls: u64 = known.iter().map(|latency| latency.total()).sum();
+    let groups = version.groups().iter();
+    let all: u64 = groups.clone().map(|group| group.latency.total()).sum();
+    let known = groups.filter(|group| group.latency.total() >= MIN_HOST_CALLS);
+    let calls: u64 = known.clone().map(|group| group.latency.total()).sum();
     if calls == 0 || (calls as f64) < MIN_KNOWN_PART * all as f64 {
         return None;
     }
-    let with_median = |latency: &'_ Histogram| latency.upper_bucket(0.5);
-    let mut hosts: Vec<_> = known.into_iter().map(|l| (with_median(l), l)).collect();
+    let failing = |group: &GroupEvidence| {
+        let calls = group.counts.calls.max(1) as f64;
+        group.counts.failures as f64 / calls
+    };
+    let lowest = known.clone().map(failing).fold(f64::INFINITY, f64::min);
+    let mut hosts: Vec<(u8, &Histogram)> = known
+        .filter(|group| failing(group) <= lowest + MAX_EXTRA_FAILURES)
+        .map(|group| (group.latency.upper_bucket(0.5), &group.latency))
+        .collect();
     hosts.sort_by_key(|(median, _)| *median);
     Some(hosts)
 }
