Split the comparison of versions, ignore waiting calls of cold endpoints

Calls that wait at endpoints which have just started counted as slow before any latency did. A take-back by the odds states the bad calls of the route that showed them; it could name a route without calls.

--- a/crates/coordination/src/evidence/comparison.rs
+++ b/crates/coordination/src/evidence/comparison.rs
@@ -10,6 +10,9 @@
 //! - Slowness: a call of the candidate is slow if it takes longer than the permitted slowdown times
 //!   a quantile of the stable version. Most groups of endpoints must be slow, since the others may
 //!   be on slower hosts. The first calls of the candidate don't count, since its endpoints are cold.
+//!
+//! Beside them, the [odds](super::odds) of a clear fault are taken within each step and added up over
+//! routes and steps. They need few calls, but assume more about the calls of a good version.
 
 use indexmap::IndexMap;
 use sycamoreflow_state::config::{RolloutRule, Share};
@@ -17,11 +20,16 @@
 use sycamoreflow_state::rollout::{BadRatio, TakeBackReason};
 
 use super::histogram::{Histogram, shift};
-use super::odds::latency::{Latencies, latency_odds};
-use super::odds::{Odds, failure_odds};
-use super::sequential::{Batch, EProcess, LogFactors, log_sum};
+use super::odds::Odds;
+use super::sequential::{Batch, EProcess, log_sum};
 use super::{Counts, GROUPS, RouteEvidence, VersionEvidence};
 
+use route::{CLOSE_CALLS, Factors, RouteState};
+use totals::Totals;
+
+mod route;
+mod totals;
+
 /// Calls per endpoint of the candidate that don't count as slow, for caches to fill.
 pub const COLD_CALLS: u64 = 30;
 /// Part of the horizon after which its calls count as slow whatever their number, counted from the
@@ -31,29 +39,12 @@
 /// Shares of the stable version's calls above the thresholds of slowness. The wider one finds a
 /// shift of all calls, the narrower one a longer tail.
 const SLOW_TAILS: [f64; 2] = [0.25, 0.05];
-/// Calls of the stable version on a route before its quantiles are used.
-const MIN_QUANTILE_CALLS: u64 = 100;
-/// A batch is closed at this ratio of stable to candidate calls, or at this number of stable
-/// calls. More calls would add little, since the factors are limited by the ratio.
-const CLOSE_RATIO: u64 = 20;
-const CLOSE_CALLS: u64 = 10;
-/// A smaller batch is closed at this number of stable calls if their ratio to those of the
-/// candidate is near that of all calls of the route, since waiting would not raise it.
-const SMALL_CALLS: u64 = 3;
-const NEAR: f64 = 0.8;
 /// A batch with calls of both versions is closed at this age.
 const CLOSE_AGE: Millis = Millis(10_000);
 /// A batch with calls of one version only is dropped at this age, since its calls are too far
 /// apart to have met the same conditions. It is dropped at [`CLOSE_CALLS`] calls of the candidate
 /// too: at full share they would dilute the calls of a comparison that begins later.
 const DROP_AGE: Millis = Millis(30_000);
-/// Part of the bad calls that may come from one group of endpoints.
-const MAX_GROUP_PART: f64 = 0.8;
-/// Bad calls that the other groups must be expected to have before their absence means anything. By
-/// chance, none of five occurs in less than 1% of all cases.
-const MIN_EXPECTED_BAD: f64 = 5.0;
-/// Calls from which on a group of endpoints is compared with the others.
-const MIN_GROUP_CALLS: u64 = 5;
 /// Log odds of a clear fault that condemn a candidate at least, whatever the false-alarm rate. One bad
 /// host contributes 2.5 to them.
 const MIN_VERDICT_ODDS: f64 = 6.0;
@@ -107,39 +98,6 @@
     slow_totals: Batch,
 }
 
-#[derive(Clone, Copy, Debug, Default)]
-struct Totals {
-    calls: [u64; GROUPS],
-    bad: [u64; GROUPS],
-    stable_calls: u64,
-    stable_bad: u64,
-}
-
-#[derive(Clone, Debug, Default)]
-struct RouteState {
-    tests: Tests,
-    /// All calls that were added.
-    seen: RouteEvidence,
-    /// Those of the current step whose odds are taken. Latencies of the time in which the endpoints of
-    /// the candidate are cold are missing.
-    step: RouteEvidence,
-    /// Calls of the candidate that have not ended, by age.
-    waiting: VersionEvidence,
-    /// Calls of the stable version at earlier steps.
-    earlier_stable: VersionEvidence,
-    /// Odds of the current step.
-    step_odds: Odds,
-    /// Whether calls were added after the odds were taken.
-    changed: bool,
-    /// Calls of the candidate that came while it was warm, at all steps.
-    weighed_calls: u64,
-    /// Odds of the steps before, each from calls of both versions over the same time.
-    earlier_odds: Odds,
-    pending: RouteEvidence,
-    opened: Millis,
-    stable_latency: Histogram,
-}
-
 impl Comparison {
     /// Starts without evidence, with the false-alarm rate of the rule. `window` is the time from the
     /// start of the rollout to its finish time.
@@ -202,6 +160,9 @@
 
     /// Takes in how long the calls of the candidate have waited that have not ended, by route.
     pub fn set_waiting(&mut self, mut routes: IndexMap<RouteName, VersionEvidence>) {
+        if !self.warm {
+            return;
+        }
         for (route, state) in &mut self.routes {
             let waiting = routes.swap_remove(route).unwrap_or_default();
             state.changed |= waiting != state.waiting;
@@ -314,13 +275,20 @@
         let clear = needed.max(MIN_VERDICT_ODDS);
         let odds = self.worst_odds();
         let fails = self.log_bad() >= needed && !self.all.totals.concentrated();
-        if fails || odds.failures >= clear {
+        if fails {
             return Some(TakeBackReason::Failures(self.bad_ratio()));
         }
-        if self.log_slow() >= needed || odds.slow >= clear {
+        if self.log_slow() >= needed {
             return Some(TakeBackReason::Slow(self.slow_ratio()));
         }
-        None
+        if odds.highest() < clear {
+            return None;
+        }
+        let ratio = self.worst_ratio();
+        Some(match odds.slow > odds.failures {
+            true => TakeBackReason::Slow(ratio),
+            false => TakeBackReason::Failures(ratio),
+        })
     }
 
     /// Returns the bad calls of the route whose odds of a fault are highest: failures, or calls above a
@@ -436,152 +404,6 @@
     }
 }
 
-impl Totals {
-    fn of(calls: &RouteEvidence, refusals_are_bad: bool) -> Self {
-        let bad = |counts: &Counts| {
-            let refused = if refusals_are_bad { counts.refusals } else { 0 };
-            counts.failures + refused
-        };
-        let stable = calls.stable.totals();
-        let mut totals = Self {
-            stable_calls: stable.calls,
-            stable_bad: bad(&stable),
-            ..Self::default()
-        };
-        for (index, group) in calls.candidate.groups().iter().enumerate() {
-            totals.calls[index] = group.counts.calls;
-            totals.bad[index] = bad(&group.counts);
-        }
-        totals
-    }
-
-    fn add(&mut self, other: &Self) {
-        for group in 0..GROUPS {
-            self.calls[group] += other.calls[group];
-            self.bad[group] += other.bad[group];
-        }
-        self.stable_calls += other.stable_calls;
-        self.stable_bad += other.stable_bad;
-    }
-
-    fn batch(&self) -> Batch {
-        Batch {
-            candidate_calls: self.calls.iter().sum(),
-            candidate_bad: self.bad.iter().sum(),
-            stable_calls: self.stable_calls,
-            stable_bad: self.stable_bad,
-        }
-    }
-
-    /// Returns whether one of several groups of endpoints has nearly all bad calls, although the
-    /// others have had enough calls to show a fault of the version.
-    fn concentrated(&self) -> bool {
-        let used = self.calls.iter().filter(|calls| **calls >= MIN_GROUP_CALLS);
-        let worst = (0..GROUPS)
-            .max_by_key(|group| self.bad[*group])
-            .unwrap_or(0);
-        let most = self.bad[worst];
-        let all: u64 = self.bad.iter().sum();
-        let calls: u64 = self.calls.iter().sum();
-        let other_calls = calls - self.calls[worst];
-        // Bad calls that the others would have had at the rate of the worst group.
-        let expected = other_calls as f64 * most as f64 / self.calls[worst].max(1) as f64;
-        used.count() > 1
-            && most as f64 > MAX_GROUP_PART * all as f64
-            && expected >= MIN_EXPECTED_BAD
-    }
-}
-
-/// What a closed batch says.
-struct Factors {
-    bad: LogFactors,
-    slow: [[LogFactors; SLOW_TAILS.len()]; GROUPS],
-    totals: Totals,
-    slow_totals: Batch,
-}
-
-impl RouteState {
-    fn all_odds(&self) -> Odds {
-        let mut odds = self.earlier_odds;
-        odds.add(self.step_odds);
-        odds
-    }
-
-    fn take_odds(&mut self, rules: &Rules) {
-        if !std::mem::take(&mut self.changed) {
-            return;
-        }
-        let RouteEvidence { stable, candidate } = &self.step;
-        let latencies = Latencies {
-            stable,
-            earlier_stable: &self.earlier_stable,
-            candidate,
-            waiting: &self.waiting,
-        };
-        self.step_odds = Odds {
-            failures: failure_odds(stable, candidate, rules.refusals_are_bad),
-            slow: latency_odds(&latencies, rules.slow_shift),
-        };
-    }
-
-    /// Decides by the numbers of calls alone, never by their outcome, which would bias the test.
-    fn is_full(&self) -> bool {
-        let stable = self.pending.stable.calls();
-        let candidate = self.pending.candidate.calls();
-        let ratio = stable as f64 / candidate as f64;
-        let totals = &self.tests.totals;
-        let all: u64 = totals.calls.iter().sum();
-        let usual = totals.stable_calls as f64 / all as f64;
-        stable >= CLOSE_RATIO * candidate
-            || stable >= CLOSE_CALLS
-            || (stable >= SMALL_CALLS && ratio >= NEAR * usual)
-    }
-
-    /// Takes the pending calls as a batch.
-    fn close(&mut self, rules: &Rules, warm: bool, progress: f64) -> Factors {
-        let calls = std::mem::take(&mut self.pending);
-        let totals = Totals::of(&calls, rules.refusals_are_bad);
-        let mut factors = Factors {
-            bad: totals.batch().log_factors(rules.margin),
-            slow: Default::default(),
-            totals,
-            slow_totals: Batch::default(),
-        };
-        if warm && self.stable_latency.total() >= MIN_QUANTILE_CALLS {
-            self.compare_latency(&calls, rules.slow_shift, &mut factors);
-        }
-        self.stable_latency.merge(&calls.stable.latency());
-        self.tests.multiply(&factors, progress);
-        factors
-    }
-
-    /// The thresholds come from the calls before this batch, as the test requires.
-    fn compare_latency(&self, calls: &RouteEvidence, slow_shift: u8, factors: &mut Factors) {
-        let stable_latency = calls.stable.latency();
-        for (tail, share) in SLOW_TAILS.iter().enumerate() {
-            let threshold = self.stable_latency.upper_bucket(*share);
-            let stable = Batch {
-                stable_calls: stable_latency.total(),
-                stable_bad: stable_latency.above(threshold),
-                ..Batch::default()
-            };
-            let slow = threshold.saturating_add(slow_shift);
-            let mut total = stable;
-            for (group, evidence) in calls.candidate.groups().iter().enumerate() {
-                let batch = Batch {
-                    candidate_calls: evidence.latency.total(),
-                    candidate_bad: evidence.latency.above(slow),
-                    ..stable
-                };
-                factors.slow[group][tail] = batch.log_factors(0.0);
-                total.candidate_calls += batch.candidate_calls;
-                total.candidate_bad += batch.candidate_bad;
-            }
-            factors.slow_totals = total;
-        }
-    }
-}
-
 fn share(part: u64, whole: u64) -> Share {
     let ratio = part as f64 / whole.max(1) as f64;
     Share((ratio * f64::from(Share::ALL.0)) as u32)
