Compare the latencies of routes with few calls together

Since steps need calls that speak for a version, a good version of a service whose calls are spread over 40 routes never got traffic: no route had the 25 calls per endpoint that a reference takes, so latencies said nothing. The share gives calls to a version whatever their route, so the sum over thin routes compares like with like.

--- a/crates/coordination/src/evidence/comparison.rs
+++ b/crates/coordination/src/evidence/comparison.rs
@@ -25,9 +25,11 @@
 use super::{Counts, GROUPS, RouteEvidence, VersionEvidence};
 
 use route::{CLOSE_CALLS, Factors, RouteState};
+use thin::ThinRoutes;
 use totals::Totals;
 
 mod route;
+mod thin;
 mod totals;
 
 /// Calls per endpoint of the candidate that don't count as slow, for caches to fill.
@@ -68,6 +70,7 @@
     started: Option<Millis>,
     all: Tests,
     routes: IndexMap<RouteName, RouteState>,
+    thin: ThinRoutes,
     candidate_calls: u64,
     /// When the first call of the candidate was added.
     first_call: Option<Millis>,
@@ -117,6 +120,7 @@
             started: None,
             all: Tests::default(),
             routes: IndexMap::new(),
+            thin: ThinRoutes::default(),
             candidate_calls: 0,
             first_call: None,
             warm: false,
@@ -194,6 +198,8 @@
             }
             state.take_odds(&self.rules);
         }
+        let shift = self.rules.slow_shift;
+        self.thin.take_odds(self.routes.values(), shift);
     }
 
     /// Starts the counts of a step of the rollout. Calls of both versions are compared within a step
@@ -206,12 +212,14 @@
             state.earlier_stable.merge(&step.stable);
             state.waiting = VersionEvidence::default();
         }
+        self.thin.enter_step();
     }
 
     /// Returns the log odds of a clear fault by all calls; see [`odds`](super::odds). They are far
     /// below zero only if the calls speak for the candidate.
     pub fn odds(&self) -> Odds {
         let mut odds = self.step_odds();
+        odds.slow += self.thin.earlier_odds;
         for state in self.routes.values() {
             odds.add(state.earlier_odds);
         }
@@ -219,7 +227,10 @@
     }
 
     fn step_odds(&self) -> Odds {
-        let mut odds = Odds::default();
+        let mut odds = Odds {
+            slow: self.thin.step_odds,
+            ..Odds::default()
+        };
         for state in self.routes.values() {
             odds.add(state.step_odds);
         }
--- a/crates/coordination/src/evidence/comparison/route.rs
+++ b/crates/coordination/src/evidence/comparison/route.rs
@@ -36,6 +36,8 @@
     pub(super) earlier_stable: VersionEvidence,
     /// Odds of the current step.
     pub(super) step_odds: Odds,
+    /// Whether the calls of the stable version are too few to compare latencies on this route alone.
+    pub(super) is_thin: bool,
     /// Whether calls were added after the odds were taken.
     pub(super) changed: bool,
     /// Calls of the candidate that came while it was warm, at all steps.
@@ -66,19 +68,24 @@
         if !std::mem::take(&mut self.changed) {
             return;
         }
+        let slow = latency_odds(&self.latencies(), rules.slow_shift);
+        self.is_thin = slow.is_none();
         let RouteEvidence { stable, candidate } = &self.step;
-        let latencies = Latencies {
-            stable,
-            earlier_stable: &self.earlier_stable,
-            candidate,
-            waiting: &self.waiting,
-        };
         self.step_odds = Odds {
             failures: failure_odds(stable, candidate, rules.refusals_are_bad),
-            slow: latency_odds(&latencies, rules.slow_shift),
+            slow: slow.unwrap_or_default(),
         };
     }
 
+    pub(super) fn latencies(&self) -> Latencies<'_> {
+        Latencies {
+            stable: &self.step.stable,
+            earlier_stable: &self.earlier_stable,
+            candidate: &self.step.candidate,
+            waiting: &self.waiting,
+        }
+    }
+
     /// Decides by the numbers of calls alone, never by their outcome, which would bias the test.
     pub(super) fn is_full(&self) -> bool {
         let stable = self.pending.stable.calls();
--- /dev/null
+++ b/crates/coordination/src/evidence/comparison/thin.rs
@@ -0,0 +1,51 @@
+//! Routes with few calls, whose latencies are compared together.
+//!
+//! Calls are given to the candidate by its share, whatever their route. Within a step both versions
+//! therefore have the same mixture of routes, and a sum over routes compares like with like.
+
+use super::route::RouteState;
+use crate::evidence::VersionEvidence;
+use crate::evidence::odds::latency::{Latencies, latency_odds};
+
+/// Log odds of a fault by the latencies of routes that are too thin to be compared alone.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct ThinRoutes {
+    /// Of the current step.
+    pub(super) step_odds: f64,
+    /// Of the steps before.
+    pub(super) earlier_odds: f64,
+}
+
+impl ThinRoutes {
+    pub(super) fn take_odds<'a>(
+        &mut self,
+        routes: impl Iterator<Item = &'a RouteState>,
+        max_shift: u8,
+    ) {
+        let mut sums: [VersionEvidence; 4] = Default::default();
+        for route in routes.filter(|route| route.is_thin) {
+            let latencies = route.latencies();
+            let parts = [
+                latencies.stable,
+                latencies.earlier_stable,
+                latencies.candidate,
+                latencies.waiting,
+            ];
+            for (sum, part) in sums.iter_mut().zip(parts) {
+                sum.merge(part);
+            }
+        }
+        let [stable, earlier_stable, candidate, waiting] = &sums;
+        let latencies = Latencies {
+            stable,
+            earlier_stable,
+            candidate,
+            waiting,
+        };
+        self.step_odds = latency_odds(&latencies, max_shift).unwrap_or_default();
+    }
+
+    pub(super) fn enter_step(&mut self) {
+        self.earlier_odds += std::mem::take(&mut self.step_odds);
+    }
+}
--- a/crates/coordination/src/evidence/odds/latency.rs
+++ b/crates/coordination/src/evidence/odds/latency.rs
@@ -69,14 +69,13 @@
     pub waiting: &'a VersionEvidence,
 }
 
-/// Returns the log odds of a fault. `max_shift` is the highest permitted slowdown in buckets.
-pub fn latency_odds(latencies: &Latencies<'_>, max_shift: u8) -> f64 {
+/// Returns the log odds of a fault, or `None` if the calls of the stable version are too few to tell.
+/// `max_shift` is the highest permitted slowdown in buckets.
+pub fn latency_odds(latencies: &Latencies<'_>, max_shift: u8) -> Option<f64> {
+    let reference = Reference::of(latencies)?;
     if !latencies.candidate.has_latency() && !latencies.waiting.has_latency() {
-        return 0.0;
+        return Some(0.0);
     }
-    let Some(reference) = Reference::of(latencies) else {
-        return 0.0;
-    };
     let usual = reference.likelihood(0, 0.0);
     let partial = std::array::from_fn::<Likelihood, PARTIAL_FAULTS, _>(|index| {
         let part = SLOWED_PARTS[index % SLOWED_PARTS.len()];
@@ -118,7 +117,7 @@
             *sum += some;
         }
     }
-    log_mean(&[all_slow, log_mean(&some_slow)]) - faultless
+    Some(log_mean(&[all_slow, log_mean(&some_slow)]) - faultless)
 }
 
 /// Returns the log likelihood of latencies whose median on a good host is the bucket `zero`.
--- a/crates/coordination/src/evidence/odds/tests.rs
+++ b/crates/coordination/src/evidence/odds/tests.rs
@@ -103,7 +103,7 @@
             candidate: &candidate,
             waiting: &none,
         };
-        let odds = latency_odds(&latencies, shift(250));
+        let odds = latency_odds(&latencies, shift(250)).unwrap();
         all.push(odds);
         wrong[0] += usize::from((odds > 0.0) != is_faulty);
         wrong[1] += usize::from((odds.abs() > 4.0) && (odds > 0.0) != is_faulty);
@@ -136,7 +136,7 @@
             candidate: &ended,
             waiting,
         };
-        latency_odds(&latencies, shift(250))
+        latency_odds(&latencies, shift(250)).unwrap()
     };
     assert!(odds(&none) < -2.0);
     assert!(odds(&waiting) > 2.0);
--- a/crates/coordination/src/pacing/tests/orders.rs
+++ b/crates/coordination/src/pacing/tests/orders.rs
@@ -54,6 +54,8 @@
     slow_candidates: usize,
     /// Whether 2% of the calls are on a route that fails for both versions.
     failing_route: bool,
+    /// Routes among which the other calls are spread.
+    routes: usize,
 }
 
 const GOOD: Case = Case {
@@ -63,6 +65,7 @@
     slow_upstreams: 0,
     slow_candidates: 0,
     failing_route: false,
+    routes: 1,
 };
 
 /// What callers saw.
@@ -101,7 +104,7 @@
     entry: usize,
     endpoint: usize,
     to_candidate: bool,
-    on_failing_route: bool,
+    route: usize,
     failed: bool,
     bad: bool,
     /// Number of the call in the evidence.
@@ -113,7 +116,8 @@
     rng: ChaCha8Rng,
     service: ServiceName,
     versions: [VersionName; 2],
-    routes: [RouteName; 2],
+    /// The failing route is the first one.
+    routes: Vec<RouteName>,
     config: ServiceConfig,
     /// Factor of the latency by version and endpoint.
     speeds: [[f64; ENDPOINTS]; 2],
@@ -143,7 +147,7 @@
             speeds: std::array::from_fn(|_| std::array::from_fn(|_| rng.random_range(0.7..1.5))),
             rng,
             versions,
-            routes: ["stock", "broken"].map(RouteName::from),
+            routes: (0..=case.routes).map(|n| format!("r{n}").into()).collect(),
             config,
             pacer: Pacer::new(1),
             entries: entries.collect(),
@@ -201,7 +205,10 @@
         let share = self.split.candidate.as_ref().map(|c| c.share);
         let is_loaded = share.is_some_and(|share| share >= case.bad_from);
         let bad = to_candidate && is_loaded && self.rng.random_bool(case.bad);
-        let on_failing_route = case.failing_route && self.rng.random_bool(0.02);
+        let route = match case.failing_route && self.rng.random_bool(0.02) {
+            true => 0,
+            false => self.rng.random_range(1..=case.routes),
+        };
         // The product of three uniform variables has a tail like that of service times.
         let spread: f64 = (0..3).map(|_| self.rng.random_range(0.6..1.7)).product();
         let mut latency = 110.0 * spread * self.speeds[usize::from(to_candidate)][endpoint];
@@ -216,9 +223,9 @@
             latency *= case.factor;
         }
         let latency = Millis(latency as u64).min(CALLERS_WAIT);
-        let fails = (bad && case.factor == 0.0) || on_failing_route || self.rng.random_bool(0.005);
+        let fails = (bad && case.factor == 0.0) || route == 0 || self.rng.random_bool(0.005);
         let started = StartedCall {
-            route: &self.routes[usize::from(on_failing_route)],
+            route: &self.routes[route],
             version: &self.versions[usize::from(to_candidate)],
             endpoint,
         };
@@ -239,7 +246,7 @@
             entry,
             endpoint,
             to_candidate,
-            on_failing_route,
+            route,
             failed: fails || latency == CALLERS_WAIT,
             bad,
             watched,
@@ -252,7 +259,7 @@
                 self.outcome.bad_answers.push(now);
             }
             let finished = FinishedCall {
-                route: &self.routes[usize::from(call.on_failing_route)],
+                route: &self.routes[call.route],
                 version: &self.versions[usize::from(call.to_candidate)],
                 endpoint: call.endpoint,
                 outcome: match call.failed {
@@ -337,6 +344,7 @@
 #[case::half_three_times(Case { bad: 0.5, factor: 3.0, ..GOOD })]
 #[case::half_three_times_among_slow(Case { bad: 0.5, factor: 3.0, slow_upstreams: 1, ..GOOD })]
 #[case::all_three_times(Case { bad: 1.0, factor: 3.0, ..GOOD })]
+#[case::four_times_on_many_routes(Case { bad: 0.5, factor: 4.0, routes: 40, ..GOOD })]
 #[case::slow_under_load(Case { bad: 0.5, factor: 8.0, bad_from: Share::percent(50), ..GOOD })]
 #[case::fails_under_load(Case { bad: 0.3, factor: 0.0, bad_from: Share::percent(50), ..GOOD })]
 #[case::fails(Case { bad: 0.3, factor: 0.0, ..GOOD })]
@@ -357,6 +365,7 @@
 #[rstest]
 #[case::plain(GOOD)]
 #[case::failing_route(Case { failing_route: true, ..GOOD })]
+#[case::many_routes(Case { routes: 40, ..GOOD })]
 #[case::slow_upstream(Case { slow_upstreams: 1, ..GOOD })]
 #[case::slow_candidate(Case { slow_candidates: 1, ..GOOD })]
 fn order_good_version(#[case] case: Case) {
