--- a/crates/coordination/src/evidence/comparison.rs
+++ b/crates/coordination/src/evidence/comparison.rs
@@ -19,8 +19,9 @@
 use sycamoreflow_state::ids::{Millis, RouteName};
 use sycamoreflow_state::rollout::{BadRatio, TakeBackReason};
 
-use super::histogram::{Histogram, shift};
+use super::histogram::shift;
 use super::odds::Odds;
+use super::odds::latency::slow_calls;
 use super::sequential::{Batch, EProcess, log_sum};
 use super::{Counts, GROUPS, RouteEvidence, VersionEvidence};
 
@@ -302,8 +303,8 @@
         })
     }
 
-    /// Returns the bad calls of the route whose odds of a fault are highest: failures, or calls above a
-    /// latency that one in twenty calls of the stable version exceeds.
+    /// Returns the bad calls of the route whose odds of a fault are highest: failures of the whole
+    /// rollout, or slow calls of the current step.
     pub fn worst_ratio(&self) -> BadRatio {
         let highest = |state: &RouteState| state.all_odds().max(state.step_odds).highest();
         let routes = self.routes.iter();
@@ -312,15 +313,14 @@
             return self.bad_ratio();
         };
         let odds = state.all_odds().max(state.step_odds);
-        let RouteEvidence { stable, candidate } = &state.seen;
-        let (candidate, stable) = if odds.slow > odds.failures {
-            let latency = stable.latency();
-            let threshold = latency.upper_bucket(SLOW_TAILS[1]);
-            let slow = |version: &Histogram| (version.above(threshold), version.total());
-            (slow(&candidate.latency()), slow(&latency))
-        } else {
-            let bad = |counts: Counts| (counts.failures + counts.refusals, counts.calls);
-            (bad(candidate.totals()), bad(stable.totals()))
+        let slow = slow_calls(&state.latencies()).filter(|_| odds.slow > odds.failures);
+        let bad = |counts: Counts| (counts.failures + counts.refusals, counts.calls);
+        let (candidate, stable) = match slow {
+            Some(slow) => (slow.candidate, slow.stable),
+            None => (
+                bad(state.seen.candidate.totals()),
+                bad(state.seen.stable.totals()),
+            ),
         };
         BadRatio {
             route: Some(route.clone()),
--- a/crates/coordination/src/evidence/odds/latency.rs
+++ b/crates/coordination/src/evidence/odds/latency.rs
@@ -29,6 +29,8 @@
 const MIN_KNOWN_PART: f64 = 0.8;
 /// Share of failures above that of the best endpoint up to which an endpoint counts as sound.
 const MAX_EXTRA_FAILURES: f64 = 0.05;
+/// Share of the calls of an endpoint that counts as slow where slow calls are shown to an operator.
+const SLOW_TAIL: f64 = 0.05;
 /// Standard deviation of the speed of hosts, in buckets: a factor of 1.5.
 const SPEED_DEVIATION: f64 = 2.5;
 /// Highest speed of a host, four times the usual one, in buckets.
@@ -120,6 +122,28 @@
     Some(log_mean(&[all_slow, log_mean(&some_slow)]) - faultless)
 }
 
+/// Slow calls and all calls, for an operator.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SlowCalls {
+    /// Of the candidate, with calls that still wait and are slow already.
+    pub candidate: (u64, u64),
+    /// Of the endpoint of the stable version that the candidate is compared with.
+    pub stable: (u64, u64),
+}
+
+/// Counts the calls that take longer than one in twenty calls of the endpoint that the candidate is
+/// compared with.
+pub fn slow_calls(latencies: &Latencies<'_>) -> Option<SlowCalls> {
+    let host = Reference::of(latencies)?.host;
+    let threshold = host.upper_bucket(SLOW_TAIL);
+    let ended = latencies.candidate.latency();
+    let waiting = latencies.waiting.latency().above(threshold);
+    Some(SlowCalls {
+        candidate: (ended.above(threshold) + waiting, ended.total() + waiting),
+        stable: (host.above(threshold), host.total()),
+    })
+}
+
 /// Returns the log likelihood of latencies whose median on a good host is the bucket `zero`.
 fn sum_at(shape: &Shape, latency: &Histogram, zero: i32) -> f64 {
     let log = |&(bucket, count): &(u8, u64)| {
@@ -135,6 +159,8 @@
     median: i32,
     /// Probability by offset from the median.
     shape: [f64; OFFSETS],
+    /// Latencies of the endpoint that gives the shape.
+    host: Histogram,
     /// Calls behind the shape.
     calls: f64,
 }
@@ -154,6 +180,7 @@
         Some(Self {
             median: i32::from(median),
             shape: smooth(steadiest),
+            host: (*steadiest).clone(),
             calls: steadiest.total() as f64,
         })
     }
--- a/crates/coordination/src/evidence/odds/tests.rs
+++ b/crates/coordination/src/evidence/odds/tests.rs
@@ -3,7 +3,7 @@
 use rstest::rstest;
 
 use super::super::{GroupEvidence, histogram::shift};
-use super::latency::{Latencies, latency_odds};
+use super::latency::{Latencies, latency_odds, slow_calls};
 use super::*;
 use crate::pacing::MAX_LOG_ODDS;
 
@@ -140,4 +140,15 @@
     };
     assert!(odds(&none) < -2.0);
     assert!(odds(&waiting) > 2.0);
+
+    let slow = slow_calls(&Latencies {
+        stable: &stable,
+        earlier_stable: &none,
+        candidate: &ended,
+        waiting: &waiting,
+    })
+    .unwrap();
+    let ratio = |(slow, all): (u64, u64)| slow as f64 / all as f64;
+    assert!(ratio(slow.stable) <= 0.05);
+    assert!(ratio(slow.candidate) >= 0.4, "{slow:?}");
 }
