--- a/crates/coordination/src/evidence/odds.rs
+++ b/crates/coordination/src/evidence/odds.rs
@@ -23,7 +23,7 @@
 
 /// Probability that an endpoint of a good version is on a bad host. Its inverse bounds what a single
 /// endpoint can contribute.
-pub(super) const BAD_HOST: f64 = 0.08;
+pub const BAD_HOST: f64 = 0.08;
 /// Parts of the calls that a clear fault makes fail, each as likely as the others. Versions that are
 /// really bad fail a tenth of their calls or more.
 const FAULTY_PARTS: [f64; 3] = [0.12, 0.3, 0.6];
