Keep shares apart in the local cut-off, let strict rules be met

The local comparison never closed a step.

With a permitted slowdown of 50%, the default of the answers file, no version could reach the odds that the last step needs, whatever its calls: the range of a fault that slows all calls began at no slowdown. It now begins at half of the permitted one, and slowdowns below 1.7 count as the speed of hosts. For orders on the platform (150% more) the range is the same as before.

--- a/crates/coordination/src/evidence/odds/latency.rs
+++ b/crates/coordination/src/evidence/odds/latency.rs
@@ -35,9 +35,11 @@
 const SPEED_DEVIATION: f64 = 2.5;
 /// Highest speed of a host, four times the usual one, in buckets.
 const FASTEST: i32 = -2 * BUCKETS_PER_DOUBLING as i32;
-/// Slowdowns below the permitted one, in buckets, at which all calls may already be slow because of a
-/// fault: the hosts of the candidate may be faster than the others.
-const OVERLAP: i32 = 3;
+/// Part of the permitted slowdown, counted from above, in which all calls may already be slow because of
+/// a fault: the hosts of the candidate may be faster than the others.
+const OVERLAP: i32 = 2;
+/// Smallest permitted slowdown that is told from the speed of hosts, 1.7 times, in buckets.
+const MIN_SLOWDOWN: i32 = 3;
 /// Lowest speed beyond the permitted slowdown, 16 times slower, in buckets.
 const SLOWEST: i32 = 4 * BUCKETS_PER_DOUBLING as i32;
 /// Probability of a latency in a bucket that the shape doesn't have. It keeps one call that took
@@ -83,9 +85,12 @@
         let part = SLOWED_PARTS[index % SLOWED_PARTS.len()];
         reference.likelihood(SLOWER[index / SLOWED_PARTS.len()], part)
     });
-    let max_shift = i32::from(max_shift);
+    let max_shift = i32::from(max_shift).max(MIN_SLOWDOWN);
     let permitted = speeds(FASTEST..=max_shift, 0);
-    let excessive = speeds(max_shift - OVERLAP..=max_shift + SLOWEST, max_shift + 1);
+    let excessive = speeds(
+        max_shift - max_shift / OVERLAP..=max_shift + SLOWEST,
+        max_shift + 1,
+    );
     let mut faultless = 0.0;
     let mut all_slow = 0.0;
     let mut some_slow = [0.0; PARTIAL_FAULTS];
--- a/crates/coordination/src/evidence/odds/tests.rs
+++ b/crates/coordination/src/evidence/odds/tests.rs
@@ -5,7 +5,7 @@
 use super::super::{GroupEvidence, histogram::shift};
 use super::latency::{Latencies, latency_odds, slow_calls};
 use super::*;
-use crate::pacing::MAX_LOG_ODDS;
+use crate::pacing::{LAST_STEP_LOG_ODDS, MAX_LOG_ODDS};
 
 /// Calls and failures by endpoint.
 fn version(groups: &[[u64; 2]]) -> VersionEvidence {
@@ -152,3 +152,30 @@
     assert!(ratio(slow.stable) <= 0.05);
     assert!(ratio(slow.candidate) >= 0.4, "{slow:?}");
 }
+
+/// Guards against rules with a small permitted slowdown under which no version can ever show that it is
+/// good: the odds must reach what the last step needs.
+#[rstest]
+#[case::plain(250)]
+#[case::twice(200)]
+#[case::half_more(150)]
+#[case::tenth_more(110)]
+fn latency_odds_strict_rule(#[case] percent: u32) {
+    let none = VersionEvidence::default();
+    let hosts = &[(0.9, 0.0), (1.0, 0.0), (1.1, 0.0)];
+    let mut held = 0;
+    for seed in 0..40 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let stable = latencies(&mut rng, 4_000, hosts, 1.0);
+        let candidate = latencies(&mut rng, 1_000, hosts, 1.0);
+        let latencies = Latencies {
+            stable: &stable,
+            earlier_stable: &none,
+            candidate: &candidate,
+            waiting: &none,
+        };
+        let odds = latency_odds(&latencies, shift(percent)).unwrap();
+        held += usize::from(odds > LAST_STEP_LOG_ODDS);
+    }
+    assert_eq!(held, 0);
+}
--- a/crates/coordination/src/evidence/recorder.rs
+++ b/crates/coordination/src/evidence/recorder.rs
@@ -159,6 +159,7 @@
             self.share = candidate.share;
             self.routes.clear();
             self.waiting.clear();
+            self.cut_off.enter_step(now);
         }
     }
 
@@ -212,6 +213,14 @@
         self.active
     }
 
+    /// Closes the comparison of a share. Calls at different shares are not comparable.
+    fn enter_step(&mut self, now: Millis) {
+        self.look(now);
+        if let Some(comparison) = &mut self.comparison {
+            comparison.enter_step();
+        }
+    }
+
     fn look(&mut self, now: Millis) {
         self.next_look = now.after(LOCAL_INTERVAL);
         let Some(comparison) = &mut self.comparison else {
--- a/crates/coordination/src/evidence/tests.rs
+++ b/crates/coordination/src/evidence/tests.rs
@@ -450,3 +450,34 @@
         .unwrap();
     assert_eq!(evidence.waiting[&route].groups().len(), 1);
 }
+
+/// Guards against daemons that cut a good version off because a time in which both versions failed met
+/// a large share, while the calls before it met a small one.
+#[test]
+fn cut_off_common_failure_at_larger_share() {
+    for seed in 0..40 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut recorder = EvidenceRecorder::new();
+        for n in 0..6_000_u64 {
+            let (share, failure) = match n {
+                0..3_000 => (Share::percent(5), 0.002),
+                _ => (Share::percent(50), 0.4),
+            };
+            let new = rng.random_bool(share.ratio());
+            let failed = rng.random_bool(failure);
+            let call = FinishedCall {
+                route: &"r".into(),
+                version: &VersionName::from(if new { "v2" } else { "v1" }),
+                endpoint: rng.random_range(0..3),
+                outcome: if failed {
+                    CallOutcome::Failed
+                } else {
+                    CallOutcome::Succeeded
+                },
+                latency_us: 5_000,
+            };
+            let cut = recorder.record(Millis(n * 33), &split(share), &rule(), &call);
+            assert_eq!(cut, None, "seed {seed}, call {n}");
+        }
+    }
+}
