Reuse log_sum, borrow histograms, rank an endpoint only for the new version

Found on reading the change once more: the odds wrote a sum of logarithms that sequential::log_sum has, cloned histograms that are only read, and each call during a rollout took a pass over the endpoints whose result only calls of the new version use. Behaviour is as before.

--- a/crates/coordination/src/evidence/odds.rs
+++ b/crates/coordination/src/evidence/odds.rs
@@ -15,6 +15,7 @@
 //! - Failures are compared with a share of failures that both versions have in common, which is known
 //!   from the stable version as well as its calls allow. Latencies: see [`latency`].
 
+use super::sequential::log_sum;
 use super::{Counts, VersionEvidence};
 
 pub mod latency;
@@ -108,13 +109,12 @@
 pub(super) fn host_likelihood(good: f64, bad: &[f64]) -> f64 {
     let bad = BAD_HOST.ln() + log_mean(bad);
     let good = (1.0 - BAD_HOST).ln() + good;
-    let max = good.max(bad);
-    max + ((good - max).exp() + (bad - max).exp()).ln()
+    log_sum([good, bad].into_iter())
 }
 
 /// Returns the logarithm of the mean of numbers that are given by their logarithms.
 pub(super) fn log_mean(logs: &[f64]) -> f64 {
-    super::sequential::log_sum(logs.iter().copied()) - (logs.len() as f64).ln()
+    log_sum(logs.iter().copied()) - (logs.len() as f64).ln()
 }
 
 fn usual_shares() -> impl Iterator<Item = f64> {
--- a/crates/coordination/src/evidence/odds/latency.rs
+++ b/crates/coordination/src/evidence/odds/latency.rs
@@ -96,11 +96,8 @@
     let mut some_slow = [0.0; PARTIAL_FAULTS];
     let none = Histogram::default();
     for index in 0..GROUPS {
-        let of = |version: &VersionEvidence| {
-            let group = version.groups().get(index);
-            group.map_or_else(|| none.clone(), |group| group.latency.clone())
-        };
-        let [ended, waiting] = [latencies.candidate, latencies.waiting].map(of);
+        let [ended, waiting] = [latencies.candidate, latencies.waiting]
+            .map(|version| version.groups().get(index).map_or(&none, |g| &g.latency));
         let calls = ended.total() + waiting.total();
         if calls == 0 {
             continue;
@@ -110,8 +107,8 @@
         let log = |likelihood: &Likelihood, speeds: &[(i32, f64)]| {
             let logs = speeds.iter().map(|(speed, log_prior)| {
                 let zero = reference.median + speed;
-                let calls = sum_at(&likelihood.ended, &ended, zero)
-                    + sum_at(&likelihood.waiting, &waiting, zero);
+                let calls = sum_at(&likelihood.ended, ended, zero)
+                    + sum_at(&likelihood.waiting, waiting, zero);
                 log_prior + weight * calls
             });
             log_sum(logs)
--- a/crates/daemon/src/proxy/service.rs
+++ b/crates/daemon/src/proxy/service.rs
@@ -162,7 +162,10 @@
         let now = clock::now();
         let mut state = self.state.lock();
         let state = &mut *state;
-        state.split.candidate.as_ref()?;
+        // The rank costs a pass over the endpoints.
+        if state.split.candidate.as_ref()?.version != target.version {
+            return None;
+        }
         let call = StartedCall {
             route,
             version: &target.version,
