Log what a rollout has exposed and the odds of its current step

The lines rollout_progress could not tell whether a step was taken although little was left of what a bad version may get, nor whether the calls of the step spoke against the version while those of earlier steps outweighed them. Daemons report the calls of a service that were answered since the rollout is known to them, and those sent to the new version at all shares.

--- a/crates/coordination/src/evidence/comparison.rs
+++ b/crates/coordination/src/evidence/comparison.rs
@@ -227,7 +227,8 @@
         odds
     }
 
-    fn step_odds(&self) -> Odds {
+    /// Returns the log odds of a clear fault by the calls of the current step.
+    pub fn step_odds(&self) -> Odds {
         let mut odds = Odds {
             slow: self.thin.step_odds,
             ..Odds::default()
--- a/crates/coordination/src/pacing.rs
+++ b/crates/coordination/src/pacing.rs
@@ -29,7 +29,7 @@
 use crate::evidence::EvidenceReport;
 use crate::evidence::comparison::Comparison;
 use crate::rollout::{RolloutAction, RolloutCommand, Rollouts};
-use crate::shares::{Grant, MAX_REPORT_AGE};
+use crate::shares::{Exposed, Grant, MAX_REPORT_AGE};
 
 use plan::{Known, Need, Plan};
 use tracker::Tracker;
@@ -122,7 +122,9 @@
     pub suspicion: f64,
     /// Log odds of a clear fault.
     pub log_odds: f64,
-    /// The evidence behind it.
+    /// What the rollout has cost so far, as far as daemons have reported it.
+    pub exposed: Exposed,
+    /// The evidence behind the odds.
     pub comparison: &'a Comparison,
     /// Daemons that have cut the new version off by themselves.
     pub cut_off: usize,
@@ -210,6 +212,7 @@
             step_calls: tracker.step_calls,
             suspicion: tracker.comparison.suspicion(),
             log_odds: tracker.comparison.worst_odds().highest(),
+            exposed: tracker.exposed(),
             comparison: &tracker.comparison,
             cut_off: tracker.cut_off(),
         })
--- a/crates/coordination/src/pacing/tracker.rs
+++ b/crates/coordination/src/pacing/tracker.rs
@@ -11,7 +11,7 @@
 use crate::evidence::comparison::Comparison;
 use crate::evidence::histogram::Histogram;
 use crate::evidence::{RolloutEvidence, RouteEvidence, VersionEvidence};
-use crate::shares::{CreditPool, MAX_REPORT_AGE, ShareReport};
+use crate::shares::{CreditPool, Exposed, MAX_REPORT_AGE, ShareReport};
 
 /// A new leader takes no step before this time has passed, so that all daemons have reported.
 const REFILL: Millis = Millis(5_000);
@@ -56,6 +56,7 @@
     waiting: IndexMap<RouteName, VersionEvidence>,
     reported: Millis,
     shares: Option<ShareReport>,
+    exposure: Exposed,
 }
 
 impl Tracker {
@@ -94,6 +95,7 @@
         let key = (daemon.clone(), incarnation);
         let known = self.evidence.entry(key).or_default();
         self.new_calls += known.new_calls(&evidence.shares);
+        known.exposure = evidence.shares.exposure;
         if evidence.share < known.share {
             return;
         }
@@ -187,6 +189,16 @@
         refilled && 2 * within(MAX_REPORT_AGE) >= within(EXPECTED)
     }
 
+    /// Returns what the rollout has cost so far, as far as daemons have reported it.
+    pub(super) fn exposed(&self) -> Exposed {
+        let mut all = Exposed::default();
+        for known in self.evidence.values() {
+            all.answered += known.exposure.answered;
+            all.sent += known.exposure.sent;
+        }
+        all
+    }
+
     pub(super) fn cut_off(&self) -> usize {
         self.daemons.values().filter(|state| state.cut_off).count()
     }
--- a/crates/coordination/src/shares.rs
+++ b/crates/coordination/src/shares.rs
@@ -53,10 +53,7 @@
 
 /// A daemon's account of one service's rollout, as it is reported to the leader.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(
-    from = "(u64, u32, u64, u64, u64, u64)",
-    into = "(u64, u32, u64, u64, u64, u64)"
-)]
+#[serde(from = "WireReport", into = "WireReport")]
 pub struct ShareReport {
     /// Term of the leader to which the units below were ceded, or 0 before one is known.
     pub term: u64,
@@ -70,11 +67,24 @@
     pub ceded: u64,
     /// Credits received from the leader of `term` at this share.
     pub credits: u64,
+    /// What the rollout has cost here so far, at all shares.
+    pub exposure: Exposed,
 }
 
-impl From<(u64, u32, u64, u64, u64, u64)> for ShareReport {
-    fn from(fields: (u64, u32, u64, u64, u64, u64)) -> Self {
-        let (term, share, calls, candidate, ceded, credits) = fields;
+/// Calls since a daemon knows of a rollout.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Exposed {
+    /// Calls of the service that an upstream has answered.
+    pub answered: u64,
+    /// Calls sent to the candidate.
+    pub sent: u64,
+}
+
+type WireReport = (u64, u32, u64, u64, u64, u64, u64, u64);
+
+impl From<WireReport> for ShareReport {
+    fn from(fields: WireReport) -> Self {
+        let (term, share, calls, candidate, ceded, credits, answered, sent) = fields;
         Self {
             term,
             share,
@@ -82,11 +92,12 @@
             candidate,
             ceded,
             credits,
+            exposure: Exposed { answered, sent },
         }
     }
 }
 
-impl From<ShareReport> for (u64, u32, u64, u64, u64, u64) {
+impl From<ShareReport> for WireReport {
     fn from(report: ShareReport) -> Self {
         (
             report.term,
@@ -95,6 +106,8 @@
             report.candidate,
             report.ceded,
             report.credits,
+            report.exposure.answered,
+            report.exposure.sent,
         )
     }
 }
@@ -163,6 +176,7 @@
             || candidate.share == Share::NONE;
         if !excluded && self.takes_candidate(now, attempt) {
             self.account.candidate += 1;
+            self.account.exposure.sent += 1;
             return candidate.version.clone();
         }
         split.stable.clone()
@@ -174,11 +188,17 @@
             return;
         }
         self.account.candidate -= 1;
+        self.account.exposure.sent = self.account.exposure.sent.saturating_sub(1);
         if self.account.share < Share::ALL.0 {
             self.balance += CALL;
         }
     }
 
+    /// Counts a call of the service that an upstream has answered.
+    pub fn answered(&mut self) {
+        self.account.exposure.answered += 1;
+    }
+
     /// Stops all traffic from this daemon to the candidate of `rollout`.
     pub fn stop(&mut self, rollout: u64) {
         self.stopped = Some(rollout);
@@ -231,12 +251,14 @@
             self.rollout = rollout;
             self.balance = 0;
             self.comparing = false;
+            self.account.exposure = Exposed::default();
         }
         self.earned_at = now;
         self.unused.clear();
         self.account = ShareReport {
             term: self.account.term,
             share: share.0,
+            exposure: self.account.exposure,
             ..ShareReport::default()
         };
     }
--- a/crates/daemon/src/control/leader.rs
+++ b/crates/daemon/src/control/leader.rs
@@ -211,10 +211,13 @@
         self.last_progress = now;
         for progress in self.pacer.progress() {
             let odds = progress.comparison.odds();
+            let step_odds = progress.comparison.step_odds();
             tracing::info!(event = "rollout_progress", rollout = progress.rollout,
                 waiting = ?progress.waiting, candidate_calls = progress.candidate_calls,
                 step_calls = progress.step_calls, suspicion = progress.suspicion,
                 log_odds = progress.log_odds, failure_odds = odds.failures, slow_odds = odds.slow,
+                step_failure_odds = step_odds.failures, step_slow_odds = step_odds.slow,
+                service_calls = progress.exposed.answered, exposed = progress.exposed.sent,
                 cut_off = progress.cut_off);
             log_routes(progress.rollout, progress.comparison);
         }
--- a/crates/daemon/src/proxy/service.rs
+++ b/crates/daemon/src/proxy/service.rs
@@ -204,6 +204,9 @@
             outcome: call_outcome(end.result),
             latency_us: end.latency.0,
         };
+        if finished.outcome != CallOutcome::Refused {
+            state.shares.answered();
+        }
         let rule = &state.config.rollout;
         let cut_off = state.evidence.record(now, &state.split, rule, &finished);
         let Some(rollout) = cut_off else {
