--- a/crates/cli/src/commands/history.rs
+++ b/crates/cli/src/commands/history.rs
@@ -65,6 +65,7 @@
         HistoryEvent::ShareChanged { to, share } => {
             format!("share of {to} is {}", units::format_percent(*share))
         }
+        HistoryEvent::TestPassed { to } => format!("{to} passed its test under full load"),
         HistoryEvent::RolloutDone { to } => format!("rollout of {to} done"),
         HistoryEvent::TakenBack { to, reason } => format!("{to} taken back: {reason}"),
         HistoryEvent::KeyHoldersChanged { epoch } => format!("key holders changed, group {epoch}"),
--- a/crates/cli/src/commands/watch.rs
+++ b/crates/cli/src/commands/watch.rs
@@ -168,7 +168,10 @@
         _ if status.config < target => None,
         RolloutPhase::Done => Some(Ok(())),
         RolloutPhase::TakenBack => Some(Err(taken_back(rollout))),
-        RolloutPhase::Planned | RolloutPhase::Moving | RolloutPhase::Watching => None,
+        RolloutPhase::Planned
+        | RolloutPhase::Moving
+        | RolloutPhase::Testing
+        | RolloutPhase::Watching => None,
     };
     Observed { line, end }
 }
--- a/crates/coordination/examples/rollouts/settings.rs
+++ b/crates/coordination/examples/rollouts/settings.rs
@@ -27,6 +27,8 @@
             max_slowdown_percent: 200,
             false_alarm: Share::percent(1),
             low_traffic: LowTraffic::Stay,
+            max_exposure: None,
+            exposure_slack: 0,
         },
         min_endpoints: Share::percent(50),
         retry_budget: Share::percent(10),
--- a/crates/coordination/src/evidence/tests.rs
+++ b/crates/coordination/src/evidence/tests.rs
@@ -22,6 +22,8 @@
         max_slowdown_percent: 200,
         false_alarm: Share::percent(5),
         low_traffic: LowTraffic::Finish,
+        max_exposure: None,
+        exposure_slack: 0,
     }
 }
 
@@ -232,6 +234,7 @@
             share,
             rollout: 1,
             window: WINDOW,
+            limit: None,
         }),
         blocked: Vec::new(),
     }
--- /dev/null
+++ b/crates/coordination/src/full_load.rs
@@ -0,0 +1,71 @@
+//! The test of a new version under its later load, at a part of its later traffic.
+//!
+//! A fault that depends on load does not show while all endpoints of the new version share a small part
+//! of the calls. So the last step of a rollout with limited exposure sends the calls of a few endpoints
+//! to as few of them: with `k` of `n` endpoints in use, they get `k / n` of the traffic, and each has the
+//! load that it will have when the version is alone. The endpoints take turns, so that one bad host is
+//! told from a bad version. The calls of the stable version at the same time tell a fault of the new one
+//! from one that hits both.
+//!
+//! Daemons count turns from when the step is in force for them. They learn of it within a fraction of a
+//! turn. A daemon whose room is used up sends nothing more until the rollout is decided: calls at a
+//! smaller load would speak for a version that is bad at its later one.
+
+use sycamoreflow_state::config::Share;
+use sycamoreflow_state::ids::Millis;
+
+#[cfg(test)]
+mod tests;
+
+/// Time for which endpoints are in use before the next ones are. It covers a few service times, so that
+/// the load of an endpoint builds up.
+pub const TURN: Millis = Millis(800);
+/// One endpoint in this many is in use at a time.
+const ENDPOINTS_PER_ACTIVE: usize = 4;
+/// One call in this many goes to the stable version also if all endpoints are in use.
+const CONTROL_PART: u32 = 8;
+
+/// The endpoints of the new version that are in use, by their rank.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Turn {
+    first: usize,
+    active: usize,
+    endpoints: usize,
+}
+
+impl Turn {
+    /// Returns the turn `elapsed` after the start of the test.
+    pub fn at(elapsed: Millis, endpoints: usize) -> Self {
+        let endpoints = endpoints.max(1);
+        let active = active(endpoints);
+        let turn = (elapsed.0 / TURN.0) as usize;
+        Self {
+            first: turn * active % endpoints,
+            active,
+            endpoints,
+        }
+    }
+
+    /// Returns whether the endpoint with this rank is in use.
+    pub fn contains(self, rank: usize) -> bool {
+        (rank + self.endpoints - self.first) % self.endpoints < self.active
+    }
+}
+
+/// Returns the part of the traffic that the endpoints in use get.
+pub fn share(endpoints: usize) -> Share {
+    let endpoints = endpoints.max(1);
+    let part = u64::from(Share::ALL.0) * active(endpoints) as u64 / endpoints as u64;
+    Share((part as u32).min(Share::ALL.0 - Share::ALL.0 / CONTROL_PART))
+}
+
+/// Returns the time after which each endpoint has had a turn.
+pub fn duration(endpoints: usize) -> Millis {
+    let endpoints = endpoints.max(1);
+    Millis(endpoints.div_ceil(active(endpoints)) as u64 * TURN.0)
+}
+
+fn active(endpoints: usize) -> usize {
+    let half = ENDPOINTS_PER_ACTIVE / 2;
+    ((endpoints + half) / ENDPOINTS_PER_ACTIVE).max(1)
+}
--- /dev/null
+++ b/crates/coordination/src/full_load/tests.rs
@@ -0,0 +1,28 @@
+use std::collections::BTreeSet;
+
+use rstest::rstest;
+
+use super::*;
+
+/// Guards against endpoints that are never tested, or that get another load than they will have later.
+#[rstest]
+#[case::one(1)]
+#[case::two(2)]
+#[case::three(3)]
+#[case::five(5)]
+#[case::seven(7)]
+#[case::many(23)]
+fn turn_covers_endpoints(#[case] endpoints: usize) {
+    let mut tested = BTreeSet::new();
+    let mut elapsed = Millis(0);
+    while elapsed < duration(endpoints) {
+        let turn = Turn::at(elapsed, endpoints);
+        let ranks: Vec<usize> = (0..endpoints).filter(|rank| turn.contains(*rank)).collect();
+        let per_endpoint = share(endpoints).ratio() * endpoints as f64 / ranks.len() as f64;
+        let controlled = 1.0 - 1.0 / f64::from(CONTROL_PART);
+        assert!(per_endpoint <= 1.0 && per_endpoint > controlled - 0.001);
+        tested.extend(ranks);
+        elapsed = elapsed.after(TURN);
+    }
+    assert_eq!(tested.len(), endpoints);
+}
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod evidence;
 pub mod fingerprint;
 pub mod floor;
+pub mod full_load;
 pub mod key_holders;
 pub mod leases;
 pub mod machine;
--- a/crates/coordination/src/pacing.rs
+++ b/crates/coordination/src/pacing.rs
@@ -10,7 +10,12 @@
 //! - the new version has endpoints with enough slots for the next share;
 //! - the evidence doesn't speak against the new version, and its calls speak for it;
 //! - the daemons that reported so far still do, so a new leader waits until its evidence is
-//!   refilled, and missing data never moves anything.
+//!   refilled, and missing data never moves anything;
+//! - if the rule limits the exposure, daemons have room for the test under full load.
+//!
+//! A limited exposure holds whatever is decided here, since daemons keep to it by themselves. The last
+//! step is then a test under [full load](crate::full_load), and the watch period ends only if the calls of
+//! this test speak for the version: those at smaller shares cannot show a fault that depends on load.
 //!
 //! A version whose calls don't speak for it when its time is over, or when the watch period ends, is
 //! taken back, and so is one that stays under strong suspicion: otherwise it would keep its share for
@@ -28,8 +33,11 @@
 
 use crate::evidence::EvidenceReport;
 use crate::evidence::comparison::Comparison;
+use crate::evidence::odds::Odds;
+use crate::full_load;
 use crate::rollout::{RolloutAction, RolloutCommand, Rollouts};
-use crate::shares::{Exposed, Grant, MAX_REPORT_AGE};
+use crate::shares::exposure::{Exposed, SLACK_RESERVE};
+use crate::shares::{Grant, MAX_REPORT_AGE};
 
 use plan::{Known, Need, Plan};
 use tracker::Tracker;
@@ -62,6 +70,17 @@
 pub const STEP_LOG_ODDS: f64 = -2.0;
 /// The same for the step to all traffic, which exposes most calls: about exp(-6), one in 400.
 pub const LAST_STEP_LOG_ODDS: f64 = -6.0;
+/// The same for a test under full load before its time is over, by the calls of the test alone. Those of
+/// a part that is slow look more like those of another host than failures do.
+pub const CLEAR_LOG_ODDS: Odds = Odds {
+    failures: -6.0,
+    slow: -8.0,
+};
+/// The same for failed calls at the end of the test.
+pub const TEST_LOG_ODDS: f64 = -4.0;
+/// The same for slow calls of all steps. Calls of a good version take longer under load too, so those of
+/// the test alone need to speak for the version as for any step only.
+pub const TEST_SLOW_LOG_ODDS: f64 = -5.0;
 
 /// Endpoints of one version that can take calls.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -88,6 +107,8 @@
     Suspicion,
     /// Too few daemons have reported since this leader took over.
     Reports,
+    /// The exposure that the rule allows has too little room for the next share.
+    Exposure,
     /// The finish time has passed with too little traffic, and the rule says to stay.
     LowTraffic,
 }
@@ -190,6 +211,13 @@
         commands
     }
 
+    /// Forgets that a command was proposed, so that the next tick decides it again.
+    pub fn withdraw(&mut self, command: &RolloutCommand) {
+        if let Some(tracker) = self.trackers.get_mut(&command.rollout) {
+            tracker.proposed = None;
+        }
+    }
+
     /// Returns the grants to send now.
     pub fn grants(&mut self, now: Millis) -> Vec<(DaemonId, Grant)> {
         let trackers = self.trackers.values_mut();
@@ -233,7 +261,7 @@
 ) -> Option<RolloutCommand> {
     let action = action?;
     let take_back = matches!(action, RolloutAction::TakeBack(_));
-    let key = (rollout.step, take_back);
+    let key = (rollout.step, rollout.phase, take_back);
     if let Some((proposed, at)) = tracker.proposed
         && proposed == key
         && now.since(at) < REPEAT_AFTER
@@ -259,7 +287,7 @@
     if let Some(reason) = tracker.comparison.verdict() {
         return Some(RolloutAction::TakeBack(reason));
     }
-    let plan = Plan::new(rollout);
+    let plan = Plan::new(rollout, capacity[1].endpoints);
     let waiting = waiting(now, rollout, tracker, &plan, capacity, heard);
     let known = Known {
         calls_per_second: tracker.calls_per_second(),
@@ -273,13 +301,19 @@
         let ratio = tracker.comparison.worst_ratio();
         return Some(RolloutAction::TakeBack(TakeBackReason::Suspected(ratio)));
     }
+    if waiting != Waiting::OnPlan && is_late(now, rollout) {
+        return Some(RolloutAction::TakeBack(TakeBackReason::OutOfTime));
+    }
     if waiting != Waiting::OnPlan || now < plan.next_step {
         return None;
     }
-    Some(if rollout.phase == RolloutPhase::Watching {
-        RolloutAction::Finish
-    } else {
-        RolloutAction::Advance
+    Some(match rollout.phase {
+        RolloutPhase::Watching => RolloutAction::Finish,
+        RolloutPhase::Testing => RolloutAction::Pass,
+        _ if is_test_next(rollout) => RolloutAction::Test {
+            extra_calls: extra_calls(rollout, tracker),
+        },
+        _ => RolloutAction::Advance,
     })
 }
 
@@ -288,19 +322,63 @@
     now >= rollout.watch_until().unwrap_or(rollout.finish_by)
 }
 
+/// Returns whether the time for the test of a version with limited exposure is over. Daemons send it
+/// nothing more.
+fn is_late(now: Millis, rollout: &Rollout) -> bool {
+    let is_limited = rollout.rule.max_exposure.is_some() && rollout.passed.is_none();
+    is_limited && rollout.phase != RolloutPhase::Planned && now >= rollout.finish_by
+}
+
 /// Returns whether the evidence is too much against the version for the next step.
 fn is_suspect(comparison: &Comparison) -> bool {
     comparison.suspicion() >= MAX_SUSPICION || comparison.worst_odds().highest() > MAX_LOG_ODDS
 }
 
 /// Returns whether the calls speak for the version, as far as the next step needs it.
-fn is_supported(rollout: &Rollout, comparison: &Comparison) -> bool {
-    let needed = match rollout.next_share() {
-        None => return true,
-        Some(Share::ALL) => LAST_STEP_LOG_ODDS,
-        Some(_) => STEP_LOG_ODDS,
+fn is_supported(now: Millis, rollout: &Rollout, comparison: &Comparison) -> bool {
+    let is_limited = rollout.rule.max_exposure.is_some();
+    let odds = comparison.odds().highest();
+    match rollout.next_share() {
+        // Before its time is over, a test ends only on clear evidence.
+        None if rollout.phase == RolloutPhase::Testing && !is_over(now, rollout) => {
+            let step = comparison.step_odds();
+            step.failures <= CLEAR_LOG_ODDS.failures && step.slow <= CLEAR_LOG_ODDS.slow
+        }
+        None if rollout.phase == RolloutPhase::Testing => {
+            let step = comparison.step_odds();
+            let slow = comparison.odds().slow;
+            step.failures <= TEST_LOG_ODDS
+                && step.slow <= STEP_LOG_ODDS
+                && slow <= TEST_SLOW_LOG_ODDS
+        }
+        None => true,
+        Some(Share::ALL) if !is_limited => odds <= LAST_STEP_LOG_ODDS,
+        Some(Share::ALL) => odds <= 0.0,
+        Some(_) => odds <= STEP_LOG_ODDS,
+    }
+}
+
+/// Returns whether the next step is the test under full load.
+fn is_test_next(rollout: &Rollout) -> bool {
+    rollout.rule.max_exposure.is_some() && rollout.next_share() == Some(Share::ALL)
+}
+
+/// Returns whether the daemons have room for the test under full load, if it is next.
+fn has_room(now: Millis, rollout: &Rollout, tracker: &Tracker, endpoints: u32) -> bool {
+    let Some(limit) = rollout.rule.max_exposure.filter(|_| is_test_next(rollout)) else {
+        return true;
     };
-    comparison.odds().highest() <= needed
+    let calls = plan::test_calls(tracker.calls_per_second(), endpoints) as f64;
+    // The test earns room as well.
+    let earned = calls * limit.ratio() / full_load::share(endpoints as usize).ratio();
+    let extra = u64::from(extra_calls(rollout, tracker)) * tracker.daemons() as u64;
+    (tracker.room(now, limit) + extra) as f64 >= calls - earned
+}
+
+/// Returns the part of each daemon in the calls that a test may have beside the permitted share.
+fn extra_calls(rollout: &Rollout, tracker: &Tracker) -> u32 {
+    let given_out = f64::from(rollout.rule.exposure_slack) * (1.0 - SLACK_RESERVE);
+    (given_out / tracker.daemons().max(1) as f64) as u32
 }
 
 fn waiting(
@@ -316,7 +394,8 @@
     if candidate.endpoints == 0 || candidate.slots < slots {
         return Waiting::Endpoints;
     }
-    if rollout.phase == RolloutPhase::Planned {
+    // What comes after a passed test only brings the decision into force.
+    if rollout.phase == RolloutPhase::Planned || rollout.passed.is_some() {
         return Waiting::OnPlan;
     }
     if is_suspect(&tracker.comparison) {
@@ -325,11 +404,14 @@
     if !heard || !tracker.has_reports(now) {
         return Waiting::Reports;
     }
-    let need = Need::of_next_step(rollout, rate);
+    let need = Need::of_next_step(rollout, rate, candidate.endpoints);
+    if !has_room(now, rollout, tracker, candidate.endpoints) && now < plan.forced_step {
+        return Waiting::Exposure;
+    }
     let enough = tracker.step_calls >= need.step_calls
         && tracker.comparison.candidate_calls() >= need.total_calls;
     let clear_calls = plan::clear_calls(&rollout.rule);
-    let supported = is_supported(rollout, &tracker.comparison);
+    let supported = is_supported(now, rollout, &tracker.comparison);
     if enough && supported {
         return Waiting::OnPlan;
     }
@@ -340,7 +422,9 @@
     if !supported && tracker.comparison.candidate_calls() >= clear_calls {
         return Waiting::Evidence;
     }
+    let is_tested = rollout.phase == RolloutPhase::Testing;
     match rollout.rule.low_traffic {
+        LowTraffic::Finish if is_tested && !is_over(now, rollout) => Waiting::Evidence,
         LowTraffic::Finish if now >= plan.forced_step => Waiting::OnPlan,
         LowTraffic::Stay if now >= rollout.finish_by => Waiting::LowTraffic,
         LowTraffic::Finish | LowTraffic::Stay => Waiting::Evidence,
--- a/crates/coordination/src/pacing/plan.rs
+++ b/crates/coordination/src/pacing/plan.rs
@@ -6,6 +6,7 @@
 
 use super::{Outlook, Waiting};
 use crate::evidence::BRISK_WINDOW;
+use crate::full_load;
 
 /// Part of the time between approval and finish time that is kept free for delays, such as a change
 /// of leader.
@@ -17,6 +18,14 @@
 const BRISK_STEP: Millis = Millis(1_800);
 /// Time from a call to a take-back in force: a report, a tick, a log entry and an update.
 const REACTION_SECONDS: f64 = 3.0;
+/// Time after the last turn of a test under full load until its answers are reported.
+const TEST_REPORT: Millis = Millis(500);
+/// Time between the first turn of each endpoint in a test and the finish time, for more turns if the
+/// evidence is not clear yet, or for a test that begins late.
+const TEST_RESERVE: Millis = Millis(1_600);
+/// Part of the calls of a test that are needed. Daemons that have started during the rollout have less
+/// room than others.
+const TEST_PART: f64 = 0.6;
 /// Calls that show a clear fault, as a multiple of the inverse of the permitted extra failures. At
 /// ten times the permitted failures about 57 calls suffice at a false-alarm rate of 1% and 1% extra.
 const CLEAR_FACTOR: f64 = 0.6;
@@ -53,9 +62,16 @@
 }
 
 impl Plan {
-    pub(super) fn new(rollout: &Rollout) -> Self {
+    /// Computes the plan for a new version with this number of endpoints.
+    pub(super) fn new(rollout: &Rollout, endpoints: u32) -> Self {
         let window = rollout.window();
-        let target = Millis(rollout.finish_by.0.saturating_sub(window.0 / RESERVE_PART));
+        let is_limited = rollout.rule.max_exposure.is_some();
+        let test = full_load::duration(endpoints as usize).after(TEST_REPORT);
+        let before_finish = |time: Millis| Millis(rollout.finish_by.0.saturating_sub(time.0));
+        let target = match is_limited {
+            true => before_finish(test.after(TEST_RESERVE)),
+            false => before_finish(Millis(window.0 / RESERVE_PART)),
+        };
         let entered = rollout.step_entered();
         let left = rollout
             .rule
@@ -71,24 +87,32 @@
             RolloutPhase::Planned => at(rollout.started),
             RolloutPhase::Moving if window <= BRISK_WINDOW => {
                 let later = left.saturating_sub(1) * BRISK_STEP.0;
-                let due = Millis(target.0.saturating_sub(later));
+                let due = Millis(target.0.saturating_sub(later)).max(entered.after(BRISK_STEP));
+                let reserve = if is_limited { TEST_RESERVE } else { Millis(0) };
                 Self {
-                    next_step: due.max(entered.after(BRISK_STEP)),
-                    forced_step: due.max(entered.after(BRISK_STEP)),
+                    next_step: due,
+                    forced_step: due.after(reserve),
                     target,
                 }
             }
             RolloutPhase::Moving => {
                 let dwell = target.since(entered).0 / left.max(1);
-                let forced = rollout.finish_by.0.saturating_sub(left * FORCED_INTERVAL.0);
+                let last = if is_limited {
+                    target
+                } else {
+                    rollout.finish_by
+                };
+                let forced = last.0.saturating_sub(left * FORCED_INTERVAL.0);
                 Self {
                     next_step: entered.after(Millis(dwell)),
                     forced_step: Millis(forced).max(entered.after(FORCED_INTERVAL)),
                     target,
                 }
             }
-            RolloutPhase::Watching => at(entered.after(rollout.rule.watch)),
-            RolloutPhase::Done | RolloutPhase::TakenBack => at(entered),
+            RolloutPhase::Testing => at(entered.after(rollout.rule.watch.max(test))),
+            RolloutPhase::Watching | RolloutPhase::Done | RolloutPhase::TakenBack => {
+                at(rollout.watch_until().unwrap_or(entered))
+            }
         }
     }
 
@@ -114,7 +138,10 @@
 
     /// Estimates the finish from the calls that the remaining steps need.
     fn expected_finish(&self, now: Millis, rollout: &Rollout, known: &Known) -> Option<Millis> {
-        if rollout.phase == RolloutPhase::Watching {
+        if matches!(
+            rollout.phase,
+            RolloutPhase::Testing | RolloutPhase::Watching
+        ) {
             return Some(rollout.step_entered());
         }
         let rate = known.calls_per_second.filter(|rate| *rate > 0.0)?;
@@ -122,7 +149,7 @@
         let mut seconds = 0.0;
         let first = rollout.step.max(1) as usize;
         for step in first..rollout.rule.steps.len() {
-            let need = Need::of_step(rollout, step, known.calls_per_second);
+            let need = Need::of_step(rollout, step, known.calls_per_second, 1);
             let have = if step == rollout.step as usize {
                 known.step_calls
             } else {
@@ -140,29 +167,61 @@
 
 impl Need {
     /// Returns what the step after the current one needs.
-    pub(super) fn of_next_step(rollout: &Rollout, calls_per_second: Option<f64>) -> Self {
-        Self::of_step(rollout, rollout.step as usize, calls_per_second)
+    pub(super) fn of_next_step(
+        rollout: &Rollout,
+        calls_per_second: Option<f64>,
+        endpoints: u32,
+    ) -> Self {
+        Self::of_step(rollout, rollout.step as usize, calls_per_second, endpoints)
     }
 
     /// Returns what must be known at `step` (counted from one) before the next one. Without a known
     /// rate it is as much as a clear fault takes to show.
-    fn of_step(rollout: &Rollout, step: usize, calls_per_second: Option<f64>) -> Self {
+    /// After the last step it is what ends the test of a limited exposure.
+    fn of_step(
+        rollout: &Rollout,
+        step: usize,
+        calls_per_second: Option<f64>,
+        endpoints: u32,
+    ) -> Self {
         let nothing = Self {
             step_calls: 0,
             total_calls: 0,
         };
+        let clear = clear_calls(&rollout.rule);
+        let is_limited = rollout.rule.max_exposure.is_some();
         let Some(next) = rollout.rule.steps.get(step) else {
-            return nothing;
+            if !is_limited {
+                return nothing;
+            }
+            let tested = test_calls(calls_per_second, endpoints) as f64 * TEST_PART;
+            return Self {
+                step_calls: clear.max(tested as u64),
+                total_calls: clear,
+            };
+        };
+        let is_last = *next == Share::ALL;
+        // The test gets as much traffic as its endpoints will have.
+        let next = match *next {
+            Share::ALL if is_limited => full_load::share(endpoints as usize),
+            next => next,
         };
-        let clear = clear_calls(&rollout.rule);
         let exposed = calls_per_second.map(|rate| rate * next.ratio() * REACTION_SECONDS);
         Self {
             step_calls: exposed.map_or(clear, |calls| clear.min(calls as u64)),
-            total_calls: if *next == Share::ALL { clear } else { 0 },
+            total_calls: if is_last { clear } else { 0 },
         }
     }
 }
 
+/// Returns the calls of the new version in a test under full load.
+pub(super) fn test_calls(calls_per_second: Option<f64>, endpoints: u32) -> u64 {
+    let endpoints = endpoints as usize;
+    let seconds = full_load::duration(endpoints).0 as f64 / 1_000.0;
+    let calls = calls_per_second.unwrap_or_default() * full_load::share(endpoints).ratio();
+    (calls * seconds) as u64
+}
+
 /// Returns the calls that show a clear fault.
 pub(super) fn clear_calls(rule: &RolloutRule) -> u64 {
     let (min, max) = CLEAR_CALLS;
--- a/crates/coordination/src/pacing/tests.rs
+++ b/crates/coordination/src/pacing/tests.rs
@@ -9,7 +9,9 @@
 
 use super::*;
 use crate::evidence::{CallOutcome, FinishedCall, RolloutEvidence, RouteEvidence};
+use crate::full_load;
 use crate::shares::ShareReport;
+use crate::shares::exposure::Exposed;
 
 mod orders;
 
@@ -29,6 +31,8 @@
         max_slowdown_percent: 200,
         false_alarm: Share::percent(1),
         low_traffic,
+        max_exposure: None,
+        exposure_slack: 0,
     };
     mesh_with(version, rule)
 }
@@ -56,8 +60,8 @@
 /// A daemon that counts calls without the real counters: every `1 / share`-th call is a new one.
 struct Daemon {
     name: DaemonId,
-    /// Calls that the new version got.
-    exposed: u64,
+    /// Calls that the service and the new version got.
+    exposure: Exposed,
     evidence: RolloutEvidence,
     /// Probability that a call of the new version takes five times as long.
     slow: f64,
@@ -68,7 +72,7 @@
     fn new(index: usize) -> Self {
         Self {
             name: format!("d{index}").into(),
-            exposed: 0,
+            exposure: Exposed::default(),
             evidence: RolloutEvidence {
                 rollout: 1,
                 ..RolloutEvidence::default()
@@ -78,7 +82,8 @@
         }
     }
 
-    fn calls(&mut self, count: u64, share: Share, failure: [f64; 2]) {
+    /// Plays calls at a share. `limit` is the permitted exposure of the version, if it has one.
+    fn calls(&mut self, count: u64, share: Share, limit: Option<Share>, failure: [f64; 2]) {
         if self.evidence.share != share {
             self.evidence.share = share;
             self.evidence.routes.clear();
@@ -89,9 +94,15 @@
         }
         let route = RouteName::from("r");
         let counts: &mut RouteEvidence = self.evidence.routes.entry(route.clone()).or_default();
+        let given = match limit {
+            Some(_) if share == Share::ALL => full_load::share(PLENTY.endpoints as usize),
+            _ => share,
+        };
         for _ in 0..count {
-            let new = self.rng.random_bool(share.ratio());
-            self.exposed += u64::from(new);
+            let has_room = limit.is_none_or(|limit| self.exposure.room(limit) > 0);
+            let new = self.rng.random_bool(given.ratio()) && has_room;
+            self.exposure.answered += 1;
+            self.exposure.sent += u64::from(new);
             let failed = self.rng.random_bool(failure[usize::from(new)]);
             let call = FinishedCall {
                 route: &route,
@@ -110,6 +121,7 @@
             };
             counts.record(&call, new);
             self.evidence.shares.calls += 1;
+            self.evidence.shares.exposure = self.exposure;
         }
     }
 
@@ -168,9 +180,12 @@
     /// Runs the calls of one interval and a tick of the leader after them.
     fn step(&mut self, now: Millis) {
         let second = now.0 / 1_000;
-        let share = self.rollout().share();
+        let rollout = self.rollout();
+        let share = rollout.share();
+        let limit = rollout.rule.max_exposure;
+        let limit = limit.filter(|_| rollout.passed.is_none());
         for daemon in &mut self.daemons {
-            daemon.calls(self.calls, share, self.failure);
+            daemon.calls(self.calls, share, limit, self.failure);
             if self.reports {
                 self.pacer.report(now, &daemon.name, &daemon.report());
             }
@@ -262,13 +277,14 @@
             daemon.rng = ChaCha8Rng::seed_from_u64(seed * 100 + index as u64);
             daemon.slow = slow;
         }
-        for tick in 0..SECONDS * 10 {
+        for tick in 0..=SECONDS * 10 {
             sim.step(Millis(tick * 100));
         }
-        let exposed: u64 = sim.daemons.iter().map(|daemon| daemon.exposed).sum();
+        let exposed: u64 = sim.daemons.iter().map(|daemon| daemon.exposure.sent).sum();
         let allowed = SECONDS * CALLS * DAEMONS as u64 + 50;
         outcome.exceeded += usize::from(exposed > allowed);
-        outcome.complete += usize::from(sim.phase() == RolloutPhase::Watching);
+        let has_all = matches!(sim.phase(), RolloutPhase::Watching | RolloutPhase::Done);
+        outcome.complete += usize::from(has_all);
     }
     outcome
 }
@@ -340,7 +356,7 @@
         let now = Millis(second * 1000);
         let share = sim.rollout().share();
         for daemon in &mut sim.daemons {
-            daemon.calls(sim.calls, share, sim.failure);
+            daemon.calls(sim.calls, share, None, sim.failure);
             sim.pacer.report(now, &daemon.name, &daemon.report());
         }
         let of = |_: &ServiceName, version: &VersionName| {
@@ -383,7 +399,7 @@
         let mut reports = Vec::new();
         for _ in 0..20 {
             for daemon in &mut sim.daemons {
-                daemon.calls(20, Share::percent(5), [0.1, 0.1]);
+                daemon.calls(20, Share::percent(5), None, [0.1, 0.1]);
                 reports.push((daemon.name.clone(), daemon.report()));
             }
         }
--- a/crates/coordination/src/pacing/tests/orders.rs
+++ b/crates/coordination/src/pacing/tests/orders.rs
@@ -157,7 +157,8 @@
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let service = ServiceName::from("catalogue");
         let versions = ["v1", "v2"].map(VersionName::from);
-        let config = ServiceConfig::plain(Share::NONE);
+        let mut config = ServiceConfig::plain(Share::NONE);
+        config.rollout.exposure_slack = ALLOWED.1 as u32;
         let mut rollouts = Rollouts::default();
         rollouts.introduce_version(&service, &config, &versions[0]);
         let entries = (1..=ENTRIES as u64).map(|incarnation| Entry {
@@ -257,13 +258,18 @@
         let case = self.case;
         let entry = self.rng.random_range(0..ENTRIES);
         let shares = &mut self.entries[entry].shares;
+        shares.set_endpoints(ENDPOINTS);
         let to_candidate = shares.pick(now, &self.split, Attempt::First) == self.versions[1];
-        let endpoint = self.rng.random_range(0..ENDPOINTS);
+        let turn = shares.turn(now).filter(|_| to_candidate);
+        let mut endpoint = self.rng.random_range(0..ENDPOINTS);
+        while turn.is_some_and(|turn| !turn.contains(endpoint)) {
+            endpoint = self.rng.random_range(0..ENDPOINTS);
+        }
         let share = self.split.candidate.as_ref().map(|c| c.share);
         let at_endpoint = |call: &&InFlight| call.to_candidate && call.endpoint == endpoint;
         let running = self.in_flight.iter().filter(at_endpoint).count();
         let is_loaded =
-            share.is_some_and(|share| share >= case.bad_from) && running >= case.bad_load;
+            share.is_none_or(|share| share >= case.bad_from) && running >= case.bad_load;
         let bad = to_candidate && is_loaded && self.rng.random_bool(case.bad);
         let route = match case.failing_route && self.rng.random_bool(0.02) {
             true => 0,
@@ -332,6 +338,7 @@
             if let Some(number) = call.watched {
                 entry.recorder.ended(number);
             }
+            entry.shares.answered();
             let rule = &self.config.rollout;
             if let Some(rollout) = entry.recorder.record(now, &self.split, rule, &finished) {
                 entry.shares.stop(rollout);
@@ -386,7 +393,10 @@
         match rollout.phase {
             RolloutPhase::Done => self.outcome.completed_at = rollout.ended,
             RolloutPhase::TakenBack => self.outcome.taken_back_at = rollout.ended,
-            RolloutPhase::Planned | RolloutPhase::Moving | RolloutPhase::Watching => {}
+            RolloutPhase::Planned
+            | RolloutPhase::Moving
+            | RolloutPhase::Testing
+            | RolloutPhase::Watching => {}
         }
     }
 }
--- a/crates/coordination/src/pacing/tracker.rs
+++ b/crates/coordination/src/pacing/tracker.rs
@@ -5,16 +5,19 @@
 use indexmap::IndexMap;
 use sycamoreflow_state::config::Share;
 use sycamoreflow_state::ids::{DaemonId, Millis, RouteName};
-use sycamoreflow_state::rollout::Rollout;
+use sycamoreflow_state::rollout::{Rollout, RolloutPhase};
 
 use super::{Outlook, SUSPECT_LOG_ODDS};
 use crate::evidence::comparison::Comparison;
 use crate::evidence::histogram::Histogram;
-use crate::evidence::{RolloutEvidence, RouteEvidence, VersionEvidence};
-use crate::shares::{CreditPool, Exposed, MAX_REPORT_AGE, ShareReport};
+use crate::evidence::{BRISK_WINDOW, RolloutEvidence, RouteEvidence, VersionEvidence};
+use crate::shares::exposure::Exposed;
+use crate::shares::{CreditPool, MAX_REPORT_AGE, ShareReport};
 
 /// A new leader takes no step before this time has passed, so that all daemons have reported.
 const REFILL: Millis = Millis(5_000);
+/// The same in a brisk rollout, in which daemons report more often.
+const BRISK_REFILL: Millis = Millis(2_000);
 /// A daemon that has reported within this time is expected to go on.
 const EXPECTED: Millis = Millis(60_000);
 /// Time over which the rate of calls is averaged.
@@ -28,11 +31,12 @@
     pub(super) step_calls: u64,
     /// Since when the log odds of a fault are above [`SUSPECT_LOG_ODDS`].
     suspect_since: Option<Millis>,
-    /// The last command, by step and kind, and when it was proposed.
-    pub(super) proposed: Option<((u32, bool), Millis)>,
+    /// The last command, by step, phase and kind, and when it was proposed.
+    pub(super) proposed: Option<((u32, RolloutPhase, bool), Millis)>,
     pub(super) outlook: Option<Outlook>,
     term: u64,
     created: Millis,
+    refill: Millis,
     /// Whether counts that arrive first may be of calls to cold endpoints.
     may_be_cold: bool,
     daemons: BTreeMap<DaemonId, DaemonState>,
@@ -70,6 +74,10 @@
             outlook: None,
             term,
             created: now,
+            refill: match rollout.window() <= BRISK_WINDOW {
+                true => BRISK_REFILL,
+                false => REFILL,
+            },
             may_be_cold: rollout.step == 1,
             daemons: BTreeMap::new(),
             evidence: BTreeMap::new(),
@@ -185,7 +193,7 @@
                 .filter(|state| now.since(state.reported) < limit)
                 .count()
         };
-        let refilled = now.since(self.created) >= REFILL;
+        let refilled = now.since(self.created) >= self.refill;
         refilled && 2 * within(MAX_REPORT_AGE) >= within(EXPECTED)
     }
 
@@ -199,6 +207,19 @@
         all
     }
 
+    /// Returns the calls that the candidate may still get at the daemons that report, if `limit` of the
+    /// answered calls may be exposed.
+    pub(super) fn room(&self, now: Millis, limit: Share) -> u64 {
+        let known = self.evidence.values();
+        let known = known.filter(|known| now.since(known.reported) < MAX_REPORT_AGE);
+        known.map(|known| known.exposure.room(limit)).sum()
+    }
+
+    /// Returns the number of daemons that have reported on the rollout.
+    pub(super) fn daemons(&self) -> usize {
+        self.daemons.len()
+    }
+
     pub(super) fn cut_off(&self) -> usize {
         self.daemons.values().filter(|state| state.cut_off).count()
     }
--- a/crates/coordination/src/rollout.rs
+++ b/crates/coordination/src/rollout.rs
@@ -20,7 +20,8 @@
 
 use serde::{Deserialize, Serialize};
 use sycamoreflow_state::config::{
-    Candidate, FinishTime, MeshConfig, RolloutRule, ServiceConfig, Share, TrafficSplit,
+    Candidate, ExposureLimit, FinishTime, MeshConfig, RolloutRule, ServiceConfig, Share,
+    TrafficSplit,
 };
 use sycamoreflow_state::ids::{Millis, ServiceName, VersionName};
 use sycamoreflow_state::rollout::{
@@ -35,6 +36,8 @@
 pub const ORDER_REPEATS: Millis = Millis(15_000);
 /// Part of the time of an order that is kept for the last log entries and their distribution.
 const ORDER_RESERVE: Millis = Millis(600);
+/// The same after a test, whose end and that of the rollout are two entries.
+const TESTED_ORDER_RESERVE: Millis = Millis(1_200);
 /// Ended rollouts kept per service for the history.
 pub const HISTORY_PER_SERVICE: usize = 32;
 /// Taken-back versions listed per service. Older ones receive nothing either, since only the
@@ -61,6 +64,13 @@
 pub enum RolloutAction {
     /// Enter the next step.
     Advance,
+    /// Enter the last step as a test under full load.
+    Test {
+        /// Calls that each daemon may send beside the permitted part.
+        extra_calls: u32,
+    },
+    /// End the test under full load: the new version gets all traffic.
+    Pass,
     /// Give all traffic back to the old version.
     TakeBack(TakeBackReason),
     /// End the watch period.
@@ -222,6 +232,11 @@
         let at = command.at.max(rollout.step_entered());
         match &command.action {
             RolloutAction::Advance => advance(rollout, at)?,
+            RolloutAction::Test { extra_calls } => {
+                rollout.extra_calls = *extra_calls;
+                advance(rollout, at)?;
+            }
+            RolloutAction::Pass => pass(rollout, at)?,
             RolloutAction::TakeBack(reason) => self.take_back(command.rollout, reason.clone(), at),
             RolloutAction::Finish => {
                 check_watch(rollout, at)?;
@@ -242,6 +257,7 @@
                 share: rollout.share(),
                 rollout: rollout.number,
                 window: rollout.window(),
+                limit: exposure_limit(rollout),
             }),
             blocked: state.blocked.clone(),
         })
@@ -400,7 +416,10 @@
             return OrderEffect::Repeated;
         }
         // The order counts until the old version may go, which is after the watch period.
-        let ending = Millis(config.rollout.watch.0 + ORDER_RESERVE.0);
+        let ending = match config.rollout.max_exposure {
+            Some(_) => TESTED_ORDER_RESERVE,
+            None => ORDER_RESERVE.after(config.rollout.watch),
+        };
         let finish_by = at.after(within.since(ending));
         let Some(state) = self.services.get_mut(service) else {
             return OrderEffect::Unknown;
@@ -511,6 +530,8 @@
             ended: None,
             reason: None,
             steps: Vec::new(),
+            extra_calls: 0,
+            passed: None,
             rule: state.approved.rollout.clone(),
         };
         self.rollouts.insert(number, rollout);
@@ -569,7 +590,10 @@
 fn check_step(rollout: &Rollout, command: &RolloutCommand) -> Result<(), RolloutConflict> {
     let fits = match command.action {
         RolloutAction::TakeBack(_) => command.step <= rollout.step,
-        RolloutAction::Advance | RolloutAction::Finish => command.step == rollout.step,
+        RolloutAction::Advance
+        | RolloutAction::Test { .. }
+        | RolloutAction::Pass
+        | RolloutAction::Finish => command.step == rollout.step,
     };
     if fits {
         return Ok(());
@@ -586,14 +610,33 @@
     rollout.steps.push(StepRecord { at, share });
     rollout.step += 1;
     let last = rollout.next_share().is_none() || share == Share::ALL;
-    rollout.phase = if last {
-        RolloutPhase::Watching
-    } else {
-        RolloutPhase::Moving
+    rollout.phase = match (last, rollout.rule.max_exposure) {
+        (false, _) => RolloutPhase::Moving,
+        (true, Some(_)) => RolloutPhase::Testing,
+        (true, None) => RolloutPhase::Watching,
     };
     Ok(())
 }
 
+fn pass(rollout: &mut Rollout, at: Millis) -> Result<(), RolloutConflict> {
+    if rollout.phase != RolloutPhase::Testing {
+        return Err(RolloutConflict::WrongPhase(rollout.phase));
+    }
+    rollout.passed = Some(at);
+    rollout.phase = RolloutPhase::Watching;
+    Ok(())
+}
+
+/// Returns the limit that daemons keep for the new version until it has passed its test.
+fn exposure_limit(rollout: &Rollout) -> Option<ExposureLimit> {
+    let share = rollout.rule.max_exposure?;
+    rollout.passed.is_none().then(|| ExposureLimit {
+        share,
+        extra: rollout.extra_calls,
+        lasts: rollout.window().after(rollout.rule.watch),
+    })
+}
+
 fn check_watch(rollout: &Rollout, at: Millis) -> Result<(), RolloutConflict> {
     let until = rollout
         .watch_until()
--- a/crates/coordination/src/rollout/tests.rs
+++ b/crates/coordination/src/rollout/tests.rs
@@ -21,6 +21,8 @@
             max_slowdown_percent: 200,
             false_alarm: Share::percent(1),
             low_traffic: LowTraffic::Finish,
+            max_exposure: None,
+            exposure_slack: 0,
         },
         min_endpoints: Share::percent(50),
         retry_budget: Share::percent(10),
@@ -103,6 +105,55 @@
     assert_eq!(repeat, Err(RolloutConflict::Ended(RolloutPhase::Done)));
 }
 
+/// Guards against a version with limited exposure that gets all traffic, or loses the limit, before it has
+/// passed its test, and against an end of the rollout without it.
+#[test]
+fn pass_test() {
+    let mut config = mesh(Some("v1"));
+    let rule = &mut config.services.get_mut(&orders()).unwrap().rollout;
+    rule.max_exposure = Some(Share::percent(10));
+    rule.steps = vec![Share::percent(4), Share::ALL];
+    let mut rollouts = Rollouts::default();
+    rollouts.approve(&config, Millis(0));
+    config.services.get_mut(&orders()).unwrap().version = "v2".into();
+    rollouts.approve(&config, Millis(10));
+    let limit = |rollouts: &Rollouts| {
+        rollouts
+            .traffic(&orders())
+            .unwrap()
+            .candidate
+            .unwrap()
+            .limit
+    };
+    let early = rollouts.apply(&command(1, 0, 20, RolloutAction::Pass));
+    assert_eq!(
+        early,
+        Err(RolloutConflict::WrongPhase(RolloutPhase::Planned))
+    );
+    rollouts
+        .apply(&command(1, 0, 20, RolloutAction::Advance))
+        .unwrap();
+    assert_eq!(limit(&rollouts).map(|limit| limit.extra), Some(0));
+    let test = command(1, 1, 30, RolloutAction::Test { extra_calls: 3 });
+    rollouts.apply(&test).unwrap();
+    assert_eq!(rollouts.get(1).unwrap().phase, RolloutPhase::Testing);
+    assert_eq!(limit(&rollouts).map(|limit| limit.extra), Some(3));
+    let finish = command(1, 2, 40, RolloutAction::Finish);
+    let unfinished = RolloutConflict::WrongPhase(RolloutPhase::Testing);
+    assert_eq!(rollouts.apply(&finish), Err(unfinished));
+    let pass = command(1, 2, 50, RolloutAction::Pass);
+    assert_eq!(rollouts.apply(&pass), Ok(true));
+    assert_eq!(limit(&rollouts), None);
+    assert_eq!(rollouts.get(1).unwrap().phase, RolloutPhase::Watching);
+    assert_eq!(rollouts.traffic(&orders()).unwrap().stable, "v1".into());
+    assert!(rollouts.apply(&pass).is_err());
+    assert_eq!(
+        rollouts.apply(&command(1, 2, 60, RolloutAction::Finish)),
+        Ok(true)
+    );
+    assert_eq!(rollouts.traffic(&orders()).unwrap().stable, "v2".into());
+}
+
 /// Guards against undefined results of approvals that meet a running rollout, in each phase.
 #[rstest]
 #[case::withdrawn_planned(0, Some("v1"), Some(TakeBackReason::Withdrawn), None)]
--- a/crates/coordination/src/shares.rs
+++ b/crates/coordination/src/shares.rs
@@ -15,13 +15,21 @@
 //!   common clock, and safety doesn't depend on it.
 //!
 //! A retry is sent to the stable version below [`Share::ALL`], and earns nothing.
+//!
+//! If the rule limits the [exposure](exposure) of the candidate, each send costs that account as well, at
+//! every share. A share is then an upper bound: the candidate gets less, or nothing, while the account
+//! has no room.
 
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 
 use serde::{Deserialize, Serialize};
-use sycamoreflow_state::config::{Share, TrafficSplit};
+use sycamoreflow_state::config::{Candidate, Share, TrafficSplit};
 use sycamoreflow_state::ids::{DaemonId, Millis, VersionName};
 
+use crate::full_load::{self, Turn};
+use exposure::{Exposed, ExposureAccount};
+
+pub mod exposure;
 #[cfg(test)]
 mod tests;
 
@@ -71,15 +79,6 @@
     pub exposure: Exposed,
 }
 
-/// Calls since a daemon knows of a rollout.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Exposed {
-    /// Calls of the service that an upstream has answered.
-    pub answered: u64,
-    /// Calls sent to the candidate.
-    pub sent: u64,
-}
-
 type WireReport = (u64, u32, u64, u64, u64, u64, u64, u64);
 
 impl From<WireReport> for ShareReport {
@@ -142,6 +141,13 @@
     earned_at: Millis,
     unused: VecDeque<Credits>,
     account: ShareReport,
+    exposure: ExposureAccount,
+    /// When the current share came into force here.
+    entered: Millis,
+    /// Endpoints of the candidate.
+    endpoints: usize,
+    /// Whether the room of the current step has been used up.
+    used_up: bool,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -162,33 +168,70 @@
             earned_at: Millis(0),
             unused: VecDeque::new(),
             account: ShareReport::default(),
+            exposure: ExposureAccount::default(),
+            entered: Millis(0),
+            endpoints: 1,
+            used_up: false,
         }
     }
 
+    /// Sets the number of endpoints of the candidate.
+    pub fn set_endpoints(&mut self, endpoints: usize) {
+        self.endpoints = endpoints;
+    }
+
+    /// Returns which endpoints of the candidate are in use, while it is tested under full load.
+    pub fn turn(&self, now: Millis) -> Option<Turn> {
+        let is_tested = self.account.share == Share::ALL.0 && self.exposure.is_limited();
+        let elapsed = now.since(self.entered);
+        is_tested.then(|| Turn::at(elapsed, self.endpoints))
+    }
+
     /// Chooses the version for one send and counts it.
     pub fn pick(&mut self, now: Millis, split: &TrafficSplit, attempt: Attempt) -> VersionName {
         let Some(candidate) = &split.candidate else {
             return split.stable.clone();
         };
-        self.enter(now, candidate.rollout, candidate.share);
-        let excluded = self.stopped == Some(candidate.rollout)
-            || split.blocked.contains(&candidate.version)
-            || candidate.share == Share::NONE;
-        if !excluded && self.takes_candidate(now, attempt) {
+        self.enter(now, candidate);
+        if !self.excludes(split, candidate) && self.takes_candidate(now, attempt) {
             self.account.candidate += 1;
-            self.account.exposure.sent += 1;
+            self.exposure.spend();
             return candidate.version.clone();
         }
         split.stable.clone()
     }
 
+    /// Returns whether the candidate may take a call that the stable version has no endpoint for, and
+    /// counts it. It may only at full share, where the old endpoints may have left already; below, it
+    /// would exceed its share.
+    pub fn stand_in(&mut self, now: Millis, split: &TrafficSplit) -> bool {
+        let Some(candidate) = &split.candidate else {
+            return false;
+        };
+        self.enter(now, candidate);
+        let allowed = candidate.share == Share::ALL
+            && !self.excludes(split, candidate)
+            && self.exposure.has_room(now);
+        if allowed {
+            self.account.candidate += 1;
+            self.exposure.spend();
+        }
+        allowed
+    }
+
+    fn excludes(&self, split: &TrafficSplit, candidate: &Candidate) -> bool {
+        self.stopped == Some(candidate.rollout)
+            || split.blocked.contains(&candidate.version)
+            || candidate.share == Share::NONE
+    }
+
     /// Returns the allowance of a send to the candidate that did not leave this daemon.
     pub fn unsent(&mut self, rollout: u64) {
         if rollout != self.rollout || self.account.candidate == 0 {
             return;
         }
         self.account.candidate -= 1;
-        self.account.exposure.sent = self.account.exposure.sent.saturating_sub(1);
+        self.exposure.give_back();
         if self.account.share < Share::ALL.0 {
             self.balance += CALL;
         }
@@ -196,7 +239,7 @@
 
     /// Counts a call of the service that an upstream has answered.
     pub fn answered(&mut self) {
-        self.account.exposure.answered += 1;
+        self.exposure.answered();
     }
 
     /// Stops all traffic from this daemon to the candidate of `rollout`.
@@ -218,7 +261,10 @@
             self.account.ceded += self.balance;
             self.balance = 0;
         }
-        self.account
+        ShareReport {
+            exposure: self.exposure.calls(),
+            ..self.account
+        }
     }
 
     /// Takes credits. Returns whether the grant was meant for this account.
@@ -243,28 +289,32 @@
         true
     }
 
-    fn enter(&mut self, now: Millis, rollout: u64, share: Share) {
-        if rollout == self.rollout && share.0 == self.account.share {
+    fn enter(&mut self, now: Millis, candidate: &Candidate) {
+        if candidate.rollout == self.rollout && candidate.share.0 == self.account.share {
+            self.exposure.set_limit(candidate.limit);
             return;
         }
-        if rollout != self.rollout {
-            self.rollout = rollout;
+        if candidate.rollout != self.rollout {
+            self.rollout = candidate.rollout;
             self.balance = 0;
             self.comparing = false;
-            self.account.exposure = Exposed::default();
+            self.exposure = ExposureAccount::open(now, candidate.limit);
         }
         self.earned_at = now;
+        self.entered = now;
+        self.used_up = false;
+        self.exposure.set_limit(candidate.limit);
         self.unused.clear();
         self.account = ShareReport {
             term: self.account.term,
-            share: share.0,
-            exposure: self.account.exposure,
+            share: candidate.share.0,
             ..ShareReport::default()
         };
     }
 
     fn takes_candidate(&mut self, now: Millis, attempt: Attempt) -> bool {
-        if self.account.share == Share::ALL.0 {
+        let has_all = self.account.share == Share::ALL.0;
+        if has_all && !self.exposure.is_limited() {
             self.account.calls += u64::from(attempt == Attempt::First);
             return !self.comparing || self.account.calls.is_multiple_of(COMPARED_PART);
         }
@@ -272,7 +322,21 @@
             return false;
         }
         self.account.calls += 1;
+        let has_room = self.exposure.has_room(now);
+        if has_all {
+            self.used_up |= !has_room;
+            if self.used_up {
+                return false;
+            }
+            self.balance += u64::from(full_load::share(self.endpoints).0);
+            let takes = self.balance >= CALL;
+            self.balance -= if takes { CALL } else { 0 };
+            return takes;
+        }
         self.balance += u64::from(self.account.share);
+        if !has_room {
+            return false;
+        }
         if self.balance >= CALL {
             self.balance -= CALL;
             self.earned_at = now;
--- a/crates/coordination/src/shares/tests.rs
+++ b/crates/coordination/src/shares/tests.rs
@@ -18,6 +18,7 @@
             share: Share(share),
             rollout: 1,
             window: Millis(60_000),
+            limit: None,
         }),
         blocked: Vec::new(),
     }
--- a/crates/coordination/tests/subscribers/content.rs
+++ b/crates/coordination/tests/subscribers/content.rs
@@ -57,6 +57,8 @@
             max_slowdown_percent: 200,
             false_alarm: Share::percent(1),
             low_traffic: LowTraffic::Stay,
+            max_exposure: None,
+            exposure_slack: 0,
         },
         min_endpoints: Share::percent(20),
         retry_budget: Share::percent(10),
--- a/crates/daemon/src/control/leader.rs
+++ b/crates/daemon/src/control/leader.rs
@@ -191,6 +191,7 @@
         let mut commands = Vec::new();
         for step in steps {
             if step.action == RolloutAction::Finish && !self.follows(now, state, step.rollout) {
+                self.pacer.withdraw(&step);
                 continue;
             }
             commands.push(Command::Rollout(step));
--- a/crates/daemon/src/control/status.rs
+++ b/crates/daemon/src/control/status.rs
@@ -164,13 +164,14 @@
 fn rollout_event(rollout: &Rollout, action: &RolloutAction, step: u32) -> HistoryEvent {
     let to = rollout.to.clone();
     match action {
-        RolloutAction::Advance => {
+        RolloutAction::Advance | RolloutAction::Test { .. } => {
             let entered = rollout.steps.get(step as usize);
             HistoryEvent::ShareChanged {
                 to,
                 share: entered.map_or_else(|| rollout.share(), |entered| entered.share),
             }
         }
+        RolloutAction::Pass => HistoryEvent::TestPassed { to },
         RolloutAction::TakeBack(reason) => HistoryEvent::TakenBack {
             to,
             reason: reason.to_string(),
--- a/crates/daemon/src/proxy/service.rs
+++ b/crates/daemon/src/proxy/service.rs
@@ -13,7 +13,7 @@
 use sycamoreflow_coordination::retry::{Attempts, BudgetConfig, Next, RetryBudget};
 use sycamoreflow_coordination::routing::{CallResult, Goal, Load, Outcome, Router, RouterConfig};
 use sycamoreflow_coordination::shares::{Attempt, Grant, ShareCounter};
-use sycamoreflow_state::config::{ServiceConfig, Share, TrafficSplit};
+use sycamoreflow_state::config::{ServiceConfig, TrafficSplit};
 use sycamoreflow_state::endpoint::Endpoint;
 use sycamoreflow_state::ids::{DaemonId, Micros, Millis, RouteName, VersionName};
 use sycamoreflow_state::verdict::{Failure, Reason, Verdict};
@@ -32,6 +32,8 @@
     config: ServiceConfig,
     split: TrafficSplit,
     endpoints: Vec<Endpoint>,
+    /// Daemons beside the endpoints of the candidate that take new calls, in order.
+    candidates: Vec<DaemonId>,
     addresses: HashMap<DaemonId, SocketAddr>,
     router: Router,
     ejector: Ejector,
@@ -82,6 +84,7 @@
             config: config.clone(),
             split: split.clone(),
             endpoints: Vec::new(),
+            candidates: Vec::new(),
             addresses: HashMap::new(),
             router: Router::new(router),
             ejector: Ejector::new(config.min_endpoints).with_seed(incarnation),
@@ -109,6 +112,7 @@
         }
         state.config = config.clone();
         state.split = split.clone();
+        state.set_candidates(endpoints);
         if state.endpoints == endpoints {
             return;
         }
@@ -144,10 +148,13 @@
         let mut version = state.shares.pick(now, &state.split, attempt);
         let mut daemon = state.choose(now, attempts, &version, goal);
         if daemon.is_none() {
-            version = state.other_version(&version)?;
+            version = state.other_version(now, &version)?;
             daemon = state.choose(now, attempts, &version, goal);
         }
-        let daemon = daemon?;
+        let Some(daemon) = daemon else {
+            state.return_share(&version);
+            return None;
+        };
         state.router.started(now, &daemon);
         let address = *state.addresses.get(&daemon)?;
         Some(Target {
@@ -204,7 +211,7 @@
             outcome: call_outcome(end.result),
             latency_us: end.latency.0,
         };
-        if finished.outcome != CallOutcome::Refused {
+        if end.result.is_ok() {
             state.shares.answered();
         }
         let rule = &state.config.rollout;
@@ -334,14 +341,49 @@
         goal: Option<&Goal>,
     ) -> Option<DaemonId> {
         let router = &mut self.router;
-        match goal {
-            Some(goal) => {
-                attempts.pick_with_room(|exclude| router.choose_for(now, version, exclude, goal))
+        let turn = match &self.split.candidate {
+            Some(candidate) if candidate.version == *version => self.shares.turn(now),
+            _ => None,
+        };
+        let ranked = self.candidates.iter().enumerate();
+        let resting: Vec<&DaemonId> = ranked
+            .filter(|(rank, _)| turn.is_some_and(|turn| !turn.contains(*rank)))
+            .map(|(_, daemon)| daemon)
+            .collect();
+        let mut choose = |exclude: &[DaemonId]| match goal {
+            Some(goal) => router.choose_for(now, version, exclude, goal),
+            None => router.choose(now, version, exclude),
+        };
+        let choose = |exclude: &[DaemonId]| {
+            if resting.is_empty() {
+                return choose(exclude);
             }
-            None => attempts.pick(|exclude| router.choose(now, version, exclude)),
+            let exclude: Vec<DaemonId> = exclude
+                .iter()
+                .chain(resting.iter().copied())
+                .cloned()
+                .collect();
+            choose(&exclude)
+        };
+        match goal {
+            Some(_) => attempts.pick_with_room(choose),
+            None => attempts.pick(choose),
         }
     }
 
+    fn set_candidates(&mut self, endpoints: &[Endpoint]) {
+        self.candidates.clear();
+        let Some(candidate) = &self.split.candidate else {
+            return;
+        };
+        let usable = endpoints
+            .iter()
+            .filter(|e| e.version == candidate.version && !e.draining);
+        self.candidates.extend(usable.map(|e| e.daemon.clone()));
+        self.candidates.sort();
+        self.shares.set_endpoints(self.candidates.len());
+    }
+
     fn apply(&mut self, changes: Vec<Change>) {
         for change in changes {
             let (id, available) = match &change {
@@ -356,16 +398,15 @@
 
     /// Returns the version to use when `chosen` has no endpoint.
     ///
-    /// The stable version stands in for the candidate at every share. The candidate stands in for
-    /// the stable version only at full share, where the old endpoints may have left already; below
-    /// that it would exceed its share.
-    fn other_version(&mut self, chosen: &VersionName) -> Option<VersionName> {
+    /// The stable version stands in for the candidate at every share.
+    fn other_version(&mut self, now: Millis, chosen: &VersionName) -> Option<VersionName> {
         let candidate = self.split.candidate.as_ref()?;
         if candidate.version == *chosen {
             self.shares.unsent(candidate.rollout);
             return Some(self.split.stable.clone());
         }
-        (candidate.share == Share::ALL).then(|| candidate.version.clone())
+        let stands_in = self.shares.stand_in(now, &self.split);
+        stands_in.then(|| candidate.version.clone())
     }
 
     /// Gives back the allowance of a send that did not reach the candidate.
--- a/crates/state/src/answers.rs
+++ b/crates/state/src/answers.rs
@@ -193,6 +193,8 @@
         max_slowdown_percent: slowdown.saturating_add(100),
         false_alarm: alarm,
         low_traffic: low,
+        max_exposure: reader.maybe(section, "max-exposure", Reader::percent),
+        exposure_slack: reader.optional(section, "exposure-slack", Reader::integer, 0),
     }
 }
 
--- a/crates/state/src/answers/tests.rs
+++ b/crates/state/src/answers/tests.rs
@@ -59,6 +59,8 @@
             max_slowdown_percent: 120,
             false_alarm: Share(1000),
             low_traffic: LowTraffic::Stay,
+            max_exposure: None,
+            exposure_slack: 0,
         },
         min_endpoints: Share::percent(40),
         retry_budget: Share(125_000),
@@ -244,3 +246,22 @@
     lines[line - 1] = replacement;
     lines.join("\n")
 }
+
+// Guards against a limit of the exposure that is ignored, or whose wrong value is accepted.
+#[rstest]
+#[case("max-exposure = 15\nexposure-slack = 30", Some((Some(Share::percent(15)), 30)))]
+#[case("max-exposure = 0.5", Some((Some(Share(5_000)), 0)))]
+#[case("", Some((None, 0)))]
+#[case("max-exposure = 101", None)]
+#[case("exposure-slack = -1", None)]
+#[case("exposure-slack = 1.5", None)]
+fn parse_exposure(#[case] lines: &str, #[case] expected: Option<(Option<Share>, u32)>) {
+    let rollout = FULL.find("low-traffic = \"stay\"\n").unwrap();
+    let (before, after) = FULL.split_at(rollout);
+    let parsed = Answers::parse("a", &format!("{before}{lines}\n{after}"));
+    let rule = parsed
+        .ok()
+        .map(|answers| answers.services[0].1.rollout.clone());
+    let limits = rule.map(|rule| (rule.max_exposure, rule.exposure_slack));
+    assert_eq!(limits, expected);
+}
--- a/crates/state/src/config.rs
+++ b/crates/state/src/config.rs
@@ -61,16 +61,19 @@
 
 impl RolloutRule {
     /// Returns a rule for rollouts that are to be done within seconds: a small share for most of the
-    /// time, so that faults that show late meet few calls, then all traffic in two steps.
+    /// time, so that faults that show late meet few calls, then all traffic for as long as the exposure
+    /// allows, so that faults that depend on load show before the old version may go.
     pub fn brisk() -> Self {
         Self {
-            steps: vec![Share::percent(5), Share::percent(50), Share::ALL],
+            steps: vec![Share::percent(3), Share::ALL],
             finish: FinishTime::Within(Millis(30_000)),
             watch: Millis(1_200),
             max_extra_failures: Share::percent(5),
             max_slowdown_percent: 250,
             false_alarm: Share(2_000),
             low_traffic: LowTraffic::Finish,
+            max_exposure: Some(Share::percent(10)),
+            exposure_slack: 0,
         }
     }
 }
@@ -93,6 +96,11 @@
     pub false_alarm: Share,
     /// What to do at the finish time when traffic was too low for a decision.
     pub low_traffic: LowTraffic,
+    /// Part of the service's calls since the start that the new version may get before it is the stable
+    /// one, whatever the evidence says. `None` leaves it to the steps.
+    pub max_exposure: Option<Share>,
+    /// Calls over the mesh that it may get beside that part.
+    pub exposure_slack: u32,
 }
 
 /// When a rollout must be finished.
@@ -199,6 +207,21 @@
     /// Time from the start of the rollout to its finish time, in which faults are expected to show.
     /// The rule alone doesn't tell it, since it may name a point in time.
     pub window: Millis,
+    /// What it may get before it is the stable version, if the rule limits that.
+    pub limit: Option<ExposureLimit>,
+}
+
+/// Upper bound of the calls of a candidate, which every daemon keeps for its own calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct ExposureLimit {
+    /// Part of the answered calls of the service since the rollout is known.
+    pub share: Share,
+    /// Calls beside that part, for each daemon.
+    pub extra: u32,
+    /// Time from then on after which the candidate gets nothing, so that it does not keep its calls
+    /// when no leader ends the rollout.
+    pub lasts: Millis,
 }
 
 /// A share in parts per million.
--- a/crates/state/src/generate/validate.rs
+++ b/crates/state/src/generate/validate.rs
@@ -126,6 +126,9 @@
             least,
             MAX_FALSE_ALARM,
         );
+        if let Some(exposure) = rule.max_exposure {
+            self.share_range(field("max-exposure"), exposure, least, Share::ALL);
+        }
         if !(101..=MAX_SLOWDOWN_PERCENT).contains(&rule.max_slowdown_percent) {
             let message = match rule.max_slowdown_percent.checked_sub(100) {
                 Some(slowdown) => format!("{slowdown} is not a usable slowdown"),
--- a/crates/state/src/operator.rs
+++ b/crates/state/src/operator.rs
@@ -224,6 +224,11 @@
         /// Its share.
         share: Share,
     },
+    /// The new version passed its test under full load.
+    TestPassed {
+        /// New version.
+        to: VersionName,
+    },
     /// The new version became the stable one.
     RolloutDone {
         /// New version.
--- a/crates/state/src/plan.rs
+++ b/crates/state/src/plan.rs
@@ -176,6 +176,8 @@
         max_slowdown_percent,
         false_alarm,
         low_traffic,
+        max_exposure,
+        exposure_slack,
     } = rollout;
     let finish = match *finish {
         FinishTime::Within(duration) => format!("within {}", units::format_duration(duration)),
@@ -201,6 +203,13 @@
         ),
         ("rollout.false-alarm", percent(false_alarm)),
         ("rollout.low-traffic", low_traffic.to_owned()),
+        (
+            "rollout.max-exposure",
+            max_exposure
+                .as_ref()
+                .map_or_else(|| "none".to_owned(), percent),
+        ),
+        ("rollout.exposure-slack", exposure_slack.to_string()),
     ]
 }
 
--- a/crates/state/src/plan/tests.rs
+++ b/crates/state/src/plan/tests.rs
@@ -53,6 +53,8 @@
     rollout.max-slowdown: 50%
     rollout.false-alarm: 1%
     rollout.low-traffic: finish
+    rollout.max-exposure: none
+    rollout.exposure-slack: 0
 ~ service orders
     version: v1 -> v2
     rollout.steps: 1%, 5%, 25%, 50%, 100% -> 2.5%, 100%
--- a/crates/state/src/rollout.rs
+++ b/crates/state/src/rollout.rs
@@ -1,8 +1,8 @@
 //! Rollouts: the move of a service's traffic from one version to another.
 //!
-//! Times count from the Unix epoch. A rollout moves `Planned` → `Moving` → `Watching` → `Done`;
-//! `TakenBack` can be entered from each of the first three. `Done` and `TakenBack` are final: a
-//! version that was taken back receives traffic again only through a new rollout with a new number.
+//! Times count from the Unix epoch. A rollout moves `Planned` → `Moving` → `Watching` → `Done`, with
+//! `Testing` before `Watching` if its rule limits the exposure. `TakenBack` can be entered from each of
+//! them but `Done`. `Done` and `TakenBack` are final: a version that was taken back receives traffic again only through a new rollout with a new number.
 
 use std::fmt;
 
@@ -22,6 +22,8 @@
     Planned,
     /// The new version has the share of the current step.
     Moving,
+    /// The new version is tested under its full load, within the permitted exposure.
+    Testing,
     /// The new version has all traffic and the old one is kept.
     Watching,
     /// The new version is the stable one and the old one may go.
@@ -41,6 +43,7 @@
         match self {
             Self::Planned => "planned",
             Self::Moving => "moving",
+            Self::Testing => "testing",
             Self::Watching => "watching",
             Self::Done => "done",
             Self::TakenBack => "taken-back",
@@ -65,6 +68,8 @@
     /// The time of the rollout was over while its calls spoke against the new version, without being
     /// sufficient on their own.
     Suspected(BadRatio),
+    /// The time of the rollout was over before the new version was tested under full load.
+    OutOfTime,
     /// An operator approved the old version again.
     Withdrawn,
     /// An operator approved another version during the rollout.
@@ -113,6 +118,7 @@
             Self::Failures(ratio) => write!(f, "failed calls: {ratio}"),
             Self::Slow(ratio) => write!(f, "slow calls: {ratio}"),
             Self::Suspected(ratio) => write!(f, "its time was over under suspicion: {ratio}"),
+            Self::OutOfTime => f.write_str("its time was over before it was tested"),
             Self::Withdrawn => f.write_str("the old version was approved again"),
             Self::Superseded { by } => write!(f, "version {by} was approved instead"),
             Self::ServiceRemoved => f.write_str("the service was removed"),
@@ -133,7 +139,8 @@
 /// One rollout, running or ended.
 ///
 /// Invariants: `step` equals `steps.len()` and never exceeds `rule.steps.len()`; the phase is
-/// `Planned` exactly at step 0 of a running rollout and `Watching` exactly at its last step.
+/// `Planned` exactly at step 0 of a running rollout, and `Testing` or `Watching` exactly at its last step;
+/// `passed` is set exactly in a watch period after a test and in what follows.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case")]
 pub struct Rollout {
@@ -159,6 +166,10 @@
     pub reason: Option<TakeBackReason>,
     /// The steps entered, in order.
     pub steps: Vec<StepRecord>,
+    /// Calls that each daemon may send beside the permitted part during the test.
+    pub extra_calls: u32,
+    /// When the new version passed its test under full load.
+    pub passed: Option<Millis>,
     /// The rule as it was approved with this rollout. Later changes apply to later rollouts only.
     pub rule: RolloutRule,
 }
@@ -174,7 +185,7 @@
         match self.phase {
             RolloutPhase::Planned | RolloutPhase::TakenBack => Share::NONE,
             RolloutPhase::Done => Share::ALL,
-            RolloutPhase::Moving | RolloutPhase::Watching => {
+            RolloutPhase::Moving | RolloutPhase::Testing | RolloutPhase::Watching => {
                 self.steps.last().map_or(Share::NONE, |step| step.share)
             }
         }
@@ -193,9 +204,12 @@
         self.steps.last().map_or(self.started, |step| step.at)
     }
 
-    /// Returns when the watch period ends, if it has begun.
+    /// Returns when the watch period ends, if it has begun. After a test it lasts only until all daemons
+    /// follow.
     pub fn watch_until(&self) -> Option<Millis> {
-        (self.phase == RolloutPhase::Watching).then(|| self.step_entered().after(self.rule.watch))
+        let watched = || self.step_entered().after(self.rule.watch);
+        let until = self.passed.unwrap_or_else(watched);
+        (self.phase == RolloutPhase::Watching).then_some(until)
     }
 }
 
--- a/crates/state/src/rollout/tests.rs
+++ b/crates/state/src/rollout/tests.rs
@@ -22,6 +22,8 @@
         ended: None,
         reason: None,
         steps: steps.iter().map(record).collect(),
+        extra_calls: 0,
+        passed: None,
         rule: RolloutRule {
             steps: vec![Share::percent(5), Share::ALL],
             finish: FinishTime::Within(Millis(1_000)),
@@ -30,6 +32,8 @@
             max_slowdown_percent: 200,
             false_alarm: Share::percent(1),
             low_traffic: LowTraffic::Stay,
+            max_exposure: None,
+            exposure_slack: 0,
         },
     }
 }
@@ -38,6 +42,7 @@
 #[rstest]
 #[case::planned(RolloutPhase::Planned, &[], Share::NONE, Some(Share::percent(5)))]
 #[case::moving(RolloutPhase::Moving, &[5], Share::percent(5), Some(Share::ALL))]
+#[case::testing(RolloutPhase::Testing, &[5, 100], Share::ALL, None)]
 #[case::watching(RolloutPhase::Watching, &[5, 100], Share::ALL, None)]
 #[case::done(RolloutPhase::Done, &[5, 100], Share::ALL, None)]
 #[case::taken_back(RolloutPhase::TakenBack, &[5], Share::NONE, None)]
--- a/crates/state/src/view/tests.rs
+++ b/crates/state/src/view/tests.rs
@@ -26,6 +26,8 @@
             max_slowdown_percent: 150,
             false_alarm: Share::percent(1),
             low_traffic: LowTraffic::Finish,
+            max_exposure: None,
+            exposure_slack: 0,
         },
         min_endpoints: Share::percent(50),
         retry_budget: Share::percent(10),
--- a/crates/testbed/examples/capacity/world.rs
+++ b/crates/testbed/examples/capacity/world.rs
@@ -61,6 +61,8 @@
             max_slowdown_percent: 200,
             false_alarm: Share::percent(1),
             low_traffic: LowTraffic::Finish,
+            max_exposure: None,
+            exposure_slack: 0,
         },
         min_endpoints: Share::percent(50),
         retry_budget: Share::percent(10),
