Require the request's id in a promise that it has not run

Callers could be told 503 ("not run, try again") for a request that an upstream had run or was running, or such a request ran a second time at another upstream: a refusal without an id was believed, also on a kept connection, where it may be that of an earlier request. Only one with another id was not.

A refusal counts now only if it repeats the id of the request, and no other one; else the request may have run (event unproven_refusal). A connection whose answer does not name the request is not used again.

--- a/crates/daemon/src/proxy/headers.rs
+++ b/crates/daemon/src/proxy/headers.rs
@@ -197,6 +197,20 @@
     std::str::from_utf8(value).ok()
 }
 
+/// Returns whether a response of an upstream repeats the id of the call, and no other one. Without ids in
+/// the dialect every response does.
+pub fn names_request(response: &Response<Bytes>, call: &Call, dialect: &Dialect) -> bool {
+    let Some(name) = &dialect.request_id else {
+        return true;
+    };
+    let mut named = response.headers().get_all(name).iter();
+    let sent = call.head.headers.iter();
+    let mut sent = sent.filter(|(known, _)| known == name.as_str());
+    let (named, others) = (named.next(), named.next());
+    let expected = sent.next().map(|(_, value)| value.as_ref());
+    others.is_none() && named.map(|value| value.as_bytes()) == expected
+}
+
 /// Returns the value of [`REASON_HEADER`].
 pub fn reason_text(reason: Reason) -> &'static str {
     match reason {
--- a/crates/daemon/src/proxy/owner.rs
+++ b/crates/daemon/src/proxy/owner.rs
@@ -479,7 +479,7 @@
         let response = self.client.send_demanding(address, request, limit, &demand);
         let response = response.await;
         let latency = Micros(started.elapsed().as_micros() as u64);
-        let (mut result, outcome) = judge(response, latency, &self.dialect);
+        let (mut result, outcome) = judge(response, call, latency, &self.dialect);
         if let UpstreamResult::Answered(latency) = outcome {
             upstream.learn(&call.route, latency);
         }
@@ -608,8 +608,12 @@
 }
 
 /// Turns what the upstream sent into the result of the call and the outcome for admission.
+///
+/// A promise that the request has not run counts only with the request's own id. One without an id may be
+/// that of an earlier request, and its caller would send the request again while it runs.
 fn judge(
     response: std::result::Result<http::Response<Bytes>, Failure>,
+    call: &Call,
     latency: Micros,
     dialect: &Dialect,
 ) -> (Result<Answer>, UpstreamResult) {
@@ -618,6 +622,13 @@
         Err(failure) => return (Err(failure), UpstreamResult::Failed),
     };
     if (dialect.says_not_run)(&response) {
+        if !headers::names_request(&response, call, dialect) {
+            tracing::warn!(target: REFUSALS, event = "unproven_refusal",
+                request = headers::request_id(call, dialect), route = %call.route,
+                status = response.status().as_u16());
+            let failure = Failure::may_have_run(Reason::BadAnswer);
+            return (Err(failure), UpstreamResult::Failed);
+        }
         // Another instance has the address of the one that was expected.
         let reason = match response.status() {
             http::StatusCode::MISDIRECTED_REQUEST => Reason::NoEndpoint,
--- a/crates/daemon/tests/owner.rs
+++ b/crates/daemon/tests/owner.rs
@@ -1,26 +1,29 @@
-//! The owner role of a daemon that is leaving.
+//! The owner role of a daemon: what it takes while it is leaving, and which promises of an upstream count.
 
 use std::net::SocketAddr;
-
 use std::sync::Arc;
 
 use async_std::channel;
+use async_std::net::{TcpListener, TcpStream};
+use async_std::task;
+use futures::{AsyncReadExt, AsyncWriteExt};
+use http::{HeaderName, StatusCode};
+use rstest::rstest;
 use sycamoreflow_daemon::clock;
 use sycamoreflow_daemon::proxy::crashes::Crashes;
+use sycamoreflow_daemon::proxy::dialect::Dialect;
 use sycamoreflow_daemon::proxy::owner::{Owner, OwnerLimits};
-use sycamoreflow_protocol::call::{Call, RequestHead};
+use sycamoreflow_protocol::call::{Call, CallUrgency, RequestHead};
 use sycamoreflow_state::endpoint::Announcement;
 use sycamoreflow_state::ids::Millis;
 use sycamoreflow_state::verdict::{Failure, Reason};
 use sycamoreflow_transport::http::client::{Client, Limits};
 
-/// Guards against a leaving daemon that takes new work again because its upstream, once idle and
-/// removed, renews its announcement.
-#[async_std::test]
-async fn deliver_announced_while_draining() {
-    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+const REQUEST_ID: &str = "attempt-id";
+
+fn owner(address: SocketAddr) -> Owner {
     let (urgent_report, _reports) = channel::bounded(1);
-    let owner = Owner::new(
+    Owner::new(
         "sfax-a-1".into(),
         "sfax-a".into(),
         address,
@@ -31,41 +34,148 @@
         },
         Client::new(Limits::default()),
         Arc::new(Crashes::new("sfax-a-1".into(), 1, urgent_report)),
-    );
-    let announcement = |slots| Announcement {
+    )
+}
+
+fn announcement(address: SocketAddr, slots: u32) -> Announcement {
+    Announcement {
         service: "orders".into(),
         version: "v1".into(),
         address,
         slots,
         health_path: None,
         load_path: None,
-    };
-    owner.announce(announcement(4));
+    }
+}
+
+fn call(idempotent: bool, request_id: &str) -> Call {
+    Call {
+        id: 1,
+        remaining_ms: 1_000,
+        service: "orders".into(),
+        version: "v1".into(),
+        route: "read-orders".into(),
+        tenant: "default".into(),
+        attempt: 0,
+        key: None,
+        fingerprint: None,
+        urgency: CallUrgency {
+            idempotent,
+            ..CallUrgency::default()
+        },
+        caller: None,
+        head: RequestHead {
+            method: "GET".to_owned(),
+            path_and_query: "/orders".to_owned(),
+            headers: vec![(REQUEST_ID.to_owned(), request_id.as_bytes().to_vec().into())],
+        },
+        body: Vec::new(),
+    }
+}
+
+fn soon() -> Millis {
+    clock::now().after(Millis(1_000))
+}
+
+/// Guards against a leaving daemon that takes new work again because its upstream, once idle and
+/// removed, renews its announcement.
+#[async_std::test]
+async fn deliver_announced_while_draining() {
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    let owner = owner(address);
+    owner.announce(announcement(address, 4));
     owner.drain();
     assert!(owner.expire(), "an idle upstream that leaves is removed");
     for slots in [4, 8] {
-        owner.announce(announcement(slots));
-        let call = Call {
-            id: 1,
-            remaining_ms: 1_000,
-            service: "orders".into(),
-            version: "v1".into(),
-            route: "read-orders".into(),
-            tenant: "default".into(),
-            attempt: 0,
-            key: None,
-            fingerprint: None,
-            urgency: Default::default(),
-            caller: None,
-            head: RequestHead {
-                method: "GET".to_owned(),
-                path_and_query: "/orders".to_owned(),
-                headers: Vec::new(),
-            },
-            body: Vec::new(),
-        };
-        let deadline = clock::now().after(Millis(1_000));
-        let refused = owner.deliver(&call, deadline).await;
+        owner.announce(announcement(address, slots));
+        let refused = owner.deliver(&call(false, "a1"), soon()).await;
         assert_eq!(refused.err(), Some(Failure::not_run(Reason::Draining)));
     }
 }
+
+/// Reads the head of a request. Returns whether there was one.
+async fn read_head(stream: &mut TcpStream) -> bool {
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") {
+        if stream.read_exact(&mut byte).await.is_err() {
+            return false;
+        }
+        head.push(byte[0]);
+    }
+    true
+}
+
+/// Starts an upstream that gives these answers in turn on each connection.
+async fn answering(answers: Vec<&'static str>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    task::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let answers = answers.clone();
+            task::spawn(async move {
+                for answer in answers {
+                    if !read_head(&mut stream).await {
+                        return;
+                    }
+                    // Fails if the owner has closed the connection.
+                    let _ = stream.write_all(answer.as_bytes()).await;
+                }
+            });
+        }
+    });
+    address
+}
+
+const ANSWER: &str = "HTTP/1.1 200 OK\r\nattempt-id: a1\r\ncontent-length: 2\r\n\r\nok";
+
+/// Guards against a refusal that an upstream has written for another request, and that tells a caller
+/// that its request has not run although it has or will: on a new connection and on a kept one.
+#[rstest]
+#[case::right_id(
+    "HTTP/1.1 503 Busy\r\nnot-executed: 1\r\nattempt-id: a2\r\ncontent-length: 0\r\n\r\n",
+    Failure::not_run(Reason::Shed)
+)]
+#[case::other_id(
+    "HTTP/1.1 503 Busy\r\nnot-executed: 1\r\nattempt-id: a1\r\ncontent-length: 0\r\n\r\n",
+    Failure::may_have_run(Reason::BadAnswer)
+)]
+#[case::no_id(
+    "HTTP/1.1 503 Busy\r\nnot-executed: 1\r\ncontent-length: 0\r\n\r\n",
+    Failure::may_have_run(Reason::BadAnswer)
+)]
+#[case::two_ids(
+    "HTTP/1.1 503 Busy\r\nnot-executed: 1\r\nattempt-id: a2\r\nattempt-id: a1\r\ncontent-length: 0\r\n\r\n",
+    Failure::may_have_run(Reason::BadAnswer)
+)]
+#[case::misdirected_without_id(
+    "HTTP/1.1 421 Misdirected Request\r\ncontent-length: 0\r\n\r\n",
+    Failure::may_have_run(Reason::BadAnswer)
+)]
+#[async_std::test]
+async fn deliver_refused_by_upstream(
+    #[case] refusal: &'static str,
+    #[case] expected: Failure,
+    #[values(false, true)] is_kept: bool,
+) {
+    let mut answers = vec![refusal];
+    if is_kept {
+        answers.insert(0, ANSWER);
+    }
+    let address = answering(answers).await;
+    let owner = owner(address).with_dialect(Arc::new(Dialect {
+        request_id: Some(HeaderName::from_static(REQUEST_ID)),
+        says_not_run: |response| {
+            response.headers().contains_key("not-executed")
+                || response.status() == StatusCode::MISDIRECTED_REQUEST
+        },
+        ..Dialect::default()
+    }));
+    owner.announce(announcement(address, 4));
+    if is_kept {
+        let answer = owner.deliver(&call(true, "a1"), soon()).await;
+        assert!(answer.is_ok(), "{answer:?}");
+    }
+    let refused = owner.deliver(&call(true, "a2"), soon()).await;
+    assert_eq!(refused.err(), Some(expected));
+}
--- a/crates/transport/src/http/client.rs
+++ b/crates/transport/src/http/client.rs
@@ -109,8 +109,13 @@
     /// Returns whether the answer names another request. One that names none may be an error that
     /// the upstream made before it read the header.
     fn contradicts(&self, response: &Response<Bytes>) -> bool {
-        let repeated = response.headers().get(&self.name);
-        repeated.is_some_and(|value| *value != self.value)
+        let mut repeated = response.headers().get_all(&self.name).iter();
+        repeated.any(|value| *value != self.value)
+    }
+
+    /// Returns whether the answer names the request.
+    fn is_repeated_by(&self, response: &Response<Bytes>) -> bool {
+        response.headers().contains_key(&self.name) && !self.contradicts(response)
     }
 }
 
@@ -216,8 +221,10 @@
             Ok((response, _)) if echo.is_some_and(|echo| echo.contradicts(&response)) => {
                 Attempt::Done(Err(Failure::may_have_run(Reason::BadAnswer)))
             }
+            // The right answer may follow one that names no request, too.
             Ok((response, connection)) => {
-                if connection.is_reusable() {
+                let is_named = echo.is_none_or(|echo| echo.is_repeated_by(&response));
+                if is_named && connection.is_reusable() {
                     self.shared.pool.put(connection);
                 }
                 Attempt::Done(Ok(response))
