Refuse requests that a planned stop may cut

In a planned stop, a request that came after SIGTERM on an open connection was taken and passed on although its caller waits for longer than the stop takes. At the end of the stop it was cut without an answer, also if it may not be sent again (leaving_with_long_requests::case_1_at_the_entry failed with MayHaveRun, ConnectionLost).

The daemon knows from SIGTERM on when it cuts what is in flight. Requests that may not be sent again and whose callers wait for longer are refused at once as not run, by the entry role and by the owner role; others only after the other daemons know that the host is leaving. Case 2 (at the owner) passed before, as the endpoint is marked as leaving at once there; deliver_before_stop covers the time before the mark.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -273,7 +273,8 @@
     /// did not finish in time.
     pub async fn drain(mut self) -> usize {
         let limit = Instant::now() + self.drain_timeout;
-        self.proxy.owner().refuse_readiness();
+        let ends_at = clock::now().after(Millis(self.drain_timeout.as_millis() as u64));
+        self.proxy.owner().refuse_readiness(ends_at);
         if let Some(control) = &self.control {
             control.lock().transfer_leadership();
         }
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -417,12 +417,16 @@
         // A route that says how often a request may be sent also says whether it may be repeated.
         let by_method = delivery.max_attempts.is_none() && req.method().is_idempotent();
         let idempotent = route.config.idempotent || by_method;
+        let deadline = now.after(remaining);
+        if self.owner.may_cut(deadline, idempotent) {
+            return Err(Failure::not_run(Reason::Draining));
+        }
         Ok(Admitted {
             route: route.name.clone(),
             service_name,
             service,
             tenant,
-            deadline: now.after(remaining),
+            deadline,
             idempotent,
             key: caller.key.filter(|_| !idempotent),
             request_id: caller.request_id,
--- a/crates/daemon/src/proxy/owner.rs
+++ b/crates/daemon/src/proxy/owner.rs
@@ -75,6 +75,8 @@
     dialect: Arc<Dialect>,
     /// Instances that have left, so that a late report does not bring them back.
     departed: Mutex<VecDeque<(String, u64)>>,
+    /// When the work in flight is cut, if the host is leaving.
+    ends_at: Mutex<Option<Millis>>,
     /// Whether callers are told that the host is leaving.
     unready: AtomicBool,
     /// Whether the other daemons are told that the host is leaving.
@@ -131,6 +133,7 @@
             weights: Mutex::default(),
             dialect: Arc::default(),
             departed: Mutex::default(),
+            ends_at: Mutex::default(),
             unready: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
             draining: AtomicBool::new(false),
@@ -288,11 +291,21 @@
         true
     }
 
-    /// Tells callers that the host is leaving. The upstream still takes work.
-    pub fn refuse_readiness(&self) {
+    /// Tells callers that the host is leaving. The upstream still takes work that ends in time, as
+    /// work in flight is cut at `ends_at`.
+    pub fn refuse_readiness(&self, ends_at: Millis) {
+        *self.ends_at.lock() = Some(ends_at);
         self.unready.store(true, Ordering::SeqCst);
     }
 
+    /// Returns whether a request must be refused because it may be cut at the end of a planned stop:
+    /// its caller waits for longer. One that may be sent again is still taken until the others know
+    /// that the host is leaving, since most requests take much less than their time.
+    pub fn may_cut(&self, deadline: Millis, idempotent: bool) -> bool {
+        let outlasts = self.ends_at.lock().is_some_and(|at| deadline > at);
+        outlasts && (!idempotent || self.is_leaving())
+    }
+
     /// Tells the other daemons that the host is leaving. Work that arrives before
     /// [`Owner::drain`] is still done.
     pub fn announce_leaving(&self) {
@@ -427,6 +440,11 @@
             Ok(upstream) => upstream,
             Err(failure) => return (Err(failure), None),
         };
+        if self.may_cut(deadline, call.urgency.idempotent) {
+            let failure = Failure::not_run(Reason::Draining);
+            upstream.log_refusal(call, &self.dialect, failure);
+            return (Err(failure), None);
+        }
         let result = self.run(&upstream, call, deadline).await;
         (result, Some(upstream.load(&call.route)))
     }
--- a/crates/daemon/tests/owner.rs
+++ b/crates/daemon/tests/owner.rs
@@ -93,6 +93,34 @@
     }
 }
 
+/// Guards against requests that are taken during a planned stop although they may be cut at its end.
+/// Those that may be sent again are taken until the others know that the host is leaving.
+#[rstest]
+#[case::ends_in_time(false, 1_000, 5_000, false, true)]
+#[case::may_be_cut(false, 5_000, 1_000, false, false)]
+#[case::may_be_repeated(true, 5_000, 1_000, false, true)]
+#[case::repeated_elsewhere(true, 5_000, 1_000, true, false)]
+#[async_std::test]
+async fn deliver_before_stop(
+    #[case] idempotent: bool,
+    #[case] waits_ms: u64,
+    #[case] ends_in_ms: u64,
+    #[case] told: bool,
+    #[case] taken: bool,
+) {
+    let address = answering(vec!["HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"]).await;
+    let owner = owner(address);
+    owner.announce(announcement(address, 4));
+    owner.refuse_readiness(clock::now().after(Millis(ends_in_ms)));
+    if told {
+        owner.announce_leaving();
+    }
+    let deadline = clock::now().after(Millis(waits_ms));
+    let result = owner.deliver(&call(idempotent, "a1"), deadline).await;
+    let refusal = (!taken).then_some(Failure::not_run(Reason::Draining));
+    assert_eq!(result.err(), refusal);
+}
+
 /// Reads the head of a request. Returns whether there was one.
 async fn read_head(stream: &mut TcpStream) -> bool {
     let mut head = Vec::new();
--- a/crates/daemon/tests/processes/leaving.rs
+++ b/crates/daemon/tests/processes/leaving.rs
@@ -5,11 +5,16 @@
 use std::time::{Duration, Instant};
 
 use async_std::task;
+use bytes::Bytes;
 use eyre::{ensure, eyre};
+use futures::future::join_all;
+use http::{Request, StatusCode};
+use rstest::rstest;
 use sycamoreflow_testbed::caller::{self, Call, Outcome, Results};
+use sycamoreflow_testbed::process::ProcessMesh;
 use sycamoreflow_testbed::upstream::Upstream;
 
-use crate::support::{LIMIT, approve_everywhere, mesh, run, start_upstreams};
+use crate::support::{LIMIT, approve_everywhere, mesh, run, start_upstreams, wait_for};
 
 /// Calls that may be sent again and calls that may not.
 pub(crate) const CALLS: [Call; 2] = [
@@ -35,6 +40,10 @@
 const BEFORE: Duration = Duration::from_millis(1_500);
 /// Time of the whole load. It ends well after the time at which no call may arrive.
 const LOAD: Duration = Duration::from_millis(5_000);
+/// Time that a daemon has for its stop, in the test of requests that take longer.
+const STOP_TIME: Duration = Duration::from_millis(700);
+/// Time that these requests take. It is below the timeout of their route.
+const LONG_TIME: Duration = Duration::from_millis(900);
 /// Time within which new calls must stop to arrive.
 const QUIET_AFTER: Duration = Duration::from_secs(2);
 
@@ -67,6 +76,79 @@
     })
 }
 
+/// Guards against requests that are taken after the order to stop and cut without an answer at the end of
+/// the time for it, although they may not be sent again: those of callers, and those of other daemons,
+/// which another upstream can run.
+#[rstest]
+#[case::at_the_entry(3, 4, StatusCode::SERVICE_UNAVAILABLE)]
+#[case::at_the_owner(4, 3, StatusCode::OK)]
+fn leaving_with_long_requests(
+    #[case] leaving: usize,
+    #[case] other: usize,
+    #[case] expected: StatusCode,
+) -> eyre::Result<()> {
+    run(async {
+        let mut mesh = mesh(6)?;
+        approve_everywhere(&mesh, 1).await?;
+        mesh.terminate(leaving)?;
+        mesh.exit(leaving, LIMIT).await?;
+        shorten_stop(&mesh, leaving)?;
+        mesh.spawn(leaving)?;
+        let upstreams = start_upstreams(&mesh, &[4, 5], LONG_TIME).await?;
+        let entry = if leaving == 3 { leaving } else { other };
+        let address = mesh.calls_address(entry);
+        wait_for("the entry has a view", || async {
+            mesh.version(entry).await.is_some()
+        })
+        .await?;
+        let calls = || {
+            upstreams
+                .iter()
+                .map(|upstream| upstream.stats().calls())
+                .sum::<u64>()
+        };
+        let before = calls();
+        mesh.terminate(leaving)?;
+        task::sleep(STOP_TIME / 10).await;
+        let client = caller::client();
+        let requests = (0..6).map(|_| {
+            let request = Request::post("/orders").body(Bytes::new());
+            let client = client.clone();
+            async move {
+                client
+                    .send(address, request?, Instant::now() + LIMIT)
+                    .await
+                    .map_err(|f| eyre!("{f:?}"))
+            }
+        });
+        for response in join_all(requests).await {
+            ensure!(response?.status() == expected, "{}", mesh.log(leaving));
+        }
+        let runs = calls() - before;
+        let expected_runs = if expected == StatusCode::OK { 6 } else { 0 };
+        ensure!(runs == expected_runs, "{runs} runs");
+        Ok(())
+    })
+}
+
+/// Gives a daemon less time for its stop than its requests take.
+fn shorten_stop(mesh: &ProcessMesh, at: usize) -> eyre::Result<()> {
+    let file = mesh.settings_file(at);
+    let text = std::fs::read_to_string(&file)?;
+    let changed = text
+        .replace(
+            "drain-timeout-ms = 30000",
+            &format!("drain-timeout-ms = {}", STOP_TIME.as_millis()),
+        )
+        .replace(
+            "leave-notice-ms = 0",
+            &format!("leave-notice-ms = {}", STOP_TIME.as_millis() / 2),
+        );
+    ensure!(changed != text, "{text}");
+    std::fs::write(file, changed)?;
+    Ok(())
+}
+
 /// Guards against a drain by the operator that fails calls, runs them twice, or does not end the
 /// flow of new work.
 #[test]
