Leave the wait for a slot out of the latencies of a rollout

The daemon beside an endpoint reports with each answer how long the call has waited, and the entry daemon takes it off the latency of the evidence.

--- a/crates/coordination/src/routing/load.rs
+++ b/crates/coordination/src/routing/load.rs
@@ -43,6 +43,9 @@
     /// Mean time of recent calls of the route of this report, or zero if there was none.
     #[serde(rename = "t")]
     pub route: Micros,
+    /// Time for which the call of this report has waited at the daemon.
+    #[serde(rename = "w")]
+    pub waited: Micros,
 }
 
 /// What a request is to achieve.
--- a/crates/coordination/src/routing/load/tests.rs
+++ b/crates/coordination/src/routing/load/tests.rs
@@ -39,6 +39,7 @@
         limit: 9,
         mean: Micros(120_000),
         route: Micros(route_ms * 1_000),
+        waited: Micros(0),
     }
 }
 
--- a/crates/coordination/src/routing/load/tests/mixed_speeds.rs
+++ b/crates/coordination/src/routing/load/tests/mixed_speeds.rs
@@ -136,6 +136,7 @@
             limit: SLOTS as u32,
             mean: Micros(server.mean_us as u64),
             route: Micros(server.mean_us as u64),
+            waited: Micros(0),
         };
         let route = RouteName::from("stock-check");
         let router = &mut self.entries[call.entry];
--- a/crates/daemon/src/proxy/attempts.rs
+++ b/crates/daemon/src/proxy/attempts.rs
@@ -166,9 +166,11 @@
         if let Some(load) = load {
             admitted.service.observe_load(target, &admitted.route, load);
         }
+        let waited = load.map_or(Micros(0), |load| load.waited);
         let end = AttemptEnd {
             result: result.as_ref().map(|answer| answer.status).map_err(|f| *f),
             latency: Micros(started.elapsed().as_micros() as u64),
+            waited,
             first,
             watched,
             refused_for_room: admitted.target.is_some()
--- a/crates/daemon/src/proxy/owner.rs
+++ b/crates/daemon/src/proxy/owner.rs
@@ -445,11 +445,21 @@
             upstream.log_refusal(call, &self.dialect, failure);
             return (Err(failure), None);
         }
-        let result = self.run(&upstream, call, deadline).await;
-        (result, Some(upstream.load(&call.route)))
+        let (result, waited) = self.run(&upstream, call, deadline).await;
+        let load = Load {
+            waited: waited.into(),
+            ..upstream.load(&call.route)
+        };
+        (result, Some(load))
     }
 
-    async fn run(&self, upstream: &Arc<Upstream>, call: &Call, deadline: Millis) -> Result<Answer> {
+    /// Runs a call. Returns the time for which it waited for a slot with the result.
+    async fn run(
+        &self,
+        upstream: &Arc<Upstream>,
+        call: &Call,
+        deadline: Millis,
+    ) -> (Result<Answer>, Millis) {
         let id = CallId(self.next_call.fetch_add(1, Ordering::Relaxed));
         let offered = clock::now();
         let mut withdrawal = WithdrawalLog {
@@ -458,30 +468,27 @@
             offered,
             ended: false,
         };
-        let result = self
-            .run_offered(upstream, id, call, deadline, offered)
-            .await;
+        let admitted = self.admit(upstream, id, call, deadline).await;
+        let waited = clock::now().since(offered);
+        let result = match admitted {
+            Ok(slot) => self.run_admitted(slot, call, deadline, waited).await,
+            Err(failure) => {
+                upstream.log_refusal(call, &self.dialect, failure);
+                Err(failure)
+            }
+        };
         withdrawal.ended = true;
-        result
+        (result, waited)
     }
 
-    async fn run_offered(
+    async fn run_admitted(
         &self,
-        upstream: &Arc<Upstream>,
-        id: CallId,
+        mut slot: Slot,
         call: &Call,
         deadline: Millis,
-        offered: Millis,
+        waited: Millis,
     ) -> Result<Answer> {
-        let admitted = self.admit(upstream, id, call, deadline).await;
-        let mut slot = match admitted {
-            Ok(slot) => slot,
-            Err(failure) => {
-                upstream.log_refusal(call, &self.dialect, failure);
-                return Err(failure);
-            }
-        };
-        let waited = clock::now().since(offered);
+        let upstream = &slot.upstream.clone();
         let request = self.request(upstream, call, deadline.since(clock::now()))?;
         let started_request = match call.fingerprint {
             Some(fingerprint) => Some(self.crashes.start(fingerprint)?),
--- a/crates/daemon/src/proxy/owner/upstream.rs
+++ b/crates/daemon/src/proxy/owner/upstream.rs
@@ -124,6 +124,7 @@
             limit: admission.limit() as u32,
             mean: admission.recent_latency(),
             route: self.route_time(route),
+            waited: Micros(0),
         }
     }
 
--- a/crates/daemon/src/proxy/service.rs
+++ b/crates/daemon/src/proxy/service.rs
@@ -63,6 +63,9 @@
     pub result: Result<u16, Failure>,
     /// Time from the send to the end.
     pub latency: Micros,
+    /// Part of it for which the call waited for a slot at the other end. It depends on the load of the
+    /// endpoint and says nothing about its version.
+    pub waited: Micros,
     /// Whether no earlier send of the call has reached an upstream.
     pub first: bool,
     /// Number of the attempt in the evidence, from [`Service::started`].
@@ -209,7 +212,7 @@
             version: &target.version,
             endpoint: state.rank_of(target),
             outcome: call_outcome(end.result),
-            latency_us: end.latency.0,
+            latency_us: end.latency.0.saturating_sub(end.waited.0),
         };
         if end.result.is_ok() {
             state.shares.answered();
--- a/crates/daemon/tests/owner.rs
+++ b/crates/daemon/tests/owner.rs
@@ -1,12 +1,15 @@
 //! The owner role of a daemon: what it takes while it is leaving, and which promises of an upstream count.
 
+#![allow(clippy::unwrap_used)]
+
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use async_std::channel;
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
-use futures::{AsyncReadExt, AsyncWriteExt};
+use futures::{AsyncReadExt, AsyncWriteExt, join};
 use http::{HeaderName, StatusCode};
 use rstest::rstest;
 use sycamoreflow_daemon::clock;
@@ -15,7 +18,7 @@
 use sycamoreflow_daemon::proxy::owner::{Owner, OwnerLimits};
 use sycamoreflow_protocol::call::{Call, CallUrgency, RequestHead};
 use sycamoreflow_state::endpoint::Announcement;
-use sycamoreflow_state::ids::Millis;
+use sycamoreflow_state::ids::{Micros, Millis};
 use sycamoreflow_state::verdict::{Failure, Reason};
 use sycamoreflow_transport::http::client::{Client, Limits};
 
@@ -121,6 +124,30 @@
     assert_eq!(result.err(), refusal);
 }
 
+/// Guards against the wait for a slot that counts as the time of a version: a version whose endpoints
+/// have a small load would look faster than it is.
+#[async_std::test]
+async fn deliver_reports_wait() {
+    const TAKES: Duration = Duration::from_millis(60);
+    let address = answering_after(TAKES, vec![ANSWER]).await;
+    let owner = owner(address);
+    owner.announce(announcement(address, 1));
+    let (first, second) = (call(true, "a1"), call(true, "a1"));
+    let ((first, first_load), (second, second_load)) = join!(
+        owner.deliver_with_load(&first, soon()),
+        owner.deliver_with_load(&second, soon())
+    );
+    assert!(first.is_ok() && second.is_ok());
+    let waited = [first_load, second_load].map(|load| load.unwrap().waited);
+    let longest = waited.iter().max().unwrap();
+    let shortest = waited.iter().min().unwrap();
+    assert!(
+        Micros(TAKES.as_micros() as u64 / 2) < *longest,
+        "{waited:?}"
+    );
+    assert!(shortest < longest, "{waited:?}");
+}
+
 /// Reads the head of a request. Returns whether there was one.
 async fn read_head(stream: &mut TcpStream) -> bool {
     let mut head = Vec::new();
@@ -136,6 +163,11 @@
 
 /// Starts an upstream that gives these answers in turn on each connection.
 async fn answering(answers: Vec<&'static str>) -> SocketAddr {
+    answering_after(Duration::ZERO, answers).await
+}
+
+/// The same with a time that each answer takes.
+async fn answering_after(takes: Duration, answers: Vec<&'static str>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("an address");
     task::spawn(async move {
@@ -146,6 +178,7 @@
                     if !read_head(&mut stream).await {
                         return;
                     }
+                    task::sleep(takes).await;
                     // Fails if the owner has closed the connection.
                     let _ = stream.write_all(answer.as_bytes()).await;
                 }
