--- a/crates/coordination/src/pacing.rs
+++ b/crates/coordination/src/pacing.rs
@@ -21,6 +21,11 @@
 //! taken back, and so is one that stays under strong suspicion: otherwise it would keep its share for
 //! as long as the evidence stays unclear.
 //!
+//! Two kinds of odds decide. Sums over all routes permit steps, since the calls of a good version speak for
+//! it wherever they are. The highest ones, of a single route or step too, hold a version and take it back,
+//! since a fault may be confined to one; see [`Comparison::worst_odds`]. So one of many routes with few
+//! calls can neither permit a step nor, by chance, prevent it for long.
+//!
 //! When traffic is too low for a step, the rule decides at the finish time. A take-back needs evidence
 //! at this leader; the absence of reports is none.
 
--- a/crates/coordination/src/shares.rs
+++ b/crates/coordination/src/shares.rs
@@ -16,7 +16,7 @@
 //!
 //! A retry is sent to the stable version below [`Share::ALL`], and earns nothing.
 //!
-//! If the rule limits the [exposure](exposure) of the candidate, each send costs that account as well, at
+//! If the rule limits the [`exposure`] of the candidate, each send costs that account as well, at
 //! every share. A share is then an upper bound: the candidate gets less, or nothing, while the account
 //! has no room.
 
