--- /dev/null
+++ b/crates/transport/src/http/client/tests/cut.rs
@@ -0,0 +1,50 @@
+//! Answers that are cut short.
+
+use rstest::rstest;
+
+use super::*;
+
+/// Guards against an answer that is cut at any of its bytes and passed off as whole, or that makes its
+/// connection be used again, on new and on kept connections.
+#[rstest]
+#[case::length(
+    "HTTP/1.1 200 OK\r\ncontent-length: 12\r\nattempt-id: a1\r\nresponse-signature: 3e1b.07\r\n\r\n{\"lot\": 407}"
+)]
+#[case::empty(
+    "HTTP/1.1 200 OK\r\nattempt-id: a1\r\nresponse-signature: 3e1b.07\r\ncontent-length: 0\r\n\r\n"
+)]
+#[case::no_content("HTTP/1.1 204 No Content\r\nresponse-signature: 3e1b.07\r\n\r\n")]
+#[case::chunked(
+    "HTTP/1.1 200 OK\r\nresponse-signature: 3e1b.07\r\ntransfer-encoding: chunked\r\n\r\n6\r\n{\"lot\"\r\n6\r\n: 407}\r\n0\r\n\r\n"
+)]
+#[case::interim(
+    "HTTP/1.1 103 Early Hints\r\nx: y\r\n\r\nHTTP/1.1 200 OK\r\nresponse-signature: 3e1b.07\r\ncontent-length: 2\r\n\r\nok"
+)]
+#[case::failure(
+    "HTTP/1.1 503 Service Unavailable\r\nnot-executed: 1\r\nattempt-id: a1\r\ncontent-length: 0\r\n\r\n"
+)]
+#[async_std::test]
+async fn send_cut_answer(#[case] answer: &'static str, #[values(false, true)] is_kept: bool) {
+    const WHOLE: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+    for cut in 0..answer.len() {
+        let address = upstream(move |mut stream, _| async move {
+            if is_kept {
+                read_head(&mut stream).await.unwrap();
+                stream.write_all(WHOLE).await.unwrap();
+            }
+            if read_head(&mut stream).await.is_some() {
+                stream.write_all(&answer.as_bytes()[..cut]).await.unwrap();
+            }
+        })
+        .await;
+        let client = Client::new(limits());
+        if is_kept {
+            client.send(address, get(), soon()).await.unwrap();
+            assert_eq!(client.idle_connections(address), 1);
+        }
+        let outcome = client.send(address, get(), soon()).await;
+        let lost = Failure::may_have_run(Reason::ConnectionLost);
+        assert_eq!(outcome.unwrap_err(), lost, "cut at {cut}");
+        assert_eq!(client.idle_connections(address), 0, "cut at {cut}");
+    }
+}
