Move orders and steps of rollouts to modules of their own

The endpoints that have no turn in a test are found in a function of their own, and only for calls of the tested version. Behaviour is as before.

--- a/crates/coordination/src/rollout.rs
+++ b/crates/coordination/src/rollout.rs
@@ -19,25 +19,20 @@
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
-use sycamoreflow_state::config::{
-    Candidate, ExposureLimit, FinishTime, MeshConfig, RolloutRule, ServiceConfig, Share,
-    TrafficSplit,
-};
+use sycamoreflow_state::config::{Candidate, FinishTime, MeshConfig, ServiceConfig, TrafficSplit};
 use sycamoreflow_state::ids::{Millis, ServiceName, VersionName};
-use sycamoreflow_state::rollout::{
-    Rollout, RolloutHistory, RolloutPhase, StepRecord, TakeBackReason,
-};
+use sycamoreflow_state::rollout::{Rollout, RolloutHistory, RolloutPhase, TakeBackReason};
 
+pub use orders::{ORDER_REPEATS, OrderEffect, OrderStatus};
+
+use orders::Order;
+use steps::{advance, check_step, check_watch, exposure_limit, pass};
+
+mod orders;
+mod steps;
 #[cfg(test)]
 mod tests;
 
-/// An order for a version that ended this recently is a resend of the order that led to it. The
-/// operators' clients repeat an unanswered order for a few seconds.
-pub const ORDER_REPEATS: Millis = Millis(15_000);
-/// Part of the time of an order that is kept for the last log entries and their distribution.
-const ORDER_RESERVE: Millis = Millis(600);
-/// The same after a test, whose end and that of the rollout are two entries.
-const TESTED_ORDER_RESERVE: Millis = Millis(1_200);
 /// Ended rollouts kept per service for the history.
 pub const HISTORY_PER_SERVICE: usize = 32;
 /// Taken-back versions listed per service. Older ones receive nothing either, since only the
@@ -138,17 +133,6 @@
     },
 }
 
-/// What an order of an operator did.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum OrderEffect {
-    /// No version of the service is known yet.
-    Unknown,
-    /// The order was given before, or the version has all traffic already.
-    Repeated,
-    /// A rollout started, or waits for the running one to end.
-    Started,
-}
-
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case")]
 struct ServiceState {
@@ -161,23 +145,6 @@
     waiting: Option<Order>,
 }
 
-/// An order of an operator that has not become a rollout yet.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields, rename_all = "kebab-case")]
-struct Order {
-    to: VersionName,
-    finish_by: Millis,
-}
-
-/// What an operator is told about the latest order for a service.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct OrderStatus {
-    /// Ordered version.
-    pub to: VersionName,
-    /// Phase of its rollout. An order that waits is planned.
-    pub phase: RolloutPhase,
-}
-
 /// All rollouts of the mesh, as replicated.
 ///
 /// Invariants: each service has at most one running rollout; a rollout in a final phase never
@@ -400,108 +367,6 @@
         true
     }
 
-    /// Takes an order to move the traffic of `service` to version `to` within a time.
-    pub fn order(
-        &mut self,
-        service: &ServiceName,
-        config: &ServiceConfig,
-        to: &VersionName,
-        within: Millis,
-        at: Millis,
-    ) -> OrderEffect {
-        let Some(state) = self.services.get(service) else {
-            return OrderEffect::Unknown;
-        };
-        if self.is_repeated_order(service, state, to, at) {
-            return OrderEffect::Repeated;
-        }
-        // The order counts until the old version may go, which is after the watch period.
-        let ending = match config.rollout.max_exposure {
-            Some(_) => TESTED_ORDER_RESERVE,
-            None => ORDER_RESERVE.after(config.rollout.watch),
-        };
-        let finish_by = at.after(within.since(ending));
-        let Some(state) = self.services.get_mut(service) else {
-            return OrderEffect::Unknown;
-        };
-        let rollout = RolloutRule {
-            finish: FinishTime::By(finish_by),
-            ..config.rollout.clone()
-        };
-        state.approved = ServiceConfig {
-            version: state.approved.version.clone(),
-            rollout,
-            ..config.clone()
-        };
-        let order = Order {
-            to: to.clone(),
-            finish_by,
-        };
-        if state.running.is_some() {
-            state.waiting = Some(order);
-            return OrderEffect::Started;
-        }
-        self.start_order(service, order, at);
-        OrderEffect::Started
-    }
-
-    fn is_repeated_order(
-        &self,
-        service: &ServiceName,
-        state: &ServiceState,
-        to: &VersionName,
-        at: Millis,
-    ) -> bool {
-        let waits = state.waiting.as_ref().is_some_and(|order| order.to == *to);
-        let of_service = |rollout: &&Rollout| rollout.service == *service && rollout.to == *to;
-        let latest = self.rollouts.values().rev().find(of_service);
-        let known = latest.is_some_and(|rollout| {
-            !rollout.phase.is_final()
-                || rollout
-                    .ended
-                    .is_some_and(|ended| at.since(ended) < ORDER_REPEATS)
-        });
-        waits || known || state.stable == *to
-    }
-
-    fn start_order(&mut self, service: &ServiceName, order: Order, at: Millis) {
-        if let Some(state) = self.services.get_mut(service) {
-            state.approved.version = order.to;
-            state.approved.rollout.finish = FinishTime::By(order.finish_by);
-        }
-        self.start(service, at);
-    }
-
-    /// Starts the order that waited for a rollout to end.
-    fn start_waiting(&mut self, service: &ServiceName, at: Millis) {
-        let Some(state) = self.services.get_mut(service) else {
-            return;
-        };
-        let Some(order) = state.waiting.take() else {
-            return;
-        };
-        if state.stable != order.to {
-            self.start_order(service, order, at);
-        }
-    }
-
-    /// Returns what became of the latest order for a service.
-    pub fn order_status(&self, service: &ServiceName) -> Option<OrderStatus> {
-        let state = self.services.get(service)?;
-        if let Some(order) = &state.waiting {
-            return Some(OrderStatus {
-                to: order.to.clone(),
-                phase: RolloutPhase::Planned,
-            });
-        }
-        let mut newest = self.rollouts.values().rev();
-        let latest = newest.find(|rollout| rollout.service == *service)?;
-        Some(OrderStatus {
-            to: latest.to.clone(),
-            phase: latest.phase,
-        })
-    }
-
     /// Forgets the services that a configuration no longer has.
     pub fn retain_services(&mut self, config: &MeshConfig, at: Millis) {
         self.remove_missing(config, at);
@@ -586,63 +451,3 @@
         }
     }
 }
-
-fn check_step(rollout: &Rollout, command: &RolloutCommand) -> Result<(), RolloutConflict> {
-    let fits = match command.action {
-        RolloutAction::TakeBack(_) => command.step <= rollout.step,
-        RolloutAction::Advance
-        | RolloutAction::Test { .. }
-        | RolloutAction::Pass
-        | RolloutAction::Finish => command.step == rollout.step,
-    };
-    if fits {
-        return Ok(());
-    }
-    Err(RolloutConflict::WrongStep {
-        actual: rollout.step,
-    })
-}
-
-fn advance(rollout: &mut Rollout, at: Millis) -> Result<(), RolloutConflict> {
-    let share = rollout
-        .next_share()
-        .ok_or(RolloutConflict::WrongPhase(rollout.phase))?;
-    rollout.steps.push(StepRecord { at, share });
-    rollout.step += 1;
-    let last = rollout.next_share().is_none() || share == Share::ALL;
-    rollout.phase = match (last, rollout.rule.max_exposure) {
-        (false, _) => RolloutPhase::Moving,
-        (true, Some(_)) => RolloutPhase::Testing,
-        (true, None) => RolloutPhase::Watching,
-    };
-    Ok(())
-}
-
-fn pass(rollout: &mut Rollout, at: Millis) -> Result<(), RolloutConflict> {
-    if rollout.phase != RolloutPhase::Testing {
-        return Err(RolloutConflict::WrongPhase(rollout.phase));
-    }
-    rollout.passed = Some(at);
-    rollout.phase = RolloutPhase::Watching;
-    Ok(())
-}
-
-/// Returns the limit that daemons keep for the new version until it has passed its test.
-fn exposure_limit(rollout: &Rollout) -> Option<ExposureLimit> {
-    let share = rollout.rule.max_exposure?;
-    rollout.passed.is_none().then(|| ExposureLimit {
-        share,
-        extra: rollout.extra_calls,
-        lasts: rollout.window().after(rollout.rule.watch),
-    })
-}
-
-fn check_watch(rollout: &Rollout, at: Millis) -> Result<(), RolloutConflict> {
-    let until = rollout
-        .watch_until()
-        .ok_or(RolloutConflict::WrongPhase(rollout.phase))?;
-    if at < until {
-        return Err(RolloutConflict::WatchNotOver { until });
-    }
-    Ok(())
-}
--- /dev/null
+++ b/crates/coordination/src/rollout/orders.rs
@@ -0,0 +1,147 @@
+//! Orders of operators to move the traffic of a service to another version within a time.
+
+use serde::{Deserialize, Serialize};
+use sycamoreflow_state::config::{FinishTime, RolloutRule, ServiceConfig};
+use sycamoreflow_state::ids::{Millis, ServiceName, VersionName};
+use sycamoreflow_state::rollout::{Rollout, RolloutPhase};
+
+use super::{Rollouts, ServiceState};
+
+/// An order for a version that ended this recently is a resend of the order that led to it. The
+/// operators' clients repeat an unanswered order for a few seconds.
+pub const ORDER_REPEATS: Millis = Millis(15_000);
+/// Part of the time of an order that is kept for the last log entries and their distribution.
+const ORDER_RESERVE: Millis = Millis(600);
+/// The same after a test, whose end and that of the rollout are two entries.
+const TESTED_ORDER_RESERVE: Millis = Millis(1_200);
+/// What an order of an operator did.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderEffect {
+    /// No version of the service is known yet.
+    Unknown,
+    /// The order was given before, or the version has all traffic already.
+    Repeated,
+    /// A rollout started, or waits for the running one to end.
+    Started,
+}
+
+/// What an operator is told about the latest order for a service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OrderStatus {
+    /// Ordered version.
+    pub to: VersionName,
+    /// Phase of its rollout. An order that waits is planned.
+    pub phase: RolloutPhase,
+}
+
+/// An order of an operator that has not become a rollout yet.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub(super) struct Order {
+    to: VersionName,
+    finish_by: Millis,
+}
+
+impl Rollouts {
+    /// Takes an order to move the traffic of `service` to version `to` within a time.
+    pub fn order(
+        &mut self,
+        service: &ServiceName,
+        config: &ServiceConfig,
+        to: &VersionName,
+        within: Millis,
+        at: Millis,
+    ) -> OrderEffect {
+        let Some(state) = self.services.get(service) else {
+            return OrderEffect::Unknown;
+        };
+        if self.is_repeated_order(service, state, to, at) {
+            return OrderEffect::Repeated;
+        }
+        // The order counts until the old version may go, which is after the watch period.
+        let ending = match config.rollout.max_exposure {
+            Some(_) => TESTED_ORDER_RESERVE,
+            None => ORDER_RESERVE.after(config.rollout.watch),
+        };
+        let finish_by = at.after(within.since(ending));
+        let Some(state) = self.services.get_mut(service) else {
+            return OrderEffect::Unknown;
+        };
+        let rollout = RolloutRule {
+            finish: FinishTime::By(finish_by),
+            ..config.rollout.clone()
+        };
+        state.approved = ServiceConfig {
+            version: state.approved.version.clone(),
+            rollout,
+            ..config.clone()
+        };
+        let order = Order {
+            to: to.clone(),
+            finish_by,
+        };
+        if state.running.is_some() {
+            state.waiting = Some(order);
+            return OrderEffect::Started;
+        }
+        self.start_order(service, order, at);
+        OrderEffect::Started
+    }
+
+    fn is_repeated_order(
+        &self,
+        service: &ServiceName,
+        state: &ServiceState,
+        to: &VersionName,
+        at: Millis,
+    ) -> bool {
+        let waits = state.waiting.as_ref().is_some_and(|order| order.to == *to);
+        let of_service = |rollout: &&Rollout| rollout.service == *service && rollout.to == *to;
+        let latest = self.rollouts.values().rev().find(of_service);
+        let known = latest.is_some_and(|rollout| {
+            !rollout.phase.is_final()
+                || rollout
+                    .ended
+                    .is_some_and(|ended| at.since(ended) < ORDER_REPEATS)
+        });
+        waits || known || state.stable == *to
+    }
+
+    fn start_order(&mut self, service: &ServiceName, order: Order, at: Millis) {
+        if let Some(state) = self.services.get_mut(service) {
+            state.approved.version = order.to;
+            state.approved.rollout.finish = FinishTime::By(order.finish_by);
+        }
+        self.start(service, at);
+    }
+
+    /// Starts the order that waited for a rollout to end.
+    pub(super) fn start_waiting(&mut self, service: &ServiceName, at: Millis) {
+        let Some(state) = self.services.get_mut(service) else {
+            return;
+        };
+        let Some(order) = state.waiting.take() else {
+            return;
+        };
+        if state.stable != order.to {
+            self.start_order(service, order, at);
+        }
+    }
+
+    /// Returns what became of the latest order for a service.
+    pub fn order_status(&self, service: &ServiceName) -> Option<OrderStatus> {
+        let state = self.services.get(service)?;
+        if let Some(order) = &state.waiting {
+            return Some(OrderStatus {
+                to: order.to.clone(),
+                phase: RolloutPhase::Planned,
+            });
+        }
+        let mut newest = self.rollouts.values().rev();
+        let latest = newest.find(|rollout| rollout.service == *service)?;
+        Some(OrderStatus {
+            to: latest.to.clone(),
+            phase: latest.phase,
+        })
+    }
+}
--- a/crates/coordination/src/rollout/tests.rs
+++ b/crates/coordination/src/rollout/tests.rs
@@ -3,7 +3,7 @@
 use proptest::prelude::*;
 use proptest::test_runner::{RngAlgorithm, TestRng, TestRunner};
 use rstest::rstest;
-use sycamoreflow_state::config::{LowTraffic, RolloutRule};
+use sycamoreflow_state::config::{LowTraffic, RolloutRule, Share};
 
 use super::*;
 
--- a/crates/daemon/src/proxy/service.rs
+++ b/crates/daemon/src/proxy/service.rs
@@ -343,30 +343,15 @@
         version: &VersionName,
         goal: Option<&Goal>,
     ) -> Option<DaemonId> {
+        let resting = self.resting(now, version);
         let router = &mut self.router;
-        let turn = match &self.split.candidate {
-            Some(candidate) if candidate.version == *version => self.shares.turn(now),
-            _ => None,
-        };
-        let ranked = self.candidates.iter().enumerate();
-        let resting: Vec<&DaemonId> = ranked
-            .filter(|(rank, _)| turn.is_some_and(|turn| !turn.contains(*rank)))
-            .map(|(_, daemon)| daemon)
-            .collect();
         let mut choose = |exclude: &[DaemonId]| match goal {
             Some(goal) => router.choose_for(now, version, exclude, goal),
             None => router.choose(now, version, exclude),
         };
-        let choose = |exclude: &[DaemonId]| {
-            if resting.is_empty() {
-                return choose(exclude);
-            }
-            let exclude: Vec<DaemonId> = exclude
-                .iter()
-                .chain(resting.iter().copied())
-                .cloned()
-                .collect();
-            choose(&exclude)
+        let choose = |exclude: &[DaemonId]| match resting.is_empty() {
+            true => choose(exclude),
+            false => choose(&[exclude, &resting].concat()),
         };
         match goal {
             Some(_) => attempts.pick_with_room(choose),
@@ -374,6 +359,20 @@
         }
     }
 
+    /// Returns the endpoints of a version that get nothing now, as others have their turn in a test.
+    fn resting(&self, now: Millis, version: &VersionName) -> Vec<DaemonId> {
+        let candidate = self.split.candidate.as_ref();
+        let is_candidate = candidate.is_some_and(|candidate| candidate.version == *version);
+        let Some(turn) = self.shares.turn(now).filter(|_| is_candidate) else {
+            return Vec::new();
+        };
+        let ranked = self.candidates.iter().enumerate();
+        ranked
+            .filter(|(rank, _)| !turn.contains(*rank))
+            .map(|(_, daemon)| daemon.clone())
+            .collect()
+    }
+
     fn set_candidates(&mut self, endpoints: &[Endpoint]) {
         self.candidates.clear();
         let Some(candidate) = &self.split.candidate else {
