Begin tests in doubt rather than late, end them sooner

The end of a test has now 1.6 s for its two log entries and their distribution. A test begins in doubt when it would be too late otherwise, since what it costs is limited. At the end of its time it is decided, also if not all endpoints have had their turn.

Slow calls of the test need log odds of -2.5.

--- a/crates/coordination/src/evidence/odds.rs
+++ b/crates/coordination/src/evidence/odds.rs
@@ -56,6 +56,11 @@
         self.failures.max(self.slow)
     }
 
+    /// Returns whether the odds of each kind are at most those of `limits`.
+    pub fn within(self, limits: Self) -> bool {
+        self.failures <= limits.failures && self.slow <= limits.slow
+    }
+
     /// Returns the higher odds of each kind.
     pub fn max(self, other: Self) -> Self {
         Self {
--- a/crates/coordination/src/pacing.rs
+++ b/crates/coordination/src/pacing.rs
@@ -81,11 +81,14 @@
     failures: -6.0,
     slow: -8.0,
 };
-/// The same for failed calls at the end of the test.
-pub const TEST_LOG_ODDS: f64 = -4.0;
+/// The same at the end of the test.
+pub const TEST_LOG_ODDS: Odds = Odds {
+    failures: -4.0,
+    slow: -2.5,
+};
 /// The same for slow calls of all steps. Calls of a good version take longer under load too, so those of
-/// the test alone need to speak for the version as for any step only.
-pub const TEST_SLOW_LOG_ODDS: f64 = -5.0;
+/// the test alone cannot decide.
+pub const TESTED_SLOW_LOG_ODDS: f64 = -5.0;
 
 /// Endpoints of one version that can take calls.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -339,6 +342,11 @@
     comparison.suspicion() >= MAX_SUSPICION || comparison.worst_odds().highest() > MAX_LOG_ODDS
 }
 
+/// Returns whether a version under this suspicion may not stay for long.
+fn is_strongly_suspect(comparison: &Comparison) -> bool {
+    comparison.suspicion() >= MAX_SUSPICION || comparison.worst_odds().highest() > SUSPECT_LOG_ODDS
+}
+
 /// Returns whether the calls speak for the version, as far as the next step needs it.
 fn is_supported(now: Millis, rollout: &Rollout, comparison: &Comparison) -> bool {
     let is_limited = rollout.rule.max_exposure.is_some();
@@ -346,15 +354,11 @@
     match rollout.next_share() {
         // Before its time is over, a test ends only on clear evidence.
         None if rollout.phase == RolloutPhase::Testing && !is_over(now, rollout) => {
-            let step = comparison.step_odds();
-            step.failures <= CLEAR_LOG_ODDS.failures && step.slow <= CLEAR_LOG_ODDS.slow
+            comparison.step_odds().within(CLEAR_LOG_ODDS)
         }
         None if rollout.phase == RolloutPhase::Testing => {
-            let step = comparison.step_odds();
-            let slow = comparison.odds().slow;
-            step.failures <= TEST_LOG_ODDS
-                && step.slow <= STEP_LOG_ODDS
-                && slow <= TEST_SLOW_LOG_ODDS
+            comparison.step_odds().within(TEST_LOG_ODDS)
+                && comparison.odds().slow <= TESTED_SLOW_LOG_ODDS
         }
         None => true,
         Some(Share::ALL) if !is_limited => odds <= LAST_STEP_LOG_ODDS,
@@ -403,7 +407,10 @@
     if rollout.phase == RolloutPhase::Planned || rollout.passed.is_some() {
         return Waiting::OnPlan;
     }
-    if is_suspect(&tracker.comparison) {
+    // What a test costs is limited, so it may begin in doubt rather than too late.
+    let is_forced_test = is_test_next(rollout) && now >= plan.forced_step;
+    let in_doubt = is_forced_test && !is_strongly_suspect(&tracker.comparison);
+    if is_suspect(&tracker.comparison) && !in_doubt {
         return Waiting::Suspicion;
     }
     if !heard || !tracker.has_reports(now) {
@@ -416,7 +423,7 @@
     let enough = tracker.step_calls >= need.step_calls
         && tracker.comparison.candidate_calls() >= need.total_calls;
     let clear_calls = plan::clear_calls(&rollout.rule);
-    let supported = is_supported(now, rollout, &tracker.comparison);
+    let supported = in_doubt || is_supported(now, rollout, &tracker.comparison);
     if enough && supported {
         return Waiting::OnPlan;
     }
--- a/crates/coordination/src/pacing/plan.rs
+++ b/crates/coordination/src/pacing/plan.rs
@@ -109,7 +109,7 @@
                     target,
                 }
             }
-            RolloutPhase::Testing => at(entered.after(rollout.rule.watch.max(test))),
+            RolloutPhase::Testing => at(entered.after(test).min(rollout.finish_by)),
             RolloutPhase::Watching | RolloutPhase::Done | RolloutPhase::TakenBack => {
                 at(rollout.watch_until().unwrap_or(entered))
             }
--- a/crates/coordination/src/pacing/tests/orders.rs
+++ b/crates/coordination/src/pacing/tests/orders.rs
@@ -442,6 +442,8 @@
 #[case::many_routes(Case { routes: 40, ..GOOD })]
 #[case::slow_upstream(Case { slow_upstreams: 1, ..GOOD })]
 #[case::slow_candidate(Case { slow_candidates: 1, ..GOOD })]
+#[case::few_calls(Case { rate: 80.0, ..GOOD })]
+#[case::few_calls_slow_upstream(Case { rate: 80.0, slow_upstreams: 1, ..GOOD })]
 fn order_good_version(#[case] case: Case) {
     let outcomes: Vec<Outcome> = play_all(&case).collect();
     let missed = outcomes
--- a/crates/coordination/src/rollout/orders.rs
+++ b/crates/coordination/src/rollout/orders.rs
@@ -13,7 +13,7 @@
 /// Part of the time of an order that is kept for the last log entries and their distribution.
 const ORDER_RESERVE: Millis = Millis(600);
 /// The same after a test, whose end and that of the rollout are two entries.
-const TESTED_ORDER_RESERVE: Millis = Millis(1_200);
+const TESTED_ORDER_RESERVE: Millis = Millis(1_600);
 /// What an order of an operator did.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OrderEffect {
