Read rollouts that were stored before exposures were limited

The new fields of a rollout and its rule had no default, so a control replica that was upgraded could not have read its log (found on reading the change; decode_without_limit).

--- a/crates/coordination/src/pacing.rs
+++ b/crates/coordination/src/pacing.rs
@@ -14,8 +14,9 @@
 //! - if the rule limits the exposure, daemons have room for the test under full load.
 //!
 //! A limited exposure holds whatever is decided here, since daemons keep to it by themselves. The last
-//! step is then a test under [full load](crate::full_load), and the watch period ends only if the calls of
-//! this test speak for the version: those at smaller shares cannot show a fault that depends on load.
+//! step is then a test under [full load](crate::full_load), and the version gets all traffic only if the
+//! calls of this test speak for it: those at smaller shares cannot show a fault that depends on load. What
+//! the test costs is limited, so it begins also while the calls before it leave some doubt.
 //!
 //! A version whose calls don't speak for it when its time is over, or when the watch period ends, is
 //! taken back, and so is one that stays under strong suspicion: otherwise it would keep its share for
--- a/crates/coordination/src/pacing/plan.rs
+++ b/crates/coordination/src/pacing/plan.rs
@@ -176,8 +176,8 @@
     }
 
     /// Returns what must be known at `step` (counted from one) before the next one. Without a known
-    /// rate it is as much as a clear fault takes to show.
-    /// After the last step it is what ends the test of a limited exposure.
+    /// rate it is as much as a clear fault takes to show. After the last step it is what ends the test of a
+    /// limited exposure.
     fn of_step(
         rollout: &Rollout,
         step: usize,
--- a/crates/coordination/src/rollout/tests.rs
+++ b/crates/coordination/src/rollout/tests.rs
@@ -154,6 +154,27 @@
     assert_eq!(rollouts.traffic(&orders()).unwrap().stable, "v2".into());
 }
 
+/// Guards against a control replica that cannot read what it stored before exposures were limited.
+#[test]
+fn decode_without_limit() {
+    let rollouts = advanced(2);
+    let stored = serde_json::to_string(&rollouts).unwrap();
+    let mut earlier = stored.clone();
+    for field in [
+        ",\"max-exposure\":null",
+        ",\"exposure-slack\":0",
+        ",\"extra-calls\":0",
+        ",\"passed\":null",
+    ] {
+        assert!(earlier.contains(field), "{field} in {stored}");
+        earlier = earlier.replace(field, "");
+    }
+    assert_eq!(
+        serde_json::from_str::<Rollouts>(&earlier).unwrap(),
+        rollouts
+    );
+}
+
 /// Guards against undefined results of approvals that meet a running rollout, in each phase.
 #[rstest]
 #[case::withdrawn_planned(0, Some("v1"), Some(TakeBackReason::Withdrawn), None)]
--- a/crates/state/src/config.rs
+++ b/crates/state/src/config.rs
@@ -98,8 +98,10 @@
     pub low_traffic: LowTraffic,
     /// Part of the service's calls since the start that the new version may get before it is the stable
     /// one, whatever the evidence says. `None` leaves it to the steps.
+    #[serde(default)]
     pub max_exposure: Option<Share>,
     /// Calls over the mesh that it may get beside that part.
+    #[serde(default)]
     pub exposure_slack: u32,
 }
 
@@ -208,6 +210,7 @@
     /// The rule alone doesn't tell it, since it may name a point in time.
     pub window: Millis,
     /// What it may get before it is the stable version, if the rule limits that.
+    #[serde(default)]
     pub limit: Option<ExposureLimit>,
 }
 
--- a/crates/state/src/rollout.rs
+++ b/crates/state/src/rollout.rs
@@ -2,7 +2,8 @@
 //!
 //! Times count from the Unix epoch. A rollout moves `Planned` → `Moving` → `Watching` → `Done`, with
 //! `Testing` before `Watching` if its rule limits the exposure. `TakenBack` can be entered from each of
-//! them but `Done`. `Done` and `TakenBack` are final: a version that was taken back receives traffic again only through a new rollout with a new number.
+//! them but `Done`. `Done` and `TakenBack` are final: a version that was taken back receives traffic
+//! again only through a new rollout with a new number.
 
 use std::fmt;
 
@@ -167,8 +168,10 @@
     /// The steps entered, in order.
     pub steps: Vec<StepRecord>,
     /// Calls that each daemon may send beside the permitted part during the test.
+    #[serde(default)]
     pub extra_calls: u32,
     /// When the new version passed its test under full load.
+    #[serde(default)]
     pub passed: Option<Millis>,
     /// The rule as it was approved with this rollout. Later changes apply to later rollouts only.
     pub rule: RolloutRule,
