--- a/crates/coordination/src/evidence/comparison.rs
+++ b/crates/coordination/src/evidence/comparison.rs
@@ -88,10 +88,14 @@
     pub stable: &'a VersionEvidence,
     /// Calls of the candidate since the first report.
     pub candidate: &'a VersionEvidence,
+    /// Calls of both at the current step, as they are compared.
+    pub step: &'a RouteEvidence,
     /// Calls whose latencies were compared.
     pub compared: Batch,
     /// Log odds of a clear fault on this route.
     pub odds: Odds,
+    /// Those of the current step.
+    pub step_odds: Odds,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -260,8 +264,10 @@
             route,
             stable: &state.seen.stable,
             candidate: &state.seen.candidate,
+            step: &state.step,
             compared: state.tests.slow_totals,
             odds: state.all_odds(),
+            step_odds: state.step_odds,
         })
     }
 
--- a/crates/daemon/src/control/leader.rs
+++ b/crates/daemon/src/control/leader.rs
@@ -370,8 +370,12 @@
     for summary in routes.iter().take(LOGGED_ROUTES) {
         tracing::info!(event = "rollout_evidence", rollout, route = %summary.route,
             stable = describe(summary.stable), candidate = describe(summary.candidate),
+            step_stable = describe(&summary.step.stable),
+            step_candidate = describe(&summary.step.candidate),
             compared = summary.compared.candidate_calls,
-            failure_odds = summary.odds.failures, slow_odds = summary.odds.slow);
+            failure_odds = summary.odds.failures, slow_odds = summary.odds.slow,
+            step_failure_odds = summary.step_odds.failures,
+            step_slow_odds = summary.step_odds.slow);
     }
 }
 
