--- a/crates/coordination/src/pacing/tests/orders.rs
+++ b/crates/coordination/src/pacing/tests/orders.rs
@@ -31,11 +31,12 @@
 const ENDPOINTS: usize = 3;
 const STEP: Millis = Millis(10);
 const CALLS_PER_SECOND: f64 = 130.0;
-const CALLERS_WAIT: Millis = Millis(1_500);
+/// Mean service time at an endpoint of usual speed, in milliseconds.
+const SERVICE_MS: f64 = 167.3;
+/// Mean of each of the variables of a service time.
+const MEAN_FACTOR: f64 = 1.15;
 /// Milliseconds in which some endpoints are slow.
 const SLOW: Range<u64> = 4_000..16_000;
-/// When half of the entry daemons lose what they know, on a disturbed day.
-const RESTART: Millis = Millis(3_400);
 /// Milliseconds in which more calls come on such a day, and how many times as many.
 const BURST: (Range<u64>, f64) = (12_500..15_900, 1.7);
 /// Milliseconds in which the reports of a third of the entry daemons are lost on such a day.
@@ -61,6 +62,8 @@
     rate: f64,
     /// Whether daemons restart, reports are lost and more calls come.
     disturbed: bool,
+    /// When half of the entry daemons lose what they know, on a disturbed day.
+    restart: Millis,
     /// When another replica becomes the leader.
     new_leader: Option<Millis>,
     /// Endpoints of the old version that take five times as long for 12 s.
@@ -71,6 +74,10 @@
     failing_route: bool,
     /// Routes among which the other calls are spread.
     routes: usize,
+    /// How long callers wait.
+    wait: Millis,
+    /// Variables whose product is the service time. More of them spread it further.
+    variables: u32,
 }
 
 const GOOD: Case = Case {
@@ -80,11 +87,21 @@
     bad_load: 0,
     rate: CALLS_PER_SECOND,
     disturbed: false,
+    restart: Millis(3_400),
     new_leader: None,
     slow_upstreams: 0,
     slow_candidates: 0,
     failing_route: false,
     routes: 1,
+    wait: Millis(1_500),
+    variables: 3,
+};
+
+/// Service times vary widely, and callers give up on a part of the slow calls.
+const BRIEF: Case = Case {
+    wait: Millis(800),
+    variables: 6,
+    ..GOOD
 };
 
 /// What callers saw.
@@ -128,6 +145,7 @@
     to_candidate: bool,
     route: usize,
     failed: bool,
+    timed_out: bool,
     bad: bool,
     /// Number of the call in the evidence.
     watched: Option<u64>,
@@ -235,7 +253,7 @@
         if self.case.new_leader == Some(now) {
             self.pacer = Pacer::new(2);
         }
-        if !self.case.disturbed || now != RESTART {
+        if !self.case.disturbed || now != self.case.restart {
             return;
         }
         for index in (0..ENTRIES).step_by(2) {
@@ -250,7 +268,7 @@
 
     /// Returns a number that differs between two starts of a daemon.
     fn incarnation(&self, entry: usize, now: Millis) -> u64 {
-        let restarted = self.case.disturbed && now >= RESTART && entry.is_multiple_of(2);
+        let restarted = self.case.disturbed && now >= self.case.restart && entry.is_multiple_of(2);
         (entry + 1 + if restarted { ENTRIES } else { 0 }) as u64
     }
 
@@ -275,9 +293,10 @@
             true => 0,
             false => self.rng.random_range(1..=case.routes),
         };
-        // The product of three uniform variables has a tail like that of service times.
-        let spread: f64 = (0..3).map(|_| self.rng.random_range(0.6..1.7)).product();
-        let mut latency = 110.0 * spread * self.speeds[usize::from(to_candidate)][endpoint];
+        // The product of uniform variables has a tail like that of service times.
+        let factors = (0..case.variables).map(|_| self.rng.random_range(0.6..1.7));
+        let spread = factors.product::<f64>() / MEAN_FACTOR.powi(case.variables as i32);
+        let mut latency = SERVICE_MS * spread * self.speeds[usize::from(to_candidate)][endpoint];
         let slow = match to_candidate {
             true => case.slow_candidates,
             false => case.slow_upstreams,
@@ -288,7 +307,7 @@
         if bad && case.factor > 0.0 {
             latency *= case.factor;
         }
-        let latency = Millis(latency as u64).min(CALLERS_WAIT);
+        let latency = Millis(latency as u64).min(case.wait);
         let fails = (bad && case.factor == 0.0) || route == 0 || self.rng.random_bool(0.005);
         let started = StartedCall {
             route: &self.routes[route],
@@ -313,7 +332,8 @@
             endpoint,
             to_candidate,
             route,
-            failed: fails || latency == CALLERS_WAIT,
+            failed: fails,
+            timed_out: latency == case.wait,
             bad,
             watched,
         });
@@ -328,7 +348,7 @@
                 route: &self.routes[call.route],
                 version: &self.versions[usize::from(call.to_candidate)],
                 endpoint: call.endpoint,
-                outcome: match call.failed {
+                outcome: match call.failed || call.timed_out {
                     true => CallOutcome::Failed,
                     false => CallOutcome::Succeeded,
                 },
@@ -423,6 +443,10 @@
 #[case::fails_under_load(Case { bad: 0.3, factor: 0.0, bad_from: Share::percent(50), ..GOOD })]
 #[case::fails(Case { bad: 0.3, factor: 0.0, ..GOOD })]
 #[case::fails_among_slow(Case { bad: 0.3, factor: 0.0, slow_upstreams: 1, ..GOOD })]
+#[case::half_three_times_timeouts(Case { bad: 0.5, factor: 3.0, ..BRIEF })]
+#[case::half_three_times_timeouts_among_slow(Case { bad: 0.5, factor: 3.0, slow_upstreams: 1, ..BRIEF })]
+#[case::half_four_times_timeouts_among_slow(Case { bad: 0.5, factor: 4.0, slow_upstreams: 1, ..BRIEF })]
+#[case::half_three_times_timeouts_disturbed(Case { bad: 0.5, factor: 3.0, slow_upstreams: 1, disturbed: true, ..BRIEF })]
 fn order_bad_version(#[case] case: Case) {
     let outcomes: Vec<Outcome> = play_all(&case).collect();
     let exposed = outcomes.iter().filter(|o| o.is_exposed()).count();
@@ -444,6 +468,9 @@
 #[case::slow_candidate(Case { slow_candidates: 1, ..GOOD })]
 #[case::few_calls(Case { rate: 80.0, ..GOOD })]
 #[case::few_calls_slow_upstream(Case { rate: 80.0, slow_upstreams: 1, ..GOOD })]
+#[case::timeouts(BRIEF)]
+#[case::timeouts_slow_upstream(Case { slow_upstreams: 1, ..BRIEF })]
+#[case::timeouts_disturbed(Case { slow_upstreams: 1, disturbed: true, ..BRIEF })]
 fn order_good_version(#[case] case: Case) {
     let outcomes: Vec<Outcome> = play_all(&case).collect();
     let missed = outcomes
@@ -472,6 +499,9 @@
 #[case::disturbed_among_slow(Case { disturbed: true, slow_upstreams: 1, ..UNDER_LOAD })]
 #[case::high_threshold(Case { bad_load: 9, ..UNDER_LOAD })]
 #[case::disturbed_high_threshold(Case { disturbed: true, bad_load: 10, ..UNDER_LOAD })]
+#[case::few_calls_high_threshold(Case { rate: 90.0, bad_load: 6, ..UNDER_LOAD })]
+#[case::few_calls_high_threshold_disturbed(Case { rate: 90.0, bad_load: 6, disturbed: true, ..UNDER_LOAD })]
+#[case::third_of_the_calls_high_threshold(Case { rate: 45.0, bad_load: 5, ..UNDER_LOAD })]
 #[case::disturbed_slow(Case { factor: 8.0, disturbed: true, ..UNDER_LOAD })]
 #[case::leader_lost(Case { new_leader: Some(Millis(13_600)), disturbed: true, ..UNDER_LOAD })]
 fn order_bad_under_load(#[case] case: Case) {
@@ -493,6 +523,9 @@
 #[case::under_load_disturbed(Case { disturbed: true, ..UNDER_LOAD })]
 #[case::leader_lost(Case { new_leader: Some(Millis(13_600)), disturbed: true, ..UNDER_LOAD })]
 #[case::leader_lost_late(Case { new_leader: Some(Millis(15_600)), ..UNDER_LOAD })]
+#[case::restart_in_test(Case { disturbed: true, restart: Millis(12_800), ..UNDER_LOAD })]
+#[case::restart_late_in_test(Case { disturbed: true, restart: Millis(14_000), ..UNDER_LOAD })]
+#[case::good_restart_in_test(Case { disturbed: true, restart: Millis(13_600), ..GOOD })]
 fn order_account_holds(#[case] case: Case) {
     let outcomes: Vec<Outcome> = play_all(&case).collect();
     let over = outcomes.iter().filter(|o| o.over_account.is_some()).count();
--- a/crates/coordination/src/shares/exposure/tests.rs
+++ b/crates/coordination/src/shares/exposure/tests.rs
@@ -135,6 +135,19 @@
     );
 }
 
+/// Guards against a test that costs more than the slack of the rule because daemons that restart during
+/// it are given their part of the slack once more.
+#[test]
+fn pick_restart_in_test() {
+    let testing = split(Share::ALL, Some(ExposureLimit { extra: 4, ..LIMIT }));
+    let mut restarted = ShareCounter::new(2);
+    restarted.set_endpoints(ENDPOINTS);
+    let picked = (0..40).map(|_| restarted.pick(Millis(9_000), &testing, Attempt::First));
+    assert_eq!(picked.filter(|version| *version == "v2".into()).count(), 0);
+    // What it earns from then on it may send.
+    assert!(run(&mut restarted, &testing, 9_000, 10_000) > 0);
+}
+
 /// Guards against a daemon that sends calls of a test to endpoints that are not tested at that time.
 #[test]
 fn turn_of_test() {
