Give no slack to daemons that start during a test

A daemon that restarted during a test under full load got its part of the slack once more, so the test of a version could cost more than the rule permits when more than a fifth of the daemons restart (herd_kill, roll_term).

An account now starts without room, and only a test that begins later adds to it. pick_restart_in_test failed before: 4 calls sent, none earned.

--- a/crates/coordination/src/shares/exposure.rs
+++ b/crates/coordination/src/shares/exposure.rs
@@ -8,8 +8,9 @@
 //! Room that is not used while the share is small is used at full share: the candidate meets the whole
 //! load for a short time. A restarted daemon starts without what it had earned.
 //!
-//! A test adds a few calls for each daemon, its part of those that the rule permits beside the share. A
-//! daemon that restarts gets them again; the leader keeps [`SLACK_RESERVE`] of them back for that.
+//! A test adds a few calls for each daemon, its part of those that the rule permits beside the share. Only
+//! daemons that have known the rollout before get them: one that restarts during a test may have sent
+//! them already. The leader keeps [`SLACK_RESERVE`] of them back for daemons that it does not know.
 
 use sycamoreflow_state::config::{ExposureLimit, Share};
 use sycamoreflow_state::ids::Millis;
@@ -51,11 +52,11 @@
 }
 
 impl ExposureAccount {
-    /// Starts the account of a rollout that has become known `now`.
+    /// Starts the account of a rollout that has become known `now`, without room.
     pub(super) fn open(now: Millis, limit: Option<ExposureLimit>) -> Self {
         Self {
             limit,
-            room: limit.map_or(0, |limit| u64::from(limit.extra) * CALL),
+            room: 0,
             ends: limit.map_or(now, |limit| now.after(limit.lasts)),
             calls: Exposed::default(),
         }
