Test a version at the load that its slots allow

A version that fails under load meets it at a busier time, after it has been completed, and at a load near its threshold few calls of a test are bad.

The leader now gives the test the part of the traffic that brings the tested endpoints to nine tenths of their slots, by the rate of calls, their latency and the slots that endpoints announce, as far as the exposure has room for a turn of each endpoint, and at least what they will have later. The part is in the command to test, so all daemons take the same.

--- a/crates/coordination/src/full_load.rs
+++ b/crates/coordination/src/full_load.rs
@@ -2,10 +2,11 @@
 //!
 //! A fault that depends on load does not show while all endpoints of the new version share a small part
 //! of the calls. So the last step of a rollout with limited exposure sends the calls of a few endpoints
-//! to as few of them: with `k` of `n` endpoints in use, they get `k / n` of the traffic, and each has the
-//! load that it will have when the version is alone. The endpoints take turns, so that one bad host is
-//! told from a bad version. The calls of the stable version at the same time tell a fault of the new one
-//! from one that hits both.
+//! to as few of them: with `k` of `n` endpoints in use, they get `k / n` of the traffic at least, and each
+//! has the load that it will have when the version is alone. When traffic is low, they get more: a
+//! version has to stand the load that its slots allow, which it meets at busier times. The endpoints take
+//! turns, so that one bad host is told from a bad version. The calls of the stable version at the same
+//! time tell a fault of the new one from one that hits both.
 //!
 //! Daemons count turns from when the step is in force for them. They learn of it within a fraction of a
 //! turn. A daemon whose room is used up sends nothing more until the rollout is decided: calls at a
@@ -22,6 +23,9 @@
 pub const TURN: Millis = Millis(800);
 /// One endpoint in this many is in use at a time.
 const ENDPOINTS_PER_ACTIVE: usize = 4;
+/// Part of the slots in use at an endpoint under full load. Calls arrive unevenly, so that beyond it many
+/// would wait for a slot.
+const FULL_LOAD: f64 = 0.9;
 /// One call in this many goes to the stable version also if all endpoints are in use.
 const CONTROL_PART: u32 = 8;
 
@@ -52,7 +56,18 @@
     }
 }
 
-/// Returns the part of the traffic that the endpoints in use get.
+/// Returns the part of the traffic that brings the endpoints in use to full load. `slots` are those of all
+/// endpoints, `in_progress` the calls that the whole traffic keeps in progress.
+pub fn loaded_share(endpoints: usize, slots: u32, in_progress: f64) -> Share {
+    let endpoints = endpoints.max(1);
+    let used = f64::from(slots) * active(endpoints) as f64 / endpoints as f64;
+    let part = FULL_LOAD * used / in_progress.max(f64::MIN_POSITIVE);
+    let most = Share::ALL.0 - Share::ALL.0 / CONTROL_PART;
+    let loaded = Share((part * f64::from(Share::ALL.0)).min(f64::from(most)) as u32);
+    loaded.max(share(endpoints))
+}
+
+/// Returns the part of the traffic that the endpoints in use have when the version is alone.
 pub fn share(endpoints: usize) -> Share {
     let endpoints = endpoints.max(1);
     let part = u64::from(Share::ALL.0) * active(endpoints) as u64 / endpoints as u64;
@@ -65,6 +80,11 @@
     Millis(endpoints.div_ceil(active(endpoints)) as u64 * TURN.0)
 }
 
+/// Returns the same in seconds.
+pub fn seconds(endpoints: usize) -> f64 {
+    duration(endpoints).0 as f64 / 1_000.0
+}
+
 fn active(endpoints: usize) -> usize {
     let half = ENDPOINTS_PER_ACTIVE / 2;
     ((endpoints + half) / ENDPOINTS_PER_ACTIVE).max(1)
--- a/crates/coordination/src/full_load/tests.rs
+++ b/crates/coordination/src/full_load/tests.rs
@@ -26,3 +26,17 @@
     }
     assert_eq!(tested.len(), endpoints);
 }
+
+/// Guards against faults under load that no test shows because traffic is low while it runs: the tested
+/// endpoints get as much as their slots allow, but no more when traffic is high, and never all traffic.
+#[rstest]
+#[case::busy(27.0, 333_333)]
+#[case::usual(18.0, 450_000)]
+#[case::quiet(10.0, 810_000)]
+#[case::very_quiet(1.0, 875_000)]
+#[case::idle(0.0, 875_000)]
+fn loaded_share_by_traffic(#[case] in_progress: f64, #[case] expected: u32) {
+    let share = loaded_share(3, 27, in_progress);
+    // Shares are rounded down.
+    assert!(share.0.abs_diff(expected) <= 1, "{share:?}");
+}
--- a/crates/coordination/src/pacing.rs
+++ b/crates/coordination/src/pacing.rs
@@ -321,6 +321,7 @@
         RolloutPhase::Testing => RolloutAction::Pass,
         _ if is_test_next(rollout) => RolloutAction::Test {
             extra_calls: extra_calls(rollout, tracker),
+            share: test_share(now, rollout, tracker, capacity[1]),
         },
         _ => RolloutAction::Advance,
     })
@@ -378,11 +379,36 @@
     let Some(limit) = rollout.rule.max_exposure.filter(|_| is_test_next(rollout)) else {
         return true;
     };
-    let calls = plan::test_calls(tracker.calls_per_second(), endpoints) as f64;
+    let share = full_load::share(endpoints as usize);
+    let calls = plan::test_calls(tracker.calls_per_second(), endpoints, share) as f64;
     // The test earns room as well.
-    let earned = calls * limit.ratio() / full_load::share(endpoints as usize).ratio();
+    let earned = calls * limit.ratio() / share.ratio();
+    room_of_test(now, rollout, tracker, limit) >= calls - earned
+}
+
+/// Returns the calls that a test may have beside those that it earns, over the mesh.
+fn room_of_test(now: Millis, rollout: &Rollout, tracker: &Tracker, limit: Share) -> f64 {
     let extra = u64::from(extra_calls(rollout, tracker)) * tracker.daemons() as u64;
-    (tracker.room(now, limit) + extra) as f64 >= calls - earned
+    (tracker.room(now, limit) + extra) as f64
+}
+
+/// Returns the part of the traffic that a test takes: what brings the tested endpoints to full load, as far
+/// as there is room for all turns, but at least what they will have when the version is alone.
+fn test_share(now: Millis, rollout: &Rollout, tracker: &Tracker, candidate: Capacity) -> Share {
+    let endpoints = candidate.endpoints as usize;
+    let least = full_load::share(endpoints);
+    let (Some(limit), Some(rate), Some(latency_ms)) = (
+        rollout.rule.max_exposure,
+        tracker.calls_per_second().filter(|rate| *rate > 0.0),
+        tracker.mean_latency_ms(),
+    ) else {
+        return least;
+    };
+    let loaded = full_load::loaded_share(endpoints, candidate.slots, rate * latency_ms / 1_000.0);
+    let room = room_of_test(now, rollout, tracker, limit);
+    let fitting = limit.ratio() + room / (rate * full_load::seconds(endpoints));
+    let fitting = Share((fitting.min(1.0) * f64::from(Share::ALL.0)) as u32);
+    loaded.min(fitting).max(least)
 }
 
 /// Returns the part of each daemon in the calls that a test may have beside the permitted share.
@@ -417,7 +443,8 @@
     if !heard || !tracker.has_reports(now) {
         return Waiting::Reports;
     }
-    let need = Need::of_next_step(rollout, rate, candidate.endpoints);
+    let test_share = test_share(now, rollout, tracker, candidate);
+    let need = Need::of_next_step(rollout, rate, candidate.endpoints, test_share);
     if !has_room(now, rollout, tracker, candidate.endpoints) && now < plan.forced_step {
         return Waiting::Exposure;
     }
--- a/crates/coordination/src/pacing/plan.rs
+++ b/crates/coordination/src/pacing/plan.rs
@@ -149,7 +149,7 @@
         let mut seconds = 0.0;
         let first = rollout.step.max(1) as usize;
         for step in first..rollout.rule.steps.len() {
-            let need = Need::of_step(rollout, step, known.calls_per_second, 1);
+            let need = Need::of_step(rollout, step, known.calls_per_second, 1, Share::ALL);
             let have = if step == rollout.step as usize {
                 known.step_calls
             } else {
@@ -171,18 +171,21 @@
         rollout: &Rollout,
         calls_per_second: Option<f64>,
         endpoints: u32,
+        test_share: Share,
     ) -> Self {
-        Self::of_step(rollout, rollout.step as usize, calls_per_second, endpoints)
+        let step = rollout.step as usize;
+        Self::of_step(rollout, step, calls_per_second, endpoints, test_share)
     }
 
     /// Returns what must be known at `step` (counted from one) before the next one. Without a known
     /// rate it is as much as a clear fault takes to show. After the last step it is what ends the test of a
-    /// limited exposure.
+    /// limited exposure, which takes `test_share` of the traffic.
     fn of_step(
         rollout: &Rollout,
         step: usize,
         calls_per_second: Option<f64>,
         endpoints: u32,
+        test_share: Share,
     ) -> Self {
         let nothing = Self {
             step_calls: 0,
@@ -194,16 +197,16 @@
             if !is_limited {
                 return nothing;
             }
-            let tested = test_calls(calls_per_second, endpoints) as f64 * TEST_PART;
+            let tested = test_calls(calls_per_second, endpoints, rollout.test_share);
+            let tested = tested as f64 * TEST_PART;
             return Self {
                 step_calls: clear.max(tested as u64),
                 total_calls: clear,
             };
         };
         let is_last = *next == Share::ALL;
-        // The test gets as much traffic as its endpoints will have.
         let next = match *next {
-            Share::ALL if is_limited => full_load::share(endpoints as usize),
+            Share::ALL if is_limited => test_share,
             next => next,
         };
         let exposed = calls_per_second.map(|rate| rate * next.ratio() * REACTION_SECONDS);
@@ -214,12 +217,10 @@
     }
 }
 
-/// Returns the calls of the new version in a test under full load.
-pub(super) fn test_calls(calls_per_second: Option<f64>, endpoints: u32) -> u64 {
-    let endpoints = endpoints as usize;
-    let seconds = full_load::duration(endpoints).0 as f64 / 1_000.0;
-    let calls = calls_per_second.unwrap_or_default() * full_load::share(endpoints).ratio();
-    (calls * seconds) as u64
+/// Returns the calls of the new version in a test under full load that takes `share` of the traffic.
+pub(super) fn test_calls(calls_per_second: Option<f64>, endpoints: u32, share: Share) -> u64 {
+    let calls = calls_per_second.unwrap_or_default() * share.ratio();
+    (calls * full_load::seconds(endpoints as usize)) as u64
 }
 
 /// Returns the calls that show a clear fault.
--- a/crates/coordination/src/rollout.rs
+++ b/crates/coordination/src/rollout.rs
@@ -19,7 +19,9 @@
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
-use sycamoreflow_state::config::{Candidate, FinishTime, MeshConfig, ServiceConfig, TrafficSplit};
+use sycamoreflow_state::config::{
+    Candidate, FinishTime, MeshConfig, ServiceConfig, Share, TrafficSplit,
+};
 use sycamoreflow_state::ids::{Millis, ServiceName, VersionName};
 use sycamoreflow_state::rollout::{Rollout, RolloutHistory, RolloutPhase, TakeBackReason};
 
@@ -63,6 +65,8 @@
     Test {
         /// Calls that each daemon may send beside the permitted part.
         extra_calls: u32,
+        /// Part of the traffic that the new version gets.
+        share: Share,
     },
     /// End the test under full load: the new version gets all traffic.
     Pass,
@@ -199,8 +203,9 @@
         let at = command.at.max(rollout.step_entered());
         match &command.action {
             RolloutAction::Advance => advance(rollout, at)?,
-            RolloutAction::Test { extra_calls } => {
+            RolloutAction::Test { extra_calls, share } => {
                 rollout.extra_calls = *extra_calls;
+                rollout.test_share = *share;
                 advance(rollout, at)?;
             }
             RolloutAction::Pass => pass(rollout, at)?,
@@ -396,6 +401,7 @@
             reason: None,
             steps: Vec::new(),
             extra_calls: 0,
+            test_share: Share::NONE,
             passed: None,
             rule: state.approved.rollout.clone(),
         };
--- a/crates/coordination/src/rollout/steps.rs
+++ b/crates/coordination/src/rollout/steps.rs
@@ -55,6 +55,7 @@
     rollout.passed.is_none().then(|| ExposureLimit {
         share,
         extra: rollout.extra_calls,
+        test_share: rollout.test_share,
         lasts: rollout.window().after(rollout.rule.watch),
     })
 }
--- a/crates/coordination/src/rollout/tests.rs
+++ b/crates/coordination/src/rollout/tests.rs
@@ -134,10 +134,19 @@
         .apply(&command(1, 0, 20, RolloutAction::Advance))
         .unwrap();
     assert_eq!(limit(&rollouts).map(|limit| limit.extra), Some(0));
-    let test = command(1, 1, 30, RolloutAction::Test { extra_calls: 3 });
+    let test = command(
+        1,
+        1,
+        30,
+        RolloutAction::Test {
+            extra_calls: 3,
+            share: Share::percent(40),
+        },
+    );
     rollouts.apply(&test).unwrap();
     assert_eq!(rollouts.get(1).unwrap().phase, RolloutPhase::Testing);
-    assert_eq!(limit(&rollouts).map(|limit| limit.extra), Some(3));
+    let testing = limit(&rollouts).unwrap();
+    assert_eq!((testing.extra, testing.test_share), (3, Share::percent(40)));
     let finish = command(1, 2, 40, RolloutAction::Finish);
     let unfinished = RolloutConflict::WrongPhase(RolloutPhase::Testing);
     assert_eq!(rollouts.apply(&finish), Err(unfinished));
--- a/crates/coordination/src/shares.rs
+++ b/crates/coordination/src/shares.rs
@@ -26,7 +26,7 @@
 use sycamoreflow_state::config::{Candidate, Share, TrafficSplit};
 use sycamoreflow_state::ids::{DaemonId, Millis, VersionName};
 
-use crate::full_load::{self, Turn};
+use crate::full_load::Turn;
 use exposure::{Exposed, ExposureAccount};
 
 pub mod exposure;
@@ -328,7 +328,7 @@
             if self.used_up {
                 return false;
             }
-            self.balance += u64::from(full_load::share(self.endpoints).0);
+            self.balance += u64::from(self.exposure.test_share().0);
             let takes = self.balance >= CALL;
             self.balance -= if takes { CALL } else { 0 };
             return takes;
--- a/crates/coordination/src/shares/exposure.rs
+++ b/crates/coordination/src/shares/exposure.rs
@@ -70,6 +70,11 @@
         self.limit = limit;
     }
 
+    /// Returns the part of the traffic that a test under full load takes.
+    pub(super) fn test_share(&self) -> Share {
+        self.limit.map_or(Share::NONE, |limit| limit.test_share)
+    }
+
     pub(super) fn is_limited(&self) -> bool {
         self.limit.is_some()
     }
--- a/crates/coordination/src/shares/exposure/tests.rs
+++ b/crates/coordination/src/shares/exposure/tests.rs
@@ -9,6 +9,8 @@
 const LIMIT: ExposureLimit = ExposureLimit {
     share: Share::percent(10),
     extra: 0,
+    // A third of the traffic, for three endpoints.
+    test_share: Share(333_333),
     lasts: Millis(12_000),
 };
 const ENDPOINTS: usize = 3;
--- a/crates/state/src/config.rs
+++ b/crates/state/src/config.rs
@@ -222,6 +222,9 @@
     pub share: Share,
     /// Calls beside that part, for each daemon.
     pub extra: u32,
+    /// Part of the traffic that the candidate gets in its test under full load.
+    #[serde(default)]
+    pub test_share: Share,
     /// Time from then on after which the candidate gets nothing, so that it does not keep its calls
     /// when no leader ends the rollout.
     pub lasts: Millis,
--- a/crates/state/src/rollout.rs
+++ b/crates/state/src/rollout.rs
@@ -170,6 +170,9 @@
     /// Calls that each daemon may send beside the permitted part during the test.
     #[serde(default)]
     pub extra_calls: u32,
+    /// Part of the traffic that the new version gets during the test.
+    #[serde(default)]
+    pub test_share: Share,
     /// When the new version passed its test under full load.
     #[serde(default)]
     pub passed: Option<Millis>,
--- a/crates/state/src/rollout/tests.rs
+++ b/crates/state/src/rollout/tests.rs
@@ -23,6 +23,7 @@
         reason: None,
         steps: steps.iter().map(record).collect(),
         extra_calls: 0,
+        test_share: Share::NONE,
         passed: None,
         rule: RolloutRule {
             steps: vec![Share::percent(5), Share::ALL],
