Weigh timeouts as slow calls, not as failures too

Reports now count them apart. The odds of failures leave them out, and an endpoint of the old version that times out more often than others still gives a reference for latencies, as those of its timeouts are known. The sequential test and the counts that operators see are as before. The protocol version is 5: counts have one more number.

--- a/crates/coordination/src/evidence.rs
+++ b/crates/coordination/src/evidence.rs
@@ -77,7 +77,7 @@
 
 /// Counts of calls by outcome.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(from = "(u64, u64, u64)", into = "(u64, u64, u64)")]
+#[serde(from = "WireCounts", into = "WireCounts")]
 pub struct Counts {
     /// All calls.
     pub calls: u64,
@@ -85,6 +85,8 @@
     pub failures: u64,
     /// Calls that were refused.
     pub refusals: u64,
+    /// Failures without an answer in time. They show a slow version as well as a failing one.
+    pub timeouts: u64,
 }
 
 /// Calls of one group of endpoints.
@@ -162,21 +164,27 @@
     pub rollouts: Vec<RolloutEvidence>,
 }
 
-type WireCounts = (u64, u64, u64);
+type WireCounts = (u64, u64, u64, u64);
 
 impl From<WireCounts> for Counts {
-    fn from((calls, failures, refusals): WireCounts) -> Self {
+    fn from((calls, failures, refusals, timeouts): WireCounts) -> Self {
         Self {
             calls,
             failures,
             refusals,
+            timeouts,
         }
     }
 }
 
 impl From<Counts> for WireCounts {
     fn from(counts: Counts) -> Self {
-        (counts.calls, counts.failures, counts.refusals)
+        (
+            counts.calls,
+            counts.failures,
+            counts.refusals,
+            counts.timeouts,
+        )
     }
 }
 
@@ -223,15 +231,25 @@
         self.calls += 1;
         match outcome {
             CallOutcome::Succeeded => {}
-            CallOutcome::Failed | CallOutcome::TimedOut => self.failures += 1,
+            CallOutcome::Failed => self.failures += 1,
+            CallOutcome::TimedOut => {
+                self.failures += 1;
+                self.timeouts += 1;
+            }
             CallOutcome::Refused => self.refusals += 1,
         }
     }
 
+    /// Returns the failures that don't come from an answer that took too long.
+    fn errors(&self) -> u64 {
+        self.failures.saturating_sub(self.timeouts)
+    }
+
     fn merge(&mut self, other: &Self) {
         self.calls = self.calls.saturating_add(other.calls);
         self.failures = self.failures.saturating_add(other.failures);
         self.refusals = self.refusals.saturating_add(other.refusals);
+        self.timeouts = self.timeouts.saturating_add(other.timeouts);
     }
 
     fn since(&self, earlier: &Self) -> Self {
@@ -239,6 +257,7 @@
             calls: self.calls.saturating_sub(earlier.calls),
             failures: self.failures.saturating_sub(earlier.failures),
             refusals: self.refusals.saturating_sub(earlier.refusals),
+            timeouts: self.timeouts.saturating_sub(earlier.timeouts),
         }
     }
 }
@@ -326,7 +345,7 @@
     }
 
     fn encoded_size(&self) -> usize {
-        const COUNTS: usize = 16;
+        const COUNTS: usize = 21;
         const BUCKET: usize = 7;
         let size = |group: &GroupEvidence| COUNTS + BUCKET * group.latency.len();
         self.groups.iter().map(size).sum()
--- a/crates/coordination/src/evidence/odds.rs
+++ b/crates/coordination/src/evidence/odds.rs
@@ -13,7 +13,8 @@
 //! - Without a fault, each endpoint may still be on a bad host, with the probability [`BAD_HOST`]. One
 //!   bad host can therefore neither condemn a version nor hold it back while others do well.
 //! - Failures are compared with a share of failures that both versions have in common, which is known
-//!   from the stable version as well as its calls allow. Latencies: see [`latency`].
+//!   from the stable version as well as its calls allow. Latencies, with those of calls that time out:
+//!   see [`latency`].
 
 use super::sequential::log_sum;
 use super::{Counts, VersionEvidence};
@@ -77,8 +78,9 @@
     }
     let split = |counts: &Counts| {
         let refused = if refusals { counts.refusals } else { 0 };
-        let bad = (counts.failures + refused) as f64;
-        (bad, counts.calls as f64 - bad)
+        let answered = counts.calls.saturating_sub(counts.timeouts) as f64;
+        let bad = (counts.errors() + refused) as f64;
+        (bad, answered - bad)
     };
     let (stable_bad, stable_good) = split(&stable.totals());
     let weight = (MAX_STABLE_CALLS / (stable_bad + stable_good)).min(1.0);
--- a/crates/coordination/src/evidence/odds/latency.rs
+++ b/crates/coordination/src/evidence/odds/latency.rs
@@ -219,7 +219,7 @@
     }
     let failing = |group: &GroupEvidence| {
         let calls = group.counts.calls.max(1) as f64;
-        group.counts.failures as f64 / calls
+        group.counts.errors() as f64 / calls
     };
     let lowest = known.clone().map(failing).fold(f64::INFINITY, f64::min);
     let mut hosts: Vec<(u8, &Histogram)> = known
--- a/crates/coordination/src/evidence/odds/tests.rs
+++ b/crates/coordination/src/evidence/odds/tests.rs
@@ -5,7 +5,7 @@
 use super::super::{GroupEvidence, histogram::shift};
 use super::latency::{Latencies, latency_odds, slow_calls};
 use super::*;
-use crate::pacing::{LAST_STEP_LOG_ODDS, MAX_LOG_ODDS};
+use crate::pacing::{LAST_STEP_LOG_ODDS, MAX_LOG_ODDS, TEST_LOG_ODDS};
 
 /// Calls and failures by endpoint.
 fn version(groups: &[[u64; 2]]) -> VersionEvidence {
@@ -13,7 +13,7 @@
         counts: Counts {
             calls,
             failures,
-            refusals: 0,
+            ..Counts::default()
         },
         ..GroupEvidence::default()
     };
@@ -38,6 +38,24 @@
     assert_eq!(odds > MAX_LOG_ODDS, holds, "{odds}");
 }
 
+/// Guards against a good version that fails its test because one of its hosts is slow, so that calls to it
+/// time out: those are weighed as slow calls.
+#[test]
+fn failure_odds_timeouts_of_slow_host() {
+    let group = |calls, failures, timeouts| GroupEvidence {
+        counts: Counts {
+            calls,
+            failures,
+            timeouts,
+            ..Counts::default()
+        },
+        ..GroupEvidence::default()
+    };
+    let candidate = vec![group(58, 9, 9), group(44, 2, 1), group(39, 1, 0)];
+    let odds = failure_odds(&version(&[[900, 6]]), &candidate.into(), true);
+    assert!(odds < TEST_LOG_ODDS.failures, "{odds}");
+}
+
 /// Guards against a verdict without calls.
 #[test]
 fn failure_odds_no_calls() {
--- a/crates/coordination/src/evidence/tests.rs
+++ b/crates/coordination/src/evidence/tests.rs
@@ -352,7 +352,7 @@
         counts: Counts {
             calls,
             failures,
-            refusals: 0,
+            ..Counts::default()
         },
         ..GroupEvidence::default()
     };
@@ -375,7 +375,7 @@
             let counts = Counts {
                 calls,
                 failures,
-                refusals: 0,
+                ..Counts::default()
             };
             let group = GroupEvidence {
                 counts,
--- a/crates/protocol/src/handshake.rs
+++ b/crates/protocol/src/handshake.rs
@@ -20,7 +20,7 @@
 mod tests;
 
 /// Version of the protocol between daemons. Daemons of different versions refuse each other.
-pub const PROTOCOL_VERSION: u16 = 4;
+pub const PROTOCOL_VERSION: u16 = 5;
 
 /// Length of a nonce in bytes.
 pub const NONCE_BYTES: usize = 32;
