--- a/crates/coordination/src/evidence/comparison/route.rs
+++ b/crates/coordination/src/evidence/comparison/route.rs
@@ -72,7 +72,7 @@
         self.is_thin = slow.is_none();
         let RouteEvidence { stable, candidate } = &self.step;
         self.step_odds = Odds {
-            failures: failure_odds(stable, candidate, rules.refusals_are_bad),
+            failures: failure_odds(stable, candidate, rules.refusals_are_bad, rules.margin),
             slow: slow.unwrap_or_default(),
         };
     }
--- a/crates/coordination/src/evidence/odds.rs
+++ b/crates/coordination/src/evidence/odds.rs
@@ -29,6 +29,10 @@
 /// Parts of the calls that a clear fault makes fail, each as likely as the others. Versions that are
 /// really bad fail a tenth of their calls or more.
 const FAULTY_PARTS: [f64; 3] = [0.12, 0.3, 0.6];
+/// The same for as many calls as [`MANY_CALLS`]. Fewer cannot tell the smallest part from a good version.
+const FAULTY_PARTS_OF_MANY: [f64; 4] = [0.06, 0.12, 0.3, 0.6];
+/// Calls of the candidate of which the smallest part makes 18.
+const MANY_CALLS: u64 = 300;
 /// Calls of the stable version that count at most. Its hosts differ, so that more calls don't tell
 /// more about those of the candidate.
 const MAX_STABLE_CALLS: f64 = 400.0;
@@ -71,9 +75,24 @@
     }
 }
 
-/// Returns the log odds of a fault by the calls that failed or, with `refusals`, were refused.
-pub fn failure_odds(stable: &VersionEvidence, candidate: &VersionEvidence, refusals: bool) -> f64 {
-    if candidate.calls() == 0 || stable.calls() == 0 {
+/// Returns the log odds of a fault by the calls that failed or, with `refusals`, were refused. `permitted`
+/// is the part of the calls that may fail beyond those of the stable version.
+pub fn failure_odds(
+    stable: &VersionEvidence,
+    candidate: &VersionEvidence,
+    refusals: bool,
+    permitted: f64,
+) -> f64 {
+    let parts: &[f64] = match candidate.calls() >= MANY_CALLS {
+        true => &FAULTY_PARTS_OF_MANY,
+        false => &FAULTY_PARTS,
+    };
+    let parts: Vec<f64> = parts
+        .iter()
+        .copied()
+        .filter(|part| *part > permitted)
+        .collect();
+    if candidate.calls() == 0 || stable.calls() == 0 || parts.is_empty() {
         return 0.0;
     }
     let split = |counts: &Counts| {
@@ -91,15 +110,18 @@
         .collect();
     let likelihood =
         |(bad, good): (f64, f64), share: f64| bad * share.ln() + good * (-share).ln_1p();
-    let mut faulty = Vec::with_capacity(USUAL_SHARES * FAULTY_PARTS.len());
+    let mut faulty = Vec::with_capacity(USUAL_SHARES * parts.len());
     let mut faultless = Vec::with_capacity(USUAL_SHARES);
     for usual in usual_shares() {
         let known = weight * likelihood((stable_bad, stable_good), usual);
-        let with = FAULTY_PARTS.map(|part| usual + (1.0 - usual) * part);
-        let mut sums = [known; FAULTY_PARTS.len()];
+        let with = parts.iter().map(|part| usual + (1.0 - usual) * part);
+        let mut sums = vec![known; parts.len()];
         let mut without = known;
         for group in &groups {
-            let bad = with.map(|share| likelihood(*group, share));
+            let bad: Vec<f64> = with
+                .clone()
+                .map(|share| likelihood(*group, share))
+                .collect();
             without += host_likelihood(likelihood(*group, usual), &bad);
             for (sum, bad) in sums.iter_mut().zip(bad) {
                 *sum += bad;
--- a/crates/coordination/src/evidence/odds/tests.rs
+++ b/crates/coordination/src/evidence/odds/tests.rs
@@ -7,6 +7,9 @@
 use super::*;
 use crate::pacing::{LAST_STEP_LOG_ODDS, MAX_LOG_ODDS, TEST_LOG_ODDS};
 
+/// Part of the calls that may fail beyond those of the stable version.
+const PERMITTED: f64 = 0.05;
+
 /// Calls and failures by endpoint.
 fn version(groups: &[[u64; 2]]) -> VersionEvidence {
     let group = |&[calls, failures]: &[u64; 2]| GroupEvidence {
@@ -29,12 +32,14 @@
 #[case::faulty_among_failures(&[[27, 13], [27, 13], [26, 14]], [1_500, 450], true)]
 #[case::one_bad_host(&[[27, 20], [27, 0], [26, 1]], [1_500, 30], false)]
 #[case::route_that_fails(&[[1, 1], [2, 2]], [8, 8], false)]
+#[case::few_of_many_calls(&[[120, 8], [120, 9], [120, 8]], [3_000, 15], true)]
+#[case::good_of_many_calls(&[[120, 1], [120, 3], [120, 2]], [3_000, 15], false)]
 fn failure_odds_hold(
     #[case] candidate: &[[u64; 2]],
     #[case] stable: [u64; 2],
     #[case] holds: bool,
 ) {
-    let odds = failure_odds(&version(&[stable]), &version(candidate), true);
+    let odds = failure_odds(&version(&[stable]), &version(candidate), true, PERMITTED);
     assert_eq!(odds > MAX_LOG_ODDS, holds, "{odds}");
 }
 
@@ -52,7 +57,7 @@
         ..GroupEvidence::default()
     };
     let candidate = vec![group(58, 9, 9), group(44, 2, 1), group(39, 1, 0)];
-    let odds = failure_odds(&version(&[[900, 6]]), &candidate.into(), true);
+    let odds = failure_odds(&version(&[[900, 6]]), &candidate.into(), true, PERMITTED);
     assert!(odds < TEST_LOG_ODDS.failures, "{odds}");
 }
 
@@ -60,10 +65,13 @@
 #[test]
 fn failure_odds_no_calls() {
     assert_eq!(
-        failure_odds(&version(&[[100, 2]]), &version(&[]), true),
+        failure_odds(&version(&[[100, 2]]), &version(&[]), true, PERMITTED),
+        0.0
+    );
+    assert_eq!(
+        failure_odds(&version(&[]), &version(&[[5, 5]]), true, PERMITTED),
         0.0
     );
-    assert_eq!(failure_odds(&version(&[]), &version(&[[5, 5]]), true), 0.0);
 }
 
 /// Latencies of a version in milliseconds: by endpoint, the speed and the part of the calls that take
