--- a/crates/coordination/src/pacing/tests/orders.rs
+++ b/crates/coordination/src/pacing/tests/orders.rs
@@ -113,6 +113,8 @@
     /// When the new version first had more than its part of the calls since the order, before it was
     /// completed.
     over_account: Option<Millis>,
+    /// Whether that was before it had passed its test.
+    is_over_before_pass: bool,
     completed_at: Option<Millis>,
     taken_back_at: Option<Millis>,
 }
@@ -203,6 +205,7 @@
                 bad_answers: Vec::new(),
                 last_exposed: Millis(0),
                 over_account: None,
+                is_over_before_pass: false,
                 completed_at: None,
                 taken_back_at: None,
             },
@@ -247,6 +250,9 @@
         if is_over && outcome.completed_at.is_none() {
             outcome.over_account.get_or_insert(now);
         }
+        let rollout = self.rollouts.get(1);
+        let has_passed = rollout.is_some_and(|rollout| rollout.passed.is_some());
+        outcome.is_over_before_pass |= is_over && !has_passed;
     }
 
     fn disturb(&mut self, now: Millis) {
@@ -424,8 +430,13 @@
     }
 }
 
-fn play_all(case: &Case) -> impl Iterator<Item = Outcome> {
-    (0..SEEDS).map(move |seed| World::new(case, seed).play())
+/// Plays a case with each seed. Whatever a version is like, it must keep to its part until it has passed.
+fn play_all(case: &Case) -> Vec<Outcome> {
+    let play = |seed| World::new(case, seed).play();
+    let outcomes: Vec<Outcome> = (0..SEEDS).map(play).collect();
+    let over = outcomes.iter().filter(|o| o.is_over_before_pass).count();
+    assert_eq!(over, 0, "rollouts that had more than their part");
+    outcomes
 }
 
 /// Guards against the incident EXPOSURE: a version that answers slowly gets traffic on the strength
@@ -452,7 +463,7 @@
 #[case::half_four_times_timeouts_among_slow(Case { bad: 0.5, factor: 4.0, slow_upstreams: 1, ..BRIEF })]
 #[case::half_three_times_timeouts_disturbed(Case { bad: 0.5, factor: 3.0, slow_upstreams: 1, disturbed: true, ..BRIEF })]
 fn order_bad_version(#[case] case: Case) {
-    let outcomes: Vec<Outcome> = play_all(&case).collect();
+    let outcomes = play_all(&case);
     let exposed = outcomes.iter().filter(|o| o.is_exposed()).count();
     let kept = outcomes
         .iter()
@@ -478,7 +489,7 @@
 #[case::timeouts_slow_upstream(Case { slow_upstreams: 1, ..BRIEF })]
 #[case::timeouts_disturbed(Case { slow_upstreams: 1, disturbed: true, ..BRIEF })]
 fn order_good_version(#[case] case: Case) {
-    let outcomes: Vec<Outcome> = play_all(&case).collect();
+    let outcomes = play_all(&case);
     let missed = outcomes
         .iter()
         .filter(|o| !Outcome::is_in_time(o.completed_at))
@@ -511,7 +522,7 @@
 #[case::disturbed_slow(Case { factor: 8.0, disturbed: true, ..UNDER_LOAD })]
 #[case::leader_lost(Case { new_leader: Some(Millis(13_600)), disturbed: true, ..UNDER_LOAD })]
 fn order_bad_under_load(#[case] case: Case) {
-    let outcomes: Vec<Outcome> = play_all(&case).collect();
+    let outcomes = play_all(&case);
     let exposed = outcomes.iter().filter(|o| o.is_exposed()).count();
     let completed = outcomes.iter().filter(|o| o.completed_at.is_some()).count();
     println!("{exposed} exposed, {completed} completed, of {SEEDS}");
@@ -533,7 +544,7 @@
 #[case::restart_late_in_test(Case { disturbed: true, restart: Millis(14_000), ..UNDER_LOAD })]
 #[case::good_restart_in_test(Case { disturbed: true, restart: Millis(13_600), ..GOOD })]
 fn order_account_holds(#[case] case: Case) {
-    let outcomes: Vec<Outcome> = play_all(&case).collect();
+    let outcomes = play_all(&case);
     let over = outcomes.iter().filter(|o| o.over_account.is_some()).count();
     println!("{over} of {SEEDS} had more than their part");
     assert_eq!(over, 0);
