--- a/crates/coordination/src/pacing.rs
+++ b/crates/coordination/src/pacing.rs
@@ -321,7 +321,7 @@
         RolloutPhase::Testing => RolloutAction::Pass,
         _ if is_test_next(rollout) => RolloutAction::Test {
             extra_calls: extra_calls(rollout, tracker),
-            share: test_share(now, rollout, tracker, capacity[1]),
+            share: share_of_test(now, rollout, tracker, capacity[1]),
         },
         _ => RolloutAction::Advance,
     })
@@ -394,7 +394,7 @@
 
 /// Returns the part of the traffic that a test takes: what brings the tested endpoints to full load, as far
 /// as there is room for all turns, but at least what they will have when the version is alone.
-fn test_share(now: Millis, rollout: &Rollout, tracker: &Tracker, candidate: Capacity) -> Share {
+fn share_of_test(now: Millis, rollout: &Rollout, tracker: &Tracker, candidate: Capacity) -> Share {
     let endpoints = candidate.endpoints as usize;
     let least = full_load::share(endpoints);
     let (Some(limit), Some(rate), Some(latency_ms)) = (
@@ -443,7 +443,7 @@
     if !heard || !tracker.has_reports(now) {
         return Waiting::Reports;
     }
-    let test_share = test_share(now, rollout, tracker, candidate);
+    let test_share = share_of_test(now, rollout, tracker, candidate);
     let need = Need::of_next_step(rollout, rate, candidate.endpoints, test_share);
     if !has_room(now, rollout, tracker, candidate.endpoints) && now < plan.forced_step {
         return Waiting::Exposure;
