--- a/crates/coordination/src/evidence/odds/tests.rs
+++ b/crates/coordination/src/evidence/odds/tests.rs
@@ -142,6 +142,44 @@
     assert!(wrong[0] <= 20 && wrong[1] <= 4, "{wrong:?}");
 }
 
+/// Pattern: a test during which the old version gets few calls, most of them at its fastest endpoint.
+///
+/// Guards against good versions that look slow because another endpoint of the old version has too few calls
+/// at the same time, so that the fastest one is taken for the usual one; and against slow versions that
+/// look good in the same circumstances.
+#[rstest]
+#[case::good(0.0, false)]
+#[case::half(0.5, true)]
+fn latency_odds_missing_host(#[case] part: f64, #[case] is_faulty: bool) {
+    let mut wrong = 0;
+    let mut all = Vec::new();
+    for seed in 0..200 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let hosts = [0.55, 1.2, 1.2].map(|speed| (speed, 0.0));
+        let earlier = latencies(&mut rng, 900, &hosts, 1.0);
+        let same_time = [(245, 0.55), (96, 1.2), (10, 1.2)].map(|(calls, speed)| {
+            latencies(&mut rng, calls, &[(speed, 0.0)], 1.0).groups()[0].clone()
+        });
+        let hosts = [1.0, 1.2, 0.9].map(|speed| (speed, part));
+        let candidate = latencies(&mut rng, 130, &hosts, 4.0);
+        let latencies = Latencies {
+            stable: &same_time.to_vec().into(),
+            earlier_stable: &earlier,
+            candidate: &candidate,
+            waiting: &VersionEvidence::default(),
+        };
+        let odds = latency_odds(&latencies, shift(250)).unwrap();
+        all.push(odds);
+        wrong += usize::from((odds > TEST_LOG_ODDS.slow) != is_faulty);
+    }
+    all.sort_by(f64::total_cmp);
+    println!(
+        "{wrong} wrong, odds {:.1} {:.1} {:.1}",
+        all[20], all[100], all[180]
+    );
+    assert!(wrong <= 10, "{wrong}");
+}
+
 /// Pattern: one second after a step, the fast answers of a slow version have arrived.
 ///
 /// Guards against a version that looks good because its slow answers are still to come.
