--- a/crates/coordination/src/evidence/odds.rs
+++ b/crates/coordination/src/evidence/odds.rs
@@ -114,13 +114,16 @@
     let mut faultless = Vec::with_capacity(USUAL_SHARES);
     for usual in usual_shares() {
         let known = weight * likelihood((stable_bad, stable_good), usual);
-        let with = parts.iter().map(|part| usual + (1.0 - usual) * part);
+        let with: Vec<f64> = parts
+            .iter()
+            .map(|part| usual + (1.0 - usual) * part)
+            .collect();
         let mut sums = vec![known; parts.len()];
         let mut without = known;
         for group in &groups {
             let bad: Vec<f64> = with
-                .clone()
-                .map(|share| likelihood(*group, share))
+                .iter()
+                .map(|share| likelihood(*group, *share))
                 .collect();
             without += host_likelihood(likelihood(*group, usual), &bad);
             for (sum, bad) in sums.iter_mut().zip(bad) {
--- a/crates/coordination/src/full_load.rs
+++ b/crates/coordination/src/full_load.rs
@@ -28,6 +28,8 @@
 const FULL_LOAD: f64 = 0.9;
 /// One call in this many goes to the stable version also if all endpoints are in use.
 const CONTROL_PART: u32 = 8;
+/// Part of the traffic that a test takes at most.
+const MOST: Share = Share(Share::ALL.0 - Share::ALL.0 / CONTROL_PART);
 
 /// The endpoints of the new version that are in use, by their rank.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -62,16 +64,16 @@
     let endpoints = endpoints.max(1);
     let used = f64::from(slots) * active(endpoints) as f64 / endpoints as f64;
     let part = FULL_LOAD * used / in_progress.max(f64::MIN_POSITIVE);
-    let most = Share::ALL.0 - Share::ALL.0 / CONTROL_PART;
-    let loaded = Share((part * f64::from(Share::ALL.0)).min(f64::from(most)) as u32);
-    loaded.max(share(endpoints))
+    // A conversion to an integer saturates.
+    let loaded = Share((part * f64::from(Share::ALL.0)) as u32);
+    loaded.min(MOST).max(share(endpoints))
 }
 
 /// Returns the part of the traffic that the endpoints in use have when the version is alone.
 pub fn share(endpoints: usize) -> Share {
     let endpoints = endpoints.max(1);
     let part = u64::from(Share::ALL.0) * active(endpoints) as u64 / endpoints as u64;
-    Share((part as u32).min(Share::ALL.0 - Share::ALL.0 / CONTROL_PART))
+    Share(part as u32).min(MOST)
 }
 
 /// Returns the time after which each endpoint has had a turn.
--- a/crates/coordination/src/pacing.rs
+++ b/crates/coordination/src/pacing.rs
@@ -393,12 +393,13 @@
 }
 
 /// Returns the part of the traffic that a test takes: what brings the tested endpoints to full load, as far
-/// as there is room for all turns, but at least what they will have when the version is alone.
+/// as there is room for all turns, but at least what they will have when the version is alone. While another
+/// step is next it is the latter: the room takes a pass over all daemons.
 fn share_of_test(now: Millis, rollout: &Rollout, tracker: &Tracker, candidate: Capacity) -> Share {
     let endpoints = candidate.endpoints as usize;
     let least = full_load::share(endpoints);
     let (Some(limit), Some(rate), Some(latency_ms)) = (
-        rollout.rule.max_exposure,
+        rollout.rule.max_exposure.filter(|_| is_test_next(rollout)),
         tracker.calls_per_second().filter(|rate| *rate > 0.0),
         tracker.mean_latency_ms(),
     ) else {
