Let requests wait for the first view of a daemon that has just started

Cause: after a power loss of all hosts, a daemon refused every request until it had a view, with a Retry-After derived from one second. At 300 machines the views come up to 2.4 s after the start.

Change: coordination::startup decides which requests wait, for at most two thirds of the time that the caller has, at most until 4 s after the start, at most 512 requests and 4 MiB. A request that would have to be refused before the view is expected is refused at once. Deadline and target latency count from the arrival.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -23,4 +23,5 @@
 pub mod routing;
 pub mod shares;
 pub mod split;
+pub mod startup;
 pub mod suspect;
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -36,6 +36,7 @@
 use crate::proxy::links::CallLinks;
 use crate::proxy::owner::Owner;
 use crate::proxy::service::Service;
+use crate::proxy::startup::ViewWaiters;
 use crate::proxy::table::{Route, RouteTable};
 use crate::proxy::trace::Trace;
 
@@ -47,6 +48,7 @@
 pub mod links;
 pub mod owner;
 pub mod service;
+mod startup;
 pub mod table;
 mod trace;
 
@@ -56,15 +58,6 @@
 /// Delay after which a refused caller may retry, unless the service has a better estimate.
 const DEFAULT_RETRY_AFTER: Millis = Millis(300);
 
-/// Expected time from the start of a daemon until it has a view, if the whole mesh has restarted:
-/// an election, the subscription and the transfer of the state. With replicas limited to 0.075
-/// cores it took 1.4 s. Most callers retry earlier, because they wait for at most a third of the
-/// time that they have for the request.
-const EXPECTED_STARTUP_TIME: Millis = Millis(1_000);
-
-/// Minimum delay after which a caller is asked to retry at a daemon without a view.
-const MIN_STARTUP_RETRY_AFTER: Millis = Millis(150);
-
 /// Latency between data centres that the router assumes before it has measurements.
 const INITIAL_REMOTE_LATENCY: Micros = Micros(1_000);
 
@@ -74,13 +67,15 @@
 /// The request path of a daemon.
 ///
 /// It serves the requests of callers and the calls that other daemons forward. Until the first
-/// [`Proxy::activate`], it refuses callers with [`Reason::NotReady`].
+/// [`Proxy::activate`], requests wait for the view as long as their time allows, and are then
+/// refused with [`Reason::NotReady`].
 pub struct Proxy {
     daemon: DaemonId,
     data_centre: DataCentre,
     incarnation: u64,
-    started: Millis,
     active: ArcSwapOption<Active>,
+    /// Requests that wait for the first view.
+    view_waiters: ViewWaiters,
     services: RwLock<HashMap<ServiceName, Arc<Service>>>,
     links: CallLinks,
     owner: Arc<Owner>,
@@ -138,8 +133,8 @@
             daemon: components.daemon,
             data_centre: components.data_centre,
             incarnation: components.incarnation,
-            started: clock::now(),
             active: ArcSwapOption::empty(),
+            view_waiters: ViewWaiters::new(clock::now()),
             services: RwLock::default(),
             links: components.links,
             owner: components.owner,
@@ -213,6 +208,7 @@
             view: view.clone(),
         };
         self.active.store(Some(Arc::new(active)));
+        self.view_waiters.wake();
         self.services
             .write()
             .retain(|name, _| used_services.contains(name));
@@ -347,16 +343,19 @@
         };
         let tenant = caller.tenant.clone();
         trace.request_id = caller.request_id.clone();
+        let arrived = clock::now();
+        if self.active.load().is_none() {
+            let is_active = || self.active.load().is_some();
+            let wait =
+                self.view_waiters
+                    .wait(arrived, caller.remaining, req.body().len(), is_active);
+            trace.retry_after = wait.await.err();
+        }
         let Some(active) = self.active.load_full() else {
-            let remaining = self
-                .started
-                .after(EXPECTED_STARTUP_TIME)
-                .since(clock::now());
-            trace.retry_after = Some(remaining.max(MIN_STARTUP_RETRY_AFTER));
             return (Err(Failure::not_run(Reason::NotReady)), tenant);
         };
         trace.view = Some(active.view.version());
-        let admitted = match self.admit(&active, caller, &req) {
+        let admitted = match self.admit(&active, caller, &req, arrived) {
             Ok(admitted) => admitted,
             // Unknown tenants must not become metric labels, whose number would be unbounded.
             Err(failure) => return (Err(failure), TenantName::from(DEFAULT_TENANT)),
@@ -405,11 +404,14 @@
         self.keys.run_once(keyed, run).await
     }
 
+    /// Checks a request that arrived at `arrived`. Its deadline and its target latency count from
+    /// then, whether or not it has waited for the view since.
     fn admit(
         &self,
         active: &Active,
         caller: CallerHeaders,
         req: &Request<Bytes>,
+        arrived: Millis,
     ) -> Result<AdmittedRequest> {
         let tenant = caller.tenant;
         let is_known_tenant =
@@ -429,14 +431,13 @@
         let service = self.services.read().get(&service_name).cloned();
         let service = service.ok_or(Failure::not_run(Reason::NoEndpoint))?;
         let delivery = &route.config.delivery;
-        let now = clock::now();
         let timeout = route.config.timeout;
         let remaining = caller.remaining.map_or(timeout, |r| r.min(timeout));
         // A route that sets the number of attempts also decides whether its requests are
         // idempotent.
         let by_method = delivery.max_attempts.is_none() && req.method().is_idempotent();
         let idempotent = route.config.idempotent || by_method;
-        let deadline = now.after(remaining);
+        let deadline = arrived.after(remaining);
         if self.owner.must_refuse_for_stop(deadline, idempotent) {
             return Err(Failure::not_run(Reason::Draining));
         }
@@ -450,7 +451,7 @@
             key: caller.key.filter(|_| !idempotent),
             request_id: caller.request_id,
             priority: delivery.priority,
-            target: delivery.target_latency.map(|target| now.after(target)),
+            target: delivery.target_latency.map(|target| arrived.after(target)),
             max_attempts: delivery
                 .max_attempts
                 .map_or(MAX_ATTEMPTS, |max| max as usize),
--- a/crates/daemon/tests/processes/mass_restart.rs
+++ b/crates/daemon/tests/processes/mass_restart.rs
@@ -1,10 +1,14 @@
-//! Simultaneous restart of all daemons except the control replicas.
+//! Restarts of daemons that are not control replicas, one of them or all at once.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
+use async_std::task;
 use eyre::{ensure, eyre};
+use sycamoreflow_testbed::caller;
 
-use crate::support::{VersionWatch, approve_everywhere, mesh, run, wait_for_version};
+use crate::support::{
+    VersionWatch, approve_everywhere, call, header, mesh, run, start_upstreams, wait_for_version,
+};
 
 /// Maximum control traffic of a daemon for a restart, in bytes. A full view of this mesh has about
 /// 1 KiB, and a daemon contacts a few others to stage versions and to subscribe.
@@ -46,3 +50,35 @@
         watch.finish().await
     })
 }
+
+/// Guards against refusing the callers of a daemon that has just started: their requests wait for
+/// its view for up to 2 s.
+#[test]
+fn restart_call_before_view() -> eyre::Result<()> {
+    const MIN_WAIT: Duration = Duration::from_secs(2);
+    run(async {
+        let mut mesh = mesh(6)?;
+        approve_everywhere(&mesh, 1).await?;
+        let _upstreams = start_upstreams(&mesh, &[3], Duration::from_millis(5)).await?;
+        let restarted = 5;
+        mesh.kill(restarted);
+        mesh.spawn(restarted)?;
+        let client = caller::client();
+        let address = mesh.calls_address(restarted);
+        // Until the daemon listens, calls fail without a response.
+        let (started, response) = loop {
+            let started = Instant::now();
+            match call(&client, address, "POST").await {
+                Ok(response) => break (started, response),
+                Err(_) => task::sleep(Duration::from_millis(2)).await,
+            }
+        };
+        let waited = started.elapsed();
+        let reason = header(&response, "sycamoreflow-reason");
+        ensure!(
+            response.status() == 200 || waited >= MIN_WAIT,
+            "refused as {reason:?} after {waited:?}"
+        );
+        Ok(())
+    })
+}
