Check every reported endpoint at each border, and survive odd names in tables

Cause: an announcement with port 0, the address 0.0.0.0, a service name with control characters or of 2,000,000 bytes was accepted and carried to every daemon; the command endpoints then panicked for all endpoints, since a format width above 65,535 panics.

Change: Announcement::check and Endpoint::check (names of 1 to 256 bytes without control characters, slots, address).

--- a/crates/coordination/src/leases.rs
+++ b/crates/coordination/src/leases.rs
@@ -82,6 +82,9 @@
         self.baselines.clear();
         self.draining_daemons.clear();
         for endpoint in copy {
+            if endpoint.check().is_err() {
+                continue;
+            }
             if endpoint.draining {
                 self.draining_daemons.insert(endpoint.daemon.clone());
             }
@@ -95,23 +98,23 @@
         self.last_tick = now;
     }
 
-    /// Renews the leases of the endpoints of `daemon`; endpoints of other daemons are ignored. An
-    /// endpoint that is no longer announced is removed immediately, since its upstream has shut
+    /// Renews the leases of the endpoints of `daemon`; endpoints of other daemons and invalid ones
+    /// are ignored. An endpoint that is no longer announced is removed immediately, since its upstream has shut
     /// down gracefully. Returns whether a change is visible to proxies.
     pub fn renew(&mut self, now: Millis, daemon: &DaemonId, announced: &[Endpoint]) -> bool {
+        let is_valid =
+            |endpoint: &&Endpoint| endpoint.daemon == *daemon && endpoint.check().is_ok();
         let mut changed = false;
         let known: Vec<EndpointKey> = self.keys_of(daemon);
         for key in known {
-            if announced.iter().any(|endpoint| key_of(endpoint) == key) {
+            let is_announced = |endpoint: &Endpoint| key_of(endpoint) == key;
+            if announced.iter().filter(is_valid).any(is_announced) {
                 continue;
             }
             self.remove(&key);
             changed = true;
         }
-        for endpoint in announced {
-            if endpoint.daemon != *daemon {
-                continue;
-            }
+        for endpoint in announced.iter().filter(is_valid) {
             changed |= self.renew_one(now, endpoint);
         }
         if announced.is_empty() {
--- a/crates/coordination/src/leases/tests.rs
+++ b/crates/coordination/src/leases/tests.rs
@@ -125,3 +125,33 @@
     assert_eq!(next.version(), EndpointVersion { term: 4, seq: 1 });
     assert_eq!(next.endpoints().count(), 50);
 }
+
+/// Guards against one invalid entry that reaches all daemons, or that removes the entries beside
+/// it, and against a daemon that is not believed again after it has reported one.
+#[test]
+fn renew_invalid_entry() {
+    let mut leases = Leases::default();
+    let daemon = DaemonId::from("a");
+    let valid = endpoint("a");
+    let mut odd = endpoint("a");
+    odd.service = "catalogue".into();
+    odd.address.set_port(0);
+    assert!(leases.renew(Millis(0), &daemon, &[odd.clone(), valid.clone()]));
+    assert!(leases.endpoints().eq([&valid]));
+    odd.address.set_port(7);
+    assert!(leases.renew(Millis(10), &daemon, &[odd.clone(), valid.clone()]));
+    assert_eq!(leases.endpoints().count(), 2);
+    odd.slots = 0;
+    assert!(leases.renew(Millis(20), &daemon, &[odd, valid.clone()]));
+    assert!(leases.endpoints().eq([&valid]));
+}
+
+/// Guards against a copy with an invalid entry from a replica that did not check it.
+#[test]
+fn take_over_invalid_entry() {
+    let mut leases = Leases::default();
+    let mut odd = endpoint("b");
+    odd.version = "v".repeat(2_000_000).into();
+    leases.take_over(Millis(0), 3, [endpoint("a"), odd]);
+    assert!(leases.endpoints().eq([&endpoint("a")]));
+}
--- a/crates/daemon/src/announce_api.rs
+++ b/crates/daemon/src/announce_api.rs
@@ -22,9 +22,6 @@
 /// Path that returns 200 once the daemon has a view in force, and 503 before.
 pub const READY_PATH: &str = "/ready";
 
-/// Maximum number of slots that an upstream may announce.
-const MAX_SLOTS: u32 = 100_000;
-
 /// State shared by the request handlers.
 #[derive(Clone)]
 pub struct AnnounceState {
@@ -57,8 +54,8 @@
         Ok(announcement) => announcement,
         Err(error) => return bad_request(&format!("the announcement is malformed: {error}")),
     };
-    if let Some(problem) = validate(&announcement) {
-        return bad_request(problem);
+    if let Err(error) = announcement.check() {
+        return bad_request(&error.to_string());
     }
     let state = req.state();
     if state.proxy.owner().announce(announcement) {
@@ -107,16 +104,6 @@
     Ok(Response::new(status))
 }
 
-fn validate(announcement: &Announcement) -> Option<&'static str> {
-    if announcement.slots == 0 || announcement.slots > MAX_SLOTS {
-        return Some("slots: must be between 1 and 100000");
-    }
-    if announcement.service.as_str().is_empty() || announcement.version.as_str().is_empty() {
-        return Some("service and version: must not be empty");
-    }
-    None
-}
-
 fn bad_request(message: &str) -> tide::Result {
     let mut response = Response::new(StatusCode::BadRequest);
     let body = ErrorResponse::new(ErrorCode::BadRequest, message);
--- a/crates/daemon/src/control/leader.rs
+++ b/crates/daemon/src/control/leader.rs
@@ -139,6 +139,9 @@
                 if let Some(in_force) = in_force {
                     state.in_force = in_force;
                 }
+                let is_invalid = |endpoint: &&Endpoint| endpoint.check().is_err();
+                let invalid = endpoints.iter().filter(is_invalid).count();
+                metrics::counter!("sycamoreflow_invalid_endpoints_total").increment(invalid as u64);
                 self.dirty |= self.leases.renew(now, &daemon, &endpoints);
             }
             ToLeader::InForce(version) => {
--- a/crates/state/src/endpoint.rs
+++ b/crates/state/src/endpoint.rs
@@ -1,10 +1,73 @@
 //! Upstreams as they announce themselves, and endpoints as proxies see them.
+//!
+//! Both come from other processes, so every reader checks each entry and leaves out an invalid one.
+//! An invalid entry must not affect the entries beside it, or end the reader
+//! (`docs/failures.md`).
 
+use std::fmt;
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{DaemonId, DataCentre, ServiceName, VersionName};
+use crate::ids::{DaemonId, DataCentre, ServiceName, VersionName, is_valid_name};
+
+#[cfg(test)]
+mod tests;
+
+/// Maximum number of slots of an upstream.
+pub const MAX_SLOTS: u32 = 100_000;
+
+/// Result of a check of an entry.
+pub type Result<T> = std::result::Result<T, InvalidEntry>;
+
+/// Reason why an announcement or an endpoint cannot be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum InvalidEntry {
+    /// The name in this field is empty, too long or contains control characters.
+    Name(&'static str),
+    /// The number of slots is 0 or greater than [`MAX_SLOTS`].
+    Slots,
+    /// No connection can be opened to the address.
+    Address,
+}
+
+impl fmt::Display for InvalidEntry {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Name(field) => write!(
+                f,
+                "{field}: must have 1 to {} bytes and no control characters",
+                crate::ids::MAX_NAME_BYTES
+            ),
+            Self::Slots => write!(f, "slots: must be between 1 and {MAX_SLOTS}"),
+            Self::Address => f.write_str("address: must have an address of a host and a port"),
+        }
+    }
+}
+
+impl std::error::Error for InvalidEntry {}
+
+fn check_name(field: &'static str, name: &str) -> Result<()> {
+    match is_valid_name(name) {
+        true => Ok(()),
+        false => Err(InvalidEntry::Name(field)),
+    }
+}
+
+fn check_slots(slots: u32) -> Result<()> {
+    match (1..=MAX_SLOTS).contains(&slots) {
+        true => Ok(()),
+        false => Err(InvalidEntry::Slots),
+    }
+}
+
+fn check_address(address: SocketAddr) -> Result<()> {
+    let ip = address.ip();
+    match address.port() == 0 || ip.is_unspecified() || ip.is_multicast() {
+        true => Err(InvalidEntry::Address),
+        false => Ok(()),
+    }
+}
 
 /// Announcement of an upstream to the daemon on its host. The upstream must renew it before the
 /// lease expires.
@@ -25,6 +88,20 @@
     pub load_path: Option<String>,
 }
 
+impl Announcement {
+    /// Checks that the upstream can be used and its names can be passed on.
+    ///
+    /// # Errors
+    ///
+    /// The first field that is invalid.
+    pub fn check(&self) -> Result<()> {
+        check_name("service", self.service.as_str())?;
+        check_name("version", self.version.as_str())?;
+        check_address(self.address)?;
+        check_slots(self.slots)
+    }
+}
+
 /// An upstream that other daemons can send requests to.
 ///
 /// `address` belongs to the daemon on the host of the upstream, since other daemons reach the
@@ -47,3 +124,19 @@
     /// Whether the upstream is draining and receives no new requests.
     pub draining: bool,
 }
+
+impl Endpoint {
+    /// Checks that the endpoint can be used and its names can be passed on.
+    ///
+    /// # Errors
+    ///
+    /// The first field that is invalid.
+    pub fn check(&self) -> Result<()> {
+        check_name("daemon", self.daemon.as_str())?;
+        check_name("service", self.service.as_str())?;
+        check_name("version", self.version.as_str())?;
+        check_name("data-centre", self.data_centre.as_str())?;
+        check_address(self.address)?;
+        check_slots(self.slots)
+    }
+}
--- a/crates/state/src/ids.rs
+++ b/crates/state/src/ids.rs
@@ -83,6 +83,19 @@
     RequestId
 );
 
+/// Maximum length of a name that another process reports, in bytes.
+pub const MAX_NAME_BYTES: usize = 256;
+
+/// Returns whether a name that another process reports may be used: it has 1 to
+/// [`MAX_NAME_BYTES`] bytes and no control characters.
+///
+/// Every reader of reported names checks them, because each name is sent to all daemons and written
+/// into logs, metrics and tables. Names in answers follow the narrower rules of
+/// [`crate::generate`].
+pub fn is_valid_name(name: &str) -> bool {
+    (1..=MAX_NAME_BYTES).contains(&name.len()) && !name.contains(char::is_control)
+}
+
 /// Version of the accepted configuration, incremented by one with each change of what proxies
 /// enforce.
 #[derive(
