Test full disks of the voters in turn, and repeat a failed write of the endpoint copy

The copy of the endpoint table recorded a failed write as done, so it stayed outdated until the endpoints changed again; it repeats the write now (save_if_due_after_failure).

--- a/crates/coordination/src/raft/tests.rs
+++ b/crates/coordination/src/raft/tests.rs
@@ -5,6 +5,7 @@
 mod disk;
 mod events;
 mod faults;
+mod full_disks;
 mod oracle;
 mod scenarios;
 mod sim;
--- a/crates/coordination/src/raft/tests/sim.rs
+++ b/crates/coordination/src/raft/tests/sim.rs
@@ -17,6 +17,8 @@
 };
 
 const STEP_MS: u64 = 5;
+/// Delay after which a replica opens its storage again after it failed, as in the daemon.
+const REOPEN_MS: u64 = 1_000;
 /// Number of applied entries between two snapshots.
 const SNAPSHOT_EVERY: u64 = 7;
 
@@ -35,6 +37,11 @@
     paused_until: Millis,
     next_tick: Millis,
     saved: u64,
+    /// Until this time the disk is full: the first write stops the replica, which then opens its
+    /// storage again every [`REOPEN_MS`].
+    full_until: Millis,
+    /// When a replica whose storage has failed opens it again.
+    reopens_at: Option<Millis>,
 }
 
 /// An approval request of an operator.
@@ -136,6 +143,8 @@
             paused_until: Millis(0),
             next_tick: Millis(0),
             saved: 0,
+            full_until: Millis(0),
+            reopens_at: None,
         });
     }
 
@@ -256,6 +265,13 @@
             if self.now < self.nodes[index].paused_until {
                 continue;
             }
+            if self.nodes[index]
+                .reopens_at
+                .is_some_and(|at| at <= self.now)
+            {
+                self.nodes[index].reopens_at = None;
+                self.start(index);
+            }
             self.finish_operations(index);
             if self.now >= self.nodes[index].next_tick {
                 self.nodes[index].next_tick = self.now.after(Millis(TICK_MS));
@@ -293,6 +309,10 @@
             return;
         };
         for output in raft.step(self.now, input) {
+            // A failed write stops the replica, so it takes no further action.
+            if self.nodes[index].raft.is_none() {
+                return;
+            }
             self.output(index, output);
         }
         self.save_snapshot(index);
@@ -350,7 +370,21 @@
         }
     }
 
+    /// Fills a disk for `ms`.
+    pub(super) fn fill_disk(&mut self, index: usize, ms: u64) {
+        self.nodes[index].full_until = self.now.after(Millis(ms));
+    }
+
     fn write(&mut self, index: usize, write: Write) {
+        if self.now < self.nodes[index].full_until {
+            self.nodes[index]
+                .disk
+                .submit(self.now, Operation::Write(write));
+            let parts = self.rng.random_range(0..4);
+            self.crash(index, parts);
+            self.nodes[index].reopens_at = Some(self.now.after(Millis(REOPEN_MS)));
+            return;
+        }
         let wait = self.rng.random_range(1..=self.max_sync_ms);
         let due = self.now.after(Millis(wait));
         self.nodes[index].disk.submit(due, Operation::Write(write));
--- a/crates/daemon/src/control/hints.rs
+++ b/crates/daemon/src/control/hints.rs
@@ -16,6 +16,9 @@
 use sycamoreflow_state::ids::{EndpointVersion, Millis};
 use sycamoreflow_state::view::View;
 
+#[cfg(test)]
+mod tests;
+
 /// Minimum time between two writes of the copy. Each write costs two disk syncs.
 const WRITE_INTERVAL: Millis = Millis(2_000);
 
@@ -56,21 +59,23 @@
                 return Vec::new();
             }
         };
-        codec::decode(&bytes).unwrap_or_else(|error| {
+        let mut endpoints: Vec<Endpoint> = codec::decode(&bytes).unwrap_or_else(|error| {
             tracing::warn!(event = "endpoint_hints_unreadable", %error);
             Vec::new()
-        })
+        });
+        endpoints.retain(|endpoint| endpoint.check().is_ok());
+        endpoints
     }
 
-    /// Writes the endpoints of a view if their version has changed since the last attempt and that
-    /// was at least 2 s ago. Only the first of several consecutive failures is logged.
+    /// Writes the endpoints of a view if they differ from the saved ones and the last attempt was at
+    /// least 2 s ago. A failed write is repeated then. Only the first of several consecutive
+    /// failures is logged.
     pub fn save_if_due(&mut self, now: Millis, view: &View) {
         let version = view.version().endpoints;
         if version == self.saved_version || now < self.next_write {
             return;
         }
         self.next_write = now.after(WRITE_INTERVAL);
-        self.saved_version = version;
         let endpoints: Vec<&Endpoint> = view.endpoints().collect();
         let result = codec::encode(&endpoints)
             .map_err(|error| error.to_string())
@@ -83,6 +88,9 @@
             tracing::warn!(event = "endpoint_hints_unwritten", error = ?result.err());
         }
         self.failing = failing;
+        if !failing {
+            self.saved_version = version;
+        }
     }
 
     fn write_atomically(&self, bytes: &[u8]) -> std::io::Result<()> {
