Start a control replica whose disk is full, and open its storage again until it has room

Cause: Control::start failed for any error of the data folder, so the process of a replica that was started (or replaced) while its disk was full ended by itself and stayed away although the disk had room seconds later; only replicas that ran already opened their storage again.

Change: an error for lack of space at the start leads into the same loop as a failure while running: requests are refused and the folder is opened each second. All other errors still end the start.

--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -14,7 +14,7 @@
 use sycamoreflow_protocol::handshake::Identity;
 use sycamoreflow_state::ids::DaemonId;
 use sycamoreflow_transport::link::{self, Receiver, Sender};
-use sycamoreflow_transport::storage::{Files, Storage};
+use sycamoreflow_transport::storage::{Files, Storage, StorageError};
 
 use crate::clock;
 use crate::settings::{ControlSettings, Settings};
@@ -34,6 +34,9 @@
 use peers::Peers;
 use replica::{Event, Exit, GroupSettings, Replica, ReplicaInit};
 
+#[cfg(test)]
+mod tests;
+
 /// Delay before storage is reopened after it failed. Reopening does the same as a restart of the
 /// process: the log is read again, so nothing depends on what the failed operation left behind.
 const REOPEN_INTERVAL: Duration = Duration::from_millis(1_000);
@@ -49,7 +52,8 @@
 }
 
 impl Control {
-    /// Opens the data folder and starts the replica on a thread of its own.
+    /// Opens the data folder and starts the replica on a thread of its own. While the disk is full,
+    /// the replica refuses all requests and tries again, as after a failure of its storage.
     ///
     /// `seed` must be random and differ between starts. It seeds Raft and becomes the incarnation
     /// of a new data folder.
@@ -64,6 +68,19 @@
         identity: &Identity,
         limits: &link::Limits,
         seed: u64,
+    ) -> eyre::Result<Self> {
+        Self::start_with(settings, control, identity, limits, seed, Files::default)
+    }
+
+    /// Like [`Control::start`], with the file operations that `files` creates for each opening of
+    /// the data folder.
+    fn start_with(
+        settings: &Settings,
+        control: &ControlSettings,
+        identity: &Identity,
+        limits: &link::Limits,
+        seed: u64,
+        files: impl Fn() -> Files + Send + 'static,
     ) -> eyre::Result<Self> {
         let (tx, rx) = mpsc::channel();
         let hub = Arc::new(Hub::new(control.joins_per_second, tx));
@@ -82,22 +99,26 @@
         };
         let data = control.data.clone();
         let id = identity.daemon.clone();
-        let init = open(&data, &id, group.clone(), seed)?;
-        let replica = Replica::new(init, hub.clone(), peers.clone());
+        let open = move || open(&data, &id, group.clone(), seed, files());
+        let opened = match open() {
+            Err(error) if is_out_of_space(&error) => {
+                tracing::error!(event = "storage", usable = false, error = %error);
+                None
+            }
+            opened => Some(opened?),
+        };
         peers.start();
         task::spawn(peers.clone().follow_leader(hub.clone()));
         let shared_hub = hub.clone();
         let thread = thread::Builder::new()
             .name("control-replica".into())
             .spawn(move || {
-                let mut replica = Some(replica);
-                while let Some(running) = replica.take() {
-                    if running.run(&rx) == Exit::Stopped {
+                let mut opened = opened;
+                while let Some(init) = opened.take().or_else(|| reopen(&rx, &open)) {
+                    let replica = Replica::new(init, shared_hub.clone(), peers.clone());
+                    if replica.run(&rx) == Exit::Stopped {
                         return;
                     }
-                    let reopened = reopen(&rx, || open(&data, &id, group.clone(), seed));
-                    replica =
-                        reopened.map(|init| Replica::new(init, shared_hub.clone(), peers.clone()));
                 }
             })
             .wrap_err("failed to start the control replica thread")?;
@@ -164,14 +185,25 @@
     }
 }
 
-fn open(data: &Path, id: &DaemonId, group: GroupSettings, seed: u64) -> eyre::Result<ReplicaInit> {
+fn is_out_of_space(error: &eyre::Report) -> bool {
+    let error = error.downcast_ref::<StorageError>();
+    error.is_some_and(StorageError::is_out_of_space)
+}
+
+fn open(
+    data: &Path,
+    id: &DaemonId,
+    group: GroupSettings,
+    seed: u64,
+    files: Files,
+) -> eyre::Result<ReplicaInit> {
     // Storage rejects files that do not belong to the log, so the cached endpoint table is stored
     // next to the folder of the log.
     let folder = match group.wanted_voters {
         Some(_) => data.join(LOG_FOLDER),
         None => data.to_owned(),
     };
-    let opened = Storage::open(&folder, Incarnation(seed.max(1)), Files::default())
+    let opened = Storage::open(&folder, Incarnation(seed.max(1)), files)
         .wrap_err_with(|| format!("data folder {}", folder.display()))?;
     let (hints, endpoints) = EndpointHints::open(&folder);
     if opened.truncated_bytes > 0 {
--- a/crates/transport/src/storage.rs
+++ b/crates/transport/src/storage.rs
@@ -105,6 +105,20 @@
     Poisoned,
 }
 
+impl StorageError {
+    /// Returns whether an operation failed for lack of space on the disk. It may succeed later
+    /// without a change of the settings.
+    pub fn is_out_of_space(&self) -> bool {
+        let Self::Io { source, .. } = self else {
+            return false;
+        };
+        matches!(
+            source.kind(),
+            io::ErrorKind::StorageFull | io::ErrorKind::QuotaExceeded
+        )
+    }
+}
+
 impl fmt::Display for StorageError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/crates/transport/src/storage/files.rs
+++ b/crates/transport/src/storage/files.rs
@@ -33,6 +33,8 @@
     None,
     /// The operation fails without effect.
     Fail,
+    /// The operation fails without effect because the disk is full.
+    DiskFull,
     /// A write fails after writing this many bytes.
     ShortWrite(usize),
 }
@@ -66,6 +68,7 @@
         match fault {
             InjectedFault::None => Ok(None),
             InjectedFault::Fail => Err(io::Error::other("injected fault: operation failed")),
+            InjectedFault::DiskFull => Err(io::ErrorKind::StorageFull.into()),
             InjectedFault::ShortWrite(bytes) => Ok(Some(bytes)),
         }
     }
