--- a/crates/daemon/tests/owner.rs
+++ b/crates/daemon/tests/owner.rs
@@ -17,7 +17,7 @@
 use sycamoreflow_daemon::clock;
 use sycamoreflow_daemon::proxy::crashes::CrashTracker;
 use sycamoreflow_daemon::proxy::dialect::Dialect;
-use sycamoreflow_daemon::proxy::owner::{Owner, OwnerLimits};
+use sycamoreflow_daemon::proxy::owner::{InstanceReport, Owner, OwnerLimits};
 use sycamoreflow_protocol::call::{Call, CallUrgency, RequestHead};
 use sycamoreflow_state::endpoint::Announcement;
 use sycamoreflow_state::ids::{Micros, Millis};
@@ -250,3 +250,42 @@
     let refused = owner.deliver(&call(true, "a2"), default_deadline()).await;
     assert_eq!(refused.err(), Some(expected));
 }
+
+fn report(sequence: u64, draining: bool) -> InstanceReport {
+    InstanceReport {
+        instance: "i-1".to_owned(),
+        started_at: 1_000,
+        sequence,
+        draining,
+        announcement: announcement(SocketAddr::from(([127, 0, 0, 1], 1)), 4),
+    }
+}
+
+/// Guards against an upstream that is used again after it has left or has started to drain, because
+/// one of its earlier reports arrives late.
+#[rstest]
+#[case::departed(|owner: &Owner| owner.depart("i-1", 1_000))]
+#[case::departed_unknown_start(|owner: &Owner| owner.depart("i-1", 0))]
+#[case::draining(|owner: &Owner| owner.report(report(3, true)))]
+#[async_std::test]
+async fn report_late(#[case] leave: fn(&Owner) -> bool) {
+    let owner = owner(SocketAddr::from(([127, 0, 0, 1], 1)));
+    assert!(owner.report(report(1, false)));
+    assert!(leave(&owner));
+    assert!(!owner.report(report(2, false)), "a late report is believed");
+    assert!(owner.endpoints().iter().all(|endpoint| endpoint.draining));
+}
+
+/// Guards against an upstream that is used again after a restart of its daemon although it has left
+/// before.
+#[async_std::test]
+async fn report_late_after_restart() {
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    let before = owner(address);
+    assert!(before.report(report(1, false)));
+    assert!(before.depart("i-1", 1_000));
+    drop(before);
+    let restarted = owner(address);
+    restarted.report(report(2, false));
+    assert_eq!(restarted.endpoints(), [], "the departure is forgotten");
+}
