Spread the subscribers evenly over the replicas

Cause: a daemon that starts knows the replicas of its settings only (three seeds of ten replicas at the large deployment) and stays where it was admitted, so three replicas served 94 daemons each and seven none.

Change: distribution::home_replica chooses a replica for each daemon by rendezvous hashing over the members it has learnt. One to four seconds after its admission a subscription moves there: the new one is admitted before the old one ends, so no update is late, and a home that does not admit it leaves the old one as it is.

Result: home_replica_balance, home_replica_lost; subscribers_move_home fails on the old code, where nothing moves, and passes now.

--- a/crates/coordination/src/distribution.rs
+++ b/crates/coordination/src/distribution.rs
@@ -9,9 +9,12 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
-use sycamoreflow_state::ids::{Millis, ViewVersion};
+use sha2::{Digest as _, Sha256};
+use sycamoreflow_state::ids::{DaemonId, Millis, ViewVersion};
 use sycamoreflow_state::view::{Delta, Interest, ResourceKey, View};
 
+use crate::fingerprint::add_part;
+
 #[cfg(test)]
 mod tests;
 
@@ -168,6 +171,23 @@
     }
 }
 
+/// Returns the replica that a daemon should subscribe to, among those that it knows.
+///
+/// Every replica gets about the same number of daemons, and a replica that joins or leaves changes
+/// the home of its own daemons only (rendezvous hashing). Daemons need not agree on the replicas.
+pub fn home_replica<'a>(
+    daemon: &DaemonId,
+    replicas: impl IntoIterator<Item = &'a DaemonId>,
+) -> Option<&'a DaemonId> {
+    let weight = |replica: &DaemonId| {
+        let mut hasher = Sha256::new();
+        add_part(&mut hasher, daemon.as_str().as_bytes());
+        add_part(&mut hasher, replica.as_str().as_bytes());
+        hasher.finalize()
+    };
+    replicas.into_iter().max_by_key(|replica| weight(replica))
+}
+
 /// Cache of encoded updates, shared by subscribers with the same interest and version. It avoids
 /// one encoding per subscriber when many of them catch up at the same time.
 #[derive(Debug)]
--- a/crates/coordination/src/distribution/tests.rs
+++ b/crates/coordination/src/distribution/tests.rs
@@ -1,12 +1,15 @@
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use proptest::prelude::*;
+use rstest::rstest;
 use sycamoreflow_state::endpoint::Endpoint;
-use sycamoreflow_state::ids::{ConfigVersion, EndpointVersion, Millis, ServiceName, ViewVersion};
+use sycamoreflow_state::ids::{
+    ConfigVersion, DaemonId, EndpointVersion, Millis, ServiceName, ViewVersion,
+};
 use sycamoreflow_state::view::{Interest, Resource, ResourceKey, View};
 
-use super::{Distribution, JoinLimiter, MAX_PUBLISHED, MAX_TOMBSTONES, UpdateCache};
+use super::{Distribution, JoinLimiter, MAX_PUBLISHED, MAX_TOMBSTONES, UpdateCache, home_replica};
 
 fn endpoint(daemon: usize, service: usize, slots: u32) -> (ResourceKey, Arc<Resource>) {
     let endpoint = Endpoint {
@@ -232,3 +235,48 @@
         "took {done:?} seconds for 1,000 at 100 a second"
     );
 }
+
+fn ids(prefix: &str, count: usize) -> Vec<DaemonId> {
+    let id = |index| DaemonId::from(format!("10.1.0.{index}:{prefix}"));
+    (0..count).map(id).collect()
+}
+
+/// Guards against replicas that serve many more subscribers than others. With 281 daemons that know
+/// three of ten replicas when they start, those three served 94 each and the others none; when one
+/// of them froze, the other two got its daemons and were too slow to keep the group's quorum.
+#[rstest]
+#[case::large_mesh(281, 10)]
+#[case::grown_mesh(80, 6)]
+#[case::many_subscribers(1_400, 20)]
+fn home_replica_balance(#[case] daemons: usize, #[case] replicas: usize) {
+    let replicas = ids("7520", replicas);
+    let mut counts: BTreeMap<&DaemonId, usize> = BTreeMap::new();
+    for daemon in ids("7600", daemons) {
+        let home = home_replica(&daemon, &replicas).expect("there are replicas");
+        *counts.entry(home).or_default() += 1;
+    }
+    let most = counts.values().max().copied().unwrap_or_default();
+    let mean = daemons as f64 / replicas.len() as f64;
+    assert_eq!(counts.len(), replicas.len(), "a replica has no subscriber");
+    assert!(
+        most as f64 <= 1.6 * mean,
+        "{most} subscribers, {mean} on average"
+    );
+}
+
+/// Guards against daemons that all move when one replica leaves, and against a choice that depends
+/// on the order in which a daemon has learnt of the replicas.
+#[test]
+fn home_replica_lost() {
+    let replicas = ids("7520", 10);
+    let mut others: Vec<DaemonId> = replicas[1..].to_vec();
+    others.reverse();
+    for daemon in ids("7600", 281) {
+        let before = home_replica(&daemon, &replicas);
+        let after = home_replica(&daemon, &others);
+        if before != Some(&replicas[0]) {
+            assert_eq!(before, after);
+        }
+    }
+    assert_eq!(home_replica(&replicas[0], &[]), None);
+}
--- a/crates/daemon/src/subscriber.rs
+++ b/crates/daemon/src/subscriber.rs
@@ -5,6 +5,7 @@
 //! without a view takes that of a witness at or above its floor (`docs/design.md`, section 2.3).
 
 use std::fmt;
+use std::ops::Range;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,6 +16,7 @@
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
+use sycamoreflow_coordination::distribution::home_replica;
 use sycamoreflow_coordination::leases::RENEW_INTERVAL;
 use sycamoreflow_protocol::codec::CodecError;
 use sycamoreflow_protocol::distribution::{FromReplica, FromSubscriber};
@@ -41,6 +43,14 @@
 /// Timeout for a replica to admit the subscription.
 const ADMISSION_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Range of the delay, in milliseconds, after which a subscription moves to the home replica of the
+/// daemon. It is random, so that daemons that were disconnected together do not move together, and
+/// long enough for the daemon to be up to date first.
+const MOVE_DELAY_MS: Range<u64> = 1_000..4_000;
+
+/// Delay before a move is tried again after the home replica did not admit the daemon.
+const MOVE_RETRY_INTERVAL: Duration = Duration::from_secs(30);
+
 /// Result of a step of a subscription.
 type Result<T> = std::result::Result<T, SubscriptionError>;
 
@@ -87,6 +97,13 @@
     }
 }
 
+/// A subscription that a replica has admitted.
+struct Subscription {
+    tx: Sender,
+    rx: Receiver,
+    meter: LinkMeter,
+}
+
 /// Configuration and shared state of the subscription.
 pub struct Subscriber {
     /// Identifier of this daemon.
@@ -182,49 +199,92 @@
         self.stage_and_activate(view).await;
     }
 
+    /// Subscribes to a replica and serves the subscription, also after it has moved to the home
+    /// replica. Returns the reason why it has ended.
     async fn subscribe(&self, replica: &ReplicaAddress, diverged: bool) -> SubscriptionError {
+        let mut opened = self.open(replica, diverged).await;
+        loop {
+            let Subscription { tx, rx, meter } = match opened {
+                Ok(subscription) => subscription,
+                Err(error) => return error,
+            };
+            opened = self.run_subscription(&tx, rx, &meter).await;
+            meter.update(tx.bytes());
+        }
+    }
+
+    async fn open(&self, replica: &ReplicaAddress, diverged: bool) -> Result<Subscription> {
         let opened = link::connect(
             replica.link,
             &self.identity,
             Purpose::Distribution,
             &self.limits,
         );
-        let (tx, rx) = match opened.await {
-            Ok(halves) => halves,
-            Err(error) => return SubscriptionError::Link(error),
-        };
+        let (tx, mut rx) = opened.await?;
         let meter = LinkMeter::new(self.traffic.clone());
-        let result = self.run_subscription(&tx, rx, &meter, diverged).await;
-        meter.update(tx.bytes());
-        match result {
-            Ok(()) => SubscriptionError::Link(LinkError::Closed),
-            Err(error) => error,
-        }
-    }
-
-    async fn run_subscription(
-        &self,
-        tx: &Sender,
-        mut rx: Receiver,
-        meter: &LinkMeter,
-        diverged: bool,
-    ) -> Result<()> {
         let view = self.proxy.view().filter(|_| !diverged);
         tx.send(&FromSubscriber::Subscribe {
             interest: self.interest.clone(),
             have: view.map(|view| view.version()),
             endpoints: self.proxy.owner().endpoints(),
         })?;
-        self.wait_for_admission(&mut rx).await?;
+        let admitted = self.wait_for_admission(&mut rx).await;
+        meter.update(tx.bytes());
+        admitted?;
         tracing::info!(event = "subscription", up = true, replica = %tx.peer().daemon);
+        Ok(Subscription { tx, rx, meter })
+    }
+
+    /// Serves a subscription until it fails, or until the subscription to the home replica that
+    /// takes its place has been admitted.
+    async fn run_subscription(
+        &self,
+        tx: &Sender,
+        rx: Receiver,
+        meter: &LinkMeter,
+    ) -> Result<Subscription> {
         let updates = self.receive_updates(tx, rx).fuse();
         let renewals = self.send_renewals(tx).fuse();
         let reports = self.send_reports(tx, meter).fuse();
-        futures::pin_mut!(updates, renewals, reports);
-        futures::select! {
+        let moved = self.open_home(&tx.peer().daemon).fuse();
+        futures::pin_mut!(updates, renewals, reports, moved);
+        let result = futures::select! {
             result = updates => result,
             result = renewals => result,
             result = reports => result,
+            subscription = moved => return Ok(subscription),
+        };
+        result?;
+        Err(SubscriptionError::Link(LinkError::Closed))
+    }
+
+    /// Opens a subscription to the home replica of this daemon if that is not `current`, and
+    /// returns once it is admitted.
+    ///
+    /// A daemon that has started knows only the replicas in its settings. In a large mesh, they
+    /// would serve all subscribers, and the other replicas none.
+    async fn open_home(&self, current: &DaemonId) -> Subscription {
+        let mut rng = StdRng::seed_from_u64(self.seed);
+        loop {
+            let delay = Duration::from_millis(rng.random_range(MOVE_DELAY_MS));
+            task::sleep(delay).await;
+            let replicas = self.replicas.all();
+            let ids = replicas.iter().map(|replica| &replica.daemon);
+            let home = home_replica(&self.daemon, ids).filter(|home| *home != current);
+            let Some(home) = replicas.iter().find(|r| Some(&r.daemon) == home) else {
+                continue;
+            };
+            match self.open(home, false).await {
+                Ok(subscription) => {
+                    metrics::counter!("sycamoreflow_subscriptions_moved_total").increment(1);
+                    return subscription;
+                }
+                Err(error) => {
+                    tracing::info!(event = "subscription_not_moved", replica = %home.daemon,
+                        reason = %error);
+                    task::sleep(MOVE_RETRY_INTERVAL).await;
+                }
+            }
         }
     }
 
--- a/crates/daemon/tests/processes/replicas.rs
+++ b/crates/daemon/tests/processes/replicas.rs
@@ -1,10 +1,12 @@
-//! Control replicas that are suspended or lose their data folder.
+//! Control replicas that are suspended or lose their data folder, and the daemons that each serves.
 
 use std::time::Duration;
 
 use async_std::task;
 use eyre::{ensure, eyre};
 use rstest::rstest;
+use sycamoreflow_coordination::distribution::home_replica;
+use sycamoreflow_state::ids::DaemonId;
 use sycamoreflow_state::operator::StatusResponse;
 use sycamoreflow_testbed::operator::Operator;
 use sycamoreflow_testbed::process::ProcessMesh;
@@ -140,6 +142,38 @@
     })
 }
 
+/// Guards against replicas that serve many more subscribers than others: each daemon moves its
+/// subscription to its home replica.
+#[test]
+fn subscribers_move_home() -> eyre::Result<()> {
+    run(async {
+        let mesh = mesh(15)?;
+        approve_everywhere(&mesh, 1).await?;
+        let replicas: Vec<DaemonId> = (0..3).map(|i| mesh.settings(i).daemon.clone()).collect();
+        let mut expected = vec![0; replicas.len()];
+        for index in 0..mesh.len() {
+            let home = home_replica(&mesh.settings(index).daemon, &replicas);
+            let home = home.and_then(|home| replicas.iter().position(|id| id == home));
+            expected[home.ok_or_else(|| eyre!("no home replica"))?] += 1;
+        }
+        let (mesh, expected) = (&mesh, &expected);
+        wait_for("all daemons at their home replicas", || async move {
+            let mut extra = 0;
+            for (index, expected) in expected.iter().enumerate() {
+                let subscribers = mesh.metric(index, "sycamoreflow_subscribers").await;
+                let subscribers = subscribers.unwrap_or_default() as usize;
+                // The two followers are subscribers of the leader, too.
+                match subscribers.checked_sub(*expected) {
+                    Some(difference @ (0 | 2)) => extra += difference,
+                    _ => return false,
+                }
+            }
+            extra == 2
+        })
+        .await
+    })
+}
+
 async fn leader_of(mesh: &ProcessMesh, operator: &Operator) -> eyre::Result<usize> {
     let leader = operator.status(LIMIT).await?.leader;
     let leader = leader.ok_or_else(|| eyre!("the status names no leader"))?;
