Set the metric of the version in force when it is scraped

The first activation registers the gauge and then sets it, and a scrape in between renders 0. No path was found by which a daemon activates version 0.

Change: the gauge is set in the thread that renders, before it renders. The settings of the control test are those of the settings test.

--- a/crates/daemon/src/announce_api.rs
+++ b/crates/daemon/src/announce_api.rs
@@ -90,6 +90,7 @@
     let Some(metrics) = &req.state().metrics else {
         return Ok(Response::new(StatusCode::NotFound));
     };
+    req.state().proxy.record_version();
     let mut response = Response::new(StatusCode::Ok);
     response.set_content_type("text/plain; version=0.0.4");
     response.set_body(metrics.render());
--- a/crates/daemon/src/control/tests.rs
+++ b/crates/daemon/src/control/tests.rs
@@ -8,36 +8,17 @@
 use sycamoreflow_transport::storage::{InjectedFault, Operation};
 
 use super::*;
+use crate::settings::tests::VALID;
 
 const MAX_WAIT: Duration = Duration::from_secs(30);
 
-const SETTINGS: &str = r#"
-mesh = "sfax"
-daemon = "sfax-a-1"
-data-centre = "sfax-a"
-
-[listen]
-calls = "127.0.0.1:8000"
-link = "127.0.0.1:8001"
-announce = "127.0.0.1:8002"
-operator = "127.0.0.1:8003"
-
-[[control-replicas]]
-daemon = "sfax-a-1"
-link = "127.0.0.1:8001"
-
-[control]
-data = "unused"
-voters = ["sfax-a-1"]
-"#;
-
 /// Starts a replica whose file operations fail as `fault` while `is_faulty` is set.
 fn start(
     folder: &Path,
     is_faulty: &Arc<AtomicBool>,
     fault: InjectedFault,
 ) -> eyre::Result<Control> {
-    let settings = Settings::parse(SETTINGS)?;
+    let settings = Settings::parse(VALID)?;
     let mut control = settings.control.clone().unwrap();
     control.data = folder.join("data");
     let identity = Identity {
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -215,7 +215,18 @@
         let has_route = |name: &RouteName| view.get(&ResourceKey::Route(name.clone())).is_some();
         self.split_counters.lock().retain(|name, _| has_route(name));
         self.links.retain(|daemon| daemons.contains(daemon));
-        metrics::gauge!("sycamoreflow_view_config_version").set(view.version().config.0 as f64);
+    }
+
+    /// Updates the metric of the version in force, before the metrics are rendered.
+    ///
+    /// A metric is rendered as 0 between its registration and its first value. If the first
+    /// activation registered it, a scrape at that moment would show a version that was never in
+    /// force.
+    pub fn record_version(&self) {
+        if let Some(view) = self.view() {
+            let version = view.version().config.0 as f64;
+            metrics::gauge!("sycamoreflow_view_config_version").set(version);
+        }
     }
 
     /// Returns the routes of a view. Reuses the active route table if only endpoints have changed.
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -13,7 +13,7 @@
 use sycamoreflow_state::ids::{DaemonId, DataCentre, ServiceName};
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
 
 /// Result of reading or validating settings.
 pub type Result<T> = eyre::Result<T>;
--- a/crates/daemon/src/settings/tests.rs
+++ b/crates/daemon/src/settings/tests.rs
@@ -2,7 +2,8 @@
 
 use super::{Secret, Settings};
 
-const VALID: &str = r#"
+/// Settings of a mesh with one daemon, which is its control replica.
+pub(crate) const VALID: &str = r#"
 mesh = "sfax"
 daemon = "sfax-a-1"
 data-centre = "sfax-a"
