Refuse a request as not ready for its route's timeout only if it has waited

Found when reading the change: a request that arrived with no time left at a daemon with a view was refused as not-ready instead of deadline-exceeded. The check now applies to requests that have waited for the first view.

--- a/crates/coordination/src/leases.rs
+++ b/crates/coordination/src/leases.rs
@@ -99,8 +99,8 @@
     }
 
     /// Renews the leases of the endpoints of `daemon`; endpoints of other daemons and invalid ones
-    /// are ignored. An endpoint that is no longer announced is removed immediately, since its upstream has shut
-    /// down gracefully. Returns whether a change is visible to proxies.
+    /// are ignored. An endpoint that is no longer announced is removed immediately, since its
+    /// upstream has shut down gracefully. Returns whether a change is visible to proxies.
     pub fn renew(&mut self, now: Millis, daemon: &DaemonId, announced: &[Endpoint]) -> bool {
         let is_valid =
             |endpoint: &&Endpoint| endpoint.daemon == *daemon && endpoint.check().is_ok();
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -355,7 +355,8 @@
         let tenant = caller.tenant.clone();
         trace.request_id = caller.request_id.clone();
         let arrived = clock::now();
-        if self.active.load().is_none() {
+        let has_waited = self.active.load().is_none();
+        if has_waited {
             let is_active = || self.active.load().is_some();
             let wait =
                 self.view_waiters
@@ -373,6 +374,10 @@
         };
         trace.route = Some(admitted.route.clone());
         trace.service = Some(admitted.service_name.clone());
+        // The timeout of the route may have passed while the request waited for the view.
+        if has_waited && admitted.deadline <= clock::now() {
+            return (Err(Failure::not_run(Reason::NotReady)), tenant);
+        }
         let (head, body) = headers::request_head(req, &self.dialect);
         (self.run_admitted(admitted, head, body, trace).await, tenant)
     }
@@ -449,10 +454,6 @@
         let by_method = delivery.max_attempts.is_none() && req.method().is_idempotent();
         let idempotent = route.config.idempotent || by_method;
         let deadline = arrived.after(remaining);
-        // The timeout of the route has passed while the request waited for the view.
-        if deadline <= clock::now() {
-            return Err(Failure::not_run(Reason::NotReady));
-        }
         if self.owner.must_refuse_for_stop(deadline, idempotent) {
             return Err(Failure::not_run(Reason::Draining));
         }
--- a/crates/daemon/src/proxy/startup/tests.rs
+++ b/crates/daemon/src/proxy/startup/tests.rs
@@ -6,7 +6,7 @@
 
 const DEADLINE: Millis = Millis(2_000);
 
-fn is_waiting(waiters: &ViewWaiters) -> usize {
+fn registered(waiters: &ViewWaiters) -> usize {
     waiters.wakers.lock().len()
 }
 
@@ -24,7 +24,7 @@
         let (waited, ()) = join!(wait, activate);
         assert_eq!(waited, Ok(()));
         assert!(clock::now().since(started) < DEADLINE);
-        assert_eq!(is_waiting(&waiters), 0);
+        assert_eq!(registered(&waiters), 0);
     });
 }
 
