--- /dev/null
+++ b/review/standins/main.rs
@@ -0,0 +1,62 @@
+//! Stand-ins for clients, endpoints and the platform, and the cases that use them.
+//!
+//! `standins CASE FOLDER` plays a case and writes `record.txt` into the folder. The exit code is 1
+//! if the rule was broken, 0 if it held and 2 if the case could not run. `TROUBLE=0` leaves the
+//! disruption out.
+
+mod client;
+mod deployment;
+mod endpoint;
+mod http;
+mod late_refusal;
+mod record;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use record::Record;
+
+/// Result of a case: whether the rule held. The error says why the case could not run.
+pub type Result = std::result::Result<bool, String>;
+
+pub struct Context {
+    pub record: Arc<Record>,
+    /// Temporary folder for settings, data and logs.
+    pub dir: PathBuf,
+    pub trouble: bool,
+}
+
+fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().collect();
+    let [_, case, folder] = &args[..] else {
+        eprintln!("usage: standins CASE FOLDER");
+        return ExitCode::from(2);
+    };
+    let dir = std::env::temp_dir().join(format!("review-{case}-{}", std::process::id()));
+    if std::fs::create_dir_all(&dir).is_err() {
+        return ExitCode::from(2);
+    }
+    let context = Context {
+        record: Arc::new(Record::new(&PathBuf::from(folder).join("record.txt"))),
+        dir: dir.clone(),
+        trouble: std::env::var("TROUBLE").map_or(true, |value| value != "0"),
+    };
+    let run = std::panic::AssertUnwindSafe(|| match case.as_str() {
+        "late-refusal" => late_refusal::run(&context),
+        _ => Err("no such case".to_owned()),
+    });
+    let result = std::panic::catch_unwind(run);
+    let result = result.unwrap_or_else(|_| Err("the case ended with an error".to_owned()));
+    if std::env::var("KEEP").is_err() {
+        let _ = std::fs::remove_dir_all(&dir);
+    }
+    let (code, text) = match result {
+        Ok(true) => (0, "the rule held".to_owned()),
+        Ok(false) => (1, "the rule was broken".to_owned()),
+        Err(reason) => (2, format!("the case could not run: {reason}")),
+    };
+    context.record.line(&text);
+    println!("{text}");
+    ExitCode::from(code)
+}
