review: case 2, an endpoint stays out of service after a restart (RECOVER)

Found by reading: a new leader takes the drain mark of an endpoint over as a mark of its daemon, which later announcements don't clear.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -10,6 +10,7 @@
 mod http;
 mod late_refusal;
 mod record;
+mod stuck_drain;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -44,6 +45,7 @@
     };
     let run = std::panic::AssertUnwindSafe(|| match case.as_str() {
         "late-refusal" => late_refusal::run(&context),
+        "stuck-drain" => stuck_drain::run(&context),
         _ => Err("no such case".to_owned()),
     });
     let result = std::panic::catch_unwind(run);
--- /dev/null
+++ b/review/standins/stuck_drain.rs
@@ -0,0 +1,89 @@
+//! All processes are killed while the daemon beside an endpoint stops for a planned restart. The
+//! endpoint runs all the while, and must get requests again afterwards.
+
+use std::sync::Arc;
+use std::thread::sleep;
+use std::time::Duration;
+
+use crate::client::{Clients, HOST, Outcome, PATH};
+use crate::deployment::{ADMIN, APP, Deployment, OUTBOUND};
+use crate::endpoint::Endpoint;
+use crate::{Context, Result};
+
+/// `recovery`: time after the machines are back from which requests must be served again.
+const RECOVERY: Duration = Duration::from_secs(15);
+/// Time after SIGTERM at which all processes are killed.
+const FAULT_AFTER: Duration = Duration::from_millis(2_000);
+/// Time for which the processes beside endpoints are down, and those of the core.
+const SIDE_DOWN: Duration = Duration::from_millis(150);
+const CORE_DOWN: Duration = Duration::from_millis(950);
+const ROUNDS: usize = 3;
+
+pub fn run(context: &Context) -> Result {
+    let record = &context.record;
+    let mut deployment = Deployment::start(&context.dir, &["orders", "catalogue"]);
+    for (side, service) in ["orders", "catalogue"].iter().enumerate() {
+        let machine = &deployment.sides[side];
+        let id = format!("i-{service}");
+        let endpoint =
+            Endpoint::new(&id, service, machine.address(APP), machine.address(ADMIN), record.clone());
+        Arc::new(endpoint).start();
+    }
+    let config = format!(
+        r#"{{"version":3,"baseVersion":0,"resources":[{{"resourceType":"routes","metadata":{{"name":"place"}},"spec":{{"host":"{HOST}","prefix":"{PATH}","type":"unsafe","timeout":"1000ms","targetLatency":"500ms","priority":1,"service":"orders","maxAttempts":2}}}},{{"resourceType":"services","metadata":{{"name":"orders"}},"spec":{{"healthCheckPath":"/healthz","maxConnections":110,"protocol":"h1","tls":false}}}},{{"resourceType":"services","metadata":{{"name":"catalogue"}},"spec":{{"healthCheckPath":"/healthz","maxConnections":110,"protocol":"h1","tls":false}}}},{{"resourceType":"limits","metadata":{{}},"spec":{{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeout":"3000ms","idleTimeout":"15000ms"}}}}]}}"#
+    );
+    if !deployment.order("/Config.Replace", &config, Duration::from_secs(20)) {
+        return Err("the configuration was not acknowledged".to_owned());
+    }
+    if !deployment.wait_ready(Duration::from_secs(20)) {
+        return Err("a daemon is not ready".to_owned());
+    }
+    for machine in deployment.cores.iter().chain(&deployment.sides) {
+        machine.clear_bootstrap();
+    }
+    sleep(Duration::from_secs(3));
+    let entry = deployment.sides[1].address(OUTBOUND);
+    let requests = |seconds: u64| {
+        let clients = Clients::start(entry, "POST", 4, Duration::from_millis(200), record);
+        sleep(Duration::from_secs(seconds));
+        clients.finish()
+    };
+    for round in 1..=ROUNDS {
+        let (before, sent_before) = served(&requests(3));
+        record.line(&format!("round {round}: {before} of {sent_before} served; SIGTERM to side-0"));
+        deployment.sides[0].signal("TERM");
+        if context.trouble {
+            sleep(FAULT_AFTER);
+            record.line("all processes are killed");
+            let machines = deployment.cores.iter_mut().chain(&mut deployment.sides);
+            machines.for_each(|machine| machine.kill());
+            sleep(SIDE_DOWN);
+            deployment.sides.iter_mut().for_each(|machine| machine.start());
+            sleep(CORE_DOWN - SIDE_DOWN);
+            deployment.cores.iter_mut().for_each(|machine| machine.start());
+        } else {
+            deployment.sides[0].wait_or_kill(Duration::from_secs(6));
+            sleep(SIDE_DOWN);
+            deployment.sides[0].start();
+        }
+        record.line("all machines are back");
+        sleep(RECOVERY);
+        let (after, sent_after) = served(&requests(5));
+        let text = format!("round {round}: {before} of {sent_before} served before, {after} of {sent_after} later than 15 s after the machines were back");
+        record.line(&text);
+        println!("{text}");
+        if sent_before == 0 || before * 4 < sent_before {
+            return Err("too few requests were served before the fault".to_owned());
+        }
+        if after * 4 < sent_after {
+            record.line("RECOVER: less than a quarter is served");
+            return Ok(false);
+        }
+    }
+    Ok(true)
+}
+
+fn served(outcomes: &[Outcome]) -> (usize, usize) {
+    let served = outcomes.iter().filter(|outcome| outcome.status == 200).count();
+    (served, outcomes.len())
+}
