--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -7,6 +7,7 @@
 mod client;
 mod deployment;
 mod endpoint;
+mod frozen_replica;
 mod http;
 mod late_refusal;
 mod record;
@@ -45,6 +46,7 @@
     };
     let run = std::panic::AssertUnwindSafe(|| match case.as_str() {
         "late-refusal" => late_refusal::run(&context),
+        "frozen-replica" => frozen_replica::run(&context),
         "stuck-drain" => stuck_drain::run(&context),
         _ => Err("no such case".to_owned()),
     });
