--- a/review/standins/deployment.rs
+++ b/review/standins/deployment.rs
@@ -129,6 +129,14 @@
     /// Starts three control replicas and one daemon for each entry of `services`, the service of
     /// the endpoint on its machine. `dir` is a temporary folder.
     pub fn start(dir: &Path, services: &[&str]) -> Self {
+        let mut deployment = Self::prepare(dir, services);
+        let machines = deployment.cores.iter_mut().chain(&mut deployment.sides);
+        machines.for_each(Machine::start);
+        deployment
+    }
+
+    /// Writes the settings of all machines without starting them.
+    pub fn prepare(dir: &Path, services: &[&str]) -> Self {
         let net = free_net(3 + services.len());
         let ip = |index: usize| Ipv4Addr::new(127, net.0, net.1, 10 + index as u8);
         let seeds: Vec<String> = (0..3).map(|core| format!("\"{}:{ADMIN}\"", ip(core))).collect();
@@ -147,14 +155,13 @@
             let text = settings(&name, ip(index), zone, service, &data, &seeds);
             let path = dir.join(format!("{name}.toml"));
             fs::write(&path, text).expect("settings");
-            let mut machine = Machine {
+            let machine = Machine {
                 log: dir.join(format!("{name}.log")),
                 name,
                 ip: ip(index),
                 settings: path,
                 process: None,
             };
-            machine.start();
             match service {
                 None => cores.push(machine),
                 Some(_) => sides.push(machine),
--- a/review/standins/late_refusal.rs
+++ b/review/standins/late_refusal.rs
@@ -13,8 +13,14 @@
 use crate::endpoint::Endpoint;
 use crate::{Context, Result};
 
-/// Share of the requests that the endpoint rejects: `srv_grey` with `shed` and `x = 0.45`.
-const SHED_THOUSANDTHS: u64 = 450;
+/// Settings in which the variants differ.
+pub struct Variant {
+    /// `maxAttempts` of the route.
+    pub max_attempts: usize,
+    /// Share of the requests that the endpoint rejects, in thousandths: `srv_grey` with `shed`.
+    pub shed_thousandths: u64,
+}
+
 /// Share of the answers that get a late second copy: `garble` with `extra late` and `x = 0.03`.
 const LATE_THOUSANDTHS: u64 = 30;
 /// Length of both disruptions in one round, and the calm between two rounds.
@@ -22,7 +28,8 @@
 const CALM: Duration = Duration::from_secs(3);
 const ROUNDS: usize = 8;
 
-pub fn run(context: &Context) -> Result {
+pub fn run(context: &Context, variant: &Variant) -> Result {
+    let max_attempts = variant.max_attempts;
     let record = &context.record;
     let deployment = Deployment::start(&context.dir, &["orders", "catalogue"]);
     let endpoint = |side: usize, service: &str| {
@@ -38,7 +45,7 @@
     orders.start();
     catalogue.start();
     let config = format!(
-        r#"{{"version":3,"baseVersion":0,"resources":[{{"resourceType":"routes","metadata":{{"name":"place"}},"spec":{{"host":"{HOST}","prefix":"{PATH}","type":"unsafe","timeout":"1000ms","targetLatency":"500ms","priority":1,"service":"orders","maxAttempts":2}}}},{{"resourceType":"services","metadata":{{"name":"orders"}},"spec":{{"healthCheckPath":"/healthz","maxConnections":110,"protocol":"h1","tls":false}}}},{{"resourceType":"services","metadata":{{"name":"catalogue"}},"spec":{{"healthCheckPath":"/healthz","maxConnections":110,"protocol":"h1","tls":false}}}},{{"resourceType":"limits","metadata":{{}},"spec":{{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeout":"3000ms","idleTimeout":"15000ms"}}}}]}}"#
+        r#"{{"version":3,"baseVersion":0,"resources":[{{"resourceType":"routes","metadata":{{"name":"place"}},"spec":{{"host":"{HOST}","prefix":"{PATH}","type":"unsafe","timeout":"1000ms","targetLatency":"500ms","priority":1,"service":"orders","maxAttempts":{max_attempts}}}}},{{"resourceType":"services","metadata":{{"name":"orders"}},"spec":{{"healthCheckPath":"/healthz","maxConnections":110,"protocol":"h1","tls":false}}}},{{"resourceType":"services","metadata":{{"name":"catalogue"}},"spec":{{"healthCheckPath":"/healthz","maxConnections":110,"protocol":"h1","tls":false}}}},{{"resourceType":"limits","metadata":{{}},"spec":{{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeout":"3000ms","idleTimeout":"15000ms"}}}}]}}"#
     );
     if !deployment.order("/Config.Replace", &config, Duration::from_secs(20)) {
         return Err("the configuration was not acknowledged".to_owned());
@@ -53,7 +60,7 @@
     for round in 1..=ROUNDS {
         if context.trouble {
             record.line(&format!("round {round}: the endpoint of orders rejects and repeats answers"));
-            orders.shed.store(SHED_THOUSANDTHS, Ordering::SeqCst);
+            orders.shed.store(variant.shed_thousandths, Ordering::SeqCst);
             orders.late_copies.store(LATE_THOUSANDTHS, Ordering::SeqCst);
         }
         sleep(ROUND);
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -7,6 +7,7 @@
 mod client;
 mod deployment;
 mod endpoint;
+mod first_start;
 mod frozen_replica;
 mod http;
 mod late_refusal;
@@ -17,6 +18,7 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 
+use late_refusal::Variant;
 use record::Record;
 
 /// Result of a case: whether the rule held. The error says why the case could not run.
@@ -45,9 +47,17 @@
         trouble: std::env::var("TROUBLE").map_or(true, |value| value != "0"),
     };
     let run = std::panic::AssertUnwindSafe(|| match case.as_str() {
-        "late-refusal" => late_refusal::run(&context),
+        "late-refusal-2" => {
+            let variant = Variant { max_attempts: 2, shed_thousandths: 450 };
+            late_refusal::run(&context, &variant)
+        }
+        "late-refusal-3" => {
+            let variant = Variant { max_attempts: 3, shed_thousandths: 100 };
+            late_refusal::run(&context, &variant)
+        }
         "frozen-replica" => frozen_replica::run(&context),
         "stuck-drain" => stuck_drain::run(&context),
+        "first-start" => first_start::run(&context),
         _ => Err("no such case".to_owned()),
     });
     let result = std::panic::catch_unwind(run);
