--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -10,6 +10,7 @@
 mod first_start;
 mod frozen_replica;
 mod http;
+mod late_beat;
 mod late_refusal;
 mod record;
 mod stuck_drain;
@@ -57,6 +58,7 @@
         }
         "frozen-replica" => frozen_replica::run(&context),
         "stuck-drain" => stuck_drain::run(&context),
+        "late-beat" => late_beat::run(&context),
         "first-start" => first_start::run(&context),
         _ => Err("no such case".to_owned()),
     });
