review: cases in KNOWN-RED.txt, signals without an external program

The stand-ins send signals themselves instead of calling kill(1), share the configuration, and case 3 has 22 daemons instead of 16, as its smallest result was 7 requests; the freeze is timed from after the signal.

--- a/review/standins/client.rs
+++ b/review/standins/client.rs
@@ -2,8 +2,8 @@
 //! rate.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
@@ -55,7 +55,11 @@
                 }
             }));
         }
-        Self { stop, threads, outcomes }
+        Self {
+            stop,
+            threads,
+            outcomes,
+        }
     }
 
     /// Stops the clients after their present requests, and returns all outcomes.
@@ -79,9 +83,21 @@
     let number = NEXT.fetch_add(1, Ordering::SeqCst);
     let id = format!("{number:016x}");
     let sent_ms = record.now_ms();
-    let headers = [("Host", HOST), ("Attempt-Id", id.as_str()), ("Deadline-Ms", "2000")];
-    let body = if method == "POST" { format!("order {id}") } else { String::new() };
-    let request = http::bytes(&format!("{method} {PATH}{id} HTTP/1.1"), &headers, body.as_bytes());
+    let headers = [
+        ("Host", HOST),
+        ("Attempt-Id", id.as_str()),
+        ("Deadline-Ms", "2000"),
+    ];
+    let body = if method == "POST" {
+        format!("order {id}")
+    } else {
+        String::new()
+    };
+    let request = http::bytes(
+        &format!("{method} {PATH}{id} HTTP/1.1"),
+        &headers,
+        body.as_bytes(),
+    );
     record.line(&format!("client sends {id} to {daemon}"));
     let opened = match kept.take() {
         Some(connection) => Ok(connection),
@@ -89,14 +105,24 @@
     };
     let answer = opened.and_then(|mut connection| {
         let answer = connection.exchange(&request)?;
-        let closes = answer.header("connection").is_some_and(|c| c.eq_ignore_ascii_case("close"));
+        let closes = answer
+            .header("connection")
+            .is_some_and(|c| c.eq_ignore_ascii_case("close"));
         *kept = (!closes).then_some(connection);
         Ok(answer)
     });
     let (status, body) = match answer {
-        Ok(answer) => (answer.status(), String::from_utf8_lossy(&answer.body).into_owned()),
+        Ok(answer) => (
+            answer.status(),
+            String::from_utf8_lossy(&answer.body).into_owned(),
+        ),
         Err(_) => (0, String::new()),
     };
     record.line(&format!("client gets {status} for {id}"));
-    Outcome { id, sent_ms, status, body }
+    Outcome {
+        id,
+        sent_ms,
+        status,
+        body,
+    }
 }
--- a/review/standins/deployment.rs
+++ b/review/standins/deployment.rs
@@ -2,13 +2,14 @@
 //! plays the operator.
 
 use std::fs::{self, File};
-use std::os::unix::process::CommandExt;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
+use crate::client::{HOST, PATH};
 use crate::http;
 
 const PR_SET_PDEATHSIG: i32 = 1;
@@ -16,6 +17,15 @@
 
 unsafe extern "C" {
     fn prctl(option: i32, argument: u64) -> i32;
+    fn kill(process: i32, signal: i32) -> i32;
+}
+
+/// Signals with the numbers that they have on x86-64 and arm64.
+#[derive(Clone, Copy)]
+pub enum Signal {
+    Term = 15,
+    Cont = 18,
+    Stop = 19,
 }
 
 pub const OUTBOUND: u16 = 8629;
@@ -42,7 +52,6 @@
 pub struct Deployment {
     pub cores: Vec<Machine>,
     pub sides: Vec<Machine>,
-    dir: PathBuf,
 }
 
 impl Machine {
@@ -53,7 +62,11 @@
     /// Starts the process of the machine, with its present settings.
     pub fn start(&mut self) {
         let role = role();
-        let log = File::options().create(true).append(true).open(&self.log).expect("log file");
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(&self.log)
+            .expect("log file");
         let errors = log.try_clone().expect("log file");
         let mut command = Command::new(&role.run[0]);
         // Ends the process also if this one is killed.
@@ -85,11 +98,11 @@
         }
     }
 
-    /// Sends a signal by its name, such as `TERM`.
-    pub fn signal(&self, name: &str) {
+    /// Sends a signal to the process.
+    pub fn signal(&self, signal: Signal) {
         if let Some(child) = &self.process {
-            let id = child.id().to_string();
-            let _ = Command::new("kill").args([format!("-{name}"), id]).status();
+            // SAFETY: the call only sends a signal, to a child that has not been waited for.
+            unsafe { kill(child.id() as i32, signal as i32) };
         }
     }
 
@@ -139,7 +152,9 @@
     pub fn prepare(dir: &Path, services: &[&str]) -> Self {
         let net = free_net(3 + services.len());
         let ip = |index: usize| Ipv4Addr::new(127, net.0, net.1, 10 + index as u8);
-        let seeds: Vec<String> = (0..3).map(|core| format!("\"{}:{ADMIN}\"", ip(core))).collect();
+        let seeds: Vec<String> = (0..3)
+            .map(|core| format!("\"{}:{ADMIN}\"", ip(core)))
+            .collect();
         let seeds = seeds.join(",");
         let mut cores = Vec::new();
         let mut sides = Vec::new();
@@ -167,7 +182,7 @@
                 Some(_) => sides.push(machine),
             }
         }
-        Self { cores, sides, dir: dir.to_owned() }
+        Self { cores, sides }
     }
 
     /// Sends a change to the control replicas in turn, and follows redirects, until one answers
@@ -185,7 +200,8 @@
                     return true;
                 }
                 let next = answer.header("location").filter(|_| answer.status() == 307);
-                let next = next.and_then(|l| l.strip_prefix("http://")?.split('/').next()?.parse().ok());
+                let next =
+                    next.and_then(|l| l.strip_prefix("http://")?.split('/').next()?.parse().ok());
                 let Some(next) = next else { break };
                 address = next;
             }
@@ -206,7 +222,13 @@
         let order = r#"{"service":"unknown","targetVersion":"v1","duration":"1s"}"#;
         (0..self.cores.len()).find(|core| {
             let address = self.cores[*core].address(ADMIN);
-            let answer = http::call(address, "POST", "/Rollouts.Start", order, Duration::from_secs(1));
+            let answer = http::call(
+                address,
+                "POST",
+                "/Rollouts.Start",
+                order,
+                Duration::from_secs(1),
+            );
             answer.is_ok_and(|answer| answer.status() == 503 && !answer.body.is_empty())
         })
     }
@@ -222,10 +244,31 @@
         }
         false
     }
+}
 
-    pub fn dir(&self) -> &Path {
-        &self.dir
+/// Returns a configuration with one route, to `service`, and the given services.
+pub fn config(
+    version: usize,
+    base: usize,
+    kind: &str,
+    service: &str,
+    services: &[&str],
+    max_attempts: usize,
+) -> String {
+    let mut resources = vec![format!(
+        r#"{{"resourceType":"routes","metadata":{{"name":"place"}},"spec":{{"host":"{HOST}","prefix":"{PATH}","type":"{kind}","timeout":"1000ms","targetLatency":"500ms","priority":1,"service":"{service}","maxAttempts":{max_attempts}}}}}"#
+    )];
+    for name in services {
+        resources.push(format!(
+            r#"{{"resourceType":"services","metadata":{{"name":"{name}"}},"spec":{{"healthCheckPath":"/healthz","maxConnections":110,"protocol":"h1","tls":false}}}}"#
+        ));
     }
+    resources.push(
+        r#"{"resourceType":"limits","metadata":{},"spec":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeout":"3000ms","idleTimeout":"15000ms"}}"#
+            .to_owned(),
+    );
+    let resources = resources.join(",");
+    format!(r#"{{"version":{version},"baseVersion":{base},"resources":[{resources}]}}"#)
 }
 
 /// Finds a network of loopback addresses on which no port of a machine is in use.
@@ -237,7 +280,9 @@
         let is_free = |index: usize| {
             let ip = Ipv4Addr::new(127, net.0, net.1, 10 + index as u8);
             let ports = [OUTBOUND, READY, ADMIN, APP, 7600, 7615];
-            ports.iter().all(|port| TcpListener::bind((ip, *port)).is_ok())
+            ports
+                .iter()
+                .all(|port| TcpListener::bind((ip, *port)).is_ok())
         };
         if (0..machines).all(is_free) {
             return net;
@@ -250,7 +295,10 @@
 fn role() -> Role {
     let text = fs::read_to_string("deploy/system.toml").expect("deploy file");
     let quoted = |start: &str| {
-        let line = text.lines().find(|line| line.starts_with(start)).expect("role");
+        let line = text
+            .lines()
+            .find(|line| line.starts_with(start))
+            .expect("role");
         let last = line.rsplit('"').nth(1).expect("quoted value");
         last.to_owned()
     };
--- a/review/standins/endpoint.rs
+++ b/review/standins/endpoint.rs
@@ -3,8 +3,8 @@
 
 use std::collections::BTreeMap;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::{Arc, Condvar, Mutex};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -71,7 +71,9 @@
             running: Mutex::new(0),
             free: Condvar::new(),
             runs: Mutex::default(),
-            random: Mutex::new(Random(0x9e37_79b9_7f4a_7c15 ^ u64::from(std::process::id()))),
+            random: Mutex::new(Random(
+                0x9e37_79b9_7f4a_7c15 ^ u64::from(std::process::id()),
+            )),
             stopped: AtomicBool::new(false),
         }
     }
@@ -117,7 +119,8 @@
         let answer = http::call(self.admin, "POST", &path, body, Duration::from_secs(1));
         let status = answer.map_or(0, |answer| answer.status());
         if log {
-            self.record.line(&format!("{} heartbeat {body} -> {status}", self.id));
+            self.record
+                .line(&format!("{} heartbeat {body} -> {status}", self.id));
         }
         status
     }
@@ -128,7 +131,8 @@
         let body = format!("{{\"born\":{}}}", self.born);
         let answer = http::call(self.admin, "POST", &path, &body, Duration::from_secs(1));
         let status = answer.map_or(0, |answer| answer.status());
-        self.record.line(&format!("{} deregister {body} -> {status}", self.id));
+        self.record
+            .line(&format!("{} deregister {body} -> {status}", self.id));
         status == 200
     }
 
@@ -139,7 +143,10 @@
         while let Ok(request) = connection.read_message() {
             let id = request.header("attempt-id").unwrap_or_default().to_owned();
             if let Some(copy) = late_copy.take() {
-                self.record.line(&format!("{} sends a late second answer before that to {id}", self.id));
+                self.record.line(&format!(
+                    "{} sends a late second answer before that to {id}",
+                    self.id
+                ));
                 if connection.write(&copy).is_err() {
                     return;
                 }
@@ -162,18 +169,25 @@
 
     fn answer(&self, request: &Message, id: &str) -> Vec<u8> {
         let signature = format!("sig.{}.{id}", self.id);
-        let base = [("Attempt-Id", id), ("Response-Signature", signature.as_str())];
+        let base = [
+            ("Attempt-Id", id),
+            ("Response-Signature", signature.as_str()),
+        ];
         if request.word(1) == "/healthz" {
             return http::bytes("HTTP/1.1 200 OK", &[("Instance-Id", &self.id)], b"");
         }
         let mut rejected = base.to_vec();
         rejected.push(("Not-Executed", "1"));
-        if request.header("target-instance").is_some_and(|target| target != self.id) {
+        if request
+            .header("target-instance")
+            .is_some_and(|target| target != self.id)
+        {
             self.record.line(&format!("{} rejects {id}: 421", self.id));
             return http::bytes("HTTP/1.1 421 Misdirected Request", &rejected, b"");
         }
         if self.draw(&self.shed) {
-            self.record.line(&format!("{} rejects {id}: 503, not run", self.id));
+            self.record
+                .line(&format!("{} rejects {id}: 503, not run", self.id));
             return http::bytes("HTTP/1.1 503 Service Unavailable", &rejected, b"");
         }
         let mut running = self.running.lock().expect("slots");
@@ -183,13 +197,22 @@
         *running += 1;
         drop(running);
         let at = self.record.now_ms();
-        self.runs.lock().expect("runs").entry(id.to_owned()).or_default().push(at);
+        self.runs
+            .lock()
+            .expect("runs")
+            .entry(id.to_owned())
+            .or_default()
+            .push(at);
         if !self.quiet {
             self.record.line(&format!("{} runs {id}", self.id));
         }
         thread::sleep(self.work);
         *self.running.lock().expect("slots") -= 1;
         self.free.notify_one();
-        http::bytes("HTTP/1.1 200 OK", &base, format!("{id} done by {}", self.service).as_bytes())
+        http::bytes(
+            "HTTP/1.1 200 OK",
+            &base,
+            format!("{id} done by {}", self.service).as_bytes(),
+        )
     }
 }
--- a/review/standins/first_start.rs
+++ b/review/standins/first_start.rs
@@ -4,7 +4,7 @@
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
-use crate::deployment::{ADMIN, Deployment};
+use crate::deployment::{ADMIN, Deployment, config};
 use crate::http;
 use crate::{Context, Result};
 
@@ -32,7 +32,9 @@
         record.line("core-0 is killed");
     }
     sleep(STAGGER.saturating_sub(start.elapsed()));
-    let others = deployment.cores[1..].iter_mut().chain(&mut deployment.sides);
+    let others = deployment.cores[1..]
+        .iter_mut()
+        .chain(&mut deployment.sides);
     others.for_each(|machine| machine.start());
     record.line("the other machines start for the first time");
     if context.trouble {
@@ -40,9 +42,12 @@
         deployment.cores[0].start();
         record.line("core-0 is back, with bootstrap = false");
     }
-    let config = r#"{"version":3,"baseVersion":0,"resources":[{"resourceType":"services","metadata":{"name":"orders"},"spec":{"healthCheckPath":"/healthz","maxConnections":110,"protocol":"h1","tls":false}},{"resourceType":"routes","metadata":{"name":"place"},"spec":{"host":"orders.example","prefix":"/place/","type":"unsafe","timeout":"1000ms","targetLatency":"500ms","priority":1,"service":"orders","maxAttempts":2}},{"resourceType":"limits","metadata":{},"spec":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeout":"3000ms","idleTimeout":"15000ms"}}]}"#;
-    let acked = deployment.order("/Config.Replace", config, SENDS);
-    record.line(&format!("first configuration acknowledged: {acked}, after {} ms", start.elapsed().as_millis()));
+    let config = config(3, 0, "unsafe", "orders", &["orders", "catalogue"], 2);
+    let acked = deployment.order("/Config.Replace", &config, SENDS);
+    record.line(&format!(
+        "first configuration acknowledged: {acked}, after {} ms",
+        start.elapsed().as_millis()
+    ));
     let end = Instant::now() + READS;
     let mut came = false;
     while !came && Instant::now() < end {
@@ -52,7 +57,11 @@
             let status = answer.as_ref().map_or(0, |answer| answer.status());
             let body = answer.map(|answer| String::from_utf8_lossy(&answer.body).into_owned());
             let text = body.unwrap_or_default();
-            record.line(&format!("read at {}: {status} {}", core.name, &text[..text.len().min(60)]));
+            record.line(&format!(
+                "read at {}: {status} {}",
+                core.name,
+                &text[..text.len().min(60)]
+            ));
             came |= status == 200 && text.contains("\"version\":3");
         }
         sleep(Duration::from_millis(500));
--- a/review/standins/frozen_replica.rs
+++ b/review/standins/frozen_replica.rs
@@ -7,8 +7,8 @@
 use std::thread::{self, sleep};
 use std::time::Duration;
 
-use crate::client::{self, HOST, PATH};
-use crate::deployment::{ADMIN, APP, Deployment, OUTBOUND};
+use crate::client;
+use crate::deployment::{ADMIN, APP, Deployment, OUTBOUND, Signal, config};
 use crate::endpoint::Endpoint;
 use crate::{Context, Result};
 
@@ -23,9 +23,10 @@
 const QUIET: Duration = Duration::from_millis(2_800);
 const PAUSE: Duration = Duration::from_millis(25);
 const ROUNDS: usize = 7;
-const SERVICES: [&str; 16] = [
+const SERVICES: [&str; 22] = [
     "alpha", "alpha", "beta", "beta", "caller", "caller", "caller", "caller", "caller", "caller",
-    "caller", "caller", "caller", "caller", "caller", "caller",
+    "caller", "caller", "caller", "caller", "caller", "caller", "caller", "caller", "caller",
+    "caller", "caller", "caller",
 ];
 
 /// Change in force: time of its acknowledgement, freeze before it, and the service of the route.
@@ -37,16 +38,8 @@
     service: usize,
 }
 
-fn config(version: usize, base: usize, service: &str) -> String {
-    let parts: Vec<String> = ["alpha", "beta", "caller"]
-        .iter()
-        .map(|name| format!(r#"{{"resourceType":"services","metadata":{{"name":"{name}"}},"spec":{{"healthCheckPath":"/healthz","maxConnections":110,"protocol":"h1","tls":false}}}}"#))
-        .collect();
-    format!(
-        r#"{{"version":{version},"baseVersion":{base},"resources":[{{"resourceType":"routes","metadata":{{"name":"place"}},"spec":{{"host":"{HOST}","prefix":"{PATH}","type":"safe","timeout":"1500ms","targetLatency":"800ms","priority":1,"service":"{service}","maxAttempts":2}}}},{},{{"resourceType":"limits","metadata":{{}},"spec":{{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeout":"3000ms","idleTimeout":"15000ms"}}}}]}}"#,
-        parts.join(",")
-    )
-}
+/// Names of the services, for the configuration.
+const NAMES: [&str; 3] = ["alpha", "beta", "caller"];
 
 pub fn run(context: &Context) -> Result {
     let record = &context.record;
@@ -54,15 +47,24 @@
     let mut endpoints = Vec::new();
     for (machine, service) in deployment.sides.iter().zip(SERVICES) {
         let id = format!("i-{service}-{}", machine.name);
-        let mut endpoint =
-            Endpoint::new(&id, service, machine.address(APP), machine.address(ADMIN), record.clone());
+        let mut endpoint = Endpoint::new(
+            &id,
+            service,
+            machine.address(APP),
+            machine.address(ADMIN),
+            record.clone(),
+        );
         endpoint.work = Duration::from_millis(5);
         endpoint.quiet = true;
         let endpoint = Arc::new(endpoint);
         endpoint.start();
         endpoints.push(endpoint);
     }
-    if !deployment.order("/Config.Replace", &config(1, 0, "alpha"), Duration::from_secs(20)) {
+    if !deployment.order(
+        "/Config.Replace",
+        &config(1, 0, "safe", "alpha", &NAMES, 2),
+        Duration::from_secs(20),
+    ) {
         return Err("the configuration was not acknowledged".to_owned());
     }
     if !deployment.wait_ready(Duration::from_secs(20)) {
@@ -113,22 +115,31 @@
         let frozen = (leader + 1 + round % 2) % 3;
         let service = round % 2;
         let name = &deployment.cores[frozen].name;
-        let frozen_ms = record.now_ms();
         if context.trouble {
-            record.line(&format!("round {round}: {name} freezes; the leader is core-{leader}"));
-            deployment.cores[frozen].signal("STOP");
+            record.line(&format!(
+                "round {round}: {name} freezes; the leader is core-{leader}"
+            ));
+            deployment.cores[frozen].signal(Signal::Stop);
         }
-        let body = config(round + 1, round, ["alpha", "beta"][service]);
+        let frozen_ms = record.now_ms();
+        let body = config(round + 1, round, "safe", NAMES[service], &NAMES, 2);
         let acked = deployment.order_at(leader, "/Config.Replace", &body);
         let acked_ms = record.now_ms();
         record.line(&format!("version {} acknowledged: {acked}", round + 1));
         if acked {
             let thawed_ms = frozen_ms + FREEZE.as_millis() as u64;
-            *change.lock().expect("change") = Change { acked_ms, frozen_ms, thawed_ms, service };
+            *change.lock().expect("change") = Change {
+                acked_ms,
+                frozen_ms,
+                thawed_ms,
+                service,
+            };
         }
         let sleep_until = |time: Duration| {
             let time_ms = frozen_ms + time.as_millis() as u64;
-            sleep(Duration::from_millis(time_ms.saturating_sub(record.now_ms())));
+            sleep(Duration::from_millis(
+                time_ms.saturating_sub(record.now_ms()),
+            ));
         };
         sleep_until(QUIET);
         sending.store(true, Ordering::SeqCst);
@@ -136,7 +147,7 @@
         sending.store(false, Ordering::SeqCst);
         *change.lock().expect("change") = Change::default();
         if context.trouble {
-            deployment.cores[frozen].signal("CONT");
+            deployment.cores[frozen].signal(Signal::Cont);
         }
         sleep(CALM);
         if !acked && !deployment.order("/Config.Replace", &body, Duration::from_secs(5)) {
@@ -150,7 +161,10 @@
     let served = *served.lock().expect("served");
     let stale = stale.lock().expect("stale");
     let requests: usize = stale.values().map(Vec::len).sum();
-    let text = format!("{served} requests served, {requests} by an old version at {} daemons", stale.len());
+    let text = format!(
+        "{served} requests served, {requests} by an old version at {} daemons",
+        stale.len()
+    );
     record.line(&text);
     println!("{text}");
     if served == 0 {
--- a/review/standins/http.rs
+++ b/review/standins/http.rs
@@ -39,7 +39,10 @@
 impl Connection {
     pub fn new(stream: TcpStream) -> Self {
         let _ = stream.set_nodelay(true);
-        Self { stream, buf: Vec::new() }
+        Self {
+            stream,
+            buf: Vec::new(),
+        }
     }
 
     pub fn open(address: SocketAddr, timeout: Duration) -> io::Result<Self> {
@@ -76,10 +79,15 @@
         };
         for line in lines {
             if let Some((name, value)) = line.split_once(':') {
-                message.headers.push((name.to_owned(), value.trim().to_owned()));
+                message
+                    .headers
+                    .push((name.to_owned(), value.trim().to_owned()));
             }
         }
-        let length: usize = message.header("content-length").and_then(|l| l.parse().ok()).unwrap_or(0);
+        let length: usize = message
+            .header("content-length")
+            .and_then(|l| l.parse().ok())
+            .unwrap_or(0);
         while self.buf.len() < length {
             self.fill()?;
         }
@@ -119,7 +127,14 @@
     timeout: Duration,
 ) -> io::Result<Message> {
     let host = address.to_string();
-    let headers = [("Host", host.as_str()), ("Content-Type", "application/json")];
-    let request = bytes(&format!("{method} {path} HTTP/1.1"), &headers, body.as_bytes());
+    let headers = [
+        ("Host", host.as_str()),
+        ("Content-Type", "application/json"),
+    ];
+    let request = bytes(
+        &format!("{method} {path} HTTP/1.1"),
+        &headers,
+        body.as_bytes(),
+    );
     Connection::open(address, timeout)?.exchange(&request)
 }
--- a/review/standins/late_beat.rs
+++ b/review/standins/late_beat.rs
@@ -6,8 +6,8 @@
 use std::thread::sleep;
 use std::time::Duration;
 
-use crate::client::{Clients, HOST, PATH};
-use crate::deployment::{ADMIN, APP, Deployment, OUTBOUND};
+use crate::client::Clients;
+use crate::deployment::{ADMIN, APP, Deployment, OUTBOUND, config};
 use crate::endpoint::Endpoint;
 use crate::{Context, Result};
 
@@ -40,9 +40,7 @@
         endpoint.start();
         endpoints.push(endpoint);
     }
-    let config = format!(
-        r#"{{"version":3,"baseVersion":0,"resources":[{{"resourceType":"routes","metadata":{{"name":"place"}},"spec":{{"host":"{HOST}","prefix":"{PATH}","type":"unsafe","timeout":"1000ms","targetLatency":"500ms","priority":1,"service":"orders","maxAttempts":2}}}},{{"resourceType":"services","metadata":{{"name":"orders"}},"spec":{{"healthCheckPath":"/healthz","maxConnections":110,"protocol":"h1","tls":false}}}},{{"resourceType":"services","metadata":{{"name":"catalogue"}},"spec":{{"healthCheckPath":"/healthz","maxConnections":110,"protocol":"h1","tls":false}}}},{{"resourceType":"limits","metadata":{{}},"spec":{{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeout":"3000ms","idleTimeout":"15000ms"}}}}]}}"#
-    );
+    let config = config(3, 0, "unsafe", "orders", &["orders", "catalogue"], 2);
     if !deployment.order("/Config.Replace", &config, Duration::from_secs(20)) {
         return Err("the configuration was not acknowledged".to_owned());
     }
@@ -93,7 +91,10 @@
             ));
         }
     }
-    let served = outcomes.iter().filter(|outcome| outcome.status == 200).count();
+    let served = outcomes
+        .iter()
+        .filter(|outcome| outcome.status == 200)
+        .count();
     let text = format!(
         "{} requests, {served} served; {before} reached the endpoint before the acknowledgement, {late} too late",
         outcomes.len()
--- a/review/standins/late_refusal.rs
+++ b/review/standins/late_refusal.rs
@@ -8,8 +8,8 @@
 use std::thread::sleep;
 use std::time::Duration;
 
-use crate::client::{Clients, HOST, PATH};
-use crate::deployment::{APP, ADMIN, Deployment, OUTBOUND};
+use crate::client::Clients;
+use crate::deployment::{ADMIN, APP, Deployment, OUTBOUND, config};
 use crate::endpoint::Endpoint;
 use crate::{Context, Result};
 
@@ -29,7 +29,6 @@
 const ROUNDS: usize = 8;
 
 pub fn run(context: &Context, variant: &Variant) -> Result {
-    let max_attempts = variant.max_attempts;
     let record = &context.record;
     let deployment = Deployment::start(&context.dir, &["orders", "catalogue"]);
     let endpoint = |side: usize, service: &str| {
@@ -44,8 +43,13 @@
     let catalogue = endpoint(1, "catalogue");
     orders.start();
     catalogue.start();
-    let config = format!(
-        r#"{{"version":3,"baseVersion":0,"resources":[{{"resourceType":"routes","metadata":{{"name":"place"}},"spec":{{"host":"{HOST}","prefix":"{PATH}","type":"unsafe","timeout":"1000ms","targetLatency":"500ms","priority":1,"service":"orders","maxAttempts":{max_attempts}}}}},{{"resourceType":"services","metadata":{{"name":"orders"}},"spec":{{"healthCheckPath":"/healthz","maxConnections":110,"protocol":"h1","tls":false}}}},{{"resourceType":"services","metadata":{{"name":"catalogue"}},"spec":{{"healthCheckPath":"/healthz","maxConnections":110,"protocol":"h1","tls":false}}}},{{"resourceType":"limits","metadata":{{}},"spec":{{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeout":"3000ms","idleTimeout":"15000ms"}}}}]}}"#
+    let config = config(
+        3,
+        0,
+        "unsafe",
+        "orders",
+        &["orders", "catalogue"],
+        variant.max_attempts,
     );
     if !deployment.order("/Config.Replace", &config, Duration::from_secs(20)) {
         return Err("the configuration was not acknowledged".to_owned());
@@ -59,8 +63,12 @@
     sleep(CALM);
     for round in 1..=ROUNDS {
         if context.trouble {
-            record.line(&format!("round {round}: the endpoint of orders rejects and repeats answers"));
-            orders.shed.store(variant.shed_thousandths, Ordering::SeqCst);
+            record.line(&format!(
+                "round {round}: the endpoint of orders rejects and repeats answers"
+            ));
+            orders
+                .shed
+                .store(variant.shed_thousandths, Ordering::SeqCst);
             orders.late_copies.store(LATE_THOUSANDTHS, Ordering::SeqCst);
         }
         sleep(ROUND);
@@ -76,11 +84,17 @@
         let count = runs.get(&outcome.id).map_or(0, Vec::len);
         if matches!(outcome.status, 408 | 421 | 429 | 503) && count > 0 {
             refused_but_run += 1;
-            record.line(&format!("REFUSED: {} was answered {} and ran", outcome.id, outcome.status));
+            record.line(&format!(
+                "REFUSED: {} was answered {} and ran",
+                outcome.id, outcome.status
+            ));
         }
         if count > 1 {
             twice += 1;
-            record.line(&format!("TWICE: {} ran {count} times, answered {}", outcome.id, outcome.status));
+            record.line(&format!(
+                "TWICE: {} ran {count} times, answered {}",
+                outcome.id, outcome.status
+            ));
         }
         served += usize::from(outcome.status == 200);
     }
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -49,11 +49,17 @@
     };
     let run = std::panic::AssertUnwindSafe(|| match case.as_str() {
         "late-refusal-2" => {
-            let variant = Variant { max_attempts: 2, shed_thousandths: 450 };
+            let variant = Variant {
+                max_attempts: 2,
+                shed_thousandths: 450,
+            };
             late_refusal::run(&context, &variant)
         }
         "late-refusal-3" => {
-            let variant = Variant { max_attempts: 3, shed_thousandths: 100 };
+            let variant = Variant {
+                max_attempts: 3,
+                shed_thousandths: 100,
+            };
             late_refusal::run(&context, &variant)
         }
         "frozen-replica" => frozen_replica::run(&context),
--- a/review/standins/record.rs
+++ b/review/standins/record.rs
@@ -13,7 +13,10 @@
 
 impl Record {
     pub fn new(path: &Path) -> Self {
-        Self { start: Instant::now(), file: Mutex::new(File::create(path).expect("record")) }
+        Self {
+            start: Instant::now(),
+            file: Mutex::new(File::create(path).expect("record")),
+        }
     }
 
     pub fn now_ms(&self) -> u64 {
--- a/review/standins/stuck_drain.rs
+++ b/review/standins/stuck_drain.rs
@@ -5,8 +5,8 @@
 use std::thread::sleep;
 use std::time::Duration;
 
-use crate::client::{Clients, HOST, Outcome, PATH};
-use crate::deployment::{ADMIN, APP, Deployment, OUTBOUND};
+use crate::client::{Clients, Outcome};
+use crate::deployment::{ADMIN, APP, Deployment, OUTBOUND, Signal, config};
 use crate::endpoint::Endpoint;
 use crate::{Context, Result};
 
@@ -25,13 +25,16 @@
     for (side, service) in ["orders", "catalogue"].iter().enumerate() {
         let machine = &deployment.sides[side];
         let id = format!("i-{service}");
-        let endpoint =
-            Endpoint::new(&id, service, machine.address(APP), machine.address(ADMIN), record.clone());
+        let endpoint = Endpoint::new(
+            &id,
+            service,
+            machine.address(APP),
+            machine.address(ADMIN),
+            record.clone(),
+        );
         Arc::new(endpoint).start();
     }
-    let config = format!(
-        r#"{{"version":3,"baseVersion":0,"resources":[{{"resourceType":"routes","metadata":{{"name":"place"}},"spec":{{"host":"{HOST}","prefix":"{PATH}","type":"unsafe","timeout":"1000ms","targetLatency":"500ms","priority":1,"service":"orders","maxAttempts":2}}}},{{"resourceType":"services","metadata":{{"name":"orders"}},"spec":{{"healthCheckPath":"/healthz","maxConnections":110,"protocol":"h1","tls":false}}}},{{"resourceType":"services","metadata":{{"name":"catalogue"}},"spec":{{"healthCheckPath":"/healthz","maxConnections":110,"protocol":"h1","tls":false}}}},{{"resourceType":"limits","metadata":{{}},"spec":{{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeout":"3000ms","idleTimeout":"15000ms"}}}}]}}"#
-    );
+    let config = config(3, 0, "unsafe", "orders", &["orders", "catalogue"], 2);
     if !deployment.order("/Config.Replace", &config, Duration::from_secs(20)) {
         return Err("the configuration was not acknowledged".to_owned());
     }
@@ -50,17 +53,25 @@
     };
     for round in 1..=ROUNDS {
         let (before, sent_before) = served(&requests(3));
-        record.line(&format!("round {round}: {before} of {sent_before} served; SIGTERM to side-0"));
-        deployment.sides[0].signal("TERM");
+        record.line(&format!(
+            "round {round}: {before} of {sent_before} served; SIGTERM to side-0"
+        ));
+        deployment.sides[0].signal(Signal::Term);
         if context.trouble {
             sleep(FAULT_AFTER);
             record.line("all processes are killed");
             let machines = deployment.cores.iter_mut().chain(&mut deployment.sides);
             machines.for_each(|machine| machine.kill());
             sleep(SIDE_DOWN);
-            deployment.sides.iter_mut().for_each(|machine| machine.start());
+            deployment
+                .sides
+                .iter_mut()
+                .for_each(|machine| machine.start());
             sleep(CORE_DOWN - SIDE_DOWN);
-            deployment.cores.iter_mut().for_each(|machine| machine.start());
+            deployment
+                .cores
+                .iter_mut()
+                .for_each(|machine| machine.start());
         } else {
             deployment.sides[0].wait_or_kill(Duration::from_secs(6));
             sleep(SIDE_DOWN);
@@ -69,7 +80,9 @@
         record.line("all machines are back");
         sleep(RECOVERY);
         let (after, sent_after) = served(&requests(5));
-        let text = format!("round {round}: {before} of {sent_before} served before, {after} of {sent_after} later than 15 s after the machines were back");
+        let text = format!(
+            "round {round}: {before} of {sent_before} served before, {after} of {sent_after} later than 15 s after the machines were back"
+        );
         record.line(&text);
         println!("{text}");
         if sent_before == 0 || before * 4 < sent_before {
@@ -84,6 +97,9 @@
 }
 
 fn served(outcomes: &[Outcome]) -> (usize, usize) {
-    let served = outcomes.iter().filter(|outcome| outcome.status == 200).count();
+    let served = outcomes
+        .iter()
+        .filter(|outcome| outcome.status == 200)
+        .count();
     (served, outcomes.len())
 }
