--- a/review/standins/deployment.rs
+++ b/review/standins/deployment.rs
@@ -39,6 +39,7 @@
     pub name: String,
     pub ip: Ipv4Addr,
     settings: PathBuf,
+    data: PathBuf,
     log: PathBuf,
     process: Option<Child>,
 }
@@ -118,6 +119,12 @@
         self.kill();
     }
 
+    /// Empties the data folder, as after the loss of the disk.
+    pub fn wipe(&self) {
+        let _ = fs::remove_dir_all(&self.data);
+        fs::create_dir_all(&self.data).expect("data folder");
+    }
+
     /// Marks the settings as those of a later start.
     pub fn clear_bootstrap(&self) {
         let text = fs::read_to_string(&self.settings).expect("settings");
@@ -175,6 +182,7 @@
                 name,
                 ip: ip(index),
                 settings: path,
+                data,
                 process: None,
             };
             match service {
