--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2024 -O -o target/review/standins review/standins/main.rs
+rustc --edition 2024 -O -o target/review/standins review/standins.rs
--- a/review/standins/main.rs
+++ b/review/standins.rs
@@ -1,18 +1,23 @@
 //! Stand-ins for clients, endpoints and the platform, and the cases that use them.
 //!
-//! `standins CASE FOLDER` plays a case and writes `record.txt` into the folder. The exit code is 1
-//! if the rule was broken, 0 if it held and 2 if the case could not run. `TROUBLE=0` leaves the
-//! disruption out.
+//! `standins CASE FOLDER TROUBLE` plays a case and writes `record.txt` into the folder. With 0 as
+//! `TROUBLE` it leaves the disruption out, with 1 it doesn't. The exit code is 1 if the rule was
+//! broken, 0 if it held and 2 if the case could not run.
 
 mod client;
 mod deployment;
 mod endpoint;
+#[path = "4/first_start.rs"]
 mod first_start;
+#[path = "3/frozen_replica.rs"]
 mod frozen_replica;
 mod http;
+#[path = "5/late_beat.rs"]
 mod late_beat;
+#[path = "1/late_refusal.rs"]
 mod late_refusal;
 mod record;
+#[path = "2/stuck_drain.rs"]
 mod stuck_drain;
 
 use std::path::PathBuf;
@@ -34,10 +39,18 @@
 
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().collect();
-    let [_, case, folder] = &args[..] else {
-        eprintln!("usage: standins CASE FOLDER");
+    let [_, case, folder, trouble] = &args[..] else {
+        eprintln!("usage: standins CASE FOLDER TROUBLE");
         return ExitCode::from(2);
     };
+    let trouble = match trouble.as_str() {
+        "0" => false,
+        "1" => true,
+        _ => {
+            eprintln!("TROUBLE is 0 or 1");
+            return ExitCode::from(2);
+        }
+    };
     let dir = std::env::temp_dir().join(format!("review-{case}-{}", std::process::id()));
     if std::fs::create_dir_all(&dir).is_err() {
         return ExitCode::from(2);
@@ -45,7 +58,7 @@
     let context = Context {
         record: Arc::new(Record::new(&PathBuf::from(folder).join("record.txt"))),
         dir: dir.clone(),
-        trouble: std::env::var("TROUBLE").map_or(true, |value| value != "0"),
+        trouble,
     };
     let run = std::panic::AssertUnwindSafe(|| match case.as_str() {
         "late-refusal-2" => {
