Overlap the attempts of a daemon to subscribe to another replica

Cause: after 1.5 s of silence a daemon drew the next replica from all of them, the silent one included, and waited 1.5 s for the handshake of each replica that does not answer. Silence and one such attempt are the whole 3 s.

Change: coordination::failover orders the attempts and lets them overlap; the first admission wins and the replica that was silent is tried last. The longest search is computed from the settings. A move to the home replica is logged, and the end of a subscription names the replica that served it.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod distribution;
 pub mod ejection;
 pub mod evidence;
+pub mod failover;
 pub mod fingerprint;
 pub mod floor;
 pub mod full_load;
--- a/crates/daemon/src/subscriber.rs
+++ b/crates/daemon/src/subscriber.rs
@@ -5,6 +5,7 @@
 //! without a view takes that of a witness at or above its floor (`docs/design.md`, section 2.3).
 
 use std::fmt;
+use std::net::SocketAddr;
 use std::ops::Range;
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,11 +13,13 @@
 use async_std::channel;
 use async_std::future::timeout;
 use async_std::task;
-use futures::FutureExt;
+use futures::future::{Fuse, FusedFuture};
+use futures::stream::FuturesUnordered;
+use futures::{FutureExt, StreamExt};
 use rand::rngs::StdRng;
-use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
 use sycamoreflow_coordination::distribution::home_replica;
+use sycamoreflow_coordination::failover::{Ended, Failover, Step};
 use sycamoreflow_coordination::leases::RENEW_INTERVAL;
 use sycamoreflow_protocol::codec::CodecError;
 use sycamoreflow_protocol::distribution::{FromReplica, FromSubscriber};
@@ -32,10 +35,6 @@
 use crate::settings::ReplicaAddress;
 use crate::traffic::{LinkMeter, Traffic};
 
-use backoff::{BACKOFF_MIN, Backoff};
-
-mod backoff;
-
 /// Time without a successful subscription after which a warning is logged. Forming a control group
 /// and electing its first leader took 2 to 3 s on loopback.
 const UNSERVED_WARNING_DELAY: Millis = Millis(5_000);
@@ -62,10 +61,24 @@
     RetryAfter(Millis),
     NoQuorum,
     NotAdmitted,
+    /// The replica did not answer within [`ADMISSION_TIMEOUT`].
+    AdmissionTimeout,
     /// The local view has diverged from the replica, so a delta can't bring it up to date.
     Diverged,
 }
 
+impl SubscriptionError {
+    fn kind(&self) -> Ended {
+        match self {
+            Self::Link(LinkError::Silent | LinkError::OpenTimeout) | Self::AdmissionTimeout => {
+                Ended::Silent
+            }
+            Self::RetryAfter(wait) => Ended::RetryAfter(*wait),
+            _ => Ended::Closed,
+        }
+    }
+}
+
 impl fmt::Display for SubscriptionError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -74,6 +87,7 @@
             Self::RetryAfter(wait) => write!(f, "the replica asked to retry after {} ms", wait.0),
             Self::NoQuorum => f.write_str("the replica has no quorum"),
             Self::NotAdmitted => f.write_str("the replica did not admit the subscription"),
+            Self::AdmissionTimeout => f.write_str("the replica did not answer the subscription"),
             Self::Diverged => f.write_str("the local view has diverged from the replica"),
         }
     }
@@ -104,6 +118,49 @@
     meter: LinkMeter,
 }
 
+/// Progress of an attempt to subscribe to a replica.
+enum Progress {
+    /// The replica has completed the handshake of the link.
+    Connected(DaemonId, Sender, Receiver),
+    /// The replica has admitted the subscription.
+    Admitted(DaemonId, Subscription),
+    Failed(DaemonId, SubscriptionError),
+}
+
+/// The time during which the daemon had no stable subscription.
+struct Outage {
+    since: Millis,
+    warned: bool,
+}
+
+impl Outage {
+    fn new(since: Millis) -> Self {
+        Self {
+            since,
+            warned: false,
+        }
+    }
+
+    /// Logs a warning once if the outage is longer than [`UNSERVED_WARNING_DELAY`].
+    fn warn_if_long(&mut self, now: Millis, replica: &DaemonId, ended: &SubscriptionError) {
+        if self.warned || now.since(self.since) <= UNSERVED_WARNING_DELAY {
+            return;
+        }
+        self.warned = true;
+        tracing::warn!(
+            %replica, %ended,
+            "no control replica serves this daemon; it keeps trying. Check control-replicas, the \
+             mesh name and the mesh key"
+        );
+    }
+}
+
+/// Records that a subscription or an attempt has ended. `wait` is the time until the next attempt.
+fn log_end(replica: &DaemonId, reason: &SubscriptionError, wait: Millis) {
+    metrics::counter!("sycamoreflow_subscriptions_ended_total").increment(1);
+    tracing::info!(event = "subscription", up = false, %replica, %reason, wait_ms = wait.0);
+}
+
 /// Configuration and shared state of the subscription.
 pub struct Subscriber {
     /// Identifier of this daemon.
@@ -114,7 +171,7 @@
     pub limits: link::Limits,
     /// Replicas that the daemon may subscribe to.
     pub replicas: Arc<Replicas>,
-    /// Maximum wait between two attempts. A subscription that lasted longer resets the backoff.
+    /// Maximum wait after a failed attempt. A subscription that lasted longer resets the backoff.
     pub max_backoff: Millis,
     /// Resources that the view must contain.
     pub interest: Interest,
@@ -133,55 +190,107 @@
 }
 
 impl Subscriber {
-    /// Keeps the daemon subscribed, reconnecting with a backoff. Never returns.
+    /// Keeps the daemon subscribed. Never returns.
     pub async fn run(self) {
         let mut rng = StdRng::seed_from_u64(self.seed);
-        let mut backoff = Backoff::new(self.max_backoff);
-        let mut untried: Vec<ReplicaAddress> = Vec::new();
+        let silence_timeout = Millis(self.limits.silence_timeout.as_millis() as u64);
+        let mut failover = Failover::new(silence_timeout, self.max_backoff);
+        let mut outage = Outage::new(clock::now());
         let mut diverged = false;
-        let mut unserved_since = clock::now();
-        let mut warned = false;
         loop {
-            if untried.is_empty() {
-                untried = self.replicas.all();
-                untried.shuffle(&mut rng);
+            let subscription = self
+                .search(&mut failover, &mut outage, &mut rng, diverged)
+                .await;
+            let since = clock::now();
+            let (replica, ended) = self.serve(subscription).await;
+            diverged = matches!(ended, SubscriptionError::Diverged);
+            let now = clock::now();
+            let lasted = now.since(since);
+            if lasted > self.max_backoff {
+                outage = Outage::new(now);
             }
-            let Some(replica) = untried.pop() else {
-                tracing::error!("no control replica is configured");
-                task::sleep(clock::duration(self.max_backoff)).await;
-                continue;
+            let wait = failover.subscription_ended(now, &replica, ended.kind(), lasted, &mut rng);
+            log_end(&replica, &ended, wait);
+        }
+    }
+
+    /// Tries the known replicas as [`Failover`] decides, and returns the first subscription that is
+    /// admitted. The other attempts are then abandoned, which closes their links.
+    ///
+    /// While no replica admits the daemon and it has no view, it takes that of a witness.
+    async fn search(
+        &self,
+        failover: &mut Failover,
+        outage: &mut Outage,
+        rng: &mut StdRng,
+        diverged: bool,
+    ) -> Subscription {
+        let mut attempts = FuturesUnordered::new();
+        let mut witness_view = Box::pin(Fuse::terminated());
+        let mut passes = failover.passes();
+        loop {
+            let known = self.replicas.all();
+            let ids: Vec<DaemonId> = known.iter().map(|r| r.daemon.clone()).collect();
+            let now = clock::now();
+            let wait = match failover.next_step(now, &ids, rng) {
+                Step::Start(id) => {
+                    let replica = known.into_iter().find(|r| r.daemon == id);
+                    attempts.extend(replica.map(|replica| self.start_attempt(replica).boxed()));
+                    continue;
+                }
+                Step::WaitUntil(time) => time.since(now),
+                Step::Wait => self.max_backoff,
             };
-            let replica = &replica;
-            let started = clock::now();
-            let ended = self.subscribe(replica, diverged).await;
-            diverged = matches!(ended, SubscriptionError::Diverged);
-            metrics::counter!("sycamoreflow_subscriptions_ended_total").increment(1);
-            if clock::now().since(started) > self.max_backoff {
-                backoff.reset();
-                unserved_since = clock::now();
-                warned = false;
-            } else if !warned && clock::now().since(unserved_since) > UNSERVED_WARNING_DELAY {
-                warned = true;
-                let replica = &replica.daemon;
-                tracing::warn!(
-                    %replica, %ended,
-                    "no control replica serves this daemon; it keeps trying. Check \
-                     control-replicas, the mesh name and the mesh key"
-                );
+            if ids.is_empty() {
+                tracing::error!("no control replica is configured");
             }
-            let backoff_wait = backoff.next_wait(&mut rng, untried.is_empty());
-            let wait = match ended {
-                SubscriptionError::RetryAfter(wait) => {
-                    Millis(wait.0 + rng.random_range(0..=BACKOFF_MIN.0))
+            if failover.passes() != passes && witness_view.is_terminated() {
+                passes = failover.passes();
+                if self.proxy.view().is_none() {
+                    witness_view.set(self.load_view_from_witnesses().fuse());
                 }
-                _ => backoff_wait,
+            }
+            let progress = futures::select! {
+                progress = attempts.select_next_some() => progress,
+                () = witness_view => continue,
+                () = task::sleep(clock::duration(wait)).fuse() => continue,
             };
-            tracing::info!(event = "subscription", up = false, replica = %replica.daemon,
-                reason = %ended, wait_ms = wait.0);
-            if self.proxy.view().is_none() && untried.is_empty() {
-                self.load_view_from_witnesses().await;
+            let now = clock::now();
+            match progress {
+                Progress::Connected(replica, tx, rx) => {
+                    failover.answered(now, &replica);
+                    attempts.push(self.finish_attempt(replica, tx, rx, diverged).boxed());
+                }
+                Progress::Admitted(replica, subscription) => {
+                    failover.admitted(&replica);
+                    return subscription;
+                }
+                Progress::Failed(replica, error) => {
+                    let wait = failover.failed(now, &replica, error.kind(), rng);
+                    log_end(&replica, &error, wait);
+                    outage.warn_if_long(now, &replica, &error);
+                }
             }
-            task::sleep(clock::duration(wait)).await;
+        }
+    }
+
+    async fn start_attempt(&self, replica: ReplicaAddress) -> Progress {
+        match self.connect(replica.link).await {
+            Ok((tx, rx)) => Progress::Connected(replica.daemon, tx, rx),
+            Err(error) => Progress::Failed(replica.daemon, error),
+        }
+    }
+
+    async fn finish_attempt(
+        &self,
+        replica: DaemonId,
+        tx: Sender,
+        rx: Receiver,
+        diverged: bool,
+    ) -> Progress {
+        match self.request_admission(tx, rx, diverged).await {
+            Ok(subscription) => Progress::Admitted(replica, subscription),
+            Err(error) => Progress::Failed(replica, error),
         }
     }
 
@@ -199,28 +308,42 @@
         self.stage_and_activate(view).await;
     }
 
-    /// Subscribes to a replica and serves the subscription, also after it has moved to the home
-    /// replica. Returns the reason why it has ended.
-    async fn subscribe(&self, replica: &ReplicaAddress, diverged: bool) -> SubscriptionError {
-        let mut opened = self.open(replica, diverged).await;
+    /// Serves a subscription, also after it has moved to the home replica. Returns the replica that
+    /// served it last and the reason why it has ended.
+    async fn serve(&self, mut subscription: Subscription) -> (DaemonId, SubscriptionError) {
         loop {
-            let Subscription { tx, rx, meter } = match opened {
-                Ok(subscription) => subscription,
-                Err(error) => return error,
-            };
-            opened = self.run_subscription(&tx, rx, &meter).await;
+            let Subscription { tx, rx, meter } = subscription;
+            let ended = self.run_subscription(&tx, rx, &meter).await;
             meter.update(tx.bytes());
+            let replica = tx.peer().daemon.clone();
+            match ended {
+                Ok(moved) => {
+                    tracing::info!(event = "subscription_moved", from = %replica,
+                        replica = %moved.tx.peer().daemon);
+                    subscription = moved;
+                }
+                Err(error) => return (replica, error),
+            }
         }
     }
 
+    /// Opens a subscription to a replica.
     async fn open(&self, replica: &ReplicaAddress, diverged: bool) -> Result<Subscription> {
-        let opened = link::connect(
-            replica.link,
-            &self.identity,
-            Purpose::Distribution,
-            &self.limits,
-        );
-        let (tx, mut rx) = opened.await?;
+        let (tx, rx) = self.connect(replica.link).await?;
+        self.request_admission(tx, rx, diverged).await
+    }
+
+    async fn connect(&self, replica: SocketAddr) -> Result<(Sender, Receiver)> {
+        let purpose = Purpose::Distribution;
+        Ok(link::connect(replica, &self.identity, purpose, &self.limits).await?)
+    }
+
+    async fn request_admission(
+        &self,
+        tx: Sender,
+        mut rx: Receiver,
+        diverged: bool,
+    ) -> Result<Subscription> {
         let meter = LinkMeter::new(self.traffic.clone());
         let view = self.proxy.view().filter(|_| !diverged);
         tx.send(&FromSubscriber::Subscribe {
@@ -290,7 +413,7 @@
 
     async fn wait_for_admission(&self, rx: &mut Receiver) -> Result<()> {
         let first = timeout(ADMISSION_TIMEOUT, rx.receive::<FromReplica>()).await;
-        match first.map_err(|_| SubscriptionError::NotAdmitted)?? {
+        match first.map_err(|_| SubscriptionError::AdmissionTimeout)?? {
             FromReplica::Admitted { floor } => {
                 self.floor.raise(floor);
                 Ok(())
--- a/crates/daemon/tests/processes/replicas.rs
+++ b/crates/daemon/tests/processes/replicas.rs
@@ -19,6 +19,9 @@
 /// silence timeout of 2 s, after which links to the replica are closed.
 const SUSPENSION_TIME: Duration = Duration::from_secs(3);
 
+/// Time after which the subscriptions of all daemons have moved to their home replicas.
+const MOVE_TIME: Duration = Duration::from_secs(5);
+
 /// How long the Raft term is observed after the replica resumes.
 const WATCH: Duration = Duration::from_secs(3);
 
@@ -83,6 +86,37 @@
     })
 }
 
+/// Guards against daemons that stay on an old version because they try the replica that has just
+/// frozen again, and wait for the timeout of the attempt, before they try another one.
+#[test]
+fn replica_frozen_tried_last() -> eyre::Result<()> {
+    run(async {
+        let mesh = mesh(18)?;
+        approve_everywhere(&mesh, 1).await?;
+        let operator = mesh.operator();
+        for weight in 2..4 {
+            // Subscriptions move to the home replicas in the first seconds.
+            task::sleep(MOVE_TIME).await;
+            let suspended = (leader_of(&mesh, &operator).await? + weight) % 3;
+            mesh.suspend(suspended)?;
+            let request = format!("tried-last-{weight}");
+            let approved = operator.approve(&request, &answers(weight), LIMIT).await?;
+            let others: Vec<usize> = (0..mesh.len()).filter(|i| *i != suspended).collect();
+            wait_for_version(&mesh, &others, approved.version.0).await?;
+            let frozen = mesh.settings(suspended).daemon.as_str();
+            let waited = |index: &usize| {
+                let log = mesh.log(*index);
+                let mut lines = log.lines().filter(|line| line.contains(frozen));
+                lines.any(|line| line.contains("opening the link timed out"))
+            };
+            let waited: Vec<usize> = others.into_iter().filter(waited).collect();
+            ensure!(waited.is_empty(), "daemons {waited:?} waited for {frozen}");
+            mesh.resume(suspended)?;
+        }
+        Ok(())
+    })
+}
+
 /// Guards against a replica with an empty data folder that counts towards a quorum without the
 /// data, or that never becomes a voter again.
 #[test]
