Send a request at most once on a connection to an endpoint

Cause: all sends of a request carry the same id. The connection on which the endpoint had rejected it was the first choice for the next send, and the late copy of the rejection passed for the answer to that send.

Change: the pool leaves out connections that have carried a request with this id. A copy that arrives in place of the answer to another request ends the connection, as before. Ids on links between daemons are never repeated, so they have no such case.

--- a/crates/daemon/tests/owner.rs
+++ b/crates/daemon/tests/owner.rs
@@ -173,6 +173,15 @@
 
 /// Starts an upstream as [`start_upstream`] does, which waits for `delay` before each answer.
 async fn start_delayed_upstream(delay: Duration, answers: Vec<&'static str>) -> SocketAddr {
+    start_upstream_by_connection(delay, vec![answers]).await
+}
+
+/// Starts an upstream as [`start_delayed_upstream`] does, whose answers differ by connection. Further
+/// connections get the answers of the last one.
+async fn start_upstream_by_connection(
+    delay: Duration,
+    mut connections: Vec<Vec<&'static str>>,
+) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0")
         .await
         .expect("bind to a free port");
@@ -181,7 +190,10 @@
         .expect("local address of the listener");
     task::spawn(async move {
         while let Ok((mut stream, _)) = listener.accept().await {
-            let answers = answers.clone();
+            let answers = match connections.len() {
+                0 | 1 => connections.first().cloned().unwrap_or_default(),
+                _ => connections.remove(0),
+            };
             task::spawn(async move {
                 for answer in answers {
                     if !read_head(&mut stream).await {
@@ -251,6 +263,33 @@
     assert_eq!(refused.err(), Some(expected));
 }
 
+/// Scenario: an upstream rejects a request and sends the rejection a second time, in place of the
+/// response to the next request on the connection. The request is sent again to the same upstream.
+///
+/// Guards against a second rejection that passes for the response to the second send: the request
+/// would count as not run although the upstream runs it.
+#[rstest]
+#[case::idempotent(true)]
+#[case::not_idempotent(false)]
+#[async_std::test]
+async fn deliver_late_second_rejection(#[case] idempotent: bool) {
+    const REJECTION: &str =
+        "HTTP/1.1 503 Busy\r\nnot-executed: 1\r\nattempt-id: a1\r\ncontent-length: 0\r\n\r\n";
+    let connections = vec![vec![REJECTION, REJECTION], vec![ANSWER]];
+    let address = start_upstream_by_connection(Duration::ZERO, connections).await;
+    let owner = owner(address).with_dialect(Arc::new(Dialect {
+        request_id: Some(HeaderName::from_static(REQUEST_ID)),
+        says_not_run: |response| response.headers().contains_key("not-executed"),
+        ..Dialect::default()
+    }));
+    owner.announce(announcement(address, 4));
+    let call = call(idempotent, "a1");
+    let first = owner.deliver(&call, default_deadline()).await;
+    assert_eq!(first.err(), Some(Failure::not_run(Reason::Shed)));
+    let second = owner.deliver(&call, default_deadline()).await;
+    assert!(second.is_ok(), "{second:?}");
+}
+
 fn report(sequence: u64, draining: bool) -> InstanceReport {
     InstanceReport {
         instance: "i-1".to_owned(),
--- a/crates/transport/src/http/client.rs
+++ b/crates/transport/src/http/client.rs
@@ -3,7 +3,7 @@
 //! Every failure carries a verdict: `NotRun` only if no byte of the request was written,
 //! `MayHaveRun` otherwise. A connection is driven by the future of the request that uses it, so
 //! dropping the future closes the connection, and a connection with an unanswered request is
-//! never reused. Before a pooled connection is reused, it is checked for having been closed and for
+//! never reused. A connection carries a request with the same echoed header at most once. Before a pooled connection is reused, it is checked for having been closed and for
 //! unsolicited bytes.
 
 use std::fmt;
@@ -77,7 +77,8 @@
 pub struct SendOptions {
     /// Request header that the upstream echoes in its response. A response with another value
     /// belongs to another request and is rejected; one without the header is accepted, but its
-    /// connection is not reused.
+    /// connection is not reused. A request is never sent on a connection that has carried one with
+    /// the same value: a second response to the earlier one could not be told from its response.
     pub echoed_header: Option<HeaderName>,
     /// Maximum time for which a reused connection may have been idle. The upstream may have dropped
     /// the connection since, and a request sent on it then may have run.
@@ -174,11 +175,16 @@
         let echo = EchoedHeader::from_request(&request, options);
         let mut request = prepare_request(request, address)?;
         loop {
-            let pooled = self.shared.pool.take(address, options.max_idle_time);
-            let (connection, is_pooled) = match pooled {
+            let value = echo.as_ref().map(|echo| &echo.value);
+            let pool = &self.shared.pool;
+            let (mut connection, is_pooled) = match pool.take(address, options.max_idle_time, value)
+            {
                 Some(connection) => (connection, true),
                 None => (self.shared.connect(address, deadline).await?, false),
             };
+            if let Some(value) = value {
+                connection.record_carried(value.clone());
+            }
             let attempt = self.attempt(connection, is_pooled, request, deadline, echo.as_ref());
             match attempt.await {
                 AttemptOutcome::Done(outcome) => return outcome,
--- a/crates/transport/src/http/client/connection.rs
+++ b/crates/transport/src/http/client/connection.rs
@@ -1,5 +1,6 @@
 //! A connection to an upstream, driven by hyper.
 
+use std::collections::VecDeque;
 use std::future::{Future, poll_fn};
 use std::io;
 use std::net::SocketAddr;
@@ -13,7 +14,7 @@
 use bytes::{Bytes, BytesMut};
 use futures::io::{AsyncRead, AsyncWrite};
 use http::header::TRANSFER_ENCODING;
-use http::{Request, Response, StatusCode};
+use http::{HeaderValue, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1;
@@ -30,6 +31,11 @@
 /// since the peer's timeout starts earlier than ours.
 const KEEP_ALIVE_FRACTION: f64 = 0.8;
 
+/// Number of requests whose echoed header is remembered. A late second response arrives in place of
+/// the next response, and a response to another request ends the connection, so one would do if
+/// upstreams were never later than that.
+const MAX_CARRIED: usize = 8;
+
 type Driver = http1::Connection<HyperIo<CountedStream>, Full<Bytes>>;
 
 /// Why an exchange ended without a response.
@@ -50,6 +56,8 @@
     /// `None` once the connection is closed.
     driver: Option<Pin<Box<Driver>>>,
     counters: Arc<Counters>,
+    /// Values of the echoed header in the latest requests, the last one most recent.
+    carried: VecDeque<HeaderValue>,
 }
 
 #[derive(Default)]
@@ -102,9 +110,24 @@
             sender,
             driver: Some(Box::pin(driver)),
             counters,
+            carried: VecDeque::new(),
         })
     }
 
+    /// Records that the connection carries a request with this value of the echoed header.
+    pub(super) fn record_carried(&mut self, value: HeaderValue) {
+        if self.carried.len() >= MAX_CARRIED {
+            self.carried.pop_front();
+        }
+        self.carried.push_back(value);
+    }
+
+    /// Returns whether one of the latest requests on the connection had this value of the echoed
+    /// header.
+    pub(super) fn has_carried(&self, value: &HeaderValue) -> bool {
+        self.carried.contains(value)
+    }
+
     pub(super) fn traffic_snapshot(&self) -> TrafficSnapshot {
         TrafficSnapshot {
             counters: self.counters.clone(),
--- a/crates/transport/src/http/client/pool.rs
+++ b/crates/transport/src/http/client/pool.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use http::HeaderValue;
 use parking_lot::Mutex;
 
 use super::connection::Connection;
@@ -47,28 +48,32 @@
 
     /// Removes and returns the most recently used connection, since it is the least likely to be
     /// closed. If it has been idle for longer than `max_idle_time`, it stays in the pool for other
-    /// requests and `None` is returned.
+    /// requests and `None` is returned. Connections that have carried a request with the value
+    /// `echoed` are left out.
     pub(super) fn take(
         &self,
         address: SocketAddr,
         max_idle_time: Option<Duration>,
+        echoed: Option<&HeaderValue>,
     ) -> Option<Connection> {
         let now = Instant::now();
-        let expired;
+        let expired: Vec<_>;
         let mut state = self.state.lock();
         let pool = state.addresses.get_mut(&address)?;
-        let newest = pool.idle.pop()?;
+        let is_usable =
+            |idle: &IdleConnection| echoed.is_none_or(|value| !idle.connection.has_carried(value));
+        let position = pool.idle.iter().rposition(is_usable)?;
+        let newest = &pool.idle[position];
         let idle = now.duration_since(newest.since);
         let limit = newest.connection.idle_limit.unwrap_or(self.idle_timeout);
         if idle < limit.min(self.idle_timeout) {
             if max_idle_time.is_some_and(|max_idle_time| idle > max_idle_time) {
-                pool.idle.push(newest);
                 return None;
             }
-            return Some(newest.connection);
+            return Some(pool.idle.remove(position).connection);
         }
-        // All others have been idle for longer. They are closed after the lock is released.
-        expired = std::mem::take(&mut pool.idle);
+        // All before it have been idle for longer. They are closed after the lock is released.
+        expired = pool.idle.drain(..=position).collect();
         drop(state);
         drop(expired);
         None
