Distribute the departures of endpoints in the view

Cause: departures were in the memory of one process. The restarted daemon had nothing to compare the late report with. The same held for an endpoint that had reported that it drains.

Change: a daemon sends its departures with each renewal, the leader keeps them for 60 s and publishes them in the view, which also hands them to the next leader. The daemon acknowledges a departure once its view contains it, or after 0.6 s without a leader, and announces no endpoint before its first view. The protocol between daemons has version 6.

The older tests of the owner start from a known view, as they would otherwise pass without endpoints.

--- a/crates/coordination/src/leases.rs
+++ b/crates/coordination/src/leases.rs
@@ -1,4 +1,4 @@
-//! The leader's endpoint table: leases of announced endpoints, drain marks and expiry.
+//! The leader's endpoint table: leases of announced endpoints, drain marks, departures and expiry.
 //!
 //! The table is soft state that renewals rebuild. A new leader starts with the copy that it
 //! received as a subscriber and extends every lease by one period (`docs/design.md`, section 2.2).
@@ -10,9 +10,11 @@
 
 use serde::{Deserialize, Serialize};
 use sycamoreflow_state::config::Share;
-use sycamoreflow_state::endpoint::Endpoint;
+use sycamoreflow_state::endpoint::{Departure, Endpoint};
 use sycamoreflow_state::ids::{DaemonId, EndpointVersion, Millis, ServiceName};
 
+use crate::departures::Departures;
+
 #[cfg(test)]
 mod tests;
 
@@ -46,6 +48,7 @@
     entries: BTreeMap<EndpointKey, Lease>,
     baselines: BTreeMap<ServiceName, Baseline>,
     draining_daemons: BTreeSet<DaemonId>,
+    departures: BTreeMap<DaemonId, Departures>,
     last_tick: Millis,
 }
 
@@ -98,6 +101,30 @@
         self.last_tick = now;
     }
 
+    /// Adds the departures in the copy of the former leader. Their retention starts again, since the
+    /// copy does not tell when they were recorded.
+    pub fn take_over_departures<'a>(
+        &mut self,
+        now: Millis,
+        copy: impl IntoIterator<Item = (&'a DaemonId, &'a [Departure])>,
+    ) {
+        for (daemon, departures) in copy {
+            self.depart(now, daemon, departures);
+        }
+    }
+
+    /// Records departures at `daemon`; invalid ones are ignored. Returns whether a change is visible
+    /// to proxies.
+    pub fn depart(&mut self, now: Millis, daemon: &DaemonId, departures: &[Departure]) -> bool {
+        let mut changed = false;
+        for departure in departures.iter().filter(|d| d.check().is_ok()) {
+            let known = self.departures.entry(daemon.clone()).or_default();
+            changed |= known.record(now, departure);
+        }
+        self.bump_version_if(changed);
+        changed
+    }
+
     /// Renews the leases of the endpoints of `daemon`; endpoints of other daemons and invalid ones
     /// are ignored. An endpoint that is no longer announced is removed immediately, since its
     /// upstream has shut down gracefully. Returns whether a change is visible to proxies.
@@ -163,7 +190,12 @@
                 expiries.removed.push(key);
             }
         }
-        self.bump_version_if(!expiries.removed.is_empty());
+        let mut departures_expired = false;
+        self.departures.retain(|_, departures| {
+            departures_expired |= departures.expire(now);
+            !departures.is_empty()
+        });
+        self.bump_version_if(departures_expired || !expiries.removed.is_empty());
         expiries
     }
 
@@ -172,6 +204,13 @@
         self.entries.values().map(|lease| &lease.endpoint)
     }
 
+    /// Returns the departures at each daemon that has any.
+    pub fn departures(&self) -> impl Iterator<Item = (&DaemonId, Vec<Departure>)> {
+        let now = self.last_tick;
+        let departures = self.departures.iter();
+        departures.map(move |(daemon, departures)| (daemon, departures.recent(now)))
+    }
+
     /// Returns the version of the table, which increases with every change visible to proxies.
     pub fn version(&self) -> EndpointVersion {
         self.version
--- a/crates/coordination/src/leases/tests.rs
+++ b/crates/coordination/src/leases/tests.rs
@@ -1,6 +1,6 @@
 use rstest::rstest;
 use sycamoreflow_state::config::Share;
-use sycamoreflow_state::endpoint::Endpoint;
+use sycamoreflow_state::endpoint::{Departure, Endpoint};
 use sycamoreflow_state::ids::{DaemonId, EndpointVersion, Millis, ServiceName};
 
 use super::{LEASE_DURATION, Leases};
@@ -155,3 +155,33 @@
     leases.take_over(Millis(0), 3, [endpoint("a"), odd]);
     assert!(leases.endpoints().eq([&endpoint("a")]));
 }
+
+/// Guards against departures that are lost with a change of leader, that stay for ever, or whose
+/// changes no proxy receives.
+#[test]
+fn depart_take_over() {
+    let daemon = DaemonId::from("a");
+    let departure = Departure {
+        instance: "i-1".to_owned(),
+        started_at: 1_000,
+        is_final: true,
+    };
+    let mut leases = Leases::default();
+    let version = leases.version();
+    assert!(leases.depart(Millis(0), &daemon, std::slice::from_ref(&departure)));
+    assert!(leases.version() > version);
+    assert!(!leases.depart(Millis(10), &daemon, std::slice::from_ref(&departure)));
+
+    let mut next = Leases::default();
+    next.take_over(Millis(20_000), 4, []);
+    for (daemon, departures) in leases.departures() {
+        next.take_over_departures(Millis(20_000), [(daemon, departures.as_slice())]);
+    }
+    let known: Vec<_> = next.departures().collect();
+    assert_eq!(known, [(&daemon, vec![departure])]);
+
+    let version = next.version();
+    tick_until(&mut next, 20_000, 80_000, none);
+    assert_eq!(next.departures().count(), 0);
+    assert!(next.version() > version);
+}
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admission;
 pub mod dedup;
+pub mod departures;
 pub mod distribution;
 pub mod ejection;
 pub mod evidence;
--- a/crates/coordination/src/publication.rs
+++ b/crates/coordination/src/publication.rs
@@ -40,7 +40,7 @@
             self.replace_config(state);
             self.config = Some(state.version());
         }
-        self.replace_endpoints(leases);
+        self.replace_soft_state(leases);
         self.view.set_version(ViewVersion {
             config: state.version(),
             endpoints: leases.version(),
@@ -55,7 +55,7 @@
             .view
             .iter()
             .map(|(key, _)| key)
-            .filter(|key| !matches!(key, ResourceKey::Endpoint(..)) && !keep.contains(key))
+            .filter(|key| !key.is_soft_state() && !keep.contains(key))
             .cloned()
             .collect();
         for key in stale {
@@ -66,7 +66,7 @@
         }
     }
 
-    fn replace_endpoints(&mut self, leases: &Leases) {
+    fn replace_soft_state(&mut self, leases: &Leases) {
         let mut keep = BTreeSet::new();
         for endpoint in leases.endpoints() {
             let key = ResourceKey::Endpoint(endpoint.daemon.clone(), endpoint.service.clone());
@@ -74,11 +74,17 @@
             replace_if_changed(&mut self.view, key.clone(), resource);
             keep.insert(key);
         }
+        for (daemon, departures) in leases.departures() {
+            let key = ResourceKey::Departures(daemon.clone());
+            let resource = Resource::Departures(departures);
+            replace_if_changed(&mut self.view, key.clone(), resource);
+            keep.insert(key);
+        }
         let stale: Vec<ResourceKey> = self
             .view
             .iter()
             .map(|(key, _)| key)
-            .filter(|key| matches!(key, ResourceKey::Endpoint(..)) && !keep.contains(key))
+            .filter(|key| key.is_soft_state() && !keep.contains(key))
             .cloned()
             .collect();
         for key in stale {
--- a/crates/daemon/src/control/leader.rs
+++ b/crates/daemon/src/control/leader.rs
@@ -110,6 +110,7 @@
             true => leases.take_over(now, term, hinted_endpoints.iter().cloned()),
             false => leases.take_over(now, term, followed_view.endpoints().cloned()),
         }
+        leases.take_over_departures(now, followed_view.departures());
         Self {
             leases,
             pacer: Pacer::new(term),
@@ -133,6 +134,7 @@
         match forwarded.content {
             ToLeader::Renew {
                 endpoints,
+                departures,
                 in_force,
             } => {
                 state.last_renewal = now;
@@ -143,6 +145,7 @@
                 let invalid = endpoints.iter().filter(is_invalid).count();
                 metrics::counter!("sycamoreflow_invalid_endpoints_total").increment(invalid as u64);
                 self.dirty |= self.leases.renew(now, &daemon, &endpoints);
+                self.dirty |= self.leases.depart(now, &daemon, &departures);
             }
             ToLeader::InForce(version) => {
                 state.in_force = version;
--- a/crates/daemon/src/control/sessions.rs
+++ b/crates/daemon/src/control/sessions.rs
@@ -50,12 +50,13 @@
 pub async fn serve(hub: Arc<Hub>, tx: Sender, mut rx: Receiver) {
     let daemon = tx.peer().daemon.clone();
     let first = timeout(SUBSCRIBE_TIMEOUT, rx.receive::<FromSubscriber>()).await;
-    let (interest, have, endpoints) = match first {
+    let (interest, have, endpoints, departures) = match first {
         Ok(Ok(FromSubscriber::Subscribe {
             interest,
             have,
             endpoints,
-        })) => (interest, have, endpoints),
+            departures,
+        })) => (interest, have, endpoints, departures),
         Ok(Ok(FromSubscriber::Follow { have })) => return serve_follower(hub, tx, rx, have).await,
         _ => return,
     };
@@ -70,11 +71,16 @@
         let _ = tx.send_waiting(&refusal).await;
         return;
     }
-    let renewal = ToLeader::Renew {
-        endpoints,
-        in_force: have,
-    };
-    hub.forward(&daemon, renewal);
+    // A daemon without a view does not know its departures yet, so it announces its endpoints after
+    // the first update.
+    if have.is_some() {
+        let renewal = ToLeader::Renew {
+            endpoints,
+            departures,
+            in_force: have,
+        };
+        hub.forward(&daemon, renewal);
+    }
     let mut session = Session {
         hub,
         daemon,
@@ -180,9 +186,11 @@
         let content = match message {
             FromSubscriber::Renew {
                 endpoints,
+                departures,
                 in_force,
             } => ToLeader::Renew {
                 endpoints,
+                departures,
                 in_force,
             },
             FromSubscriber::InForce(version) => ToLeader::InForce(version),
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -202,6 +202,7 @@
         }
         self.keys.update(self.view().as_deref(), &view);
         self.owner.set_weights(tenant_weights(&view));
+        self.owner.apply_departures(&view);
         self.owner.apply_drain_marks(&view);
         let active = Active {
             routes: self.route_table(&view),
--- a/crates/daemon/src/proxy/owner.rs
+++ b/crates/daemon/src/proxy/owner.rs
@@ -3,7 +3,6 @@
 //! This daemon decides on admission, since only it has the exact number of calls in flight. Its
 //! refusals therefore prove that the request has not run (`docs/design.md`, section 2.4).
 
-use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -19,9 +18,10 @@
 use sycamoreflow_coordination::admission::{
     Admission, AdmissionConfig, CallId, Decision, UpstreamResult,
 };
+use sycamoreflow_coordination::departures::Departures;
 use sycamoreflow_coordination::routing::Load;
 use sycamoreflow_protocol::call::{Answer, Call};
-use sycamoreflow_state::endpoint::{Announcement, Endpoint};
+use sycamoreflow_state::endpoint::{Announcement, Departure, Endpoint};
 use sycamoreflow_state::ids::{
     DaemonId, DataCentre, Micros, Millis, ServiceName, TenantName, VersionName,
 };
@@ -54,13 +54,17 @@
 /// that close idle connections early do so only after a longer time.
 const MAX_IDLE_FOR_NON_IDEMPOTENT: Duration = Duration::from_millis(250);
 
-/// Maximum number of departed instances to remember. A host has one upstream at a time, so few
-/// instances depart.
-const MAX_DEPARTED: usize = 64;
-
 /// Timeout of one probe of an upstream that has closed a connection during a request.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Longest wait for a departure to become part of the view. Instances give a report up after 1 s,
+/// and while the control group has no leader a departure is acknowledged nevertheless: the daemon
+/// itself observes it.
+const DISTRIBUTION_TIMEOUT: Millis = Millis(600);
+
+/// Interval at which the view is checked for a departure.
+const DISTRIBUTION_POLL: Duration = Duration::from_millis(10);
+
 /// Time for which an announcement is valid unless the upstream renews it.
 pub const ANNOUNCEMENT_LEASE: Millis = Millis(6_000);
 
@@ -75,9 +79,12 @@
     upstreams: Mutex<IndexMap<ServiceName, Arc<Upstream>>>,
     weights: Mutex<Vec<(TenantName, u32)>>,
     dialect: Arc<Dialect>,
-    /// Identifier and start time of departed instances, so that a late report does not add them
-    /// again.
-    departed: Mutex<VecDeque<(String, u64)>>,
+    /// Instances that have left, so that a late report does not add them again.
+    departures: Mutex<Departures>,
+    /// Departures that a view contained, so that they outlive this process.
+    distributed: Mutex<Vec<Departure>>,
+    /// Whether the daemon has had a view since its start, and so knows its earlier departures.
+    departures_known: AtomicBool,
     /// Time at which a planned stop aborts the calls in flight, if the daemon is about to stop.
     stop_deadline: Mutex<Option<Millis>>,
     /// Whether the daemon reports to callers that it is not ready.
@@ -136,7 +143,9 @@
             upstreams: Mutex::default(),
             weights: Mutex::default(),
             dialect: Arc::default(),
-            departed: Mutex::default(),
+            departures: Mutex::default(),
+            distributed: Mutex::default(),
+            departures_known: AtomicBool::new(false),
             stop_deadline: Mutex::default(),
             unready: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
@@ -170,6 +179,9 @@
             );
             return false;
         }
+        if report.draining && report.started_at != 0 {
+            self.record_departure(&report.instance, report.started_at, false);
+        }
         let service = report.announcement.service.clone();
         let mut changed = self.remove_displaced(&report);
         changed |= self.announce_instance(report.announcement.clone(), Some(&report));
@@ -190,13 +202,7 @@
     /// start time of the instance in milliseconds since the Unix epoch, or 0 if it is unknown,
     /// which matches any start time. Returns whether the endpoints have changed.
     pub fn depart(&self, instance: &str, born: u64) -> bool {
-        let mut departed = self.departed.lock();
-        if departed.len() >= MAX_DEPARTED {
-            departed.pop_front();
-        }
-        departed.push_back((instance.to_owned(), born));
-        drop(departed);
-        let mut changed = false;
+        let mut changed = self.record_departure(instance, born, true);
         for (service, upstream) in self.upstreams.lock().iter() {
             let is_departing = upstream.report.lock().as_ref().is_some_and(|known| {
                 known.instance == instance && (born == 0 || known.started_at == born)
@@ -212,15 +218,76 @@
         changed
     }
 
+    fn record_departure(&self, instance: &str, started_at: u64, is_final: bool) -> bool {
+        let departure = Departure {
+            instance: instance.to_owned(),
+            started_at,
+            is_final,
+        };
+        self.departures.lock().record(clock::now(), &departure)
+    }
+
+    /// Returns the recent departures, to be announced to the control replicas.
+    pub fn departures(&self) -> Vec<Departure> {
+        self.departures.lock().recent(clock::now())
+    }
+
+    /// Waits until all recent departures are part of the view, so that this daemon learns them
+    /// again after a restart, or until [`DISTRIBUTION_TIMEOUT`]. Returns whether they are.
+    ///
+    /// An acknowledgement that was sent before could be forgotten with this process.
+    pub async fn wait_for_distribution(&self) -> bool {
+        let end = clock::now().after(DISTRIBUTION_TIMEOUT);
+        while !self.are_departures_distributed() {
+            if clock::now() >= end {
+                tracing::warn!(event = "departures_not_distributed", departures = ?self.departures());
+                return false;
+            }
+            task::sleep(DISTRIBUTION_POLL).await;
+        }
+        true
+    }
+
+    fn are_departures_distributed(&self) -> bool {
+        let distributed = self.distributed.lock();
+        let mut departures = self.departures().into_iter();
+        departures.all(|departure| distributed.contains(&departure))
+    }
+
+    /// Adds the departures at this daemon in `view` to its own, and stops work to instances that
+    /// have left.
+    pub fn apply_departures(&self, view: &View) {
+        let key = ResourceKey::Departures(self.daemon.clone());
+        let distributed = match view.get(&key).map(AsRef::as_ref) {
+            Some(Resource::Departures(departures)) => departures.clone(),
+            _ => Vec::new(),
+        };
+        let mut departures = self.departures.lock();
+        for departure in &distributed {
+            departures.record(clock::now(), departure);
+        }
+        *self.distributed.lock() = distributed;
+        for (service, upstream) in self.upstreams.lock().iter() {
+            let has_left = upstream.report.lock().as_ref().is_some_and(|known| {
+                departures.excludes(&known.instance, known.started_at, known.draining)
+            });
+            if !has_left || upstream.departed.swap(true, Ordering::SeqCst) {
+                continue;
+            }
+            tracing::info!(event = "upstream_departed", %service, by = "view");
+            upstream.stop_new_work();
+        }
+        self.departures_known.store(true, Ordering::SeqCst);
+    }
+
     /// Returns whether a report is of a departed instance, or older than the latest report from the
     /// same address.
     fn is_outdated(&self, report: &InstanceReport) -> bool {
-        let has_departed = |(instance, started_at): &(String, u64)| {
-            *instance == report.instance && (*started_at == 0 || *started_at >= report.started_at)
-        };
-        if self.departed.lock().iter().any(has_departed) {
+        let departures = self.departures.lock();
+        if departures.excludes(&report.instance, report.started_at, report.draining) {
             return true;
         }
+        drop(departures);
         let upstreams = self.upstreams.lock();
         let mut at_same_address = upstreams
             .values()
@@ -412,8 +479,12 @@
         }
     }
 
-    /// Returns the endpoints to announce to the control replicas.
+    /// Returns the endpoints to announce to the control replicas. There are none before the first
+    /// view, since a report may be of an instance that left before this daemon started.
     pub fn endpoints(&self) -> Vec<Endpoint> {
+        if !self.departures_known.load(Ordering::SeqCst) {
+            return Vec::new();
+        }
         let draining = self.is_leaving();
         let upstreams = self.upstreams.lock();
         let endpoints = upstreams.values().map(|upstream| Endpoint {
--- a/crates/daemon/src/subscriber.rs
+++ b/crates/daemon/src/subscriber.rs
@@ -350,6 +350,7 @@
             interest: self.interest.clone(),
             have: view.map(|view| view.version()),
             endpoints: self.proxy.owner().endpoints(),
+            departures: self.proxy.owner().departures(),
         })?;
         let admitted = self.wait_for_admission(&mut rx).await;
         meter.update(tx.bytes());
@@ -446,11 +447,16 @@
             Ok(view) => {
                 let version = view.version();
                 let before = self.proxy.view().map(|view| view.version().config);
+                let endpoints = self.proxy.owner().endpoints();
                 // Only configuration versions are confirmed immediately. Endpoint versions are
                 // reported with the next renewal, which is soon enough.
                 if self.stage_and_activate(view).await && before != Some(version.config) {
                     tx.send(&FromSubscriber::InForce(version))?;
                 }
+                // The endpoints are announced after the first view, and a view may contain departures.
+                if before.is_none() || self.proxy.owner().endpoints() != endpoints {
+                    self.renew(tx)?;
+                }
                 Ok(())
             }
             Err(rejection) if rejection.is_duplicate() => {
@@ -509,13 +515,20 @@
         loop {
             let interval = clock::duration(RENEW_INTERVAL);
             let _ = timeout(interval, self.endpoints_changed.recv()).await;
-            tx.send(&FromSubscriber::Renew {
-                endpoints: self.proxy.owner().endpoints(),
-                in_force: self.proxy.view().map(|view| view.version()),
-            })?;
+            self.renew(tx)?;
         }
     }
 
+    fn renew(&self, tx: &Sender) -> Result<()> {
+        let owner = self.proxy.owner();
+        tx.send(&FromSubscriber::Renew {
+            endpoints: owner.endpoints(),
+            departures: owner.departures(),
+            in_force: self.proxy.view().map(|view| view.version()),
+        })?;
+        Ok(())
+    }
+
     async fn send_reports(&self, tx: &Sender, meter: &LinkMeter) -> Result<()> {
         loop {
             let interval = clock::duration(self.proxy.report_interval());
--- a/crates/daemon/tests/owner.rs
+++ b/crates/daemon/tests/owner.rs
@@ -22,11 +22,19 @@
 use sycamoreflow_state::endpoint::Announcement;
 use sycamoreflow_state::ids::{Micros, Millis};
 use sycamoreflow_state::verdict::{Failure, Reason};
+use sycamoreflow_state::view::{Interest, Resource, ResourceKey, View};
 use sycamoreflow_transport::http::client::{Client, Limits};
 
 const REQUEST_ID: &str = "attempt-id";
 
 fn owner(address: SocketAddr) -> Owner {
+    let owner = restarted_owner(address);
+    owner.apply_departures(&View::new(Interest::All));
+    owner
+}
+
+/// Returns an owner that has not had a view since its start.
+fn restarted_owner(address: SocketAddr) -> Owner {
     let (urgent_report, _reports) = channel::bounded(1);
     Owner::new(
         "sfax-a-1".into(),
@@ -323,8 +331,49 @@
     let before = owner(address);
     assert!(before.report(report(1, false)));
     assert!(before.depart("i-1", 1_000));
+    let departures = before.departures();
     drop(before);
-    let restarted = owner(address);
+    let restarted = restarted_owner(address);
     restarted.report(report(2, false));
     assert_eq!(restarted.endpoints(), [], "the departure is forgotten");
+    let mut view = View::new(Interest::All);
+    let key = ResourceKey::Departures("sfax-a-1".into());
+    view.insert(key, Arc::new(Resource::Departures(departures)));
+    restarted.apply_departures(&view);
+    let mut endpoints = restarted.endpoints().into_iter();
+    assert!(endpoints.all(|e| e.draining), "the departure is forgotten");
+    assert!(restarted.expire());
+    assert!(!restarted.report(report(3, false)));
+    assert_eq!(restarted.endpoints(), [], "a later report is believed");
+}
+
+/// Guards against a restarted daemon that never announces an upstream because it reported before
+/// the first view.
+#[async_std::test]
+async fn report_before_first_view() {
+    let restarted = restarted_owner(SocketAddr::from(([127, 0, 0, 1], 1)));
+    restarted.report(report(1, false));
+    restarted.apply_departures(&View::new(Interest::All));
+    let endpoints = restarted.endpoints();
+    assert!(endpoints.iter().all(|endpoint| !endpoint.draining));
+    assert_eq!(endpoints.len(), 1);
+}
+
+/// Guards against a departure that is acknowledged before the daemon will learn it again after a
+/// restart, and against an acknowledgement that never comes while there is no leader.
+#[rstest]
+#[case::departed(|owner: &Owner| owner.depart("i-1", 1_000))]
+#[case::draining(|owner: &Owner| owner.report(report(2, true)))]
+#[async_std::test]
+async fn wait_for_distribution_view(#[case] leave: fn(&Owner) -> bool) {
+    let owner = owner(SocketAddr::from(([127, 0, 0, 1], 1)));
+    assert!(owner.wait_for_distribution().await, "nothing has departed");
+    owner.report(report(1, false));
+    assert!(leave(&owner));
+    assert!(!owner.wait_for_distribution().await);
+    let mut view = View::new(Interest::All);
+    let key = ResourceKey::Departures("sfax-a-1".into());
+    view.insert(key, Arc::new(Resource::Departures(owner.departures())));
+    owner.apply_departures(&view);
+    assert!(owner.wait_for_distribution().await);
 }
--- a/crates/protocol/src/distribution.rs
+++ b/crates/protocol/src/distribution.rs
@@ -7,7 +7,7 @@
 use sycamoreflow_coordination::evidence::EvidenceReport;
 use sycamoreflow_coordination::shares::Grant;
 use sycamoreflow_coordination::suspect::SuspectReport;
-use sycamoreflow_state::endpoint::Endpoint;
+use sycamoreflow_state::endpoint::{Departure, Endpoint};
 use sycamoreflow_state::ids::{ConfigVersion, DaemonId, Millis, ViewVersion};
 use sycamoreflow_state::view::{Delta, Interest};
 
@@ -29,6 +29,8 @@
         have: Option<ViewVersion>,
         /// All endpoints on the subscriber's host.
         endpoints: Vec<Endpoint>,
+        /// Instances that have recently left the subscriber's host.
+        departures: Vec<Departure>,
     },
     /// Starts a subscription of another control replica, which serves its own subscribers from the
     /// leader's view. The sender does not count as a subscriber and is exempt from the join rate
@@ -42,6 +44,8 @@
     Renew {
         /// All endpoints on the subscriber's host.
         endpoints: Vec<Endpoint>,
+        /// Instances that have recently left the subscriber's host.
+        departures: Vec<Departure>,
         /// Version in force at the subscriber. Repeated here so that a new leader receives it.
         in_force: Option<ViewVersion>,
     },
--- a/crates/protocol/src/handshake.rs
+++ b/crates/protocol/src/handshake.rs
@@ -21,7 +21,7 @@
 
 /// Version of the protocol between daemons. Daemons with different versions refuse to connect to
 /// each other.
-pub const PROTOCOL_VERSION: u16 = 5;
+pub const PROTOCOL_VERSION: u16 = 6;
 
 /// Length of a nonce in bytes.
 pub const NONCE_BYTES: usize = 32;
--- a/crates/protocol/src/replica.rs
+++ b/crates/protocol/src/replica.rs
@@ -5,7 +5,7 @@
 use sycamoreflow_coordination::raft::message::Message;
 use sycamoreflow_coordination::shares::Grant;
 use sycamoreflow_coordination::suspect::SuspectReport;
-use sycamoreflow_state::endpoint::Endpoint;
+use sycamoreflow_state::endpoint::{Departure, Endpoint};
 use sycamoreflow_state::ids::{DaemonId, ViewVersion};
 
 /// A message from one control replica to another.
@@ -42,6 +42,8 @@
     Renew {
         /// All endpoints on the subscriber's host.
         endpoints: Vec<Endpoint>,
+        /// Instances that have recently left the subscriber's host.
+        departures: Vec<Departure>,
         /// Version in force at the subscriber. Repeated here so that a new leader receives it.
         in_force: Option<ViewVersion>,
     },
--- a/crates/state/src/endpoint.rs
+++ b/crates/state/src/endpoint.rs
@@ -102,6 +102,37 @@
     }
 }
 
+/// An instance of an upstream that drains or has left, as the daemon on its host was told.
+///
+/// The daemon may restart and then get a report that the instance sent before it left. Its
+/// departures are therefore part of the view, so that the daemon learns them again.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Departure {
+    /// Identifier of the instance.
+    pub instance: String,
+    /// When the instance started, in milliseconds since the Unix epoch, or 0 if it is unknown.
+    pub started_at: u64,
+    /// Whether the instance sends no further reports. Otherwise it drains, and may report that.
+    pub is_final: bool,
+}
+
+impl Departure {
+    /// Checks that the identifier can be passed on.
+    ///
+    /// # Errors
+    ///
+    /// If the identifier is not a valid name.
+    pub fn check(&self) -> Result<()> {
+        check_name("instance", &self.instance)
+    }
+
+    /// Returns whether this is a departure of the same instance as `other`.
+    pub fn is_same_instance(&self, other: &Self) -> bool {
+        self.instance == other.instance && self.started_at == other.started_at
+    }
+}
+
 /// An upstream that other daemons can send requests to.
 ///
 /// `address` belongs to the daemon on the host of the upstream, since other daemons reach the
--- a/crates/state/src/view.rs
+++ b/crates/state/src/view.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::config::{MeshConfig, RouteConfig, ServiceConfig, TenantConfig, TrafficSplit};
-use crate::endpoint::Endpoint;
+use crate::endpoint::{Departure, Endpoint};
 use crate::ids::{DaemonId, RouteName, ServiceName, TenantName, ViewVersion};
 
 mod delta;
@@ -29,8 +29,8 @@
 
 /// Key of a resource.
 ///
-/// Keys of the configuration sort before those of traffic splits, key holders and endpoints, so
-/// checks of the configuration stop before they reach the endpoints.
+/// Keys of the configuration sort before those of traffic splits, key holders, endpoints and
+/// departures, so checks of the configuration stop before they reach the endpoints.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum ResourceKey {
@@ -46,13 +46,16 @@
     KeyHolders(ServiceName),
     /// Endpoint of the service at the daemon; a daemon has at most one per service.
     Endpoint(DaemonId, ServiceName),
+    /// Departures at the daemon. They belong to no service, so every subscriber receives them.
+    Departures(DaemonId),
 }
 
 impl ResourceKey {
-    /// Returns the service that the resource belongs to, or `None` for tenants and routes.
+    /// Returns the service that the resource belongs to, or `None` for tenants, routes and
+    /// departures.
     pub fn service(&self) -> Option<&ServiceName> {
         match self {
-            Self::Tenant(_) | Self::Route(_) => None,
+            Self::Tenant(_) | Self::Route(_) | Self::Departures(_) => None,
             Self::Service(service)
             | Self::Traffic(service)
             | Self::KeyHolders(service)
@@ -61,6 +64,14 @@
     }
 }
 
+impl ResourceKey {
+    /// Returns whether the resource comes from the reports of daemons rather than from the
+    /// replicated state. No other resource refers to it.
+    pub fn is_soft_state(&self) -> bool {
+        matches!(self, Self::Endpoint(..) | Self::Departures(_))
+    }
+}
+
 impl fmt::Display for ResourceKey {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -70,6 +81,7 @@
             Self::Traffic(name) => write!(f, "traffic split of {name}"),
             Self::KeyHolders(name) => write!(f, "key holders of {name}"),
             Self::Endpoint(daemon, name) => write!(f, "endpoint of {name} at {daemon}"),
+            Self::Departures(daemon) => write!(f, "departures at {daemon}"),
         }
     }
 }
@@ -90,6 +102,8 @@
     KeyHolders(KeyHolders),
     /// An upstream that other daemons can send requests to.
     Endpoint(Endpoint),
+    /// Instances of upstreams that have left a daemon, for a limited time.
+    Departures(Vec<Departure>),
 }
 
 /// The group of daemons that stores the idempotency keys of a service.
@@ -112,7 +126,8 @@
     pub address: std::net::SocketAddr,
 }
 
-/// The part of the mesh that a subscriber receives. Tenants and routes are always included.
+/// The part of the mesh that a subscriber receives. Tenants, routes and departures are always
+/// included.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Interest {
@@ -298,6 +313,18 @@
         }
     }
 
+    /// Returns the departures at all daemons.
+    pub fn departures(&self) -> impl Iterator<Item = (&DaemonId, &[Departure])> {
+        let entries = self.entries.iter().rev();
+        let departures = entries.map_while(|(key, entry)| match (key, entry.resource.as_ref()) {
+            (ResourceKey::Departures(daemon), Resource::Departures(departures)) => {
+                Some((daemon, departures.as_slice()))
+            }
+            _ => None,
+        });
+        departures
+    }
+
     /// Returns the configuration of a tenant.
     pub fn tenant(&self, name: &TenantName) -> Option<&TenantConfig> {
         match self.get(&ResourceKey::Tenant(name.clone()))?.as_ref() {
@@ -385,8 +412,8 @@
                 (ResourceKey::Service(name), _) => {
                     self.require_entry(key, ResourceKey::Traffic(name.clone()))?;
                 }
-                (ResourceKey::Traffic(_) | ResourceKey::Endpoint(..), _) => break,
-                _ => {}
+                (ResourceKey::Tenant(_) | ResourceKey::Route(_), _) => {}
+                _ => break,
             }
         }
         Ok(())
@@ -462,7 +489,8 @@
         (ResourceKey::Tenant(_), Resource::Tenant(_))
         | (ResourceKey::Service(_), Resource::Service(_))
         | (ResourceKey::Route(_), Resource::Route(_))
-        | (ResourceKey::Traffic(_), Resource::Traffic(_)) => true,
+        | (ResourceKey::Traffic(_), Resource::Traffic(_))
+        | (ResourceKey::Departures(_), Resource::Departures(_)) => true,
         (ResourceKey::KeyHolders(_), Resource::KeyHolders(holders)) => {
             let distinct: BTreeSet<_> = holders.daemons.iter().map(|h| &h.daemon).collect();
             distinct.len() == holders.daemons.len()
--- a/crates/state/src/view/delta.rs
+++ b/crates/state/src/view/delta.rs
@@ -39,14 +39,13 @@
         }
     }
 
-    /// Returns whether the delta changes anything but endpoints, so that references must be
-    /// checked.
+    /// Returns whether the delta changes more than soft state, so that references must be checked.
     fn changes_config(&self) -> bool {
         self.upserts
             .iter()
             .map(|(key, _)| key)
             .chain(&self.removals)
-            .any(|key| !matches!(key, ResourceKey::Endpoint(..)))
+            .any(|key| !key.is_soft_state())
     }
 }
 
--- a/crates/testbed/examples/capacity/leader.rs
+++ b/crates/testbed/examples/capacity/leader.rs
@@ -113,6 +113,7 @@
         Forwarded {
             daemon: endpoint.daemon.clone(),
             content: ToLeader::Renew {
+                departures: Vec::new(),
                 endpoints: vec![endpoint],
                 in_force: None,
             },
--- a/crates/testbed/examples/capacity/light.rs
+++ b/crates/testbed/examples/capacity/light.rs
@@ -60,6 +60,7 @@
                 continue;
             };
             let subscribe = FromSubscriber::Subscribe {
+                departures: Vec::new(),
                 interest: Interest::All,
                 have,
                 endpoints: endpoints.clone(),
@@ -130,6 +131,7 @@
 
 async fn renew(tx: Sender, endpoints: Vec<Endpoint>) {
     let message = FromSubscriber::Renew {
+        departures: Vec::new(),
         endpoints,
         in_force: None,
     };
