Log steps of a replica that delay its heartbeats

A step of the replica's thread of 150 ms or more is now logged with the number of entries applied in it, and counted.

Text logs contain colour codes only if the output is a terminal, so that the fields in a log file can be searched.

--- a/crates/daemon/src/control/replica.rs
+++ b/crates/daemon/src/control/replica.rs
@@ -40,6 +40,10 @@
 /// contains the whole configuration, about 0.4 MB with 880 services.
 const SNAPSHOT_BYTES: usize = 8 << 20;
 
+/// Duration of an event from which it is logged. It is the interval of heartbeats, which are sent
+/// by the same thread.
+const SLOW_STEP: Duration = Duration::from_millis(150);
+
 /// Result of an operation that may write to storage. After an error the replica must stop.
 type StorageResult = std::result::Result<(), StorageError>;
 
@@ -154,14 +158,21 @@
         let mut next_tick = Instant::now();
         loop {
             let wait = next_tick.saturating_duration_since(Instant::now());
-            let result = match events.recv_timeout(wait) {
+            let event = match events.recv_timeout(wait) {
                 Ok(Event::Stop) | Err(RecvTimeoutError::Disconnected) => return Exit::Stopped,
-                Ok(event) => self.handle(event),
-                Err(RecvTimeoutError::Timeout) => {
-                    next_tick = Instant::now() + tick;
+                Ok(event) => Some(event),
+                Err(RecvTimeoutError::Timeout) => None,
+            };
+            let started = Instant::now();
+            let applied = self.state.applied();
+            let result = match event {
+                Some(event) => self.handle(event),
+                None => {
+                    next_tick = started + tick;
                     self.tick()
                 }
             };
+            self.log_slow_step(started, applied);
             if let Err(error) = result {
                 metrics::counter!("sycamoreflow_storage_failures_total").increment(1);
                 tracing::error!(event = "storage", usable = false, %error);
@@ -175,6 +186,19 @@
         }
     }
 
+    /// Logs an event that took so long that the other replicas may have missed a heartbeat.
+    /// `applied` is the index of the last entry that was applied before it.
+    fn log_slow_step(&self, started: Instant, applied: u64) {
+        let elapsed = started.elapsed();
+        if elapsed < SLOW_STEP {
+            return;
+        }
+        metrics::counter!("sycamoreflow_replica_slow_steps_total").increment(1);
+        let entries = self.state.applied().saturating_sub(applied);
+        tracing::warn!(event = "slow_step", ms = elapsed.as_millis() as u64, entries,
+            standing = ?self.raft_state);
+    }
+
     /// Returns the replicated state as of the last applied entry.
     pub fn state(&self) -> &ControlState {
         &self.state
--- a/crates/daemon/src/telemetry.rs
+++ b/crates/daemon/src/telemetry.rs
@@ -1,5 +1,6 @@
 //! Logging and metrics of the process.
 
+use std::io::{self, IsTerminal};
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -50,7 +51,9 @@
     let rate_filter = dynamic_filter_fn(move |metadata, _| {
         metadata.is_span() || filter_limits.allows(metadata.target(), Instant::now())
     });
-    let output_layer = tracing_subscriber::fmt::layer().with_writer(queue);
+    let output_layer = tracing_subscriber::fmt::layer()
+        .with_ansi(io::stdout().is_terminal())
+        .with_writer(queue);
     let registry = tracing_subscriber::registry().with(filter);
     let started = match settings.format {
         LogFormat::Text => registry
