--- a/crates/coordination/src/raft.rs
+++ b/crates/coordination/src/raft.rs
@@ -15,7 +15,9 @@
 //!   A replica with an empty disk therefore cannot create a second group beside an existing one.
 //!
 //! Requirements for the caller:
-//! - Pass [`Input::Tick`] at least every [`TICK_MS`], and execute the outputs in order.
+//! - Pass [`Input::Tick`] at least every [`TICK_MS`], and execute the outputs in order. Those for
+//!   the state machine (entries, snapshots and completed reads) may be executed later, in order
+//!   among themselves.
 //! - Execute writes and save snapshots in the order in which they were output or made, and pass
 //!   [`Input::Synced`] or [`Input::SnapshotSaved`] when one is durable. If one fails, stop the
 //!   replica.
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -211,12 +211,12 @@
         tracing::info!(bytes, "torn tail of the log cut off");
     }
     let mut state = ControlState::default();
-    let mut last_snapshot = 0;
+    let (mut snapshot_index, mut snapshot_bytes) = (0, 0);
     if let Some(snapshot) = &opened.log.snapshot {
         state = ControlState::decode(&snapshot.data)
             .map_err(|error| eyre::eyre!("failed to decode the snapshot: {error}"))?;
         state.advance_applied(snapshot.index);
-        last_snapshot = snapshot.index;
+        (snapshot_index, snapshot_bytes) = (snapshot.index, snapshot.data.len());
     }
     let mut raft = Raft::new(
         id.clone(),
@@ -235,7 +235,8 @@
         raft,
         storage: opened.storage,
         state,
-        snapshot_index: last_snapshot,
+        snapshot_index,
+        snapshot_bytes,
         hints,
         endpoints,
     })
--- a/crates/daemon/src/control/replica.rs
+++ b/crates/daemon/src/control/replica.rs
@@ -4,7 +4,7 @@
 //! It runs on a dedicated thread because it has to sync the disk before it confirms a write or a
 //! vote, and a sync must not block the tasks that serve calls.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::time::{Duration, Instant};
@@ -12,8 +12,7 @@
 use sycamoreflow_coordination::machine::document::Document;
 use sycamoreflow_coordination::machine::{CodecError, Command, ControlState, Outcome};
 use sycamoreflow_coordination::raft::{
-    Input, Membership, Output, Payload, Raft, Refusal, ReplicaState, SharedEntry, Snapshot,
-    TICK_MS, Token,
+    Input, Membership, Output, Raft, Refusal, ReplicaState, TICK_MS, Token,
 };
 use sycamoreflow_protocol::replica::{Forwarded, ReplicaMessage};
 use sycamoreflow_state::endpoint::Endpoint;
@@ -26,24 +25,25 @@
 use crate::control::leader::Leader;
 use crate::control::peers::Peers;
 
+mod apply;
 mod event;
 mod leading;
 
 pub use event::{Event, ReadState, Result, Unavailable};
 
-use event::Waiter;
-
-/// Number of applied entries after which the state is saved as a snapshot and the log is truncated.
-const SNAPSHOT_ENTRIES: u64 = 1_000;
+#[cfg(test)]
+mod tests;
 
-/// Size of the log in bytes after which a snapshot is saved even with fewer entries. An approval
-/// contains the whole configuration, about 0.4 MB with 880 services.
-const SNAPSHOT_BYTES: usize = 8 << 20;
+use apply::Unapplied;
+use event::Waiter;
 
 /// Duration of an event from which it is logged. It is the interval of heartbeats, which are sent
 /// by the same thread.
 const SLOW_STEP: Duration = Duration::from_millis(150);
 
+/// Maximum number of events that are handled before committed entries are applied.
+const MAX_EVENTS_PER_SLICE: usize = 64;
+
 /// Result of an operation that may write to storage. After an error the replica must stop.
 type StorageResult = std::result::Result<(), StorageError>;
 
@@ -83,7 +83,12 @@
     waiters: BTreeMap<Token, Waiter>,
     pending_proposals: BTreeMap<u64, PendingProposal>,
     next_token: u64,
+    /// Outputs of Raft that the state machine has not processed yet.
+    unapplied: VecDeque<Unapplied>,
+    /// Documents that were proposed while `unapplied` was not empty.
+    delayed: Vec<(Document, Waiter)>,
     last_snapshot: u64,
+    last_snapshot_bytes: usize,
     hints: EndpointHints,
     /// Endpoints from the copy on disk. The first term as leader takes them over.
     hinted_endpoints: Vec<Endpoint>,
@@ -117,6 +122,8 @@
     pub state: ControlState,
     /// Log index of the latest snapshot, or 0 if there is none.
     pub snapshot_index: u64,
+    /// Size in bytes of the latest snapshot, or 0 if there is none.
+    pub snapshot_bytes: usize,
     /// The copy of the endpoint table on disk.
     pub hints: EndpointHints,
     /// The endpoints that this copy contained at the start.
@@ -145,7 +152,10 @@
             waiters: BTreeMap::new(),
             pending_proposals: BTreeMap::new(),
             next_token: 1,
+            unapplied: VecDeque::new(),
+            delayed: Vec::new(),
             last_snapshot: init.snapshot_index,
+            last_snapshot_bytes: init.snapshot_bytes,
             hints: init.hints,
             hinted_endpoints: init.endpoints,
         }
@@ -157,7 +167,10 @@
         let tick = Duration::from_millis(TICK_MS);
         let mut next_tick = Instant::now();
         loop {
-            let wait = next_tick.saturating_duration_since(Instant::now());
+            let wait = match self.unapplied.is_empty() {
+                true => next_tick.saturating_duration_since(Instant::now()),
+                false => Duration::ZERO,
+            };
             let event = match events.recv_timeout(wait) {
                 Ok(Event::Stop) | Err(RecvTimeoutError::Disconnected) => return Exit::Stopped,
                 Ok(event) => Some(event),
@@ -165,14 +178,18 @@
             };
             let started = Instant::now();
             let applied = self.state.applied();
-            let result = match event {
-                Some(event) => self.handle(event),
-                None => {
-                    next_tick = started + tick;
-                    self.tick()
-                }
-            };
+            let is_tick_due = started >= next_tick;
+            if is_tick_due {
+                next_tick = started + tick;
+            }
+            let queued = events.try_iter().take(MAX_EVENTS_PER_SLICE);
+            let batch: Vec<Event> = event.into_iter().chain(queued).collect();
+            let stops = batch.iter().any(|event| matches!(event, Event::Stop));
+            let result = self.process(batch, is_tick_due);
             self.log_slow_step(started, applied);
+            if stops {
+                return Exit::Stopped;
+            }
             if let Err(error) = result {
                 metrics::counter!("sycamoreflow_storage_failures_total").increment(1);
                 tracing::error!(event = "storage", usable = false, %error);
@@ -219,6 +236,17 @@
         &self.raft
     }
 
+    /// Handles events, then a tick if one is due, and applies a slice of the committed entries.
+    fn process(&mut self, batch: Vec<Event>, is_tick_due: bool) -> StorageResult {
+        for event in batch {
+            self.handle(event)?;
+        }
+        if is_tick_due {
+            self.tick()?;
+        }
+        self.apply_slice()
+    }
+
     fn handle(&mut self, event: Event) -> StorageResult {
         match event {
             Event::Raft { from, message } => {
@@ -298,9 +326,15 @@
                     self.peers
                         .send(&to, &ReplicaMessage::Raft(Box::new(message)));
                 }
-                Output::Apply { index, entry } => self.apply(index, &entry),
-                Output::InstallSnapshot(snapshot) => self.install_snapshot(&snapshot)?,
-                Output::ReadReady { token, .. } => self.read_ready(token),
+                Output::Apply { index, entry } => {
+                    self.unapplied.push_back(Unapplied::Entry(index, entry));
+                }
+                Output::InstallSnapshot(snapshot) => {
+                    self.unapplied.push_back(Unapplied::Snapshot(snapshot));
+                }
+                Output::ReadReady { token, .. } => {
+                    self.unapplied.push_back(Unapplied::Read(token));
+                }
                 Output::ReadRefused {
                     token,
                     refusal,
@@ -325,59 +359,12 @@
                 Output::MembersChanged(members) => self.update_members(&members),
             }
         }
-        self.save_snapshot_if_due()?;
         match last_write {
             Some(seq) => self.step(Input::Synced { seq }),
             None => Ok(()),
         }
     }
 
-    fn apply(&mut self, index: u64, entry: &SharedEntry) {
-        let outcome = match &entry.payload {
-            Payload::Data(data) => match Command::decode(data) {
-                Ok(command) => self.state.apply(index, &command),
-                Err(error) => {
-                    // All replicas skip the same bytes, so their states stay identical.
-                    self.state.advance_applied(index);
-                    let reason = format!("failed to decode the log entry: {error}");
-                    Outcome::Refused { reason }
-                }
-            },
-            Payload::Noop | Payload::Members(_) => {
-                self.state.advance_applied(index);
-                Outcome::Done {
-                    version: self.state.version(),
-                    changed: false,
-                }
-            }
-        };
-        self.log_rollouts(entry);
-        self.complete_proposals(index, entry.term, &outcome);
-        self.lead_if_ready(entry.term);
-        if let Some(leader) = &mut self.leader {
-            leader.mark_dirty();
-        }
-    }
-
-    /// Logs changes of rollouts. Only the leader does so, so that each change is logged once per
-    /// mesh.
-    fn log_rollouts(&self, entry: &SharedEntry) {
-        let Payload::Data(data) = &entry.payload else {
-            return;
-        };
-        if self.raft_state != ReplicaState::Leader {
-            return;
-        }
-        let Ok(Command::Rollout(command)) = Command::decode(data) else {
-            return;
-        };
-        let Some(rollout) = self.state.rollouts().get(command.rollout) else {
-            return;
-        };
-        tracing::info!(event = "rollout", %rollout, action = ?command.action,
-            version = %self.state.version());
-    }
-
     /// Completes the proposal at `index`. Proposals up to this index that were overwritten by
     /// entries of another term are refused.
     fn complete_proposals(&mut self, index: u64, term: u64, outcome: &Outcome) {
@@ -395,31 +382,6 @@
         }
     }
 
-    fn install_snapshot(&mut self, snapshot: &Snapshot) -> StorageResult {
-        self.state = ControlState::decode(&snapshot.data).map_err(|error| codec_error(&error))?;
-        self.state.advance_applied(snapshot.index);
-        self.last_snapshot = snapshot.index;
-        Ok(())
-    }
-
-    fn save_snapshot_if_due(&mut self) -> StorageResult {
-        let applied = self.state.applied();
-        let is_due = applied >= self.last_snapshot + SNAPSHOT_ENTRIES
-            || self.raft.bytes_after_snapshot() >= SNAPSHOT_BYTES;
-        if !is_due || applied == self.last_snapshot {
-            return Ok(());
-        }
-        let data = self.state.encode().map_err(|error| codec_error(&error))?;
-        let Some(snapshot) = self.raft.snapshot_at(applied, data) else {
-            return Ok(());
-        };
-        let snapshot = Arc::new(snapshot);
-        self.storage.save_snapshot(&snapshot)?;
-        self.last_snapshot = applied;
-        let outputs = self.raft.step(clock::now(), Input::SnapshotSaved(snapshot));
-        self.execute(outputs)
-    }
-
     fn update_leadership(&mut self, standing: ReplicaState, term: u64, leader: Option<DaemonId>) {
         let changed = standing != self.raft_state || leader != self.leader_id;
         self.raft_state = standing;
@@ -457,12 +419,6 @@
         self.step(Input::Propose { token, data })
     }
 
-    fn replace(&mut self, document: Document, waiter: Waiter) -> StorageResult {
-        let now = clock::unix_now();
-        let replacement = self.state.documents().replacement(document, now);
-        self.propose(&Command::Replace(replacement), waiter)
-    }
-
     fn update_members(&mut self, members: &Membership) {
         metrics::counter!("sycamoreflow_member_changes_total").increment(1);
         let ids: Vec<DaemonId> = members.members.keys().cloned().collect();
--- /dev/null
+++ b/crates/daemon/src/control/replica/tests.rs
@@ -0,0 +1,98 @@
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use std::path::Path;
+use std::sync::mpsc;
+
+use futures::channel::oneshot;
+use sycamoreflow_coordination::raft::{Entry, Payload};
+use sycamoreflow_protocol::handshake::{Identity, MeshKey};
+use sycamoreflow_state::config::{MeshConfig, RouteConfig, ServiceConfig, Share, TenantConfig};
+use sycamoreflow_state::ids::ConfigVersion;
+use sycamoreflow_transport::link;
+use sycamoreflow_transport::storage::Files;
+
+use super::*;
+
+const ID: &str = "host-1";
+
+fn replica(folder: &Path) -> Replica {
+    let id = DaemonId::from(ID);
+    let group = GroupSettings {
+        replicas: vec![id.clone()],
+        voters: vec![id.clone()],
+        wanted_voters: None,
+        may_bootstrap: true,
+    };
+    let init = crate::control::open(&folder.join("data"), &id, group, 1, Files::default()).unwrap();
+    let (tx, _events) = mpsc::channel();
+    let identity = Identity {
+        mesh: "sfax".to_owned(),
+        daemon: id,
+        key: MeshKey::new([7; 32]).unwrap(),
+    };
+    let peers = Peers::new(&[], &identity, &link::Limits::default());
+    Replica::new(init, Arc::new(Hub::new(200, tx)), Arc::new(peers))
+}
+
+/// Returns a configuration whose approval takes a noticeable time to apply.
+fn large_config(weight: u32) -> MeshConfig {
+    let mut config = MeshConfig::default();
+    config
+        .tenants
+        .insert("grocers".into(), TenantConfig { weight });
+    let service = ServiceConfig::with_defaults(Share::percent(10));
+    config.services.insert("orders".into(), service);
+    for number in 0..200 {
+        let route = RouteConfig {
+            service: "orders".into(),
+            prefix: format!("/orders/{number}/"),
+            methods: Vec::new(),
+            idempotent: true,
+            tenants: vec!["grocers".into()],
+            timeout: Millis(1_000),
+            delivery: Default::default(),
+        };
+        config
+            .routes
+            .insert(format!("r{number}").as_str().into(), route);
+    }
+    config
+}
+
+fn approval(index: u64) -> Unapplied {
+    let command = Command::Approve {
+        request: format!("request-{index}").into(),
+        base: ConfigVersion(index - 1),
+        operator: "operator".to_owned(),
+        answers: String::new(),
+        config: large_config(index as u32),
+        at: Millis(index),
+    };
+    let entry = Entry {
+        index,
+        term: 1,
+        payload: Payload::Data(command.encode().unwrap()),
+    };
+    Unapplied::Entry(index, Arc::new(entry))
+}
+
+/// Guards against a replica that handles no heartbeat while it applies a long log, and against a
+/// read that is answered before the entries that it has to observe are applied.
+#[test]
+fn apply_slice_long_log() {
+    const ENTRIES: u64 = 400;
+    let folder = tempfile::tempdir().unwrap();
+    let mut replica = replica(folder.path());
+    replica.unapplied.extend((1..=ENTRIES).map(approval));
+    let (tx, mut rx) = oneshot::channel();
+    let token = replica.register_waiter(Waiter::ConfirmedVersion(tx));
+    replica.unapplied.push_back(Unapplied::Read(token));
+    let mut slices = 0;
+    while !replica.unapplied.is_empty() {
+        assert_eq!(rx.try_recv(), Ok(None), "the read was answered early");
+        replica.apply_slice().unwrap();
+        slices += 1;
+    }
+    assert!(slices > 3, "{ENTRIES} entries in {slices} slices");
+    assert_eq!(rx.try_recv(), Ok(Some(Some(ConfigVersion(ENTRIES)))));
+}
--- a/crates/daemon/tests/processes/replicas.rs
+++ b/crates/daemon/tests/processes/replicas.rs
@@ -19,6 +19,9 @@
 /// silence timeout of 2 s, after which links to the replica are closed.
 const SUSPENSION_TIME: Duration = Duration::from_secs(3);
 
+/// Number of log entries that a replica must not apply without handling messages in between.
+const MAX_ENTRIES_OF_STEP: u64 = 50;
+
 /// Time after which the subscriptions of all daemons have moved to their home replicas.
 const MOVE_TIME: Duration = Duration::from_secs(5);
 
@@ -117,6 +120,58 @@
     })
 }
 
+/// Guards against a replica that applies a long log at its start without handling heartbeats and
+/// votes in between, so that the group loses one leader after the other.
+#[test]
+fn restart_long_log() -> eyre::Result<()> {
+    run(async {
+        let mut mesh = mesh(4)?;
+        approve_everywhere(&mesh, 1).await?;
+        let operator = mesh.operator();
+        let mut newest = 0;
+        for weight in 2..150 {
+            let request = format!("long-log-{weight}");
+            let answers = long_answers(weight);
+            newest = operator.approve(&request, &answers, LIMIT).await?.version.0;
+        }
+        for index in 0..mesh.len() {
+            mesh.kill(index);
+        }
+        for index in 0..mesh.len() {
+            mesh.spawn(index)?;
+        }
+        wait_for_version(&mesh, &[0, 1, 2, 3], newest).await?;
+        for index in 0..mesh.len() {
+            let log = mesh.log(index);
+            let entries = log.lines().filter_map(entries_of_slow_step).max();
+            ensure!(
+                entries.is_none_or(|entries| entries < MAX_ENTRIES_OF_STEP),
+                "replica {index} applied {entries:?} entries at once"
+            );
+        }
+        Ok(())
+    })
+}
+
+/// Returns answers with many routes, which take a noticeable time to apply.
+fn long_answers(weight: usize) -> String {
+    let mut text = answers(weight);
+    for number in 0..150 {
+        text.push_str(&format!(
+            "[[routes]]\nname = \"route-{number}\"\nservice = \"orders\"\n\
+             prefix = \"/orders/{number}\"\nmethods = [\"GET\"]\ntimeout = \"1s\"\n"
+        ));
+    }
+    text
+}
+
+/// Returns the number of entries that a replica applied in a step that it has logged as slow.
+fn entries_of_slow_step(line: &str) -> Option<u64> {
+    let fields = line.split_once("slow_step")?.1;
+    let entries = fields.split_once("entries=")?.1;
+    entries.split_whitespace().next()?.parse().ok()
+}
+
 /// Guards against a replica with an empty data folder that counts towards a quorum without the
 /// data, or that never becomes a voter again.
 #[test]
