Keep the saved endpoints until a view has been published

What callers saw: a leader that had led before, for a moment, published nothing for 3 s after a restart of the group.

Cause: the first term as leader took the saved endpoints out of the replica. A later term had none, so it waited for renewals before its first publication.

Change: they stay. They count only while the replica has published and followed no view.

Evidence: lead_again_before_publication fails without the change (the view is empty) and passes now.

--- a/crates/daemon/src/control/replica.rs
+++ b/crates/daemon/src/control/replica.rs
@@ -90,7 +90,7 @@
     last_snapshot: u64,
     last_snapshot_bytes: usize,
     hints: EndpointHints,
-    /// Endpoints from the copy on disk. The first term as leader takes them over.
+    /// Endpoints from the copy on disk, for the terms as leader before the first published view.
     hinted_endpoints: Vec<Endpoint>,
 }
 
--- a/crates/daemon/src/control/replica/leading.rs
+++ b/crates/daemon/src/control/replica/leading.rs
@@ -83,13 +83,12 @@
         }
         let followed_view = self.hub.view();
         let accepted = self.state.version();
-        let hinted_endpoints = std::mem::take(&mut self.hinted_endpoints);
         let leader = Leader::new(
             clock::now(),
             self.term,
             &followed_view,
             accepted,
-            &hinted_endpoints,
+            &self.hinted_endpoints,
         );
         self.leader = Some(leader);
     }
--- a/crates/daemon/src/control/replica/tests.rs
+++ b/crates/daemon/src/control/replica/tests.rs
@@ -96,3 +96,37 @@
     assert!(slices > 3, "{ENTRIES} entries in {slices} slices");
     assert_eq!(rx.try_recv(), Ok(Some(Some(ConfigVersion(ENTRIES)))));
 }
+
+/// Scenario: all replicas restart, and the first leader loses its leadership before it has published
+/// a view.
+///
+/// Guards against a later term of the same replica that has forgotten the saved endpoints and waits
+/// for renewals before it publishes, so that no daemon gets a view for 3 s.
+#[test]
+fn lead_again_before_publication() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut replica = replica(folder.path());
+    let endpoint = Endpoint {
+        daemon: "host-2".into(),
+        service: "orders".into(),
+        version: "v1".into(),
+        data_centre: "sfax-a".into(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        slots: 9,
+        draining: false,
+    };
+    replica.hinted_endpoints = vec![endpoint.clone()];
+    replica.unapplied.push_back(approval(1));
+    replica.apply_slice().unwrap();
+    for term in [1, 3] {
+        replica.update_leadership(ReplicaState::Leader, term, Some(ID.into()));
+        replica.lead_if_ready(term);
+        assert!(replica.leader.is_some());
+        if term == 1 {
+            replica.update_leadership(ReplicaState::Follower, 2, None);
+        }
+    }
+    replica.publish();
+    let view = replica.hub.view();
+    assert!(view.endpoints().eq([&endpoint]), "{view:?}");
+}
