Bound the memory of all answers that are being read

What callers saw: nothing yet; other operators reported a machine that ran out of memory because a faulty endpoint answered without end.

Cause: each body was bounded, but not the sum of those in flight, and interim responses were read until the deadline of the request.

Change: bodies that are being read share limits.response-buffer-bytes, beyond the first 32 KiB of each. Bytes before the end of the head of a response are limited.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -429,6 +429,7 @@
         let settings = self.settings;
         let client = client::Client::new(client::Limits {
             max_body_bytes: settings.limits.body_bytes,
+            max_buffered_bytes: settings.limits.response_buffer_bytes,
             idle_timeout: Duration::from_millis(settings.limits.upstream_idle_ms),
             ..client::Limits::default()
         });
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -132,6 +132,9 @@
 pub struct Limits {
     /// Maximum size of a request or response body in bytes.
     pub body_bytes: usize,
+    /// Maximum size in bytes of all response bodies that are being read from upstreams at once,
+    /// beyond the first 32 KiB of each.
+    pub response_buffer_bytes: usize,
     /// Maximum number of open connections from callers.
     pub connections: usize,
     /// Maximum time that a request waits for a slot of the upstream, in milliseconds.
@@ -189,6 +192,7 @@
     fn default() -> Self {
         Self {
             body_bytes: 1 << 20,
+            response_buffer_bytes: 24 << 20,
             connections: 1_024,
             queue_ms: 100,
             queue_per_slot: 4,
@@ -426,6 +430,12 @@
         let limits = &self.limits;
         let bounds = [
             ("body-bytes", limits.body_bytes, 1, 3 << 20),
+            (
+                "response-buffer-bytes",
+                limits.response_buffer_bytes,
+                1,
+                4 << 30,
+            ),
             ("reconnect-ms", limits.reconnect_ms as usize, 1, 600_000),
             ("idle-ms", limits.idle_ms as usize, 1, 3_600_000),
             (
--- a/crates/daemon/tests/docs_settings.rs
+++ b/crates/daemon/tests/docs_settings.rs
@@ -56,6 +56,7 @@
         interest: vec!["orders".into()],
         limits: Limits {
             body_bytes: 1,
+            response_buffer_bytes: 16 << 20,
             connections: 1,
             queue_ms: 1,
             queue_per_slot: 1,
--- a/crates/daemon/tests/processes/upstreams.rs
+++ b/crates/daemon/tests/processes/upstreams.rs
@@ -8,6 +8,7 @@
 
 use async_std::task;
 use eyre::ensure;
+use futures::future::join_all;
 use sycamoreflow_state::endpoint::Announcement;
 use sycamoreflow_testbed::caller::{self, Call, Outcome, Results};
 use sycamoreflow_testbed::upstream::{Behaviour, Stats, Upstream, announce};
@@ -189,6 +190,68 @@
     })
 }
 
+/// Scenario: an upstream with many slots answers every request with a body without end.
+///
+/// Guards against a daemon that keeps all of them and exceeds the memory of its host, and against
+/// requests for other upstreams that fail meanwhile.
+#[test]
+fn upstream_answers_without_end() -> eyre::Result<()> {
+    const CALLS: usize = 150;
+    /// Memory limit of the smallest hosts of the users, in KiB.
+    const MAX_MEMORY: u64 = 88 * 1024;
+    run(async {
+        let mesh = mesh(5)?;
+        approve_everywhere(&mesh, 1).await?;
+        let announcement = Announcement {
+            service: "orders".into(),
+            version: "v1".into(),
+            address: start_endless_upstream()?,
+            slots: CALLS as u32,
+            health_path: None,
+            load_path: None,
+        };
+        let announcing = task::spawn(announce(announcement, mesh.announce_address(3), || true));
+        let client = caller::client();
+        let (client, mesh) = (&client, &mesh);
+        let target = mesh.calls_address(3);
+        wait_for("a call that reaches the upstream", || async move {
+            let response = call(client, target, "POST").await;
+            response.is_ok_and(|r| header(&r, "sycamoreflow-verdict") == Some("may-have-run"))
+        })
+        .await?;
+        for _ in 0..3 {
+            let calls = (0..CALLS).map(|_| call(client, target, "POST"));
+            for response in join_all(calls).await {
+                ensure!(response?.status() != 200, "an endless body was passed on");
+            }
+        }
+        announcing.cancel().await;
+        let peak = mesh.peak_memory(3)?;
+        ensure!(peak < MAX_MEMORY, "the daemon used {peak} KiB");
+        Ok(())
+    })
+}
+
+/// Starts an upstream that answers every request with a body without end.
+fn start_endless_upstream() -> eyre::Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let address = listener.local_addr()?;
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let Ok(mut stream) = stream else {
+                continue;
+            };
+            std::thread::spawn(move || {
+                let mut head = [0; 4_096];
+                let _ = stream.read(&mut head);
+                let _ = stream.write_all(b"HTTP/1.1 200 OK\r\n\r\n");
+                while stream.write_all(&[b'a'; 16 * 1024]).is_ok() {}
+            });
+        }
+    });
+    Ok(address)
+}
+
 /// Starts an upstream that sends `raw_response` to every request and closes the connection.
 fn start_truncating_upstream(raw_response: &'static str) -> eyre::Result<SocketAddr> {
     let listener = TcpListener::bind("127.0.0.1:0")?;
--- a/crates/testbed/src/process.rs
+++ b/crates/testbed/src/process.rs
@@ -242,6 +242,20 @@
         Some(version as u64)
     }
 
+    /// Returns the largest memory that the daemon on host `index` has used since its start, in KiB.
+    ///
+    /// # Errors
+    ///
+    /// If it isn't running, or the system does not tell.
+    pub fn peak_memory(&self, index: usize) -> eyre::Result<u64> {
+        let child = self.processes[index].as_ref();
+        let child = child.ok_or_else(|| eyre::eyre!("daemon {index} is not running"))?;
+        let status = fs::read_to_string(format!("/proc/{}/status", child.id()))?;
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let peak = peak.and_then(|text| text.trim().strip_suffix("kB")?.trim().parse().ok());
+        peak.ok_or_else(|| eyre::eyre!("/proc names no peak memory"))
+    }
+
     fn file(&self, index: usize, extension: &str) -> PathBuf {
         let daemon = self.settings[index].daemon.as_str();
         self.folder.path().join(format!("{daemon}.{extension}"))
--- a/crates/transport/src/http/client.rs
+++ b/crates/transport/src/http/client.rs
@@ -23,11 +23,13 @@
 use http_body_util::Full;
 use sycamoreflow_state::verdict::{Failure, Reason};
 
+use self::body::BodyBudget;
 use self::connection::{Connection, ExchangeError, TrafficSnapshot};
 use self::pool::Pool;
 use super::headers::remove_hop_by_hop;
 use crate::timer;
 
+mod body;
 mod connection;
 mod pool;
 #[cfg(test)]
@@ -51,6 +53,9 @@
     pub max_headers: usize,
     /// Maximum size of a response's body in bytes.
     pub max_body_bytes: usize,
+    /// Maximum size in bytes of all bodies of responses that are being read, beyond the first
+    /// 32 KiB of each. A body that does not fit fails, as one above `max_body_bytes` does.
+    pub max_buffered_bytes: usize,
     /// Maximum number of idle connections per address.
     pub max_idle_connections: usize,
     /// Time after which an idle connection is closed. It should be shorter than the idle timeout of
@@ -66,6 +71,7 @@
             max_head_bytes: 16 * 1024,
             max_headers: 100,
             max_body_bytes: 1024 * 1024,
+            max_buffered_bytes: 24 * 1024 * 1024,
             max_idle_connections: 64,
             idle_timeout: Duration::from_secs(20),
         }
@@ -94,6 +100,7 @@
 struct Shared {
     limits: Limits,
     pool: Pool,
+    budget: BodyBudget,
 }
 
 /// A header of a request that the upstream echoes in the response.
@@ -135,8 +142,14 @@
     /// Creates a client with an empty pool.
     pub fn new(limits: Limits) -> Self {
         let pool = Pool::new(limits.max_idle_connections, limits.idle_timeout);
+        let budget = BodyBudget::new(limits.max_buffered_bytes);
+        let shared = Shared {
+            limits,
+            pool,
+            budget,
+        };
         Self {
-            shared: Arc::new(Shared { limits, pool }),
+            shared: Arc::new(shared),
         }
     }
 
@@ -204,6 +217,12 @@
         self.shared.pool.count(address)
     }
 
+    /// Returns the bytes of bodies that are being read and count towards
+    /// [`Limits::max_buffered_bytes`].
+    pub fn buffered_bytes(&self) -> usize {
+        self.shared.budget.used()
+    }
+
     async fn attempt(
         &self,
         mut connection: Connection,
@@ -218,7 +237,8 @@
         let address = connection.address;
         let sent_at = Instant::now();
         let traffic = connection.traffic_snapshot();
-        let exchange = pin!(connection.exchange(request, &self.shared.limits));
+        let Shared { limits, budget, .. } = &*self.shared;
+        let exchange = pin!(connection.exchange(request, limits, budget));
         let monitored = self.wait_with_probe(exchange, address, is_pooled, sent_at, &traffic);
         let Some(outcome) = timer::timeout_at(deadline, monitored).await else {
             // The connection is no longer driven, so nothing more is written.
--- a/crates/transport/src/http/client/connection.rs
+++ b/crates/transport/src/http/client/connection.rs
@@ -11,22 +11,27 @@
 use std::time::Duration;
 
 use async_std::net::TcpStream;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures::io::{AsyncRead, AsyncWrite};
 use http::header::TRANSFER_ENCODING;
 use http::{HeaderValue, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full};
-use hyper::body::{Body, Incoming};
+use http_body_util::Full;
 use hyper::client::conn::http1;
 use sycamoreflow_state::verdict::{Failure, Reason};
 
 use super::Limits;
+use super::body::{BodyBudget, read_body};
 use crate::http::adapter::HyperIo;
 use crate::http::headers::remove_hop_by_hop;
 
 /// Minimum size that hyper accepts for its read buffer.
 const MIN_HYPER_BUFFER: usize = 8 * 1024;
 
+/// Number of bytes that may arrive before the end of the head of a response, as a multiple of the
+/// maximum size of a head. It leaves room for interim responses (1xx), which precede the response
+/// and whose number is not limited otherwise.
+const HEAD_BYTES_FACTOR: u64 = 4;
+
 /// Fraction of the `Keep-Alive` timeout for which a connection is reused. The margin is needed
 /// since the peer's timeout starts earlier than ours.
 const KEEP_ALIVE_FRACTION: f64 = 0.8;
@@ -60,10 +65,32 @@
     carried: VecDeque<HeaderValue>,
 }
 
-#[derive(Default)]
 struct Counters {
     read: AtomicU64,
     written: AtomicU64,
+    /// Value of `read` from which reading fails.
+    max_read: AtomicU64,
+}
+
+impl Counters {
+    fn new() -> Self {
+        Self {
+            read: AtomicU64::new(0),
+            written: AtomicU64::new(0),
+            max_read: AtomicU64::new(u64::MAX),
+        }
+    }
+
+    /// Makes reading fail after this number of further bytes.
+    fn limit_reads(&self, bytes: u64) {
+        let read = self.read.load(Ordering::Relaxed);
+        let limit = read.saturating_add(bytes);
+        self.max_read.store(limit, Ordering::Relaxed);
+    }
+
+    fn remove_read_limit(&self) {
+        self.max_read.store(u64::MAX, Ordering::Relaxed);
+    }
 }
 
 /// Snapshot of a connection's byte counters, to detect what was read and written since.
@@ -93,7 +120,7 @@
     pub(super) async fn open(address: SocketAddr, limits: &Limits) -> Option<Self> {
         let stream = TcpStream::connect(address).await.ok()?;
         stream.set_nodelay(true).ok()?;
-        let counters = Arc::new(Counters::default());
+        let counters = Arc::new(Counters::new());
         let stream = CountedStream {
             stream,
             counters: counters.clone(),
@@ -157,7 +184,10 @@
         mut self,
         request: Request<Full<Bytes>>,
         limits: &Limits,
+        budget: &BodyBudget,
     ) -> Result<(Response<Bytes>, Self), ExchangeError> {
+        let max_head_bytes = limits.max_head_bytes as u64 * HEAD_BYTES_FACTOR;
+        self.counters.limit_reads(max_head_bytes);
         let response_future = pin!(self.sender.try_send_request(request));
         let driver = &mut self.driver;
         let response = drive_until(driver, response_future)
@@ -169,12 +199,13 @@
                     None => ExchangeError::Failed(reason),
                 }
             })?;
+        self.counters.remove_read_limit();
         let (mut parts, body) = response.into_parts();
         let is_upgrade = parts.status == StatusCode::SWITCHING_PROTOCOLS;
         if is_upgrade || !has_supported_coding(&parts) {
             return Err(ExchangeError::Failed(Reason::BadAnswer));
         }
-        let body = pin!(read_body(body, limits.max_body_bytes));
+        let body = pin!(read_body(body, limits.max_body_bytes, budget));
         let body = drive_until(driver, body)
             .await
             .map_err(ExchangeError::Failed)?;
@@ -217,33 +248,6 @@
     .await
 }
 
-/// Reads a body of at most `max_bytes`. A body in a single frame is not copied.
-async fn read_body(mut body: Incoming, max_bytes: usize) -> Result<Bytes, Reason> {
-    if body.size_hint().lower() > max_bytes as u64 {
-        return Err(Reason::BadAnswer);
-    }
-    let mut first = Bytes::new();
-    let mut rest = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|error| failure_reason(&error))?;
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        if first.len() + rest.len() + data.len() > max_bytes {
-            return Err(Reason::BadAnswer);
-        }
-        if first.is_empty() {
-            first = data;
-            continue;
-        }
-        rest.extend_from_slice(&data);
-    }
-    if rest.is_empty() {
-        return Ok(first);
-    }
-    Ok(Bytes::from([&first[..], &rest].concat()))
-}
-
 /// Returns whether hyper decodes the transfer coding of a response. With any other coding, the body
 /// would be passed on encoded.
 fn has_supported_coding(parts: &http::response::Parts) -> bool {
@@ -264,8 +268,11 @@
     Some(Duration::from_secs(seconds).mul_f64(KEEP_ALIVE_FRACTION))
 }
 
-fn failure_reason(error: &hyper::Error) -> Reason {
-    if error.is_parse() {
+pub(super) fn failure_reason(error: &hyper::Error) -> Reason {
+    let source = std::error::Error::source(error);
+    let io_error = source.and_then(|source| source.downcast_ref::<io::Error>());
+    let is_over_limit = io_error.is_some_and(|e| e.kind() == io::ErrorKind::InvalidData);
+    if error.is_parse() || is_over_limit {
         return Reason::BadAnswer;
     }
     Reason::ConnectionLost
@@ -293,6 +300,11 @@
         cx: &mut Context<'_>,
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
+        let read = self.counters.read.load(Ordering::Relaxed);
+        if read >= self.counters.max_read.load(Ordering::Relaxed) {
+            let error = "no response after the maximum number of bytes";
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, error)));
+        }
         let count = ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
         self.counters
             .read
--- a/crates/transport/src/http/client/tests.rs
+++ b/crates/transport/src/http/client/tests.rs
@@ -262,6 +262,105 @@
     assert_eq!(outcome.unwrap_err(), bad);
 }
 
+/// Guards against reading interim responses without end until the deadline of the request.
+#[async_std::test]
+async fn send_endless_interim_responses() {
+    const INTERIM: &[u8] = b"HTTP/1.1 103 Early Hints\r\nlink: </x>\r\n\r\n";
+    let sent = Arc::new(AtomicUsize::new(0));
+    let counter = sent.clone();
+    let address = start_upstream(move |mut stream, _| {
+        let counter = counter.clone();
+        async move {
+            read_head(&mut stream).await.unwrap();
+            while stream.write_all(INTERIM).await.is_ok() {
+                counter.fetch_add(INTERIM.len(), Ordering::SeqCst);
+            }
+        }
+    })
+    .await;
+    let deadline = Instant::now() + MAX_WAIT;
+    let limits = limits();
+    let max_read = limits.max_head_bytes * 4;
+    let outcome = Client::new(limits)
+        .send(address, get_request(), deadline)
+        .await;
+    let bad = Failure::may_have_run(Reason::BadAnswer);
+    assert_eq!(outcome.unwrap_err(), bad);
+    assert!(Instant::now() < deadline);
+    // Besides what was read, the buffers of the sockets take some of the bytes.
+    assert!(sent.load(Ordering::SeqCst) >= max_read);
+}
+
+/// Guards against a few interim responses that are taken for an endless answer.
+#[async_std::test]
+async fn send_interim_responses() {
+    let mut answer = "HTTP/1.1 103 Early Hints\r\nlink: </x>\r\n\r\n".repeat(20);
+    answer.push_str("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok");
+    let address = start_upstream(move |mut stream, _| {
+        let answer = answer.clone();
+        async move {
+            while read_head(&mut stream).await.is_some() {
+                stream.write_all(answer.as_bytes()).await.unwrap();
+            }
+        }
+    })
+    .await;
+    let client = Client::new(limits());
+    for _ in 0..3 {
+        let answer = client.send(address, get_request(), test_deadline()).await;
+        assert_eq!(answer.unwrap().body(), "ok");
+    }
+}
+
+/// Scenario: an upstream answers many requests at once with bodies without end, and another one
+/// answers as it should.
+///
+/// Guards against bodies that exceed the memory of the host together, and against requests to other
+/// upstreams that fail with them.
+#[async_std::test]
+async fn send_many_endless_bodies() {
+    const CALLS: usize = 100;
+    let faulty = start_upstream(|mut stream, _| async move {
+        read_head(&mut stream).await.unwrap();
+        stream.write_all(b"HTTP/1.1 200 OK\r\n\r\n").await.unwrap();
+        while stream.write_all(&[b'a'; 16 * 1024]).await.is_ok() {
+            sleep(Duration::from_millis(1)).await;
+        }
+    })
+    .await;
+    let sound =
+        start_responding_upstream("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok", false).await;
+    let max_buffered_bytes = 2 * 1024 * 1024;
+    let client = Client::new(Limits {
+        max_body_bytes: 1024 * 1024,
+        max_buffered_bytes,
+        silence_timeout: MAX_WAIT,
+        ..limits()
+    });
+    let deadline = Instant::now() + MAX_WAIT;
+    let calls = (0..CALLS).map(|_| {
+        let client = client.clone();
+        task::spawn(async move { client.send(faulty, get_request(), deadline).await.err() })
+    });
+    let calls: Vec<_> = calls.collect();
+    let mut highest = 0;
+    for _ in 0..50 {
+        let answer = client.send(sound, get_request(), deadline).await;
+        assert_eq!(answer.unwrap().body(), "ok");
+        highest = highest.max(client.buffered_bytes());
+        sleep(Duration::from_millis(2)).await;
+    }
+    let bad = Some(Failure::may_have_run(Reason::BadAnswer));
+    assert!(
+        join_all(calls)
+            .await
+            .into_iter()
+            .all(|failure| failure == bad)
+    );
+    assert!(highest > 0 && highest <= max_buffered_bytes, "{highest}");
+    assert_eq!(client.buffered_bytes(), 0);
+}
+
 /// Guards against the verdict `MayHaveRun` when no byte was written.
 #[async_std::test]
 async fn send_refused() {
