--- a/crates/daemon/src/proxy/owner.rs
+++ b/crates/daemon/src/proxy/owner.rs
@@ -233,7 +233,7 @@
     }
 
     /// Waits until all recent departures are part of the view, so that this daemon learns them
-    /// again after a restart, or until [`DISTRIBUTION_TIMEOUT`]. Returns whether they are.
+    /// again after a restart, but for 0.6 s at most. Returns whether they are.
     ///
     /// An acknowledgement that was sent before could be forgotten with this process.
     pub async fn wait_for_distribution(&self) -> bool {
--- a/crates/state/src/view.rs
+++ b/crates/state/src/view.rs
@@ -316,13 +316,12 @@
     /// Returns the departures at all daemons.
     pub fn departures(&self) -> impl Iterator<Item = (&DaemonId, &[Departure])> {
         let entries = self.entries.iter().rev();
-        let departures = entries.map_while(|(key, entry)| match (key, entry.resource.as_ref()) {
+        entries.map_while(|(key, entry)| match (key, entry.resource.as_ref()) {
             (ResourceKey::Departures(daemon), Resource::Departures(departures)) => {
                 Some((daemon, departures.as_slice()))
             }
             _ => None,
-        });
-        departures
+        })
     }
 
     /// Returns the configuration of a tenant.
