Configuration of client accounts

Change: a tenant may have keys, a priority and a quota; documents carry tenants; two tenants with a key in common are refused. Keys are kept as digests outside the text that the operator gets back. Routes may be open to requests without a key. Nothing enforces keys or quotas yet.

--- a/crates/coordination/src/machine/check.rs
+++ b/crates/coordination/src/machine/check.rs
@@ -1,7 +1,7 @@
 //! Validation of configurations and key holder groups before they enter the log and again when an
 //! entry is applied.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashMap};
 
 use indexmap::IndexMap;
 use sycamoreflow_state::config::{MeshConfig, RouteConfig, ServiceConfig, Share};
@@ -29,10 +29,22 @@
 /// the configuration generator, run before a configuration is proposed and must not be added here.
 pub fn check_config(config: &MeshConfig) -> Vec<String> {
     let mut problems = Vec::new();
+    let mut holders = HashMap::new();
     for (name, tenant) in &config.tenants {
         if tenant.weight == 0 {
             problems.push(format!("tenant {name} has the weight 0"));
         }
+        if tenant.quota.is_some_and(|quota| quota.rate_per_s == 0) {
+            problems.push(format!(
+                "tenant {name} has a quota of 0 requests per second"
+            ));
+        }
+        for key in &tenant.keys {
+            let holder = *holders.entry(key).or_insert(name);
+            if holder != name {
+                problems.push(format!("tenants {holder} and {name} have a key in common"));
+            }
+        }
     }
     for (name, service) in &config.services {
         check_service(config, name, service, &mut problems);
@@ -74,9 +86,12 @@
 ///
 /// If it returns `false`, the result may still be valid, and only [`check_config`] decides.
 fn keeps_valid(config: &MeshConfig, change: &Replacement) -> bool {
-    let removes_service =
-        |(_, meaning): &(String, Meaning)| matches!(meaning, Meaning::Service(..));
-    if change.removals.iter().any(removes_service) || change.upserts.len() > MAX_INCREMENTAL_UPSERTS
+    // Other resources may refer to a service or a tenant.
+    let removes_referent = |(_, meaning): &(String, Meaning)| {
+        matches!(meaning, Meaning::Service(..) | Meaning::Tenant(..))
+    };
+    if change.removals.iter().any(removes_referent)
+        || change.upserts.len() > MAX_INCREMENTAL_UPSERTS
     {
         return false;
     }
@@ -96,6 +111,8 @@
             }
             Meaning::Service(..) => return false,
             Meaning::Route(name, route) => drop(routes.insert(name, Some(route))),
+            // Keys of all tenants have to be compared.
+            Meaning::Tenant(..) => return false,
             Meaning::Other => {}
         }
     }
--- a/crates/coordination/src/machine/document.rs
+++ b/crates/coordination/src/machine/document.rs
@@ -13,8 +13,8 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
-use sycamoreflow_state::config::{MeshConfig, RouteConfig, ServiceConfig};
-use sycamoreflow_state::ids::{Millis, RouteName, ServiceName};
+use sycamoreflow_state::config::{MeshConfig, RouteConfig, ServiceConfig, TenantConfig};
+use sycamoreflow_state::ids::{Millis, RouteName, ServiceName, TenantName};
 
 use super::check::check_config;
 use crate::fingerprint::add_part;
@@ -63,6 +63,8 @@
     Service(ServiceName, Box<ServiceConfig>),
     /// A route with its name.
     Route(RouteName, Box<RouteConfig>),
+    /// A client account with its name.
+    Tenant(TenantName, Box<TenantConfig>),
     /// No resource. The part is stored only to be read back.
     Other,
 }
@@ -155,6 +157,7 @@
             match meaning {
                 Meaning::Service(name, _) => drop(config.services.shift_remove(name)),
                 Meaning::Route(name, _) => drop(config.routes.shift_remove(name)),
+                Meaning::Tenant(name, _) => drop(config.tenants.shift_remove(name)),
                 Meaning::Other => {}
             }
         }
@@ -171,6 +174,9 @@
             Meaning::Route(name, route) => {
                 config.routes.insert(name.clone(), *route.clone());
             }
+            Meaning::Tenant(name, tenant) => {
+                config.tenants.insert(name.clone(), *tenant.clone());
+            }
             Meaning::Other => {}
         }
     }
--- a/crates/coordination/src/retry.rs
+++ b/crates/coordination/src/retry.rs
@@ -210,7 +210,12 @@
         // Another endpoint would refuse the request for the same reason.
         let retryable = !matches!(
             failure.reason,
-            Reason::BadRequest | Reason::CrashesUpstreams | Reason::TenantRefused | Reason::NoRoute
+            Reason::BadRequest
+                | Reason::CrashesUpstreams
+                | Reason::TenantRefused
+                | Reason::Unauthenticated
+                | Reason::QuotaExceeded
+                | Reason::NoRoute
         );
         let safe = match self.verdict {
             Verdict::NotRun => true,
--- a/crates/coordination/tests/subscribers/content.rs
+++ b/crates/coordination/tests/subscribers/content.rs
@@ -22,7 +22,7 @@
         let weight = rng.random_range(1..4);
         config
             .tenants
-            .insert(tenant.into(), TenantConfig { weight });
+            .insert(tenant.into(), TenantConfig::with_weight(weight));
     }
     for service in SERVICES {
         if rng.random_range(0..4) == 0 {
--- a/crates/daemon/src/control/replica/tests.rs
+++ b/crates/daemon/src/control/replica/tests.rs
@@ -39,7 +39,7 @@
     let mut config = MeshConfig::default();
     config
         .tenants
-        .insert("grocers".into(), TenantConfig { weight });
+        .insert("grocers".into(), TenantConfig::with_weight(weight));
     let service = ServiceConfig::with_defaults(Share::percent(10));
     config.services.insert("orders".into(), service);
     for number in 0..200 {
--- a/crates/daemon/src/proxy/headers.rs
+++ b/crates/daemon/src/proxy/headers.rs
@@ -230,6 +230,8 @@
         Reason::NotReady => "not-ready",
         Reason::NoRoute => "no-route",
         Reason::TenantRefused => "tenant-refused",
+        Reason::Unauthenticated => "unauthenticated",
+        Reason::QuotaExceeded => "quota-exceeded",
         Reason::NoEndpoint => "no-endpoint",
         Reason::Overloaded => "overloaded",
         Reason::Draining => "draining",
@@ -248,7 +250,9 @@
 pub fn failure_status(failure: Failure) -> StatusCode {
     match failure.reason {
         Reason::BadRequest => StatusCode::BAD_REQUEST,
+        Reason::Unauthenticated => StatusCode::UNAUTHORIZED,
         Reason::TenantRefused => StatusCode::FORBIDDEN,
+        Reason::QuotaExceeded => StatusCode::TOO_MANY_REQUESTS,
         Reason::NoRoute => StatusCode::NOT_FOUND,
         Reason::KeyUnresolved => StatusCode::CONFLICT,
         Reason::CrashesUpstreams if failure.verdict == Verdict::NotRun => {
--- a/crates/state/src/answers.rs
+++ b/crates/state/src/answers.rs
@@ -129,7 +129,7 @@
 
 fn read_tenant(reader: &mut Reader<'_>, section: &mut Section<'_, '_>) -> Option<TenantConfig> {
     let weight = reader.read_or_default(section, "weight", Reader::integer, defaults::WEIGHT);
-    Some(TenantConfig { weight })
+    Some(TenantConfig::with_weight(weight))
 }
 
 fn read_service(reader: &mut Reader<'_>, section: &mut Section<'_, '_>) -> Option<ServiceConfig> {
--- a/crates/state/src/answers/tests.rs
+++ b/crates/state/src/answers/tests.rs
@@ -44,7 +44,7 @@
     assert_eq!(answers.mesh, "sfax");
     assert_eq!(
         answers.tenants,
-        [("grocers".into(), TenantConfig { weight: 3 })]
+        [("grocers".into(), TenantConfig::with_weight(3))]
     );
     let (name, service) = &answers.services[0];
     assert_eq!(name.as_str(), "orders");
--- a/crates/state/src/config.rs
+++ b/crates/state/src/config.rs
@@ -9,6 +9,12 @@
 
 use crate::ids::{Millis, RouteName, ServiceName, TenantName, VersionName};
 
+mod account;
+#[cfg(test)]
+mod tests;
+
+pub use account::{KeyDigest, Quota};
+
 /// The complete configuration of the mesh.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case")]
@@ -22,11 +28,36 @@
 }
 
 /// Configuration of a tenant, which is a class of callers.
+///
+/// A tenant with keys is a client account: its callers prove with a key that they belong to it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case")]
 pub struct TenantConfig {
     /// Weight of the tenant when it competes with others for the slots of a service.
     pub weight: u32,
+    /// Priority of its requests, which goes before that of their route. `None` leaves the priority
+    /// to the route.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub priority: Option<u32>,
+    /// Digests of the keys with which callers prove that they belong to the tenant. No other tenant
+    /// has any of them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub keys: Vec<KeyDigest>,
+    /// Limit of its requests in the whole mesh. `None` sets no limit.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub quota: Option<Quota>,
+}
+
+impl TenantConfig {
+    /// Returns a tenant that only has a weight.
+    pub fn with_weight(weight: u32) -> Self {
+        Self {
+            weight,
+            priority: None,
+            keys: Vec::new(),
+            quota: None,
+        }
+    }
 }
 
 /// Configuration of a service and of the rollouts of its versions.
@@ -181,6 +212,13 @@
     pub target_latency: Option<Millis>,
     /// Priority among the routes to the same service. 0 is the most urgent.
     pub priority: u32,
+    /// Whether requests need no key, in a mesh whose tenants have keys.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub allow_anonymous: bool,
+}
+
+fn is_false(value: &bool) -> bool {
+    !value
 }
 
 /// A service and its weight in the distribution of a route's requests.
--- a/crates/state/src/plan.rs
+++ b/crates/state/src/plan.rs
@@ -160,7 +160,13 @@
 }
 
 fn tenant_fields(tenant: &TenantConfig) -> Fields {
-    let TenantConfig { weight } = tenant;
+    // Answers define no accounts, so plans never show keys or quotas.
+    let TenantConfig {
+        weight,
+        priority: _,
+        keys: _,
+        quota: _,
+    } = tenant;
     vec![("weight", weight.to_string())]
 }
 
--- a/crates/state/src/plan/tests.rs
+++ b/crates/state/src/plan/tests.rs
@@ -95,7 +95,7 @@
         let mut new = config(OLD);
         for (index, (presence, weight)) in tenants.into_iter().enumerate() {
             let name = format!("t{index}");
-            let tenant = |weight| TenantConfig { weight };
+            let tenant = |weight| TenantConfig::with_weight(weight);
             if presence != 0 {
                 old.tenants.insert(name.as_str().into(), tenant(1));
             }
--- a/crates/state/src/verdict.rs
+++ b/crates/state/src/verdict.rs
@@ -50,6 +50,10 @@
     NoRoute,
     /// The tenant is unknown or not permitted on the route.
     TenantRefused,
+    /// The request carries no key of a client account, and its route needs one.
+    Unauthenticated,
+    /// The client account has used up its quota.
+    QuotaExceeded,
     /// No endpoint of the service can take the request.
     NoEndpoint,
     /// The upstream's slots and queue are full.
--- a/crates/state/src/view/tests.rs
+++ b/crates/state/src/view/tests.rs
@@ -74,7 +74,7 @@
 fn view(at: ViewVersion, services: &[&str], endpoints: &BTreeMap<u8, (u8, u32)>) -> View {
     let mut view = View::new(Interest::All);
     view.set_version(at);
-    let tenant = Resource::Tenant(TenantConfig { weight: 1 });
+    let tenant = Resource::Tenant(TenantConfig::with_weight(1));
     view.insert(ResourceKey::Tenant("grocers".into()), tenant.into());
     for &name in services {
         view.insert(ResourceKey::Service(name.into()), service("v1").into());
--- a/crates/testbed/examples/capacity/world.rs
+++ b/crates/testbed/examples/capacity/world.rs
@@ -23,7 +23,7 @@
     for tenant in ["grocers", "restaurants", "exporters"] {
         config
             .tenants
-            .insert(tenant.into(), TenantConfig { weight: 1 });
+            .insert(tenant.into(), TenantConfig::with_weight(1));
     }
     for index in 0..services {
         let name = service(index);
