Tell learners that their leader has stepped down

Cause: a leader in the minority of a cut group steps down and tells the voters that it still reaches, by asking them for pre-votes. Learners were not asked. They followed the old leader until their own election timeout, and kept their daemons meanwhile.

Change: a leader that steps down for lack of a quorum sends its request to all members. The answer of a learner is not counted, as only voters form a quorum.

--- a/crates/coordination/src/raft/election.rs
+++ b/crates/coordination/src/raft/election.rs
@@ -23,15 +23,26 @@
         self.count_pre_votes();
     }
 
-    /// Asks the other voters whether an election would succeed. The request also tells followers of
-    /// this replica that it is no longer the leader.
-    pub(super) fn request_pre_votes(&mut self) {
+    /// Asks the other voters whether an election would succeed.
+    fn request_pre_votes(&mut self) {
         let last = self.log.last();
         for id in self.other_voters() {
             self.send(id, Body::PreVote { last });
         }
     }
 
+    /// Tells all members that this replica is no longer the leader, by a request for pre-votes.
+    /// Learners follow it too, and would keep their subscribers until they notice its silence.
+    pub(super) fn announce_step_down(&mut self) {
+        let last = self.log.last();
+        let others: Vec<DaemonId> = self.members.members.keys().cloned().collect();
+        for id in others {
+            if id != self.local.id {
+                self.send(id, Body::PreVote { last });
+            }
+        }
+    }
+
     /// Starts an election in a new term. Vote requests are sent after this replica's own vote is
     /// synced.
     pub(super) fn start_election(&mut self) {
--- a/crates/coordination/src/raft/leader.rs
+++ b/crates/coordination/src/raft/leader.rs
@@ -237,8 +237,7 @@
     pub(super) fn tick_leader(&mut self) {
         if !self.is_quorum_reachable(&self.members) {
             self.become_follower(self.hard_state.term, None);
-            // Tells the followers that are still reachable that they have no leader.
-            self.request_pre_votes();
+            self.announce_step_down();
             return;
         }
         let now = self.now;
--- a/crates/coordination/src/raft/tests/full_disks.rs
+++ b/crates/coordination/src/raft/tests/full_disks.rs
@@ -18,7 +18,7 @@
 const SETTLE_MS: u64 = 4_000;
 
 /// Runs the simulation while the leader adjusts the members.
-fn run(sim: &mut Sim, wanted_voters: usize, ms: u64) {
+pub(super) fn run_and_adjust(sim: &mut Sim, wanted_voters: usize, ms: u64) {
     for _ in 0..ms / ADJUST_MS {
         sim.run(ADJUST_MS);
         let Some(leader) = sim.leader() else {
@@ -67,7 +67,7 @@
         for _ in 0..learners {
             sim.add_unadmitted();
         }
-        run(&mut sim, voters, 3_000);
+        run_and_adjust(&mut sim, voters, 3_000);
         let mut filled = Vec::new();
         for _ in 0..fills {
             let index = next_voter(&mut sim, &filled, leader_first);
@@ -76,10 +76,10 @@
             sim.fill_disk(index, full_ms);
             for _ in 0..full_ms.div_ceil(CHANGE_MS) {
                 sim.approve(sim.leader().unwrap_or(0));
-                run(&mut sim, voters, CHANGE_MS);
+                run_and_adjust(&mut sim, voters, CHANGE_MS);
             }
         }
-        run(&mut sim, voters, SETTLE_MS);
+        run_and_adjust(&mut sim, voters, SETTLE_MS);
         for _ in 0..10 {
             let Some(leader) = sim.leader() else {
                 panic!("seed {seed}: no leader after the disks had room");
@@ -87,7 +87,7 @@
             let sent = sim.now;
             let request = sim.approve(leader);
             while !sim.requests[request].done {
-                run(&mut sim, voters, ADJUST_MS);
+                run_and_adjust(&mut sim, voters, ADJUST_MS);
                 let waited = sim.now.since(sent);
                 assert!(
                     waited <= Millis(MAX_ACK_MS),
@@ -95,7 +95,7 @@
                 );
             }
         }
-        run(&mut sim, voters, SETTLE_MS);
+        run_and_adjust(&mut sim, voters, SETTLE_MS);
         let open = sim.requests.iter().filter(|request| !request.done).count();
         assert_eq!(open, 0, "seed {seed}: changes without an answer");
         assert_eq!(sim.oracle.violation, None, "seed {seed}");
--- a/crates/coordination/src/raft/tests/scenarios.rs
+++ b/crates/coordination/src/raft/tests/scenarios.rs
@@ -4,6 +4,7 @@
 use sycamoreflow_state::ids::Millis;
 
 use super::events::check_recovery;
+use super::full_disks::run_and_adjust;
 use super::sim::{Sim, node_id};
 use crate::raft::{Input, MAX_ENTRY_BYTES, MemberChange, Raft, Refusal, ReplicaState, Role, Token};
 
@@ -51,17 +52,28 @@
 /// without a quorum, because its subscribers keep outdated state until then. They must have current
 /// state 3 s after the partition. Of these, disconnecting them takes 0.6 s and admission by another
 /// replica up to 0.4 s.
-#[test]
-fn step_leader_in_minority() {
-    const SIZE: usize = 5;
+///
+/// A learner serves subscribers as a voter does.
+#[rstest]
+#[case::voter(5, 0)]
+#[case::learner(5, 1)]
+fn step_leader_in_minority(#[case] voters: usize, #[case] learners: usize) {
+    let size = voters + learners;
     let mut longest = Millis(0);
     for seed in 0..100 {
-        let mut sim = Sim::bootstrapped(SIZE, seed, None);
-        sim.run(1000);
+        let mut sim = Sim::bootstrapped(voters, seed, None);
+        for _ in 0..learners {
+            sim.add_unadmitted();
+        }
+        run_and_adjust(&mut sim, voters, 3_000);
         let leader = sim.leader().unwrap();
-        let follower = (leader + 1) % SIZE;
+        let follower = match learners {
+            0 => (leader + 1) % voters,
+            _ => voters,
+        };
+        assert_eq!(sim.is_voter(&sim.nodes[follower]), learners == 0);
         let is_cut = |node: usize| node == leader || node == follower;
-        for (a, b) in (0..SIZE).flat_map(|a| (0..SIZE).map(move |b| (a, b))) {
+        for (a, b) in (0..size).flat_map(|a| (0..size).map(move |b| (a, b))) {
             if is_cut(a) != is_cut(b) {
                 sim.blocked_links.insert((a, b));
             }
