Keep keys of accounts out of errors, Debug output and readable files

Cause: the source text of a document contains the keys of accounts.

An account whose name has a control character is refused, as its name becomes a header.

--- a/crates/coordination/src/machine/check.rs
+++ b/crates/coordination/src/machine/check.rs
@@ -39,6 +39,13 @@
                 "tenant {name} has a quota of 0 requests per second"
             ));
         }
+        // Upstreams receive the name of an account in a header.
+        if !tenant.keys.is_empty() && name.as_str().contains(char::is_control) {
+            problems.push(format!(
+                "tenant {:?} has keys and a control character in its name",
+                name.as_str()
+            ));
+        }
         for key in &tenant.keys {
             let holder = *holders.entry(key).or_insert(name);
             if holder != name {
--- a/crates/coordination/src/machine/document.rs
+++ b/crates/coordination/src/machine/document.rs
@@ -9,6 +9,7 @@
 //! stored unchanged, so that an operator reads back exactly what was submitted.
 
 use std::collections::VecDeque;
+use std::fmt;
 
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
@@ -46,7 +47,7 @@
 }
 
 /// A part of a document: a service, a route or data that proxies do not use.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case")]
 pub struct Part {
     /// Source text as the operator submitted it, returned when the document is read.
@@ -55,6 +56,14 @@
     pub meaning: Meaning,
 }
 
+/// Leaves out the source, which may contain keys of client accounts.
+impl fmt::Debug for Part {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut out = f.debug_struct("Part");
+        out.field("meaning", &self.meaning).finish_non_exhaustive()
+    }
+}
+
 /// Resource that a part of a document defines for proxies.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/transport/src/storage/files.rs
+++ b/crates/transport/src/storage/files.rs
@@ -1,8 +1,9 @@
 //! File operations with hooks for fault injection in tests.
 
 use std::fmt;
-use std::fs::{self, File, OpenOptions};
+use std::fs::{self, File, OpenOptions, Permissions};
 use std::io::{self, Seek, SeekFrom, Write};
+use std::os::unix::fs::{OpenOptionsExt, PermissionsExt};
 use std::path::{Path, PathBuf};
 
 use super::{Result, StorageError};
@@ -75,7 +76,7 @@
 
     pub(super) fn create(&mut self, path: &Path) -> Result<File> {
         self.inject_fault(Operation::Create, path)
-            .and_then(|_| File::create(path))
+            .and_then(|_| create_private(path))
             .map_err(|source| io_error("create", path, source))
     }
 
@@ -83,6 +84,8 @@
     pub(super) fn open_for_append(&mut self, path: &Path) -> Result<File> {
         let open = || {
             let mut file = OpenOptions::new().write(true).open(path)?;
+            // An earlier release may have created the file.
+            file.set_permissions(Permissions::from_mode(PRIVATE_MODE))?;
             file.seek(SeekFrom::End(0))?;
             Ok(file)
         };
@@ -143,6 +146,16 @@
     }
 }
 
+/// Mode of all files. The log and the snapshots contain configurations with the keys of client
+/// accounts, so only their owner may read them.
+const PRIVATE_MODE: u32 = 0o600;
+
+fn create_private(path: &Path) -> io::Result<File> {
+    let mut options = OpenOptions::new();
+    options.write(true).create(true).truncate(true);
+    options.mode(PRIVATE_MODE).open(path)
+}
+
 /// Extension of files that are written completely before they get their final name.
 pub(super) const TEMPORARY_EXTENSION: &str = "tmp";
 
--- a/crates/transport/src/storage/tests.rs
+++ b/crates/transport/src/storage/tests.rs
@@ -5,6 +5,7 @@
 mod power;
 
 use std::collections::BTreeMap;
+use std::os::unix::fs::PermissionsExt;
 use std::path::Path;
 use std::sync::Arc;
 
@@ -104,6 +105,24 @@
     assert_eq!(opened.truncated_bytes, 0);
 }
 
+/// Guards against a log or a snapshot with keys of client accounts that other users can read.
+#[test]
+fn open_files_private() {
+    let folder = TempDir::new().unwrap();
+    let mut storage = open(folder.path()).unwrap().storage;
+    storage.execute(&[append(1, 12, 1)]).unwrap();
+    storage.save_snapshot(&snapshot(5, 1)).unwrap();
+    let mut checked = 0;
+    for entry in fs::read_dir(folder.path()).unwrap() {
+        let metadata = entry.unwrap().metadata().unwrap();
+        if metadata.len() > 0 {
+            assert_eq!(metadata.permissions().mode() & 0o077, 0);
+            checked += 1;
+        }
+    }
+    assert!(checked > 2, "{checked} files");
+}
+
 /// Guards against truncated entries, which a former leader wrote, that reappear after a restart.
 #[rstest]
 #[case::inside_a_segment(8)]
