Authentication of callers by the keys of client accounts

Change: the daemon that the caller reached looks the digest of the key up in a table that is built with the routes, sets the name of the account for the upstream and removes the key, on open routes too. The daemon beside the upstream removes a key that an entry daemon with an older configuration has passed on. The priority of an account goes before that of its route. Requests without an account weigh as much as all accounts together, as they are calls of services. Until a configuration is approved, requests are refused as not ready instead of not found. Meshes without accounts are served as before.

--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -22,12 +22,13 @@
 use sycamoreflow_protocol::call::{Answer, Call, CallResult, RequestHead};
 use sycamoreflow_state::endpoint::Endpoint;
 use sycamoreflow_state::ids::{
-    DaemonId, DataCentre, Micros, Millis, RouteName, ServiceName, TenantName,
+    ConfigVersion, DaemonId, DataCentre, Micros, Millis, RouteName, ServiceName, TenantName,
 };
 use sycamoreflow_state::verdict::{Failure, Reason};
 use sycamoreflow_state::view::{ResourceKey, View};
 
 use crate::clock;
+use crate::proxy::accounts::Accounts;
 use crate::proxy::attempts::AdmittedRequest;
 use crate::proxy::crashes::CrashTracker;
 use crate::proxy::dialect::Dialect;
@@ -40,6 +41,7 @@
 use crate::proxy::table::{Route, RouteTable};
 use crate::proxy::trace::Trace;
 
+pub mod accounts;
 mod attempts;
 pub mod crashes;
 pub mod dialect;
@@ -97,6 +99,7 @@
 struct Active {
     view: Arc<View>,
     routes: Arc<RouteTable>,
+    accounts: Arc<Accounts>,
 }
 
 /// Settings and components of a [`Proxy`].
@@ -172,6 +175,12 @@
             .map(|active| active.view.clone())
     }
 
+    /// Returns the active view and its tables, or `None` before the first with a configuration.
+    fn configured(&self) -> Option<Arc<Active>> {
+        let active = self.active.load_full();
+        active.filter(|active| has_configuration(&active.view))
+    }
+
     /// Activates a view as a whole.
     ///
     /// Services are updated before the routes that use them take effect, and services that are no
@@ -201,15 +210,21 @@
             used_services.insert(name);
         }
         self.keys.update(self.view().as_deref(), &view);
-        self.owner.set_weights(tenant_weights(&view));
+        let (routes, accounts) = self.tables(&view);
+        self.owner
+            .set_weights(tenant_weights(&view, accounts.are_enforced()));
+        self.owner.set_has_accounts(accounts.are_enforced());
         self.owner.apply_departures(&view);
         self.owner.apply_drain_marks(&view);
         let active = Active {
-            routes: self.route_table(&view),
+            routes,
+            accounts,
             view: view.clone(),
         };
         self.active.store(Some(Arc::new(active)));
-        self.view_waiters.wake();
+        if has_configuration(&view) {
+            self.view_waiters.wake();
+        }
         self.services
             .write()
             .retain(|name, _| used_services.contains(name));
@@ -230,15 +245,17 @@
         }
     }
 
-    /// Returns the routes of a view. Reuses the active route table if only endpoints have changed.
-    fn route_table(&self, view: &View) -> Arc<RouteTable> {
+    /// Returns the routes and the accounts of a view. Reuses the active tables if only endpoints
+    /// have changed.
+    fn tables(&self, view: &View) -> (Arc<RouteTable>, Arc<Accounts>) {
         let active = self.active.load();
         if let Some(active) = active.as_ref()
             && active.view.version().config == view.version().config
         {
-            return active.routes.clone();
+            return (active.routes.clone(), active.accounts.clone());
         }
-        Arc::new(RouteTable::new(view))
+        let accounts = Accounts::new(view, &self.dialect);
+        (Arc::new(RouteTable::new(view)), Arc::new(accounts))
     }
 
     /// Serves a request of a caller. A failure becomes a response in the dialect of callers.
@@ -346,7 +363,7 @@
 
     async fn run(
         self: &Arc<Self>,
-        req: Request<Bytes>,
+        mut req: Request<Bytes>,
         trace: &mut Trace,
     ) -> (Result<Answer>, TenantName) {
         let caller = match headers::read_caller(req.headers(), &self.dialect) {
@@ -356,15 +373,15 @@
         let tenant = caller.tenant.clone();
         trace.request_id = caller.request_id.clone();
         let arrived = clock::now();
-        let has_waited = self.active.load().is_none();
+        let has_waited = self.configured().is_none();
         if has_waited {
-            let is_active = || self.active.load().is_some();
+            let is_active = || self.configured().is_some();
             let wait =
                 self.view_waiters
                     .wait(arrived, caller.remaining, req.body().len(), is_active);
             trace.retry_after = wait.await.err();
         }
-        let Some(active) = self.active.load_full() else {
+        let Some(active) = self.configured() else {
             return (Err(Failure::not_run(Reason::NotReady)), tenant);
         };
         trace.view = Some(active.view.version());
@@ -375,10 +392,17 @@
         };
         trace.route = Some(admitted.route.clone());
         trace.service = Some(admitted.service_name.clone());
+        let tenant = admitted.tenant.clone();
         // The timeout of the route may have passed while the request waited for the view.
         if has_waited && admitted.deadline <= clock::now() {
             return (Err(Failure::not_run(Reason::NotReady)), tenant);
         }
+        if active.accounts.are_enforced() {
+            let account = admitted.has_account.then_some(&admitted.tenant);
+            if let Err(failure) = headers::set_account(req.headers_mut(), account, &self.dialect) {
+                return (Err(failure), tenant);
+            }
+        }
         let (head, body) = headers::request_head(req, &self.dialect);
         (self.run_admitted(admitted, head, body, trace).await, tenant)
     }
@@ -431,8 +455,9 @@
         arrived: Millis,
     ) -> Result<AdmittedRequest> {
         let tenant = caller.tenant;
-        let is_known_tenant =
-            active.view.tenant(&tenant).is_some() || tenant.as_str() == DEFAULT_TENANT;
+        let is_known_tenant = active.accounts.are_enforced()
+            || active.view.tenant(&tenant).is_some()
+            || tenant.as_str() == DEFAULT_TENANT;
         if !is_known_tenant {
             return Err(Failure::not_run(Reason::TenantRefused));
         }
@@ -440,6 +465,19 @@
             .routes
             .find_for_host(&host_of(req), req.method().as_str(), req.uri().path())
             .ok_or(Failure::not_run(Reason::NoRoute))?;
+        let delivery = &route.config.delivery;
+        let account = match active.accounts.are_enforced() {
+            true => {
+                let credential = active.accounts.credential(req.headers(), &self.dialect);
+                accounts::authorize(credential, delivery.allow_anonymous)?
+            }
+            false => None,
+        };
+        let tenant = match (&account, active.accounts.are_enforced()) {
+            (Some(account), _) => account.name.clone(),
+            (None, true) => TenantName::from(DEFAULT_TENANT),
+            (None, false) => tenant,
+        };
         let allowed = &route.config.tenants;
         if !allowed.is_empty() && !allowed.contains(&tenant) {
             return Err(Failure::not_run(Reason::TenantRefused));
@@ -447,7 +485,6 @@
         let service_name = self.choose_service(route);
         let service = self.services.read().get(&service_name).cloned();
         let service = service.ok_or(Failure::not_run(Reason::NoEndpoint))?;
-        let delivery = &route.config.delivery;
         let timeout = route.config.timeout;
         let remaining = caller.remaining.map_or(timeout, |r| r.min(timeout));
         // A route that sets the number of attempts also decides whether its requests are
@@ -467,7 +504,10 @@
             idempotent,
             key: caller.key.filter(|_| !idempotent),
             request_id: caller.request_id,
-            priority: delivery.priority,
+            has_account: account.is_some(),
+            priority: account
+                .and_then(|account| account.priority)
+                .unwrap_or(delivery.priority),
             target: delivery.target_latency.map(|target| arrived.after(target)),
             max_attempts: delivery
                 .max_attempts
@@ -515,7 +555,18 @@
     without_port.to_ascii_lowercase()
 }
 
-fn tenant_weights(view: &View) -> Vec<(TenantName, u32)> {
+/// Returns whether a configuration was approved before the view was published. Until then a daemon
+/// can't tell a request without a route from one whose route is still to come.
+fn has_configuration(view: &View) -> bool {
+    view.version().config > ConfigVersion::default()
+}
+
+/// Returns the weights by which tenants share the slots of an upstream.
+///
+/// In a mesh with accounts, requests without one are mostly calls that services make while they run
+/// requests of the accounts. They weigh as much as all accounts together: a call that waits behind
+/// other requests delays one that already holds a slot.
+fn tenant_weights(view: &View, has_accounts: bool) -> Vec<(TenantName, u32)> {
     let mut weights: Vec<_> = view
         .tenants()
         .map(|(name, tenant)| (name.clone(), tenant.weight))
@@ -524,7 +575,12 @@
         .iter()
         .any(|(name, _)| name.as_str() == DEFAULT_TENANT)
     {
-        weights.push((TenantName::from(DEFAULT_TENANT), 1));
+        let sum = weights.iter().map(|(_, weight)| *weight);
+        let weight = match has_accounts {
+            true => sum.fold(0, u32::saturating_add).max(1),
+            false => 1,
+        };
+        weights.push((TenantName::from(DEFAULT_TENANT), weight));
     }
     weights
 }
--- a/crates/daemon/src/proxy/attempts.rs
+++ b/crates/daemon/src/proxy/attempts.rs
@@ -38,6 +38,8 @@
     pub(super) service_name: ServiceName,
     pub(super) service: Arc<Service>,
     pub(super) tenant: TenantName,
+    /// Whether `tenant` is a client account whose key the request has presented.
+    pub(super) has_account: bool,
     pub(super) deadline: Millis,
     pub(super) idempotent: bool,
     pub(super) key: Option<String>,
--- a/crates/daemon/src/proxy/dialect.rs
+++ b/crates/daemon/src/proxy/dialect.rs
@@ -19,6 +19,12 @@
     pub deadline: HeaderName,
     /// Request header with the name of the caller's tenant.
     pub tenant: Option<HeaderName>,
+    /// Request header with the key of a client account, in the scheme `Bearer`. In a mesh whose
+    /// tenants have keys, daemons remove it from every request.
+    pub credential: HeaderName,
+    /// Request header with the name of the client account. In a mesh whose tenants have keys, the
+    /// daemon sets it for the upstream; a value from the caller is removed.
+    pub account: Option<HeaderName>,
     /// Request header with the idempotency key.
     pub key: Option<HeaderName>,
     /// Request header with the name of the service that the call comes from. The daemon sets it for
@@ -49,6 +55,8 @@
             request_id: None,
             deadline: HeaderName::from_static(DEADLINE_HEADER),
             tenant: own(TENANT_HEADER),
+            credential: http::header::AUTHORIZATION,
+            account: own(TENANT_HEADER),
             key: own(KEY_HEADER),
             caller_service: None,
             instance: None,
--- a/crates/daemon/src/proxy/headers.rs
+++ b/crates/daemon/src/proxy/headers.rs
@@ -90,8 +90,32 @@
     (head, req.into_body())
 }
 
+/// Replaces what a request states of its account by what a daemon has found out: it removes the key
+/// and sets the name of the account.
+///
+/// # Errors
+///
+/// Returns [`Reason::BadRequest`] if the name is no valid header value.
+pub fn set_account(
+    headers: &mut HeaderMap,
+    account: Option<&TenantName>,
+    dialect: &Dialect,
+) -> Result<(), Failure> {
+    headers.remove(&dialect.credential);
+    let Some(name) = &dialect.account else {
+        return Ok(());
+    };
+    headers.remove(name);
+    match account {
+        Some(account) => insert_text(headers, name, account.as_str()),
+        None => Ok(()),
+    }
+}
+
 /// Builds the request to the upstream. `remaining` is the time left until the deadline, and
-/// `instance` identifies the upstream instance that must run the request.
+/// `instance` identifies the upstream instance that must run the request. `removes_key` is whether
+/// the mesh has client accounts: the entry daemon removes their keys, but may have had an older
+/// configuration.
 ///
 /// # Errors
 ///
@@ -101,6 +125,7 @@
     call: &Call,
     remaining: Millis,
     instance: Option<&str>,
+    removes_key: bool,
     dialect: &Dialect,
 ) -> Result<Request<Bytes>, Failure> {
     let mut req = Request::builder()
@@ -111,6 +136,9 @@
     *req.headers_mut() = from_call_headers(call.head.headers.clone()).ok_or_else(bad_request)?;
     let headers = req.headers_mut();
     headers.remove(http::header::CONTENT_LENGTH);
+    if removes_key {
+        headers.remove(&dialect.credential);
+    }
     headers.insert(dialect.deadline.clone(), HeaderValue::from(remaining.0));
     if let Some(name) = &dialect.caller_service {
         let caller = call.caller.as_ref().map_or("", |service| service.as_str());
@@ -123,7 +151,7 @@
 }
 
 fn insert_text(headers: &mut HeaderMap, name: &HeaderName, text: &str) -> Result<(), Failure> {
-    let value = HeaderValue::from_str(text).map_err(|_| bad_request())?;
+    let value = HeaderValue::from_bytes(text.as_bytes()).map_err(|_| bad_request())?;
     headers.insert(name.clone(), value);
     Ok(())
 }
--- a/crates/daemon/src/proxy/owner.rs
+++ b/crates/daemon/src/proxy/owner.rs
@@ -78,6 +78,8 @@
     crashes: Arc<CrashTracker>,
     upstreams: Mutex<IndexMap<ServiceName, Arc<Upstream>>>,
     weights: Mutex<Vec<(TenantName, u32)>>,
+    /// Whether requests need the key of a client account.
+    has_accounts: AtomicBool,
     dialect: Arc<Dialect>,
     /// Instances that have left, so that a late report does not add them again.
     departures: Mutex<Departures>,
@@ -142,6 +144,7 @@
             crashes,
             upstreams: Mutex::default(),
             weights: Mutex::default(),
+            has_accounts: AtomicBool::new(false),
             dialect: Arc::default(),
             departures: Mutex::default(),
             distributed: Mutex::default(),
@@ -479,6 +482,11 @@
         }
     }
 
+    /// Sets whether the mesh has client accounts, whose keys no upstream may receive.
+    pub fn set_has_accounts(&self, has_accounts: bool) {
+        self.has_accounts.store(has_accounts, Ordering::Relaxed);
+    }
+
     /// Returns the endpoints to announce to the control replicas. There are none before the first
     /// view, since a report may be of an instance that left before this daemon started.
     pub fn endpoints(&self) -> Vec<Endpoint> {
@@ -628,7 +636,8 @@
     ) -> Result<http::Request<Bytes>> {
         let report = upstream.report.lock();
         let instance = report.as_ref().map(|report| report.instance.as_str());
-        headers::upstream_request(call, remaining, instance, &self.dialect)
+        let removes_key = self.has_accounts.load(Ordering::Relaxed);
+        headers::upstream_request(call, remaining, instance, removes_key, &self.dialect)
     }
 
     /// Probes an upstream after a lost connection, and records a crash against the requests in
--- a/crates/daemon/tests/owner.rs
+++ b/crates/daemon/tests/owner.rs
@@ -272,6 +272,36 @@
     assert_eq!(refused.err(), Some(expected));
 }
 
+/// Guards against a key of a client account that reaches an upstream because the entry daemon has an
+/// older configuration, and against an `authorization` header that is lost in a mesh without keys.
+#[rstest]
+#[case::accounts(true)]
+#[case::no_accounts(false)]
+#[async_std::test]
+async fn deliver_key_of_account(#[case] has_accounts: bool) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let owner = owner(address);
+    owner.announce(announcement(address, 4));
+    owner.set_has_accounts(has_accounts);
+    let mut call = call(true, "a1");
+    let header = (
+        "authorization".to_owned(),
+        b"Bearer mx2q7tzv".to_vec().into(),
+    );
+    call.head.headers.push(header);
+    let receive = async {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut head = [0; 1_024];
+        let count = stream.read(&mut head).await.unwrap();
+        stream.write_all(ANSWER.as_bytes()).await.unwrap();
+        String::from_utf8(head[..count].to_vec()).unwrap()
+    };
+    let (result, head) = join!(owner.deliver(&call, default_deadline()), receive);
+    assert!(result.is_ok(), "{result:?}");
+    assert_eq!(head.contains("mx2q7tzv"), !has_accounts, "{head}");
+}
+
 /// Scenario: an upstream rejects a request and sends the rejection a second time, in place of the
 /// response to the next request on the connection. The request is sent again to the same upstream.
 ///
--- a/crates/daemon/tests/processes/basics.rs
+++ b/crates/daemon/tests/processes/basics.rs
@@ -39,6 +39,27 @@
     })
 }
 
+/// Guards against a daemon that denies requests for good although it knows no configuration yet: its
+/// callers would not send them again.
+#[test]
+fn call_before_approval() -> eyre::Result<()> {
+    run(async {
+        let mesh = mesh(4)?;
+        let client = caller::client();
+        for index in 0..mesh.len() {
+            let mesh = &mesh;
+            wait_for("the empty view", || async move {
+                mesh.config_version(index).await == Some(0)
+            })
+            .await?;
+            let response = call(&client, mesh.calls_address(index), "POST").await?;
+            ensure!(response.status() == 503, "daemon {index}: {response:?}");
+            ensure!(header(&response, "sycamoreflow-reason") == Some("not-ready"));
+        }
+        Ok(())
+    })
+}
+
 /// Guards against a restart of all daemons that loses the approved configuration.
 #[test]
 fn mesh_restart_of_all() -> eyre::Result<()> {
