Evacuate data centres by order of an operator

Cause: an operator could not empty a data centre.

Change: an order is a command of the replicated log, needs no configuration in force, and is acknowledged after its commit. Evacuations in force are resources of the view that every subscriber receives. The daemon beside an upstream refuses new and waiting calls as not run; entry daemons leave the endpoints out. Orders carry an optional request id, with which an overtaken resend has no effect. POST and DELETE /v1/evacuations/{data-centre}, sycamoreflow evacuate and restore, listed by status with the load expected of the remaining slots.

Result: tests of the state machine, the owner, the view, the command line and seven processes whose leader is killed during the order and that all restart (evacuation_leader_killed_and_restart).

--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -1,7 +1,8 @@
 //! Client of the operator interface, which tries several daemons in turn until one responds.
 //!
 //! Retries are safe because every request of the interface is idempotent: reads have no effect, an
-//! approval carries a request id, and draining a daemon twice has the same effect as once.
+//! approval or an evacuation carries a request id, and draining a daemon twice has the same effect as
+//! once.
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -110,6 +111,11 @@
         self.call("POST", path, body).await
     }
 
+    /// Sends a request without a body and decodes the response.
+    pub async fn send<T: DeserializeOwned>(&self, method: &str, path: &str) -> Result<T> {
+        self.call(method, path, Vec::new()).await
+    }
+
     async fn call<T: DeserializeOwned>(
         &self,
         method: &str,
@@ -218,8 +224,8 @@
     Ok(token.to_owned())
 }
 
-/// Percent-encodes a text for use as a value in a query string.
-pub fn query_value(text: &str) -> String {
+/// Percent-encodes a text for use as a value in a query string or as a segment of a path.
+pub fn percent_encode(text: &str) -> String {
     let mut encoded = String::with_capacity(text.len());
     for byte in text.bytes() {
         if byte.is_ascii_alphanumeric() || b"-._~".contains(&byte) {
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -10,6 +10,7 @@
 pub mod check;
 pub mod drain;
 pub mod endpoints;
+pub mod evacuate;
 pub mod history;
 pub mod init;
 pub mod plan;
@@ -50,6 +51,10 @@
     Endpoints(endpoints::Options),
     /// Drain the endpoints of a daemon.
     Drain(drain::Options),
+    /// Send nothing more to the endpoints in a data centre.
+    Evacuate(evacuate::Options),
+    /// End the evacuation of a data centre.
+    Restore(evacuate::Options),
 }
 
 /// Returns the parser of the whole command line.
@@ -99,10 +104,20 @@
         "Give the endpoints at a daemon no new work",
         drain::options().map(Command::Drain),
     );
+    let evacuate = command(
+        "evacuate",
+        "Send nothing more to the endpoints in a data centre",
+        evacuate::options().map(Command::Evacuate),
+    );
+    let restore = command(
+        "restore",
+        "End the evacuation of a data centre",
+        evacuate::options().map(Command::Restore),
+    );
     let exit_codes = exit::HELP;
     let footer = format!("{FIRST_STEPS}\n \n{exit_codes}\n \nDocumentation: docs/commands.md");
     construct!([
-        init, check, plan, approve, status, watch, history, endpoints, drain
+        init, check, plan, approve, status, watch, history, endpoints, drain, evacuate, restore
     ])
     .to_options()
     .descr("Configures a service mesh from the answers to a questionnaire.")
--- a/crates/cli/src/commands/history.rs
+++ b/crates/cli/src/commands/history.rs
@@ -34,7 +34,7 @@
 pub async fn run(options: &Options, io: &mut Io<'_>) -> Result {
     let client = Client::new(&options.client)?;
     let path = match &options.service {
-        Some(service) => format!("{HISTORY_PATH}?service={}", client::query_value(service)),
+        Some(service) => format!("{HISTORY_PATH}?service={}", client::percent_encode(service)),
         None => HISTORY_PATH.to_owned(),
     };
     let history: HistoryResponse = client.get(&path).await?;
@@ -68,6 +68,8 @@
         HistoryEvent::TestPassed { to } => format!("{to} passed its test under full load"),
         HistoryEvent::RolloutDone { to } => format!("rollout of {to} done"),
         HistoryEvent::RolledBack { to, reason } => format!("{to} taken back: {reason}"),
+        HistoryEvent::Evacuated { data_centre } => format!("{data_centre} evacuated"),
+        HistoryEvent::Restored { data_centre } => format!("{data_centre} restored"),
         HistoryEvent::KeyHoldersChanged { epoch } => format!("key holders changed, group {epoch}"),
     }
 }
--- a/crates/cli/src/commands/status.rs
+++ b/crates/cli/src/commands/status.rs
@@ -4,7 +4,9 @@
 
 use bpaf::{Parser, construct};
 use sycamoreflow_state::answers::units;
-use sycamoreflow_state::operator::{ReplicaStatus, RolloutStatus, STATUS_PATH, StatusResponse};
+use sycamoreflow_state::operator::{
+    EvacuationStatus, RemainingCapacity, ReplicaStatus, RolloutStatus, STATUS_PATH, StatusResponse,
+};
 
 use crate::client::{self, Client};
 use crate::exit::Result;
@@ -59,6 +61,12 @@
         };
         writeln!(out, "  {fault_tolerance}")?;
     }
+    if !status.evacuations.is_empty() {
+        writeln!(out, "\nevacuated data centres")?;
+        let rows: Vec<_> = status.evacuations.iter().map(evacuation).collect();
+        output::table(out, &rows)?;
+        print_remaining(out, &status.remaining)?;
+    }
     if !status.rollouts.is_empty() {
         writeln!(out, "\nrollouts")?;
         let rows: Vec<_> = status.rollouts.iter().map(rollout).collect();
@@ -95,6 +103,36 @@
     ]
 }
 
+fn evacuation(evacuation: &EvacuationStatus) -> [String; 3] {
+    [
+        format!("  {}", evacuation.data_centre),
+        format!("since version {}", evacuation.since),
+        units::format_time(evacuation.at),
+    ]
+}
+
+/// Prints the load that is expected of each service outside the evacuated data centres.
+pub fn print_remaining(out: &mut dyn Write, remaining: &[RemainingCapacity]) -> Result {
+    if remaining.is_empty() {
+        return Ok(());
+    }
+    writeln!(out, "\nexpected load outside the evacuated data centres")?;
+    let rows: Vec<_> = remaining.iter().map(remaining_row).collect();
+    output::table(out, &rows)
+}
+
+fn remaining_row(capacity: &RemainingCapacity) -> [String; 3] {
+    let load = match capacity.expected_load_percent() {
+        Some(percent) => format!("{percent}% of the usual load of a slot"),
+        None => "no endpoint is left; its calls are refused".to_owned(),
+    };
+    [
+        format!("  {}", capacity.service),
+        format!("{} of {} slots", capacity.remaining, capacity.slots),
+        load,
+    ]
+}
+
 /// Returns the table columns of a rollout.
 pub fn rollout(rollout: &RolloutStatus) -> [String; 6] {
     [
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -70,5 +70,7 @@
         Command::History(options) => commands::history::run(&options, io).await,
         Command::Endpoints(options) => commands::endpoints::run(&options, io).await,
         Command::Drain(options) => commands::drain::run(&options, io).await,
+        Command::Evacuate(options) => commands::evacuate::run(&options, true, io).await,
+        Command::Restore(options) => commands::evacuate::run(&options, false, io).await,
     }
 }
--- a/crates/cli/tests/cli/online.rs
+++ b/crates/cli/tests/cli/online.rs
@@ -8,7 +8,7 @@
 use sycamoreflow_state::ids::{ConfigVersion, EndpointVersion, Millis};
 use sycamoreflow_state::operator::{
     ApproveResponse, ConfigResponse, DrainResponse, EndpointsResponse, ErrorCode, ErrorResponse,
-    HistoryEntry, HistoryEvent, HistoryResponse,
+    EvacuationResponse, HistoryEntry, HistoryEvent, HistoryResponse, RemainingCapacity,
 };
 
 use crate::stand_in::{Files, Reply, StandIn, closed_address};
@@ -190,6 +190,42 @@
     assert_eq!(good.received()[1].body["draining"], false);
 }
 
+// Guards against an order for another data centre than the given one, and against a loss of capacity
+// that the operator is not told.
+#[rstest]
+#[case::evacuate("evacuate", "POST", true, "sfax a is evacuated, version 9\n")]
+#[case::restore("restore", "DELETE", false, "sfax a is in use, version 9\n")]
+fn evacuate_and_restore(
+    #[case] command: &str,
+    #[case] method: &str,
+    #[case] evacuated: bool,
+    #[case] first_line: &str,
+) {
+    let capacity = |service: &str, remaining| RemainingCapacity {
+        service: service.into(),
+        slots: 12,
+        remaining,
+    };
+    let server = StandIn::start(vec![Reply::ok(&EvacuationResponse {
+        version: ConfigVersion(9),
+        changed: true,
+        evacuated,
+        remaining: match evacuated {
+            true => vec![capacity("orders", 8), capacity("stock", 0)],
+            false => Vec::new(),
+        },
+    })]);
+    let arguments = ["--request-id", "e1", "sfax a"];
+    let output = files().run_without_file(command, &[server.address], &arguments);
+    assert_eq!(output.code, 0, "{output:?}");
+    assert!(output.stdout.starts_with(first_line), "{output:?}");
+    assert_eq!(output.stdout.contains("8 of 12 slots"), evacuated);
+    assert_eq!(output.stdout.contains("150%"), evacuated);
+    assert_eq!(output.stdout.contains("no endpoint is left"), evacuated);
+    let expected = format!("{method} /v1/evacuations/sfax%20a?request-id=e1 HTTP/1.1");
+    assert!(server.received()[0].head.starts_with(&expected));
+}
+
 // Guards against a service filter that is not sent to the daemon or not applied to the response.
 #[test]
 fn history_and_endpoints_of_service() {
--- a/crates/cli/tests/cli/watch.rs
+++ b/crates/cli/tests/cli/watch.rs
@@ -28,6 +28,8 @@
             rejected: Vec::new(),
         },
         rollouts: Vec::new(),
+        evacuations: Vec::new(),
+        remaining: Vec::new(),
     }
 }
 
--- a/crates/coordination/src/machine.rs
+++ b/crates/coordination/src/machine.rs
@@ -16,6 +16,7 @@
 
 mod check;
 pub mod document;
+pub mod evacuation;
 mod history;
 mod requests;
 
@@ -25,6 +26,7 @@
 use crate::rollout::{ApprovalEffect, OrderEffect, RolloutCommand, Rollouts};
 use check::check_key_holders;
 use document::{Documents, Replacement, ReplacementCheck};
+use evacuation::{EvacuationOrder, Evacuations};
 use history::History;
 use requests::Requests;
 
@@ -68,6 +70,8 @@
         /// Time at the leader, counted from the Unix epoch.
         at: Millis,
     },
+    /// Evacuates a data centre, or restores it.
+    Evacuate(EvacuationOrder),
     /// Sets the stable version of a service when its first endpoints are announced.
     Introduce {
         /// Service of the endpoints.
@@ -109,6 +113,7 @@
             Self::SetKeyHolders { daemons, .. } => check_key_holders(daemons),
             Self::Replace(_)
             | Self::StartRollout { .. }
+            | Self::Evacuate(_)
             | Self::Introduce { .. }
             | Self::Rollout(_)
             | Self::Noop => Vec::new(),
@@ -161,7 +166,7 @@
     },
     /// An earlier request with other content used the same identifier. The state did not change.
     RequestIdReused,
-    /// The command was applied. Accepted approvals and replacements have outcomes of their own.
+    /// The command was applied, or repeats an order in force. Accepted approvals and replacements have outcomes of their own.
     Done {
         /// Version after the command.
         version: ConfigVersion,
@@ -201,6 +206,8 @@
     rollouts: Rollouts,
     #[serde(default)]
     documents: Documents,
+    #[serde(default)]
+    evacuations: Evacuations,
     key_holders: BTreeMap<ServiceName, KeyHolders>,
     /// Highest epoch of the key holders of any removed service. If a removed service is added
     /// again, the epochs of its groups start above this one, so that claims granted by earlier
@@ -228,6 +235,7 @@
                 within,
                 at,
             } => self.apply_order(service, to, *within, *at),
+            Command::Evacuate(order) => self.apply_evacuation(order),
             Command::Introduce { service, version } => self.apply_introduction(service, version),
             Command::Rollout(rollout) => self.apply_rollout(rollout),
             Command::SetKeyHolders {
@@ -495,6 +503,11 @@
         &self.documents
     }
 
+    /// Returns the data centres that operators have evacuated or restored.
+    pub fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
     /// Returns the rollouts of all services.
     pub fn rollouts(&self) -> &Rollouts {
         &self.rollouts
@@ -533,6 +546,7 @@
                 resources.push((key, Resource::KeyHolders(holders.clone())));
             }
         }
+        resources.extend(self.evacuations.resources());
         resources
     }
 
--- a/crates/coordination/src/machine/history.rs
+++ b/crates/coordination/src/machine/history.rs
@@ -3,7 +3,9 @@
 use std::collections::VecDeque;
 
 use serde::{Deserialize, Serialize};
-use sycamoreflow_state::ids::{ConfigVersion, Millis, RequestId, ServiceName, VersionName};
+use sycamoreflow_state::ids::{
+    ConfigVersion, DataCentre, Millis, RequestId, ServiceName, VersionName,
+};
 
 use crate::rollout::RolloutCommand;
 
@@ -45,6 +47,13 @@
         /// Version that is rolled out.
         to: VersionName,
     },
+    /// An operator evacuated a data centre, or restored it.
+    Evacuation {
+        /// The data centre.
+        data_centre: DataCentre,
+        /// Whether it is evacuated after the event.
+        evacuated: bool,
+    },
     /// The state of a rollout changed.
     Rollout(RolloutCommand),
     /// The group of key holders of a service changed.
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -20,6 +20,7 @@
 use crate::settings::{ControlSettings, Settings};
 
 pub mod documents;
+pub mod evacuations;
 pub mod hints;
 pub mod hub;
 pub mod leader;
--- a/crates/daemon/src/control/documents.rs
+++ b/crates/daemon/src/control/documents.rs
@@ -120,7 +120,7 @@
     with_timeout(read).await
 }
 
-async fn with_timeout<T>(work: impl Future<Output = Result<T>>) -> Result<T> {
+pub(super) async fn with_timeout<T>(work: impl Future<Output = Result<T>>) -> Result<T> {
     match timeout(OUTCOME_TIMEOUT, work).await {
         Ok(result) => result,
         Err(_) => Err(Unavailable::default()),
--- a/crates/daemon/src/control/leader.rs
+++ b/crates/daemon/src/control/leader.rs
@@ -197,9 +197,11 @@
             return Vec::new();
         }
         self.last_pacing = now;
+        let evacuations = state.evacuations();
+        let usable = |endpoint: &&Endpoint| !evacuations.is_evacuated(&endpoint.data_centre);
         let leases = &self.leases;
         let capacity = |service: &ServiceName, version: &VersionName| {
-            capacity_of(leases.endpoints(), service, version)
+            capacity_of(leases.endpoints().filter(usable), service, version)
         };
         let steps = self.pacer.tick(unix_now, state.rollouts(), capacity);
         self.log_progress(now);
--- a/crates/daemon/src/control/operator_api.rs
+++ b/crates/daemon/src/control/operator_api.rs
@@ -4,20 +4,22 @@
 use std::sync::Arc;
 
 use futures::channel::oneshot;
+use percent_encoding::percent_decode_str;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use sycamoreflow_coordination::machine::{Command, Outcome};
 use sycamoreflow_coordination::raft::Refusal;
 use sycamoreflow_protocol::replica::ToLeader;
-use sycamoreflow_state::ids::{DaemonId, ServiceName};
+use sycamoreflow_state::ids::{DaemonId, DataCentre, RequestId, ServiceName, is_valid_name};
 use sycamoreflow_state::operator::{
     APPROVE_PATH, ApproveRequest, ApproveResponse, CONFIG_PATH, ConfigResponse, DRAIN_PATH,
-    DrainRequest, DrainResponse, ENDPOINTS_PATH, EndpointsResponse, ErrorCode, ErrorResponse,
-    HISTORY_PATH, STATUS_PATH,
+    DrainRequest, DrainResponse, ENDPOINTS_PATH, EVACUATIONS_PATH, EndpointsResponse, ErrorCode,
+    ErrorResponse, EvacuationResponse, HISTORY_PATH, STATUS_PATH,
 };
 use tide::{Request, Response, StatusCode};
 
 use crate::clock;
+use crate::control::evacuations::{self, Ordered};
 use crate::control::hub::Hub;
 use crate::control::replica::{Event, Replica, Unavailable};
 use crate::control::status;
@@ -34,6 +36,8 @@
     pub mesh: String,
     /// Id of this daemon, returned with the status.
     pub daemon: DaemonId,
+    /// Data centres that the settings list, which an order may name although they have no endpoint.
+    pub data_centres: Vec<DataCentre>,
 }
 
 /// Creates the HTTP application with all routes of the API. The caller has to check the
@@ -46,6 +50,9 @@
     app.at(HISTORY_PATH).get(|req| handle(req, get_history));
     app.at(ENDPOINTS_PATH).get(|req| handle(req, get_endpoints));
     app.at(DRAIN_PATH).post(|req| handle(req, drain));
+    app.at(&format!("{EVACUATIONS_PATH}:data-centre"))
+        .post(|req| handle(req, |req| evacuate(req, true)))
+        .delete(|req| handle(req, |req| evacuate(req, false)));
     app
 }
 
@@ -210,6 +217,56 @@
     Err(ErrorResponse::new(ErrorCode::Unavailable, message))
 }
 
+/// Evacuates the data centre in the path, or restores it.
+async fn evacuate(req: Request<OperatorState>, evacuate: bool) -> Result<EvacuationResponse> {
+    let name = req.param("data-centre").ok().and_then(decode_name);
+    let name = name.ok_or_else(|| {
+        let message = "the path must end with the percent-encoded name of a data centre";
+        ErrorResponse::new(ErrorCode::BadRequest, message)
+    })?;
+    let request = req.url().query_pairs().find(|(key, _)| key == "request-id");
+    let request = request.map(|(_, id)| RequestId::from(id.as_ref()));
+    if request
+        .as_ref()
+        .is_some_and(|id| !is_valid_name(id.as_str()))
+    {
+        let message = "request-id: empty, too long or with control characters";
+        return Err(ErrorResponse::new(ErrorCode::BadRequest, message));
+    }
+    let state = req.state();
+    let data_centre = DataCentre::from(name);
+    let (hub, listed) = (&state.hub, &state.data_centres);
+    let ordered = evacuations::order(hub, listed, request, data_centre.clone(), evacuate).await;
+    match ordered.map_err(|error| unavailable(&error))? {
+        Ordered::Accepted { version, changed } => {
+            let read = move |replica: &Replica| EvacuationResponse {
+                version,
+                changed,
+                evacuated: replica.state().evacuations().is_evacuated(&data_centre),
+                remaining: status::remaining_capacity(replica),
+            };
+            self::read(hub, read).await
+        }
+        Ordered::UnknownDataCentre => {
+            let message = format!(
+                "no endpoint is in data centre {data_centre}, and the setting data-centres does \
+                 not list it"
+            );
+            Err(ErrorResponse::new(ErrorCode::NotFound, message))
+        }
+        Ordered::RequestIdReused => Err(ErrorResponse::new(
+            ErrorCode::RequestIdReused,
+            "the request identifier was used for another request; use a new one",
+        )),
+    }
+}
+
+/// Decodes a name in a path. Returns `None` if it is malformed or not a valid name.
+fn decode_name(encoded: &str) -> Option<String> {
+    let decoded = percent_decode_str(encoded).decode_utf8().ok()?;
+    is_valid_name(&decoded).then(|| decoded.into_owned())
+}
+
 async fn read<T: Send + 'static>(
     hub: &Hub,
     read: impl FnOnce(&Replica) -> T + Send + 'static,
--- a/crates/daemon/src/control/status.rs
+++ b/crates/daemon/src/control/status.rs
@@ -5,8 +5,8 @@
 use sycamoreflow_coordination::rollout::RolloutAction;
 use sycamoreflow_state::ids::{ConfigVersion, DaemonId, Millis, ServiceName};
 use sycamoreflow_state::operator::{
-    Convergence, HistoryEntry, HistoryEvent, HistoryResponse, ReplicaStatus, RolloutStatus,
-    StatusResponse,
+    Convergence, EvacuationStatus, HistoryEntry, HistoryEvent, HistoryResponse, RemainingCapacity,
+    ReplicaStatus, RolloutStatus, StatusResponse,
 };
 use sycamoreflow_state::rollout::Rollout;
 
@@ -28,9 +28,31 @@
             leader.convergence(state.approved().version)
         }),
         rollouts: rollouts(state),
+        evacuations: evacuations(state),
+        remaining: remaining_capacity(replica),
     }
 }
 
+fn evacuations(state: &ControlState) -> Vec<EvacuationStatus> {
+    let active = state.evacuations().active();
+    let statuses = active.map(|(data_centre, order)| EvacuationStatus {
+        data_centre: data_centre.clone(),
+        since: order.since,
+        at: order.at,
+    });
+    statuses.collect()
+}
+
+/// Returns what is left of each service outside the evacuated data centres, or nothing if none is
+/// evacuated or this replica does not lead.
+pub fn remaining_capacity(replica: &Replica) -> Vec<RemainingCapacity> {
+    let Some(leader) = replica.leader() else {
+        return Vec::new();
+    };
+    let evacuations = replica.state().evacuations();
+    evacuations.remaining_capacity(leader.leases().endpoints())
+}
+
 fn replicas(replica: &Replica) -> Vec<ReplicaStatus> {
     let replicas = replica.raft().replicas().into_iter();
     let statuses = replicas.map(|progress| ReplicaStatus {
@@ -153,6 +175,17 @@
         // These are omitted: the command line shows the approvals and rollouts that result from
         // them.
         machine::HistoryEvent::Replaced { .. } | machine::HistoryEvent::Ordered { .. } => None,
+        machine::HistoryEvent::Evacuation {
+            data_centre,
+            evacuated,
+        } => {
+            let data_centre = data_centre.clone();
+            let event = match evacuated {
+                true => HistoryEvent::Evacuated { data_centre },
+                false => HistoryEvent::Restored { data_centre },
+            };
+            Some((None, event))
+        }
         machine::HistoryEvent::KeyHolders { service, epoch } => {
             let event = HistoryEvent::KeyHoldersChanged { epoch: *epoch };
             Some((Some(service.clone()), event))
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -180,6 +180,7 @@
         }
         if let (Some(listener), Some(control)) = (listeners.operator, &control) {
             let app = operator_api::app(OperatorState {
+                data_centres: settings.known_data_centres(),
                 hub: control.lock().hub().clone(),
                 mesh: settings.mesh.clone(),
                 daemon: settings.daemon.clone(),
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -175,10 +175,14 @@
     /// Activates a view as a whole.
     ///
     /// Services are updated before the routes that use them take effect, and services that are no
-    /// longer used are dropped afterwards.
+    /// longer used are dropped afterwards. Endpoints in an evacuated data centre are left out.
     pub fn activate(&self, view: Arc<View>) {
         let mut endpoints: HashMap<&ServiceName, Vec<Endpoint>> = HashMap::new();
+        let evacuated: HashSet<&DataCentre> = view.evacuations().map(|(name, _)| name).collect();
         for endpoint in view.endpoints() {
+            if evacuated.contains(&endpoint.data_centre) {
+                continue;
+            }
             let of_service = endpoints.entry(&endpoint.service).or_default();
             of_service.push(endpoint.clone());
         }
@@ -203,6 +207,7 @@
         self.keys.update(self.view().as_deref(), &view);
         self.owner.set_weights(tenant_weights(&view));
         self.owner.apply_departures(&view);
+        self.owner.apply_evacuation(&view);
         self.owner.apply_drain_marks(&view);
         let active = Active {
             routes: self.route_table(&view),
--- a/crates/daemon/src/proxy/owner.rs
+++ b/crates/daemon/src/proxy/owner.rs
@@ -92,6 +92,8 @@
     /// Whether the endpoints are announced to other daemons as draining.
     leaving: AtomicBool,
     draining: AtomicBool,
+    /// Whether the data centre of this host is evacuated.
+    evacuated: AtomicBool,
     next_call: AtomicU64,
 }
 
@@ -150,6 +152,7 @@
             unready: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
             draining: AtomicBool::new(false),
+            evacuated: AtomicBool::new(false),
             next_call: AtomicU64::new(1),
         }
     }
@@ -351,6 +354,10 @@
         if self.draining.load(Ordering::SeqCst) {
             upstream.drain();
         }
+        // The upstream itself is not draining, so it accepts work again after the evacuation.
+        if self.evacuated.load(Ordering::SeqCst) {
+            upstream.admission.lock().drain();
+        }
         let service = upstream.announcement.service.clone();
         tracing::info!(event = "upstream_announced", %service,
             version = %upstream.announcement.version, address = %upstream.announcement.address,
@@ -418,12 +425,32 @@
         self.leaving.load(Ordering::SeqCst) || self.draining.load(Ordering::SeqCst)
     }
 
+    /// Applies the evacuation of the data centre of this host, or its end. New and waiting calls
+    /// are refused as not run, whichever daemon they come from; running calls are not affected.
+    /// [`Owner::apply_drain_marks`] must be called afterwards.
+    pub fn apply_evacuation(&self, view: &View) {
+        let evacuated = view.is_evacuated(&self.data_centre);
+        if self.evacuated.swap(evacuated, Ordering::SeqCst) == evacuated {
+            return;
+        }
+        metrics::gauge!("sycamoreflow_data_centre_evacuated").set(f64::from(u8::from(evacuated)));
+        tracing::info!(event = "evacuation", data_centre = %self.data_centre, evacuated);
+        if !evacuated {
+            return;
+        }
+        for upstream in self.upstreams.lock().values() {
+            upstream.refuse_new_calls();
+        }
+    }
+
     /// Applies the drain marks that operators have set on endpoints in `view`: a marked upstream
-    /// gets no new work, even from daemons that do not have this view yet.
+    /// gets no new work, even from daemons that do not have this view yet. Nor does any upstream
+    /// while the data centre of this host is evacuated.
     pub fn apply_drain_marks(&self, view: &View) {
         if self.draining.load(Ordering::SeqCst) {
             return;
         }
+        let evacuated = self.evacuated.load(Ordering::SeqCst);
         for (service, upstream) in self.upstreams.lock().iter() {
             if upstream.draining.load(Ordering::SeqCst) {
                 continue;
@@ -432,7 +459,7 @@
             let endpoint = view.get(&key).map(AsRef::as_ref);
             let marked = matches!(endpoint, Some(Resource::Endpoint(e)) if e.draining);
             let mut admission = upstream.admission.lock();
-            if marked {
+            if marked || evacuated {
                 admission.drain();
             } else {
                 admission.resume();
--- a/crates/daemon/src/proxy/owner/upstream.rs
+++ b/crates/daemon/src/proxy/owner/upstream.rs
@@ -64,6 +64,12 @@
     /// Refuses new calls and those that wait, since other upstreams can run them.
     pub(super) fn stop_new_work(&self) {
         self.drain();
+        self.refuse_new_calls();
+    }
+
+    /// Refuses new calls and those that wait, without marking the upstream as draining.
+    pub(super) fn refuse_new_calls(&self) {
+        self.admission.lock().drain();
         let released = self.admission.lock().refuse_queued();
         self.release(released);
     }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -37,6 +37,10 @@
     pub daemon: DaemonId,
     /// Data centre in which this host is located.
     pub data_centre: DataCentre,
+    /// All data centres of the mesh. Operators may also evacuate one that is not listed if it has
+    /// an endpoint.
+    #[serde(default)]
+    pub data_centres: Vec<DataCentre>,
     /// File with the mesh key. Without it, `SYCAMOREFLOW_MESH_KEY` is read.
     pub mesh_key_file: Option<PathBuf>,
     /// File with the operator token. Without it, `SYCAMOREFLOW_TOKEN` is read.
@@ -250,6 +254,15 @@
         self.control_replicas.iter().cloned().chain(seeds).collect()
     }
 
+    /// Returns the data centres in `data-centres` and that of this host.
+    pub fn known_data_centres(&self) -> Vec<DataCentre> {
+        let mut known = self.data_centres.clone();
+        if !known.contains(&self.data_centre) {
+            known.push(self.data_centre.clone());
+        }
+        known
+    }
+
     /// Reads and validates the settings file at `path`.
     ///
     /// # Errors
--- a/crates/daemon/tests/docs_settings.rs
+++ b/crates/daemon/tests/docs_settings.rs
@@ -32,6 +32,7 @@
         mesh: "sfax".to_owned(),
         daemon: "a".into(),
         data_centre: "sfax-a".into(),
+        data_centres: vec!["sfax-a".into(), "sfax-b".into()],
         mesh_key_file: Some(PathBuf::from("mesh.key")),
         operator_token_file: Some(PathBuf::from("operator.token")),
         listen: Listen {
--- a/crates/daemon/tests/owner.rs
+++ b/crates/daemon/tests/owner.rs
@@ -22,7 +22,7 @@
 use sycamoreflow_state::endpoint::Announcement;
 use sycamoreflow_state::ids::{Micros, Millis};
 use sycamoreflow_state::verdict::{Failure, Reason};
-use sycamoreflow_state::view::{Interest, Resource, ResourceKey, View};
+use sycamoreflow_state::view::{Evacuation, Interest, Resource, ResourceKey, View};
 use sycamoreflow_transport::http::client::{Client, Limits};
 
 const REQUEST_ID: &str = "attempt-id";
@@ -378,3 +378,62 @@
     owner.apply_departures(&view);
     assert!(owner.wait_for_distribution().await);
 }
+
+fn evacuated_view(data_centre: &str) -> View {
+    let mut view = View::new(Interest::All);
+    let key = ResourceKey::Evacuation(data_centre.into());
+    let evacuation = Resource::Evacuation(Evacuation::default());
+    view.insert(key, Arc::new(evacuation));
+    view
+}
+
+fn apply(owner: &Owner, view: &View) {
+    owner.apply_evacuation(view);
+    owner.apply_drain_marks(view);
+}
+
+/// Answers an evacuation under load: the running call ends, and the one that waits in the queue of
+/// the endpoint is handed back at once as not run. Guards against a queue that is sent to an
+/// evacuated data centre, and against one that is held until its deadline.
+#[async_std::test]
+async fn deliver_queued_at_evacuation() {
+    let address = start_delayed_upstream(Duration::from_millis(60), vec![ANSWER]).await;
+    let owner = owner(address);
+    owner.announce(announcement(address, 1));
+    let (first, second) = (call(true, "a1"), call(true, "a1"));
+    let evacuate = async {
+        task::sleep(Duration::from_millis(10)).await;
+        apply(&owner, &evacuated_view("sfax-a"));
+    };
+    let (first, second, ()) = join!(
+        owner.deliver(&first, default_deadline()),
+        owner.deliver(&second, default_deadline()),
+        evacuate
+    );
+    assert!(first.is_ok(), "{first:?}");
+    assert_eq!(second.err(), Some(Failure::not_run(Reason::Draining)));
+}
+
+/// Guards against calls that an evacuated owner accepts: from an entry daemon that was cut off
+/// during the order and knows nothing of it, and to an upstream that starts meanwhile. The upstream
+/// itself does not drain, and accepts calls when its data centre is restored.
+#[rstest]
+#[case::this_one("sfax-a", true)]
+#[case::another("sfax-b", false)]
+#[async_std::test]
+async fn deliver_while_evacuated(#[case] data_centre: &str, #[case] refused: bool) {
+    let address = start_upstream(vec![ANSWER, ANSWER, ANSWER]).await;
+    let owner = owner(address);
+    let expected = refused.then_some(Failure::not_run(Reason::Draining));
+    owner.announce(announcement(address, 4));
+    apply(&owner, &evacuated_view(data_centre));
+    for slots in [4, 8] {
+        owner.announce(announcement(address, slots));
+        let result = owner.deliver(&call(true, "a1"), default_deadline()).await;
+        assert_eq!(result.err(), expected);
+    }
+    assert!(owner.endpoints().iter().all(|endpoint| !endpoint.draining));
+    apply(&owner, &View::new(Interest::All));
+    let result = owner.deliver(&call(true, "a1"), default_deadline()).await;
+    assert!(result.is_ok(), "{result:?}");
+}
--- a/crates/daemon/tests/processes/main.rs
+++ b/crates/daemon/tests/processes/main.rs
@@ -4,6 +4,7 @@
 
 mod approvals;
 mod basics;
+mod evacuation;
 mod floor;
 mod leaving;
 mod mass_restart;
--- a/crates/state/src/operator.rs
+++ b/crates/state/src/operator.rs
@@ -10,7 +10,8 @@
 use crate::config::{MeshConfig, Share};
 use crate::endpoint::Endpoint;
 use crate::ids::{
-    ConfigVersion, DaemonId, EndpointVersion, Millis, RequestId, ServiceName, VersionName,
+    ConfigVersion, DaemonId, DataCentre, EndpointVersion, Millis, RequestId, ServiceName,
+    VersionName,
 };
 
 pub use crate::rollout::RolloutPhase;
@@ -28,6 +29,11 @@
 /// `POST` with a [`DrainRequest`]; responds with a [`DrainResponse`].
 pub const DRAIN_PATH: &str = "/v1/drain";
 
+/// Followed by the percent-encoded name of a data centre. `POST` evacuates it and `DELETE` restores
+/// it; both respond with an [`EvacuationResponse`]. The query `request-id=ID` identifies the order,
+/// so that a resend that arrives after a later order has no effect.
+pub const EVACUATIONS_PATH: &str = "/v1/evacuations/";
+
 /// Number of log entries by which a voter may lag behind and still count as caught up. A reachable
 /// voter receives that many within a heartbeat.
 const MAX_LAG_ENTRIES: u64 = 16;
@@ -97,6 +103,59 @@
     pub convergence: Convergence,
     /// The latest rollout of each service that has had one.
     pub rollouts: Vec<RolloutStatus>,
+    /// Evacuated data centres.
+    #[serde(default)]
+    pub evacuations: Vec<EvacuationStatus>,
+    /// What is left of each service while data centres are evacuated. Empty if none is.
+    #[serde(default)]
+    pub remaining: Vec<RemainingCapacity>,
+}
+
+/// An evacuated data centre.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct EvacuationStatus {
+    /// Name of the data centre.
+    pub data_centre: DataCentre,
+    /// Version at which the evacuation came into force.
+    pub since: ConfigVersion,
+    /// Time of the order.
+    pub at: Millis,
+}
+
+/// Capacity of a service outside the evacuated data centres.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct RemainingCapacity {
+    /// Name of the service.
+    pub service: ServiceName,
+    /// Slots of all its endpoints that do not drain.
+    pub slots: u64,
+    /// Slots of those that are outside the evacuated data centres.
+    pub remaining: u64,
+}
+
+impl RemainingCapacity {
+    /// Returns the load expected of each remaining slot, in percent of the load that a slot has
+    /// with all data centres in use. `None` if no slot remains, so that calls are refused.
+    pub fn expected_load_percent(&self) -> Option<u64> {
+        (self.slots * 100).checked_div(self.remaining)
+    }
+}
+
+/// Result of an order to evacuate or to restore a data centre.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct EvacuationResponse {
+    /// Version of the configuration after the order.
+    pub version: ConfigVersion,
+    /// Whether the order changed anything, rather than repeat one that is in force.
+    pub changed: bool,
+    /// Whether the data centre is evacuated now. It differs from the order if a later order has
+    /// overtaken this resend.
+    pub evacuated: bool,
+    /// What is left of each service. Empty if no data centre is evacuated.
+    pub remaining: Vec<RemainingCapacity>,
 }
 
 impl StatusResponse {
@@ -245,6 +304,16 @@
         /// Reason of the rollback, as text.
         reason: String,
     },
+    /// A data centre was evacuated.
+    Evacuated {
+        /// Name of the data centre.
+        data_centre: DataCentre,
+    },
+    /// The evacuation of a data centre ended.
+    Restored {
+        /// Name of the data centre.
+        data_centre: DataCentre,
+    },
     /// A key holder was replaced.
     KeyHoldersChanged {
         /// Epoch of the new group of key holders.
--- a/crates/state/src/operator/tests.rs
+++ b/crates/state/src/operator/tests.rs
@@ -42,6 +42,8 @@
         replicas: replicas.map(|(at, state)| replica(at, *state)).collect(),
         convergence: Convergence::default(),
         rollouts: Vec::new(),
+        evacuations: Vec::new(),
+        remaining: Vec::new(),
     };
     assert_eq!(status.tolerates_one_voter_failure(), expected);
 }
--- a/crates/state/src/view.rs
+++ b/crates/state/src/view.rs
@@ -13,7 +13,9 @@
 
 use crate::config::{MeshConfig, RouteConfig, ServiceConfig, TenantConfig, TrafficSplit};
 use crate::endpoint::{Departure, Endpoint};
-use crate::ids::{DaemonId, RouteName, ServiceName, TenantName, ViewVersion};
+use crate::ids::{
+    ConfigVersion, DaemonId, DataCentre, RouteName, ServiceName, TenantName, ViewVersion,
+};
 
 mod delta;
 mod digest;
@@ -29,8 +31,8 @@
 
 /// Key of a resource.
 ///
-/// Keys of the configuration sort before those of traffic splits, key holders, endpoints and
-/// departures, so checks of the configuration stop before they reach the endpoints.
+/// Keys of the configuration sort before those of traffic splits, key holders, evacuations,
+/// endpoints and departures, so checks of the configuration stop before they reach the endpoints.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum ResourceKey {
@@ -44,6 +46,9 @@
     Traffic(ServiceName),
     /// Key holders of the service with this name.
     KeyHolders(ServiceName),
+    /// Evacuation of the data centre with this name. It belongs to no service, so every subscriber
+    /// receives it.
+    Evacuation(DataCentre),
     /// Endpoint of the service at the daemon; a daemon has at most one per service.
     Endpoint(DaemonId, ServiceName),
     /// Departures at the daemon. They belong to no service, so every subscriber receives them.
@@ -51,11 +56,11 @@
 }
 
 impl ResourceKey {
-    /// Returns the service that the resource belongs to, or `None` for tenants, routes and
-    /// departures.
+    /// Returns the service that the resource belongs to, or `None` for tenants, routes,
+    /// evacuations and departures.
     pub fn service(&self) -> Option<&ServiceName> {
         match self {
-            Self::Tenant(_) | Self::Route(_) | Self::Departures(_) => None,
+            Self::Tenant(_) | Self::Route(_) | Self::Evacuation(_) | Self::Departures(_) => None,
             Self::Service(service)
             | Self::Traffic(service)
             | Self::KeyHolders(service)
@@ -80,6 +85,7 @@
             Self::Route(name) => write!(f, "route {name}"),
             Self::Traffic(name) => write!(f, "traffic split of {name}"),
             Self::KeyHolders(name) => write!(f, "key holders of {name}"),
+            Self::Evacuation(name) => write!(f, "evacuation of {name}"),
             Self::Endpoint(daemon, name) => write!(f, "endpoint of {name} at {daemon}"),
             Self::Departures(daemon) => write!(f, "departures at {daemon}"),
         }
@@ -100,6 +106,8 @@
     Traffic(TrafficSplit),
     /// Daemons that store the idempotency keys of a service.
     KeyHolders(KeyHolders),
+    /// An order that the endpoints of a data centre get no requests.
+    Evacuation(Evacuation),
     /// An upstream that other daemons can send requests to.
     Endpoint(Endpoint),
     /// Instances of upstreams that have left a daemon, for a limited time.
@@ -126,8 +134,16 @@
     pub address: std::net::SocketAddr,
 }
 
-/// The part of the mesh that a subscriber receives. Tenants, routes and departures are always
-/// included.
+/// An evacuation in force: no request is sent to the endpoints of the data centre.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Evacuation {
+    /// Version at which it came into force.
+    pub since: ConfigVersion,
+}
+
+/// The part of the mesh that a subscriber receives. Tenants, routes, evacuations and departures are
+/// always included.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Interest {
@@ -313,6 +329,24 @@
         }
     }
 
+    /// Returns the data centres that are evacuated, with their evacuations.
+    pub fn evacuations(&self) -> impl Iterator<Item = (&DataCentre, &Evacuation)> {
+        let first = ResourceKey::Evacuation(DataCentre::default());
+        let entries = self.entries.range(first..);
+        entries.map_while(|(key, entry)| match (key, entry.resource.as_ref()) {
+            (ResourceKey::Evacuation(name), Resource::Evacuation(evacuation)) => {
+                Some((name, evacuation))
+            }
+            _ => None,
+        })
+    }
+
+    /// Returns whether a data centre is evacuated, so that its endpoints get no requests.
+    pub fn is_evacuated(&self, data_centre: &DataCentre) -> bool {
+        self.get(&ResourceKey::Evacuation(data_centre.clone()))
+            .is_some()
+    }
+
     /// Returns the departures at all daemons.
     pub fn departures(&self) -> impl Iterator<Item = (&DaemonId, &[Departure])> {
         let entries = self.entries.iter().rev();
@@ -489,6 +523,7 @@
         | (ResourceKey::Service(_), Resource::Service(_))
         | (ResourceKey::Route(_), Resource::Route(_))
         | (ResourceKey::Traffic(_), Resource::Traffic(_))
+        | (ResourceKey::Evacuation(_), Resource::Evacuation(_))
         | (ResourceKey::Departures(_), Resource::Departures(_)) => true,
         (ResourceKey::KeyHolders(_), Resource::KeyHolders(holders)) => {
             let distinct: BTreeSet<_> = holders.daemons.iter().map(|h| &h.daemon).collect();
--- a/crates/state/src/view/tests.rs
+++ b/crates/state/src/view/tests.rs
@@ -274,3 +274,27 @@
         Ok(all)
     );
 }
+
+/// Guards against an evacuation that a daemon does not receive because it subscribes to a few
+/// services, and against departures or endpoints that hide it.
+#[test]
+fn evacuations_restricted() {
+    let endpoints = BTreeMap::from([(1, (0, 2)), (2, (1, 2))]);
+    let mut view = view(version(1, 1), &SERVICES, &endpoints);
+    let departures = Resource::Departures(Vec::new());
+    view.insert(ResourceKey::Departures("d1".into()), departures.into());
+    for name in ["sfax-b", "sfax-a"] {
+        let evacuation = Evacuation {
+            since: ConfigVersion(1),
+        };
+        let key = ResourceKey::Evacuation(name.into());
+        view.insert(key, Resource::Evacuation(evacuation).into());
+    }
+    let interest = Interest::Services([ServiceName::from("orders")].into());
+    let view = view.restrict(&interest);
+    assert_eq!(view.verify(&interest), Ok(()));
+    let names: Vec<_> = view.evacuations().map(|(name, _)| name.as_str()).collect();
+    assert_eq!(names, ["sfax-a", "sfax-b"]);
+    assert!(view.is_evacuated(&"sfax-a".into()) && !view.is_evacuated(&"sfax-c".into()));
+    assert_eq!(view.departures().count(), 1);
+}
--- a/crates/testbed/examples/capacity/replica.rs
+++ b/crates/testbed/examples/capacity/replica.rs
@@ -132,6 +132,7 @@
         mesh: MESH.to_owned(),
         daemon: REPLICA.into(),
         data_centre: "sfax-a".into(),
+        data_centres: Vec::new(),
         mesh_key_file: None,
         operator_token_file: None,
         listen: Listen {
--- a/crates/testbed/src/mesh.rs
+++ b/crates/testbed/src/mesh.rs
@@ -179,6 +179,7 @@
             mesh: name.to_owned(),
             daemon: host.daemon.as_str().into(),
             data_centre: host.data_centre.as_str().into(),
+            data_centres: Vec::new(),
             mesh_key_file: Some(folder.join("mesh.key")),
             operator_token_file: Some(folder.join("operator.token")),
             listen: Listen {
--- a/crates/testbed/src/operator.rs
+++ b/crates/testbed/src/operator.rs
@@ -15,8 +15,8 @@
 use sycamoreflow_state::ids::{ConfigVersion, Millis};
 use sycamoreflow_state::operator::{
     APPROVE_PATH, ApproveRequest, ApproveResponse, CONFIG_PATH, ConfigResponse, DRAIN_PATH,
-    DrainRequest, DrainResponse, ENDPOINTS_PATH, EndpointsResponse, HISTORY_PATH, HistoryResponse,
-    STATUS_PATH, StatusResponse,
+    DrainRequest, DrainResponse, ENDPOINTS_PATH, EVACUATIONS_PATH, EndpointsResponse,
+    EvacuationResponse, HISTORY_PATH, HistoryResponse, STATUS_PATH, StatusResponse,
 };
 use sycamoreflow_transport::http::client::{self, Client};
 
@@ -106,6 +106,23 @@
         self.send("POST", DRAIN_PATH, Some(&request), timeout).await
     }
 
+    /// Evacuates a data centre, or restores it.
+    ///
+    /// # Errors
+    ///
+    /// If the order isn't accepted within `timeout`.
+    pub async fn evacuate(
+        &self,
+        request_id: &str,
+        data_centre: &str,
+        evacuate: bool,
+        timeout: Duration,
+    ) -> eyre::Result<EvacuationResponse> {
+        let method = if evacuate { "POST" } else { "DELETE" };
+        let path = format!("{EVACUATIONS_PATH}{data_centre}?request-id={request_id}");
+        self.send::<(), _>(method, &path, None, timeout).await
+    }
+
     /// Returns the endpoints that a replica distributes.
     ///
     /// # Errors
