Tell a missing configuration by its services

Cause: a daemon takes a version above 0 for a configuration. An evacuation that is ordered before the first configuration raises the version too, and requests would be answered 404 for good instead of 503.

Change: a view has a configuration if it has services.

--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -22,7 +22,7 @@
 use sycamoreflow_protocol::call::{Answer, Call, CallResult, RequestHead};
 use sycamoreflow_state::endpoint::Endpoint;
 use sycamoreflow_state::ids::{
-    ConfigVersion, DaemonId, DataCentre, Micros, Millis, RouteName, ServiceName, TenantName,
+    DaemonId, DataCentre, Micros, Millis, RouteName, ServiceName, TenantName,
 };
 use sycamoreflow_state::verdict::{Failure, Reason};
 use sycamoreflow_state::view::{ResourceKey, View};
@@ -561,9 +561,10 @@
 }
 
 /// Returns whether a configuration was approved before the view was published. Until then a daemon
-/// can't tell a request without a route from one whose route is still to come.
+/// can't tell a request without a route from one whose route is still to come. The version alone
+/// does not tell, since an operator may evacuate a data centre before the first approval.
 fn has_configuration(view: &View) -> bool {
-    view.version().config > ConfigVersion::default()
+    view.services().next().is_some()
 }
 
 /// Returns the weights by which tenants share the slots of an upstream.
