Form the control group although its first replica was restarted

Cause: only the replica with the lowest id of the seeds bootstraps the group, whether or not it still may.

Change: replicas say whether they may bootstrap a group, and the lowest of those that may does so, once all seeds have an empty log. The first entry of a log counts as committed when it is on disk instead of at once: a replica that loses it in a crash may then be part of a group that another one bootstraps.

--- a/crates/coordination/src/raft.rs
+++ b/crates/coordination/src/raft.rs
@@ -55,6 +55,7 @@
 use rand_chacha::ChaCha8Rng;
 use sycamoreflow_state::ids::{DaemonId, Millis};
 
+use bootstrap::EmptyPeer;
 use durability::Durability;
 use faults::{Fault, Faults};
 use leader::Leader;
@@ -112,7 +113,7 @@
     /// Elections without a winner since the last known leader.
     failed_elections: u32,
     /// Replicas that answered a probe with an empty log, with the time of the answer.
-    empty_peers: BTreeMap<DaemonId, (Incarnation, Millis)>,
+    empty_peers: BTreeMap<DaemonId, EmptyPeer>,
     next_probe: Millis,
     /// Replicas to probe in addition to the members and `initial`.
     contacts: Vec<DaemonId>,
@@ -310,6 +311,7 @@
 
     fn on_synced(&mut self, seq: u64) {
         self.durability.on_synced(seq, &mut self.outputs);
+        self.commit_bootstrap();
         self.count_own_vote();
         self.advance_commit();
     }
--- a/crates/coordination/src/raft/bootstrap.rs
+++ b/crates/coordination/src/raft/bootstrap.rs
@@ -2,8 +2,9 @@
 //!
 //! A replica with an empty disk cannot know whether its group exists, so it probes all replicas in
 //! its settings. Only if each of them answers that its log is empty too does the replica with the
-//! lowest id bootstrap the group. If a group exists, a member answers that its log is not empty,
-//! and the leader re-admits the probing replica.
+//! lowest id bootstrap the group, among those that may do so: one that has restarted before the
+//! group was formed may not. If a group exists, a member answers that its log is not empty, and the
+//! leader re-admits the probing replica.
 
 use std::sync::Arc;
 
@@ -11,7 +12,7 @@
 
 use super::Raft;
 use super::message::Body;
-use super::types::{Entry, GroupId, Member, Membership, Output, Payload, Peer, Role};
+use super::types::{Entry, GroupId, Incarnation, Member, Membership, Output, Payload, Peer, Role};
 
 /// Interval between two rounds of probes.
 const PROBE_INTERVAL: Millis = Millis(500);
@@ -20,6 +21,14 @@
 /// Time without contact to a leader after which a member probes, to be admitted again.
 const NO_LEADER_TIMEOUT: Millis = Millis(3000);
 
+/// A replica in the settings that has answered that its log is empty.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct EmptyPeer {
+    incarnation: Incarnation,
+    answered: Millis,
+    may_bootstrap: bool,
+}
+
 impl Raft {
     /// Probes the other known replicas while this replica belongs to no group or has no leader.
     pub(super) fn probe(&mut self) {
@@ -63,19 +72,13 @@
         let body = Body::ProbeAnswer {
             fresh: self.is_uninitialized(),
             initial: self.initial.clone(),
+            may_bootstrap: self.may_bootstrap,
             members: self.members.members.keys().cloned().collect(),
         };
         self.send_to_peer(peer, body);
     }
 
-    pub(super) fn on_probe_answer(
-        &mut self,
-        peer: Peer,
-        fresh: bool,
-        initial: Vec<DaemonId>,
-        members: Vec<DaemonId>,
-    ) {
-        self.record_probe_answer(&peer, fresh, initial);
+    pub(super) fn on_probe_answer(&mut self, members: Vec<DaemonId>) {
         if self.members.member(&self.local).is_none() {
             self.contacts = members;
         }
@@ -84,9 +87,19 @@
 
     /// Records whether a replica is ready to bootstrap. One with other settings is not, so that
     /// replicas whose settings differ never bootstrap a group together.
-    fn record_probe_answer(&mut self, peer: &Peer, fresh: bool, initial: Vec<DaemonId>) {
+    pub(super) fn record_probe_answer(
+        &mut self,
+        peer: &Peer,
+        fresh: bool,
+        initial: Vec<DaemonId>,
+        may_bootstrap: bool,
+    ) {
         if fresh && initial == self.initial && initial.contains(&peer.id) {
-            let answer = (peer.incarnation, self.now);
+            let answer = EmptyPeer {
+                incarnation: peer.incarnation,
+                answered: self.now,
+                may_bootstrap,
+            };
             self.empty_peers.insert(peer.id.clone(), answer);
             return;
         }
@@ -94,8 +107,7 @@
     }
 
     fn try_bootstrap(&mut self) {
-        let is_bootstrapper = self.may_bootstrap && self.initial.first() == Some(&self.local.id);
-        if !is_bootstrapper || !self.is_uninitialized() {
+        if !self.may_bootstrap || !self.is_uninitialized() {
             return;
         }
         let mut members = Membership {
@@ -104,10 +116,12 @@
         };
         for id in &self.initial {
             let answer = self.empty_peers.get(id);
-            let valid = answer.filter(|(_, at)| self.now.since(*at) < PROBE_ANSWER_TTL);
+            let valid = answer.filter(|a| self.now.since(a.answered) < PROBE_ANSWER_TTL);
             let incarnation = match valid {
                 _ if *id == self.local.id => self.local.incarnation,
-                Some((incarnation, _)) => *incarnation,
+                // That replica bootstraps the group.
+                Some(answer) if answer.may_bootstrap && *id < self.local.id => return,
+                Some(answer) => answer.incarnation,
                 None => return,
             };
             let role = Role::Voter;
@@ -134,7 +148,8 @@
     }
 
     /// Starts the log with the initial membership. The entry is identical on every member and is
-    /// therefore committed immediately.
+    /// therefore committed as soon as it is on this disk. If it is lost before, another replica may
+    /// bootstrap the group with another entry.
     fn bootstrap(&mut self, members: Membership) {
         if self.hard_state.term == 0 {
             self.hard_state.term = 1;
@@ -145,7 +160,13 @@
             term: 1,
             payload: Payload::Members(members),
         }));
-        self.commit_to(1);
         self.reset_election_deadline();
     }
+
+    /// Commits the initial membership once it is on disk.
+    pub(super) fn commit_bootstrap(&mut self) {
+        if self.commit == 0 && self.durability.durable_index() >= 1 {
+            self.commit_to(1);
+        }
+    }
 }
--- a/crates/coordination/src/raft/dispatch.rs
+++ b/crates/coordination/src/raft/dispatch.rs
@@ -33,8 +33,12 @@
             Body::ProbeAnswer {
                 fresh,
                 initial,
+                may_bootstrap,
                 members,
-            } => self.on_probe_answer(peer, fresh, initial, members),
+            } => {
+                self.record_probe_answer(&peer, fresh, initial, may_bootstrap);
+                self.on_probe_answer(members);
+            }
             Body::Found { members } => self.on_found(members),
             Body::PreVote { last } => self.on_pre_vote(peer, message.term, last),
             Body::ReadIndex { token } => self.on_forwarded_read(peer, token),
--- a/crates/coordination/src/raft/message.rs
+++ b/crates/coordination/src/raft/message.rs
@@ -68,6 +68,10 @@
         fresh: bool,
         /// Replicas in the sender's settings.
         initial: Vec<DaemonId>,
+        /// Whether the sender may bootstrap a group. Replicas of earlier releases don't say it, and
+        /// the one with the lowest id among them waits for no other.
+        #[serde(default = "default_may_bootstrap")]
+        may_bootstrap: bool,
         /// Members of the sender's group, in its latest membership.
         members: Vec<DaemonId>,
     },
@@ -158,3 +162,7 @@
     /// Tells a follower to start an election immediately, for a leadership transfer.
     TimeoutNow,
 }
+
+fn default_may_bootstrap() -> bool {
+    true
+}
--- a/crates/coordination/src/raft/tests/scenarios.rs
+++ b/crates/coordination/src/raft/tests/scenarios.rs
@@ -1,12 +1,17 @@
 //! Individual scenarios with a known result.
 
+use std::collections::BTreeSet;
+
+use rand::RngExt;
 use rstest::rstest;
 use sycamoreflow_state::ids::Millis;
 
 use super::events::check_recovery;
 use super::full_disks::run_and_adjust;
-use super::sim::{Sim, node_id};
-use crate::raft::{Input, MAX_ENTRY_BYTES, MemberChange, Raft, Refusal, ReplicaState, Role, Token};
+use super::sim::{Node, Sim, node_id};
+use crate::raft::{
+    GroupId, Input, MAX_ENTRY_BYTES, MemberChange, Raft, Refusal, ReplicaState, Role, Token,
+};
 
 fn change(sim: &mut Sim, change: MemberChange) -> Option<Refusal> {
     let leader = sim.leader().unwrap();
@@ -89,6 +94,43 @@
     assert!(longest <= Millis(2_000), "{longest:?}");
 }
 
+/// Guards against a group that is never formed because the replica that would bootstrap it was
+/// killed during its first start, and may not bootstrap a group after its restart.
+#[rstest]
+#[case::one_replica(1)]
+#[case::two_replicas(2)]
+fn step_killed_before_group(#[case] killed: usize) {
+    for seed in 0..100 {
+        let mut sim = Sim::new(3, seed, None);
+        for node in 0..killed {
+            let delay = sim.rng.random_range(0..400);
+            sim.run(delay);
+            sim.crash(node, 0);
+            sim.run(500);
+            sim.start(node);
+            let raft = sim.nodes[node].raft.take();
+            sim.nodes[node].raft = raft.map(Raft::without_bootstrap);
+        }
+        let formed = sim.run_until(10_000, |sim| {
+            let is_member = |node: &Node| node.replica_state() != ReplicaState::Unformed;
+            sim.leader().is_some() && sim.nodes.iter().all(is_member)
+        });
+        let states: Vec<_> = sim
+            .nodes
+            .iter()
+            .map(|n| (n.replica_state(), group_of(n)))
+            .collect();
+        assert!(formed, "seed {seed}: {:?} {states:?}", sim.oracle.violation);
+        let groups: BTreeSet<_> = sim.nodes.iter().map(group_of).collect();
+        assert_eq!(groups.len(), 1, "seed {seed}: {groups:?}");
+        approve_and_wait(&mut sim, 1);
+    }
+}
+
+fn group_of(node: &Node) -> Option<GroupId> {
+    node.raft.as_ref().map(|raft| raft.members().group)
+}
+
 /// Guards against a leader that steps down because the disks of its followers stall.
 #[test]
 fn step_disks_stall() {
