Retry isolated server errors of repeatable requests

Cause: a server error was repeated only if its endpoint fails much more often than another one.

Change: it is also repeated if the other endpoints rarely fail or refuse (1 in 20), within the attempts of the route and the retry budget. A service that fails or refuses as a whole gets no more load than before.

--- a/crates/coordination/src/routing.rs
+++ b/crates/coordination/src/routing.rs
@@ -49,6 +49,10 @@
 /// the failed calls of the latter to be retried.
 const OUTLIER_MARGIN: f64 = 0.1;
 
+/// Mean success probability of the other endpoints from which on a failed call counts as an
+/// isolated failure. Below it, retries would add load to a service that fails as a whole.
+const ISOLATED_FAILURE_SUCCESS: f64 = 0.95;
+
 /// Settings of a [`Router`].
 #[derive(Clone, Debug)]
 pub struct RouterConfig {
@@ -280,12 +284,31 @@
             return false;
         };
         let member = &self.members[index];
-        let success = |m: &Member| m.estimate.success(now, &self.tuning);
+        let best = self.success_of_others(now, member).fold(0.0, f64::max);
+        best >= member.estimate.success(now, &self.tuning) + OUTLIER_MARGIN
+    }
+
+    /// Returns whether the other endpoints of the same version rarely fail, so that a call that
+    /// failed on this endpoint is likely to succeed on one of them.
+    pub fn is_isolated_failure(&self, now: Millis, id: &DaemonId) -> bool {
+        let Some(index) = self.index_of(id) else {
+            return false;
+        };
+        let others = self.success_of_others(now, &self.members[index]);
+        let (count, total) = others.fold((0_u32, 0.0), |(n, sum), success| (n + 1, sum + success));
+        count > 0 && total >= ISOLATED_FAILURE_SUCCESS * f64::from(count)
+    }
+
+    /// Returns the success probabilities of the other usable endpoints of the same version.
+    fn success_of_others<'a>(
+        &'a self,
+        now: Millis,
+        member: &'a Member,
+    ) -> impl Iterator<Item = f64> + 'a {
         let others = self.members.iter().filter(|m| {
             m.version == member.version && m.id != member.id && m.available && !m.draining
         });
-        let best = others.map(success).fold(0.0, f64::max);
-        best >= success(member) + OUTLIER_MARGIN
+        others.map(move |m| m.estimate.success(now, &self.tuning))
     }
 
     /// Returns the delay after which a request that every endpoint refused is likely to be
--- a/crates/coordination/src/routing/load/tests.rs
+++ b/crates/coordination/src/routing/load/tests.rs
@@ -95,13 +95,20 @@
     assert_eq!(chosen, Some("far".into()));
 }
 
-/// Guards against retries of failures that every endpoint shows. An endpoint is an outlier only if
-/// it fails more of its requests than the others.
+/// Guards against retries of failures that every endpoint shows, and against a request that fails
+/// for good because an endpoint that fails rarely has failed it. An endpoint is an outlier only if
+/// it fails more of its requests than the others; a failure is isolated if the others rarely fail.
 #[rstest]
-#[case::one_fails(8, 0, true)]
-#[case::all_fail(8, 8, false)]
-#[case::none_fails(0, 0, false)]
-fn is_outlier_failures(#[case] near: u32, #[case] far: u32, #[case] expected: bool) {
+#[case::one_fails(8, 0, true, true)]
+#[case::one_fails_once(1, 0, false, true)]
+#[case::all_fail(8, 8, false, false)]
+#[case::none_fails(0, 0, false, true)]
+fn is_outlier_failures(
+    #[case] near: u32,
+    #[case] far: u32,
+    #[case] outlier: bool,
+    #[case] isolated: bool,
+) {
     let mut router = router();
     for (id, failures) in [("near", near), ("far", far)] {
         let id = DaemonId::from(id);
@@ -118,5 +125,7 @@
             router.finished(Millis(1_000), &id, outcome);
         }
     }
-    assert_eq!(router.is_outlier(Millis(1_000), &"near".into()), expected);
+    let (now, id) = (Millis(1_000), DaemonId::from("near"));
+    assert_eq!(router.is_outlier(now, &id), outlier);
+    assert_eq!(router.is_isolated_failure(now, &id), isolated);
 }
--- a/crates/daemon/src/proxy/attempts.rs
+++ b/crates/daemon/src/proxy/attempts.rs
@@ -118,7 +118,7 @@
                 Ok(answer)
                     if answer.status >= FIRST_SERVER_ERROR
                         && admitted.target.is_some()
-                        && service.retries_outlier_failure(&mut attempts, &target) =>
+                        && service.retries_server_error(&mut attempts, &target) =>
                 {
                     admitted.log_retry(&target, Failure::may_have_run(Reason::BadAnswer), sends);
                     error_answer = Some(answer);
--- a/crates/daemon/src/proxy/service.rs
+++ b/crates/daemon/src/proxy/service.rs
@@ -289,12 +289,15 @@
     }
 
     /// Decides whether to retry a request that an endpoint answered with a server error. It is
-    /// retried if the endpoint fails much more often than others and the request may be repeated.
-    pub fn retries_outlier_failure(&self, attempts: &mut Attempts, target: &Target) -> bool {
+    /// retried if another endpoint is likely to answer it and the request may be repeated.
+    pub fn retries_server_error(&self, attempts: &mut Attempts, target: &Target) -> bool {
         let now = clock::now();
         let mut state = self.state.lock();
         let state = &mut *state;
-        if !state.router.is_outlier(now, &target.daemon) {
+        let router = &state.router;
+        let succeeds_elsewhere = router.is_outlier(now, &target.daemon)
+            || router.is_isolated_failure(now, &target.daemon);
+        if !succeeds_elsewhere {
             return false;
         }
         let failure = Failure::may_have_run(Reason::BadAnswer);
