Present pace of hosts in admission and endpoint choice

Cause: on hosts that are slow for some hundred milliseconds at a time, estimates were moving averages of the measured latency. They lagged behind the host, and a slow moment raised them for later calls.

Entries get the report and its age with the load, and compare endpoints as they are now. Without reports nothing changes, also on the wire.

--- a/crates/coordination/src/admission.rs
+++ b/crates/coordination/src/admission.rs
@@ -20,6 +20,7 @@
 use sycamoreflow_state::ids::{Micros, Millis, RouteName, TenantName};
 use sycamoreflow_state::verdict::{Failure, Reason};
 
+use crate::pace::{Pace, PaceHistory};
 use limit::Limit;
 use pressure::RefusalRates;
 use queue::{Queue, QueuedCall};
@@ -79,7 +80,8 @@
     pub priority: u32,
     /// When the answer is due. A call that cannot be answered by then is not queued.
     pub due: Millis,
-    /// Expected service time of the call at the upstream, or zero if it is unknown.
+    /// Expected service time of the call at the upstream at the usual pace of the host, or zero if
+    /// it is unknown.
     pub expected: Micros,
 }
 
@@ -87,8 +89,10 @@
     /// Returns the latest start time at which the call is likely to be answered when it is due.
     /// Calls start in the order of this time. In the order of their due times, short calls would
     /// overtake accepted long calls until those are late.
-    fn latest_start(&self) -> Millis {
-        let margin = self.expected.0 as f64 * START_MARGIN / 1_000.0;
+    ///
+    /// `expected` is the service time in microseconds at the present pace of the host.
+    fn latest_start(&self, expected: f64) -> Millis {
+        let margin = expected * START_MARGIN / 1_000.0;
         Millis(self.due.0.saturating_sub(margin as u64))
     }
 }
@@ -134,9 +138,10 @@
     running: BTreeMap<CallId, Running>,
     queue: Queue,
     draining: bool,
-    /// Mean time in microseconds for which calls hold their slots, except for calls that the
-    /// upstream shed.
+    /// Mean time in microseconds for which calls hold their slots at the usual pace of the host,
+    /// except for calls that the upstream shed.
     mean_hold_time: f64,
+    pace: PaceHistory,
     refusal_rates: RefusalRates,
 }
 
@@ -167,6 +172,7 @@
             queue: Queue::default(),
             draining: false,
             mean_hold_time: 0.0,
+            pace: PaceHistory::default(),
             refusal_rates: RefusalRates::default(),
         }
     }
@@ -229,15 +235,16 @@
             self.start(now, id, tenant);
             return Decision::Start;
         }
-        let expected = Millis(urgency.expected.0 / 1_000);
+        let expected_us = self.pace.stretched(now, urgency.expected.0 as f64);
+        let expected = Millis((expected_us / 1_000.0) as u64);
         let allowance = self
             .refusal_rates
             .wait_allowance(urgency.priority, urgency.route);
-        let order = urgency.latest_start();
-        let expected_wait = self.expected_wait(urgency.priority, order);
+        let order = urgency.latest_start(expected_us);
+        let expected_wait = self.expected_wait(now, urgency.priority, order);
         let slack = urgency.due.since(now).since(expected);
         let allowed = allowance.allowed_wait(slack);
-        let full = expected_wait > allowed.max(self.min_allowed_wait(slack));
+        let full = expected_wait > allowed.max(self.min_allowed_wait(now, slack));
         self.refusal_rates
             .record_offer(urgency.priority, urgency.route, full);
         if full {
@@ -260,26 +267,42 @@
     }
 
     /// Returns the expected wait for a slot of a new call with this priority and order.
-    fn expected_wait(&self, priority: u32, order: Millis) -> Millis {
-        self.time_to_run(self.queue.work_before(priority, order) + self.mean_hold_time)
+    fn expected_wait(&self, now: Millis, priority: u32, order: Millis) -> Millis {
+        self.time_to_run(
+            now,
+            self.queue.work_before(priority, order) + self.mean_hold_time,
+        )
     }
 
-    /// Returns the time that all slots together need for `work` microseconds of calls.
-    fn time_to_run(&self, work: f64) -> Millis {
-        let micros = work / self.limit.get().max(1) as f64;
+    /// Returns the time that all slots together need from now for calls that hold slots for `work`
+    /// microseconds at usual pace.
+    fn time_to_run(&self, now: Millis, work: f64) -> Millis {
+        let usual = work / self.limit.get().max(1) as f64;
+        let micros = self.pace.stretched(now, usual);
         Millis((micros / 1_000.0) as u64)
     }
 
     /// Returns the wait that is always allowed, at most `slack`. It corresponds to a queue just
     /// long enough to keep all slots in use; without it, slots would be idle between the end of a
     /// call and the arrival of the next one.
-    fn min_allowed_wait(&self, slack: Millis) -> Millis {
+    fn min_allowed_wait(&self, now: Millis, slack: Millis) -> Millis {
         let calls = self.limit.get().div_ceil(SLOTS_PER_WAITING);
-        self.time_to_run(calls as f64 * self.mean_hold_time)
+        self.time_to_run(now, calls as f64 * self.mean_hold_time)
             .min(slack)
     }
 
-    /// Returns the mean latency of recent answers.
+    /// Records the pace that the upstream has reported. Until the first report, the host is taken to
+    /// be at its usual pace.
+    pub fn observe_pace(&mut self, now: Millis, pace: Pace) {
+        self.pace.observe(now, pace);
+    }
+
+    /// Returns the recent paces of the host.
+    pub fn pace(&self) -> &PaceHistory {
+        &self.pace
+    }
+
+    /// Returns the mean latency of recent answers at the usual pace of the host.
     pub fn recent_latency(&self) -> Micros {
         self.limit.recent_latency()
     }
@@ -302,6 +325,7 @@
             return self.tick(now);
         };
         let hold_time = Micros::from(now.since(call.started));
+        let hold_time = self.pace.usual_time(now, hold_time);
         if result != UpstreamResult::Shed {
             let sample = hold_time.0 as f64;
             let weight = if self.mean_hold_time == 0.0 {
@@ -312,13 +336,13 @@
             self.mean_hold_time += (sample - self.mean_hold_time) * weight;
         }
         let used = match result {
-            UpstreamResult::Answered(latency) => latency,
+            UpstreamResult::Answered(latency) => self.pace.usual_time(now, latency),
             _ => hold_time,
         };
         let difference = (used.0 as f64).max(MIN_CHARGE) - call.charge;
         self.queue.finished(&call.tenant, difference);
         match result {
-            UpstreamResult::Answered(latency) => self.limit.answered(now, latency, count),
+            UpstreamResult::Answered(_) => self.limit.answered(now, used, count),
             UpstreamResult::Shed => self.limit.shed(count),
             UpstreamResult::Failed | UpstreamResult::Abandoned => {}
         }
--- a/crates/coordination/src/admission/tests.rs
+++ b/crates/coordination/src/admission/tests.rs
@@ -145,6 +145,30 @@
     assert_eq!(admission.tick(Millis(50)), late);
 }
 
+/// Guards against calls that wait at a host that is slow at the moment although they would be late
+/// there, and against refusals long after the slow moment. All slots are in use.
+#[rstest]
+#[case::usual(100, 1_000, true)]
+#[case::slow(250, 1_000, false)]
+#[case::slow_before(250, 3_100, true)]
+fn offer_urgent_pace(#[case] percent: u32, #[case] now: u64, #[case] queued: bool) {
+    let mut admission = admission(1, &[]);
+    admission.offer(Millis(0), CallId(0), &tenant("a"), FAR_DEADLINE);
+    let answered = UpstreamResult::Answered(Micros(190_000));
+    admission.finish(Millis(190), CallId(0), answered);
+    admission.observe_pace(Millis(1_000), Pace::from_percent(percent));
+    admission.offer(Millis(now), CallId(1), &tenant("a"), FAR_DEADLINE);
+    let urgency = Urgency {
+        route: &"slots".into(),
+        priority: 1,
+        due: Millis(now + 600),
+        expected: Micros(190_000),
+    };
+    let now = Millis(now);
+    let decision = admission.offer_urgent(now, CallId(2), &tenant("a"), FAR_DEADLINE, urgency);
+    assert_eq!(decision == Decision::Queued, queued, "{decision:?}");
+}
+
 /// Guards against a limit that ignores shedding or slow answers, falls too far because of slow
 /// answers, or never recovers.
 #[rstest]
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod leases;
 pub mod machine;
 pub mod open_group;
+pub mod pace;
 pub mod pacing;
 pub mod publication;
 pub mod raft;
--- a/crates/coordination/src/routing/load.rs
+++ b/crates/coordination/src/routing/load.rs
@@ -4,6 +4,8 @@
 use serde::{Deserialize, Serialize};
 use sycamoreflow_state::ids::{Micros, Millis, RouteName};
 
+use crate::pace::PaceReport;
+
 #[cfg(test)]
 mod tests;
 
@@ -25,7 +27,8 @@
 /// of routes in a [`CallSizes`].
 const MAX_ROUTES: usize = 32;
 
-/// Load of an endpoint as counted by the daemon beside it, sent with every reply.
+/// Load of an endpoint as counted by the daemon beside it, sent with every reply. Latencies are
+/// those at the usual pace of its host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Load {
@@ -47,6 +50,9 @@
     /// Time that the answered call spent in the daemon's queue.
     #[serde(rename = "w")]
     pub waited: Micros,
+    /// Latest pace of the host, if the upstream reports it.
+    #[serde(rename = "p", default, skip_serializing_if = "Option::is_none")]
+    pub pace: Option<PaceReport>,
 }
 
 /// The latency objective of one request, and the cost of sending it to another data centre.
@@ -111,7 +117,7 @@
     latest: Option<(Millis, Load)>,
     /// Number of calls that this daemon has sent since the latest report.
     sent_since: u32,
-    /// Service times in microseconds by route.
+    /// Service times in microseconds at usual pace, by route.
     routes: IndexMap<RouteName, f64>,
 }
 
@@ -134,8 +140,8 @@
     }
 
     /// Returns the expected time in microseconds until a call sent now is answered, without network
-    /// latency. `default_service` is the service time assumed if the endpoint has not reported the
-    /// route.
+    /// latency. `default_service` is the service time at usual pace assumed if the endpoint has not
+    /// reported the route.
     pub(super) fn expected(
         &self,
         now: Millis,
@@ -144,7 +150,7 @@
         default_service: f64,
     ) -> f64 {
         let service = self.routes.get(route).copied().unwrap_or(default_service);
-        service + self.wait(now, slots)
+        self.stretched(now, service) + self.wait(now, slots)
     }
 
     /// Returns the expected time in microseconds until a call sent now gets a slot.
@@ -158,6 +164,21 @@
             f64::from(load.running + load.queued) * weight + f64::from(self.sent_since);
         let limit = f64::from(load.limit.min(slots).max(1));
         let waiting = (outstanding + 1.0 - limit).max(0.0);
-        waiting * load.mean.0 as f64 / limit
+        self.stretched(now, waiting * load.mean.0 as f64 / limit)
+    }
+
+    /// Returns the expected duration in microseconds of work that starts now and takes `usual`
+    /// microseconds at usual pace.
+    fn stretched(&self, now: Millis, usual: f64) -> f64 {
+        let Some((
+            at,
+            Load {
+                pace: Some(pace), ..
+            },
+        )) = &self.latest
+        else {
+            return usual;
+        };
+        pace.aged(now.since(*at)).stretched(usual)
     }
 }
--- a/crates/coordination/src/routing/load/tests.rs
+++ b/crates/coordination/src/routing/load/tests.rs
@@ -5,6 +5,7 @@
 use sycamoreflow_state::ids::{DaemonId, Millis};
 
 use super::*;
+use crate::pace::Pace;
 use crate::routing::{CallResult, Outcome, Router, RouterConfig};
 
 fn endpoint(name: &str, data_centre: &str) -> Endpoint {
@@ -40,6 +41,7 @@
         mean: Micros(120_000),
         route: Micros(route_ms * 1_000),
         waited: Micros(0),
+        pace: None,
     }
 }
 
@@ -82,6 +84,26 @@
     assert_eq!(chosen, Some(DaemonId::from(expected)));
 }
 
+/// Guards against requests that go to a host that was slow a moment ago, and against hosts that are
+/// avoided because of an old report. The near host was 2.5 times slower than usual at its report.
+#[rstest]
+#[case::just_reported(1_010, "far")]
+#[case::outdated(3_100, "near")]
+fn choose_for_pace(#[case] now: u64, #[case] expected: &str) {
+    let mut router = router();
+    let pace = PaceReport {
+        pace: Pace::from_percent(250),
+        age: Millis(0),
+    };
+    let slow = Load {
+        pace: Some(pace),
+        ..load(0, 0, 200)
+    };
+    observe(&mut router, slow, load(0, 0, 200));
+    let chosen = router.choose_for(Millis(now), &"v1".into(), &[], &objective(0.06));
+    assert_eq!(chosen, Some(DaemonId::from(expected)));
+}
+
 /// Guards against an unresponsive endpoint that keeps receiving requests because its last load
 /// report was good. The endpoint accepts a request and does not answer it.
 #[test]
--- a/crates/coordination/src/routing/load/tests/mixed_speeds.rs
+++ b/crates/coordination/src/routing/load/tests/mixed_speeds.rs
@@ -138,6 +138,7 @@
             mean: Micros(server.mean_us as u64),
             route: Micros(server.mean_us as u64),
             waited: Micros(0),
+            pace: None,
         };
         let route = RouteName::from("stock-check");
         let router = &mut self.entries[call.entry];
--- a/crates/daemon/src/proxy/dialect.rs
+++ b/crates/daemon/src/proxy/dialect.rs
@@ -5,10 +5,15 @@
 
 use bytes::Bytes;
 use http::{HeaderName, Response, StatusCode};
+use sycamoreflow_coordination::pace::Pace;
 use sycamoreflow_state::verdict::{Failure, VERDICT_HEADER, Verdict};
 
 use super::headers::{DEADLINE_HEADER, KEY_HEADER, REASON_HEADER, TENANT_HEADER, failure_status};
 
+/// The pace in a response cannot be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct InvalidPace;
+
 /// Names of headers and meanings of status codes. A header without a name is neither read nor sent.
 #[derive(Clone, Debug)]
 pub struct Dialect {
@@ -38,6 +43,8 @@
     /// Returns whether a response can come from the upstream itself. Any other response fails the
     /// call with [`Reason::BadAnswer`](sycamoreflow_state::verdict::Reason::BadAnswer).
     pub is_genuine: fn(&Response<Bytes>) -> bool,
+    /// Returns the present pace of the host if the upstream reports one with its response.
+    pub reported_pace: fn(&Response<Bytes>) -> Option<Result<Pace, InvalidPace>>,
     /// Whether failures with the verdict [`Verdict::NotRun`] carry a `Retry-After` header.
     pub retry_after: bool,
 }
@@ -57,6 +64,7 @@
             status: failure_status,
             says_not_run,
             is_genuine: |_| true,
+            reported_pace: |_| None,
             retry_after: false,
         }
     }
--- a/crates/daemon/src/proxy/owner.rs
+++ b/crates/daemon/src/proxy/owner.rs
@@ -338,7 +338,7 @@
         let upstream = Upstream {
             admission: Mutex::new(Admission::new(self.admission_config(&announcement))),
             report: Mutex::new(report.cloned()),
-            route_latencies: Mutex::default(),
+            route_times: Mutex::default(),
             last_renewed: Mutex::new(clock::now()),
             draining: AtomicBool::new(false),
             departed: AtomicBool::new(false),
@@ -598,6 +598,11 @@
             .send_with_options(address, request, limit, &options);
         let response = response.await;
         let latency = Micros(started.elapsed().as_micros() as u64);
+        if let Ok(response) = &response
+            && let Some(pace) = (self.dialect.reported_pace)(response)
+        {
+            upstream.observe_pace(pace);
+        }
         let (mut result, outcome) = classify_response(response, call, latency, &self.dialect);
         if let UpstreamResult::Answered(latency) = outcome {
             upstream.record_latency(&call.route, latency);
--- a/crates/daemon/src/proxy/owner/upstream.rs
+++ b/crates/daemon/src/proxy/owner/upstream.rs
@@ -8,11 +8,11 @@
 
 use async_std::future::timeout;
 use futures::channel::oneshot;
-use indexmap::IndexMap;
 use parking_lot::Mutex;
 use sycamoreflow_coordination::admission::{
     Admission, CallId, Decision, Released, UpstreamResult, Urgency,
 };
+use sycamoreflow_coordination::pace::{Pace, RouteTimes};
 use sycamoreflow_coordination::routing::Load;
 use sycamoreflow_protocol::call::{Answer, Call};
 use sycamoreflow_state::endpoint::Announcement;
@@ -22,27 +22,20 @@
 use super::{InstanceReport, Result};
 use crate::clock;
 use crate::proxy::crashes::CrashTracker;
-use crate::proxy::dialect::Dialect;
+use crate::proxy::dialect::{Dialect, InvalidPace};
 use crate::proxy::headers;
 use crate::telemetry::{ANSWERS, REFUSALS};
 
 /// Interval at which a waiting call checks the timeouts of the queue.
 const QUEUE_TICK: Duration = Duration::from_millis(25);
 
-/// Weight of one response in the moving average of the latency of a route.
-const ROUTE_LATENCY_WEIGHT: f64 = 0.1;
-
-/// Maximum number of routes whose latency is tracked per upstream. Further routes have no estimate.
-const MAX_TRACKED_ROUTES: usize = 64;
-
 /// An upstream that has announced itself.
 #[derive(Debug)]
 pub(super) struct Upstream {
     pub(super) announcement: Announcement,
     /// Latest report, if the upstream identifies its instances.
     pub(super) report: Mutex<Option<InstanceReport>>,
-    /// Moving average of the latency in microseconds, by route.
-    pub(super) route_latencies: Mutex<IndexMap<RouteName, f64>>,
+    pub(super) route_times: Mutex<RouteTimes>,
     pub(super) last_renewed: Mutex<Millis>,
     pub(super) draining: AtomicBool,
     /// Whether the upstream has reported that it is about to exit.
@@ -101,26 +94,29 @@
             route: &call.route,
             priority: call.urgency.priority,
             due: now.after(Millis(u64::from(target))).min(deadline),
-            expected: self.mean_route_latency(&call.route),
+            expected: self.route_times.lock().get(&call.route),
         };
         admission.offer_urgent(now, id, &call.tenant, deadline, urgency)
     }
 
-    /// Returns the average latency of a route, or zero if it is unknown.
-    fn mean_route_latency(&self, route: &RouteName) -> Micros {
-        let latencies = self.route_latencies.lock();
-        Micros(latencies.get(route).map_or(0, |mean| *mean as u64))
+    /// Records the pace that an answer of the upstream reports. One that cannot be read is counted
+    /// and has no effect, since the host may be at any pace.
+    pub(super) fn observe_pace(&self, pace: std::result::Result<Pace, InvalidPace>) {
+        let Ok(pace) = pace else {
+            metrics::counter!("sycamoreflow_invalid_pace_reports_total").increment(1);
+            return;
+        };
+        self.admission.lock().observe_pace(clock::now(), pace);
+        let service = self.announcement.service.as_str().to_owned();
+        metrics::gauge!("sycamoreflow_upstream_pace", "service" => service).set(pace.factor());
     }
 
-    /// Adds the latency of an answer to the moving average of its route.
+    /// Adds the latency of an answer to the estimate of its route.
     pub(super) fn record_latency(&self, route: &RouteName, latency: Micros) {
-        let latency = latency.0 as f64;
-        let mut latencies = self.route_latencies.lock();
-        if let Some(mean) = latencies.get_mut(route) {
-            *mean += (latency - *mean) * ROUTE_LATENCY_WEIGHT;
-        } else if latencies.len() < MAX_TRACKED_ROUTES {
-            latencies.insert(route.clone(), latency);
-        }
+        let admission = self.admission.lock();
+        let usual = admission.pace().usual_time(clock::now(), latency);
+        drop(admission);
+        self.route_times.lock().record(route, usual);
     }
 
     /// Returns the load to report with a reply to a call of `route`. The caller sets `waited`.
@@ -131,8 +127,9 @@
             queued: admission.queued() as u32,
             limit: admission.limit() as u32,
             mean: admission.recent_latency(),
-            route: self.mean_route_latency(route),
+            route: self.route_times.lock().get(route),
             waited: Micros(0),
+            pace: admission.pace().latest(clock::now()),
         }
     }
 
