Key leases: withdrawn keys bind on hosts that are cut off

Cause: a daemon that is cut off does not learn that a key was taken away, and honours it until it is in touch again.

Change: with limits.key-lease-ms, off by default, a daemon honours keys only while it holds a lease. It asks its replica every quarter of the lease time; the replica collects questions for 0.5 s, confirms the newest configuration by one linearizable read and answers all. The lease counts from before the question on CLOCK_BOOTTIME, which runs while a host is suspended, and is extended only once that configuration is in force. An admission is an answer too, so a daemon has its lease with its first view. Without it, keyed requests get 503 as not run (keys-unconfirmed) with the time of the next answer; open routes and calls of daemons go on.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod floor;
 pub mod full_load;
 pub mod key_holders;
+pub mod key_lease;
 pub mod leases;
 pub mod machine;
 pub mod open_group;
--- a/crates/daemon/src/control/hub.rs
+++ b/crates/daemon/src/control/hub.rs
@@ -6,11 +6,13 @@
 
 use async_std::channel;
 use async_std::future::timeout;
+use async_std::task;
 use bytes::Bytes;
 use futures::channel::oneshot;
 use parking_lot::Mutex;
 use std::sync::Arc;
 use sycamoreflow_coordination::distribution::{Distribution, JoinLimiter, UpdateCache};
+use sycamoreflow_coordination::key_lease::COLLECTION_TIME;
 use sycamoreflow_coordination::shares::Grant;
 use sycamoreflow_coordination::suspect::SuspectReport;
 use sycamoreflow_protocol::distribution::FromReplica;
@@ -33,6 +35,13 @@
     ViewChanged,
     /// The leader grants the subscriber calls to the candidate of a rollout.
     Grant(Grant),
+    /// A quorum has confirmed the newest configuration after a question of the subscriber.
+    Confirmed {
+        /// Number of the question.
+        number: u64,
+        /// Version of the newest configuration.
+        config: ConfigVersion,
+    },
     /// Requests that have crashed upstreams of other daemons, to be sent to the subscriber.
     Suspects(Arc<SuspectReport>),
     /// The members of the group have changed: send them to the subscriber.
@@ -52,6 +61,7 @@
     sessions: Mutex<Sessions>,
     members: Mutex<Arc<Vec<DaemonId>>>,
     leaderless: Mutex<Leaderless>,
+    questions: Mutex<Questions>,
     events: mpsc::Sender<Event>,
 }
 
@@ -62,6 +72,14 @@
     waiters: Vec<oneshot::Sender<()>>,
 }
 
+/// The latest question of each session that waits for a confirmation by a quorum.
+#[derive(Debug, Default)]
+struct Questions {
+    by_session: HashMap<u64, u64>,
+    /// Whether a task collects the questions.
+    collecting: bool,
+}
+
 #[derive(Debug, Default)]
 struct Sessions {
     next_id: u64,
@@ -103,6 +121,7 @@
                 since: Some(clock::now()),
                 waiters: Vec::new(),
             }),
+            questions: Mutex::default(),
             events,
         }
     }
@@ -322,6 +341,50 @@
         undelivered
     }
 
+    /// Answers a question of a session about the newest configuration. Questions that arrive within
+    /// [`COLLECTION_TIME`] share one linearizable read.
+    pub fn confirm(self: &Arc<Self>, registration: &Registration, number: u64) {
+        let mut questions = self.questions.lock();
+        questions.by_session.insert(registration.id, number);
+        if !std::mem::replace(&mut questions.collecting, true) {
+            task::spawn(self.clone().answer_questions());
+        }
+    }
+
+    /// Answers questions until there are none. While no quorum confirms anything, they wait for the
+    /// end of the election, or until their sessions end.
+    async fn answer_questions(self: Arc<Self>) {
+        loop {
+            task::sleep(clock::duration(COLLECTION_TIME)).await;
+            let asked = {
+                let mut questions = self.questions.lock();
+                if questions.by_session.is_empty() {
+                    questions.collecting = false;
+                    return;
+                }
+                std::mem::take(&mut questions.by_session)
+            };
+            let confirmed = self.confirm_version().await;
+            let sessions = self.sessions.lock();
+            for (id, number) in asked {
+                let Some(session) = sessions.by_id.get(&id) else {
+                    continue;
+                };
+                match confirmed {
+                    Some(config) => {
+                        let confirmed = SessionCommand::Confirmed { number, config };
+                        let _ = session.commands.try_send(confirmed);
+                    }
+                    // A later question of the session takes precedence.
+                    None => {
+                        let mut questions = self.questions.lock();
+                        questions.by_session.entry(id).or_insert(number);
+                    }
+                }
+            }
+        }
+    }
+
     /// Queues a command for all sessions. Sessions whose queue is full miss it.
     pub fn broadcast(&self, command: &SessionCommand) {
         for session in self.sessions.lock().by_id.values() {
--- a/crates/daemon/src/control/sessions.rs
+++ b/crates/daemon/src/control/sessions.rs
@@ -158,7 +158,7 @@
                 }
                 message = message => {
                     let Ok(message) = message else { return Ok(()) };
-                    self.handle_message(message)?;
+                    self.handle_message(registration, message)?;
                 }
             }
         }
@@ -170,6 +170,9 @@
             SessionCommand::ViewChanged => self.send_update()?,
             SessionCommand::MembersChanged => self.send_members()?,
             SessionCommand::Grant(grant) => self.tx.send(&FromReplica::Grants(vec![grant]))?,
+            SessionCommand::Confirmed { number, config } => {
+                self.tx.send(&FromReplica::Confirmed { number, config })?;
+            }
             SessionCommand::Suspects(report) => {
                 self.tx
                     .send(&FromReplica::Suspects(report.as_ref().clone()))?;
@@ -182,7 +185,11 @@
         Ok(true)
     }
 
-    fn handle_message(&mut self, message: FromSubscriber) -> Result<()> {
+    fn handle_message(
+        &mut self,
+        registration: &Registration,
+        message: FromSubscriber,
+    ) -> Result<()> {
         let content = match message {
             FromSubscriber::Renew {
                 endpoints,
@@ -203,6 +210,10 @@
                 });
                 return Ok(());
             }
+            FromSubscriber::Confirm { number } => {
+                self.hub.confirm(registration, number);
+                return Ok(());
+            }
             // These start a session and are ignored after the first message.
             FromSubscriber::Follow { .. } | FromSubscriber::Subscribe { .. } => return Ok(()),
         };
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -33,6 +33,7 @@
 use crate::floor::{self, FloorClient};
 use crate::proxy::crashes::CrashTracker;
 use crate::proxy::dialect::Dialect;
+use crate::proxy::held_lease::HeldLease;
 use crate::proxy::keys::Keys;
 use crate::proxy::links::CallLinks;
 use crate::proxy::owner::{Owner, OwnerLimits};
@@ -415,6 +416,7 @@
             owner: Arc::new(self.build_owner(crashes.clone())),
             keys: Arc::new(self.build_keys()),
             crashes,
+            key_lease: HeldLease::new(Millis(settings.limits.key_lease_ms)),
             dialect: self.dialect.clone(),
             own_service: settings.own_service.clone(),
             shared_retries: match settings.limits.shared_retries {
@@ -592,6 +594,7 @@
 async fn expire_announcements(proxy: Arc<Proxy>, endpoints_changed: channel::Sender<()>) {
     loop {
         task::sleep(HOUSEKEEPING_INTERVAL).await;
+        proxy.key_lease().check();
         if proxy.owner().expire() {
             let _ = endpoints_changed.try_send(());
         }
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -33,6 +33,7 @@
 use crate::proxy::crashes::CrashTracker;
 use crate::proxy::dialect::Dialect;
 use crate::proxy::headers::{CallerHeaders, DEFAULT_TENANT};
+use crate::proxy::held_lease::HeldLease;
 use crate::proxy::keys::{KeyedRequest, Keys};
 use crate::proxy::links::CallLinks;
 use crate::proxy::owner::Owner;
@@ -46,6 +47,7 @@
 pub mod crashes;
 pub mod dialect;
 pub mod headers;
+pub mod held_lease;
 pub mod keys;
 pub mod links;
 pub mod owner;
@@ -83,6 +85,7 @@
     owner: Arc<Owner>,
     keys: Arc<Keys>,
     crashes: Arc<CrashTracker>,
+    key_lease: HeldLease,
     dialect: Arc<Dialect>,
     /// Service on the host of this daemon, if the settings name it.
     own_service: Option<ServiceName>,
@@ -118,6 +121,8 @@
     pub keys: Arc<Keys>,
     /// Tracker of requests that crash upstreams.
     pub crashes: Arc<CrashTracker>,
+    /// Lease under which the keys of client accounts are honoured.
+    pub key_lease: HeldLease,
     /// Header names and status codes that callers and upstreams use.
     pub dialect: Arc<Dialect>,
     /// Service on the host of this daemon, if the settings name it.
@@ -143,6 +148,7 @@
             owner: components.owner,
             keys: components.keys,
             crashes: components.crashes,
+            key_lease: components.key_lease,
             dialect: components.dialect,
             own_service: components.own_service,
             shared_retries: components.shared_retries,
@@ -162,6 +168,11 @@
         &self.crashes
     }
 
+    /// Returns the lease under which this daemon honours the keys of client accounts.
+    pub fn key_lease(&self) -> &HeldLease {
+        &self.key_lease
+    }
+
     /// Returns the owner role.
     pub fn owner(&self) -> &Arc<Owner> {
         &self.owner
@@ -212,7 +223,7 @@
         self.keys.update(self.view().as_deref(), &view);
         let (routes, accounts) = self.tables(&view);
         self.owner
-            .set_weights(tenant_weights(&view, accounts.are_enforced()));
+            .set_weights(accounts::tenant_weights(&view, accounts.are_enforced()));
         self.owner.set_has_accounts(accounts.are_enforced());
         self.owner.apply_departures(&view);
         self.owner.apply_drain_marks(&view);
@@ -222,6 +233,7 @@
             view: view.clone(),
         };
         self.active.store(Some(Arc::new(active)));
+        self.key_lease.activated(view.version().config);
         if has_configuration(&view) {
             self.view_waiters.wake();
         }
@@ -381,14 +393,20 @@
                     .wait(arrived, caller.remaining, req.body().len(), is_active);
             trace.retry_after = wait.await.err();
         }
+        let honours_keys = self.key_lease.is_valid();
         let Some(active) = self.configured() else {
             return (Err(Failure::not_run(Reason::NotReady)), tenant);
         };
         trace.view = Some(active.view.version());
-        let admitted = match self.admit(&active, caller, &req, arrived) {
+        let admitted = match self.admit(&active, honours_keys, caller, &req, arrived) {
             Ok(admitted) => admitted,
             // Unknown tenants must not become metric labels, whose number would be unbounded.
-            Err(failure) => return (Err(failure), TenantName::from(DEFAULT_TENANT)),
+            Err(failure) => {
+                if failure.reason == Reason::KeysUnconfirmed {
+                    trace.retry_after = self.key_lease.retry_after();
+                }
+                return (Err(failure), TenantName::from(DEFAULT_TENANT));
+            }
         };
         trace.route = Some(admitted.route.clone());
         trace.service = Some(admitted.service_name.clone());
@@ -446,10 +464,12 @@
     }
 
     /// Checks a request that arrived at `arrived`. Its deadline and its target latency count from
-    /// then, whether or not it has waited for the view since.
+    /// then, whether or not it has waited for the view since. `honours_keys` is whether the daemon
+    /// held its key lease before it loaded the view.
     fn admit(
         &self,
         active: &Active,
+        honours_keys: bool,
         caller: CallerHeaders,
         req: &Request<Bytes>,
         arrived: Millis,
@@ -469,7 +489,7 @@
         let account = match active.accounts.are_enforced() {
             true => {
                 let credential = active.accounts.credential(req.headers(), &self.dialect);
-                accounts::authorize(credential, delivery.allow_anonymous)?
+                accounts::authorize(credential, delivery.allow_anonymous, honours_keys)?
             }
             false => None,
         };
@@ -561,30 +581,6 @@
     view.version().config > ConfigVersion::default()
 }
 
-/// Returns the weights by which tenants share the slots of an upstream.
-///
-/// In a mesh with accounts, requests without one are mostly calls that services make while they run
-/// requests of the accounts. They weigh as much as all accounts together: a call that waits behind
-/// other requests delays one that already holds a slot.
-fn tenant_weights(view: &View, has_accounts: bool) -> Vec<(TenantName, u32)> {
-    let mut weights: Vec<_> = view
-        .tenants()
-        .map(|(name, tenant)| (name.clone(), tenant.weight))
-        .collect();
-    if !weights
-        .iter()
-        .any(|(name, _)| name.as_str() == DEFAULT_TENANT)
-    {
-        let sum = weights.iter().map(|(_, weight)| *weight);
-        let weight = match has_accounts {
-            true => sum.fold(0, u32::saturating_add).max(1),
-            false => 1,
-        };
-        weights.push((TenantName::from(DEFAULT_TENANT), weight));
-    }
-    weights
-}
-
 fn service_seed(service: &ServiceName) -> u64 {
     let bytes = service.as_str().bytes();
     bytes.fold(0, |seed, byte| seed.rotate_left(8) ^ u64::from(byte))
--- a/crates/daemon/src/proxy/accounts.rs
+++ b/crates/daemon/src/proxy/accounts.rs
@@ -15,6 +15,7 @@
 
 use super::Result;
 use super::dialect::Dialect;
+use super::headers::DEFAULT_TENANT;
 
 #[cfg(test)]
 mod tests;
@@ -95,20 +96,51 @@
 }
 
 /// Decides for which account a request runs, or `None` for a request of an open route that presents
-/// no known key.
+/// no known key. `honours_keys` is whether the daemon holds its key lease.
 ///
 /// # Errors
 ///
 /// Returns [`Reason::Unauthenticated`] if the route is not open and the request presents no known
-/// key.
-pub fn authorize(credential: Credential, is_open: bool) -> Result<Option<Arc<Account>>> {
+/// key. Without the lease, returns [`Reason::KeysUnconfirmed`] if the answer depends on a key: a
+/// known one may have been taken away, and an unknown one may have been added.
+pub fn authorize(
+    credential: Credential,
+    is_open: bool,
+    honours_keys: bool,
+) -> Result<Option<Arc<Account>>> {
     match credential {
-        Credential::Of(account) => Ok(Some(account)),
+        Credential::Of(account) if honours_keys => Ok(Some(account)),
+        Credential::Of(_) => Err(Failure::not_run(Reason::KeysUnconfirmed)),
         Credential::Absent | Credential::Unknown if is_open => Ok(None),
+        Credential::Unknown if !honours_keys => Err(Failure::not_run(Reason::KeysUnconfirmed)),
         Credential::Absent | Credential::Unknown => Err(Failure::not_run(Reason::Unauthenticated)),
     }
 }
 
+/// Returns the weights by which tenants share the slots of an upstream.
+///
+/// In a mesh with accounts, requests without one are mostly calls that services make while they run
+/// requests of the accounts. They weigh as much as all accounts together: a call that waits behind
+/// other requests delays one that already holds a slot.
+pub(super) fn tenant_weights(view: &View, has_accounts: bool) -> Vec<(TenantName, u32)> {
+    let mut weights: Vec<_> = view
+        .tenants()
+        .map(|(name, tenant)| (name.clone(), tenant.weight))
+        .collect();
+    if !weights
+        .iter()
+        .any(|(name, _)| name.as_str() == DEFAULT_TENANT)
+    {
+        let sum = weights.iter().map(|(_, weight)| *weight);
+        let weight = match has_accounts {
+            true => sum.fold(0, u32::saturating_add).max(1),
+            false => 1,
+        };
+        weights.push((TenantName::from(DEFAULT_TENANT), weight));
+    }
+    weights
+}
+
 fn bearer_key(value: &[u8]) -> Option<&[u8]> {
     let end = value.iter().position(|byte| *byte == b' ')?;
     let (scheme, key) = value.split_at(end);
--- a/crates/daemon/src/proxy/accounts/tests.rs
+++ b/crates/daemon/src/proxy/accounts/tests.rs
@@ -73,12 +73,38 @@
     };
     let expected = account.map(str::to_owned);
     assert_eq!(
-        name(authorize(credential.clone(), true)),
+        name(authorize(credential.clone(), true, true)),
         Ok(expected.clone())
     );
     let refused = Err(Failure::not_run(Reason::Unauthenticated));
     let closed = expected.map_or(refused, |name| Ok(Some(name)));
-    assert_eq!(name(authorize(credential, false)), closed);
+    assert_eq!(name(authorize(credential, false, true)), closed);
+}
+
+/// Guards against a key that is honoured without a lease, and against a lapse that reaches requests
+/// whose answer depends on no key.
+#[rstest]
+#[case::known("known", true, Some(Reason::KeysUnconfirmed))]
+#[case::known_closed("known", false, Some(Reason::KeysUnconfirmed))]
+#[case::unknown("unknown", true, None)]
+#[case::unknown_closed("unknown", false, Some(Reason::KeysUnconfirmed))]
+#[case::absent("absent", true, None)]
+#[case::absent_closed("absent", false, Some(Reason::Unauthenticated))]
+fn authorize_without_lease(
+    #[case] presented: &str,
+    #[case] is_open: bool,
+    #[case] refusal: Option<Reason>,
+) {
+    let credential = match presented {
+        "known" => Credential::Of(Arc::new(Account {
+            name: "grocers".into(),
+            priority: None,
+        })),
+        "unknown" => Credential::Unknown,
+        _ => Credential::Absent,
+    };
+    let expected = refusal.map_or(Ok(None), |reason| Err(Failure::not_run(reason)));
+    assert_eq!(authorize(credential, is_open, false), expected);
 }
 
 proptest! {
--- a/crates/daemon/src/proxy/headers.rs
+++ b/crates/daemon/src/proxy/headers.rs
@@ -259,6 +259,7 @@
         Reason::NoRoute => "no-route",
         Reason::TenantRefused => "tenant-refused",
         Reason::Unauthenticated => "unauthenticated",
+        Reason::KeysUnconfirmed => "keys-unconfirmed",
         Reason::QuotaExceeded => "quota-exceeded",
         Reason::NoEndpoint => "no-endpoint",
         Reason::Overloaded => "overloaded",
@@ -291,6 +292,7 @@
         }
         Reason::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
         Reason::NotReady
+        | Reason::KeysUnconfirmed
         | Reason::NoEndpoint
         | Reason::Overloaded
         | Reason::Draining
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -165,6 +165,10 @@
     pub shared_retries: u64,
     /// Whether the concurrency limit of an upstream is reduced while it sheds load or is slow.
     pub adapt_limit: bool,
+    /// Time in milliseconds after the acceptance of a configuration after which no daemon honours a
+    /// key that it takes away, even if it is cut off. With 0, a daemon that is cut off honours the
+    /// keys that it knows.
+    pub key_lease_ms: u64,
 }
 
 /// Settings of the log output.
@@ -206,6 +210,7 @@
             leave_notice_ms: 0,
             shared_retries: 0,
             adapt_limit: true,
+            key_lease_ms: 0,
         }
     }
 }
--- a/crates/daemon/src/subscriber.rs
+++ b/crates/daemon/src/subscriber.rs
@@ -24,7 +24,7 @@
 use sycamoreflow_protocol::codec::CodecError;
 use sycamoreflow_protocol::distribution::{FromReplica, FromSubscriber};
 use sycamoreflow_protocol::handshake::{Identity, Purpose};
-use sycamoreflow_state::ids::{DaemonId, Millis};
+use sycamoreflow_state::ids::{ConfigVersion, DaemonId, Millis};
 use sycamoreflow_state::view::{Delta, Interest, Rejection, View};
 use sycamoreflow_transport::link::{self, LinkError, Receiver, SendError, Sender};
 
@@ -346,6 +346,8 @@
     ) -> Result<Subscription> {
         let meter = LinkMeter::new(self.traffic.clone());
         let view = self.proxy.view().filter(|_| !diverged);
+        // The admission answers this question: a quorum confirms the floor after it has arrived.
+        let question = self.proxy.key_lease().ask();
         tx.send(&FromSubscriber::Subscribe {
             interest: self.interest.clone(),
             have: view.map(|view| view.version()),
@@ -354,7 +356,10 @@
         })?;
         let admitted = self.wait_for_admission(&mut rx).await;
         meter.update(tx.bytes());
-        admitted?;
+        let floor = admitted?;
+        if let Some(number) = question {
+            self.key_confirmed(number, floor);
+        }
         tracing::info!(event = "subscription", up = true, replica = %tx.peer().daemon);
         Ok(Subscription { tx, rx, meter })
     }
@@ -370,12 +375,14 @@
         let updates = self.receive_updates(tx, rx).fuse();
         let renewals = self.send_renewals(tx).fuse();
         let reports = self.send_reports(tx, meter).fuse();
+        let questions = self.send_questions(tx).fuse();
         let moved = self.open_home(&tx.peer().daemon).fuse();
-        futures::pin_mut!(updates, renewals, reports, moved);
+        futures::pin_mut!(updates, renewals, reports, questions, moved);
         let result = futures::select! {
             result = updates => result,
             result = renewals => result,
             result = reports => result,
+            result = questions => result,
             subscription = moved => return Ok(subscription),
         };
         result?;
@@ -412,12 +419,13 @@
         }
     }
 
-    async fn wait_for_admission(&self, rx: &mut Receiver) -> Result<()> {
+    /// Waits until the replica admits the subscription, and returns the floor that it states.
+    async fn wait_for_admission(&self, rx: &mut Receiver) -> Result<ConfigVersion> {
         let first = timeout(ADMISSION_TIMEOUT, rx.receive::<FromReplica>()).await;
         match first.map_err(|_| SubscriptionError::AdmissionTimeout)?? {
             FromReplica::Admitted { floor } => {
                 self.floor.raise(floor);
-                Ok(())
+                Ok(floor)
             }
             FromReplica::RetryAfter(wait) => Err(SubscriptionError::RetryAfter(wait)),
             FromReplica::NoQuorum => Err(SubscriptionError::NoQuorum),
@@ -433,6 +441,7 @@
                 FromReplica::Grants(grants) => self.proxy.grant(&grants),
                 FromReplica::Members(members) => self.replicas.set_members(&members),
                 FromReplica::Suspects(report) => self.proxy.crashes().merge(&report),
+                FromReplica::Confirmed { number, config } => self.key_confirmed(number, config),
                 FromReplica::NoQuorum => return Err(SubscriptionError::NoQuorum),
                 FromReplica::RetryAfter(wait) => return Err(SubscriptionError::RetryAfter(wait)),
                 FromReplica::Admitted { .. } | FromReplica::Packed(_) => {
@@ -519,6 +528,26 @@
         }
     }
 
+    /// Asks the replica for the newest configuration as often as the key lease needs it.
+    async fn send_questions(&self, tx: &Sender) -> Result<()> {
+        let lease = self.proxy.key_lease();
+        let Some(interval) = lease.question_interval() else {
+            return std::future::pending().await;
+        };
+        loop {
+            task::sleep(clock::duration(interval)).await;
+            if let Some(number) = lease.ask() {
+                tx.send(&FromSubscriber::Confirm { number })?;
+            }
+        }
+    }
+
+    /// Extends the key lease by an answer, as soon as the configuration in it is in force.
+    fn key_confirmed(&self, number: u64, newest: ConfigVersion) {
+        let in_force = self.proxy.view().map(|view| view.version().config);
+        self.proxy.key_lease().answered(number, newest, in_force);
+    }
+
     fn renew(&self, tx: &Sender) -> Result<()> {
         let owner = self.proxy.owner();
         tx.send(&FromSubscriber::Renew {
--- a/crates/daemon/tests/docs_settings.rs
+++ b/crates/daemon/tests/docs_settings.rs
@@ -70,6 +70,7 @@
             leave_notice_ms: 1,
             shared_retries: 1,
             adapt_limit: true,
+            key_lease_ms: 1,
         },
         log: LogSettings {
             format: LogFormat::Json,
--- a/crates/protocol/src/distribution.rs
+++ b/crates/protocol/src/distribution.rs
@@ -62,6 +62,11 @@
     Report(EvidenceReport),
     /// Requests that have crashed upstreams, to be distributed to all other daemons.
     Suspects(SuspectReport),
+    /// Asks which configuration is the newest. Sent only by daemons whose settings have a key lease.
+    Confirm {
+        /// Number of the question, which the answer repeats.
+        number: u64,
+    },
 }
 
 /// A message from a control replica to a subscriber.
@@ -91,6 +96,14 @@
     Grants(Vec<Grant>),
     /// Requests that have crashed upstreams of other daemons.
     Suspects(SuspectReport),
+    /// Answers [`FromSubscriber::Confirm`]: after the question had arrived, a quorum confirmed the
+    /// newest configuration.
+    Confirmed {
+        /// Number of the question.
+        number: u64,
+        /// Version of the newest configuration.
+        config: ConfigVersion,
+    },
 }
 
 /// Encoded messages below this size in bytes are sent uncompressed, as compression would save
--- a/crates/state/src/verdict.rs
+++ b/crates/state/src/verdict.rs
@@ -52,6 +52,8 @@
     TenantRefused,
     /// The request carries no key of a client account, and its route needs one.
     Unauthenticated,
+    /// The daemon can't confirm that the keys of client accounts are still valid.
+    KeysUnconfirmed,
     /// The client account has used up its quota.
     QuotaExceeded,
     /// No endpoint of the service can take the request.
--- a/crates/testbed/examples/capacity/proxies.rs
+++ b/crates/testbed/examples/capacity/proxies.rs
@@ -7,6 +7,7 @@
 use sycamoreflow_coordination::dedup::HolderConfig;
 use sycamoreflow_coordination::floor::Witness;
 use sycamoreflow_daemon::proxy::crashes::CrashTracker;
+use sycamoreflow_daemon::proxy::held_lease::HeldLease;
 use sycamoreflow_daemon::proxy::keys::Keys;
 use sycamoreflow_daemon::proxy::links::CallLinks;
 use sycamoreflow_daemon::proxy::owner::{Owner, OwnerLimits};
@@ -81,6 +82,7 @@
         owner: Arc::new(owner),
         keys: Arc::new(keys),
         crashes,
+        key_lease: HeldLease::new(Millis(0)),
         dialect: Arc::default(),
         own_service: None,
         shared_retries: None,
