Quota leases and credits

Cause: nothing limits the requests of a client account over all daemons.

Change: the decisions of quotas, without I/O: a daemon's token buckets and the leader's division of each account's budget into leases of rates and credits. Nothing uses them yet.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod open_group;
 pub mod pacing;
 pub mod publication;
+pub mod quota;
 pub mod raft;
 pub mod retry;
 pub mod rollout;
--- a/crates/coordination/src/raft.rs
+++ b/crates/coordination/src/raft.rs
@@ -86,7 +86,7 @@
 /// doubling, disks that take 1 s to sync would prevent every election.
 const MAX_ROUND_DOUBLINGS: u32 = 3;
 /// Time without contact to a quorum after which a leader steps down.
-const QUORUM_TIMEOUT: Millis = Millis(1500);
+pub(crate) const QUORUM_TIMEOUT: Millis = Millis(1500);
 
 /// The Raft state of one control replica.
 #[derive(Debug)]
