--- a/crates/coordination/src/routing/load/tests.rs
+++ b/crates/coordination/src/routing/load/tests.rs
@@ -5,6 +5,7 @@
 use sycamoreflow_state::ids::{DaemonId, Millis};
 
 use super::*;
+use crate::pace::Pace;
 use crate::routing::{CallResult, Outcome, Router, RouterConfig};
 
 fn endpoint(name: &str, data_centre: &str) -> Endpoint {
@@ -40,6 +41,7 @@
         mean: Micros(120_000),
         route: Micros(route_ms * 1_000),
         waited: Micros(0),
+        pace: None,
     }
 }
 
@@ -82,6 +84,26 @@
     assert_eq!(chosen, Some(DaemonId::from(expected)));
 }
 
+/// Guards against requests that go to a host that was slow a moment ago, and against hosts that are
+/// avoided because of an old report. The near host was 2.5 times slower than usual at its report.
+#[rstest]
+#[case::just_reported(1_010, "far")]
+#[case::outdated(3_100, "near")]
+fn choose_for_pace(#[case] now: u64, #[case] expected: &str) {
+    let mut router = router();
+    let pace = PaceReport {
+        pace: Pace::from_percent(250),
+        age: Millis(0),
+    };
+    let slow = Load {
+        pace: Some(pace),
+        ..load(0, 0, 200)
+    };
+    observe(&mut router, slow, load(0, 0, 200));
+    let chosen = router.choose_for(Millis(now), &"v1".into(), &[], &objective(0.06));
+    assert_eq!(chosen, Some(DaemonId::from(expected)));
+}
+
 /// Guards against an unresponsive endpoint that keeps receiving requests because its last load
 /// report was good. The endpoint accepts a request and does not answer it.
 #[test]
@@ -95,13 +117,20 @@
     assert_eq!(chosen, Some("far".into()));
 }
 
-/// Guards against retries of failures that every endpoint shows. An endpoint is an outlier only if
-/// it fails more of its requests than the others.
+/// Guards against retries of failures that every endpoint shows, and against a request that fails
+/// for good because an endpoint that fails rarely has failed it. An endpoint is an outlier only if
+/// it fails more of its requests than the others; a failure is isolated if the others rarely fail.
 #[rstest]
-#[case::one_fails(8, 0, true)]
-#[case::all_fail(8, 8, false)]
-#[case::none_fails(0, 0, false)]
-fn is_outlier_failures(#[case] near: u32, #[case] far: u32, #[case] expected: bool) {
+#[case::one_fails(8, 0, true, true)]
+#[case::one_fails_once(1, 0, false, true)]
+#[case::all_fail(8, 8, false, false)]
+#[case::none_fails(0, 0, false, true)]
+fn is_outlier_failures(
+    #[case] near: u32,
+    #[case] far: u32,
+    #[case] outlier: bool,
+    #[case] isolated: bool,
+) {
     let mut router = router();
     for (id, failures) in [("near", near), ("far", far)] {
         let id = DaemonId::from(id);
@@ -118,5 +147,7 @@
             router.finished(Millis(1_000), &id, outcome);
         }
     }
-    assert_eq!(router.is_outlier(Millis(1_000), &"near".into()), expected);
+    let (now, id) = (Millis(1_000), DaemonId::from("near"));
+    assert_eq!(router.is_outlier(now, &id), outlier);
+    assert_eq!(router.is_isolated_failure(now, &id), isolated);
 }
--- a/crates/daemon/src/proxy/attempts.rs
+++ b/crates/daemon/src/proxy/attempts.rs
@@ -38,6 +38,8 @@
     pub(super) service_name: ServiceName,
     pub(super) service: Arc<Service>,
     pub(super) tenant: TenantName,
+    /// Whether `tenant` is a client account whose key the request has presented.
+    pub(super) has_account: bool,
     pub(super) deadline: Millis,
     pub(super) idempotent: bool,
     pub(super) key: Option<String>,
@@ -118,7 +120,7 @@
                 Ok(answer)
                     if answer.status >= FIRST_SERVER_ERROR
                         && admitted.target.is_some()
-                        && service.retries_outlier_failure(&mut attempts, &target) =>
+                        && service.retries_server_error(&mut attempts, &target) =>
                 {
                     admitted.log_retry(&target, Failure::may_have_run(Reason::BadAnswer), sends);
                     error_answer = Some(answer);
--- a/crates/daemon/src/proxy/dialect.rs
+++ b/crates/daemon/src/proxy/dialect.rs
@@ -5,10 +5,15 @@
 
 use bytes::Bytes;
 use http::{HeaderName, Response, StatusCode};
+use sycamoreflow_coordination::pace::Pace;
 use sycamoreflow_state::verdict::{Failure, VERDICT_HEADER, Verdict};
 
 use super::headers::{DEADLINE_HEADER, KEY_HEADER, REASON_HEADER, TENANT_HEADER, failure_status};
 
+/// The pace in a response cannot be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct InvalidPace;
+
 /// Names of headers and meanings of status codes. A header without a name is neither read nor sent.
 #[derive(Clone, Debug)]
 pub struct Dialect {
@@ -19,6 +24,12 @@
     pub deadline: HeaderName,
     /// Request header with the name of the caller's tenant.
     pub tenant: Option<HeaderName>,
+    /// Request header with the key of a client account, in the scheme `Bearer`. In a mesh whose
+    /// tenants have keys, daemons remove it from every request.
+    pub credential: HeaderName,
+    /// Request header with the name of the client account. In a mesh whose tenants have keys, the
+    /// daemon sets it for the upstream; a value from the caller is removed.
+    pub account: Option<HeaderName>,
     /// Request header with the idempotency key.
     pub key: Option<HeaderName>,
     /// Request header with the name of the service that the call comes from. The daemon sets it for
@@ -38,6 +49,8 @@
     /// Returns whether a response can come from the upstream itself. Any other response fails the
     /// call with [`Reason::BadAnswer`](sycamoreflow_state::verdict::Reason::BadAnswer).
     pub is_genuine: fn(&Response<Bytes>) -> bool,
+    /// Returns the present pace of the host if the upstream reports one with its response.
+    pub reported_pace: fn(&Response<Bytes>) -> Option<Result<Pace, InvalidPace>>,
     /// Whether failures with the verdict [`Verdict::NotRun`] carry a `Retry-After` header.
     pub retry_after: bool,
 }
@@ -49,6 +62,8 @@
             request_id: None,
             deadline: HeaderName::from_static(DEADLINE_HEADER),
             tenant: own(TENANT_HEADER),
+            credential: http::header::AUTHORIZATION,
+            account: own(TENANT_HEADER),
             key: own(KEY_HEADER),
             caller_service: None,
             instance: None,
@@ -57,6 +72,7 @@
             status: failure_status,
             says_not_run,
             is_genuine: |_| true,
+            reported_pace: |_| None,
             retry_after: false,
         }
     }
--- a/crates/daemon/src/proxy/owner.rs
+++ b/crates/daemon/src/proxy/owner.rs
@@ -78,6 +78,8 @@
     crashes: Arc<CrashTracker>,
     upstreams: Mutex<IndexMap<ServiceName, Arc<Upstream>>>,
     weights: Mutex<Vec<(TenantName, u32)>>,
+    /// Whether requests need the key of a client account.
+    has_accounts: AtomicBool,
     dialect: Arc<Dialect>,
     /// Instances that have left, so that a late report does not add them again.
     departures: Mutex<Departures>,
@@ -92,6 +94,8 @@
     /// Whether the endpoints are announced to other daemons as draining.
     leaving: AtomicBool,
     draining: AtomicBool,
+    /// Whether the data centre of this host is evacuated.
+    evacuated: AtomicBool,
     next_call: AtomicU64,
 }
 
@@ -142,6 +146,7 @@
             crashes,
             upstreams: Mutex::default(),
             weights: Mutex::default(),
+            has_accounts: AtomicBool::new(false),
             dialect: Arc::default(),
             departures: Mutex::default(),
             distributed: Mutex::default(),
@@ -150,6 +155,7 @@
             unready: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
             draining: AtomicBool::new(false),
+            evacuated: AtomicBool::new(false),
             next_call: AtomicU64::new(1),
         }
     }
@@ -338,7 +344,7 @@
         let upstream = Upstream {
             admission: Mutex::new(Admission::new(self.admission_config(&announcement))),
             report: Mutex::new(report.cloned()),
-            route_latencies: Mutex::default(),
+            route_times: Mutex::default(),
             last_renewed: Mutex::new(clock::now()),
             draining: AtomicBool::new(false),
             departed: AtomicBool::new(false),
@@ -351,6 +357,10 @@
         if self.draining.load(Ordering::SeqCst) {
             upstream.drain();
         }
+        // The upstream itself is not draining, so it accepts work again after the evacuation.
+        if self.evacuated.load(Ordering::SeqCst) {
+            upstream.admission.lock().drain();
+        }
         let service = upstream.announcement.service.clone();
         tracing::info!(event = "upstream_announced", %service,
             version = %upstream.announcement.version, address = %upstream.announcement.address,
@@ -418,12 +428,32 @@
         self.leaving.load(Ordering::SeqCst) || self.draining.load(Ordering::SeqCst)
     }
 
+    /// Applies the evacuation of the data centre of this host, or its end. New and waiting calls
+    /// are refused as not run, whichever daemon they come from; running calls are not affected.
+    /// [`Owner::apply_drain_marks`] must be called afterwards.
+    pub fn apply_evacuation(&self, view: &View) {
+        let evacuated = view.is_evacuated(&self.data_centre);
+        if self.evacuated.swap(evacuated, Ordering::SeqCst) == evacuated {
+            return;
+        }
+        metrics::gauge!("sycamoreflow_data_centre_evacuated").set(f64::from(u8::from(evacuated)));
+        tracing::info!(event = "evacuation", data_centre = %self.data_centre, evacuated);
+        if !evacuated {
+            return;
+        }
+        for upstream in self.upstreams.lock().values() {
+            upstream.refuse_new_calls();
+        }
+    }
+
     /// Applies the drain marks that operators have set on endpoints in `view`: a marked upstream
-    /// gets no new work, even from daemons that do not have this view yet.
+    /// gets no new work, even from daemons that do not have this view yet. Nor does any upstream
+    /// while the data centre of this host is evacuated.
     pub fn apply_drain_marks(&self, view: &View) {
         if self.draining.load(Ordering::SeqCst) {
             return;
         }
+        let evacuated = self.evacuated.load(Ordering::SeqCst);
         for (service, upstream) in self.upstreams.lock().iter() {
             if upstream.draining.load(Ordering::SeqCst) {
                 continue;
@@ -432,7 +462,7 @@
             let endpoint = view.get(&key).map(AsRef::as_ref);
             let marked = matches!(endpoint, Some(Resource::Endpoint(e)) if e.draining);
             let mut admission = upstream.admission.lock();
-            if marked {
+            if marked || evacuated {
                 admission.drain();
             } else {
                 admission.resume();
@@ -479,6 +509,11 @@
         }
     }
 
+    /// Sets whether the mesh has client accounts, whose keys no upstream may receive.
+    pub fn set_has_accounts(&self, has_accounts: bool) {
+        self.has_accounts.store(has_accounts, Ordering::Relaxed);
+    }
+
     /// Returns the endpoints to announce to the control replicas. There are none before the first
     /// view, since a report may be of an instance that left before this daemon started.
     pub fn endpoints(&self) -> Vec<Endpoint> {
@@ -598,6 +633,11 @@
             .send_with_options(address, request, limit, &options);
         let response = response.await;
         let latency = Micros(started.elapsed().as_micros() as u64);
+        if let Ok(response) = &response
+            && let Some(pace) = (self.dialect.reported_pace)(response)
+        {
+            upstream.observe_pace(pace);
+        }
         let (mut result, outcome) = classify_response(response, call, latency, &self.dialect);
         if let UpstreamResult::Answered(latency) = outcome {
             upstream.record_latency(&call.route, latency);
@@ -628,7 +668,8 @@
     ) -> Result<http::Request<Bytes>> {
         let report = upstream.report.lock();
         let instance = report.as_ref().map(|report| report.instance.as_str());
-        headers::upstream_request(call, remaining, instance, &self.dialect)
+        let removes_key = self.has_accounts.load(Ordering::Relaxed);
+        headers::upstream_request(call, remaining, instance, removes_key, &self.dialect)
     }
 
     /// Probes an upstream after a lost connection, and records a crash against the requests in
