Enforce the quotas of client accounts

Cause: nothing limits the requests of a client account over all daemons.

Change: a daemon takes a permit for a request of an account with a quota after it has admitted it, and returns it if the request has not run. Over the limit, requests get 429 as not run, with the time at which there is room. Daemons report to the leader only while accounts with quotas are in use; the leader answers through the replica that forwarded the report.

--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -4,6 +4,7 @@
 use std::sync::OnceLock;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use rustix::time::{ClockId, clock_gettime};
 use sycamoreflow_state::ids::Millis;
 
 static ORIGIN: OnceLock<Instant> = OnceLock::new();
@@ -16,6 +17,14 @@
     Millis(1_000 + origin.elapsed().as_millis() as u64)
 }
 
+/// Returns the time since the start of the host, plus one second. Unlike [`now`], this clock goes on
+/// while the host is suspended, so it measures how long something was valid.
+pub fn boot_now() -> Millis {
+    let time = clock_gettime(ClockId::Boottime);
+    let (seconds, nanoseconds) = (time.tv_sec as u64, time.tv_nsec as u64);
+    Millis(1_000 + seconds * 1_000 + nanoseconds / 1_000_000)
+}
+
 /// Returns the wall-clock time since the Unix epoch, for values that are replicated or shown to
 /// operators. Returns zero if the clock is before the epoch.
 pub fn unix_now() -> Millis {
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -10,6 +10,7 @@
 use async_std::task;
 use eyre::WrapErr;
 use sycamoreflow_coordination::machine::ControlState;
+use sycamoreflow_coordination::quota::Tolerance;
 use sycamoreflow_coordination::raft::{Incarnation, Raft};
 use sycamoreflow_protocol::handshake::Identity;
 use sycamoreflow_state::ids::DaemonId;
@@ -26,6 +27,7 @@
 pub mod leader;
 pub mod operator_api;
 pub mod peers;
+pub mod quotas;
 pub mod replica;
 pub mod sessions;
 pub mod status;
@@ -100,7 +102,8 @@
         };
         let data = control.data.clone();
         let id = identity.daemon.clone();
-        let open = move || open(&data, &id, group.clone(), seed, files());
+        let tolerance = settings.limits.quota_tolerance();
+        let open = move || open(&data, &id, group.clone(), tolerance, seed, files());
         let opened = match open() {
             Err(error) if is_out_of_space(&error) => {
                 tracing::error!(event = "storage", usable = false, error = %error);
@@ -195,6 +198,7 @@
     data: &Path,
     id: &DaemonId,
     group: GroupSettings,
+    quota_tolerance: Tolerance,
     seed: u64,
     files: Files,
 ) -> eyre::Result<ReplicaInit> {
@@ -239,6 +243,7 @@
         snapshot_index,
         snapshot_bytes,
         hints,
+        quota_tolerance,
         endpoints,
     })
 }
--- a/crates/daemon/src/control/hub.rs
+++ b/crates/daemon/src/control/hub.rs
@@ -11,6 +11,7 @@
 use parking_lot::Mutex;
 use std::sync::Arc;
 use sycamoreflow_coordination::distribution::{Distribution, JoinLimiter, UpdateCache};
+use sycamoreflow_coordination::quota::QuotaGrants;
 use sycamoreflow_coordination::shares::Grant;
 use sycamoreflow_coordination::suspect::SuspectReport;
 use sycamoreflow_protocol::distribution::FromReplica;
@@ -33,6 +34,8 @@
     ViewChanged,
     /// The leader grants the subscriber calls to the candidate of a rollout.
     Grant(Grant),
+    /// The leader grants the subscriber parts of the quotas of client accounts.
+    QuotaGrants(QuotaGrants),
     /// Requests that have crashed upstreams of other daemons, to be sent to the subscriber.
     Suspects(Arc<SuspectReport>),
     /// The members of the group have changed: send them to the subscriber.
@@ -278,7 +281,10 @@
             content,
         };
         // Fails only while the process is stopping.
-        let _ = self.events.send(Event::Forwarded(vec![forwarded]));
+        let _ = self.events.send(Event::Forwarded {
+            via: None,
+            messages: vec![forwarded],
+        });
     }
 
     /// Queues an event for the replica thread. Returns `false` if the replica has stopped.
@@ -322,6 +328,20 @@
         undelivered
     }
 
+    /// Queues parts of quotas for the sessions of their daemons. Those of daemons without a session
+    /// are dropped: the daemon reports again through the replica to which it has moved.
+    pub fn deliver_quota_grants(&self, grants: Vec<(DaemonId, QuotaGrants)>) {
+        let sessions = self.sessions.lock();
+        let by_daemon: HashMap<&DaemonId, &Session> =
+            sessions.by_id.values().map(|s| (&s.daemon, s)).collect();
+        for (daemon, grants) in grants {
+            if let Some(session) = by_daemon.get(&daemon) {
+                let command = SessionCommand::QuotaGrants(grants);
+                drop(session.commands.try_send(command));
+            }
+        }
+    }
+
     /// Queues a command for all sessions. Sessions whose queue is full miss it.
     pub fn broadcast(&self, command: &SessionCommand) {
         for session in self.sessions.lock().by_id.values() {
--- a/crates/daemon/src/control/leader.rs
+++ b/crates/daemon/src/control/leader.rs
@@ -152,6 +152,8 @@
                 state.rejected = None;
             }
             ToLeader::Rejected { version, reason } => state.rejected = Some((version, reason)),
+            // `LeaderQuotas` processes these.
+            ToLeader::Quota(_) => {}
             ToLeader::Report(report) => self.pacer.report(unix_now, &daemon, &report),
             ToLeader::Drain(draining) => {
                 self.dirty |= self.leases.set_draining(&daemon, draining);
--- a/crates/daemon/src/control/peers.rs
+++ b/crates/daemon/src/control/peers.rs
@@ -189,7 +189,10 @@
             let delta = match message {
                 FromReplica::Update(delta) => delta,
                 // These reach this replica as `ReplicaMessage`s or through the log.
-                FromReplica::Suspects(_) | FromReplica::Grants(_) | FromReplica::Members(_) => {
+                FromReplica::QuotaGrants(_)
+                | FromReplica::Suspects(_)
+                | FromReplica::Grants(_)
+                | FromReplica::Members(_) => {
                     continue;
                 }
                 _ => return,
@@ -211,7 +214,11 @@
                 from: from.clone(),
                 message,
             },
-            ReplicaMessage::Forward(messages) => Event::Forwarded(messages),
+            ReplicaMessage::Forward(messages) => Event::Forwarded {
+                via: Some(from.clone()),
+                messages,
+            },
+            ReplicaMessage::QuotaGrants(grants) => Event::QuotaGrants(grants),
             ReplicaMessage::Grants(grants) => Event::Grants(grants),
             ReplicaMessage::Suspects(report) => Event::Suspects {
                 report,
--- a/crates/daemon/src/control/replica.rs
+++ b/crates/daemon/src/control/replica.rs
@@ -11,6 +11,7 @@
 
 use sycamoreflow_coordination::machine::document::Document;
 use sycamoreflow_coordination::machine::{CodecError, Command, ControlState, Outcome};
+use sycamoreflow_coordination::quota::Tolerance;
 use sycamoreflow_coordination::raft::{
     Input, Membership, Output, Raft, Refusal, ReplicaState, TICK_MS, Token,
 };
@@ -24,6 +25,7 @@
 use crate::control::hub::{Hub, SessionCommand};
 use crate::control::leader::Leader;
 use crate::control::peers::Peers;
+use crate::control::quotas::LeaderQuotas;
 
 mod apply;
 mod event;
@@ -80,6 +82,9 @@
     /// Messages from subscribers to be forwarded to the leader.
     outbox: Vec<Forwarded>,
     leader: Option<Leader>,
+    /// The quotas of client accounts, while this replica leads.
+    quotas: Option<LeaderQuotas>,
+    quota_tolerance: Tolerance,
     waiters: BTreeMap<Token, Waiter>,
     pending_proposals: BTreeMap<u64, PendingProposal>,
     next_token: u64,
@@ -126,6 +131,8 @@
     pub snapshot_bytes: usize,
     /// The copy of the endpoint table on disk.
     pub hints: EndpointHints,
+    /// How far accounts may exceed their quotas.
+    pub quota_tolerance: Tolerance,
     /// The endpoints that this copy contained at the start.
     pub endpoints: Vec<Endpoint>,
 }
@@ -149,6 +156,8 @@
             last_disconnect: Millis::default(),
             outbox: Vec::new(),
             leader: None,
+            quotas: None,
+            quota_tolerance: init.quota_tolerance,
             waiters: BTreeMap::new(),
             pending_proposals: BTreeMap::new(),
             next_token: 1,
@@ -253,8 +262,12 @@
                 let message = *message;
                 self.step(Input::Message { from, message })
             }
-            Event::Forwarded(messages) => {
-                self.handle_forwarded(messages);
+            Event::Forwarded { via, messages } => {
+                self.handle_forwarded(via.as_ref(), messages);
+                Ok(())
+            }
+            Event::QuotaGrants(grants) => {
+                self.hub.deliver_quota_grants(grants);
                 Ok(())
             }
             Event::Grants(grants) => {
@@ -302,6 +315,7 @@
         let commands = leader.next_commands(now, unix_now, &self.state);
         let grants = leader.grants(unix_now);
         self.send_grants(grants);
+        self.send_quota_grants(now);
         for command in commands {
             self.propose(&command, Waiter::Nobody)?;
         }
@@ -394,6 +408,7 @@
         }
         if standing != ReplicaState::Leader {
             self.leader = None;
+            self.quotas = None;
             self.fail_proposals();
         }
         self.peers.set_leader(self.leader_id.clone());
--- a/crates/daemon/src/control/replica/event.rs
+++ b/crates/daemon/src/control/replica/event.rs
@@ -3,6 +3,7 @@
 use futures::channel::oneshot;
 use sycamoreflow_coordination::machine::document::Document;
 use sycamoreflow_coordination::machine::{Command, Outcome};
+use sycamoreflow_coordination::quota::QuotaGrants;
 use sycamoreflow_coordination::raft::message::Message;
 use sycamoreflow_coordination::raft::{MemberChange, Refusal};
 use sycamoreflow_coordination::shares::Grant;
@@ -39,7 +40,14 @@
         message: Box<Message>,
     },
     /// Messages from subscribers to be processed by the leader or forwarded to it.
-    Forwarded(Vec<Forwarded>),
+    Forwarded {
+        /// Replica that has forwarded them, or `None` for subscribers of this one.
+        via: Option<DaemonId>,
+        /// The messages.
+        messages: Vec<Forwarded>,
+    },
+    /// Parts of quotas from the leader to be delivered to subscribers of this replica.
+    QuotaGrants(Vec<(DaemonId, QuotaGrants)>),
     /// Grants from the leader to be delivered to subscribers of this replica.
     Grants(Vec<(DaemonId, Grant)>),
     /// A report of requests that have crashed upstreams, to be sent to all subscribers. A report
@@ -111,7 +119,8 @@
             Self::ChangeMembers(_, tx) => Waiter::Members(tx),
             Self::Read(read) => Waiter::Read(read),
             Self::Raft { .. }
-            | Self::Forwarded(_)
+            | Self::Forwarded { .. }
+            | Self::QuotaGrants(_)
             | Self::Grants(_)
             | Self::Suspects { .. }
             | Self::SetContacts(_)
--- a/crates/daemon/src/control/replica/leading.rs
+++ b/crates/daemon/src/control/replica/leading.rs
@@ -8,7 +8,7 @@
 use sycamoreflow_coordination::raft::{Input, MemberChange, ReplicaState};
 use sycamoreflow_coordination::shares::Grant;
 use sycamoreflow_coordination::suspect::SuspectReport;
-use sycamoreflow_protocol::replica::{Forwarded, ReplicaMessage};
+use sycamoreflow_protocol::replica::{Forwarded, ReplicaMessage, ToLeader};
 use sycamoreflow_state::ids::{DaemonId, Millis};
 use sycamoreflow_state::view::View;
 
@@ -17,6 +17,7 @@
 use crate::clock;
 use crate::control::hub::SessionCommand;
 use crate::control::leader::Leader;
+use crate::control::quotas::LeaderQuotas;
 
 /// Interval at which the leader checks for replicas to admit.
 const ADMISSION_INTERVAL: Millis = Millis(1_000);
@@ -91,6 +92,8 @@
             &self.hinted_endpoints,
         );
         self.leader = Some(leader);
+        let tolerance = self.quota_tolerance;
+        self.quotas = Some(LeaderQuotas::new(clock::now(), self.term, tolerance));
     }
 
     pub(super) fn publish(&mut self) {
@@ -103,9 +106,15 @@
         }
     }
 
-    pub(super) fn handle_forwarded(&mut self, messages: Vec<Forwarded>) {
+    pub(super) fn handle_forwarded(&mut self, via: Option<&DaemonId>, messages: Vec<Forwarded>) {
         if let Some(leader) = &mut self.leader {
             for message in messages {
+                if let ToLeader::Quota(report) = &message.content {
+                    if let Some(quotas) = &mut self.quotas {
+                        quotas.report(clock::now(), via, &message.daemon, report);
+                    }
+                    continue;
+                }
                 leader.handle_message(clock::now(), clock::unix_now(), message);
             }
             return;
@@ -154,6 +163,22 @@
         self.peers.send_to_all(&message);
     }
 
+    /// Answers the reports on quotas since the last tick. This follows the tick of Raft, so that a
+    /// leader that has lost its quorum grants nothing.
+    pub(super) fn send_quota_grants(&mut self, now: Millis) {
+        let Some(quotas) = &mut self.quotas else {
+            return;
+        };
+        for (via, grants) in quotas.tick(now, &self.state) {
+            match via {
+                Some(replica) => self
+                    .peers
+                    .send(&replica, &ReplicaMessage::QuotaGrants(grants)),
+                None => self.hub.deliver_quota_grants(grants),
+            }
+        }
+    }
+
     /// Distributes a report of requests that crash upstreams to all subscribers of the group. This
     /// needs neither the leader nor an order of reports, because merging them is idempotent.
     pub(super) fn broadcast_suspects(&self, report: SuspectReport, from_subscriber: bool) {
--- a/crates/daemon/src/control/replica/tests.rs
+++ b/crates/daemon/src/control/replica/tests.rs
@@ -12,6 +12,7 @@
 use sycamoreflow_transport::storage::Files;
 
 use super::*;
+use crate::settings::Limits;
 
 const ID: &str = "host-1";
 
@@ -23,7 +24,9 @@
         wanted_voters: None,
         may_bootstrap: true,
     };
-    let init = crate::control::open(&folder.join("data"), &id, group, 1, Files::default()).unwrap();
+    let data = folder.join("data");
+    let tolerance = Limits::default().quota_tolerance();
+    let init = crate::control::open(&data, &id, group, tolerance, 1, Files::default()).unwrap();
     let (tx, _events) = mpsc::channel();
     let identity = Identity {
         mesh: "sfax".to_owned(),
--- a/crates/daemon/src/control/sessions.rs
+++ b/crates/daemon/src/control/sessions.rs
@@ -170,6 +170,9 @@
             SessionCommand::ViewChanged => self.send_update()?,
             SessionCommand::MembersChanged => self.send_members()?,
             SessionCommand::Grant(grant) => self.tx.send(&FromReplica::Grants(vec![grant]))?,
+            SessionCommand::QuotaGrants(grants) => {
+                self.tx.send(&FromReplica::QuotaGrants(grants))?;
+            }
             SessionCommand::Suspects(report) => {
                 self.tx
                     .send(&FromReplica::Suspects(report.as_ref().clone()))?;
@@ -196,6 +199,7 @@
             FromSubscriber::InForce(version) => ToLeader::InForce(version),
             FromSubscriber::Rejected { version, reason } => ToLeader::Rejected { version, reason },
             FromSubscriber::Report(report) => ToLeader::Report(report),
+            FromSubscriber::Quota(report) => ToLeader::Quota(report),
             FromSubscriber::Suspects(report) => {
                 self.hub.send(Event::Suspects {
                     report,
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -36,6 +36,7 @@
 use crate::proxy::keys::{KeyedRequest, Keys};
 use crate::proxy::links::CallLinks;
 use crate::proxy::owner::Owner;
+use crate::proxy::quotas::Quotas;
 use crate::proxy::service::Service;
 use crate::proxy::startup::ViewWaiters;
 use crate::proxy::table::{Route, RouteTable};
@@ -49,6 +50,7 @@
 pub mod keys;
 pub mod links;
 pub mod owner;
+pub mod quotas;
 pub mod service;
 mod startup;
 pub mod table;
@@ -83,6 +85,7 @@
     owner: Arc<Owner>,
     keys: Arc<Keys>,
     crashes: Arc<CrashTracker>,
+    quotas: Quotas,
     dialect: Arc<Dialect>,
     /// Service on the host of this daemon, if the settings name it.
     own_service: Option<ServiceName>,
@@ -143,6 +146,7 @@
             owner: components.owner,
             keys: components.keys,
             crashes: components.crashes,
+            quotas: Quotas::new(components.incarnation),
             dialect: components.dialect,
             own_service: components.own_service,
             shared_retries: components.shared_retries,
@@ -162,6 +166,11 @@
         &self.crashes
     }
 
+    /// Returns the quotas of client accounts.
+    pub fn quotas(&self) -> &Quotas {
+        &self.quotas
+    }
+
     /// Returns the owner role.
     pub fn owner(&self) -> &Arc<Owner> {
         &self.owner
@@ -218,6 +227,7 @@
         self.owner
             .set_weights(tenant_weights(&view, accounts.are_enforced()));
         self.owner.set_has_accounts(accounts.are_enforced());
+        self.quotas.update(&view);
         self.owner.apply_departures(&view);
         self.owner.apply_evacuation(&view);
         self.owner.apply_drain_marks(&view);
@@ -408,8 +418,18 @@
                 return (Err(failure), tenant);
             }
         }
+        let max_wait = admitted.max_quota_wait(clock::now());
+        let permission = match self.quotas.admit(&tenant, max_wait).await {
+            Ok(permission) => permission,
+            Err(wait) => {
+                trace.retry_after = Some(wait);
+                return (Err(Failure::not_run(Reason::QuotaExceeded)), tenant);
+            }
+        };
         let (head, body) = headers::request_head(req, &self.dialect);
-        (self.run_admitted(admitted, head, body, trace).await, tenant)
+        let result = self.run_admitted(admitted, head, body, trace).await;
+        permission.end(&result);
+        (result, tenant)
     }
 
     /// Runs an admitted request. One with an idempotency key runs at most once, and its crash
--- a/crates/daemon/src/proxy/attempts.rs
+++ b/crates/daemon/src/proxy/attempts.rs
@@ -203,6 +203,15 @@
 }
 
 impl AdmittedRequest {
+    /// Returns how long the request can wait for its account's quota: half of the time until its
+    /// target latency, or a quarter of the time until its deadline.
+    pub(super) fn max_quota_wait(&self, now: Millis) -> Millis {
+        match self.target {
+            Some(target) => Millis(target.min(self.deadline).since(now).0 / 2),
+            None => Millis(self.deadline.since(now).0 / 4),
+        }
+    }
+
     fn log_retry(&self, target: &Target, failure: Failure, attempt: u32) {
         metrics::counter!("sycamoreflow_retries_total").increment(1);
         tracing::info!(target: REFUSALS, event = "retry", request = self.request_id.as_deref(),
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -10,7 +10,9 @@
 
 use eyre::WrapErr;
 use serde::{Deserialize, Serialize};
-use sycamoreflow_state::ids::{DaemonId, DataCentre, ServiceName};
+use sycamoreflow_coordination::quota::Tolerance;
+use sycamoreflow_state::config::Share;
+use sycamoreflow_state::ids::{DaemonId, DataCentre, Millis, ServiceName};
 
 #[cfg(test)]
 pub(crate) mod tests;
@@ -167,6 +169,14 @@
     /// Retries beyond the retry budget of a service that all daemons together may make. With 0,
     /// each daemon applies its own allowance.
     pub shared_retries: u64,
+    /// Window in which the requests of a client account are compared with its quota, in
+    /// milliseconds.
+    pub quota_window_ms: u64,
+    /// Share of the quota in a window by which an account may exceed it, in percent. It is used to
+    /// give daemons whole requests in advance.
+    pub quota_overage_percent: u32,
+    /// Number of requests in a window by which an account may exceed its quota in addition.
+    pub quota_slack: u32,
     /// Whether the concurrency limit of an upstream is reduced while it sheds load or is slow.
     pub adapt_limit: bool,
 }
@@ -209,11 +219,25 @@
             link_silence_ms: 2_000,
             leave_notice_ms: 0,
             shared_retries: 0,
+            quota_window_ms: 5_000,
+            quota_overage_percent: 10,
+            quota_slack: 20,
             adapt_limit: true,
         }
     }
 }
 
+impl Limits {
+    /// Returns how far client accounts may exceed their quotas.
+    pub fn quota_tolerance(&self) -> Tolerance {
+        Tolerance {
+            window: Millis(self.quota_window_ms),
+            overage: Share::percent(self.quota_overage_percent),
+            slack: self.quota_slack,
+        }
+    }
+}
+
 fn default_joins_per_second() -> u32 {
     200
 }
@@ -463,6 +487,19 @@
                 100,
                 600_000,
             ),
+            (
+                "quota-window-ms",
+                limits.quota_window_ms as usize,
+                1_000,
+                600_000,
+            ),
+            (
+                "quota-overage-percent",
+                limits.quota_overage_percent as usize,
+                0,
+                100,
+            ),
+            ("quota-slack", limits.quota_slack as usize, 0, 1_000_000),
             ("connections", limits.connections, 1, 100_000),
             ("pipelined", limits.pipelined, 1, 64),
             ("queue-per-slot", limits.queue_per_slot as usize, 0, 1_000),
--- a/crates/daemon/src/subscriber.rs
+++ b/crates/daemon/src/subscriber.rs
@@ -370,12 +370,14 @@
         let updates = self.receive_updates(tx, rx).fuse();
         let renewals = self.send_renewals(tx).fuse();
         let reports = self.send_reports(tx, meter).fuse();
+        let quotas = self.send_quota_reports(tx).fuse();
         let moved = self.open_home(&tx.peer().daemon).fuse();
-        futures::pin_mut!(updates, renewals, reports, moved);
+        futures::pin_mut!(updates, renewals, reports, quotas, moved);
         let result = futures::select! {
             result = updates => result,
             result = renewals => result,
             result = reports => result,
+            result = quotas => result,
             subscription = moved => return Ok(subscription),
         };
         result?;
@@ -431,6 +433,7 @@
             match FromReplica::from_frame(&frame)? {
                 FromReplica::Update(delta) => self.handle_update(tx, &delta).await?,
                 FromReplica::Grants(grants) => self.proxy.grant(&grants),
+                FromReplica::QuotaGrants(grants) => self.proxy.quotas().apply(&grants),
                 FromReplica::Members(members) => self.replicas.set_members(&members),
                 FromReplica::Suspects(report) => self.proxy.crashes().merge(&report),
                 FromReplica::NoQuorum => return Err(SubscriptionError::NoQuorum),
@@ -529,6 +532,13 @@
         Ok(())
     }
 
+    async fn send_quota_reports(&self, tx: &Sender) -> Result<()> {
+        loop {
+            let report = self.proxy.quotas().next_report().await;
+            tx.send(&FromSubscriber::Quota(report))?;
+        }
+    }
+
     async fn send_reports(&self, tx: &Sender, meter: &LinkMeter) -> Result<()> {
         loop {
             let interval = clock::duration(self.proxy.report_interval());
--- a/crates/daemon/tests/docs_settings.rs
+++ b/crates/daemon/tests/docs_settings.rs
@@ -70,6 +70,9 @@
             link_silence_ms: 1,
             leave_notice_ms: 1,
             shared_retries: 1,
+            quota_window_ms: 1_000,
+            quota_overage_percent: 1,
+            quota_slack: 1,
             adapt_limit: true,
         },
         log: LogSettings {
--- a/crates/protocol/src/distribution.rs
+++ b/crates/protocol/src/distribution.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
 use sycamoreflow_coordination::evidence::EvidenceReport;
+use sycamoreflow_coordination::quota::{QuotaGrants, QuotaReport};
 use sycamoreflow_coordination::shares::Grant;
 use sycamoreflow_coordination::suspect::SuspectReport;
 use sycamoreflow_state::endpoint::{Departure, Endpoint};
@@ -62,6 +63,8 @@
     Report(EvidenceReport),
     /// Requests that have crashed upstreams, to be distributed to all other daemons.
     Suspects(SuspectReport),
+    /// Use of the quotas of client accounts.
+    Quota(QuotaReport),
 }
 
 /// A message from a control replica to a subscriber.
@@ -91,6 +94,8 @@
     Grants(Vec<Grant>),
     /// Requests that have crashed upstreams of other daemons.
     Suspects(SuspectReport),
+    /// Parts of the quotas of client accounts that the subscriber may use.
+    QuotaGrants(QuotaGrants),
 }
 
 /// Encoded messages below this size in bytes are sent uncompressed, as compression would save
--- a/crates/protocol/src/replica.rs
+++ b/crates/protocol/src/replica.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use sycamoreflow_coordination::evidence::EvidenceReport;
+use sycamoreflow_coordination::quota::{QuotaGrants, QuotaReport};
 use sycamoreflow_coordination::raft::message::Message;
 use sycamoreflow_coordination::shares::Grant;
 use sycamoreflow_coordination::suspect::SuspectReport;
@@ -18,6 +19,9 @@
     Forward(Vec<Forwarded>),
     /// Grants of the leader, for the receiving replica to pass on to these subscribers.
     Grants(Vec<(DaemonId, Grant)>),
+    /// Answers of the leader to [`ToLeader::Quota`], for the replica that forwarded the reports to
+    /// pass on to these subscribers.
+    QuotaGrants(Vec<(DaemonId, QuotaGrants)>),
     /// Requests that have crashed upstreams, for the receiving replica to pass on to its
     /// subscribers.
     Suspects(SuspectReport),
@@ -58,6 +62,8 @@
     },
     /// Call statistics of the versions under rollout.
     Report(EvidenceReport),
+    /// Use of the quotas of client accounts.
+    Quota(QuotaReport),
     /// An operator asked to drain the daemon's endpoints (`true`) or to use them again (`false`).
     Drain(bool),
 }
