--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod pace;
 pub mod pacing;
 pub mod publication;
+pub mod quota;
 pub mod raft;
 pub mod retry;
 pub mod rollout;
--- a/crates/daemon/src/control/sessions.rs
+++ b/crates/daemon/src/control/sessions.rs
@@ -173,6 +173,9 @@
             SessionCommand::Confirmed { number, config } => {
                 self.tx.send(&FromReplica::Confirmed { number, config })?;
             }
+            SessionCommand::QuotaGrants(grants) => {
+                self.tx.send(&FromReplica::QuotaGrants(grants))?;
+            }
             SessionCommand::Suspects(report) => {
                 self.tx
                     .send(&FromReplica::Suspects(report.as_ref().clone()))?;
@@ -203,6 +206,7 @@
             FromSubscriber::InForce(version) => ToLeader::InForce(version),
             FromSubscriber::Rejected { version, reason } => ToLeader::Rejected { version, reason },
             FromSubscriber::Report(report) => ToLeader::Report(report),
+            FromSubscriber::Quota(report) => ToLeader::Quota(report),
             FromSubscriber::Suspects(report) => {
                 self.hub.send(Event::Suspects {
                     report,
--- a/crates/daemon/src/subscriber.rs
+++ b/crates/daemon/src/subscriber.rs
@@ -376,13 +376,15 @@
         let renewals = self.send_renewals(tx).fuse();
         let reports = self.send_reports(tx, meter).fuse();
         let questions = self.send_questions(tx).fuse();
+        let quotas = self.send_quota_reports(tx).fuse();
         let moved = self.open_home(&tx.peer().daemon).fuse();
-        futures::pin_mut!(updates, renewals, reports, questions, moved);
+        futures::pin_mut!(updates, renewals, reports, questions, quotas, moved);
         let result = futures::select! {
             result = updates => result,
             result = renewals => result,
             result = reports => result,
             result = questions => result,
+            result = quotas => result,
             subscription = moved => return Ok(subscription),
         };
         result?;
@@ -439,6 +441,7 @@
             match FromReplica::from_frame(&frame)? {
                 FromReplica::Update(delta) => self.handle_update(tx, &delta).await?,
                 FromReplica::Grants(grants) => self.proxy.grant(&grants),
+                FromReplica::QuotaGrants(grants) => self.proxy.quotas().apply(&grants),
                 FromReplica::Members(members) => self.replicas.set_members(&members),
                 FromReplica::Suspects(report) => self.proxy.crashes().merge(&report),
                 FromReplica::Confirmed { number, config } => self.key_confirmed(number, config),
@@ -558,6 +561,13 @@
         Ok(())
     }
 
+    async fn send_quota_reports(&self, tx: &Sender) -> Result<()> {
+        loop {
+            let report = self.proxy.quotas().next_report().await;
+            tx.send(&FromSubscriber::Quota(report))?;
+        }
+    }
+
     async fn send_reports(&self, tx: &Sender, meter: &LinkMeter) -> Result<()> {
         loop {
             let interval = clock::duration(self.proxy.report_interval());
--- a/crates/protocol/src/distribution.rs
+++ b/crates/protocol/src/distribution.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
 use sycamoreflow_coordination::evidence::EvidenceReport;
+use sycamoreflow_coordination::quota::{QuotaGrants, QuotaReport};
 use sycamoreflow_coordination::shares::Grant;
 use sycamoreflow_coordination::suspect::SuspectReport;
 use sycamoreflow_state::endpoint::{Departure, Endpoint};
@@ -67,6 +68,8 @@
         /// Number of the question, which the answer repeats.
         number: u64,
     },
+    /// Use of the quotas of client accounts.
+    Quota(QuotaReport),
 }
 
 /// A message from a control replica to a subscriber.
@@ -104,6 +107,8 @@
         /// Version of the newest configuration.
         config: ConfigVersion,
     },
+    /// Parts of the quotas of client accounts that the subscriber may use.
+    QuotaGrants(QuotaGrants),
 }
 
 /// Encoded messages below this size in bytes are sent uncompressed, as compression would save
