Limit the calls to cold upstreams at the daemon beside them

Cause: an upstream bears few calls after its start, and nothing held back the sum over all daemons.

Change: a service may have a cold-start setting. The daemon beside the upstream admits by a token bucket and refuses the rest at once as not run; replies name the time until the next call, and entry daemons leave the endpoint out until then, or refuse the call if no endpoint is left. After an evacuation an endpoint counts as cold until its second report.

--- a/crates/coordination/examples/rollouts/settings.rs
+++ b/crates/coordination/examples/rollouts/settings.rs
@@ -32,5 +32,6 @@
         },
         min_endpoints: Share::percent(50),
         retry_budget: Share::percent(10),
+        cold_start: None,
     }
 }
--- a/crates/coordination/src/machine/tests.rs
+++ b/crates/coordination/src/machine/tests.rs
@@ -28,6 +28,7 @@
         },
         min_endpoints: Share::percent(50),
         retry_budget: Share::percent(10),
+        cold_start: None,
     };
     config.services.insert("orders".into(), service);
     config.routes.insert("orders".into(), route("orders"));
--- a/crates/coordination/src/pacing/tests.rs
+++ b/crates/coordination/src/pacing/tests.rs
@@ -44,6 +44,7 @@
         rollout: rule,
         min_endpoints: Share::NONE,
         retry_budget: Share::NONE,
+        cold_start: None,
     };
     let mut config = MeshConfig::default();
     config.services.insert("orders".into(), service);
--- a/crates/coordination/src/rollout/tests.rs
+++ b/crates/coordination/src/rollout/tests.rs
@@ -26,6 +26,7 @@
         },
         min_endpoints: Share::percent(50),
         retry_budget: Share::percent(10),
+        cold_start: None,
     }
 }
 
--- a/crates/coordination/src/routing.rs
+++ b/crates/coordination/src/routing.rs
@@ -292,7 +292,7 @@
     /// accepted, with random jitter so that refused callers do not retry at the same time.
     pub fn retry_after(&mut self, now: Millis) -> Millis {
         let usable = self.members.iter().filter(|m| m.available && !m.draining);
-        let waits = usable.map(|m| m.load.wait(now, m.slots));
+        let waits = usable.map(|m| m.load.wait(now, m.slots).max(m.load.closed_time(now)));
         let shortest = waits.fold(f64::INFINITY, f64::min);
         let millis = (shortest / 1_000.0).clamp(load::MIN_RETRY_AFTER_MS, load::MAX_RETRY_AFTER_MS);
         Millis((millis * self.rng.random_range(0.8..1.6)) as u64)
@@ -350,7 +350,9 @@
         if outcome.result == CallResult::Draining {
             member.refused_draining = Some(now);
         }
-        if !member.tracked {
+        // A refusal by a cold endpoint says nothing about how it will serve calls once it is warm.
+        let refused_cold = outcome.result == CallResult::Refused && member.load.is_closed(now);
+        if !member.tracked || refused_cold {
             member.estimate.ended(now);
             return;
         }
@@ -508,7 +510,8 @@
     }
 
     /// Chooses uniformly at random, ignoring estimates and slow start. Ejected members and those
-    /// that refused a call as draining are included only if there is no other.
+    /// that refused a call as draining are included only if there is no other. Cold members that
+    /// take no call now are never included.
     fn choose_any(&mut self, now: Millis, group: usize, exclude: &[DaemonId]) -> Option<usize> {
         let group = &self.groups[group];
         let all = || {
@@ -519,6 +522,7 @@
         if pool.is_empty() {
             pool = all()
                 .filter(|i| !exclude.contains(&self.members[*i].id))
+                .filter(|i| !self.members[*i].load.is_closed(now))
                 .collect();
         }
         if pool.is_empty() {
@@ -532,6 +536,7 @@
         let recently = |refused| now.since(refused) < DRAINING_PERIOD;
         member.available
             && !member.refused_draining.is_some_and(recently)
+            && !member.load.is_closed(now)
             && !exclude.contains(&member.id)
     }
 
--- a/crates/coordination/src/routing/load.rs
+++ b/crates/coordination/src/routing/load.rs
@@ -47,6 +47,13 @@
     /// Time that the answered call spent in the daemon's queue.
     #[serde(rename = "w")]
     pub waited: Micros,
+    /// Time until the upstream, which is cold, takes another call. Zero if it takes one now.
+    #[serde(rename = "c", default, skip_serializing_if = "is_zero")]
+    pub closed_for: Millis,
+}
+
+fn is_zero(time: &Millis) -> bool {
+    time.0 == 0
 }
 
 /// The latency objective of one request, and the cost of sending it to another data centre.
@@ -113,12 +120,15 @@
     sent_since: u32,
     /// Service times in microseconds by route.
     routes: IndexMap<RouteName, f64>,
+    /// The endpoint is cold and takes no call before this time.
+    closed_until: Millis,
 }
 
 impl KnownLoad {
     pub(super) fn observe(&mut self, now: Millis, load: Load, route: &RouteName) {
         self.latest = Some((now, load));
         self.sent_since = 0;
+        self.closed_until = now.after(load.closed_for);
         let is_known = self.routes.contains_key(route);
         if load.route.0 > 0 && (is_known || self.routes.len() < MAX_ROUTES) {
             self.routes.insert(route.clone(), load.route.0 as f64);
@@ -147,6 +157,16 @@
         service + self.wait(now, slots)
     }
 
+    /// Returns whether the endpoint is cold and takes no call now.
+    pub(super) fn is_closed(&self, now: Millis) -> bool {
+        now < self.closed_until
+    }
+
+    /// Returns the time in microseconds until the endpoint, which is cold, takes a call.
+    pub(super) fn closed_time(&self, now: Millis) -> f64 {
+        Micros::from(self.closed_until.since(now)).0 as f64
+    }
+
     /// Returns the expected time in microseconds until a call sent now gets a slot.
     pub(super) fn wait(&self, now: Millis, slots: u32) -> f64 {
         let Some((at, load)) = &self.latest else {
--- a/crates/coordination/src/routing/load/tests.rs
+++ b/crates/coordination/src/routing/load/tests.rs
@@ -40,6 +40,7 @@
         mean: Micros(120_000),
         route: Micros(route_ms * 1_000),
         waited: Micros(0),
+        closed_for: Millis(0),
     }
 }
 
@@ -120,3 +121,31 @@
     }
     assert_eq!(router.is_outlier(Millis(1_000), &"near".into()), expected);
 }
+
+/// Answers endpoints that return cold: one that takes no call now is left out, its refusals do not
+/// count against it, and if no other is left the call is refused at once instead of being sent.
+#[test]
+fn choose_for_closed_endpoints() {
+    let mut router = router();
+    let closed = |closed_for| Load {
+        closed_for: Millis(closed_for),
+        ..load(0, 0, 120)
+    };
+    observe(&mut router, closed(150), closed(0));
+    let choose = |router: &mut Router, now| {
+        let chosen = router.choose_for(Millis(now), &"v1".into(), &[], &objective(0.9));
+        chosen.map(|id| id.as_str().to_owned())
+    };
+    assert_eq!(choose(&mut router, 1_000).as_deref(), Some("far"));
+    router.started(Millis(1_000), &"near".into());
+    let refused = Outcome {
+        latency: Micros(1_000),
+        result: CallResult::Refused,
+    };
+    router.finished(Millis(1_001), &"near".into(), refused);
+    assert!(!router.is_outlier(Millis(1_001), &"near".into()));
+    observe(&mut router, closed(900), closed(600));
+    assert_eq!(choose(&mut router, 1_010), None);
+    assert!(router.retry_after(Millis(1_010)) >= Millis(400));
+    assert_eq!(choose(&mut router, 1_700).as_deref(), Some("far"));
+}
--- a/crates/coordination/src/routing/load/tests/mixed_speeds.rs
+++ b/crates/coordination/src/routing/load/tests/mixed_speeds.rs
@@ -138,6 +138,7 @@
             mean: Micros(server.mean_us as u64),
             route: Micros(server.mean_us as u64),
             waited: Micros(0),
+            closed_for: Millis(0),
         };
         let route = RouteName::from("stock-check");
         let router = &mut self.entries[call.entry];
--- a/crates/coordination/tests/subscribers/content.rs
+++ b/crates/coordination/tests/subscribers/content.rs
@@ -62,6 +62,7 @@
         },
         min_endpoints: Share::percent(20),
         retry_budget: Share::percent(10),
+        cold_start: None,
     }
 }
 
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -207,6 +207,7 @@
         self.keys.update(self.view().as_deref(), &view);
         self.owner.set_weights(tenant_weights(&view));
         self.owner.apply_departures(&view);
+        self.owner.apply_cold_starts(&view);
         self.owner.apply_evacuation(&view);
         self.owner.apply_drain_marks(&view);
         let active = Active {
--- a/crates/daemon/src/proxy/owner.rs
+++ b/crates/daemon/src/proxy/owner.rs
@@ -18,9 +18,11 @@
 use sycamoreflow_coordination::admission::{
     Admission, AdmissionConfig, CallId, Decision, UpstreamResult,
 };
+use sycamoreflow_coordination::cold::ColdLimiter;
 use sycamoreflow_coordination::departures::Departures;
 use sycamoreflow_coordination::routing::Load;
 use sycamoreflow_protocol::call::{Answer, Call};
+use sycamoreflow_state::config::ColdStart;
 use sycamoreflow_state::endpoint::{Announcement, Departure, Endpoint};
 use sycamoreflow_state::ids::{
     DaemonId, DataCentre, Micros, Millis, ServiceName, TenantName, VersionName,
@@ -78,6 +80,8 @@
     crashes: Arc<CrashTracker>,
     upstreams: Mutex<IndexMap<ServiceName, Arc<Upstream>>>,
     weights: Mutex<Vec<(TenantName, u32)>>,
+    /// What upstreams bear while they are cold, by service.
+    cold_starts: Mutex<IndexMap<ServiceName, ColdStart>>,
     dialect: Arc<Dialect>,
     /// Instances that have left, so that a late report does not add them again.
     departures: Mutex<Departures>,
@@ -120,6 +124,8 @@
     pub sequence: u64,
     /// Whether the instance is draining and takes no new work.
     pub draining: bool,
+    /// How much longer the instance is cold, if it tells.
+    pub cold_for: Option<Millis>,
     /// Service, version, address and capacity of the instance.
     pub announcement: Announcement,
 }
@@ -144,6 +150,7 @@
             crashes,
             upstreams: Mutex::default(),
             weights: Mutex::default(),
+            cold_starts: Mutex::default(),
             dialect: Arc::default(),
             departures: Mutex::default(),
             distributed: Mutex::default(),
@@ -192,6 +199,7 @@
             return changed;
         };
         let draining = report.draining;
+        upstream.report_cold(report.cold_for);
         *upstream.report.lock() = Some(report);
         if draining && !upstream.draining.load(Ordering::SeqCst) {
             tracing::info!(event = "upstream_draining", %service);
@@ -338,7 +346,9 @@
             }
             known.refuse_waiting();
         }
+        let cold_start = self.cold_starts.lock().get(&announcement.service).copied();
         let upstream = Upstream {
+            cold: Mutex::new(ColdLimiter::new(clock::now(), cold_start)),
             admission: Mutex::new(Admission::new(self.admission_config(&announcement))),
             report: Mutex::new(report.cloned()),
             route_latencies: Mutex::default(),
@@ -435,11 +445,27 @@
         }
         metrics::gauge!("sycamoreflow_data_centre_evacuated").set(f64::from(u8::from(evacuated)));
         tracing::info!(event = "evacuation", data_centre = %self.data_centre, evacuated);
-        if !evacuated {
+        for upstream in self.upstreams.lock().values() {
+            match evacuated {
+                true => upstream.refuse_new_calls(),
+                // Without calls it may have become cold, and its reports may be late.
+                false => upstream.cold.lock().suspect(clock::now()),
+            }
+        }
+    }
+
+    /// Applies what upstreams bear while they are cold.
+    pub fn apply_cold_starts(&self, view: &View) {
+        let services = view.services();
+        let limited = services.filter_map(|(name, cfg)| Some((name.clone(), cfg.cold_start?)));
+        let cold_starts: IndexMap<_, _> = limited.collect();
+        if *self.cold_starts.lock() == cold_starts {
             return;
         }
-        for upstream in self.upstreams.lock().values() {
-            upstream.refuse_new_calls();
+        *self.cold_starts.lock() = cold_starts.clone();
+        for (service, upstream) in self.upstreams.lock().iter() {
+            let cold_start = cold_starts.get(service).copied();
+            upstream.cold.lock().configure(cold_start);
         }
     }
 
@@ -613,6 +639,10 @@
             Some(fingerprint) => Some(self.crashes.start(fingerprint)?),
             None => None,
         };
+        if !upstream.cold.lock().take(clock::now()) {
+            slot.finish(UpstreamResult::Abandoned);
+            return Err(refuse_cold());
+        }
         let options = SendOptions {
             echoed_header: self.dialect.request_id.clone(),
             max_idle_time: (!call.urgency.idempotent).then_some(MAX_IDLE_FOR_NON_IDEMPOTENT),
@@ -690,6 +720,10 @@
         call: &Call,
         deadline: Millis,
     ) -> Result<Slot> {
+        // Waiting would not help: the queue has no room for calls that a cold upstream can't take.
+        if upstream.cold.lock().wait(clock::now()) > Millis(0) {
+            return Err(refuse_cold());
+        }
         let (tx, rx) = oneshot::channel();
         upstream.waiting.lock().insert(id, tx);
         let slot = Slot {
@@ -727,6 +761,12 @@
     }
 }
 
+/// Counts a call that is refused because the upstream is cold, and returns its failure.
+fn refuse_cold() -> Failure {
+    metrics::counter!("sycamoreflow_cold_refusals_total").increment(1);
+    Failure::not_run(Reason::Overloaded)
+}
+
 /// A call in progress. Dropping it before the call has ended logs that the call was cancelled.
 struct CancellationLog<'a> {
     call: &'a Call,
--- a/crates/daemon/src/proxy/owner/upstream.rs
+++ b/crates/daemon/src/proxy/owner/upstream.rs
@@ -13,6 +13,7 @@
 use sycamoreflow_coordination::admission::{
     Admission, CallId, Decision, Released, UpstreamResult, Urgency,
 };
+use sycamoreflow_coordination::cold::ColdLimiter;
 use sycamoreflow_coordination::routing::Load;
 use sycamoreflow_protocol::call::{Answer, Call};
 use sycamoreflow_state::endpoint::Announcement;
@@ -51,6 +52,8 @@
     /// work until it announces itself again.
     pub(super) retired: AtomicBool,
     pub(super) admission: Mutex<Admission>,
+    /// Limit of the calls that are sent while the upstream is cold.
+    pub(super) cold: Mutex<ColdLimiter>,
     pub(super) waiting: Mutex<HashMap<CallId, oneshot::Sender<Result<()>>>>,
 }
 
@@ -139,6 +142,21 @@
             mean: admission.recent_latency(),
             route: self.mean_route_latency(route),
             waited: Micros(0),
+            closed_for: self.cold.lock().wait(clock::now()),
+        }
+    }
+
+    /// Applies what a report says of the cold start, and logs whether the upstream is cold if that
+    /// has changed.
+    pub(super) fn report_cold(&self, cold_for: Option<Millis>) {
+        let now = clock::now();
+        let mut cold = self.cold.lock();
+        let before = cold.is_cold(now);
+        cold.reported(now, cold_for);
+        let after = cold.is_cold(now);
+        if before != after {
+            tracing::info!(event = "upstream_cold", service = %self.announcement.service,
+                cold = after, cold_for_ms = cold_for.map(|time| time.0));
         }
     }
 
--- a/crates/daemon/tests/owner.rs
+++ b/crates/daemon/tests/owner.rs
@@ -19,6 +19,7 @@
 use sycamoreflow_daemon::proxy::dialect::Dialect;
 use sycamoreflow_daemon::proxy::owner::{InstanceReport, Owner, OwnerLimits};
 use sycamoreflow_protocol::call::{Call, CallUrgency, RequestHead};
+use sycamoreflow_state::config::{ColdStart, ServiceConfig, Share};
 use sycamoreflow_state::endpoint::Announcement;
 use sycamoreflow_state::ids::{Micros, Millis};
 use sycamoreflow_state::verdict::{Failure, Reason};
@@ -305,6 +306,7 @@
         started_at: 1_000,
         sequence,
         draining,
+        cold_for: None,
         announcement: announcement(SocketAddr::from(([127, 0, 0, 1], 1)), 4),
     }
 }
@@ -387,6 +389,20 @@
     view
 }
 
+/// Returns a view with a service whose upstreams bear hardly more than one call while cold.
+fn view_with_cold_start() -> View {
+    let mut service = ServiceConfig::with_defaults(Share::percent(10));
+    service.cold_start = Some(ColdStart {
+        duration: Millis(60_000),
+        rate: 0.5,
+        burst: 2,
+    });
+    let mut view = View::new(Interest::All);
+    let key = ResourceKey::Service("orders".into());
+    view.insert(key, Arc::new(Resource::Service(service)));
+    view
+}
+
 fn apply(owner: &Owner, view: &View) {
     owner.apply_evacuation(view);
     owner.apply_drain_marks(view);
@@ -437,3 +453,39 @@
     let result = owner.deliver(&call(true, "a1"), default_deadline()).await;
     assert!(result.is_ok(), "{result:?}");
 }
+
+/// Answers a data centre that returns cold: calls beyond what the upstream bears are refused at once
+/// as not run, with the time of the next one, until it reports to be warm. After an evacuation, one
+/// report is not enough, since it may have been sent before the upstream became cold.
+#[async_std::test]
+async fn deliver_to_cold_upstream() {
+    let address = start_upstream(vec![ANSWER; 8]).await;
+    let owner = owner(address);
+    let report = |sequence, cold_for| InstanceReport {
+        cold_for: Some(Millis(cold_for)),
+        announcement: announcement(address, 4),
+        ..report(sequence, false)
+    };
+    let refusal = Some(Failure::not_run(Reason::Overloaded));
+    let call = call(true, "a1");
+    owner.apply_cold_starts(&view_with_cold_start());
+    owner.report(report(1, 30_000));
+    let (result, load) = owner.deliver_with_load(&call, default_deadline()).await;
+    assert_eq!(result.err(), refusal);
+    let closed_for = load.unwrap().closed_for;
+    assert!(closed_for > Millis(1_000), "{closed_for:?}");
+    owner.report(report(2, 0));
+    let (result, load) = owner.deliver_with_load(&call, default_deadline()).await;
+    assert!(result.is_ok(), "{result:?}");
+    assert_eq!(load.unwrap().closed_for, Millis(0));
+
+    apply(&owner, &evacuated_view("sfax-a"));
+    apply(&owner, &View::new(Interest::All));
+    for sequence in [3, 4] {
+        let result = owner.deliver(&call, default_deadline()).await;
+        assert_eq!(result.err(), refusal, "before report {sequence}");
+        owner.report(report(sequence, 0));
+    }
+    let result = owner.deliver(&call, default_deadline()).await;
+    assert!(result.is_ok(), "{result:?}");
+}
--- a/crates/state/src/answers.rs
+++ b/crates/state/src/answers.rs
@@ -161,6 +161,7 @@
         rollout,
         min_endpoints: min,
         retry_budget: budget,
+        cold_start: None,
     })
 }
 
--- a/crates/state/src/answers/tests.rs
+++ b/crates/state/src/answers/tests.rs
@@ -64,6 +64,7 @@
         },
         min_endpoints: Share::percent(40),
         retry_budget: Share(125_000),
+        cold_start: None,
     };
     assert_eq!(*service, expected);
     let expected = RouteConfig {
--- a/crates/state/src/config.rs
+++ b/crates/state/src/config.rs
@@ -74,6 +74,21 @@
     pub min_endpoints: Share,
     /// Retries allowed per first attempt. [`Share::ALL`] allows one retry per first attempt.
     pub retry_budget: Share,
+    /// What an upstream bears after its start. `None` sets no limit.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cold_start: Option<ColdStart>,
+}
+
+/// What an upstream bears while it is cold, that is, for some time after its start.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct ColdStart {
+    /// Time for which an upstream that does not tell counts as cold after its announcement.
+    pub duration: Millis,
+    /// Calls per second in the long run.
+    pub rate: f64,
+    /// Calls in any second beyond the rate.
+    pub burst: u32,
 }
 
 impl ServiceConfig {
@@ -86,6 +101,7 @@
             rollout: RolloutRule::short_rollout(),
             min_endpoints: Share::percent(50),
             retry_budget,
+            cold_start: None,
         }
     }
 }
--- a/crates/state/src/plan.rs
+++ b/crates/state/src/plan.rs
@@ -178,6 +178,8 @@
         rollout,
         min_endpoints,
         retry_budget,
+        // Answers can't set it.
+        cold_start: _,
     } = service;
     let RolloutRule {
         steps,
--- a/crates/state/src/view/tests.rs
+++ b/crates/state/src/view/tests.rs
@@ -31,6 +31,7 @@
         },
         min_endpoints: Share::percent(50),
         retry_budget: Share::percent(10),
+        cold_start: None,
     })
 }
 
--- a/crates/testbed/examples/capacity/world.rs
+++ b/crates/testbed/examples/capacity/world.rs
@@ -66,6 +66,7 @@
         },
         min_endpoints: Share::percent(50),
         retry_budget: Share::percent(10),
+        cold_start: None,
     }
 }
 
