--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -240,6 +240,7 @@
         self.owner.set_has_accounts(accounts.are_enforced());
         self.quotas.update(&view);
         self.owner.apply_departures(&view);
+        self.owner.apply_cold_starts(&view);
         self.owner.apply_evacuation(&view);
         self.owner.apply_drain_marks(&view);
         let active = Active {
--- a/crates/daemon/src/proxy/owner/upstream.rs
+++ b/crates/daemon/src/proxy/owner/upstream.rs
@@ -12,6 +12,7 @@
 use sycamoreflow_coordination::admission::{
     Admission, CallId, Decision, Released, UpstreamResult, Urgency,
 };
+use sycamoreflow_coordination::cold::ColdLimiter;
 use sycamoreflow_coordination::pace::{Pace, RouteTimes};
 use sycamoreflow_coordination::routing::Load;
 use sycamoreflow_protocol::call::{Answer, Call};
@@ -44,6 +45,8 @@
     /// work until it announces itself again.
     pub(super) retired: AtomicBool,
     pub(super) admission: Mutex<Admission>,
+    /// Limit of the calls that are sent while the upstream is cold.
+    pub(super) cold: Mutex<ColdLimiter>,
     pub(super) waiting: Mutex<HashMap<CallId, oneshot::Sender<Result<()>>>>,
 }
 
@@ -136,6 +139,21 @@
             route: self.route_times.lock().get(route),
             waited: Micros(0),
             pace: admission.pace().latest(clock::now()),
+            closed_for: self.cold.lock().wait(clock::now()),
+        }
+    }
+
+    /// Applies what a report says of the cold start, and logs whether the upstream is cold if that
+    /// has changed.
+    pub(super) fn report_cold(&self, cold_for: Option<Millis>) {
+        let now = clock::now();
+        let mut cold = self.cold.lock();
+        let before = cold.is_cold(now);
+        cold.reported(now, cold_for);
+        let after = cold.is_cold(now);
+        if before != after {
+            tracing::info!(event = "upstream_cold", service = %self.announcement.service,
+                cold = after, cold_for_ms = cold_for.map(|time| time.0));
         }
     }
 
