Cost of delay and refusal in admission and in Retry-After

A late call went before those that could still be in time. Refused callers were told to return after 71 ms (median) while the overload lasted for 4 s, and were refused for good.

Change: coordination::shedding compares what a wait and a refusal cost a call. Calls that are better off elsewhere leave the queue at once, those that can only be late go last, an unknown service time counts as 0.1 s, priority goes before the shares of tenants, and a route that is accepted less than 0.4 times as often as all calls gets the highest priority. The delay for refused callers grows with the duration of the overload, up to 1 s as before.

--- a/crates/coordination/src/admission.rs
+++ b/crates/coordination/src/admission.rs
@@ -21,6 +21,8 @@
 use sycamoreflow_state::verdict::{Failure, Reason};
 
 use crate::pace::{Pace, PaceHistory};
+use crate::routing::DEFAULT_SERVICE_TIME;
+use crate::shedding::AnswerValue;
 use limit::Limit;
 use pressure::RefusalRates;
 use queue::{Queue, QueuedCall};
@@ -83,6 +85,8 @@
     /// Expected service time of the call at the upstream at the usual pace of the host, or zero if
     /// it is unknown.
     pub expected: Micros,
+    /// Value of a late answer relative to one in time.
+    pub late_value: f64,
 }
 
 impl Urgency<'_> {
@@ -143,6 +147,8 @@
     mean_hold_time: f64,
     pace: PaceHistory,
     refusal_rates: RefusalRates,
+    /// Calls that had to leave the queue for the latest offered call.
+    displaced: Vec<Released>,
 }
 
 /// A call that has been sent to the upstream.
@@ -174,6 +180,7 @@
             mean_hold_time: 0.0,
             pace: PaceHistory::default(),
             refusal_rates: RefusalRates::default(),
+            displaced: Vec::new(),
         }
     }
 
@@ -203,9 +210,12 @@
         }
         let call = QueuedCall {
             id,
+            route: None,
             priority: 0,
             order: deadline,
-            work: self.mean_hold_time,
+            work: self.hold_time(),
+            due: deadline,
+            late_value: 0.0,
             deadline,
             expires: deadline.min(now.after(self.cfg.max_wait)),
         };
@@ -216,7 +226,10 @@
     /// Starts, queues or refuses a new call like [`Admission::offer`], but orders the queue by
     /// urgency and queues a call only if it is likely to be answered when it is due. Other calls
     /// are refused immediately, so that the caller loses no time. A queued call is refused when the
-    /// time left until its deadline is less than its expected service time.
+    /// time left until its deadline is less than its expected service time, or as soon as calls that
+    /// go before it leave it so little time that it is better off elsewhere.
+    ///
+    /// The caller must then release the calls of [`Admission::take_displaced`].
     pub fn offer_urgent(
         &mut self,
         now: Millis,
@@ -235,13 +248,21 @@
             self.start(now, id, tenant);
             return Decision::Start;
         }
-        let expected_us = self.pace.stretched(now, urgency.expected.0 as f64);
+        let work = match urgency.expected {
+            Micros(0) => self.hold_time(),
+            Micros(expected) => expected as f64,
+        };
+        let expected_us = self.pace.stretched(now, work);
         let expected = Millis((expected_us / 1_000.0) as u64);
         let allowance = self
             .refusal_rates
             .wait_allowance(urgency.priority, urgency.route);
         let order = urgency.latest_start(expected_us);
-        let expected_wait = self.expected_wait(now, urgency.priority, order);
+        let priority = match self.refusal_rates.is_starved(urgency.route) {
+            true => 0,
+            false => urgency.priority,
+        };
+        let expected_wait = self.expected_wait(now, priority, order);
         let slack = urgency.due.since(now).since(expected);
         let allowed = allowance.allowed_wait(slack);
         let full = expected_wait > allowed.max(self.min_allowed_wait(now, slack));
@@ -253,24 +274,79 @@
         }
         let call = QueuedCall {
             id,
-            priority: urgency.priority,
+            route: Some(urgency.route.clone()),
+            priority,
             order,
-            work: match urgency.expected {
-                Micros(0) => self.mean_hold_time,
-                Micros(expected) => expected as f64,
-            },
+            work,
+            due: urgency.due,
+            late_value: urgency.late_value,
             deadline,
             expires: Millis(deadline.0.saturating_sub(expected.0)).max(now.after(Millis(1))),
         };
         self.queue.push(tenant, call);
+        let displaced = self.displace(now);
+        self.displaced.extend(displaced);
         Decision::Queued
     }
 
+    /// Removes and returns the calls that had to leave the queue for the calls offered since the
+    /// latest call of this function.
+    pub fn take_displaced(&mut self) -> Vec<Released> {
+        std::mem::take(&mut self.displaced)
+    }
+
+    /// Removes the queued calls that are better off elsewhere than behind the calls before them.
+    fn displace(&mut self, now: Millis) -> Vec<Released> {
+        self.defer_late(now);
+        let service = |call: &QueuedCall| self.pace.stretched(now, call.work);
+        let mut displaced = Vec::new();
+        let mut work_before = self.hold_time();
+        for call in self.queue.in_order() {
+            let wait = Micros::from(self.time_to_run(now, work_before)).0 as f64;
+            let value = AnswerValue {
+                target: Micros::from(call.due.since(now)),
+                deadline: Some(Micros::from(call.deadline.since(now))),
+                late: call.late_value,
+            };
+            if call.route.is_some() && value.gives_way(wait, service(call)) {
+                displaced.push(call.id);
+                continue;
+            }
+            work_before += call.work;
+        }
+        let mut released = Vec::new();
+        for call in self.queue.remove_all(&displaced) {
+            if let Some(route) = &call.route {
+                self.refusal_rates.record_offer(call.priority, route, true);
+            }
+            let failure = Failure::not_run(Reason::Overloaded);
+            released.push(Released::Refused(call.id, failure));
+        }
+        released
+    }
+
+    /// Moves the queued calls that can only be late behind those that can be in time.
+    fn defer_late(&mut self, now: Millis) {
+        let pace = &self.pace;
+        let service = |call: &QueuedCall| pace.stretched(now, call.work) / 1_000.0;
+        let service = |call: &QueuedCall| Millis(service(call) as u64);
+        self.queue.defer_late(now, service);
+    }
+
+    /// Returns the mean time in microseconds for which calls hold their slots at usual pace. Until
+    /// the first call has ended, an assumed time keeps the queue of a new upstream short.
+    fn hold_time(&self) -> f64 {
+        if self.mean_hold_time > 0.0 {
+            return self.mean_hold_time;
+        }
+        DEFAULT_SERVICE_TIME
+    }
+
     /// Returns the expected wait for a slot of a new call with this priority and order.
     fn expected_wait(&self, now: Millis, priority: u32, order: Millis) -> Millis {
         self.time_to_run(
             now,
-            self.queue.work_before(priority, order) + self.mean_hold_time,
+            self.queue.work_before(priority, order) + self.hold_time(),
         )
     }
 
@@ -287,7 +363,7 @@
     /// call and the arrival of the next one.
     fn min_allowed_wait(&self, now: Millis, slack: Millis) -> Millis {
         let calls = self.limit.get().div_ceil(SLOTS_PER_WAITING);
-        self.time_to_run(now, calls as f64 * self.mean_hold_time)
+        self.time_to_run(now, calls as f64 * self.hold_time())
             .min(slack)
     }
 
@@ -372,6 +448,7 @@
             };
             released.push(Released::Refused(call.id, Failure::not_run(reason)));
         }
+        self.defer_late(now);
         while self.running.len() < self.limit.get() {
             let running = &self.running;
             let Some((tenant, call)) = self.queue.pop(|name| overrun(running, name, now)) else {
@@ -380,6 +457,7 @@
             self.start(now, call.id, &tenant);
             released.push(Released::Start(call.id));
         }
+        released.extend(self.displace(now));
         released
     }
 
--- a/crates/coordination/src/admission/pressure.rs
+++ b/crates/coordination/src/admission/pressure.rs
@@ -23,11 +23,17 @@
 /// Relative change of the allowed wait per difference between the refusal rates.
 const WAIT_GAIN: f64 = 4.0;
 
+/// A route is starved if the ratio of its calls that are accepted is below this part of the ratio
+/// over all calls. Callers tolerate a quarter; the rates are moving averages and need a margin.
+const STARVATION_SHARE: f64 = 0.4;
+
 /// Refusal rates by priority and by route, between 0 and 1.
 #[derive(Clone, Debug, Default)]
 pub(super) struct RefusalRates {
     priorities: IndexMap<u32, f64>,
     routes: IndexMap<RouteName, f64>,
+    /// Rate over all calls.
+    all: f64,
 }
 
 /// Refusal rates from which the allowed queue wait of a call is computed.
@@ -45,6 +51,7 @@
         let sample = f64::from(u8::from(refused));
         let rate = self.priorities.entry(priority).or_default();
         *rate += (sample - *rate) * OFFER_WEIGHT;
+        self.all += (sample - self.all) * OFFER_WEIGHT;
         if let Some(rate) = self.routes.get_mut(route) {
             *rate += (sample - *rate) * OFFER_WEIGHT;
         } else if self.routes.len() < MAX_ROUTES {
@@ -52,6 +59,13 @@
         }
     }
 
+    /// Returns whether calls of a route are accepted much less often than all calls, so that its
+    /// priority alone would leave it without service.
+    pub(super) fn is_starved(&self, route: &RouteName) -> bool {
+        let rate = self.routes.get(route).copied().unwrap_or(0.0);
+        1.0 - rate < (1.0 - self.all) * STARVATION_SHARE
+    }
+
     /// Returns the wait allowance for a call of a route.
     pub(super) fn wait_allowance(&self, priority: u32, route: &RouteName) -> WaitAllowance {
         let priority_rate = self.priorities.get(&priority).copied().unwrap_or(0.0);
--- a/crates/coordination/src/admission/pressure/tests.rs
+++ b/crates/coordination/src/admission/pressure/tests.rs
@@ -65,6 +65,7 @@
                 priority: 1,
                 due: Millis(now + class.target),
                 expected: Micros(class.service * 1_000),
+                late_value: 0.3,
             };
             let deadline = Millis(now + class.target * 5);
             let offer = admission.offer_urgent(Millis(now), id, &tenant, deadline, urgency);
--- a/crates/coordination/src/admission/queue.rs
+++ b/crates/coordination/src/admission/queue.rs
@@ -1,26 +1,39 @@
 //! The queue of calls, with weighted fair queueing between tenants.
 //!
 //! Each tenant has a virtual time: the slot time that it has used, divided by its weight. The next
-//! slot goes to the tenant with the lowest virtual time among those with queued calls, and within
-//! the tenant to the call with the lowest priority value and then the earliest order. A tenant that
+//! slot goes to the most urgent priority with queued calls, among its tenants to the one with the
+//! lowest virtual time, and within the tenant to the call with the earliest order. A tenant that
 //! becomes active starts at the system virtual time, so that it gains no credit while it is idle.
+//!
+//! Calls that would be late even if they started now are moved behind all others of their priority,
+//! so that they are served only from slots that are left.
 
 use std::collections::BTreeMap;
 
-use sycamoreflow_state::ids::{Millis, TenantName};
+use sycamoreflow_state::ids::{Millis, RouteName, TenantName};
 
 use super::CallId;
 
+/// Position of a call in the queue of its tenant: its priority, whether it can only be late, its
+/// order and its arrival.
+type Position = (u32, bool, Millis, u64);
+
 /// A call in the queue.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct QueuedCall {
     pub(super) id: CallId,
+    /// Route of the call if it was offered with an urgency.
+    pub(super) route: Option<RouteName>,
     /// Priority; calls with a lower value start first.
     pub(super) priority: u32,
     /// Order among calls of one priority, earliest first.
     pub(super) order: Millis,
-    /// Expected slot time of the call in microseconds.
+    /// Expected slot time of the call in microseconds at the usual pace of the host.
     pub(super) work: f64,
+    /// Time after which an answer is late.
+    pub(super) due: Millis,
+    /// Value of a late answer relative to one in time.
+    pub(super) late_value: f64,
     /// Time after which the caller has no use for an answer.
     pub(super) deadline: Millis,
     /// When the call is removed from the queue if it has not started.
@@ -33,8 +46,7 @@
     weight: f64,
     virtual_time: f64,
     running: usize,
-    /// Queued calls by priority, then order and then arrival.
-    queue: BTreeMap<(u32, Millis, u64), QueuedCall>,
+    queue: BTreeMap<Position, QueuedCall>,
 }
 
 /// All tenants that have running or queued calls.
@@ -56,7 +68,7 @@
     /// with this priority and order.
     pub(super) fn work_before(&self, priority: u32, order: Millis) -> f64 {
         let queues = self.tenants.values().map(|t| &t.queue);
-        let before = queues.flat_map(|queue| queue.range(..(priority, order, u64::MAX)));
+        let before = queues.flat_map(|queue| queue.range(..(priority, false, order, u64::MAX)));
         before.map(|(_, call)| call.work).sum()
     }
 
@@ -113,7 +125,7 @@
         self.queued += 1;
         entry
             .queue
-            .insert((call.priority, call.order, self.arrivals), call);
+            .insert((call.priority, false, call.order, self.arrivals), call);
     }
 
     /// Removes and returns the call that starts next, or `None` if no call is queued. `overrun`
@@ -124,10 +136,12 @@
         overrun: impl Fn(&TenantName) -> f64,
     ) -> Option<(TenantName, QueuedCall)> {
         let time = |name: &TenantName, t: &Tenant| t.virtual_time + overrun(name) / t.weight;
+        let priority = |t: &Tenant| t.queue.first_key_value().map(|((p, ..), _)| *p);
+        let most_urgent = self.tenants.values().filter_map(priority).min()?;
         let (name, _) = self
             .tenants
             .iter()
-            .filter(|(_, t)| !t.queue.is_empty())
+            .filter(|(_, t)| priority(t) == Some(most_urgent))
             .min_by(|(a, x), (b, y)| time(a, x).total_cmp(&time(b, y)))?;
         let name = name.clone();
         let (_, call) = self.tenants.get_mut(&name)?.queue.pop_first()?;
@@ -160,6 +174,37 @@
         !removed.is_empty()
     }
 
+    /// Moves the calls that would be late even if they started now behind all others of their
+    /// priority. `service` returns the expected service time of a call.
+    pub(super) fn defer_late(&mut self, now: Millis, service: impl Fn(&QueuedCall) -> Millis) {
+        for tenant in self.tenants.values_mut() {
+            let is_late = |(position, call): &(&Position, &QueuedCall)| {
+                call.route.is_some() && !position.1 && now.after(service(call)) > call.due
+            };
+            let late = tenant.queue.iter().filter(is_late);
+            let late: Vec<Position> = late.map(|(position, _)| *position).collect();
+            for position in late {
+                let Some(call) = tenant.queue.remove(&position) else {
+                    continue;
+                };
+                let (priority, _, order, arrival) = position;
+                tenant.queue.insert((priority, true, order, arrival), call);
+            }
+        }
+    }
+
+    /// Returns the queued calls in the order in which they start, without regard to shares.
+    pub(super) fn in_order(&self) -> Vec<&QueuedCall> {
+        let mut calls: Vec<_> = self.tenants.values().flat_map(|t| &t.queue).collect();
+        calls.sort_by_key(|(position, _)| **position);
+        calls.into_iter().map(|(_, call)| call).collect()
+    }
+
+    /// Removes and returns the calls with these identifiers.
+    pub(super) fn remove_all(&mut self, ids: &[CallId]) -> Vec<QueuedCall> {
+        self.remove_where(|call| ids.contains(&call.id))
+    }
+
     /// Removes and returns the calls whose time in the queue has expired.
     pub(super) fn expire(&mut self, now: Millis) -> Vec<QueuedCall> {
         self.remove_where(|call| call.expires <= now)
@@ -176,7 +221,7 @@
             tenant.queue.retain(|_, call| {
                 let keep = !matches(call);
                 if !keep {
-                    removed.push(*call);
+                    removed.push(call.clone());
                 }
                 keep
             });
--- a/crates/coordination/src/admission/tests.rs
+++ b/crates/coordination/src/admission/tests.rs
@@ -163,6 +163,7 @@
         priority: 1,
         due: Millis(now + 600),
         expected: Micros(190_000),
+        late_value: 0.3,
     };
     let now = Millis(now);
     let decision = admission.offer_urgent(now, CallId(2), &tenant("a"), FAR_DEADLINE, urgency);
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod rollout;
 pub mod routing;
 pub mod shares;
+pub mod shedding;
 pub mod split;
 pub mod startup;
 pub mod suspect;
--- a/crates/coordination/src/routing.rs
+++ b/crates/coordination/src/routing.rs
@@ -30,9 +30,11 @@
 use sycamoreflow_state::endpoint::Endpoint;
 use sycamoreflow_state::ids::{DaemonId, DataCentre, Micros, Millis, RouteName, VersionName};
 
+use crate::shedding::OverloadTimer;
 use estimate::Estimate;
 use load::KnownLoad;
 
+pub(crate) use load::DEFAULT_SERVICE_TIME;
 pub use load::{CallSizes, LatencyObjective, Load};
 
 /// Latency expected of a service before the first observation.
@@ -150,6 +152,7 @@
     groups: Vec<Group>,
     /// Latency in microseconds expected of an unobserved endpoint in the local data centre.
     prior: f64,
+    overload: OverloadTimer,
 }
 
 #[derive(Clone, Debug)]
@@ -196,6 +199,7 @@
             members: Vec::new(),
             groups: Vec::new(),
             prior: INITIAL_LATENCY.0 as f64,
+            overload: OverloadTimer::default(),
         }
     }
 
@@ -288,13 +292,20 @@
         best >= success(member) + OUTLIER_MARGIN
     }
 
-    /// Returns the delay after which a request that every endpoint refused is likely to be
-    /// accepted, with random jitter so that refused callers do not retry at the same time.
-    pub fn retry_after(&mut self, now: Millis) -> Millis {
+    /// Returns the delay after which a request that fails now is likely to be accepted, with random
+    /// jitter so that refused callers do not retry at the same time. `overloaded` is whether it
+    /// fails for lack of room.
+    pub fn retry_after(&mut self, now: Millis, overloaded: bool) -> Millis {
         let usable = self.members.iter().filter(|m| m.available && !m.draining);
         let waits = usable.map(|m| m.load.wait(now, m.slots));
         let shortest = waits.fold(f64::INFINITY, f64::min);
-        let millis = (shortest / 1_000.0).clamp(load::MIN_RETRY_AFTER_MS, load::MAX_RETRY_AFTER_MS);
+        let lasted = match overloaded {
+            true => self.overload.refused(now),
+            false => Millis(0),
+        };
+        let millis = (shortest / 1_000.0)
+            .max(lasted.0 as f64)
+            .clamp(load::MIN_RETRY_AFTER_MS, load::MAX_RETRY_AFTER_MS);
         Millis((millis * self.rng.random_range(0.8..1.6)) as u64)
     }
 
--- a/crates/coordination/src/routing/load.rs
+++ b/crates/coordination/src/routing/load.rs
@@ -5,21 +5,19 @@
 use sycamoreflow_state::ids::{Micros, Millis, RouteName};
 
 use crate::pace::PaceReport;
+use crate::shedding::AnswerValue;
 
 #[cfg(test)]
 mod tests;
 
 /// Service time in microseconds assumed for a route that no endpoint has reported.
-pub(super) const DEFAULT_SERVICE_TIME: f64 = 100_000.0;
+pub(crate) const DEFAULT_SERVICE_TIME: f64 = 100_000.0;
 /// Upper bound of the random noise added to each utility, so that daemons with the same reports do
 /// not all choose the same endpoint.
 pub(super) const TIE_BREAK: f64 = 0.01;
 /// Time constant of the exponential decay of a report's weight. An endpoint that was full a second
 /// ago may have free slots now.
 const REPORT_DECAY: Millis = Millis(1_000);
-/// Shape parameter of the log-logistic distribution of service times. Service times vary by a
-/// factor of about two around their median, which this shape describes.
-const LOG_LOGISTIC_SHAPE: f64 = 3.5;
 /// Bounds of the delay after which refused callers are asked to retry, in milliseconds.
 pub(super) const MIN_RETRY_AFTER_MS: f64 = 60.0;
 pub(super) const MAX_RETRY_AFTER_MS: f64 = 1_000.0;
@@ -105,9 +103,12 @@
 impl LatencyObjective {
     /// Returns the expected utility of an answer whose expected latency is `expected` microseconds.
     pub(super) fn utility(&self, expected: f64) -> f64 {
-        let ratio = expected / (self.target.0.max(1) as f64);
-        let in_time = 1.0 / (1.0 + ratio.powf(LOG_LOGISTIC_SHAPE));
-        in_time + (1.0 - in_time) * self.late_value / (1.0 + ratio / 4.0)
+        let value = AnswerValue {
+            target: self.target,
+            deadline: None,
+            late: self.late_value,
+        };
+        value.expected(expected)
     }
 }
 
--- /dev/null
+++ b/crates/coordination/tests/overload.rs
@@ -0,0 +1,546 @@
+//! Load patterns under which calls are delayed or refused: which callers pay for it, and whether
+//! service returns with the load. Real routers and admission decide; hosts, callers and time are
+//! reduced to what the patterns need.
+
+#![allow(clippy::unwrap_used)]
+
+use std::collections::BTreeMap;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+use sycamoreflow_coordination::admission::{
+    Admission, AdmissionConfig, CallId, Decision, Released, UpstreamResult, Urgency,
+};
+use sycamoreflow_coordination::pace::Pace;
+use sycamoreflow_coordination::routing::{LatencyObjective, Load, Router, RouterConfig};
+use sycamoreflow_state::endpoint::Endpoint;
+use sycamoreflow_state::ids::{DaemonId, Micros, Millis, RouteName};
+
+const HOSTS: usize = 12;
+const SLOTS: usize = 6;
+const ENTRIES: usize = 6;
+/// Further sends of a request by its daemon after refusals.
+const REFUSALS: usize = 4;
+/// Further sends of a request by its caller.
+const REPEATS: u32 = 2;
+const DEADLINE: u64 = 4_000;
+
+/// A route with times in milliseconds and its share of the load.
+#[derive(Clone, Copy)]
+struct Kind {
+    route: &'static str,
+    tenant: &'static str,
+    priority: u32,
+    service: u64,
+    target: u64,
+    share: f64,
+}
+
+const URGENT: Kind = Kind {
+    route: "book-bay",
+    tenant: "yards",
+    priority: 0,
+    service: 130,
+    target: 500,
+    share: 0.3,
+};
+const USUAL: Kind = Kind {
+    route: "query-slots",
+    tenant: "hauliers",
+    priority: 2,
+    service: 190,
+    target: 600,
+    share: 0.7,
+};
+
+struct Request {
+    kind: usize,
+    entry: usize,
+    arrived: u64,
+    sent: u64,
+    repeats: u32,
+    tried: Vec<DaemonId>,
+}
+
+struct Host {
+    admission: Admission,
+    /// End, identifier and whether the upstream refuses to run it, by running call.
+    running: Vec<(u64, CallId, bool)>,
+    appears: u64,
+}
+
+/// What a pattern sets, all as functions of the time in milliseconds.
+struct Pattern {
+    kinds: Vec<Kind>,
+    /// Load by kind, relative to the capacity of all hosts.
+    load: fn(u64, &Kind) -> f64,
+    /// Pace in percent by host.
+    pace: fn(u64, usize) -> u32,
+    reports_pace: bool,
+    /// Share of calls that the upstreams refuse to run.
+    sheds: f64,
+    /// When each host appears.
+    appears: fn(usize) -> u64,
+    /// Whether callers return at once instead of when they are told.
+    hasty: bool,
+    seconds: u64,
+}
+
+impl Default for Pattern {
+    fn default() -> Self {
+        Self {
+            kinds: vec![URGENT, USUAL],
+            load: |_, kind| 0.7 * kind.share,
+            pace: |_, _| 100,
+            reports_pace: true,
+            sheds: 0.0,
+            appears: |_| 0,
+            hasty: false,
+            seconds: 20,
+        }
+    }
+}
+
+/// Requests by kind and second of their arrival.
+#[derive(Clone, Copy, Debug, Default)]
+struct Count {
+    asked: f64,
+    in_time: f64,
+    served: f64,
+}
+
+struct Mesh {
+    pattern: Pattern,
+    rng: ChaCha8Rng,
+    hosts: Vec<Host>,
+    entries: Vec<Router>,
+    requests: Vec<Request>,
+    returning: BTreeMap<(u64, usize), ()>,
+    counts: BTreeMap<(usize, u64), Count>,
+    /// Milliseconds of work answered before the deadline, by second of the answer.
+    answered: BTreeMap<u64, f64>,
+}
+
+fn run(pattern: Pattern) -> Mesh {
+    let name = |index: usize| DaemonId::from(format!("h{index:02}"));
+    let endpoints: Vec<Endpoint> = (0..HOSTS)
+        .map(|index| Endpoint {
+            daemon: name(index),
+            service: "yard".into(),
+            version: "v1".into(),
+            data_centre: "a".into(),
+            address: "127.0.0.1:1".parse().unwrap(),
+            slots: SLOTS as u32,
+            draining: false,
+        })
+        .collect();
+    let hosts = (0..HOSTS).map(|index| Host {
+        admission: Admission::new(AdmissionConfig {
+            adaptive_limit: false,
+            ..AdmissionConfig::new(SLOTS as u32)
+        }),
+        running: Vec::new(),
+        appears: (pattern.appears)(index),
+    });
+    let entries = (0..ENTRIES).map(|index| {
+        Router::new(RouterConfig {
+            daemon: format!("e{index}").into(),
+            data_centre: "a".into(),
+            remote_latency: Micros(1_000),
+            seed: index as u64,
+        })
+    });
+    let mut mesh = Mesh {
+        rng: ChaCha8Rng::seed_from_u64(11),
+        hosts: hosts.collect(),
+        entries: entries.collect(),
+        requests: Vec::new(),
+        returning: BTreeMap::new(),
+        counts: BTreeMap::new(),
+        answered: BTreeMap::new(),
+        pattern,
+    };
+    for now in 1..(mesh.pattern.seconds + DEADLINE / 1_000) * 1_000 {
+        let known = endpoints.iter().zip(&mesh.hosts);
+        let known: Vec<_> = known
+            .filter(|(_, h)| h.appears <= now)
+            .map(|(e, _)| e.clone())
+            .collect();
+        if mesh.hosts.iter().any(|h| h.appears == now) || now == 1 {
+            for router in &mut mesh.entries {
+                router.set_endpoints(Millis(now), &known);
+            }
+        }
+        mesh.step(now);
+    }
+    mesh
+}
+
+impl Mesh {
+    fn step(&mut self, now: u64) {
+        for host in 0..HOSTS {
+            let ended = self.hosts[host]
+                .running
+                .extract_if(.., |(end, ..)| *end <= now);
+            for (_, id, shed) in ended.collect::<Vec<_>>() {
+                self.end(now, host, id, shed);
+            }
+            if now.is_multiple_of(25) {
+                let released = self.hosts[host].admission.tick(Millis(now));
+                self.release(now, host, released);
+            }
+        }
+        while let Some((&(at, number), ())) = self.returning.first_key_value()
+            && at <= now
+        {
+            self.returning.pop_first();
+            self.send(now, number);
+        }
+        for kind in 0..self.pattern.kinds.len() {
+            let spec = self.pattern.kinds[kind];
+            let load = (self.pattern.load)(now, &spec);
+            let rate = load * (HOSTS * SLOTS) as f64 / spec.service as f64;
+            if now > self.pattern.seconds * 1_000 || !self.rng.random_bool(rate.min(1.0)) {
+                continue;
+            }
+            self.counts.entry((kind, now / 1_000)).or_default().asked += 1.0;
+            self.requests.push(Request {
+                kind,
+                entry: self.rng.random_range(0..ENTRIES),
+                arrived: now,
+                sent: now,
+                repeats: 0,
+                tried: Vec::new(),
+            });
+            self.send(now, self.requests.len() - 1);
+        }
+    }
+
+    /// Offers a request to one endpoint after the other until it starts or waits.
+    fn send(&mut self, now: u64, number: usize) {
+        if self.requests[number].tried.is_empty() {
+            self.requests[number].sent = now;
+        }
+        let request = &self.requests[number];
+        let kind = self.pattern.kinds[request.kind];
+        let due = request.sent + kind.target;
+        let deadline = request.arrived + DEADLINE;
+        let objective = LatencyObjective {
+            route: kind.route.into(),
+            target: Micros::from(Millis(due.saturating_sub(now))),
+            late_value: 0.3,
+            remote_cost: 0.0,
+        };
+        let router = &mut self.entries[request.entry];
+        let tried = &request.tried;
+        let chosen = router.choose_for(Millis(now), &"v1".into(), tried, &objective);
+        let Some(chosen) = chosen.filter(|_| tried.len() <= REFUSALS && now < deadline) else {
+            return self.refuse(now, number);
+        };
+        let host: usize = chosen.as_str()[1..].parse().unwrap();
+        self.requests[number].tried.push(chosen);
+        let urgency = Urgency {
+            route: &kind.route.into(),
+            priority: kind.priority,
+            due: Millis(due),
+            expected: Micros(kind.service * 1_000),
+            late_value: 0.3,
+        };
+        let id = CallId(number as u64);
+        let admission = &mut self.hosts[host].admission;
+        let decision = admission.offer_urgent(
+            Millis(now),
+            id,
+            &kind.tenant.into(),
+            Millis(deadline),
+            urgency,
+        );
+        let displaced = admission.take_displaced();
+        match decision {
+            Decision::Start => self.start(now, host, id),
+            Decision::Queued => {}
+            Decision::Refused(_) => self.refused(now, host, number),
+        }
+        self.release(now, host, displaced);
+    }
+
+    fn refused(&mut self, now: u64, host: usize, number: usize) {
+        self.observe(now, host, number);
+        self.send(now, number);
+    }
+
+    /// Tells the caller that its request has not run. It returns if it has time.
+    fn refuse(&mut self, now: u64, number: usize) {
+        let request = &mut self.requests[number];
+        let wait = self.entries[request.entry].retry_after(Millis(now), true).0;
+        let left = (request.arrived + DEADLINE).saturating_sub(now);
+        let wait = if self.pattern.hasty {
+            5
+        } else {
+            wait.min(left / 3)
+        };
+        request.tried.clear();
+        request.repeats += 1;
+        if request.repeats <= REPEATS && left > 0 {
+            self.returning.insert((now + wait.max(1), number), ());
+        }
+    }
+
+    fn start(&mut self, now: u64, host: usize, id: CallId) {
+        let request = &self.requests[id.0 as usize];
+        let usual = self.pattern.kinds[request.kind].service as f64;
+        let variation = self.rng.random_range(0.6..1.4);
+        let pace = f64::from((self.pattern.pace)(now, host)) / 100.0;
+        let duration = (usual * variation * pace) as u64;
+        let shed = self.rng.random_bool(self.pattern.sheds);
+        let end = if shed { now + 1 } else { now + duration };
+        self.hosts[host].running.push((end, id, shed));
+    }
+
+    fn end(&mut self, now: u64, host: usize, id: CallId, shed: bool) {
+        let number = id.0 as usize;
+        let pace = Pace::from_percent((self.pattern.pace)(now, host));
+        let admission = &mut self.hosts[host].admission;
+        if self.pattern.reports_pace {
+            admission.observe_pace(Millis(now), pace);
+        }
+        let result = match shed {
+            true => UpstreamResult::Shed,
+            false => UpstreamResult::Answered(Micros::from(Millis(100))),
+        };
+        let released = admission.finish(Millis(now), id, result);
+        self.release(now, host, released);
+        if shed {
+            return self.refused(now, host, number);
+        }
+        self.observe(now, host, number);
+        let request = &self.requests[number];
+        let kind = self.pattern.kinds[request.kind];
+        if now <= request.arrived + DEADLINE {
+            *self.answered.entry(now / 1_000).or_default() += kind.service as f64;
+        }
+        let target = kind.target;
+        let count = self
+            .counts
+            .entry((request.kind, request.arrived / 1_000))
+            .or_default();
+        count.served += f64::from(u8::from(now <= request.arrived + DEADLINE));
+        count.in_time += f64::from(u8::from(now <= request.arrived + target));
+    }
+
+    fn release(&mut self, now: u64, host: usize, released: Vec<Released>) {
+        for release in released {
+            match release {
+                Released::Start(id) => self.start(now, host, id),
+                Released::Refused(id, _) => self.refused(now, host, id.0 as usize),
+            }
+        }
+    }
+
+    /// Tells the entry daemon of a request the load of a host.
+    fn observe(&mut self, now: u64, host: usize, number: usize) {
+        let request = &self.requests[number];
+        let kind = self.pattern.kinds[request.kind];
+        let admission = &self.hosts[host].admission;
+        let load = Load {
+            running: admission.running() as u32,
+            queued: admission.queued() as u32,
+            limit: admission.limit() as u32,
+            mean: admission.recent_latency(),
+            route: Micros(kind.service * 1_000),
+            waited: Micros(0),
+            pace: admission.pace().latest(Millis(now)),
+        };
+        let id = request.tried.last().unwrap();
+        let route = RouteName::from(kind.route);
+        self.entries[request.entry].observe_load(Millis(now), id, load, &route);
+    }
+
+    /// Returns the counts of a kind over some seconds.
+    fn sum(&self, kind: usize, seconds: std::ops::Range<u64>) -> Count {
+        let mut sum = Count::default();
+        for second in seconds {
+            let count = self
+                .counts
+                .get(&(kind, second))
+                .copied()
+                .unwrap_or_default();
+            sum.asked += count.asked;
+            sum.in_time += count.in_time;
+            sum.served += count.served;
+        }
+        sum
+    }
+
+    /// Returns the ratio of the served requests of each kind.
+    fn served(&self, seconds: std::ops::Range<u64>) -> Vec<f64> {
+        let kinds = 0..self.pattern.kinds.len();
+        let counts = kinds.map(|kind| self.sum(kind, seconds.clone()));
+        counts
+            .map(|count| count.served / count.asked.max(1.0))
+            .collect()
+    }
+
+    /// Returns the ratio of all requests that are answered within their targets, by second.
+    fn in_time(&self, second: u64) -> f64 {
+        let kinds = 0..self.pattern.kinds.len();
+        let counts: Vec<_> = kinds
+            .map(|kind| self.sum(kind, second..second + 1))
+            .collect();
+        let asked: f64 = counts.iter().map(|count| count.asked).sum();
+        counts.iter().map(|count| count.in_time).sum::<f64>() / asked.max(1.0)
+    }
+}
+
+/// Guards against urgent requests that are served less often than a burst of less urgent ones, and
+/// against a less urgent kind that gets no service beside a burst of urgent ones.
+#[test]
+fn load_burst_of_one_kind() {
+    for (burst, other) in [(0, 1), (1, 0)] {
+        let load = match burst {
+            0 => |now: u64, kind: &Kind| match (now / 1_000, kind.priority) {
+                (4..8, 0) => 1.6,
+                _ => 0.7 * kind.share,
+            },
+            _ => |now: u64, kind: &Kind| match (now / 1_000, kind.priority) {
+                (4..8, 2) => 1.6,
+                _ => 0.7 * kind.share,
+            },
+        };
+        let mesh = run(Pattern {
+            load,
+            ..Pattern::default()
+        });
+        let served = mesh.served(4..8);
+        assert!(
+            served[0] >= served[1] - 0.05,
+            "burst of {burst}: {served:?}"
+        );
+        assert!(
+            served[other] >= 0.25 * served[burst],
+            "burst of {burst}: {served:?}"
+        );
+        let later = mesh.in_time(8 + DEADLINE / 1_000);
+        assert!(later > 0.9, "burst of {burst}: {later}");
+    }
+}
+
+/// Guards against one account whose load leaves others without service, at equal priority.
+#[test]
+fn load_hot_account() {
+    let quiet = Kind {
+        tenant: "yards",
+        priority: 1,
+        ..URGENT
+    };
+    let hot = Kind {
+        tenant: "hauliers",
+        priority: 1,
+        ..USUAL
+    };
+    let mesh = run(Pattern {
+        kinds: vec![quiet, hot],
+        load: |now, kind| match (now / 1_000, kind.tenant) {
+            (4..10, "hauliers") => 2.0,
+            _ => 0.7 * kind.share,
+        },
+        ..Pattern::default()
+    });
+    let served = mesh.served(4..10);
+    assert!(served[0] >= 0.9, "{served:?}");
+    assert!(served[1] >= 0.25 * served[0], "{served:?}");
+}
+
+/// Guards against requests that go to hosts that are slow at the moment: a sixth of the time each
+/// host is 2.5 times slower, in periods of 600 ms.
+#[test]
+fn load_slow_sixth() {
+    let mesh = run(Pattern {
+        pace: |now, host| {
+            let period = now / 600 + host as u64 * 7;
+            if period.is_multiple_of(6) { 250 } else { 100 }
+        },
+        ..Pattern::default()
+    });
+    let served = mesh.served(2..16);
+    assert!(served.iter().all(|ratio| *ratio > 0.99), "{served:?}");
+    for second in 2..16 {
+        assert!(
+            mesh.in_time(second) > 0.9,
+            "{second}: {}",
+            mesh.in_time(second)
+        );
+    }
+}
+
+/// Guards against a service that sheds a part of its calls and is therefore left without calls.
+#[test]
+fn load_shedding_service() {
+    let mesh = run(Pattern {
+        sheds: 0.3,
+        ..Pattern::default()
+    });
+    let served = mesh.served(2..16);
+    assert!(served.iter().all(|ratio| *ratio > 0.9), "{served:?}");
+}
+
+/// A load of 2.5 times the capacity for 5 s, then 0.9 times the capacity.
+fn overload(hasty: bool) -> Mesh {
+    run(Pattern {
+        load: |now, kind| match now / 1_000 {
+            3..8 => 2.5 * kind.share,
+            8.. => 0.9 * kind.share,
+            _ => 0.7 * kind.share,
+        },
+        hasty,
+        ..Pattern::default()
+    })
+}
+
+/// Guards against a collapse that outlasts its cause, with callers that return when they are told
+/// and with callers that return at once. Callers who are refused while others return may return
+/// themselves, each until its deadline.
+#[rstest]
+#[case::told(false)]
+#[case::hasty(true)]
+fn load_after_overload(#[case] hasty: bool) {
+    let mesh = overload(hasty);
+    let during = mesh.served(3..8);
+    assert!(during.iter().all(|ratio| *ratio >= 0.1), "{during:?}");
+    let capacity = (HOSTS * SLOTS) as f64 * 1_000.0;
+    let used = (4..9).map(|second| mesh.answered[&second] / capacity);
+    let used: Vec<f64> = used.collect();
+    assert!(used.iter().all(|ratio| *ratio > 0.8), "{used:?}");
+    let later: Vec<f64> = (8 + 2 * DEADLINE / 1_000..20)
+        .map(|second| mesh.in_time(second))
+        .collect();
+    assert!(later.iter().all(|ratio| *ratio > 0.9), "{later:?}");
+}
+
+/// Guards against callers who are late longer than a second after an overload, because slots go to
+/// others who return and can only be late.
+#[test]
+fn load_second_after_overload() {
+    let in_time = overload(false).in_time(9);
+    assert!(in_time > 0.8, "{in_time}");
+}
+
+/// Guards against a collapse after a power loss: no upstream is known at first, they appear over
+/// two seconds and are twice as slow for three more, and refused callers return.
+#[test]
+fn load_after_power_loss() {
+    let mesh = run(Pattern {
+        appears: |host| 1_000 + host as u64 * 2_000 / HOSTS as u64,
+        pace: |now, _| if now < 5_000 { 200 } else { 100 },
+        reports_pace: false,
+        ..Pattern::default()
+    });
+    let goodput: Vec<f64> = (0..12).map(|second| mesh.in_time(second)).collect();
+    // All hosts are there in second 3 and have half of their capacity until second 5.
+    assert!(
+        goodput[3..6].iter().all(|ratio| *ratio > 0.25),
+        "{goodput:?}"
+    );
+    assert!(goodput[7..].iter().all(|ratio| *ratio > 0.8), "{goodput:?}");
+}
--- a/crates/daemon/src/proxy/attempts.rs
+++ b/crates/daemon/src/proxy/attempts.rs
@@ -23,7 +23,7 @@
 
 /// Utility of an answer after the target latency of its route, relative to one in time. It is not
 /// configurable; a late answer is worth about this much to most callers.
-const LATE_ANSWER_VALUE: f64 = 0.3;
+pub(super) const LATE_ANSWER_VALUE: f64 = 0.3;
 
 /// Estimated bytes of a call and its answer in addition to their bodies: heads and link framing.
 const ENVELOPE_BYTES: usize = 600;
@@ -85,7 +85,7 @@
             }
             let objective = admitted.latency_objective(clock::now(), &self.call_sizes.lock());
             let Some(target) = service.pick(&mut attempts, sends == 0, objective.as_ref()) else {
-                trace.retry_after = Some(service.retry_after());
+                trace.retry_after = Some(service.retry_after(last_reason));
                 return error_answer.ok_or(attempts.failure(last_reason));
             };
             trace.attempts += 1;
@@ -136,7 +136,7 @@
             match service.failed(&mut attempts, failure) {
                 RetryDecision::Retry => admitted.log_retry(&target, failure, sends),
                 RetryDecision::Fail(failure) => {
-                    trace.retry_after = Some(service.retry_after());
+                    trace.retry_after = Some(service.retry_after(failure.reason));
                     return error_answer.ok_or(failure);
                 }
             }
--- a/crates/daemon/src/proxy/owner/upstream.rs
+++ b/crates/daemon/src/proxy/owner/upstream.rs
@@ -21,6 +21,7 @@
 
 use super::{InstanceReport, Result};
 use crate::clock;
+use crate::proxy::attempts::LATE_ANSWER_VALUE;
 use crate::proxy::crashes::CrashTracker;
 use crate::proxy::dialect::{Dialect, InvalidPace};
 use crate::proxy::headers;
@@ -95,8 +96,13 @@
             priority: call.urgency.priority,
             due: now.after(Millis(u64::from(target))).min(deadline),
             expected: self.route_times.lock().get(&call.route),
+            late_value: LATE_ANSWER_VALUE,
         };
-        admission.offer_urgent(now, id, &call.tenant, deadline, urgency)
+        let decision = admission.offer_urgent(now, id, &call.tenant, deadline, urgency);
+        let displaced = admission.take_displaced();
+        drop(admission);
+        self.release(displaced);
+        decision
     }
 
     /// Records the pace that an answer of the upstream reports. One that cannot be read is counted
@@ -205,7 +211,13 @@
         for release in released {
             let (id, result) = match release {
                 Released::Start(id) => (id, Ok(())),
-                Released::Refused(id, failure) => (id, Err(failure)),
+                Released::Refused(id, failure) => {
+                    let reason = headers::reason_text(failure.reason);
+                    metrics::counter!("sycamoreflow_waiting_calls_refused_total",
+                        "reason" => reason)
+                    .increment(1);
+                    (id, Err(failure))
+                }
             };
             let Some(tx) = waiting.remove(&id) else {
                 continue;
--- a/crates/daemon/src/proxy/service.rs
+++ b/crates/daemon/src/proxy/service.rs
@@ -301,9 +301,12 @@
         attempts.failed(now, failure, &mut state.budget) == RetryDecision::Retry
     }
 
-    /// Returns the delay after which a retry by a refused caller is likely to be accepted.
-    pub fn retry_after(&self) -> Millis {
-        self.state.lock().router.retry_after(clock::now())
+    /// Returns the delay after which a retry by a caller that gets a failure with this reason is
+    /// likely to be accepted.
+    pub fn retry_after(&self, reason: Reason) -> Millis {
+        let overloaded = matches!(reason, Reason::Overloaded | Reason::Shed);
+        let mut state = self.state.lock();
+        state.router.retry_after(clock::now(), overloaded)
     }
 
     /// Returns whether the service has a running rollout.
