--- a/crates/coordination/src/routing/load/tests.rs
+++ b/crates/coordination/src/routing/load/tests.rs
@@ -177,6 +177,6 @@
     assert!(!router.is_outlier(Millis(1_001), &"near".into()));
     observe(&mut router, closed(900), closed(600));
     assert_eq!(choose(&mut router, 1_010), None);
-    assert!(router.retry_after(Millis(1_010)) >= Millis(400));
+    assert!(router.retry_after(Millis(1_010), false) >= Millis(400));
     assert_eq!(choose(&mut router, 1_700).as_deref(), Some("far"));
 }
--- a/crates/coordination/tests/overload.rs
+++ b/crates/coordination/tests/overload.rs
@@ -351,6 +351,7 @@
             route: Micros(kind.service * 1_000),
             waited: Micros(0),
             pace: admission.pace().latest(Millis(now)),
+            closed_for: Millis(0),
         };
         let id = request.tried.last().unwrap();
         let route = RouteName::from(kind.route);
