Bound the memory and the connections of all clients of a process

Cause: bodies, requests sent ahead and unread responses were limited for each connection only, and new connections waited behind stalled ones. Crowds of 32 to 608 clients grew a daemon with limits.connections = 128 far beyond the bound of 34,816 KiB that follows from its settings.

Change: one account per process (transport::buffers) with limits.client-buffer-bytes, by default a quarter of the memory of the host. Beyond it clients are refused or closed in a fixed order.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -1,6 +1,7 @@
 //! Startup, shutdown and periodic tasks of a daemon.
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -9,19 +10,23 @@
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task::{self, JoinHandle};
 use eyre::WrapErr;
+use futures::future::{Either, select};
 use metrics_exporter_prometheus::PrometheusHandle;
 use parking_lot::Mutex;
 use sycamoreflow_coordination::dedup::HolderConfig;
 use sycamoreflow_coordination::floor::Witness;
+use sycamoreflow_protocol::call::CallResult;
 use sycamoreflow_protocol::floor::FloorRequest;
 use sycamoreflow_protocol::handshake::{Identity, MeshKey, Purpose};
 use sycamoreflow_protocol::keys::HolderRequest;
 use sycamoreflow_state::ids::Millis;
+use sycamoreflow_state::verdict::{Failure, Reason};
 use sycamoreflow_state::view::Interest;
+use sycamoreflow_transport::buffers::{Buffers, Holder};
 use sycamoreflow_transport::call_link;
 use sycamoreflow_transport::http::operator::{BearerToken, OperatorHandle};
 use sycamoreflow_transport::http::{client, operator, server};
-use sycamoreflow_transport::link::{self, Receiver, Sender};
+use sycamoreflow_transport::link::{self, LinkError, Receiver, Sender};
 use sycamoreflow_transport::listen::listen;
 
 use crate::announce_api::{self, AnnounceState};
@@ -31,6 +36,7 @@
 use crate::control::operator_api::{self, OperatorState};
 use crate::control::replica::Event;
 use crate::floor::{self, FloorClient};
+use crate::memory;
 use crate::proxy::crashes::CrashTracker;
 use crate::proxy::dialect::Dialect;
 use crate::proxy::keys::Keys;
@@ -56,6 +62,13 @@
 /// limit them further.
 const MAX_CALLS_PER_LINK: usize = 1_024;
 
+/// Size in bytes from which the body of a call from another daemon counts towards the memory of
+/// clients. The number of smaller ones is limited already.
+const SMALL_CALL_BYTES: usize = 4 * 1024;
+
+/// Largest announcement in bytes, with its head of at most 16 KiB. Names have at most 256 bytes.
+const MAX_ANNOUNCEMENT_BYTES: usize = 64 * 1024;
+
 /// Minimum time from the start of a graceful stop for which the daemon keeps serving calls from
 /// other daemons, so that its drain mark reaches them before its link listener closes.
 const MIN_LINK_SERVING_TIME: Duration = Duration::from_millis(1_000);
@@ -87,6 +100,7 @@
     interfaces: Vec<OperatorHandle>,
     traffic: Arc<Traffic>,
     addresses: Addresses,
+    buffers: Buffers,
     endpoints_changed: channel::Sender<()>,
     tasks: Vec<JoinHandle<()>>,
     drain_timeout: Duration,
@@ -100,6 +114,7 @@
     proxy: Arc<Proxy>,
     witness: Mutex<Witness>,
     control: Option<Arc<Mutex<Control>>>,
+    buffers: Buffers,
 }
 
 /// The listening sockets of a daemon. All are bound before any component starts.
@@ -139,6 +154,7 @@
         let addresses = listeners.addresses()?;
         let incarnation = new_incarnation()?;
         let traffic = Arc::new(Traffic::control());
+        let buffers = Buffers::new(memory::for_clients(&settings.limits));
         let (changed_tx, changed_rx) = channel::bounded(1);
         let (urgent_tx, urgent_rx) = channel::bounded(1);
         let context = ProxyContext {
@@ -154,7 +170,7 @@
         let mut tasks = Vec::new();
 
         let calls = match listeners.calls {
-            Some(listener) => Some(serve_callers(listener, settings, &proxy)?),
+            Some(listener) => Some(serve_callers(listener, settings, &proxy, &buffers)?),
             None => None,
         };
 
@@ -164,6 +180,7 @@
             proxy: proxy.clone(),
             witness: Mutex::default(),
             control: control.clone(),
+            buffers: buffers.clone(),
         });
         tasks.push(task::spawn(accept_links(listeners.link, context)));
 
@@ -173,10 +190,19 @@
             metrics,
         };
         let app = announce_api::app(state);
-        let http_limits = operator::Limits::default();
+        let announce_limits = operator::Limits {
+            max_request_bytes: MAX_ANNOUNCEMENT_BYTES,
+            ..operator::Limits::default()
+        };
         let mut interfaces = Vec::new();
         if let Some(listener) = listeners.announce {
-            interfaces.push(operator::serve(listener, app, None, http_limits.clone())?);
+            interfaces.push(operator::serve(
+                listener,
+                app,
+                None,
+                announce_limits,
+                buffers.clone(),
+            )?);
         }
         if let (Some(listener), Some(control)) = (listeners.operator, &control) {
             let app = operator_api::app(OperatorState {
@@ -185,7 +211,13 @@
                 daemon: settings.daemon.clone(),
             });
             let token = BearerToken::new(settings.operator_token()?.expose())?;
-            interfaces.push(operator::serve(listener, app, Some(token), http_limits)?);
+            interfaces.push(operator::serve(
+                listener,
+                app,
+                Some(token),
+                operator::Limits::default(),
+                buffers.clone(),
+            )?);
         }
 
         let witnesses = &settings.floor.witnesses;
@@ -216,6 +248,7 @@
         tasks.push(task::spawn(expire_announcements(
             proxy.clone(),
             changed_tx.clone(),
+            buffers.clone(),
         )));
         Ok(Self {
             proxy,
@@ -225,6 +258,7 @@
             interfaces,
             traffic,
             addresses,
+            buffers,
             endpoints_changed: changed_tx,
             tasks,
             drain_timeout: Duration::from_millis(settings.limits.drain_timeout_ms),
@@ -237,6 +271,11 @@
         self.addresses
     }
 
+    /// Returns the account of the memory that clients hold, which all servers of the process share.
+    pub fn buffers(&self) -> &Buffers {
+        &self.buffers
+    }
+
     /// Returns the counters of the control traffic.
     pub fn control_traffic(&self) -> &Traffic {
         &self.traffic
@@ -468,6 +507,7 @@
     listener: TcpListener,
     settings: &Settings,
     proxy: &Arc<Proxy>,
+    buffers: &Buffers,
 ) -> eyre::Result<server::ServerHandle> {
     let limits = server::Limits {
         max_connections: settings.limits.connections,
@@ -477,7 +517,7 @@
         ..server::Limits::default()
     };
     let proxy = proxy.clone();
-    let server = server::serve(listener, limits, move |req| {
+    let server = server::serve_with(listener, limits, buffers.clone(), move |req| {
         let proxy = proxy.clone();
         async move { proxy.serve(req).await }
     })?;
@@ -528,11 +568,15 @@
 
 async fn accept_links(listener: TcpListener, context: Arc<LinkContext>) {
     let handshakes = Arc::new(Semaphore::new(MAX_PENDING_HANDSHAKES));
+    let group = context.buffers.new_group();
     loop {
-        // At the limit, further peers that have not proved the mesh key wait in the accept queue.
-        let permit = handshakes.acquire_arc().await;
         match listener.accept().await {
-            Ok((stream, _)) => drop(task::spawn(serve_link(stream, context.clone(), permit))),
+            Ok((stream, _)) => {
+                // At the limit, the peer that has taken longest to prove the mesh key gives way.
+                let permit = context.buffers.place(group, &handshakes).await;
+                let holder = context.buffers.open(group);
+                task::spawn(serve_link(stream, context.clone(), permit, holder));
+            }
             Err(error) => {
                 metrics::counter!("sycamoreflow_accept_failures_total").increment(1);
                 tracing::warn!(%error, "failed to accept a link");
@@ -544,9 +588,18 @@
     }
 }
 
-async fn serve_link(stream: TcpStream, context: Arc<LinkContext>, permit: SemaphoreGuardArc) {
-    let opened = link::accept(stream, &context.identity, &context.limits).await;
-    drop(permit);
+async fn serve_link(
+    stream: TcpStream,
+    context: Arc<LinkContext>,
+    permit: SemaphoreGuardArc,
+    holder: Holder,
+) {
+    let opening = pin!(link::accept(stream, &context.identity, &context.limits));
+    let opened = match select(opening, pin!(holder.leaving())).await {
+        Either::Left((opened, _)) => opened,
+        Either::Right(_) => Err(LinkError::Closed),
+    };
+    drop((permit, holder));
     let (peer, purpose, tx, rx) = match opened {
         Ok(opened) => opened,
         Err(error) => {
@@ -556,7 +609,7 @@
         }
     };
     match purpose {
-        Purpose::Calls => serve_calls(&context.proxy, tx, rx).await,
+        Purpose::Calls => serve_calls(&context, tx, rx).await,
         Purpose::Floor => {
             let handler = |request: FloorRequest| {
                 let view = context.proxy.view();
@@ -581,17 +634,37 @@
     }
 }
 
-async fn serve_calls(proxy: &Arc<Proxy>, tx: Sender, rx: Receiver) {
+async fn serve_calls(context: &LinkContext, tx: Sender, rx: Receiver) {
     call_link::serve_with_load(tx, rx, MAX_CALLS_PER_LINK, |call, _| {
-        let proxy = proxy.clone();
-        async move { proxy.run_forwarded_call(call).await }
+        let proxy = context.proxy.clone();
+        let buffers = context.buffers.clone();
+        async move {
+            let reserved = match call.body.len() {
+                0..SMALL_CALL_BYTES => None,
+                length => match buffers.reserve(length as u64) {
+                    Some(reserved) => Some(reserved),
+                    None => {
+                        let failure = Failure::not_run(Reason::Overloaded);
+                        return (CallResult::Refused(failure), None);
+                    }
+                },
+            };
+            let outcome = proxy.run_forwarded_call(call).await;
+            drop(reserved);
+            outcome
+        }
     })
     .await;
 }
 
-async fn expire_announcements(proxy: Arc<Proxy>, endpoints_changed: channel::Sender<()>) {
+async fn expire_announcements(
+    proxy: Arc<Proxy>,
+    endpoints_changed: channel::Sender<()>,
+    buffers: Buffers,
+) {
     loop {
         task::sleep(HOUSEKEEPING_INTERVAL).await;
+        buffers.record_held();
         if proxy.owner().expire() {
             let _ = endpoints_changed.try_send(());
         }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod control;
 mod daemon;
 pub mod floor;
+mod memory;
 pub mod program;
 pub mod proxy;
 pub mod replicas;
--- a/crates/daemon/src/proxy/headers.rs
+++ b/crates/daemon/src/proxy/headers.rs
@@ -133,7 +133,7 @@
     Answer {
         status: response.status().as_u16(),
         headers: to_call_headers(response.headers()),
-        body: response.into_body().to_vec(),
+        body: response.into_body().into(),
     }
 }
 
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -12,6 +12,8 @@
 use serde::{Deserialize, Serialize};
 use sycamoreflow_state::ids::{DaemonId, DataCentre, ServiceName};
 
+use crate::memory;
+
 #[cfg(test)]
 pub(crate) mod tests;
 
@@ -135,6 +137,10 @@
     /// Maximum size in bytes of all response bodies that are being read from upstreams at once,
     /// beyond the first 32 KiB of each.
     pub response_buffer_bytes: usize,
+    /// Maximum memory in bytes that all clients may make the daemon hold: requests, responses that
+    /// they have not read, and the buffers of their connections. With 0, a quarter of the host's
+    /// memory.
+    pub client_buffer_bytes: usize,
     /// Maximum number of open connections from callers.
     pub connections: usize,
     /// Maximum time that a request waits for a slot of the upstream, in milliseconds.
@@ -193,6 +199,7 @@
         Self {
             body_bytes: 1 << 20,
             response_buffer_bytes: 24 << 20,
+            client_buffer_bytes: 0,
             connections: 1_024,
             queue_ms: 100,
             queue_per_slot: 4,
@@ -461,6 +468,7 @@
                 ));
             }
         }
+        problems.extend(memory::client_problem(limits));
         if limits.drain_timeout_ms == 0 {
             problems.push("limits.drain-timeout-ms: must be at least 1".into());
         }
--- a/crates/daemon/tests/docs_settings.rs
+++ b/crates/daemon/tests/docs_settings.rs
@@ -57,6 +57,7 @@
         limits: Limits {
             body_bytes: 1,
             response_buffer_bytes: 16 << 20,
+            client_buffer_bytes: 64 << 20,
             connections: 1,
             queue_ms: 1,
             queue_per_slot: 1,
--- a/crates/testbed/src/process.rs
+++ b/crates/testbed/src/process.rs
@@ -40,8 +40,23 @@
     ///
     /// If a settings file can't be written or a process can't be started.
     pub fn start(program: &str, name: &str, hosts: &[Host]) -> eyre::Result<Self> {
+        Self::start_with(program, name, hosts, |_| ())
+    }
+
+    /// Starts a mesh as [`ProcessMesh::start`] does, with settings changed by `adjust`.
+    ///
+    /// # Errors
+    ///
+    /// As for [`ProcessMesh::start`].
+    pub fn start_with(
+        program: &str,
+        name: &str,
+        hosts: &[Host],
+        adjust: impl Fn(&mut Settings),
+    ) -> eyre::Result<Self> {
         let folder = tempfile::tempdir()?;
-        let settings = settings(name, hosts, REPLICAS, folder.path())?;
+        let mut settings = settings(name, hosts, REPLICAS, folder.path())?;
+        settings.iter_mut().for_each(adjust);
         let mut mesh = Self {
             program: program.into(),
             processes: settings.iter().map(|_| None).collect(),
@@ -248,12 +263,38 @@
     ///
     /// If it isn't running, or the system does not tell.
     pub fn peak_memory(&self, index: usize) -> eyre::Result<u64> {
+        self.memory(index, "VmHWM:")
+    }
+
+    /// Returns the resident memory of the daemon on host `index` in KiB.
+    ///
+    /// # Errors
+    ///
+    /// If it isn't running, or the system does not tell.
+    pub fn resident_memory(&self, index: usize) -> eyre::Result<u64> {
+        self.memory(index, "VmRSS:")
+    }
+
+    /// Returns the number of descriptors that the daemon on host `index` has open.
+    ///
+    /// # Errors
+    ///
+    /// If it isn't running, or the system does not tell.
+    pub fn open_descriptors(&self, index: usize) -> eyre::Result<usize> {
+        let folder = format!("/proc/{}/fd", self.process(index)?.id());
+        Ok(fs::read_dir(folder)?.count())
+    }
+
+    fn memory(&self, index: usize, field: &str) -> eyre::Result<u64> {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.process(index)?.id()))?;
+        let value = status.lines().find_map(|line| line.strip_prefix(field));
+        let value = value.and_then(|text| text.trim().strip_suffix("kB")?.trim().parse().ok());
+        value.ok_or_else(|| eyre::eyre!("/proc has no field {field}"))
+    }
+
+    fn process(&self, index: usize) -> eyre::Result<&Child> {
         let child = self.processes[index].as_ref();
-        let child = child.ok_or_else(|| eyre::eyre!("daemon {index} is not running"))?;
-        let status = fs::read_to_string(format!("/proc/{}/status", child.id()))?;
-        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-        let peak = peak.and_then(|text| text.trim().strip_suffix("kB")?.trim().parse().ok());
-        peak.ok_or_else(|| eyre::eyre!("/proc names no peak memory"))
+        child.ok_or_else(|| eyre::eyre!("daemon {index} is not running"))
     }
 
     fn file(&self, index: usize, extension: &str) -> PathBuf {
@@ -262,9 +303,7 @@
     }
 
     fn signal(&self, index: usize, signal: Signal) -> eyre::Result<()> {
-        let child = self.processes[index].as_ref();
-        let child = child.ok_or_else(|| eyre::eyre!("daemon {index} is not running"))?;
-        kill_process(Pid::from_child(child), signal)?;
+        kill_process(Pid::from_child(self.process(index)?), signal)?;
         Ok(())
     }
 }
--- a/crates/transport/src/http/framing.rs
+++ b/crates/transport/src/http/framing.rs
@@ -8,13 +8,22 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::header::{CONNECTION, EXPECT, HeaderName, HeaderValue};
 use http::request::Parts;
 use http::{Method, Request, Uri, Version};
 
+use self::body::BodyBuffer;
 use self::chunked::ChunkedDecoder;
 
+/// Memory that a parsed head takes, as a multiple of its bytes, and for each header beyond that.
+const HEAD_FACTOR: usize = 2;
+const HEADER_BYTES: usize = 96;
+
+/// Largest buffer for heads that is kept between requests, in bytes. Ordinary heads fit into it.
+const KEPT_HEAD_BYTES: usize = 4 * 1024;
+
+mod body;
 mod chunked;
 #[cfg(test)]
 mod tests;
@@ -38,6 +47,8 @@
     BodyTooLarge,
     /// The head exceeds its limit on bytes or on the number of headers.
     HeadTooLarge,
+    /// There is no memory left for the request, which is not complete.
+    NoMemory,
 }
 
 impl Violation {
@@ -48,6 +59,7 @@
             Self::TimedOut => (408, "Request Timeout"),
             Self::BodyTooLarge => (413, "Content Too Large"),
             Self::HeadTooLarge => (431, "Request Header Fields Too Large"),
+            Self::NoMemory => (503, "Service Unavailable"),
         }
     }
 }
@@ -78,6 +90,8 @@
     /// Whether the HTTP version or the headers of the request require closing the connection after
     /// the response.
     pub(super) close_after: bool,
+    /// Memory that the request takes, in bytes.
+    pub(super) held_bytes: usize,
 }
 
 /// Incremental parser that splits a byte stream into requests.
@@ -91,8 +105,12 @@
     line_start: usize,
     /// Parsed head of the request whose body is being received.
     parts: Option<Parts>,
-    body: BytesMut,
+    /// Memory that `parts` takes, in bytes.
+    parts_bytes: usize,
+    body: BodyBuffer,
     received: VecDeque<ReceivedRequest>,
+    /// Memory that the requests in `received` take, in bytes.
+    received_bytes: usize,
     completed: u64,
     /// Whether the caller sent `Expect: 100-continue` and waits before it sends the current body.
     expects_continue: bool,
@@ -113,8 +131,10 @@
             head: Vec::new(),
             line_start: 0,
             parts: None,
-            body: BytesMut::new(),
+            parts_bytes: 0,
+            body: BodyBuffer::default(),
             received: VecDeque::new(),
+            received_bytes: 0,
             completed: 0,
             expects_continue: false,
         }
@@ -127,7 +147,34 @@
 
     /// Removes and returns the oldest complete request.
     pub(super) fn take_request(&mut self) -> Option<ReceivedRequest> {
-        self.received.pop_front()
+        let request = self.received.pop_front()?;
+        self.received_bytes -= request.held_bytes;
+        Some(request)
+    }
+
+    /// Returns the memory that the complete requests take which have not been taken, in bytes.
+    pub(super) fn received_bytes(&self) -> usize {
+        self.received_bytes
+    }
+
+    /// Returns the memory that the incomplete request takes, in bytes.
+    pub(super) fn partial_bytes(&self) -> usize {
+        let head = match self.head.capacity() {
+            kept if kept <= KEPT_HEAD_BYTES && self.head.is_empty() => 0,
+            capacity => capacity,
+        };
+        head + self.parts_bytes + self.body.held_bytes()
+    }
+
+    /// Returns by how many bytes the buffer of the current body grows if `count` bytes of it
+    /// arrive.
+    pub(super) fn body_growth(&self, count: usize) -> usize {
+        let count = match self.state {
+            State::Head => 0,
+            State::Body { remaining } => count.min(remaining as usize),
+            State::Chunked(_) => count,
+        };
+        self.body.growth(count)
     }
 
     /// Returns the number of complete requests that have not been taken yet.
@@ -227,6 +274,10 @@
     fn finish_head(&mut self) -> Result<(), Violation> {
         let (parts, state) = parse_head(&self.head, &self.limits)?;
         self.state = state;
+        self.parts_bytes = self.head.len() * HEAD_FACTOR + parts.headers.len() * HEADER_BYTES;
+        if self.head.capacity() > KEPT_HEAD_BYTES {
+            self.head = Vec::new();
+        }
         self.head.clear();
         self.line_start = 0;
         let has_body = !matches!(self.state, State::Head);
@@ -243,7 +294,8 @@
     fn finish_request(&mut self) {
         self.state = State::Head;
         self.expects_continue = false;
-        let body = self.body.split().freeze();
+        let body = self.body.take();
+        let held_bytes = std::mem::take(&mut self.parts_bytes) + body.len();
         let Some(parts) = self.parts.take() else {
             return;
         };
@@ -251,7 +303,9 @@
         self.received.push_back(ReceivedRequest {
             close_after: closes_connection(&parts),
             request: Request::from_parts(parts, body),
+            held_bytes,
         });
+        self.received_bytes += held_bytes;
     }
 }
 
--- a/crates/transport/src/http/framing/chunked.rs
+++ b/crates/transport/src/http/framing/chunked.rs
@@ -1,8 +1,7 @@
 //! Incremental decoder of chunked bodies.
 
-use bytes::BytesMut;
-
 use super::Violation;
+use super::body::BodyBuffer;
 
 /// Limit on the bytes of a chunked body that are not data: chunk sizes, extensions and trailers. A
 /// body of 1 MiB in chunks of 512 bytes has about 14 KiB of them.
@@ -51,7 +50,7 @@
     pub(super) fn push(
         &mut self,
         bytes: &[u8],
-        body: &mut BytesMut,
+        body: &mut BodyBuffer,
     ) -> Result<(usize, bool), Violation> {
         let mut consumed = 0;
         while consumed < bytes.len() {
--- a/crates/transport/src/http/operator.rs
+++ b/crates/transport/src/http/operator.rs
@@ -9,6 +9,7 @@
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -24,10 +25,12 @@
 use http_types::headers::{AUTHORIZATION, CONNECTION, WWW_AUTHENTICATE};
 use http_types::{Body, Method, Request, Response, StatusCode, mime};
 use sha2::Sha256;
+use sycamoreflow_coordination::buffers::Activity;
 
 use self::stream::BoundedStream;
 use super::framing::{FramingLimits, Violation};
 use super::server::linger;
+use crate::buffers::Buffers;
 
 mod stream;
 #[cfg(test)]
@@ -41,7 +44,8 @@
 /// Size and time limits of an operator interface.
 #[derive(Clone, Debug)]
 pub struct Limits {
-    /// Maximum number of open connections. Further ones wait in the system's accept queue.
+    /// Maximum number of open connections. Beyond it, those whose request is not complete are closed
+    /// in favour of new ones.
     pub max_connections: usize,
     /// Maximum size of a request's head in bytes. async-h1 accepts at most 8 KiB.
     pub max_head_bytes: usize,
@@ -131,10 +135,14 @@
     app: tide::Server<S>,
     token: Option<BearerToken>,
     limits: Limits,
+    buffers: Buffers,
+    /// Number of this interface in the account of `buffers`.
+    group: u64,
 }
 
 /// Serves an application on a listener until the handle is dropped. Without a token, every request
-/// is allowed, which is intended for interfaces on the loopback address.
+/// is allowed, which is intended for interfaces on the loopback address. Each connection counts
+/// towards `buffers`.
 ///
 /// # Errors
 ///
@@ -144,13 +152,20 @@
     app: tide::Server<S>,
     token: Option<BearerToken>,
     limits: Limits,
+    buffers: Buffers,
 ) -> io::Result<OperatorHandle>
 where
     S: Clone + Send + Sync + 'static,
 {
     let address = listener.local_addr()?;
     let (stop, stopped) = channel::bounded(1);
-    let context = Arc::new(Context { app, token, limits });
+    let context = Arc::new(Context {
+        app,
+        token,
+        limits,
+        group: buffers.new_group(),
+        buffers,
+    });
     task::spawn(accept_loop(listener, context, stopped));
     Ok(OperatorHandle { address, stop })
 }
@@ -165,11 +180,16 @@
     let semaphore = Arc::new(async_lock::Semaphore::new(context.limits.max_connections));
     let accepting = async {
         loop {
-            let permit = semaphore.acquire_arc().await;
-            let Ok((stream, _)) = listener.accept().await else {
-                task::sleep(ACCEPT_RETRY_DELAY).await;
-                continue;
+            let stream = match listener.accept().await {
+                Ok((stream, _)) => stream,
+                Err(error) => {
+                    metrics::counter!("sycamoreflow_accept_failures_total").increment(1);
+                    tracing::debug!(%error, "failed to accept a connection");
+                    task::sleep(ACCEPT_RETRY_DELAY).await;
+                    continue;
+                }
             };
+            let permit = context.buffers.place(context.group, &semaphore).await;
             let context = context.clone();
             task::spawn(async move {
                 context.serve_connection(stream).await;
@@ -177,8 +197,8 @@
             });
         }
     };
-    let accepting = std::pin::pin!(accepting);
-    let stopped = std::pin::pin!(stopped.recv());
+    let accepting = pin!(accepting);
+    let stopped = pin!(stopped.recv());
     if let Either::Left((never, _)) = select(accepting, stopped).await {
         never
     }
@@ -199,7 +219,13 @@
                     .saturating_sub(limits.max_head_bytes) as u64,
             },
         );
-        let received = timeout(limits.read_timeout, self.read_request(&bounded)).await;
+        let mut holder = self.buffers.open(self.group);
+        let reading = pin!(timeout(limits.read_timeout, self.read_request(&bounded)));
+        let received = match select(reading, pin!(holder.leaving())).await {
+            Either::Left((received, _)) => received,
+            Either::Right(_) => return,
+        };
+        holder.set_activity(Activity::Running);
         let responding = async {
             let (response, method) = match received {
                 Ok(Ok(Some(request))) => {
--- a/crates/transport/src/http/operator/tests.rs
+++ b/crates/transport/src/http/operator/tests.rs
@@ -33,7 +33,7 @@
         Err::<String, _>(error)
     });
     let listener = crate::listen::listen(([127, 0, 0, 1], 0).into()).unwrap();
-    serve(listener, app, token, limits()).unwrap()
+    serve(listener, app, token, limits(), Buffers::unbounded()).unwrap()
 }
 
 fn start_with_token() -> OperatorHandle {
--- a/crates/transport/src/http/server.rs
+++ b/crates/transport/src/http/server.rs
@@ -14,6 +14,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
+use async_lock::Semaphore;
 use async_std::channel;
 use async_std::future::timeout;
 use async_std::net::{TcpListener, TcpStream};
@@ -22,12 +23,16 @@
 use futures::future::{Either, select};
 use http::{Request, Response};
 
+pub(super) use self::closing::linger;
 use self::connection::Connection;
-pub(super) use self::connection::linger;
 
+use crate::buffers::Buffers;
+
+mod closing;
 mod connection;
 #[cfg(test)]
 pub(crate) mod tests;
+mod unsent;
 
 /// Delay before the next `accept` after one has failed, for example for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -38,7 +43,8 @@
 /// Size and time limits of a server.
 #[derive(Clone, Debug)]
 pub struct Limits {
-    /// Maximum number of open connections. Further ones wait in the system's accept queue.
+    /// Maximum number of open connections. Beyond it, idle and stalled ones are closed in favour
+    /// of new ones.
     pub max_connections: usize,
     /// Maximum size of a request's head in bytes.
     pub max_head_bytes: usize,
@@ -102,6 +108,9 @@
 /// State shared by the connections of a server.
 struct State {
     limits: Limits,
+    buffers: Buffers,
+    /// Number of this server in the account of `buffers`.
+    group: u64,
     connections: AtomicUsize,
     draining: AtomicBool,
 }
@@ -115,14 +124,34 @@
     _finished: channel::Sender<()>,
 }
 
-/// Serves requests on a listener until the handle is drained or dropped.
+/// Serves requests on a listener as [`serve_with`] does, without a bound on memory. It is meant for
+/// tests and for callers that are trusted.
+///
+/// # Errors
+///
+/// Fails if the address of the listener cannot be determined.
+pub fn serve<H, F>(listener: TcpListener, limits: Limits, handler: H) -> io::Result<ServerHandle>
+where
+    H: Fn(Request<Bytes>) -> F + Send + Sync + 'static,
+    F: Future<Output = Response<Bytes>> + Send + 'static,
+{
+    serve_with(listener, limits, Buffers::unbounded(), handler)
+}
+
+/// Serves requests on a listener until the handle is drained or dropped. What its connections hold
+/// counts towards `buffers`.
 ///
 /// The handler receives complete requests without hop-by-hop headers.
 ///
 /// # Errors
 ///
 /// Fails if the address of the listener cannot be determined.
-pub fn serve<H, F>(listener: TcpListener, limits: Limits, handler: H) -> io::Result<ServerHandle>
+pub fn serve_with<H, F>(
+    listener: TcpListener,
+    limits: Limits,
+    buffers: Buffers,
+    handler: H,
+) -> io::Result<ServerHandle>
 where
     H: Fn(Request<Bytes>) -> F + Send + Sync + 'static,
     F: Future<Output = Response<Bytes>> + Send + 'static,
@@ -130,6 +159,8 @@
     let address = listener.local_addr()?;
     let state = Arc::new(State {
         limits,
+        group: buffers.new_group(),
+        buffers,
         connections: AtomicUsize::new(0),
         draining: AtomicBool::new(false),
     });
@@ -212,11 +243,14 @@
     H: Fn(Request<Bytes>) -> F + Send + Sync + 'static,
     F: Future<Output = Response<Bytes>> + Send + 'static,
 {
-    let semaphore = Arc::new(async_lock::Semaphore::new(state.limits.max_connections));
+    let max_connections = state.limits.max_connections;
+    let max_connections = max_connections.min(state.buffers.max_connections());
+    let semaphore = Arc::new(Semaphore::new(max_connections));
     let spawn = |stream: TcpStream, caller: SocketAddr, permit| {
         let connection = Connection {
             stream,
             caller,
+            holder: state.buffers.open(state.group),
             state: state.clone(),
             handler: handler.clone(),
         };
@@ -232,10 +266,16 @@
     };
     let accepting = async {
         loop {
-            let permit = semaphore.acquire_arc().await;
             match listener.accept().await {
-                Ok((stream, caller)) => spawn(stream, caller, permit),
-                Err(_) => task::sleep(ACCEPT_RETRY_DELAY).await,
+                Ok((stream, caller)) => {
+                    let permit = state.buffers.place(state.group, &semaphore).await;
+                    spawn(stream, caller, permit);
+                }
+                Err(error) => {
+                    metrics::counter!("sycamoreflow_accept_failures_total").increment(1);
+                    tracing::debug!(%error, "failed to accept a connection of a caller");
+                    task::sleep(ACCEPT_RETRY_DELAY).await;
+                }
             }
         }
     };
--- a/crates/transport/src/http/server/connection.rs
+++ b/crates/transport/src/http/server/connection.rs
@@ -2,34 +2,32 @@
 
 use std::future::{Future, poll_fn};
 use std::io;
-use std::net::{Shutdown, SocketAddr};
+use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::task::{Context, Poll};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use async_std::future::timeout;
 use async_std::net::TcpStream;
 use async_std::task;
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::Bytes;
 use futures::io::{AsyncRead, AsyncWrite};
 use futures::stream::FuturesOrdered;
-use futures::{AsyncReadExt, AsyncWriteExt, FutureExt, StreamExt};
-use http::header::{CONTENT_LENGTH, EXPECT};
-use http::{Method, Response, StatusCode};
+use futures::{FutureExt, StreamExt};
+use http::header::EXPECT;
+use http::{Method, Response};
+use sycamoreflow_coordination::buffers::Activity;
 
+use super::closing::{linger, reject};
+use super::unsent::{Unsent, apply_framing};
 use super::{CallerAddress, Limits, Signals, State, wait_closed};
+use crate::buffers::{Growth, Holder};
 use crate::http::framing::{FramingLimits, Position, ReceivedRequest, RequestFraming, Violation};
 use crate::http::headers::remove_hop_by_hop;
 use crate::timer::{Sleep, sleep_until};
 
-/// Limits on the bytes and the time spent on reading what a peer still sends before its connection
-/// is closed. Closing a socket with unread data resets the connection, and the peer may lose the
-/// response that says why its request was rejected.
-const LINGER_BYTES: usize = 256 * 1024;
-const LINGER_TIME: Duration = Duration::from_millis(500);
-
 /// Maximum number of bytes per read from the socket.
 const READ_BYTES: usize = 8 * 1024;
 
@@ -39,20 +37,33 @@
 /// No further bytes are read while at least this many complete requests wait to be started.
 const MAX_QUEUED_REQUESTS: usize = 16;
 
+/// The rest of an incomplete request is not read while the complete ones of the connection, queued
+/// and running, take at least this much memory. A single request may take more.
+const MAX_QUEUED_BYTES: usize = 256 * 1024;
+
+/// A second request is started only if the responses of those that run are expected to take less
+/// than this, in bytes, going by the largest one so far.
+const MAX_EXPECTED_BYTES: usize = 1024 * 1024;
+
+/// Bytes that a caller has to read of its responses within [`Limits::write_stall_timeout`].
+const MIN_WRITTEN_BYTES: usize = 16 * 1024;
+
 /// Interim response for a caller that sent `Expect: 100-continue`.
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
 pub(super) struct Connection<H> {
     pub(super) stream: TcpStream,
     pub(super) caller: SocketAddr,
+    /// Share in the memory that all clients may hold.
+    pub(super) holder: Holder,
     pub(super) state: Arc<State>,
     pub(super) handler: Arc<H>,
 }
 
 /// How a connection ends.
 enum ConnectionEnd {
-    /// The caller closed the connection, stopped reading or was idle for too long. The connection
-    /// is closed without a response.
+    /// The caller closed the connection, stopped reading or was idle for too long, or the memory
+    /// that it held was needed. The connection is closed without a response.
     Immediate,
     /// All responses were written, the last one with `connection: close` unless the connection was
     /// idle.
@@ -69,10 +80,17 @@
 {
     /// Serves requests until the connection ends or a drain has completed.
     pub(super) async fn serve(self, signals: Signals) {
+        let Self {
+            stream,
+            caller,
+            holder,
+            state,
+            handler,
+        } = self;
         // Fails only if the connection has already ended.
-        let _ = self.stream.set_nodelay(true);
-        let limits = &self.state.limits;
-        let mut pipeline = Pipeline::new(&self);
+        let _ = stream.set_nodelay(true);
+        let limits = &state.limits;
+        let mut pipeline = Pipeline::new(stream.clone(), caller, holder, &state, &*handler);
         let mut draining = pin!(
             async {
                 wait_closed(&signals.drain).await;
@@ -91,10 +109,10 @@
         drop(pipeline);
         match end {
             ConnectionEnd::Immediate => {}
-            ConnectionEnd::Graceful => linger(&self.stream).await,
+            ConnectionEnd::Graceful => linger(&stream).await,
             ConnectionEnd::Rejected(violation) => {
                 // Fails if the caller has closed the connection.
-                let _ = timeout(limits.write_stall_timeout, reject(&self.stream, violation)).await;
+                let _ = timeout(limits.write_stall_timeout, reject(&stream, violation)).await;
             }
         }
     }
@@ -105,17 +123,28 @@
     response: Response<Bytes>,
     method: Method,
     close_after: bool,
+    /// Memory that the request and its future took, in bytes.
+    request_bytes: usize,
 }
 
 type ResponseFuture = Pin<Box<dyn Future<Output = CompletedResponse> + Send>>;
 
 /// State of the pipelined requests and responses of one connection.
 struct Pipeline<'a, H> {
-    connection: &'a Connection<H>,
     stream: TcpStream,
+    caller: SocketAddr,
+    holder: Holder,
+    state: &'a State,
+    handler: &'a H,
     framing: RequestFraming,
     running: FuturesOrdered<ResponseFuture>,
-    unsent: BytesMut,
+    /// Memory that the requests in `running` and their futures take, in bytes.
+    running_bytes: usize,
+    /// Memory that the completed responses in `running` take, in bytes.
+    completed_bytes: Arc<AtomicUsize>,
+    /// Size of the largest response so far, in bytes.
+    largest_response: usize,
+    unsent: Unsent,
     violation: Option<Violation>,
     /// Whether the connection is closed as soon as it is idle between requests.
     stop_when_idle: bool,
@@ -127,6 +156,8 @@
     position: Position,
     write_timer: DeadlineTimer,
     write_blocked_since: Option<Instant>,
+    /// Bytes written since `write_blocked_since`.
+    written_while_blocked: usize,
 }
 
 impl<'a, H, F> Pipeline<'a, H>
@@ -134,19 +165,31 @@
     H: Fn(http::Request<Bytes>) -> F + Send + Sync + 'static,
     F: Future<Output = Response<Bytes>> + Send + 'static,
 {
-    fn new(connection: &'a Connection<H>) -> Self {
-        let limits = &connection.state.limits;
+    fn new(
+        stream: TcpStream,
+        caller: SocketAddr,
+        holder: Holder,
+        state: &'a State,
+        handler: &'a H,
+    ) -> Self {
+        let limits = &state.limits;
         let framing = RequestFraming::new(FramingLimits {
             max_head_bytes: limits.max_head_bytes,
             max_headers: limits.max_headers,
             max_body_bytes: limits.max_body_bytes,
         });
         Self {
-            connection,
-            stream: connection.stream.clone(),
+            stream,
+            caller,
+            holder,
+            state,
+            handler,
             framing,
             running: FuturesOrdered::new(),
-            unsent: BytesMut::new(),
+            running_bytes: 0,
+            completed_bytes: Arc::default(),
+            largest_response: 0,
+            unsent: Unsent::default(),
             violation: None,
             stop_when_idle: false,
             is_closing: false,
@@ -155,35 +198,98 @@
             position: Position::BetweenRequests,
             write_timer: DeadlineTimer::default(),
             write_blocked_since: None,
+            written_while_blocked: 0,
         }
     }
 
     fn limits(&self) -> &'a Limits {
-        &self.connection.state.limits
+        &self.state.limits
     }
 
     /// Starts requests, collects responses, writes and reads until no more progress is possible.
     fn poll(&mut self, cx: &mut Context<'_>) -> Poll<ConnectionEnd> {
         loop {
+            if self.holder.is_leaving(cx) {
+                return Poll::Ready(self.end_without_memory());
+            }
             self.start_requests();
             let collected = self.collect_responses(cx);
             if self.write(cx).is_err() {
                 return Poll::Ready(ConnectionEnd::Immediate);
             }
+            self.record_holding();
             if let Some(end) = self.connection_end() {
                 return Poll::Ready(end);
             }
             match self.read(cx) {
                 Poll::Ready(Ok(())) => {}
                 Poll::Ready(Err(end)) => return Poll::Ready(end),
-                Poll::Pending if collected => {}
-                Poll::Pending => return Poll::Pending,
+                Poll::Pending if collected || self.can_start() => {}
+                Poll::Pending => {
+                    self.holder.set_activity(self.activity());
+                    return Poll::Pending;
+                }
             }
         }
     }
 
+    /// Returns how a connection ends whose memory is needed. A request that is not complete has not
+    /// run, and nothing else is in progress if it is the only one.
+    fn end_without_memory(&self) -> ConnectionEnd {
+        let is_only_request = self.running.is_empty()
+            && self.unsent.is_empty()
+            && self.framing.received_count() == 0
+            && self.position != Position::BetweenRequests;
+        match is_only_request {
+            true => ConnectionEnd::Rejected(Violation::NoMemory),
+            false => ConnectionEnd::Immediate,
+        }
+    }
+
+    fn held_bytes(&self) -> usize {
+        self.framing.partial_bytes()
+            + self.framing.received_bytes()
+            + self.running_bytes
+            + self.completed_bytes.load(Ordering::Relaxed)
+            + self.unsent.held_bytes()
+    }
+
+    fn record_holding(&mut self) {
+        self.holder.set_activity(self.activity());
+        self.holder.set_bytes(self.held_bytes() as u64);
+    }
+
+    fn activity(&self) -> Activity {
+        let is_ahead = self.framing.partial_bytes() + self.framing.received_bytes();
+        if !self.unsent.is_empty() || self.completed_bytes.load(Ordering::Relaxed) > 0 {
+            Activity::Sending
+        } else if !self.running.is_empty() && is_ahead <= self.running_bytes {
+            Activity::Running
+        } else if self.running.is_empty()
+            && self.position == Position::BetweenRequests
+            && self.framing.received_count() == 0
+        {
+            Activity::Idle
+        } else {
+            Activity::Receiving
+        }
+    }
+
+    /// Returns whether the next complete request can be started. None is started while the caller
+    /// doesn't read its responses, and none beside a running one while memory is scarce.
+    fn can_start(&self) -> bool {
+        let expected = self.running.len() * self.largest_response;
+        let fits = self.running.is_empty()
+            || (expected < MAX_EXPECTED_BYTES && !self.state.buffers.is_scarce());
+        !self.is_closing
+            && self.framing.received_count() > 0
+            && self.running.len() < self.limits().max_pipelined
+            && self.write_blocked_since.is_none()
+            && fits
+    }
+
     fn start_requests(&mut self) {
-        while !self.is_closing && self.running.len() < self.limits().max_pipelined {
+        while self.can_start() {
             let Some(received) = self.framing.take_request() else {
                 return;
             };
@@ -193,19 +299,24 @@
 
     fn start_request(&mut self, received: ReceivedRequest) {
         let close_after = received.close_after;
+        let received_bytes = received.held_bytes;
         let (mut parts, body) = received.request.into_parts();
         remove_hop_by_hop(&mut parts.headers);
         parts.headers.remove(EXPECT);
-        parts
-            .extensions
-            .insert(CallerAddress(self.connection.caller));
+        parts.extensions.insert(CallerAddress(self.caller));
         let method = parts.method.clone();
-        let response = (self.connection.handler)(http::Request::from_parts(parts, body));
+        let response = (self.handler)(http::Request::from_parts(parts, body));
+        let request_bytes = received_bytes + size_of_val(&response);
+        self.running_bytes += request_bytes;
+        let completed_bytes = self.completed_bytes.clone();
         self.running.push_back(Box::pin(async move {
+            let response = response.await;
+            completed_bytes.fetch_add(response.body().len(), Ordering::Relaxed);
             CompletedResponse {
-                response: response.await,
+                response,
                 method,
                 close_after,
+                request_bytes,
             }
         }));
     }
@@ -217,13 +328,19 @@
             let Poll::Ready(Some(completed)) = self.running.poll_next_unpin(cx) else {
                 break;
             };
+            let response_bytes = completed.response.body().len();
+            self.completed_bytes
+                .fetch_sub(response_bytes, Ordering::Relaxed);
+            self.running_bytes -= completed.request_bytes;
+            self.largest_response = self.largest_response.max(response_bytes);
+            self.holder.set_served();
             // A caller repeats the requests that follow a response with `connection: close`, so
             // only the last response may carry it.
             let is_last = self.running.is_empty() && self.framing.received_count() == 0;
-            let is_draining = self.connection.state.draining.load(Ordering::SeqCst);
+            let is_draining = self.state.draining.load(Ordering::SeqCst);
             self.is_closing = completed.close_after || (is_last && is_draining);
             let response = apply_framing(completed.response, &completed.method);
-            write_response(&mut self.unsent, &response, self.is_closing);
+            self.unsent.push_response(response, self.is_closing);
             self.read_wait_start = Instant::now();
             collected = true;
         }
@@ -233,25 +350,36 @@
     /// Writes as much of `unsent` as the socket accepts. Fails if the write timeout has passed.
     fn write(&mut self, cx: &mut Context<'_>) -> io::Result<()> {
         if self.unsent.is_empty() && self.running.is_empty() && self.framing.take_expectation() {
-            self.unsent.extend_from_slice(CONTINUE);
+            self.unsent.push(CONTINUE);
         }
         while !self.unsent.is_empty() {
-            match Pin::new(&mut self.stream).poll_write(cx, &self.unsent) {
+            match Pin::new(&mut self.stream).poll_write(cx, self.unsent.front()) {
                 Poll::Ready(Ok(0)) => return Err(io::ErrorKind::WriteZero.into()),
                 Poll::Ready(Ok(count)) => {
                     self.unsent.advance(count);
-                    self.write_blocked_since = None;
+                    self.holder.record_moved(count);
+                    self.written_while_blocked += count;
+                    if self.written_while_blocked >= MIN_WRITTEN_BYTES {
+                        self.write_blocked_since = None;
+                    }
                     self.read_wait_start = Instant::now();
                 }
                 Poll::Ready(Err(error)) => return Err(error),
                 Poll::Pending => return self.check_write_stall(cx),
             }
         }
+        self.write_blocked_since = None;
         Ok(())
     }
 
     fn check_write_stall(&mut self, cx: &mut Context<'_>) -> io::Result<()> {
-        let since = *self.write_blocked_since.get_or_insert_with(Instant::now);
+        let since = match self.write_blocked_since {
+            Some(since) => since,
+            None => {
+                self.written_while_blocked = 0;
+                *self.write_blocked_since.insert(Instant::now())
+            }
+        };
         let deadline = since + self.limits().write_stall_timeout;
         if self.write_timer.poll(cx, deadline).is_ready() {
             return Err(io::ErrorKind::TimedOut.into());
@@ -275,19 +403,35 @@
         (self.stop_when_idle && is_idle && is_between_requests).then_some(ConnectionEnd::Graceful)
     }
 
-    /// Reads once. Returns `Pending` if no bytes are available, or if reading is suspended because
-    /// the connection is closing or too many requests are queued.
+    /// Reads once. Returns `Pending` if no bytes are available, if reading is suspended because the
+    /// connection is closing, too much is queued or the caller doesn't read its responses, or if
+    /// the body waits for memory.
     fn read(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), ConnectionEnd>> {
+        let queued_bytes = self.framing.received_bytes() + self.running_bytes;
+        // Between requests, reading goes on, since it shows that the caller has left.
+        let is_ahead = self.position != Position::BetweenRequests;
         if self.violation.is_some()
             || self.is_closing
+            || self.write_blocked_since.is_some()
             || self.framing.received_count() >= MAX_QUEUED_REQUESTS
+            || (queued_bytes >= MAX_QUEUED_BYTES && is_ahead)
         {
             return Poll::Pending;
         }
+        let growth = self.framing.body_growth(READ_BYTES);
+        if growth > 0 {
+            let grown = (self.held_bytes() + growth) as u64;
+            match self.holder.poll_grow(grown, cx) {
+                Poll::Ready(Growth::Granted) => {}
+                Poll::Ready(Growth::Refused) => return Poll::Ready(Err(self.end_without_memory())),
+                Poll::Pending => return self.poll_read_timeout(cx),
+            }
+        }
         let mut buf = [0; READ_BYTES];
         match Pin::new(&mut self.stream).poll_read(cx, &mut buf) {
             Poll::Ready(Ok(0) | Err(_)) => Poll::Ready(Err(ConnectionEnd::Immediate)),
             Poll::Ready(Ok(count)) => {
+                self.holder.record_moved(count);
                 self.receive(&buf[..count]);
                 Poll::Ready(Ok(()))
             }
@@ -351,78 +495,3 @@
         }
     }
 }
-
-/// Sets the framing headers of a response from its actual body, and removes hop-by-hop headers.
-fn apply_framing(response: Response<Bytes>, method: &Method) -> Response<Bytes> {
-    let (mut parts, mut body) = response.into_parts();
-    remove_hop_by_hop(&mut parts.headers);
-    if parts.status.is_informational() {
-        parts.status = StatusCode::BAD_GATEWAY;
-        body = Bytes::new();
-    }
-    let is_bodiless = matches!(
-        parts.status,
-        StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
-    );
-    if is_bodiless || method == Method::HEAD {
-        body = Bytes::new();
-    }
-    // In a response to HEAD and in a 304, `Content-Length` is the length of the omitted body.
-    if method != Method::HEAD && parts.status != StatusCode::NOT_MODIFIED {
-        parts.headers.remove(CONTENT_LENGTH);
-        if !is_bodiless {
-            parts.headers.insert(CONTENT_LENGTH, body.len().into());
-        }
-    }
-    Response::from_parts(parts, body)
-}
-
-/// Appends the serialized response to `buf`.
-fn write_response(buf: &mut BytesMut, response: &Response<Bytes>, close: bool) {
-    let status = response.status();
-    let reason = status.canonical_reason().unwrap_or("");
-    let line = format!("HTTP/1.1 {} {reason}\r\n", status.as_str());
-    buf.extend_from_slice(line.as_bytes());
-    for (name, value) in response.headers() {
-        buf.extend_from_slice(name.as_str().as_bytes());
-        buf.extend_from_slice(b": ");
-        buf.extend_from_slice(value.as_bytes());
-        buf.extend_from_slice(b"\r\n");
-    }
-    if close {
-        buf.extend_from_slice(b"connection: close\r\n");
-    }
-    buf.extend_from_slice(b"\r\n");
-    buf.extend_from_slice(response.body());
-}
-
-/// Responds to an invalid request with the status of its violation.
-async fn reject(mut stream: &TcpStream, violation: Violation) -> io::Result<()> {
-    let (status, reason) = violation.status();
-    let head = format!(
-        "HTTP/1.1 {status} {reason}\r\nconnection: close\r\ncontent-length: 0\r\n\
-         sycamoreflow-verdict: not-run\r\n\r\n"
-    );
-    stream.write_all(head.as_bytes()).await?;
-    linger(stream).await;
-    Ok(())
-}
-
-/// Shuts down the write direction and discards what the peer still sends, up to [`LINGER_BYTES`]
-/// and [`LINGER_TIME`].
-pub(in crate::http) async fn linger(mut stream: &TcpStream) {
-    // Fails only if the connection has already ended.
-    let _ = stream.shutdown(Shutdown::Write);
-    let reading = async {
-        let mut buf = [0; 4096];
-        let mut left = LINGER_BYTES;
-        while let Ok(count @ 1..) = stream.read(&mut buf).await {
-            left = left.saturating_sub(count);
-            if left == 0 {
-                return;
-            }
-        }
-    };
-    // A peer that keeps its connection open is expected to run into the time limit.
-    let _ = timeout(LINGER_TIME, reading).await;
-}
--- a/crates/transport/src/http/server/tests.rs
+++ b/crates/transport/src/http/server/tests.rs
@@ -377,3 +377,46 @@
     let (response, ()) = join!(second, freeing);
     assert!(response.starts_with(&format!("HTTP/1.1 {}", StatusCode::OK.as_u16())));
 }
+
+/// Guards against bodies that hold memory that others need: one that stops short is rejected as not
+/// run, and the other one is served.
+#[async_std::test]
+async fn serve_body_without_memory() {
+    let listener = crate::listen::listen(([127, 0, 0, 1], 0).into()).unwrap();
+    let limits = Limits {
+        body_timeout: MAX_WAIT,
+        ..limits()
+    };
+    let buffers = Buffers::new(160 * 1024);
+    let server = serve_with(listener, limits, buffers.clone(), echo).unwrap();
+    let head = format!("POST /x HTTP/1.1\r\n{CLOSE}content-length: 60000\r\n\r\n");
+    let body = "x".repeat(59_999);
+    let mut stopping = TcpStream::connect(server.local_addr()).await.unwrap();
+    stopping.write_all(head.as_bytes()).await.unwrap();
+    stopping.write_all(body.as_bytes()).await.unwrap();
+    while buffers.held() < 2 * 56_000 {
+        sleep(Duration::from_millis(5)).await;
+    }
+    let whole = format!("{head}{body}x");
+    let response = send_raw(&server, whole.as_bytes()).await;
+    assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    let rejected = read_all(stopping).await;
+    assert!(rejected.starts_with("HTTP/1.1 503"), "{rejected}");
+    assert!(rejected.contains("sycamoreflow-verdict: not-run"));
+}
+
+/// Guards against idle connections that keep new callers out.
+#[async_std::test]
+async fn serve_beyond_connections() {
+    let limits = Limits {
+        max_connections: 1,
+        idle_timeout: MAX_WAIT,
+        ..limits()
+    };
+    let server = start(limits, echo).await;
+    let idle = TcpStream::connect(server.local_addr()).await.unwrap();
+    let request = format!("GET /x HTTP/1.1\r\n{CLOSE}\r\n");
+    let response = send_raw(&server, request.as_bytes()).await;
+    assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    assert_eq!(read_all(idle).await, "");
+}
