--- a/crates/coordination/src/key_lease.rs
+++ b/crates/coordination/src/key_lease.rs
@@ -37,6 +37,11 @@
 /// longest election timeout and one further round.
 const LONGEST_ELECTION: Millis = Millis(1_900);
 
+/// Longest time for which replicas in the minority of a divided group keep their daemons, for the sum
+/// in [`longest_renewal`]: their leader steps down after 1.5 s, they disconnect 0.6 s later, and the
+/// daemons try another replica within 0.1 s.
+const MINORITY_TIME: Millis = Millis(2_200);
+
 /// Maximum number of questions without an answer, and of answers whose configuration is not in
 /// force yet. Older ones are forgotten, since they would end before the newer ones.
 const MAX_PENDING: usize = 8;
@@ -178,14 +183,17 @@
     Millis((duration.0 / QUESTIONS_PER_LEASE).max(1))
 }
 
-/// Returns the longest age of a lease in a mesh that loses at most `silent` replicas at once: the
-/// question before the loss has just been answered, the next one is lost with the replica, and the
-/// subscription that takes its place may have to wait for an election. All leases stay valid through
+/// Returns the longest age of a lease in a mesh that loses at most `silent` replicas at once, or whose
+/// control group is divided: the question before the loss has just been answered, the next one is
+/// lost with the replica, and the subscription that takes its place may have to wait for an
+/// election. All leases stay valid through
 /// such a loss if this is below the bound on revocations, less its margin.
 pub fn longest_renewal(bound: Millis, silence_timeout: Millis, silent: usize) -> Millis {
     let interval = question_interval(lease_duration(bound));
     // The search for a replica and the election run at the same time.
-    let search = longest_search(silence_timeout, silent).max(LONGEST_ELECTION);
+    let search = longest_search(silence_timeout, silent)
+        .max(LONGEST_ELECTION)
+        .max(MINORITY_TIME);
     let confirmation = COLLECTION_TIME.0 + CONFIRMATION_TIME.0;
     Millis(interval.0 + search.0 + confirmation)
 }
--- a/crates/coordination/src/key_lease/tests.rs
+++ b/crates/coordination/src/key_lease/tests.rs
@@ -52,7 +52,7 @@
 }
 
 /// Guards against settings with which the loss of the leader and of the replicas that a group
-/// tolerates makes the leases of all daemons lapse together. The figures are those of the bound on
+/// tolerates, or a division of the group, makes the leases of all daemons lapse together. The figures are those of the bound on
 /// revocations, of links and of groups in use.
 #[rstest]
 #[case::two_of_five(5_000, 1_500, 2, true)]
--- a/crates/daemon/src/control/hub.rs
+++ b/crates/daemon/src/control/hub.rs
@@ -23,6 +23,9 @@
 use crate::clock;
 use crate::control::replica::{self as event, Event, Replica, Unavailable};
 
+#[cfg(test)]
+mod tests;
+
 /// Maximum number of commands queued for a session. Grants that do not fit are dropped, which is
 /// harmless because grants are cumulative. A change notification that does not fit is not needed,
 /// because an earlier one is still queued.
--- /dev/null
+++ b/crates/daemon/src/control/hub/tests.rs
@@ -0,0 +1,49 @@
+use std::sync::mpsc::Receiver;
+
+use super::*;
+
+const TIMEOUT: std::time::Duration = std::time::Duration::from_secs(10);
+
+/// Answers the next read of the replica, and returns how many other reads were requested.
+fn answer_read(events: &Receiver<Event>, confirmed: Option<u64>) -> usize {
+    let event = events.recv_timeout(TIMEOUT).expect("a read is requested");
+    let Event::ConfirmVersion(tx) = event else {
+        panic!("another event than a read");
+    };
+    tx.send(confirmed.map(ConfigVersion))
+        .expect("the read has not timed out");
+    events.try_iter().count()
+}
+
+/// Returns the number and the version of the next answer.
+fn next_answer(registration: &Registration) -> (u64, u64) {
+    let command = task::block_on(timeout(TIMEOUT, registration.commands.recv()));
+    match command.expect("an answer in time").expect("a session") {
+        SessionCommand::Confirmed { number, config } => (number, config.0),
+        command => panic!("{command:?}"),
+    }
+}
+
+/// Guards against one linearizable read per question when many daemons ask, against an answer that
+/// reaches another daemon, and against questions that are lost while there is no leader.
+#[test]
+fn confirm_shared_read() {
+    let (tx, events) = mpsc::channel();
+    let hub = Arc::new(Hub::new(200, tx));
+    let first = hub.register(&"sfax-a-1".into());
+    let second = hub.register(&"sfax-b-1".into());
+    let gone = hub.register(&"sfax-c-1".into());
+    task::block_on(async {
+        hub.confirm(&first, 4);
+        hub.confirm(&second, 9);
+        hub.confirm(&gone, 2);
+    });
+    drop(gone);
+    assert_eq!(answer_read(&events, None), 0);
+    // The newest question of a session takes the place of an earlier one.
+    hub.confirm(&first, 5);
+    assert_eq!(answer_read(&events, Some(7)), 0);
+    assert_eq!(next_answer(&first), (5, 7));
+    assert_eq!(next_answer(&second), (9, 7));
+    assert!(first.commands.is_empty() && second.commands.is_empty());
+}
