Measure rollouts by a time that follows jumps of the wall clock slowly

Cause: the pacing of rollouts and the ages of evidence reports are differences of wall-clock times of the leader, so a jump of the clock by seconds moved a rollout to its next step early, or held it back.

Change: the time since the epoch advances with the monotonic clock and approaches the wall clock by one percent of the elapsed time. It never decreases. All readers of the wall clock in the daemon use it; the command line, which only shows times, does not.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -27,4 +27,5 @@
 pub mod shares;
 pub mod split;
 pub mod startup;
+pub mod steady_time;
 pub mod suspect;
--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -4,9 +4,12 @@
 use std::sync::OnceLock;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use parking_lot::Mutex;
+use sycamoreflow_coordination::steady_time::SteadyTime;
 use sycamoreflow_state::ids::Millis;
 
 static ORIGIN: OnceLock<Instant> = OnceLock::new();
+static UNIX: Mutex<Option<SteadyTime>> = Mutex::new(None);
 
 /// Returns the monotonic time since the first call in this process, plus one second.
 ///
@@ -17,10 +20,15 @@
 }
 
 /// Returns the wall-clock time since the Unix epoch, for values that are replicated or shown to
-/// operators. Returns zero if the clock is before the epoch.
+/// operators. It follows jumps of the clock of the host only slowly ([`SteadyTime`]), so that its
+/// differences can be used as durations. A clock before the epoch counts as zero.
 pub fn unix_now() -> Millis {
     let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
-    Millis(elapsed.unwrap_or(Duration::ZERO).as_millis() as u64)
+    let wall = Millis(elapsed.unwrap_or(Duration::ZERO).as_millis() as u64);
+    let mut unix = UNIX.lock();
+    let now = now();
+    let time = unix.get_or_insert_with(|| SteadyTime::new(now, wall));
+    time.read(now, wall)
 }
 
 /// Converts milliseconds to a [`Duration`].
