--- a/crates/daemon/src/control/evacuations.rs
+++ b/crates/daemon/src/control/evacuations.rs
@@ -2,7 +2,7 @@
 //! they come from.
 //!
 //! An order may be sent to any replica. Only the leader accepts it; the others return
-//! [`Unavailable`](super::replica::Unavailable), which names the leader if it is known. It is
+//! [`Unavailable`], which names the leader if it is known. It is
 //! acknowledged once a quorum has stored it, so it is safe to send it again after an error.
 
 use sycamoreflow_coordination::machine::evacuation::EvacuationOrder;
