--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -32,4 +32,5 @@
 pub mod shedding;
 pub mod split;
 pub mod startup;
+pub mod steady_time;
 pub mod suspect;
