--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -4,6 +4,7 @@
 //! actions, so that property tests can drive them on a virtual clock (`docs/design.md`, section 3).
 
 pub mod admission;
+pub mod cold;
 pub mod dedup;
 pub mod departures;
 pub mod distribution;
@@ -14,6 +15,7 @@
 pub mod floor;
 pub mod full_load;
 pub mod key_holders;
+pub mod key_lease;
 pub mod leases;
 pub mod machine;
 pub mod open_group;
@@ -26,6 +28,7 @@
 pub mod rollout;
 pub mod routing;
 pub mod shares;
+pub mod shedding;
 pub mod split;
 pub mod startup;
 pub mod suspect;
--- a/crates/coordination/src/routing.rs
+++ b/crates/coordination/src/routing.rs
@@ -30,9 +30,11 @@
 use sycamoreflow_state::endpoint::Endpoint;
 use sycamoreflow_state::ids::{DaemonId, DataCentre, Micros, Millis, RouteName, VersionName};
 
+use crate::shedding::OverloadTimer;
 use estimate::Estimate;
 use load::KnownLoad;
 
+pub(crate) use load::DEFAULT_SERVICE_TIME;
 pub use load::{CallSizes, LatencyObjective, Load};
 
 /// Latency expected of a service before the first observation.
@@ -154,6 +156,7 @@
     groups: Vec<Group>,
     /// Latency in microseconds expected of an unobserved endpoint in the local data centre.
     prior: f64,
+    overload: OverloadTimer,
 }
 
 #[derive(Clone, Debug)]
@@ -200,6 +203,7 @@
             members: Vec::new(),
             groups: Vec::new(),
             prior: INITIAL_LATENCY.0 as f64,
+            overload: OverloadTimer::default(),
         }
     }
 
@@ -311,13 +315,20 @@
         others.map(move |m| m.estimate.success(now, &self.tuning))
     }
 
-    /// Returns the delay after which a request that every endpoint refused is likely to be
-    /// accepted, with random jitter so that refused callers do not retry at the same time.
-    pub fn retry_after(&mut self, now: Millis) -> Millis {
+    /// Returns the delay after which a request that fails now is likely to be accepted, with random
+    /// jitter so that refused callers do not retry at the same time. `overloaded` is whether it
+    /// fails for lack of room.
+    pub fn retry_after(&mut self, now: Millis, overloaded: bool) -> Millis {
         let usable = self.members.iter().filter(|m| m.available && !m.draining);
-        let waits = usable.map(|m| m.load.wait(now, m.slots));
+        let waits = usable.map(|m| m.load.wait(now, m.slots).max(m.load.closed_time(now)));
         let shortest = waits.fold(f64::INFINITY, f64::min);
-        let millis = (shortest / 1_000.0).clamp(load::MIN_RETRY_AFTER_MS, load::MAX_RETRY_AFTER_MS);
+        let lasted = match overloaded {
+            true => self.overload.refused(now),
+            false => Millis(0),
+        };
+        let millis = (shortest / 1_000.0)
+            .max(lasted.0 as f64)
+            .clamp(load::MIN_RETRY_AFTER_MS, load::MAX_RETRY_AFTER_MS);
         Millis((millis * self.rng.random_range(0.8..1.6)) as u64)
     }
 
@@ -373,7 +384,9 @@
         if outcome.result == CallResult::Draining {
             member.refused_draining = Some(now);
         }
-        if !member.tracked {
+        // A refusal by a cold endpoint says nothing about how it will serve calls once it is warm.
+        let refused_cold = outcome.result == CallResult::Refused && member.load.is_closed(now);
+        if !member.tracked || refused_cold {
             member.estimate.ended(now);
             return;
         }
@@ -531,7 +544,8 @@
     }
 
     /// Chooses uniformly at random, ignoring estimates and slow start. Ejected members and those
-    /// that refused a call as draining are included only if there is no other.
+    /// that refused a call as draining are included only if there is no other. Cold members that
+    /// take no call now are never included.
     fn choose_any(&mut self, now: Millis, group: usize, exclude: &[DaemonId]) -> Option<usize> {
         let group = &self.groups[group];
         let all = || {
@@ -542,6 +556,7 @@
         if pool.is_empty() {
             pool = all()
                 .filter(|i| !exclude.contains(&self.members[*i].id))
+                .filter(|i| !self.members[*i].load.is_closed(now))
                 .collect();
         }
         if pool.is_empty() {
@@ -555,6 +570,7 @@
         let recently = |refused| now.since(refused) < DRAINING_PERIOD;
         member.available
             && !member.refused_draining.is_some_and(recently)
+            && !member.load.is_closed(now)
             && !exclude.contains(&member.id)
     }
 
--- a/crates/coordination/src/routing/load.rs
+++ b/crates/coordination/src/routing/load.rs
@@ -5,21 +5,19 @@
 use sycamoreflow_state::ids::{Micros, Millis, RouteName};
 
 use crate::pace::PaceReport;
+use crate::shedding::AnswerValue;
 
 #[cfg(test)]
 mod tests;
 
 /// Service time in microseconds assumed for a route that no endpoint has reported.
-pub(super) const DEFAULT_SERVICE_TIME: f64 = 100_000.0;
+pub(crate) const DEFAULT_SERVICE_TIME: f64 = 100_000.0;
 /// Upper bound of the random noise added to each utility, so that daemons with the same reports do
 /// not all choose the same endpoint.
 pub(super) const TIE_BREAK: f64 = 0.01;
 /// Time constant of the exponential decay of a report's weight. An endpoint that was full a second
 /// ago may have free slots now.
 const REPORT_DECAY: Millis = Millis(1_000);
-/// Shape parameter of the log-logistic distribution of service times. Service times vary by a
-/// factor of about two around their median, which this shape describes.
-const LOG_LOGISTIC_SHAPE: f64 = 3.5;
 /// Bounds of the delay after which refused callers are asked to retry, in milliseconds.
 pub(super) const MIN_RETRY_AFTER_MS: f64 = 60.0;
 pub(super) const MAX_RETRY_AFTER_MS: f64 = 1_000.0;
@@ -53,6 +51,13 @@
     /// Latest pace of the host, if the upstream reports it.
     #[serde(rename = "p", default, skip_serializing_if = "Option::is_none")]
     pub pace: Option<PaceReport>,
+    /// Time until the upstream, which is cold, takes another call. Zero if it takes one now.
+    #[serde(rename = "c", default, skip_serializing_if = "is_zero")]
+    pub closed_for: Millis,
+}
+
+fn is_zero(time: &Millis) -> bool {
+    time.0 == 0
 }
 
 /// The latency objective of one request, and the cost of sending it to another data centre.
@@ -105,9 +110,12 @@
 impl LatencyObjective {
     /// Returns the expected utility of an answer whose expected latency is `expected` microseconds.
     pub(super) fn utility(&self, expected: f64) -> f64 {
-        let ratio = expected / (self.target.0.max(1) as f64);
-        let in_time = 1.0 / (1.0 + ratio.powf(LOG_LOGISTIC_SHAPE));
-        in_time + (1.0 - in_time) * self.late_value / (1.0 + ratio / 4.0)
+        let value = AnswerValue {
+            target: self.target,
+            deadline: None,
+            late: self.late_value,
+        };
+        value.expected(expected)
     }
 }
 
@@ -119,12 +127,15 @@
     sent_since: u32,
     /// Service times in microseconds at usual pace, by route.
     routes: IndexMap<RouteName, f64>,
+    /// The endpoint is cold and takes no call before this time.
+    closed_until: Millis,
 }
 
 impl KnownLoad {
     pub(super) fn observe(&mut self, now: Millis, load: Load, route: &RouteName) {
         self.latest = Some((now, load));
         self.sent_since = 0;
+        self.closed_until = now.after(load.closed_for);
         let is_known = self.routes.contains_key(route);
         if load.route.0 > 0 && (is_known || self.routes.len() < MAX_ROUTES) {
             self.routes.insert(route.clone(), load.route.0 as f64);
@@ -153,6 +164,16 @@
         self.stretched(now, service) + self.wait(now, slots)
     }
 
+    /// Returns whether the endpoint is cold and takes no call now.
+    pub(super) fn is_closed(&self, now: Millis) -> bool {
+        now < self.closed_until
+    }
+
+    /// Returns the time in microseconds until the endpoint, which is cold, takes a call.
+    pub(super) fn closed_time(&self, now: Millis) -> f64 {
+        Micros::from(self.closed_until.since(now)).0 as f64
+    }
+
     /// Returns the expected time in microseconds until a call sent now gets a slot.
     pub(super) fn wait(&self, now: Millis, slots: u32) -> f64 {
         let Some((at, load)) = &self.latest else {
--- a/crates/coordination/src/routing/load/tests/mixed_speeds.rs
+++ b/crates/coordination/src/routing/load/tests/mixed_speeds.rs
@@ -139,6 +139,7 @@
             route: Micros(server.mean_us as u64),
             waited: Micros(0),
             pace: None,
+            closed_for: Millis(0),
         };
         let route = RouteName::from("stock-check");
         let router = &mut self.entries[call.entry];
--- a/crates/daemon/src/proxy/owner/upstream.rs
+++ b/crates/daemon/src/proxy/owner/upstream.rs
@@ -12,6 +12,7 @@
 use sycamoreflow_coordination::admission::{
     Admission, CallId, Decision, Released, UpstreamResult, Urgency,
 };
+use sycamoreflow_coordination::cold::ColdLimiter;
 use sycamoreflow_coordination::pace::{Pace, RouteTimes};
 use sycamoreflow_coordination::routing::Load;
 use sycamoreflow_protocol::call::{Answer, Call};
@@ -21,6 +22,7 @@
 
 use super::{InstanceReport, Result};
 use crate::clock;
+use crate::proxy::attempts::LATE_ANSWER_VALUE;
 use crate::proxy::crashes::CrashTracker;
 use crate::proxy::dialect::{Dialect, InvalidPace};
 use crate::proxy::headers;
@@ -44,6 +46,8 @@
     /// work until it announces itself again.
     pub(super) retired: AtomicBool,
     pub(super) admission: Mutex<Admission>,
+    /// Limit of the calls that are sent while the upstream is cold.
+    pub(super) cold: Mutex<ColdLimiter>,
     pub(super) waiting: Mutex<HashMap<CallId, oneshot::Sender<Result<()>>>>,
 }
 
@@ -101,8 +105,13 @@
             priority: call.urgency.priority,
             due: now.after(Millis(u64::from(target))).min(deadline),
             expected: self.route_times.lock().get(&call.route),
+            late_value: LATE_ANSWER_VALUE,
         };
-        admission.offer_urgent(now, id, &call.tenant, deadline, urgency)
+        let decision = admission.offer_urgent(now, id, &call.tenant, deadline, urgency);
+        let displaced = admission.take_displaced();
+        drop(admission);
+        self.release(displaced);
+        decision
     }
 
     /// Records the pace that an answer of the upstream reports. One that cannot be read is counted
@@ -136,6 +145,21 @@
             route: self.route_times.lock().get(route),
             waited: Micros(0),
             pace: admission.pace().latest(clock::now()),
+            closed_for: self.cold.lock().wait(clock::now()),
+        }
+    }
+
+    /// Applies what a report says of the cold start, and logs whether the upstream is cold if that
+    /// has changed.
+    pub(super) fn report_cold(&self, cold_for: Option<Millis>) {
+        let now = clock::now();
+        let mut cold = self.cold.lock();
+        let before = cold.is_cold(now);
+        cold.reported(now, cold_for);
+        let after = cold.is_cold(now);
+        if before != after {
+            tracing::info!(event = "upstream_cold", service = %self.announcement.service,
+                cold = after, cold_for_ms = cold_for.map(|time| time.0));
         }
     }
 
@@ -211,7 +235,13 @@
         for release in released {
             let (id, result) = match release {
                 Released::Start(id) => (id, Ok(())),
-                Released::Refused(id, failure) => (id, Err(failure)),
+                Released::Refused(id, failure) => {
+                    let reason = headers::reason_text(failure.reason);
+                    metrics::counter!("sycamoreflow_waiting_calls_refused_total",
+                        "reason" => reason)
+                    .increment(1);
+                    (id, Err(failure))
+                }
             };
             let Some(tx) = waiting.remove(&id) else {
                 continue;
--- a/crates/daemon/tests/docs_settings.rs
+++ b/crates/daemon/tests/docs_settings.rs
@@ -74,6 +74,7 @@
             quota_overage_percent: 1,
             quota_slack: 1,
             adapt_limit: true,
+            key_lease_ms: 1,
         },
         log: LogSettings {
             format: LogFormat::Json,
--- a/crates/protocol/src/distribution.rs
+++ b/crates/protocol/src/distribution.rs
@@ -63,6 +63,11 @@
     Report(EvidenceReport),
     /// Requests that have crashed upstreams, to be distributed to all other daemons.
     Suspects(SuspectReport),
+    /// Asks which configuration is the newest. Sent only by daemons whose settings have a key lease.
+    Confirm {
+        /// Number of the question, which the answer repeats.
+        number: u64,
+    },
     /// Use of the quotas of client accounts.
     Quota(QuotaReport),
 }
@@ -94,6 +99,14 @@
     Grants(Vec<Grant>),
     /// Requests that have crashed upstreams of other daemons.
     Suspects(SuspectReport),
+    /// Answers [`FromSubscriber::Confirm`]: after the question had arrived, a quorum confirmed the
+    /// newest configuration.
+    Confirmed {
+        /// Number of the question.
+        number: u64,
+        /// Version of the newest configuration.
+        config: ConfigVersion,
+    },
     /// Parts of the quotas of client accounts that the subscriber may use.
     QuotaGrants(QuotaGrants),
 }
