Keep an endpoint's own drain apart from an operator's order

Cause: a new leader took the draining endpoints of its copy for endpoints that an operator drains. Such an order stays until it is withdrawn, so the announcements of the restarted daemon were overridden, and its own admission followed the view.

Change: an endpoint says in the table whether an operator drains it. A new leader takes over only these orders, and the daemon beside the endpoint follows only them.

--- a/crates/cli/tests/cli/online.rs
+++ b/crates/cli/tests/cli/online.rs
@@ -259,6 +259,7 @@
         address: ([127, 0, 0, 1], 7000).into(),
         slots: 9,
         draining: true,
+        drained_by_operator: false,
     };
     let server = StandIn::start(vec![Reply::ok(&EndpointsResponse {
         version: EndpointVersion::default(),
--- a/crates/coordination/examples/load/sim.rs
+++ b/crates/coordination/examples/load/sim.rs
@@ -351,6 +351,7 @@
             address: ([127, 0, 0, 1], 9000).into(),
             slots: self.mesh.slots,
             draining: false,
+            drained_by_operator: false,
         });
     }
 
--- a/crates/coordination/src/distribution/tests.rs
+++ b/crates/coordination/src/distribution/tests.rs
@@ -20,6 +20,7 @@
         address: "127.0.0.1:1".parse().expect("valid address"),
         slots,
         draining: false,
+        drained_by_operator: false,
     };
     let key = ResourceKey::Endpoint(endpoint.daemon.clone(), endpoint.service.clone());
     (key, Arc::new(Resource::Endpoint(endpoint)))
--- a/crates/coordination/src/key_holders/tests.rs
+++ b/crates/coordination/src/key_holders/tests.rs
@@ -15,6 +15,7 @@
         address: "127.0.0.1:1".parse().expect("valid address"),
         slots: 6,
         draining: false,
+        drained_by_operator: false,
     }
 }
 
--- a/crates/coordination/src/leases.rs
+++ b/crates/coordination/src/leases.rs
@@ -88,7 +88,8 @@
             if endpoint.check().is_err() {
                 continue;
             }
-            if endpoint.draining {
+            // An endpoint may also drain because its daemon stops, which a restarted one withdraws.
+            if endpoint.drained_by_operator {
                 self.draining_daemons.insert(endpoint.daemon.clone());
             }
             let lease = Lease {
@@ -166,6 +167,7 @@
             };
             changed |= lease.endpoint.draining != draining;
             lease.endpoint.draining = draining;
+            lease.endpoint.drained_by_operator = draining;
         }
         self.bump_version_if(changed);
         changed
@@ -219,7 +221,8 @@
     fn renew_one(&mut self, now: Millis, announced: &Endpoint) -> bool {
         let mut endpoint = announced.clone();
         // A drain mark stays until an operator clears it or the daemon announces no endpoints.
-        endpoint.draining |= self.draining_daemons.contains(&endpoint.daemon);
+        endpoint.drained_by_operator = self.draining_daemons.contains(&endpoint.daemon);
+        endpoint.draining |= endpoint.drained_by_operator;
         let lease = Lease {
             endpoint,
             expires: now.after(LEASE_DURATION),
--- a/crates/coordination/src/leases/tests.rs
+++ b/crates/coordination/src/leases/tests.rs
@@ -14,6 +14,7 @@
         address: "127.0.0.1:1".parse().expect("valid address"),
         slots: 9,
         draining: false,
+        drained_by_operator: false,
     }
 }
 
@@ -126,6 +127,36 @@
     assert_eq!(next.endpoints().count(), 50);
 }
 
+/// Scenario: a leader is lost while an endpoint drains, and the daemon of the endpoint then announces
+/// it as in use.
+///
+/// Guards against an endpoint that stays out of use because its daemon was being restarted when the
+/// leader was lost, and against an order of an operator that is lost with the leader.
+#[rstest]
+#[case::daemon_restarted(false)]
+#[case::ordered(true)]
+fn take_over_draining(#[case] ordered: bool) {
+    let daemon = DaemonId::from("a");
+    let mut leases = Leases::default();
+    let leaving = Endpoint {
+        draining: !ordered,
+        ..endpoint("a")
+    };
+    leases.renew(Millis(0), &daemon, &[leaving]);
+    if ordered {
+        leases.set_draining(&daemon, true);
+    }
+    let copy: Vec<Endpoint> = leases.endpoints().cloned().collect();
+    let mut next = Leases::default();
+    next.take_over(Millis(0), 4, copy);
+    assert!(next.endpoints().all(|endpoint| endpoint.draining));
+    next.renew(Millis(10), &daemon, &[endpoint("a")]);
+    assert!(
+        next.endpoints()
+            .all(|endpoint| endpoint.draining == ordered)
+    );
+}
+
 /// Guards against one invalid entry that reaches all daemons, or that removes the entries beside
 /// it, and against a daemon that is not believed again after it has reported one.
 #[test]
--- a/crates/coordination/src/machine/evacuation/tests.rs
+++ b/crates/coordination/src/machine/evacuation/tests.rs
@@ -34,6 +34,7 @@
         address: "127.0.0.1:1".parse().unwrap(),
         slots: 4,
         draining: false,
+        drained_by_operator: false,
     }
 }
 
--- a/crates/coordination/src/routing/load/tests.rs
+++ b/crates/coordination/src/routing/load/tests.rs
@@ -17,6 +17,7 @@
         address: "127.0.0.1:1".parse().unwrap(),
         slots: 9,
         draining: false,
+        drained_by_operator: false,
     }
 }
 
--- a/crates/coordination/src/routing/tests.rs
+++ b/crates/coordination/src/routing/tests.rs
@@ -21,6 +21,7 @@
         address: ([127, 0, 0, 1], 9000).into(),
         slots: 9,
         draining: false,
+        drained_by_operator: false,
     }
 }
 
@@ -240,6 +241,7 @@
             .map(|(i, (version, draining, local))| Endpoint {
                 version: format!("v{version}").into(),
                 draining: *draining,
+                drained_by_operator: false,
                 ..endpoint(i, if *local { "a" } else { "b" })
             })
             .collect();
--- a/crates/coordination/tests/request_path/simulation.rs
+++ b/crates/coordination/tests/request_path/simulation.rs
@@ -101,6 +101,7 @@
         address: ([127, 0, 0, 1], 9000).into(),
         slots: 3,
         draining: false,
+        drained_by_operator: false,
     };
     (0..DAEMONS).map(endpoint).collect()
 }
--- a/crates/coordination/tests/subscribers/content.rs
+++ b/crates/coordination/tests/subscribers/content.rs
@@ -87,6 +87,7 @@
         address: "127.0.0.1:1".parse().expect("valid address"),
         slots,
         draining: false,
+        drained_by_operator: false,
     }
 }
 
--- a/crates/daemon/src/control/hints/tests.rs
+++ b/crates/daemon/src/control/hints/tests.rs
@@ -16,6 +16,7 @@
         address: ([127, 0, 0, 1], port).into(),
         slots: 9,
         draining: false,
+        drained_by_operator: false,
     }
 }
 
--- a/crates/daemon/src/control/replica/tests.rs
+++ b/crates/daemon/src/control/replica/tests.rs
@@ -114,6 +114,7 @@
         address: "127.0.0.1:1".parse().unwrap(),
         slots: 9,
         draining: false,
+        drained_by_operator: false,
     };
     replica.hinted_endpoints = vec![endpoint.clone()];
     replica.unapplied.push_back(approval(1));
--- a/crates/daemon/src/proxy/owner.rs
+++ b/crates/daemon/src/proxy/owner.rs
@@ -460,7 +460,7 @@
             }
             let key = ResourceKey::Endpoint(self.daemon.clone(), service.clone());
             let endpoint = view.get(&key).map(AsRef::as_ref);
-            let marked = matches!(endpoint, Some(Resource::Endpoint(e)) if e.draining);
+            let marked = matches!(endpoint, Some(Resource::Endpoint(e)) if e.drained_by_operator);
             let mut admission = upstream.admission.lock();
             if marked || evacuated {
                 admission.drain();
@@ -530,6 +530,7 @@
             address: self.link_address,
             slots: upstream.announcement.slots,
             draining: draining || upstream.draining.load(Ordering::SeqCst),
+            drained_by_operator: false,
         });
         endpoints.collect()
     }
--- a/crates/state/src/endpoint.rs
+++ b/crates/state/src/endpoint.rs
@@ -154,6 +154,14 @@
     pub slots: u32,
     /// Whether the upstream is draining and receives no new requests.
     pub draining: bool,
+    /// Whether it drains because an operator has ordered it. The daemon on the host does not report
+    /// that; the leader keeps it until the order is withdrawn or the upstream has left.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub drained_by_operator: bool,
+}
+
+fn is_false(value: &bool) -> bool {
+    !value
 }
 
 impl Endpoint {
--- a/crates/state/src/endpoint/tests.rs
+++ b/crates/state/src/endpoint/tests.rs
@@ -11,6 +11,7 @@
         address: ([127, 0, 0, 1], 7000).into(),
         slots: 9,
         draining: false,
+        drained_by_operator: false,
     }
 }
 
--- a/crates/state/src/view/tests.rs
+++ b/crates/state/src/view/tests.rs
@@ -51,6 +51,7 @@
         address: ([127, 0, 0, 1], 7000).into(),
         slots,
         draining: false,
+        drained_by_operator: false,
     });
     (
         ResourceKey::Endpoint(daemon.into(), service.into()),
--- a/crates/testbed/examples/capacity/world.rs
+++ b/crates/testbed/examples/capacity/world.rs
@@ -89,6 +89,7 @@
         address: SocketAddr::from(([10, 0, (index / 250) as u8, (index % 250) as u8], 7_000)),
         slots: 9,
         draining: false,
+        drained_by_operator: false,
     }
 }
 
