--- a/crates/daemon/src/proxy/quotas.rs
+++ b/crates/daemon/src/proxy/quotas.rs
@@ -17,6 +17,9 @@
 use super::Result;
 use crate::clock;
 
+#[cfg(test)]
+mod tests;
+
 /// Longest wait of a request for a permit. A round trip to the leader takes up to two of its ticks.
 const MAX_WAIT: Millis = Millis(150);
 /// Maximum number of accounts whose refusals are counted by name. Others count as `other`.
--- a/crates/protocol/src/distribution/tests.rs
+++ b/crates/protocol/src/distribution/tests.rs
@@ -1,5 +1,7 @@
 #![allow(clippy::unwrap_used, reason = "a missing value fails the test")]
 
+use sycamoreflow_coordination::quota::{AccountId, AccountUse, SetNumber};
+
 use super::*;
 
 fn members(count: usize) -> FromReplica {
@@ -37,3 +39,29 @@
     let oversized = vec![0; codec::MAX_FRAME_BYTES + 1];
     assert!(from_packed(compress_to_vec(&oversized, COMPRESSION_LEVEL)).is_err());
 }
+
+/// Guards against reports on quotas that burden the leader: a daemon that sees 85 accounts sends one
+/// each second.
+#[test]
+fn quota_report_size() {
+    let accounts = (0..85).map(|index| AccountUse {
+        account: AccountId(u64::MAX - index),
+        asked: 1_000,
+        waiting: 0,
+        stock: 3,
+    });
+    let report = FromSubscriber::Quota(QuotaReport {
+        incarnation: u64::MAX,
+        at: Millis(1_000_000),
+        set: SetNumber {
+            term: 9,
+            number: 99,
+        },
+        held: None,
+        full: true,
+        accounts: accounts.collect(),
+    });
+    let encoded = codec::encode(&report).unwrap();
+    assert!(encoded.len() < 1_500, "{} bytes", encoded.len());
+    assert_eq!(codec::decode::<FromSubscriber>(&encoded), Ok(report));
+}
