--- a/crates/coordination/tests/overload/mesh.rs
+++ b/crates/coordination/tests/overload/mesh.rs
@@ -129,6 +129,7 @@
             address: "127.0.0.1:1".parse().unwrap(),
             slots: SLOTS as u32,
             draining: false,
+            drained_by_operator: false,
         })
         .collect();
     let hosts = (0..HOSTS).map(|index| Host {
