Return credits of requests that have not run for longer

Requests that waited for an overloaded upstream and were then refused as not run kept the credit that they had used, since a credit could be returned for 500 ms only.

Change: a credit for which the bucket has room counts as a token of the bucket, so it can be returned as long as the bucket would have kept it. The bound of a window does not change. A link in a module's documentation to a private item is removed.

Measured: holder_refund_credit, and no window exceeds its limit in the tests of the module.

--- a/crates/coordination/src/quota.rs
+++ b/crates/coordination/src/quota.rs
@@ -9,7 +9,7 @@
 //!
 //! In any window, the requests that are permitted are at most the sum of the leased rates and the
 //! rate of the pool times its length, plus the sum of the leased bursts, the burst of the pool and
-//! the credits that are under way. [`Budget`] divides the limit of an account such that this sum
+//! the credits that are under way. `Budget` divides the limit of an account such that this sum
 //! never exceeds it. That sum holds because of the following invariants:
 //!
 //! - A raised bucket isn't filled, and a lowered one discards tokens.
--- a/crates/coordination/src/quota/holder.rs
+++ b/crates/coordination/src/quota/holder.rs
@@ -30,7 +30,7 @@
 /// [`QuotaHolder::refund`] when the request has ended.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Permit {
-    /// State of the bucket that the token came from, see [`Account::epoch`].
+    /// State of the bucket that the token came from, see `Account::epoch`.
     epoch: Option<u64>,
     /// Time until which the credit may be used, if it was one.
     credit_until: Option<Millis>,
@@ -368,6 +368,11 @@
             return None;
         }
         self.ready -= 1;
+        // With room in the bucket, the credit is a token of it, which can be returned for longer.
+        if self.tokens + (self.outstanding + 1) * UNITS <= self.lease.burst_units() {
+            self.tokens += UNITS;
+            return self.spend(1);
+        }
         Some(Permit {
             epoch: None,
             credit_until: Some(self.ready_until),
--- a/crates/coordination/src/quota/tests.rs
+++ b/crates/coordination/src/quota/tests.rs
@@ -189,6 +189,31 @@
     assert!(matches!(next, Take::Refused(_)), "{next:?}");
 }
 
+/// Guards against accounts below their limits that are refused while upstreams are overloaded:
+/// requests that wait there for longer than a credit lasts, and then don't run, cost no credit.
+#[test]
+fn holder_refund_credit() {
+    let id = AccountId::of(&"grocers".into());
+    let mut holder = leased_holder(id);
+    assert_eq!(holder.take(Millis(1_020), id, Millis(100)), Take::Wait);
+    let report = holder.report(Millis(1_060));
+    let grants = QuotaGrants {
+        incarnation: 1,
+        at: report.at,
+        set: SetNumber { term: 1, number: 1 },
+        replaces: None,
+        leases: None,
+        credits: vec![Credit {
+            account: id,
+            requests: 1,
+        }],
+    };
+    holder.apply(Millis(1_100), &grants);
+    let permit = holder.poll(Millis(1_100), id).expect("a credit");
+    holder.refund(Millis(1_800), id, permit);
+    granted(holder.take(Millis(1_800), id, Millis(0)));
+}
+
 /// Guards against refused requests that are all told to return at the same time.
 #[test]
 fn holder_retry_after_spread() {
