--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -4,6 +4,7 @@
 //! actions, so that property tests can drive them on a virtual clock (`docs/design.md`, section 3).
 
 pub mod admission;
+pub mod buffers;
 pub mod cold;
 pub mod dedup;
 pub mod departures;
@@ -31,4 +32,5 @@
 pub mod shedding;
 pub mod split;
 pub mod startup;
+pub mod steady_time;
 pub mod suspect;
