Serve bodies in small chunks up to the size limit

What callers saw: a body in chunks of one byte got 413 from about 13 KB on, though the limit of a body is 1 MiB.

Cause: chunk sizes and line ends were limited to 64 KiB whatever the size of the data.

Change: 16 bytes of them are allowed for each byte of data in addition. Only the data is kept, so small chunks cost no memory; extensions without end are refused as before.

--- a/crates/transport/src/http/framing/chunked.rs
+++ b/crates/transport/src/http/framing/chunked.rs
@@ -3,10 +3,14 @@
 use super::Violation;
 use super::body::BodyBuffer;
 
-/// Limit on the bytes of a chunked body that are not data: chunk sizes, extensions and trailers. A
-/// body of 1 MiB in chunks of 512 bytes has about 14 KiB of them.
+/// Limit on the bytes of a chunked body that are not data: chunk sizes, extensions and trailers.
+/// [`OVERHEAD_PER_DATA_BYTE`] more are allowed for each byte of data.
 const MAX_OVERHEAD_BYTES: u64 = 64 * 1024;
 
+/// A chunk of one byte has 5 bytes beside its data, and 12 if its size is written with 8 digits. Only
+/// the data is kept, so small chunks cost no memory.
+const OVERHEAD_PER_DATA_BYTE: u64 = 16;
+
 /// Maximum number of hexadecimal digits of a chunk size, which keeps arithmetic on sizes within 64
 /// bits.
 const MAX_SIZE_DIGITS: u32 = 15;
@@ -88,6 +92,7 @@
             (Step::SizeEnd { size }, b'\n') => {
                 let remaining = self.remaining_data.checked_sub(size);
                 self.remaining_data = remaining.ok_or(Violation::BodyTooLarge)?;
+                self.remaining_overhead += size.saturating_mul(OVERHEAD_PER_DATA_BYTE);
                 Step::Data { remaining: size }
             }
             (Step::DataCr, b'\r') => Step::DataLf,
--- a/crates/transport/src/http/framing/tests.rs
+++ b/crates/transport/src/http/framing/tests.rs
@@ -93,6 +93,31 @@
     assert_eq!(push(request.as_bytes()).1, Some(expected));
 }
 
+/// Guards against a body within its limit that is refused for the size of its chunks, and against
+/// chunk extensions without end.
+#[rstest]
+#[case::one_byte_chunks("1\r\nx\r\n", 40_000, None)]
+#[case::padded_sizes("00000001\r\nx\r\n", 40_000, None)]
+#[case::long_extensions(
+    "1;aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\nx\r\n",
+    40_000,
+    Some(Violation::BodyTooLarge)
+)]
+fn push_small_chunks(
+    #[case] chunk: &str,
+    #[case] count: usize,
+    #[case] expected: Option<Violation>,
+) {
+    let limits = FramingLimits {
+        max_body_bytes: 50_000,
+        ..LIMITS
+    };
+    let mut framing = RequestFraming::new(limits);
+    framing.push(b"PUT / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n");
+    let mut chunks = (0..count).map(|_| framing.push(chunk.as_bytes()).1);
+    assert_eq!(chunks.find_map(|violation| violation), expected);
+}
+
 /// Guards against accepting bytes of a rejected request, and against losing a valid request that
 /// precedes it in the same read.
 #[test]
