Admit large answers by the link of the host

Cause: the files of a burst exceed what the links of their hosts carry, and all other answers queue behind them, while the upstreams have free slots.

Change: the daemon beside an upstream estimates what its link has to send, and refuses a call whose answer is probably above 16 KiB while that takes more than 150 ms. The call has not run and may go to another host.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -34,3 +34,4 @@
 pub mod startup;
 pub mod steady_time;
 pub mod suspect;
+pub mod uplink;
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -479,6 +479,7 @@
             max_wait: Millis(settings.limits.queue_ms),
             queue_per_slot: settings.limits.queue_per_slot,
             adaptive_limit: settings.limits.adapt_limit,
+            link_bytes_per_s: settings.limits.link_kbit_per_s * 1_000 / 8,
         };
         Owner::new(
             settings.daemon.clone(),
--- a/crates/daemon/src/proxy/owner.rs
+++ b/crates/daemon/src/proxy/owner.rs
@@ -21,11 +21,12 @@
 use sycamoreflow_coordination::cold::ColdLimiter;
 use sycamoreflow_coordination::departures::Departures;
 use sycamoreflow_coordination::routing::Load;
+use sycamoreflow_coordination::uplink::{Reserved, Uplink};
 use sycamoreflow_protocol::call::{Answer, Call};
 use sycamoreflow_state::config::ColdStart;
 use sycamoreflow_state::endpoint::{Announcement, Departure, Endpoint};
 use sycamoreflow_state::ids::{
-    DaemonId, DataCentre, Micros, Millis, ServiceName, TenantName, VersionName,
+    DaemonId, DataCentre, Micros, Millis, RouteName, ServiceName, TenantName, VersionName,
 };
 use sycamoreflow_state::verdict::{Failure, Reason, Verdict};
 use sycamoreflow_state::view::{Resource, ResourceKey, View};
@@ -82,6 +83,8 @@
     weights: Mutex<Vec<(TenantName, u32)>>,
     /// Whether requests need the key of a client account.
     has_accounts: AtomicBool,
+    /// Answers that the link of this host has to send.
+    uplink: Mutex<Uplink>,
     /// What upstreams bear while they are cold, by service.
     cold_starts: Mutex<IndexMap<ServiceName, ColdStart>>,
     dialect: Arc<Dialect>,
@@ -112,6 +115,8 @@
     pub queue_per_slot: u32,
     /// Whether to reduce the number of concurrent calls while the upstream sheds load or is slow.
     pub adaptive_limit: bool,
+    /// Bandwidth of the host's link in bytes per second, or 0 if it is unknown.
+    pub link_bytes_per_s: u64,
 }
 
 /// Periodic report of an upstream that identifies its instances. A report may arrive late, after
@@ -153,6 +158,7 @@
             upstreams: Mutex::default(),
             weights: Mutex::default(),
             has_accounts: AtomicBool::new(false),
+            uplink: Mutex::new(Uplink::new(clock::now(), limits.link_bytes_per_s)),
             cold_starts: Mutex::default(),
             dialect: Arc::default(),
             departures: Mutex::default(),
@@ -620,6 +626,14 @@
             offered,
             ended: false,
         };
+        let mut uplink_use = match self.reserve_uplink(&call.route) {
+            Ok(uplink_use) => uplink_use,
+            Err(failure) => {
+                cancellation_log.ended = true;
+                upstream.log_refusal(call, &self.dialect, failure);
+                return (Err(failure), Millis(0));
+            }
+        };
         let admitted = self.admit(upstream, id, call, deadline).await;
         let waited = clock::now().since(offered);
         let result = match admitted {
@@ -629,10 +643,26 @@
                 Err(failure)
             }
         };
+        uplink_use.sent = result.as_ref().ok().map(|answer| answer.body.len());
         cancellation_log.ended = true;
         (result, waited)
     }
 
+    /// Reserves a part of the host's link for the answer of a call, unless the answer is probably
+    /// large and the link has enough to send.
+    fn reserve_uplink<'a>(&'a self, route: &'a RouteName) -> Result<UplinkUse<'a>> {
+        let Some(reserved) = self.uplink.lock().admit(clock::now(), route) else {
+            metrics::counter!("sycamoreflow_uplink_refusals_total").increment(1);
+            return Err(Failure::not_run(Reason::Overloaded));
+        };
+        Ok(UplinkUse {
+            uplink: &self.uplink,
+            route,
+            reserved,
+            sent: None,
+        })
+    }
+
     /// Sends an admitted call to the upstream, and updates admission, the crash records and the
     /// state of the upstream with the result.
     async fn run_admitted(
@@ -782,6 +812,22 @@
     Failure::not_run(Reason::Overloaded)
 }
 
+/// Part of the host's link that a call in progress is expected to need.
+struct UplinkUse<'a> {
+    uplink: &'a Mutex<Uplink>,
+    route: &'a RouteName,
+    reserved: Reserved,
+    /// Size of the answer in bytes, if there is one.
+    sent: Option<usize>,
+}
+
+impl Drop for UplinkUse<'_> {
+    fn drop(&mut self) {
+        let mut uplink = self.uplink.lock();
+        uplink.ended(clock::now(), self.route, self.reserved, self.sent);
+    }
+}
+
 /// A call in progress. Dropping it before the call has ended logs that the call was cancelled.
 struct CancellationLog<'a> {
     call: &'a Call,
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -185,6 +185,8 @@
     pub quota_slack: u32,
     /// Whether the concurrency limit of an upstream is reduced while it sheds load or is slow.
     pub adapt_limit: bool,
+    /// Bandwidth of the host's link in kbit/s, by which large answers are admitted. 0 admits all.
+    pub link_kbit_per_s: u64,
     /// Time in milliseconds after the acceptance of a configuration after which no daemon honours a
     /// key that it takes away, even if it is cut off. With 0, a daemon that is cut off honours the
     /// keys that it knows.
@@ -234,6 +236,7 @@
             quota_overage_percent: 10,
             quota_slack: 20,
             adapt_limit: true,
+            link_kbit_per_s: 0,
             key_lease_ms: 0,
         }
     }
--- a/crates/daemon/tests/docs_settings.rs
+++ b/crates/daemon/tests/docs_settings.rs
@@ -75,6 +75,7 @@
             quota_overage_percent: 1,
             quota_slack: 1,
             adapt_limit: true,
+            link_kbit_per_s: 1,
             key_lease_ms: 1,
         },
         log: LogSettings {
--- a/crates/daemon/tests/owner.rs
+++ b/crates/daemon/tests/owner.rs
@@ -45,6 +45,7 @@
             max_wait: Millis(100),
             queue_per_slot: 4,
             adaptive_limit: true,
+            link_bytes_per_s: 0,
         },
         Client::new(Limits::default()),
         Arc::new(CrashTracker::new("sfax-a-1".into(), 1, urgent_report)),
--- a/crates/testbed/examples/capacity/proxies.rs
+++ b/crates/testbed/examples/capacity/proxies.rs
@@ -53,6 +53,7 @@
         max_wait: Millis(100),
         queue_per_slot: 4,
         adaptive_limit: true,
+        link_bytes_per_s: 0,
     };
     let address = world::endpoint(0, 1).address;
     let identity = identity(&world::daemon(0))?;
