Write the queued log lines before the process exits

Log lines go through a queue that a thread writes, and the process ended without waiting for it.

`start_logs` returns a guard that writes the queue when dropped, at most for 100 ms.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -65,7 +65,7 @@
         program::report_valid(&options.config);
         return Ok(0);
     }
-    telemetry::start_logs(&settings.log)?;
+    let _logs = telemetry::start_logs(&settings.log)?;
     let metrics = telemetry::start_metrics()?;
     let stop = stop_signal()?;
     async_std::task::block_on(async {
--- a/crates/daemon/src/telemetry.rs
+++ b/crates/daemon/src/telemetry.rs
@@ -33,19 +33,39 @@
 /// How often the number of suppressed log lines is logged.
 const SUPPRESSED_REPORT_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Maximum time for which the end of the process waits until the queued log lines are written.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Writes the queued log lines when dropped, so that the last lines of a process are not lost. If
+/// the output takes none, the drop gives up after 100 ms.
+#[must_use]
+#[derive(Debug)]
+pub struct LogGuard {
+    queue: LogQueue,
+}
+
+impl Drop for LogGuard {
+    fn drop(&mut self) {
+        self.queue.flush(FLUSH_TIMEOUT);
+    }
+}
+
 /// Starts logging to standard output. Logging never blocks the caller, and lines about requests are
-/// rate limited.
+/// rate limited. The result must be kept until the end of the process.
 ///
 /// # Errors
 ///
 /// If the filter is malformed, logging was started before or a thread can't be started.
-pub fn start_logs(settings: &LogSettings) -> eyre::Result<()> {
+pub fn start_logs(settings: &LogSettings) -> eyre::Result<LogGuard> {
     let filter = match settings.filter.as_str() {
         "" => "info",
         filter => filter,
     };
     let filter = EnvFilter::try_new(filter).wrap_err("log.filter: invalid filter directives")?;
     let queue = LogQueue::start().wrap_err("failed to start logging")?;
+    let guard = LogGuard {
+        queue: queue.clone(),
+    };
     let rate_limits = Arc::new(RateLimits::default());
     let filter_limits = rate_limits.clone();
     let rate_filter = dynamic_filter_fn(move |metadata, _| {
@@ -71,7 +91,7 @@
         .name("log-quota".into())
         .spawn(move || report_suppressed(&rate_limits))
         .wrap_err("failed to start logging")?;
-    Ok(())
+    Ok(guard)
 }
 
 /// Periodically logs the number of suppressed lines about requests. Never returns.
--- a/crates/daemon/src/telemetry/log_queue.rs
+++ b/crates/daemon/src/telemetry/log_queue.rs
@@ -6,8 +6,9 @@
 //! does not displace the lines that explain it.
 
 use std::io::{self, Write};
+use std::iter;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -27,6 +28,8 @@
 const REFUSALS_PER_SECOND: u64 = 200;
 /// Interval of the rate limits.
 const RATE_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval at which a flush retries to enter a full queue.
+const FLUSH_RETRY_INTERVAL: Duration = Duration::from_millis(1);
 
 /// Rate limits of log lines about requests. Suppressed lines are counted.
 #[derive(Debug, Default)]
@@ -77,17 +80,25 @@
     }
 }
 
+/// Entry of the queue.
+#[derive(Debug)]
+enum Entry {
+    Line(Vec<u8>),
+    /// Asks for a message once all earlier lines are written.
+    Flush(SyncSender<()>),
+}
+
 /// Creates writers that put each line into the queue.
 #[derive(Clone, Debug)]
 pub(super) struct LogQueue {
-    lines: SyncSender<Vec<u8>>,
+    entries: SyncSender<Entry>,
 }
 
 /// Collects one line and puts it into the queue when dropped. The line is lost if the queue is
 /// full.
 #[derive(Debug)]
 pub(super) struct LineWriter {
-    lines: SyncSender<Vec<u8>>,
+    entries: SyncSender<Entry>,
     line: Vec<u8>,
 }
 
@@ -98,11 +109,35 @@
     ///
     /// If the thread can't be started.
     pub(super) fn start() -> io::Result<Self> {
+        Self::start_with(|entries| write_lines(entries, io::stdout().lock()))
+    }
+
+    fn start_with(write: impl FnOnce(&Receiver<Entry>) + Send + 'static) -> io::Result<Self> {
         let (tx, rx) = sync_channel(QUEUE_LINES);
         thread::Builder::new()
             .name("log".into())
-            .spawn(move || write_lines(&rx))?;
-        Ok(Self { lines: tx })
+            .spawn(move || write(&rx))?;
+        Ok(Self { entries: tx })
+    }
+
+    /// Waits until the lines that are queued now are written, but for `limit` at most. Returns
+    /// whether they are.
+    pub(super) fn flush(&self, limit: Duration) -> bool {
+        let end = Instant::now() + limit;
+        let (tx, rx) = sync_channel(1);
+        let mut entry = Entry::Flush(tx);
+        while let Err(error) = self.entries.try_send(entry) {
+            let TrySendError::Full(unsent) = error else {
+                return false;
+            };
+            if Instant::now() >= end {
+                return false;
+            }
+            entry = unsent;
+            thread::sleep(FLUSH_RETRY_INTERVAL);
+        }
+        let remaining = end.saturating_duration_since(Instant::now());
+        rx.recv_timeout(remaining).is_ok()
     }
 }
 
@@ -111,7 +146,7 @@
 
     fn make_writer(&'a self) -> LineWriter {
         LineWriter {
-            lines: self.lines.clone(),
+            entries: self.entries.clone(),
             line: Vec::new(),
         }
     }
@@ -131,19 +166,25 @@
 impl Drop for LineWriter {
     fn drop(&mut self) {
         let line = std::mem::take(&mut self.line);
-        if self.lines.try_send(line).is_err() {
+        if self.entries.try_send(Entry::Line(line)).is_err() {
             metrics::counter!("sycamoreflow_log_lines_dropped_total").increment(1);
         }
     }
 }
 
-fn write_lines(lines: &Receiver<Vec<u8>>) {
-    let mut output = io::stdout().lock();
-    while let Ok(line) = lines.recv() {
-        // Write errors are ignored: without the output there is no place to report them.
-        let _ = output.write_all(&line);
-        for line in lines.try_iter() {
-            let _ = output.write_all(&line);
+fn write_lines(entries: &Receiver<Entry>, mut output: impl Write) {
+    while let Ok(first) = entries.recv() {
+        for entry in iter::once(first).chain(entries.try_iter()) {
+            // Write errors are ignored: without the output there is no place to report them.
+            match entry {
+                Entry::Line(line) => {
+                    let _ = output.write_all(&line);
+                }
+                Entry::Flush(done) => {
+                    let _ = output.flush();
+                    let _ = done.try_send(());
+                }
+            }
         }
         let _ = output.flush();
     }
--- a/crates/daemon/tests/processes/leaving.rs
+++ b/crates/daemon/tests/processes/leaving.rs
@@ -77,6 +77,7 @@
         load.await;
         let status = mesh.wait_for_exit(3, LIMIT).await?;
         ensure!(status.code() == Some(0), "{status}\n{}", mesh.log(3));
+        check_logged(&mesh, 3, &["stopped cut=0"])?;
         check_all_answered(&results)?;
         check_all_answered(&leaving_results)?;
         check_no_late_calls(&upstreams[0], stop_requested)?;
@@ -139,6 +140,15 @@
     })
 }
 
+/// Checks that a line of the log of a daemon contains all of the texts.
+fn check_logged(mesh: &ProcessMesh, index: usize, texts: &[&str]) -> eyre::Result<()> {
+    let log = mesh.log(index);
+    let mut lines = log.lines();
+    let found = lines.any(|line| texts.iter().all(|text| line.contains(text)));
+    ensure!(found, "no line with {texts:?}\n{log}");
+    Ok(())
+}
+
 /// Sets the drain timeout of a daemon below the service time of its requests, and its leave notice
 /// to half of the drain timeout.
 fn shorten_drain_timeout(mesh: &ProcessMesh, index: usize) -> eyre::Result<()> {
