Log the requests that a planned stop cuts

From the logs nobody could tell why a request ended without an answer around a stop: an entry whose connection was aborted logged nothing, nor did an owner that exited with calls in progress, and no line said whether its daemon was stopping.

The owner keeps its calls in progress with their phase, and logs each one that is left at the end of its drain as `owner_cut`, after which `drain_ended` has the totals. The entry logs `request_dropped` when a request is dropped without a response. `request`, `owner_ran`, `owner_refused` and `owner_withdrawn` say whether their daemon was stopping.

No decision of the proxy changes.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -351,6 +351,13 @@
             task::sleep(Duration::from_millis(10)).await;
         }
         let aborted_calls = aborted_connections + self.proxy.owner().in_flight();
+        let cut = self.proxy.owner().log_cut_calls();
+        tracing::info!(
+            event = "drain_ended",
+            connections = aborted_connections,
+            running = cut.running,
+            queued = cut.queued
+        );
         self.stop_tasks().await;
         aborted_calls
     }
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -41,7 +41,7 @@
 use crate::proxy::service::Service;
 use crate::proxy::startup::ViewWaiters;
 use crate::proxy::table::{Route, RouteTable};
-use crate::proxy::trace::Trace;
+use crate::proxy::trace::{RequestLog, Trace};
 
 pub mod accounts;
 mod attempts;
@@ -288,13 +288,11 @@
 
     /// Serves a request of a caller. A failure becomes a response in the dialect of callers.
     pub async fn serve(self: &Arc<Self>, req: Request<Bytes>) -> Response<Bytes> {
-        let started = Instant::now();
+        let mut log = RequestLog::start(&self.owner);
         let id_header = self.dialect.request_id.clone();
         let id_header = id_header.and_then(|name| Some((req.headers().get(&name)?.clone(), name)));
-        let mut trace = Trace::default();
-        let (result, tenant) = self.run(req, &mut trace).await;
-        let elapsed = started.elapsed();
-        trace.log(&result, elapsed);
+        let (result, tenant) = self.run(req, &mut log.trace).await;
+        let elapsed = log.end(&result);
         let response = match result {
             Ok(answer) => headers::response(answer, &self.dialect),
             Err(failure) => {
@@ -303,7 +301,7 @@
                 metrics::counter!("sycamoreflow_calls_failed_total",
                     "reason" => reason, "verdict" => verdict)
                 .increment(1);
-                let wait = trace.retry_after.unwrap_or(DEFAULT_RETRY_AFTER);
+                let wait = log.trace.retry_after.unwrap_or(DEFAULT_RETRY_AFTER);
                 let mut response = headers::failure_response(failure, &self.dialect, Some(wait));
                 if let Some((id, name)) = id_header {
                     response.headers_mut().insert(name, id);
--- a/crates/daemon/src/proxy/owner.rs
+++ b/crates/daemon/src/proxy/owner.rs
@@ -36,11 +36,15 @@
 use crate::proxy::crashes::CrashTracker;
 use crate::proxy::dialect::Dialect;
 use crate::proxy::headers;
+use crate::proxy::owner::progress::{CallsInProgress, ProgressGuard};
 use crate::proxy::owner::upstream::{Slot, Upstream};
 use crate::telemetry::REFUSALS;
 
+mod progress;
 mod upstream;
 
+pub use progress::CallCounts;
+
 /// Result of a delivery: an answer, or a failure with its verdict.
 pub type Result<T> = std::result::Result<T, Failure>;
 
@@ -104,6 +108,7 @@
     /// Whether the data centre of this host is evacuated.
     evacuated: AtomicBool,
     next_call: AtomicU64,
+    in_progress: CallsInProgress,
 }
 
 /// Settings of admission that apply to all upstreams.
@@ -170,6 +175,7 @@
             draining: AtomicBool::new(false),
             evacuated: AtomicBool::new(false),
             next_call: AtomicU64::new(1),
+            in_progress: CallsInProgress::default(),
         }
     }
 
@@ -600,7 +606,7 @@
         };
         if self.must_refuse_for_stop(deadline, call.urgency.idempotent) {
             let failure = Failure::not_run(Reason::Draining);
-            upstream.log_refusal(call, &self.dialect, failure);
+            upstream.log_refusal(call, &self.dialect, failure, self.is_unready());
             return (Err(failure), None);
         }
         let (result, waited) = self.run(&upstream, call, deadline).await;
@@ -620,31 +626,28 @@
     ) -> (Result<Answer>, Millis) {
         let id = CallId(self.next_call.fetch_add(1, Ordering::Relaxed));
         let offered = clock::now();
-        let mut cancellation_log = CancellationLog {
-            call,
-            dialect: &self.dialect,
-            offered,
-            ended: false,
-        };
         let mut uplink_use = match self.reserve_uplink(&call.route) {
             Ok(uplink_use) => uplink_use,
             Err(failure) => {
-                cancellation_log.ended = true;
-                upstream.log_refusal(call, &self.dialect, failure);
+                upstream.log_refusal(call, &self.dialect, failure, self.is_unready());
                 return (Err(failure), Millis(0));
             }
         };
+        let progress = ProgressGuard::start(self, id, call, offered);
         let admitted = self.admit(upstream, id, call, deadline).await;
         let waited = clock::now().since(offered);
         let result = match admitted {
-            Ok(slot) => self.run_admitted(slot, call, deadline, waited).await,
+            Ok(slot) => {
+                progress.set_running();
+                self.run_admitted(slot, call, deadline, waited).await
+            }
             Err(failure) => {
-                upstream.log_refusal(call, &self.dialect, failure);
+                upstream.log_refusal(call, &self.dialect, failure, self.is_unready());
                 Err(failure)
             }
         };
         uplink_use.sent = result.as_ref().ok().map(|answer| answer.body.len());
-        cancellation_log.ended = true;
+        progress.end();
         (result, waited)
     }
 
@@ -703,7 +706,8 @@
         if let UpstreamResult::Answered(latency) = outcome {
             upstream.record_latency(&call.route, latency);
         }
-        upstream.log_completion(call, &self.dialect, waited, latency, &result);
+        let stopping = self.is_unready();
+        upstream.log_completion(call, &self.dialect, waited, latency, &result, stopping);
         match &result {
             Err(f) if f.reason == Reason::ConnectionLost => self.check_for_crash(upstream).await,
             Err(f) if f.reason == Reason::NoEndpoint => upstream.retire(),
@@ -828,26 +832,6 @@
     }
 }
 
-/// A call in progress. Dropping it before the call has ended logs that the call was cancelled.
-struct CancellationLog<'a> {
-    call: &'a Call,
-    dialect: &'a Dialect,
-    offered: Millis,
-    ended: bool,
-}
-
-impl Drop for CancellationLog<'_> {
-    fn drop(&mut self) {
-        if self.ended {
-            return;
-        }
-        let after = clock::now().since(self.offered);
-        tracing::info!(target: REFUSALS, event = "owner_withdrawn",
-            request = headers::request_id(self.call, self.dialect), route = %self.call.route,
-            after_ms = after.0);
-    }
-}
-
 /// Returns whether nothing listens at `address`. A timeout or another error does not prove that.
 async fn refuses_connections(address: SocketAddr) -> bool {
     match timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await {
--- a/crates/daemon/src/proxy/owner/upstream.rs
+++ b/crates/daemon/src/proxy/owner/upstream.rs
@@ -163,8 +163,15 @@
         }
     }
 
-    /// Logs that a call was refused without being sent to the upstream.
-    pub(super) fn log_refusal(&self, call: &Call, dialect: &Dialect, failure: Failure) {
+    /// Logs that a call was refused without being sent to the upstream. `stopping` is whether the
+    /// daemon is about to stop.
+    pub(super) fn log_refusal(
+        &self,
+        call: &Call,
+        dialect: &Dialect,
+        failure: Failure,
+        stopping: bool,
+    ) {
         let load = self.load(&call.route);
         tracing::info!(
             target: REFUSALS,
@@ -177,11 +184,13 @@
             limit = load.limit,
             mean_us = load.mean.0,
             target_ms = call.urgency.target_ms,
+            stopping,
         );
     }
 
     /// Logs the result of a call that was sent to the upstream. `waited` is the time in the queue,
-    /// and `latency` is the time that the upstream took.
+    /// `latency` is the time that the upstream took, and `stopping` is whether the daemon is about
+    /// to stop.
     pub(super) fn log_completion(
         &self,
         call: &Call,
@@ -189,6 +198,7 @@
         waited: Millis,
         latency: Micros,
         result: &Result<Answer>,
+        stopping: bool,
     ) {
         let (status, failure) = match result {
             Ok(answer) => (Some(answer.status), None),
@@ -201,11 +211,11 @@
         let request = headers::request_id(call, dialect);
         if log_target == REFUSALS {
             tracing::info!(target: REFUSALS, event = "owner_ran", request, route = %call.route,
-                priority = call.urgency.priority, running, waited_ms = waited.0, took_us = latency.0, reason, verdict);
+                priority = call.urgency.priority, running, waited_ms = waited.0, took_us = latency.0, reason, verdict, stopping);
             return;
         }
         tracing::info!(target: ANSWERS, event = "owner_ran", request, route = %call.route,
-            priority = call.urgency.priority, running, waited_ms = waited.0, took_us = latency.0, status);
+            priority = call.urgency.priority, running, waited_ms = waited.0, took_us = latency.0, status, stopping);
     }
 
     /// Returns the number of calls that run or wait.
--- a/crates/daemon/tests/owner.rs
+++ b/crates/daemon/tests/owner.rs
@@ -17,7 +17,7 @@
 use sycamoreflow_daemon::clock;
 use sycamoreflow_daemon::proxy::crashes::CrashTracker;
 use sycamoreflow_daemon::proxy::dialect::Dialect;
-use sycamoreflow_daemon::proxy::owner::{InstanceReport, Owner, OwnerLimits};
+use sycamoreflow_daemon::proxy::owner::{CallCounts, InstanceReport, Owner, OwnerLimits};
 use sycamoreflow_protocol::call::{Call, CallUrgency, RequestHead};
 use sycamoreflow_state::config::{ColdStart, ServiceConfig, Share};
 use sycamoreflow_state::endpoint::Announcement;
@@ -164,6 +164,29 @@
     assert!(shortest < longest, "{waited:?}");
 }
 
+/// Guards against calls that a planned stop cuts without counting them, be they at the upstream or
+/// in its queue, and against counting calls that have ended.
+#[async_std::test]
+async fn log_cut_calls_by_phase() {
+    const ANSWER_DELAY: Duration = Duration::from_millis(60);
+    let address = start_delayed_upstream(ANSWER_DELAY, vec![ANSWER, ANSWER]).await;
+    let owner = owner(address);
+    owner.announce(announcement(address, 1));
+    let (first, second) = (call(true, "a1"), call(true, "a1"));
+    let cut = async {
+        task::sleep(ANSWER_DELAY / 2).await;
+        owner.log_cut_calls()
+    };
+    let (_, _, counts) = join!(
+        owner.deliver(&first, default_deadline()),
+        owner.deliver(&second, default_deadline()),
+        cut
+    );
+    assert_eq!((counts.running, counts.queued), (1, 1));
+    assert!(owner.deliver(&first, default_deadline()).await.is_ok());
+    assert_eq!(owner.log_cut_calls(), CallCounts::default());
+}
+
 /// Reads the head of a request. Returns `false` if the connection ends first.
 async fn read_head(stream: &mut TcpStream) -> bool {
     let mut head = Vec::new();
--- a/crates/daemon/tests/processes/leaving.rs
+++ b/crates/daemon/tests/processes/leaving.rs
@@ -14,7 +14,7 @@
 use sycamoreflow_testbed::process::ProcessMesh;
 use sycamoreflow_testbed::upstream::Upstream;
 
-use crate::support::{LIMIT, approve_everywhere, mesh, run, start_upstreams, wait_for};
+use crate::support::{LIMIT, approve_everywhere, call, mesh, run, start_upstreams, wait_for};
 
 /// One idempotent call, which may be retried, and one that may not.
 pub(crate) const CALLS: [Call; 2] = [
@@ -77,6 +77,11 @@
         load.await;
         let status = mesh.wait_for_exit(3, LIMIT).await?;
         ensure!(status.code() == Some(0), "{status}\n{}", mesh.log(3));
+        check_logged(
+            &mesh,
+            3,
+            &["drain_ended", "connections=0 running=0 queued=0"],
+        )?;
         check_logged(&mesh, 3, &["stopped cut=0"])?;
         check_all_answered(&results)?;
         check_all_answered(&leaving_results)?;
@@ -140,6 +145,46 @@
     })
 }
 
+/// Guards against a planned stop that cuts requests without a log line of each, at the entry that
+/// aborts their connections or at the owner that cuts the calls, and against losing the last lines.
+#[rstest]
+#[case::at_the_entry(3, "request_dropped", "connections=3 running=0")]
+#[case::at_the_owner(4, "owner_cut", "connections=0 running=3")]
+fn leaving_logs_cut_requests(
+    #[case] leaving: usize,
+    #[case] event: &str,
+    #[case] ended: &str,
+) -> eyre::Result<()> {
+    run(async {
+        let mut mesh = mesh(5)?;
+        approve_everywhere(&mesh, 1).await?;
+        mesh.terminate(leaving)?;
+        mesh.wait_for_exit(leaving, LIMIT).await?;
+        shorten_drain_timeout(&mesh, leaving)?;
+        mesh.spawn(leaving)?;
+        let _upstreams = start_upstreams(&mesh, &[4], LONG_SERVICE_TIME).await?;
+        let entry = mesh.calls_address(3);
+        let requests = (0..3).map(|_| {
+            task::spawn(async move {
+                let _ = call(&caller::client(), entry, "GET").await;
+            })
+        });
+        let requests: Vec<_> = requests.collect();
+        task::sleep(DRAIN_TIMEOUT / 10).await;
+        mesh.terminate(leaving)?;
+        let status = mesh.wait_for_exit(leaving, LIMIT).await?;
+        join_all(requests).await;
+        ensure!(status.code() == Some(3), "{status}\n{}", mesh.log(leaving));
+        let log = mesh.log(leaving);
+        let cut = log.lines().filter(|line| {
+            line.contains(event) && line.contains("read-orders") && line.contains("stopping=true")
+        });
+        ensure!(cut.count() == 3, "{log}");
+        check_logged(&mesh, leaving, &["drain_ended", ended])?;
+        check_logged(&mesh, leaving, &["stopped cut=3"])
+    })
+}
+
 /// Checks that a line of the log of a daemon contains all of the texts.
 fn check_logged(mesh: &ProcessMesh, index: usize, texts: &[&str]) -> eyre::Result<()> {
     let log = mesh.log(index);
