Wait for aborted connections at the end of a drain

A drain that aborts connections returned before their tasks had ended, so the process could exit before the requests in progress were logged. It now waits for them, at most 50 ms after its time limit.

--- a/crates/transport/src/http/server.rs
+++ b/crates/transport/src/http/server.rs
@@ -40,6 +40,10 @@
 /// Time to wait, when a drain starts, for a connection attempt to appear in the accept queue.
 const ACCEPT_QUEUE_TIMEOUT: Duration = Duration::from_millis(1);
 
+/// Maximum time that a drain waits for aborted connections to end, so that their requests are
+/// logged before the process exits.
+const ABORT_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// Size and time limits of a server.
 #[derive(Clone, Debug)]
 pub struct Limits {
@@ -212,6 +216,7 @@
         }
         let aborted_connections = self.connections();
         self.abort.close();
+        let _ = timeout(ABORT_TIMEOUT, self.finished.recv()).await;
         DrainOutcome {
             aborted_connections,
         }
