Retry calls that a planned stop has ended without the retry budget

Cause: the retry budget, one token per daemon on that deployment, was used up by failures. A planned stop is not a failure: it ends at most the calls of the slots of one host, and says nothing about the load of the others.

Change: a failure with the reason draining and the verdict may-have-run uses no token. It still counts as an attempt. The router takes it for a leaving endpoint instead of a failing one.

--- a/crates/coordination/src/retry.rs
+++ b/crates/coordination/src/retry.rs
@@ -178,10 +178,13 @@
                 return RetryDecision::Retry;
             }
         }
+        // A planned stop ends no more calls than the host has slots, and says nothing about the
+        // load of the others.
+        let ended_by_stop = failure == Failure::may_have_run(Reason::Draining);
         let allowed = self.may_retry(failure)
             && self.tried.len() - self.refused < self.max_attempts
             && now < self.deadline
-            && budget.withdraw(now);
+            && (ended_by_stop || budget.withdraw(now));
         if allowed {
             return RetryDecision::Retry;
         }
--- a/crates/coordination/src/retry/tests.rs
+++ b/crates/coordination/src/retry/tests.rs
@@ -77,6 +77,25 @@
     assert_eq!(count, retries);
 }
 
+/// Guards against work that is lost because a planned stop has ended it at its host while the retry
+/// budget was used up by failures.
+#[rstest]
+#[case::idempotent(true, 2, true)]
+#[case::other(false, 2, false)]
+#[case::last_attempt(true, 1, false)]
+fn failed_ended_by_stop(
+    #[case] idempotent: bool,
+    #[case] max_attempts: usize,
+    #[case] retries: bool,
+) {
+    let mut attempts = Attempts::new(idempotent, Millis(100), max_attempts);
+    let mut budget = budget(0, 0);
+    attempts.pick(|_| Some("d".into()));
+    let ended = Failure::may_have_run(Reason::Draining);
+    let next = attempts.failed(Millis(0), ended, &mut budget);
+    assert_eq!(next == RetryDecision::Retry, retries);
+}
+
 proptest! {
     /// Guards against a budget that allows more retries than its share, rate and burst permit, even
     /// when time goes backwards.
--- a/crates/daemon/src/proxy/service.rs
+++ b/crates/daemon/src/proxy/service.rs
@@ -473,7 +473,7 @@
     match result {
         Ok(status) if status >= 500 => CallResult::Failure,
         Ok(_) => CallResult::Success,
-        Err(failure) if failure == Failure::not_run(Reason::Draining) => CallResult::Draining,
+        Err(failure) if failure.reason == Reason::Draining => CallResult::Draining,
         Err(failure) if failure.verdict == Verdict::NotRun => CallResult::Refused,
         Err(_) => CallResult::Failure,
     }
