End the work of a stopping daemon before its stop is over

Cause: a stopping daemon accepted idempotent work whose deadline lies beyond its stop, and at the end of the stop it closed connections and links with that work in hand. Nobody else knew of the stop: an owner kept requests of a stopping entry in its queue until their own deadline, and a stopping entry got no verdict from a stopping owner early enough to send the call elsewhere.

Change: coordination::stop decides what a daemon accepts during a stop and when it ends the rest. An owner refuses calls whose deadline is later than that from the start, as not run, and refuses calls of its queue that can't end in time. An entry accepts idempotent requests until the stop is announced, as before, with a deadline bounded by the stop, which reaches owners and upstreams with the call. What is left 100 ms before the end gets a result: 502 for a caller (503 if it was never sent), draining with its verdict for the entry of a call. Exit code 3 counts these.

deliver_before_stop::may_be_repeated demanded that an owner accepts a call that its stop may cut. That was the fault; the case now demands a refusal as not run. leaving_logs_cut_requests became leaving_logs_ended_requests: the same requests must now end with a result, one log line each, instead of being dropped.

Failing on: leaving_answers_requests_in_progress (connection closed without an answer), deliver_in_progress_at_stop (calls in progress at the end of the stop), deliver_before_stop::case_3_may_be_repeated. Passing now, with the 58 unit tests of the daemon and the other tests of leaving.rs.

--- a/crates/coordination/src/admission.rs
+++ b/crates/coordination/src/admission.rs
@@ -139,6 +139,8 @@
     running: BTreeMap<CallId, Running>,
     queue: Queue,
     draining: bool,
+    /// Whether calls leave the queue because the daemon stops.
+    stopping: bool,
     /// Mean time in microseconds for which calls hold their slots at the usual pace of the host,
     /// except for calls that the upstream shed.
     mean_hold_time: f64,
@@ -174,6 +176,7 @@
             running: BTreeMap::new(),
             queue: Queue::default(),
             draining: false,
+            stopping: false,
             mean_hold_time: 0.0,
             pace: PaceHistory::default(),
             refusal_rates: RefusalRates::default(),
@@ -364,10 +367,10 @@
     pub fn tick(&mut self, now: Millis) -> Vec<Released> {
         let mut released = Vec::new();
         for call in self.queue.expire(now) {
-            let reason = if call.deadline <= now {
-                Reason::DeadlineExceeded
-            } else {
-                Reason::Overloaded
+            let reason = match (call.deadline <= now, self.stopping) {
+                (true, _) => Reason::DeadlineExceeded,
+                (false, true) => Reason::Draining,
+                (false, false) => Reason::Overloaded,
             };
             released.push(Released::Refused(call.id, Failure::not_run(reason)));
         }
@@ -397,6 +400,15 @@
         self.draining = true;
     }
 
+    /// Refuses queued calls as soon as they are not expected to end before `end`, when the daemon
+    /// ends the calls in progress. Other daemons may still run them.
+    pub fn end_by(&mut self, now: Millis, end: Millis) {
+        self.stopping = true;
+        let pace = &self.pace;
+        let service = |call: &QueuedCall| Millis((pace.stretched(now, call.work) / 1_000.0) as u64);
+        self.queue.bound(end, service);
+    }
+
     /// Accepts new calls again after [`Admission::drain`].
     pub fn resume(&mut self) {
         self.draining = false;
--- a/crates/coordination/src/admission/queue.rs
+++ b/crates/coordination/src/admission/queue.rs
@@ -206,6 +206,18 @@
         self.remove_where(|call| ids.contains(&call.id))
     }
 
+    /// Makes the calls leave the queue unless they are expected to end before `end`. `service`
+    /// returns the expected service time of a call.
+    pub(super) fn bound(&mut self, end: Millis, service: impl Fn(&QueuedCall) -> Millis) {
+        for tenant in self.tenants.values_mut() {
+            for call in tenant.queue.values_mut() {
+                call.expires = call
+                    .expires
+                    .min(Millis(end.0.saturating_sub(service(call).0)));
+            }
+        }
+    }
+
     /// Removes and returns the calls whose time in the queue has expired.
     pub(super) fn expire(&mut self, now: Millis) -> Vec<QueuedCall> {
         self.remove_where(|call| call.expires <= now)
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -33,5 +33,6 @@
 pub mod split;
 pub mod startup;
 pub mod steady_time;
+pub mod stop;
 pub mod suspect;
 pub mod uplink;
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -322,8 +322,8 @@
     /// aborted because they did not complete within the drain timeout.
     pub async fn drain(mut self) -> usize {
         let deadline = Instant::now() + self.drain_timeout;
-        let ends_at = clock::now().after(Millis(self.drain_timeout.as_millis() as u64));
-        self.proxy.owner().set_unready(ends_at);
+        let drain_timeout = Millis(self.drain_timeout.as_millis() as u64);
+        self.proxy.owner().begin_stop(drain_timeout);
         if let Some(control) = &self.control {
             control.lock().transfer_leadership();
         }
@@ -350,10 +350,12 @@
         while self.proxy.owner().in_flight() > 0 && Instant::now() < deadline {
             task::sleep(Duration::from_millis(10)).await;
         }
-        let aborted_calls = aborted_connections + self.proxy.owner().in_flight();
+        let ended = self.proxy.owner().stop().ended();
+        let aborted_calls = aborted_connections + self.proxy.owner().in_flight() + ended;
         let cut = self.proxy.owner().log_cut_calls();
         tracing::info!(
             event = "drain_ended",
+            ended,
             connections = aborted_connections,
             running = cut.running,
             queued = cut.queued
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -10,6 +10,7 @@
 mod daemon;
 pub mod floor;
 mod memory;
+pub mod planned_stop;
 pub mod program;
 pub mod proxy;
 pub mod replicas;
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -291,8 +291,17 @@
         let mut log = RequestLog::start(&self.owner);
         let id_header = self.dialect.request_id.clone();
         let id_header = id_header.and_then(|name| Some((req.headers().get(&name)?.clone(), name)));
-        let (result, tenant) = self.run(req, &mut log.trace).await;
+        let run = self.run(req, &mut log.trace);
+        let result = match self.owner.stop().run_until_due(run).await {
+            Some(result) => result,
+            None => {
+                self.owner.stop().record_ended();
+                Err(log.trace.failure_at_stop())
+            }
+        };
         let elapsed = log.end(&result);
+        let tenant = log.trace.tenant.take();
+        let tenant = tenant.unwrap_or_else(|| TenantName::from(DEFAULT_TENANT));
         let response = match result {
             Ok(answer) => headers::response(answer, &self.dialect),
             Err(failure) => {
@@ -321,6 +330,9 @@
     pub async fn run_forwarded_call(&self, call: Call) -> (CallResult, Option<Load>) {
         let deadline = clock::now().after(Millis(u64::from(call.remaining_ms)));
         let (result, load) = self.owner.deliver_with_load(&call, deadline).await;
+        if result.as_ref().err() == Some(&Failure::may_have_run(Reason::Draining)) {
+            self.owner.stop().record_ended();
+        }
         match result {
             Ok(answer) => (CallResult::Answer(answer), load),
             Err(failure) => (CallResult::Refused(failure), load),
@@ -387,16 +399,8 @@
         }
     }
 
-    async fn run(
-        self: &Arc<Self>,
-        mut req: Request<Bytes>,
-        trace: &mut Trace,
-    ) -> (Result<Answer>, TenantName) {
-        let caller = match headers::read_caller(req.headers(), &self.dialect) {
-            Ok(caller) => caller,
-            Err(failure) => return (Err(failure), TenantName::from(DEFAULT_TENANT)),
-        };
-        let tenant = caller.tenant.clone();
+    async fn run(self: &Arc<Self>, mut req: Request<Bytes>, trace: &mut Trace) -> Result<Answer> {
+        let caller = headers::read_caller(req.headers(), &self.dialect)?;
         trace.request_id = caller.request_id.clone();
         let arrived = clock::now();
         let has_waited = self.configured().is_none();
@@ -409,44 +413,43 @@
         }
         let honours_keys = self.key_lease.is_valid();
         let Some(active) = self.configured() else {
-            return (Err(Failure::not_run(Reason::NotReady)), tenant);
+            return Err(Failure::not_run(Reason::NotReady));
         };
         trace.view = Some(active.view.version());
         let admitted = match self.admit(&active, honours_keys, caller, &req, arrived) {
             Ok(admitted) => admitted,
-            // Unknown tenants must not become metric labels, whose number would be unbounded.
             Err(failure) => {
                 if failure.reason == Reason::KeysUnconfirmed {
                     trace.retry_after = self.key_lease.retry_after();
                 }
-                return (Err(failure), TenantName::from(DEFAULT_TENANT));
+                return Err(failure);
             }
         };
         trace.route = Some(admitted.route.clone());
         trace.service = Some(admitted.service_name.clone());
-        let tenant = admitted.tenant.clone();
+        // Unknown tenants must not become metric labels, whose number would be unbounded.
+        trace.tenant = Some(admitted.tenant.clone());
         // The timeout of the route may have passed while the request waited for the view.
         if has_waited && admitted.deadline <= clock::now() {
-            return (Err(Failure::not_run(Reason::NotReady)), tenant);
+            return Err(Failure::not_run(Reason::NotReady));
         }
         if active.accounts.are_enforced() {
             let account = admitted.has_account.then_some(&admitted.tenant);
-            if let Err(failure) = headers::set_account(req.headers_mut(), account, &self.dialect) {
-                return (Err(failure), tenant);
-            }
+            headers::set_account(req.headers_mut(), account, &self.dialect)?;
         }
         let max_wait = admitted.max_quota_wait(clock::now());
-        let permission = match self.quotas.admit(&tenant, max_wait).await {
+        let permission = match self.quotas.admit(&admitted.tenant, max_wait).await {
             Ok(permission) => permission,
             Err(wait) => {
                 trace.retry_after = Some(wait);
-                return (Err(Failure::not_run(Reason::QuotaExceeded)), tenant);
+                return Err(Failure::not_run(Reason::QuotaExceeded));
             }
         };
         let (head, body) = headers::request_head(req, &self.dialect);
+        trace.may_have_run = true;
         let result = self.run_admitted(admitted, head, body, trace).await;
         permission.end(&result);
-        (result, tenant)
+        result
     }
 
     /// Runs an admitted request. One with an idempotency key runs at most once, and its crash
@@ -535,9 +538,12 @@
         // idempotent.
         let by_method = delivery.max_attempts.is_none() && req.method().is_idempotent();
         let idempotent = route.config.idempotent || by_method;
-        let deadline = arrived.after(remaining);
-        if self.owner.must_refuse_for_stop(deadline, idempotent) {
-            return Err(Failure::not_run(Reason::Draining));
+        let mut deadline = arrived.after(remaining);
+        if let Some(stop) = self.owner.stop().get() {
+            if !stop.accepts_request(deadline, idempotent, self.owner.is_leaving()) {
+                return Err(Failure::not_run(Reason::Draining));
+            }
+            deadline = stop.bounded(deadline);
         }
         Ok(AdmittedRequest {
             route: route.name.clone(),
--- a/crates/daemon/src/proxy/headers.rs
+++ b/crates/daemon/src/proxy/headers.rs
@@ -290,6 +290,7 @@
         Reason::CrashesUpstreams | Reason::ConnectionLost | Reason::BadAnswer => {
             StatusCode::BAD_GATEWAY
         }
+        Reason::Draining if failure.verdict != Verdict::NotRun => StatusCode::BAD_GATEWAY,
         Reason::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
         Reason::NotReady
         | Reason::KeysUnconfirmed
--- a/crates/daemon/src/proxy/owner.rs
+++ b/crates/daemon/src/proxy/owner.rs
@@ -33,6 +33,7 @@
 use sycamoreflow_transport::http::client::{Client, SendOptions};
 
 use crate::clock;
+use crate::planned_stop::PlannedStop;
 use crate::proxy::crashes::CrashTracker;
 use crate::proxy::dialect::Dialect;
 use crate::proxy::headers;
@@ -98,10 +99,9 @@
     distributed: Mutex<Vec<Departure>>,
     /// Whether the daemon has had a view since its start, and so knows its earlier departures.
     departures_known: AtomicBool,
-    /// Time at which a planned stop aborts the calls in flight, if the daemon is about to stop.
-    stop_deadline: Mutex<Option<Millis>>,
-    /// Whether the daemon reports to callers that it is not ready.
-    unready: AtomicBool,
+    /// The planned stop of the daemon. Once it has begun, the daemon reports to callers that it is
+    /// not ready.
+    stop: PlannedStop,
     /// Whether the endpoints are announced to other daemons as draining.
     leaving: AtomicBool,
     draining: AtomicBool,
@@ -169,8 +169,7 @@
             departures: Mutex::default(),
             distributed: Mutex::default(),
             departures_known: AtomicBool::new(false),
-            stop_deadline: Mutex::default(),
-            unready: AtomicBool::new(false),
+            stop: PlannedStop::default(),
             leaving: AtomicBool::new(false),
             draining: AtomicBool::new(false),
             evacuated: AtomicBool::new(false),
@@ -403,20 +402,22 @@
         true
     }
 
-    /// Makes the daemon report to callers that it is not ready, before a planned stop. The
-    /// upstreams still get work that ends in time; calls in flight are aborted at `stop_deadline`.
-    pub fn set_unready(&self, stop_deadline: Millis) {
-        *self.stop_deadline.lock() = Some(stop_deadline);
-        self.unready.store(true, Ordering::SeqCst);
+    /// Begins a planned stop, which ends after `drain_timeout`: the daemon reports to callers that
+    /// it is not ready. The upstreams still get work that ends in time. Calls that are left when the
+    /// stop requires their results are ended ([`Stop::answers_due`]).
+    pub fn begin_stop(&self, drain_timeout: Millis) {
+        self.stop.begin(drain_timeout);
+        let Some(stop) = self.stop.get() else {
+            return;
+        };
+        for upstream in self.upstreams.lock().values() {
+            upstream.end_queue_by(stop.answers_due());
+        }
     }
 
-    /// Returns whether a request must be refused because a planned stop might abort it: its
-    /// deadline is later than the stop. An idempotent request is still accepted until the other
-    /// daemons are notified of the stop, since it can be sent again and most requests end long
-    /// before their deadline.
-    pub fn must_refuse_for_stop(&self, deadline: Millis, idempotent: bool) -> bool {
-        let outlasts_stop = self.stop_deadline.lock().is_some_and(|at| deadline > at);
-        outlasts_stop && (!idempotent || self.is_leaving())
+    /// Returns the planned stop of the daemon.
+    pub fn stop(&self) -> &PlannedStop {
+        &self.stop
     }
 
     /// Announces the endpoints to the other daemons as draining. Work that arrives before
@@ -442,7 +443,7 @@
     /// Returns whether the daemon reports to callers that it is not ready because it is about to
     /// stop.
     pub fn is_unready(&self) -> bool {
-        self.unready.load(Ordering::SeqCst) || self.is_leaving()
+        self.stop.get().is_some() || self.is_leaving()
     }
 
     /// Returns whether the other daemons are notified that this daemon is about to stop.
@@ -604,7 +605,8 @@
             Ok(upstream) => upstream,
             Err(failure) => return (Err(failure), None),
         };
-        if self.must_refuse_for_stop(deadline, call.urgency.idempotent) {
+        let stop = self.stop.get();
+        if stop.is_some_and(|stop| !stop.accepts_call(deadline)) {
             let failure = Failure::not_run(Reason::Draining);
             upstream.log_refusal(call, &self.dialect, failure, self.is_unready());
             return (Err(failure), None);
@@ -695,7 +697,8 @@
         let response = self
             .client
             .send_with_options(address, request, limit, &options);
-        let response = response.await;
+        let response = self.stop.run_until_due(response).await;
+        let response = response.unwrap_or(Err(Failure::may_have_run(Reason::Draining)));
         let latency = Micros(started.elapsed().as_micros() as u64);
         if let Ok(response) = &response
             && let Some(pace) = (self.dialect.reported_pace)(response)
--- a/crates/daemon/src/proxy/owner/upstream.rs
+++ b/crates/daemon/src/proxy/owner/upstream.rs
@@ -58,6 +58,11 @@
         self.admission.lock().drain();
     }
 
+    /// Refuses waiting calls as soon as they are not expected to end before `end`.
+    pub(super) fn end_queue_by(&self, end: Millis) {
+        self.admission.lock().end_by(clock::now(), end);
+    }
+
     /// Refuses new calls and those that wait, since other upstreams can run them.
     pub(super) fn stop_new_work(&self) {
         self.drain();
--- a/crates/daemon/src/proxy/trace.rs
+++ b/crates/daemon/src/proxy/trace.rs
@@ -3,7 +3,10 @@
 use std::time::{Duration, Instant};
 
 use sycamoreflow_protocol::call::Answer;
-use sycamoreflow_state::ids::{DaemonId, Millis, RouteName, ServiceName, VersionName, ViewVersion};
+use sycamoreflow_state::ids::{
+    DaemonId, Millis, RouteName, ServiceName, TenantName, VersionName, ViewVersion,
+};
+use sycamoreflow_state::verdict::{Failure, Reason};
 
 use super::owner::Owner;
 use super::{Result, headers};
@@ -19,11 +22,23 @@
     pub(super) endpoint: Option<DaemonId>,
     pub(super) view: Option<ViewVersion>,
     pub(super) attempts: u32,
+    /// Tenant of the request once it is admitted.
+    pub(super) tenant: Option<TenantName>,
+    /// Whether the request was admitted to be sent, so that an upstream may have received it.
+    pub(super) may_have_run: bool,
     /// Delay after which a refused caller may retry.
     pub(super) retry_after: Option<Millis>,
 }
 
 impl Trace {
+    /// Returns the failure to report if the stop of the daemon ends the request.
+    pub(super) fn failure_at_stop(&self) -> Failure {
+        match self.may_have_run {
+            true => Failure::may_have_run(Reason::Draining),
+            false => Failure::not_run(Reason::Draining),
+        }
+    }
+
     /// Logs the result of the request. `elapsed` is the time since the request arrived, and
     /// `stopping` is whether the daemon is about to stop.
     fn log(&self, result: &Result<Answer>, elapsed: Duration, stopping: bool) {
--- a/crates/daemon/tests/owner.rs
+++ b/crates/daemon/tests/owner.rs
@@ -5,12 +5,14 @@
 #![allow(clippy::unwrap_used)]
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
 use async_std::channel;
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
+use futures::future::{self, Either, select};
 use futures::{AsyncReadExt, AsyncWriteExt, join};
 use http::{HeaderName, StatusCode};
 use rstest::rstest;
@@ -111,12 +113,11 @@
     }
 }
 
-/// Guards against requests that are accepted during a planned stop although the stop may abort
-/// them. Idempotent requests are accepted until the other daemons are notified of the stop.
+/// Guards against calls that an owner accepts during a planned stop although the stop may end them.
 #[rstest]
 #[case::ends_in_time(false, 1_000, 5_000, false, true)]
 #[case::may_be_cut(false, 5_000, 1_000, false, false)]
-#[case::may_be_repeated(true, 5_000, 1_000, false, true)]
+#[case::may_be_repeated(true, 5_000, 1_000, false, false)]
 #[case::repeated_elsewhere(true, 5_000, 1_000, true, false)]
 #[async_std::test]
 async fn deliver_before_stop(
@@ -129,7 +130,7 @@
     let address = start_upstream(vec!["HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"]).await;
     let owner = owner(address);
     owner.announce(announcement(address, 4));
-    owner.set_unready(clock::now().after(Millis(stop_in_ms)));
+    owner.begin_stop(Millis(stop_in_ms));
     if leave_announced {
         owner.announce_leaving();
     }
@@ -139,6 +140,36 @@
     assert_eq!(result.err(), refusal);
 }
 
+/// Guards against an owner that cuts its links at the end of a stop while calls run or wait: entries
+/// that stop as well had no time left to send the calls elsewhere, and no verdict.
+#[async_std::test]
+async fn deliver_in_progress_at_stop() {
+    const DRAIN_TIMEOUT: Duration = Duration::from_millis(400);
+    let address = start_delayed_upstream(Duration::from_secs(5), vec![ANSWER]).await;
+    let owner = owner(address);
+    owner.announce(announcement(address, 1));
+    let deadline = clock::now().after(Millis(8_000));
+    let (running, mut waiting) = (call(true, "a1"), call(true, "a2"));
+    waiting.urgency.target_ms = Some(8_000);
+    let calls = future::join(
+        owner.deliver(&running, deadline),
+        owner.deliver(&waiting, deadline),
+    );
+    let stop = async {
+        task::sleep(DRAIN_TIMEOUT / 8).await;
+        owner.begin_stop(Millis(DRAIN_TIMEOUT.as_millis() as u64));
+        task::sleep(DRAIN_TIMEOUT).await;
+    };
+    let Either::Left((results, _)) = select(pin!(calls), pin!(stop)).await else {
+        panic!("calls in progress at the end of the stop");
+    };
+    let expected = [
+        Some(Failure::may_have_run(Reason::Draining)),
+        Some(Failure::not_run(Reason::Draining)),
+    ];
+    assert_eq!([results.0.err(), results.1.err()], expected);
+}
+
 /// Guards against time in the queue that counts as latency of a version: a version whose endpoints
 /// have little load would seem faster than it is.
 #[async_std::test]
@@ -478,7 +509,7 @@
     let (first, second, ()) = join!(
         owner.deliver(&first, default_deadline()),
         owner.deliver(&second, default_deadline()),
-        evacuate
+        evacuate,
     );
     assert!(first.is_ok(), "{first:?}");
     assert_eq!(second.err(), Some(Failure::not_run(Reason::Draining)));
--- a/crates/daemon/tests/processes/leaving.rs
+++ b/crates/daemon/tests/processes/leaving.rs
@@ -145,23 +145,37 @@
     })
 }
 
-/// Guards against a planned stop that cuts requests without a log line of each, at the entry that
-/// aborts their connections or at the owner that cuts the calls, and against losing the last lines.
-#[rstest]
-#[case::at_the_entry(3, "request_dropped", "connections=3 running=0")]
-#[case::at_the_owner(4, "owner_cut", "connections=0 running=3")]
-fn leaving_logs_cut_requests(
-    #[case] leaving: usize,
-    #[case] event: &str,
-    #[case] ended: &str,
-) -> eyre::Result<()> {
+/// Guards against a stop that closes the connection of a request in progress without an answer,
+/// although the daemon knows that the request can't end in time.
+#[test]
+fn leaving_answers_requests_in_progress() -> eyre::Result<()> {
     run(async {
+        let (leaving, owner) = (3, 4);
         let mut mesh = mesh(5)?;
-        approve_everywhere(&mesh, 1).await?;
+        restart_with_short_drain(&mut mesh, leaving).await?;
+        let upstreams = start_upstreams(&mesh, &[owner], LONG_SERVICE_TIME).await?;
+        let before = upstreams[0].stats().calls();
+        let entry = mesh.calls_address(leaving);
+        let request = task::spawn(async move { call(&caller::client(), entry, "GET").await });
+        task::sleep(DRAIN_TIMEOUT / 10).await;
         mesh.terminate(leaving)?;
-        mesh.wait_for_exit(leaving, LIMIT).await?;
-        shorten_drain_timeout(&mesh, leaving)?;
-        mesh.spawn(leaving)?;
+        let response = request.await?;
+        ensure!(response.status() == StatusCode::BAD_GATEWAY, "{response:?}");
+        let runs = upstreams[0].stats().calls() - before;
+        ensure!(runs == 1, "{runs} runs");
+        Ok(())
+    })
+}
+
+/// Guards against a planned stop that ends requests without a log line of each, at the entry or at
+/// the owner, and against losing the last lines.
+#[rstest]
+#[case::at_the_entry(3, "event=\"request\"")]
+#[case::at_the_owner(4, "event=\"owner_ran\"")]
+fn leaving_logs_ended_requests(#[case] leaving: usize, #[case] event: &str) -> eyre::Result<()> {
+    run(async {
+        let mut mesh = mesh(5)?;
+        restart_with_short_drain(&mut mesh, leaving).await?;
         let _upstreams = start_upstreams(&mesh, &[4], LONG_SERVICE_TIME).await?;
         let entry = mesh.calls_address(3);
         let requests = (0..3).map(|_| {
@@ -176,15 +190,36 @@
         join_all(requests).await;
         ensure!(status.code() == Some(3), "{status}\n{}", mesh.log(leaving));
         let log = mesh.log(leaving);
-        let cut = log.lines().filter(|line| {
-            line.contains(event) && line.contains("read-orders") && line.contains("stopping=true")
-        });
-        ensure!(cut.count() == 3, "{log}");
-        check_logged(&mesh, leaving, &["drain_ended", ended])?;
+        let texts = [
+            event,
+            "read-orders",
+            "draining",
+            "may-have-run",
+            "stopping=true",
+        ];
+        let ended = log
+            .lines()
+            .filter(|line| texts.iter().all(|text| line.contains(text)));
+        ensure!(ended.count() == 3, "{log}");
+        check_logged(
+            &mesh,
+            leaving,
+            &["drain_ended", "ended=3 connections=0 running=0"],
+        )?;
         check_logged(&mesh, leaving, &["stopped cut=3"])
     })
 }
 
+/// Approves the answers, and starts a daemon again with a short drain timeout.
+async fn restart_with_short_drain(mesh: &mut ProcessMesh, index: usize) -> eyre::Result<()> {
+    approve_everywhere(mesh, 1).await?;
+    mesh.terminate(index)?;
+    mesh.wait_for_exit(index, LIMIT).await?;
+    shorten_drain_timeout(mesh, index)?;
+    mesh.spawn(index)?;
+    Ok(())
+}
+
 /// Checks that a line of the log of a daemon contains all of the texts.
 fn check_logged(mesh: &ProcessMesh, index: usize, texts: &[&str]) -> eyre::Result<()> {
     let log = mesh.log(index);
