Bound calls that are queued while a planned stop begins

A call that was checked against the stop just before it began, and offered to admission just after, kept its own deadline in the queue: `end_by` bounds only the calls that are queued already. It could wait past the end of the stop, so that its entry got connection-lost instead of a refusal.

Admission keeps the end and applies it to each call that is queued.

--- a/crates/coordination/src/admission.rs
+++ b/crates/coordination/src/admission.rs
@@ -139,8 +139,8 @@
     running: BTreeMap<CallId, Running>,
     queue: Queue,
     draining: bool,
-    /// Whether calls leave the queue because the daemon stops.
-    stopping: bool,
+    /// When the daemon ends the calls in progress, if it is about to stop.
+    end: Option<Millis>,
     /// Mean time in microseconds for which calls hold their slots at the usual pace of the host,
     /// except for calls that the upstream shed.
     mean_hold_time: f64,
@@ -176,7 +176,7 @@
             running: BTreeMap::new(),
             queue: Queue::default(),
             draining: false,
-            stopping: false,
+            end: None,
             mean_hold_time: 0.0,
             pace: PaceHistory::default(),
             refusal_rates: RefusalRates::default(),
@@ -221,6 +221,7 @@
             expires: deadline.min(now.after(self.cfg.max_wait)),
         };
         self.queue.push(tenant, call);
+        self.bound_queue(now);
         Decision::Queued
     }
 
@@ -282,6 +283,7 @@
             expires: Millis(deadline.0.saturating_sub(expected.0)).max(now.after(Millis(1))),
         };
         self.queue.push(tenant, call);
+        self.bound_queue(now);
         let displaced = self.displace(now);
         self.displaced.extend(displaced);
         Decision::Queued
@@ -367,7 +369,7 @@
     pub fn tick(&mut self, now: Millis) -> Vec<Released> {
         let mut released = Vec::new();
         for call in self.queue.expire(now) {
-            let reason = match (call.deadline <= now, self.stopping) {
+            let reason = match (call.deadline <= now, self.end.is_some()) {
                 (true, _) => Reason::DeadlineExceeded,
                 (false, true) => Reason::Draining,
                 (false, false) => Reason::Overloaded,
@@ -403,7 +405,16 @@
     /// Refuses queued calls as soon as they are not expected to end before `end`, when the daemon
     /// ends the calls in progress. Other daemons may still run them.
     pub fn end_by(&mut self, now: Millis, end: Millis) {
-        self.stopping = true;
+        self.end = Some(end);
+        self.bound_queue(now);
+    }
+
+    /// Applies the end of the daemon to the queue, also to a call that was offered at the same time
+    /// as the stop began.
+    fn bound_queue(&mut self, now: Millis) {
+        let Some(end) = self.end else {
+            return;
+        };
         let pace = &self.pace;
         let service = |call: &QueuedCall| Millis((pace.stretched(now, call.work) / 1_000.0) as u64);
         self.queue.bound(end, service);
--- a/crates/coordination/src/admission/tests.rs
+++ b/crates/coordination/src/admission/tests.rs
@@ -170,6 +170,37 @@
     assert_eq!(decision == Decision::Queued, queued, "{decision:?}");
 }
 
+/// Guards against a call that stays in the queue past a planned stop. It may be checked against the
+/// stop just before the stop begins, and be offered just after.
+#[rstest]
+#[case::offered_before(0)]
+#[case::offered_after(2)]
+fn end_by_bounds_queue(#[case] offered: u64) {
+    let mut admission = admission(1, &[]);
+    admission.offer(Millis(0), CallId(0), &tenant("a"), FAR_DEADLINE);
+    let offer = |now: u64, admission: &mut Admission| {
+        let urgency = Urgency {
+            route: &"slots".into(),
+            priority: 1,
+            due: Millis(8_000),
+            expected: Micros(100_000),
+            late_value: 0.3,
+        };
+        let id = CallId(1);
+        admission.offer_urgent(Millis(now), id, &tenant("a"), Millis(8_000), urgency)
+    };
+    if offered < 1 {
+        assert_eq!(offer(offered, &mut admission), Decision::Queued);
+    }
+    admission.end_by(Millis(1), Millis(5_400));
+    if offered >= 1 {
+        assert_eq!(offer(offered, &mut admission), Decision::Queued);
+    }
+    let ended = Failure::not_run(Reason::Draining);
+    let released = admission.tick(Millis(5_301));
+    assert_eq!(released, [Released::Refused(CallId(1), ended)]);
+}
+
 /// Guards against a limit that ignores shedding or slow answers, falls too far because of slow
 /// answers, or never recovers.
 #[rstest]
