--- a/crates/daemon/tests/processes/main.rs
+++ b/crates/daemon/tests/processes/main.rs
@@ -9,5 +9,6 @@
 mod leaving;
 mod mass_restart;
 mod replicas;
+mod stopping;
 mod support;
 mod upstreams;
