Close call links only when their replies are read

Seen: a caller gets `connection-lost`, `may-have-run` for a request that the endpoint has answered, if the owner stops at that moment.

Cause: a stop ended its wait when no call was in flight at the endpoint, before the reply was encoded, queued and written. The process then exited, and the system reset the connection over unread heartbeats, which discards the bytes that it still had to send. Calls at an endpoint that was replaced meanwhile were not counted either. A call in transit at the exit became `may-have-run` although nothing had read it.

Change: a stop closes each call link once every call on it has a reply, and waits until the other end has read them and closed, at most until the drain timeout. The close frame has code 1001, which tells the client that calls without a reply have not run.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -78,6 +78,13 @@
 /// draining. It covers the distribution of the mark to the other daemons.
 const DRAIN_MARK_LEAD_TIME: Duration = Duration::from_millis(600);
 
+/// Time before the drain timeout at which the links of other daemons start to close although calls
+/// are in flight, so that the replies of the other calls arrive.
+const LINK_CLOSE_TIME: Duration = Duration::from_millis(200);
+
+/// Interval at which a drain checks whether calls have completed.
+const DRAIN_POLL: Duration = Duration::from_millis(10);
+
 /// Addresses that a daemon listens on.
 #[derive(Clone, Copy, Debug)]
 pub struct Addresses {
@@ -104,6 +111,8 @@
     buffers: Buffers,
     endpoints_changed: channel::Sender<()>,
     tasks: Vec<JoinHandle<()>>,
+    /// Closes the links on which other daemons send calls.
+    call_links: Arc<call_link::Drain>,
     drain_timeout: Duration,
     leave_notice: Duration,
 }
@@ -116,6 +125,7 @@
     witness: Mutex<Witness>,
     control: Option<Arc<Mutex<Control>>>,
     buffers: Buffers,
+    call_links: Arc<call_link::Drain>,
 }
 
 /// The listening sockets of a daemon. All are bound before any component starts.
@@ -175,6 +185,7 @@
             None => None,
         };
 
+        let call_links = Arc::new(call_link::Drain::default());
         let context = Arc::new(LinkContext {
             identity: identity.clone(),
             limits: limits.clone(),
@@ -182,8 +193,13 @@
             witness: Mutex::default(),
             control: control.clone(),
             buffers: buffers.clone(),
+            call_links: call_links.clone(),
         });
-        tasks.push(task::spawn(accept_links(listeners.link, context)));
+        let closing = call_links.clone();
+        tasks.push(task::spawn(async move {
+            let accepting = accept_links(listeners.link, context);
+            select(pin!(accepting), pin!(closing.started())).await;
+        }));
 
         let state = AnnounceState {
             proxy: proxy.clone(),
@@ -263,6 +279,7 @@
             buffers,
             endpoints_changed: changed_tx,
             tasks,
+            call_links,
             drain_timeout: Duration::from_millis(settings.limits.drain_timeout_ms),
             leave_notice: Duration::from_millis(settings.limits.leave_notice_ms),
         })
@@ -347,8 +364,13 @@
                 .min(remaining),
         )
         .await;
-        while self.proxy.owner().in_flight() > 0 && Instant::now() < deadline {
-            task::sleep(Duration::from_millis(10)).await;
+        let close_links_at = deadline.checked_sub(LINK_CLOSE_TIME).unwrap_or(deadline);
+        while self.proxy.owner().in_flight() > 0 && Instant::now() < close_links_at {
+            task::sleep(DRAIN_POLL).await;
+        }
+        self.call_links.start();
+        while self.call_links.open_links() > 0 && Instant::now() < deadline {
+            task::sleep(DRAIN_POLL).await;
         }
         let aborted_calls = aborted_connections + self.proxy.owner().in_flight();
         self.stop_tasks().await;
@@ -639,7 +661,8 @@
 }
 
 async fn serve_calls(context: &LinkContext, tx: Sender, rx: Receiver) {
-    call_link::serve_with_load(tx, rx, MAX_CALLS_PER_LINK, |call, _| {
+    let drain = &context.call_links;
+    call_link::serve_with_load(tx, rx, MAX_CALLS_PER_LINK, drain, |call, _| {
         let proxy = context.proxy.clone();
         let buffers = context.buffers.clone();
         async move {
--- a/crates/daemon/tests/processes/main.rs
+++ b/crates/daemon/tests/processes/main.rs
@@ -7,6 +7,7 @@
 mod evacuation;
 mod floor;
 mod leaving;
+mod leaving_replies;
 mod mass_restart;
 mod replicas;
 mod support;
--- a/crates/transport/src/call_link.rs
+++ b/crates/transport/src/call_link.rs
@@ -7,13 +7,15 @@
 use std::collections::HashMap;
 use std::fmt;
 use std::future::Future;
+use std::pin::pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
+use async_std::channel;
 use async_std::task;
 use futures::channel::oneshot;
-use futures::future::{AbortHandle, Abortable};
+use futures::future::{AbortHandle, Abortable, Either, select};
 use parking_lot::Mutex;
 use sycamoreflow_coordination::routing::Load;
 use sycamoreflow_protocol::call::{Answer, Call, CallReply, CallRequest, CallResult, Cancel};
@@ -26,6 +28,9 @@
 #[cfg(test)]
 mod tests;
 
+/// Interval at which a draining link checks whether its calls have replies.
+const REPLY_POLL: Duration = Duration::from_millis(10);
+
 /// Result of a call. The error says whether the call may have run, and why it failed.
 pub type Result<T> = std::result::Result<T, Failure>;
 
@@ -200,12 +205,27 @@
 }
 
 async fn dispatch_replies(shared: Arc<ClientShared>, mut receiver: Receiver) {
-    while let Ok(reply) = receiver.receive::<CallReply>().await {
-        shared.deliver(reply);
-    }
+    let ended = loop {
+        match receiver.receive::<CallReply>().await {
+            Ok(reply) => shared.deliver(reply),
+            Err(error) => break error,
+        }
+    };
     // Refuses further calls and fails the pending ones with the reason `ConnectionLost`.
     shared.sender.close();
-    shared.pending.lock().take();
+    let pending = shared.pending.lock().take();
+    if ended != LinkError::Drained {
+        return;
+    }
+    for (id, waiting) in pending.into_iter().flatten() {
+        let result = CallResult::Refused(Failure::not_run(Reason::Draining));
+        // Fails if the call is cancelled at the same time.
+        let _ = waiting.send(CallReply {
+            id,
+            result,
+            load: None,
+        });
+    }
 }
 
 fn whole_millis(duration: Duration) -> u32 {
@@ -237,7 +257,8 @@
     H: Fn(Call, Peer) -> F,
     F: Future<Output = CallResult> + Send + 'static,
 {
-    serve_with_load(sender, receiver, max_in_flight, |call, peer| {
+    let drain = Drain::default();
+    serve_with_load(sender, receiver, max_in_flight, &drain, |call, peer| {
         let call_future = handler(call, peer);
         async move { (call_future.await, None) }
     })
@@ -245,10 +266,14 @@
 }
 
 /// Runs calls like [`serve`], and sends with each result the load that the handler returns.
+///
+/// Once `drain` has started, the link closes as soon as every call on it has a reply. The future
+/// completes when the client has received the replies and closed its end.
 pub async fn serve_with_load<H, F>(
     sender: Sender,
     mut receiver: Receiver,
     max_in_flight: usize,
+    drain: &Drain,
     handler: H,
 ) -> LinkError
 where
@@ -258,10 +283,20 @@
     sender.set_idle(true);
     let running = RunningCalls::new(sender.clone());
     let _abort = AbortOnDrop(running.clone());
+    let _open = Counted::new(&drain.links);
+    let unreplied = Arc::new(AtomicUsize::new(0));
+    let mut drained = pin!(async {
+        drain.started().await;
+        while unreplied.load(Ordering::SeqCst) > 0 {
+            task::sleep(REPLY_POLL).await;
+        }
+    });
     loop {
-        let request = match receiver.receive::<CallRequest>().await {
-            Ok(request) => request,
-            Err(error) => return error,
+        let next = pin!(receiver.receive::<CallRequest>());
+        let request = match select(next, drained.as_mut()).await {
+            Either::Left((Ok(request), _)) => request,
+            Either::Left((Err(error), _)) => return error,
+            Either::Right(_) => break,
         };
         let call = match request {
             CallRequest::Call(call) => *call,
@@ -273,7 +308,12 @@
         let id = call.id;
         if running.len() >= max_in_flight {
             let overloaded = CallResult::Refused(Failure::not_run(Reason::Overloaded));
-            task::spawn(send_reply(sender.clone(), id, overloaded, None));
+            let reply = send_reply(sender.clone(), id, overloaded, None);
+            let counted = Counted::new(&unreplied);
+            task::spawn(async move {
+                reply.await;
+                drop(counted);
+            });
             continue;
         }
         let Some(registration) = running.add(id) else {
@@ -282,14 +322,26 @@
         let call_future = handler(call, sender.peer().clone());
         let running = running.clone();
         let sender = sender.clone();
+        let counted = Counted::new(&unreplied);
         task::spawn(async move {
             let outcome = Abortable::new(call_future, registration).await;
             running.remove(id);
             if let Ok((result, load)) = outcome {
                 send_reply(sender, id, result, load).await;
             }
+            drop(counted);
         });
     }
+    // The client still waits for replies and sends heartbeats at the full rate, so its silence ends
+    // the link.
+    sender.set_idle(false);
+    sender.close_drained();
+    loop {
+        // Requests in transit are not handled, which the client learns from the close frame.
+        if let Err(error) = receiver.receive_encoded().await {
+            return error;
+        }
+    }
 }
 
 async fn send_reply(sender: Sender, id: u64, result: CallResult, load: Option<Load>) {
@@ -305,6 +357,57 @@
     }
 }
 
+/// Closes the call links of a server that is about to stop.
+#[derive(Debug)]
+pub struct Drain {
+    /// The drain starts when this channel is closed.
+    signal: (channel::Sender<()>, channel::Receiver<()>),
+    links: Arc<AtomicUsize>,
+}
+
+impl Default for Drain {
+    fn default() -> Self {
+        Self {
+            signal: channel::bounded(1),
+            links: Arc::default(),
+        }
+    }
+}
+
+impl Drain {
+    /// Closes each link once every call on it has a reply, including links that are opened later.
+    pub fn start(&self) {
+        self.signal.0.close();
+    }
+
+    /// Returns the number of links that are open.
+    pub fn open_links(&self) -> usize {
+        self.links.load(Ordering::SeqCst)
+    }
+
+    /// Waits until the drain starts.
+    pub async fn started(&self) {
+        // `recv` returns an error once the channel is closed. No message is ever sent on it.
+        let _ = self.signal.1.recv().await;
+    }
+}
+
+/// Adds one to a counter until it is dropped.
+struct Counted(Arc<AtomicUsize>);
+
+impl Counted {
+    fn new(counter: &Arc<AtomicUsize>) -> Self {
+        counter.fetch_add(1, Ordering::SeqCst);
+        Self(counter.clone())
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
 /// Running calls of one link. The link is marked as idle while there are none.
 #[derive(Clone)]
 struct RunningCalls {
--- a/crates/transport/src/call_link/tests.rs
+++ b/crates/transport/src/call_link/tests.rs
@@ -118,6 +118,50 @@
     assert_eq!(refused, Err(Failure::not_run(Reason::ConnectionLost)));
 }
 
+/// Guards against the verdict `MayHaveRun` for a call that reaches the other end when that has
+/// closed the link because it is about to stop.
+#[async_std::test]
+async fn call_link_drained() {
+    let ((a_tx, a_rx), (b_tx, mut b_rx)) = open(&limits(), &limits()).await;
+    let client = CallClient::start(a_tx, a_rx);
+    let server = async {
+        let _: CallRequest = b_rx.receive().await.unwrap();
+        b_tx.close_drained();
+        b_rx.receive::<CallRequest>().await.unwrap_err();
+    };
+    let (outcome, ()) = join!(client.call(call(&[]), deadline()), server);
+    assert_eq!(outcome, Err(Failure::not_run(Reason::Draining)));
+}
+
+/// Guards against a drain that closes a link before its calls have replies, or that never closes
+/// it.
+#[async_std::test]
+async fn serve_until_drained() {
+    let ((a_tx, a_rx), (b_tx, b_rx)) = open(&limits(), &limits()).await;
+    let drain = Drain::default();
+    let client = CallClient::start(a_tx, a_rx);
+    let serving = serve_with_load(b_tx, b_rx, 10, &drain, |call, _| async move {
+        sleep(Duration::from_millis(300)).await;
+        (answer(call.body), None)
+    });
+    let calling = async {
+        let early = client.call(call(&[1]), deadline());
+        let late = async {
+            sleep(Duration::from_millis(100)).await;
+            drain.start();
+            sleep(Duration::from_millis(100)).await;
+            client.call(call(&[2]), deadline()).await
+        };
+        join!(early, late)
+    };
+    let (_, (early, late)) = join!(serving, calling);
+    assert_eq!(
+        (early.unwrap().body, late.unwrap().body),
+        (vec![1], vec![2])
+    );
+    assert_eq!(drain.open_links(), 0);
+}
+
 /// Guards against the verdict `MayHaveRun` for a call that was never queued for writing.
 #[async_std::test]
 async fn call_never_written() {
--- a/crates/transport/src/link.rs
+++ b/crates/transport/src/link.rs
@@ -11,6 +11,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -57,6 +58,8 @@
     Silent,
     /// Either end closed the link.
     Closed,
+    /// The peer closed the link with [`Sender::close_drained`].
+    Drained,
 }
 
 impl fmt::Display for LinkError {
@@ -71,6 +74,7 @@
                 f.write_str("nothing received from the link peer within the silence timeout")
             }
             Self::Closed => f.write_str("link is closed"),
+            Self::Drained => f.write_str("link was closed by a peer that is about to stop"),
         }
     }
 }
@@ -179,6 +183,8 @@
     socket: LinkSocket,
     /// When the link came into use; `None` while it is idle.
     in_use_since: Mutex<Option<Instant>>,
+    /// Whether the link is closed with [`Sender::close_drained`].
+    drained: AtomicBool,
 }
 
 impl Shared {
@@ -266,6 +272,15 @@
         self.queue().close();
     }
 
+    /// Closes the link like [`Sender::close`], and tells the peer that every request that it gets no
+    /// reply to was not handled. The link stays open for reading, and ends when the peer closes it.
+    /// Call [`Receiver::receive`] until then: bytes that remain unread when the socket closes make
+    /// the system discard the frames that the peer has not received.
+    pub fn close_drained(&self) {
+        self.handle.shared.drained.store(true, Ordering::SeqCst);
+        self.close();
+    }
+
     /// Returns whether the link refuses further frames.
     pub fn is_closed(&self) -> bool {
         self.queue().is_closed()
--- a/crates/transport/src/link/open.rs
+++ b/crates/transport/src/link/open.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Instant;
 
 use async_std::future::timeout;
@@ -132,6 +133,7 @@
         queue: SendQueue::new(limits.queue_frames, limits.queue_bytes),
         socket,
         in_use_since: Mutex::new(Some(Instant::now())),
+        drained: AtomicBool::new(false),
     });
     let (ws_sender, ws_receiver) = ws.split();
     let write = writer::run(ws_sender, shared.clone(), limits.clone());
--- a/crates/transport/src/link/receiver.rs
+++ b/crates/transport/src/link/receiver.rs
@@ -9,6 +9,7 @@
 
 use async_tungstenite::WebSocketReceiver;
 use async_tungstenite::tungstenite::Message;
+use async_tungstenite::tungstenite::protocol::frame::coding::CloseCode;
 use bytes::Bytes;
 use futures::StreamExt;
 use serde::de::DeserializeOwned;
@@ -127,6 +128,9 @@
             let message = poll_fn(|cx| self.poll_message(cx)).await?;
             match message {
                 Message::Binary(frame) => return Ok(frame),
+                Message::Close(Some(frame)) if frame.code == CloseCode::Away => {
+                    return Err(LinkError::Drained);
+                }
                 Message::Close(_) => return Err(LinkError::Closed),
                 Message::Ping(_) | Message::Pong(_) => continue,
                 _ => return Err(LinkError::Protocol("unexpected text message".into())),
--- a/crates/transport/src/link/stream.rs
+++ b/crates/transport/src/link/stream.rs
@@ -64,6 +64,11 @@
         self.counters.sent.load(Ordering::Relaxed)
     }
 
+    pub(super) fn shutdown_write(&self) {
+        // Ignores the error, which only occurs if the connection has already ended.
+        let _ = self.stream.shutdown(Shutdown::Write);
+    }
+
     pub(super) fn shutdown(&self) {
         // Ignores the error, which only occurs if the connection has already ended.
         let _ = self.stream.shutdown(Shutdown::Both);
--- a/crates/transport/src/link/writer.rs
+++ b/crates/transport/src/link/writer.rs
@@ -3,15 +3,16 @@
 use std::collections::VecDeque;
 use std::future::poll_fn;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::task::Poll;
 use std::time::{Duration, Instant};
 
 use async_std::future::timeout;
 use async_std::stream::{Interval, interval};
 use async_tungstenite::WebSocketSender;
-use async_tungstenite::tungstenite::protocol::frame::Frame;
-use async_tungstenite::tungstenite::protocol::frame::coding::{Data, OpCode};
-use async_tungstenite::tungstenite::{Error as WsError, Message};
+use async_tungstenite::tungstenite::protocol::frame::coding::{CloseCode, Data, OpCode};
+use async_tungstenite::tungstenite::protocol::frame::{CloseFrame, Frame};
+use async_tungstenite::tungstenite::{Error as WsError, Message, Utf8Bytes};
 use bytes::Bytes;
 use futures::{SinkExt, StreamExt};
 
@@ -22,6 +23,12 @@
 /// buffer of a link, which never shrinks, and allows heartbeats between the fragments.
 const FRAGMENT_BYTES: usize = 64 * 1024;
 
+/// Close frame of [`Sender::close_drained`](super::Sender::close_drained).
+const DRAINED: CloseFrame = CloseFrame {
+    code: CloseCode::Away,
+    reason: Utf8Bytes::from_static(""),
+};
+
 enum WriterEvent {
     Frames,
     Heartbeat,
@@ -39,12 +46,13 @@
         write_stall_timeout: limits.write_stall_timeout,
     };
     if writer.write_all().await.is_ok() {
-        // Ignores errors: the peer may have disconnected, and the link ends in either case.
-        let _ = timeout(
-            writer.write_stall_timeout,
-            writer.ws.send(Message::Close(None)),
-        )
-        .await;
+        let drained = writer.shared.drained.load(Ordering::SeqCst);
+        let close = Message::Close(drained.then_some(DRAINED));
+        let written = timeout(writer.write_stall_timeout, writer.ws.send(close)).await;
+        if drained && matches!(written, Ok(Ok(()))) {
+            writer.shared.socket.shutdown_write();
+            return;
+        }
     }
     writer.shared.abort();
 }
