Test that a stop delivers responses to slow callers

No fault found: a response that waits for the caller or that only the buffers of the system hold arrives in full after the stop.

--- a/crates/daemon/tests/processes/leaving_replies.rs
+++ b/crates/daemon/tests/processes/leaving_replies.rs
@@ -1,12 +1,16 @@
-//! Stops of a daemon whose replies are made, but not yet read by the daemons that wait for them.
+//! Stops of a daemon whose replies are made, but not yet read by those who wait for them.
 
 use std::time::{Duration, Instant};
 
+use async_std::channel;
 use async_std::future::timeout;
+use async_std::net::TcpStream;
 use async_std::task;
 use bytes::Bytes;
 use eyre::ensure;
+use futures::{AsyncReadExt, AsyncWriteExt};
 use http::Response;
+use rstest::rstest;
 use sycamoreflow_protocol::call::{Call, CallReply, CallRequest, CallResult, RequestHead};
 use sycamoreflow_protocol::handshake::{Identity, MeshKey, Purpose};
 use sycamoreflow_state::endpoint::Announcement;
@@ -17,7 +21,7 @@
 use sycamoreflow_transport::link::{self, Limits, Receiver, Sender};
 use sycamoreflow_transport::listen::listen;
 
-use crate::support::{LIMIT, run};
+use crate::support::{LIMIT, approve_everywhere, run};
 
 /// Index of the daemon that is stopped.
 const LEAVING: usize = 3;
@@ -58,6 +62,32 @@
     })
 }
 
+/// Guards against responses that a planned stop discards because the caller reads slowly, whether
+/// the system's buffers hold all of the response or a part of it.
+#[rstest]
+#[case::in_system_buffers(100_000)]
+#[case::partly_unsent(ANSWER_BYTES)]
+fn leaving_with_unread_response(#[case] answer_bytes: usize) -> eyre::Result<()> {
+    run(async {
+        let mut mesh = start(LIMIT)?;
+        approve_everywhere(&mesh, 1).await?;
+        let (_upstream, ran_rx) = start_upstream(&mesh, answer_bytes).await?;
+        let mut caller = TcpStream::connect(mesh.calls_address(LEAVING)).await?;
+        let request = b"GET /orders HTTP/1.1\r\nhost: a\r\n\r\n";
+        caller.write_all(request).await?;
+        timeout(LIMIT, ran_rx.recv()).await??;
+        mesh.terminate(LEAVING)?;
+        task::sleep(PAUSE).await;
+        let mut response = Vec::new();
+        timeout(LIMIT, caller.read_to_end(&mut response)).await??;
+        let body = response.iter().rev().take_while(|byte| **byte == b'a');
+        ensure!(body.count() == answer_bytes, "{}", mesh.log(LEAVING));
+        let status = mesh.wait_for_exit(LEAVING, LIMIT).await?;
+        ensure!(status.code() == Some(0), "{status}\n{}", mesh.log(LEAVING));
+        Ok(())
+    })
+}
+
 /// Guards against a peer that reads nothing and so holds a planned stop beyond the drain timeout.
 #[test]
 fn leaving_with_stuck_peer() -> eyre::Result<()> {
@@ -85,16 +115,19 @@
     })
 }
 
-/// Starts an upstream with large answers at the daemon that will leave, opens a link to that daemon, and
-/// returns once the upstream has answered all calls. Nothing is read from the link.
-async fn send_calls(mesh: &ProcessMesh) -> eyre::Result<(ServerHandle, Sender, Receiver)> {
-    let (ran_tx, ran_rx) = async_std::channel::unbounded();
+/// Starts an upstream at the daemon that will leave. The channel receives a message for each call
+/// that it answers.
+async fn start_upstream(
+    mesh: &ProcessMesh,
+    answer_bytes: usize,
+) -> eyre::Result<(ServerHandle, channel::Receiver<()>)> {
+    let (ran_tx, ran_rx) = channel::unbounded();
     let listener = listen(([127, 0, 0, 1], 0).into())?;
     let server = server::serve(listener, server::Limits::default(), move |_| {
         let ran_tx = ran_tx.clone();
         async move {
             let _ = ran_tx.try_send(());
-            Response::new(Bytes::from(vec![b'a'; ANSWER_BYTES]))
+            Response::new(Bytes::from(vec![b'a'; answer_bytes]))
         }
     })?;
     let announcement = Announcement {
@@ -107,6 +140,13 @@
     };
     let announcing = upstream::announce(announcement, mesh.announce_address(LEAVING), || true);
     timeout(Duration::from_secs(2), announcing).await.ok();
+    Ok((server, ran_rx))
+}
+
+/// Starts an upstream with large answers, opens a link to its daemon, and returns once the upstream
+/// has answered all calls. Nothing is read from the link.
+async fn send_calls(mesh: &ProcessMesh) -> eyre::Result<(ServerHandle, Sender, Receiver)> {
+    let (server, ran_rx) = start_upstream(mesh, ANSWER_BYTES).await?;
     let settings = mesh.settings(LEAVING);
     let identity = Identity {
         mesh: settings.mesh.clone(),
