Complete requests of operators and endpoints in a planned stop

Seen: the report of an endpoint, or the change of an operator, that was accepted before a stop ends without an answer: the connection closes.

Cause: a stop waited for calls only. The interfaces were dropped, or the process exited, whatever was in progress on them.

Change: once the calls have ended, or one second before the drain timeout, a stop closes the interfaces to new requests and waits up to one second for those in progress.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -7,10 +7,11 @@
 
 use async_lock::{Semaphore, SemaphoreGuardArc};
 use async_std::channel;
+use async_std::future::timeout;
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task::{self, JoinHandle};
 use eyre::WrapErr;
-use futures::future::{Either, select};
+use futures::future::{Either, join_all, select};
 use metrics_exporter_prometheus::PrometheusHandle;
 use parking_lot::Mutex;
 use sycamoreflow_coordination::dedup::HolderConfig;
@@ -82,6 +83,10 @@
 /// are in flight, so that the replies of the other calls arrive.
 const LINK_CLOSE_TIME: Duration = Duration::from_millis(200);
 
+/// Time for which a stop waits for requests in progress on the interfaces for the upstream and for
+/// operators. A change that an operator orders takes 0.9 s at most on the platform.
+const INTERFACE_DRAIN_TIME: Duration = Duration::from_millis(1_000);
+
 /// Interval at which a drain checks whether calls have completed.
 const DRAIN_POLL: Duration = Duration::from_millis(10);
 
@@ -105,7 +110,7 @@
     replicas: Arc<Replicas>,
     calls: Option<server::ServerHandle>,
     /// HTTP servers for the upstream and for operators. Dropping a handle stops its server.
-    interfaces: Vec<OperatorHandle>,
+    interfaces: Vec<Interface>,
     traffic: Arc<Traffic>,
     addresses: Addresses,
     buffers: Buffers,
@@ -117,6 +122,12 @@
     leave_notice: Duration,
 }
 
+/// An HTTP server for the upstream or for operators.
+enum Interface {
+    Operator(OperatorHandle),
+    Http(server::ServerHandle),
+}
+
 /// State shared by all incoming links.
 struct LinkContext {
     identity: Identity,
@@ -213,13 +224,8 @@
         };
         let mut interfaces = Vec::new();
         if let Some(listener) = listeners.announce {
-            interfaces.push(operator::serve(
-                listener,
-                app,
-                None,
-                announce_limits,
-                buffers.clone(),
-            )?);
+            let server = operator::serve(listener, app, None, announce_limits, buffers.clone())?;
+            interfaces.push(Interface::Operator(server));
         }
         if let (Some(listener), Some(control)) = (listeners.operator, &control) {
             let app = operator_api::app(OperatorState {
@@ -229,13 +235,9 @@
                 daemon: settings.daemon.clone(),
             });
             let token = BearerToken::new(settings.operator_token()?.expose())?;
-            interfaces.push(operator::serve(
-                listener,
-                app,
-                Some(token),
-                operator::Limits::default(),
-                buffers.clone(),
-            )?);
+            let limits = operator::Limits::default();
+            let server = operator::serve(listener, app, Some(token), limits, buffers.clone())?;
+            interfaces.push(Interface::Operator(server));
         }
 
         let witnesses = &settings.floor.witnesses;
@@ -334,6 +336,11 @@
         }
     }
 
+    /// Adds an HTTP server that stops with the daemon. A graceful stop completes its requests.
+    pub fn add_interface(&mut self, server: server::ServerHandle) {
+        self.interfaces.push(Interface::Http(server));
+    }
+
     /// Stops gracefully: new calls are refused as not run, calls in flight complete, and the other
     /// daemons are notified before the listeners close. Returns the number of calls that were
     /// aborted because they did not complete within the drain timeout.
@@ -341,6 +348,9 @@
         let deadline = Instant::now() + self.drain_timeout;
         let ends_at = clock::now().after(Millis(self.drain_timeout.as_millis() as u64));
         self.proxy.owner().set_unready(ends_at);
+        let (calls_in_flight, calls_ended) = channel::bounded::<()>(1);
+        let interfaces = std::mem::take(&mut self.interfaces);
+        let draining_interfaces = task::spawn(drain_interfaces(interfaces, calls_ended, deadline));
         if let Some(control) = &self.control {
             control.lock().transfer_leadership();
         }
@@ -372,6 +382,8 @@
         while self.call_links.open_links() > 0 && Instant::now() < deadline {
             task::sleep(DRAIN_POLL).await;
         }
+        drop(calls_in_flight);
+        draining_interfaces.await;
         let aborted_calls = aborted_connections + self.proxy.owner().in_flight();
         self.stop_tasks().await;
         aborted_calls
@@ -393,6 +405,30 @@
     }
 }
 
+impl Interface {
+    async fn drain(&self, limit: Duration) {
+        match self {
+            Self::Operator(server) => server.drain(limit).await,
+            Self::Http(server) => drop(server.drain(limit).await),
+        }
+    }
+}
+
+/// Serves requests on the interfaces until `calls_ended` is closed or shortly before `deadline`,
+/// and then completes those in progress.
+async fn drain_interfaces(
+    interfaces: Vec<Interface>,
+    calls_ended: channel::Receiver<()>,
+    deadline: Instant,
+) {
+    let remaining = || deadline.saturating_duration_since(Instant::now());
+    let serving_time = remaining().saturating_sub(INTERFACE_DRAIN_TIME);
+    // No message is sent on the channel.
+    let _ = timeout(serving_time, calls_ended.recv()).await;
+    let limit = remaining().min(INTERFACE_DRAIN_TIME);
+    join_all(interfaces.iter().map(|server| server.drain(limit))).await;
+}
+
 impl Listeners {
     fn bind(settings: &Settings) -> eyre::Result<Self> {
         let listen = &settings.listen;
--- a/crates/transport/src/http/operator.rs
+++ b/crates/transport/src/http/operator.rs
@@ -30,7 +30,7 @@
 use self::stream::BoundedStream;
 use super::framing::{FramingLimits, Violation};
 use super::server::linger;
-use crate::buffers::Buffers;
+use crate::buffers::{Buffers, Holder};
 
 mod stream;
 #[cfg(test)]
@@ -39,6 +39,9 @@
 /// Delay before the next `accept` after one has failed, for example for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Time for which requests are still received after a stop.
+const DRAIN_READ_TIME: Duration = Duration::from_millis(100);
+
 const MAX_HEADERS: usize = 100;
 
 /// Size and time limits of an operator interface.
@@ -111,11 +114,12 @@
 }
 
 /// A running operator interface. It stops accepting connections when the handle is dropped;
-/// requests in progress are completed within their time limits.
+/// requests that are received by then are completed within their time limits.
 #[derive(Debug)]
 pub struct OperatorHandle {
     address: SocketAddr,
     stop: channel::Sender<()>,
+    finished: channel::Receiver<()>,
 }
 
 impl OperatorHandle {
@@ -123,6 +127,14 @@
     pub fn local_addr(&self) -> SocketAddr {
         self.address
     }
+
+    /// Stops accepting connections and waits until the requests in progress have responses, but for
+    /// `limit` at most. Requests that are not received soon are dropped.
+    pub async fn drain(&self, limit: Duration) {
+        self.stop.close();
+        // The channel is closed when the last connection has ended.
+        let _ = timeout(limit, self.finished.recv()).await;
+    }
 }
 
 impl Drop for OperatorHandle {
@@ -138,6 +150,10 @@
     buffers: Buffers,
     /// Number of this interface in the account of `buffers`.
     group: u64,
+    /// Closed when the interface stops.
+    stopped: channel::Receiver<()>,
+    /// Dropped with the last connection after the interface has stopped.
+    _finished: channel::Sender<()>,
 }
 
 /// Serves an application on a listener until the handle is dropped. Without a token, every request
@@ -159,22 +175,26 @@
 {
     let address = listener.local_addr()?;
     let (stop, stopped) = channel::bounded(1);
+    let (finished_signal, finished) = channel::bounded(1);
     let context = Arc::new(Context {
         app,
         token,
         limits,
         group: buffers.new_group(),
         buffers,
+        stopped,
+        _finished: finished_signal,
     });
-    task::spawn(accept_loop(listener, context, stopped));
-    Ok(OperatorHandle { address, stop })
+    task::spawn(accept_loop(listener, context));
+    Ok(OperatorHandle {
+        address,
+        stop,
+        finished,
+    })
 }
 
-async fn accept_loop<S>(
-    listener: TcpListener,
-    context: Arc<Context<S>>,
-    stopped: channel::Receiver<()>,
-) where
+async fn accept_loop<S>(listener: TcpListener, context: Arc<Context<S>>)
+where
     S: Clone + Send + Sync + 'static,
 {
     let semaphore = Arc::new(async_lock::Semaphore::new(context.limits.max_connections));
@@ -198,7 +218,7 @@
         }
     };
     let accepting = pin!(accepting);
-    let stopped = pin!(stopped.recv());
+    let stopped = pin!(context.stopped.recv());
     if let Either::Left((never, _)) = select(accepting, stopped).await {
         never
     }
@@ -221,7 +241,7 @@
         );
         let mut holder = self.buffers.open(self.group);
         let reading = pin!(timeout(limits.read_timeout, self.read_request(&bounded)));
-        let received = match select(reading, pin!(holder.leaving())).await {
+        let received = match select(reading, pin!(self.incomplete_dropped(&holder))).await {
             Either::Left((received, _)) => received,
             Either::Right(_) => return,
         };
@@ -245,6 +265,17 @@
         let _ = timeout(limits.response_timeout, responding).await;
     }
 
+    /// Waits until a request that is not complete is dropped, because its memory is needed or the
+    /// interface has stopped.
+    async fn incomplete_dropped(&self, holder: &Holder) {
+        let stopped = async {
+            // `recv` returns an error once the channel is closed. No message is ever sent on it.
+            let _ = self.stopped.recv().await;
+            task::sleep(DRAIN_READ_TIME).await;
+        };
+        select(pin!(holder.leaving()), pin!(stopped)).await;
+    }
+
     /// Reads a complete request and checks its token. Returns `None` if the peer closes the
     /// connection without sending anything.
     ///
--- a/crates/transport/src/http/operator/tests.rs
+++ b/crates/transport/src/http/operator/tests.rs
@@ -11,6 +11,9 @@
 /// may suspend a test.
 const MAX_WAIT: Duration = Duration::from_secs(30);
 
+/// Time that the route `/slow` takes.
+const SLOW_TIME: Duration = Duration::from_millis(500);
+
 fn limits() -> Limits {
     Limits {
         max_head_bytes: 2048,
@@ -32,6 +35,10 @@
         let error = tide::Error::from_str(503, "internal detail");
         Err::<String, _>(error)
     });
+    app.at("/slow").get(|_| async {
+        task::sleep(SLOW_TIME).await;
+        Ok("done")
+    });
     let listener = crate::listen::listen(([127, 0, 0, 1], 0).into()).unwrap();
     serve(listener, app, token, limits(), Buffers::unbounded()).unwrap()
 }
@@ -173,3 +180,19 @@
     let text = format!("{:?}", BearerToken::new(TOKEN).unwrap());
     assert!(!text.contains(TOKEN));
 }
+
+/// Guards against a drain that cuts a request in progress or returns before its response.
+#[async_std::test]
+async fn drain_with_request_in_progress() {
+    let server = start(None);
+    let started = Instant::now();
+    let draining = async {
+        task::sleep(Duration::from_millis(200)).await;
+        server.drain(MAX_WAIT).await;
+        started.elapsed()
+    };
+    let responding = send_raw(&server, b"GET /slow HTTP/1.1\r\nhost: a\r\n\r\n");
+    let (drained_after, response) = futures::join!(draining, responding);
+    assert!(response.ends_with("done"), "{response}");
+    assert!(drained_after >= SLOW_TIME, "{drained_after:?}");
+}
