Close call links in time although requests of callers run

Cause: links began to close after the requests of callers had ended. If one of these ran until the drain timeout, no time was left for the other daemons to read their replies.

Found by reading. A test of it (a request until the timeout beside an idle link) held before the change as well, since the process takes some time to exit, so none is added.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -350,6 +350,8 @@
         self.proxy.owner().set_unready(ends_at);
         let (calls_in_flight, calls_ended) = channel::bounded::<()>(1);
         let interfaces = std::mem::take(&mut self.interfaces);
+        let closing_links = close_links(self.call_links.clone(), calls_ended.clone(), deadline);
+        let closing_links = task::spawn(closing_links);
         let draining_interfaces = task::spawn(drain_interfaces(interfaces, calls_ended, deadline));
         if let Some(control) = &self.control {
             control.lock().transfer_leadership();
@@ -374,15 +376,11 @@
                 .min(remaining),
         )
         .await;
-        let close_links_at = deadline.checked_sub(LINK_CLOSE_TIME).unwrap_or(deadline);
-        while self.proxy.owner().in_flight() > 0 && Instant::now() < close_links_at {
-            task::sleep(DRAIN_POLL).await;
-        }
-        self.call_links.start();
-        while self.call_links.open_links() > 0 && Instant::now() < deadline {
+        while self.proxy.owner().in_flight() > 0 && Instant::now() < deadline {
             task::sleep(DRAIN_POLL).await;
         }
         drop(calls_in_flight);
+        closing_links.await;
         draining_interfaces.await;
         let aborted_calls = aborted_connections + self.proxy.owner().in_flight();
         self.stop_tasks().await;
@@ -414,6 +412,23 @@
     }
 }
 
+/// Closes the links of other daemons once `calls_ended` is closed or shortly before `deadline`, and
+/// waits until the other daemons have read the replies.
+async fn close_links(
+    call_links: Arc<call_link::Drain>,
+    calls_ended: channel::Receiver<()>,
+    deadline: Instant,
+) {
+    let remaining = || deadline.saturating_duration_since(Instant::now());
+    // No message is sent on the channel.
+    let serving_time = remaining().saturating_sub(LINK_CLOSE_TIME);
+    let _ = timeout(serving_time, calls_ended.recv()).await;
+    call_links.start();
+    while call_links.open_links() > 0 && !remaining().is_zero() {
+        task::sleep(DRAIN_POLL).await;
+    }
+}
+
 /// Serves requests on the interfaces until `calls_ended` is closed or shortly before `deadline`,
 /// and then completes those in progress.
 async fn drain_interfaces(
@@ -423,7 +438,6 @@
 ) {
     let remaining = || deadline.saturating_duration_since(Instant::now());
     let serving_time = remaining().saturating_sub(INTERFACE_DRAIN_TIME);
-    // No message is sent on the channel.
     let _ = timeout(serving_time, calls_ended.recv()).await;
     let limit = remaining().min(INTERFACE_DRAIN_TIME);
     join_all(interfaces.iter().map(|server| server.drain(limit))).await;
