--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -7,10 +7,11 @@
 
 use async_lock::{Semaphore, SemaphoreGuardArc};
 use async_std::channel;
+use async_std::future::timeout;
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task::{self, JoinHandle};
 use eyre::WrapErr;
-use futures::future::{Either, select};
+use futures::future::{Either, join_all, select};
 use metrics_exporter_prometheus::PrometheusHandle;
 use parking_lot::Mutex;
 use sycamoreflow_coordination::dedup::HolderConfig;
@@ -78,6 +79,17 @@
 /// draining. It covers the distribution of the mark to the other daemons.
 const DRAIN_MARK_LEAD_TIME: Duration = Duration::from_millis(600);
 
+/// Time before the drain timeout at which the links of other daemons start to close although calls
+/// are in flight, so that the replies of the other calls arrive.
+const LINK_CLOSE_TIME: Duration = Duration::from_millis(200);
+
+/// Time for which a stop waits for requests in progress on the interfaces for the upstream and for
+/// operators. A change that an operator orders takes 0.9 s at most on the platform.
+const INTERFACE_DRAIN_TIME: Duration = Duration::from_millis(1_000);
+
+/// Interval at which a drain checks whether calls have completed.
+const DRAIN_POLL: Duration = Duration::from_millis(10);
+
 /// Addresses that a daemon listens on.
 #[derive(Clone, Copy, Debug)]
 pub struct Addresses {
@@ -98,16 +110,24 @@
     replicas: Arc<Replicas>,
     calls: Option<server::ServerHandle>,
     /// HTTP servers for the upstream and for operators. Dropping a handle stops its server.
-    interfaces: Vec<OperatorHandle>,
+    interfaces: Vec<Interface>,
     traffic: Arc<Traffic>,
     addresses: Addresses,
     buffers: Buffers,
     endpoints_changed: channel::Sender<()>,
     tasks: Vec<JoinHandle<()>>,
+    /// Closes the links on which other daemons send calls.
+    call_links: Arc<call_link::Drain>,
     drain_timeout: Duration,
     leave_notice: Duration,
 }
 
+/// An HTTP server for the upstream or for operators.
+enum Interface {
+    Operator(OperatorHandle),
+    Http(server::ServerHandle),
+}
+
 /// State shared by all incoming links.
 struct LinkContext {
     identity: Identity,
@@ -116,6 +136,7 @@
     witness: Mutex<Witness>,
     control: Option<Arc<Mutex<Control>>>,
     buffers: Buffers,
+    call_links: Arc<call_link::Drain>,
 }
 
 /// The listening sockets of a daemon. All are bound before any component starts.
@@ -175,6 +196,7 @@
             None => None,
         };
 
+        let call_links = Arc::new(call_link::Drain::default());
         let context = Arc::new(LinkContext {
             identity: identity.clone(),
             limits: limits.clone(),
@@ -182,8 +204,13 @@
             witness: Mutex::default(),
             control: control.clone(),
             buffers: buffers.clone(),
+            call_links: call_links.clone(),
         });
-        tasks.push(task::spawn(accept_links(listeners.link, context)));
+        let closing = call_links.clone();
+        tasks.push(task::spawn(async move {
+            let accepting = accept_links(listeners.link, context);
+            select(pin!(accepting), pin!(closing.started())).await;
+        }));
 
         let state = AnnounceState {
             proxy: proxy.clone(),
@@ -197,13 +224,8 @@
         };
         let mut interfaces = Vec::new();
         if let Some(listener) = listeners.announce {
-            interfaces.push(operator::serve(
-                listener,
-                app,
-                None,
-                announce_limits,
-                buffers.clone(),
-            )?);
+            let server = operator::serve(listener, app, None, announce_limits, buffers.clone())?;
+            interfaces.push(Interface::Operator(server));
         }
         if let (Some(listener), Some(control)) = (listeners.operator, &control) {
             let app = operator_api::app(OperatorState {
@@ -213,13 +235,9 @@
                 daemon: settings.daemon.clone(),
             });
             let token = BearerToken::new(settings.operator_token()?.expose())?;
-            interfaces.push(operator::serve(
-                listener,
-                app,
-                Some(token),
-                operator::Limits::default(),
-                buffers.clone(),
-            )?);
+            let limits = operator::Limits::default();
+            let server = operator::serve(listener, app, Some(token), limits, buffers.clone())?;
+            interfaces.push(Interface::Operator(server));
         }
 
         let witnesses = &settings.floor.witnesses;
@@ -263,6 +281,7 @@
             buffers,
             endpoints_changed: changed_tx,
             tasks,
+            call_links,
             drain_timeout: Duration::from_millis(settings.limits.drain_timeout_ms),
             leave_notice: Duration::from_millis(settings.limits.leave_notice_ms),
         })
@@ -317,6 +336,11 @@
         }
     }
 
+    /// Adds an HTTP server that stops with the daemon. A graceful stop completes its requests.
+    pub fn add_interface(&mut self, server: server::ServerHandle) {
+        self.interfaces.push(Interface::Http(server));
+    }
+
     /// Stops gracefully: new calls are refused as not run, calls in flight complete, and the other
     /// daemons are notified before the listeners close. Returns the number of calls that were
     /// aborted because they did not complete within the drain timeout.
@@ -324,6 +348,11 @@
         let deadline = Instant::now() + self.drain_timeout;
         let drain_timeout = Millis(self.drain_timeout.as_millis() as u64);
         self.proxy.owner().begin_stop(drain_timeout);
+        let (calls_in_flight, calls_ended) = channel::bounded::<()>(1);
+        let interfaces = std::mem::take(&mut self.interfaces);
+        let closing_links = close_links(self.call_links.clone(), calls_ended.clone(), deadline);
+        let closing_links = task::spawn(closing_links);
+        let draining_interfaces = task::spawn(drain_interfaces(interfaces, calls_ended, deadline));
         if let Some(control) = &self.control {
             control.lock().transfer_leadership();
         }
@@ -348,8 +377,11 @@
         )
         .await;
         while self.proxy.owner().in_flight() > 0 && Instant::now() < deadline {
-            task::sleep(Duration::from_millis(10)).await;
+            task::sleep(DRAIN_POLL).await;
         }
+        drop(calls_in_flight);
+        closing_links.await;
+        draining_interfaces.await;
         let ended = self.proxy.owner().stop().ended();
         let aborted_calls = aborted_connections + self.proxy.owner().in_flight() + ended;
         let cut = self.proxy.owner().log_cut_calls();
@@ -380,6 +412,46 @@
     }
 }
 
+impl Interface {
+    async fn drain(&self, limit: Duration) {
+        match self {
+            Self::Operator(server) => server.drain(limit).await,
+            Self::Http(server) => drop(server.drain(limit).await),
+        }
+    }
+}
+
+/// Closes the links of other daemons once `calls_ended` is closed or shortly before `deadline`, and
+/// waits until the other daemons have read the replies.
+async fn close_links(
+    call_links: Arc<call_link::Drain>,
+    calls_ended: channel::Receiver<()>,
+    deadline: Instant,
+) {
+    let remaining = || deadline.saturating_duration_since(Instant::now());
+    // No message is sent on the channel.
+    let serving_time = remaining().saturating_sub(LINK_CLOSE_TIME);
+    let _ = timeout(serving_time, calls_ended.recv()).await;
+    call_links.start();
+    while call_links.open_links() > 0 && !remaining().is_zero() {
+        task::sleep(DRAIN_POLL).await;
+    }
+}
+
+/// Serves requests on the interfaces until `calls_ended` is closed or shortly before `deadline`,
+/// and then completes those in progress.
+async fn drain_interfaces(
+    interfaces: Vec<Interface>,
+    calls_ended: channel::Receiver<()>,
+    deadline: Instant,
+) {
+    let remaining = || deadline.saturating_duration_since(Instant::now());
+    let serving_time = remaining().saturating_sub(INTERFACE_DRAIN_TIME);
+    let _ = timeout(serving_time, calls_ended.recv()).await;
+    let limit = remaining().min(INTERFACE_DRAIN_TIME);
+    join_all(interfaces.iter().map(|server| server.drain(limit))).await;
+}
+
 impl Listeners {
     fn bind(settings: &Settings) -> eyre::Result<Self> {
         let listen = &settings.listen;
@@ -648,7 +720,8 @@
 }
 
 async fn serve_calls(context: &LinkContext, tx: Sender, rx: Receiver) {
-    call_link::serve_with_load(tx, rx, MAX_CALLS_PER_LINK, |call, _| {
+    let drain = &context.call_links;
+    call_link::serve_with_load(tx, rx, MAX_CALLS_PER_LINK, drain, |call, _| {
         let proxy = context.proxy.clone();
         let buffers = context.buffers.clone();
         async move {
