Reject responses of upstreams with a status above 599

Callers got a response with the status 600 to 999 as the upstream's answer, signature included, and the connection was reused. With the platform's `Not-Executed` and the id of the request, it was even taken for proof that the request had not run (503). The status 000 and all others below 100 never reached a caller: they fail to parse.

Cause: hyper accepts any status from 100 to 999, and the client checked only for 101. RFC 9110, section 15, calls values above 599 invalid and lets a client treat them as 5xx. A proxy that passes one on would send an invalid response of its own, and another status than the upstream's with its signature would break MIXED, so the response counts as malformed: `bad-answer`, may have run, connection closed, failure of the endpoint.

`upstream_answers_in_part` checks the same as before; its loop is now shared.

--- a/crates/daemon/tests/owner.rs
+++ b/crates/daemon/tests/owner.rs
@@ -274,6 +274,32 @@
     assert_eq!(refused.err(), Some(expected));
 }
 
+/// Guards against a response with an invalid status that passes for an answer, or for proof that the
+/// request has not run.
+#[rstest]
+#[case::zero("000")]
+#[case::below_range("099")]
+#[case::above_range("600")]
+#[case::last("999")]
+#[async_std::test]
+async fn deliver_invalid_status(
+    #[case] status: &'static str,
+    #[values("not-executed: 1", "response-signature: 3e1b.07")] header: &'static str,
+) {
+    let response =
+        format!("HTTP/1.1 {status} Odd\r\n{header}\r\nattempt-id: a1\r\ncontent-length: 0\r\n\r\n");
+    let address = start_upstream(vec![response.leak()]).await;
+    let owner = owner(address).with_dialect(Arc::new(Dialect {
+        request_id: Some(HeaderName::from_static(REQUEST_ID)),
+        says_not_run: |response| response.headers().contains_key("not-executed"),
+        ..Dialect::default()
+    }));
+    owner.announce(announcement(address, 4));
+    let result = owner.deliver(&call(true, "a1"), default_deadline()).await;
+    let bad = Failure::may_have_run(Reason::BadAnswer);
+    assert_eq!(result.err(), Some(bad));
+}
+
 /// Guards against a key of a client account that reaches an upstream because the entry daemon has an
 /// older configuration, and against an `authorization` header that is lost in a mesh without keys.
 #[rstest]
--- a/crates/daemon/tests/processes/upstreams.rs
+++ b/crates/daemon/tests/processes/upstreams.rs
@@ -7,10 +7,13 @@
 use std::time::Duration;
 
 use async_std::task;
+use bytes::Bytes;
 use eyre::ensure;
 use futures::future::join_all;
+use http::Response;
 use sycamoreflow_state::endpoint::Announcement;
 use sycamoreflow_testbed::caller::{self, Call, Outcome, Results};
+use sycamoreflow_testbed::process::ProcessMesh;
 use sycamoreflow_testbed::upstream::{Behaviour, Stats, Upstream, announce};
 
 use crate::leaving::CALLS;
@@ -154,42 +157,97 @@
     run(async {
         let mesh = mesh(5)?;
         approve_everywhere(&mesh, 1).await?;
-        let client = caller::client();
         for (case, raw_response) in TRUNCATED_RESPONSES {
-            let upstream = start_truncating_upstream(raw_response)?;
-            let announcement = Announcement {
-                service: "orders".into(),
-                version: "v1".into(),
-                address: upstream,
-                slots: 8,
-                health_path: None,
-                load_path: None,
-            };
-            let announcing = task::spawn(announce(announcement, mesh.announce_address(3), || true));
-            for (index, method) in [(3, "GET"), (3, "POST"), (4, "GET"), (4, "POST")] {
-                let target = mesh.calls_address(index);
-                let (client, mesh) = (&client, &mesh);
-                let _ = mesh;
-                // While the upstream is ejected or not yet known, calls are refused as not run.
-                wait_for(
-                    &format!("{case}: a run of {method} through {index}"),
-                    || async move {
-                        let Ok(response) = call(client, target, method).await else {
-                            return false;
-                        };
-                        assert_ne!(response.status(), 200, "{case}: {response:?}");
-                        let verdict = header(&response, "sycamoreflow-verdict");
-                        verdict == Some("may-have-run") || verdict == Some("ran")
-                    },
-                )
-                .await?;
-            }
-            announcing.cancel().await;
+            check_raw_response(&mesh, case, raw_response, |response| {
+                assert_ne!(response.status(), 200, "{case}: {response:?}");
+            })
+            .await?;
+        }
+        Ok(())
+    })
+}
+
+/// Guards against a response of an upstream whose status is invalid and that reaches the caller as
+/// an answer, on the host of the upstream or through another daemon, and against an endpoint that
+/// is not ejected for such responses.
+#[test]
+fn upstream_answers_invalid_status() -> eyre::Result<()> {
+    const INVALID_RESPONSES: [(&str, &str); 3] = [
+        ("000", "HTTP/1.1 000 Odd\r\nx-signature: 3e1b\r\n\r\n"),
+        ("600", "HTTP/1.1 600 Odd\r\nx-signature: 3e1b\r\n\r\n"),
+        ("999", "HTTP/1.1 999 Odd\r\nx-signature: 3e1b\r\n\r\n"),
+    ];
+    run(async {
+        let mesh = mesh(5)?;
+        approve_everywhere(&mesh, 1).await?;
+        for (case, raw_response) in INVALID_RESPONSES {
+            check_raw_response(&mesh, case, raw_response, |response| {
+                let status = response.status().as_u16();
+                let expected = match header(response, "sycamoreflow-verdict") {
+                    Some("not-run") => 503,
+                    _ => 502,
+                };
+                assert_eq!(status, expected, "{case}: {response:?}");
+                let reason = header(response, "sycamoreflow-reason");
+                let is_bad = reason == Some("bad-answer");
+                assert_eq!(is_bad, status == 502, "{case}: {response:?}");
+                assert_eq!(header(response, "x-signature"), None, "{case}");
+            })
+            .await?;
         }
+        // The last endpoint in use is never ejected.
+        let _sound = start_upstreams(&mesh, &[4], Duration::ZERO).await?;
+        let address = start_truncating_upstream(INVALID_RESPONSES[0].1)?;
+        let announcing = task::spawn(announce(
+            announcement(address, 8),
+            mesh.announce_address(3),
+            || true,
+        ));
+        let (client, mesh) = (&caller::client(), &mesh);
+        let target = mesh.calls_address(2);
+        wait_for("the ejection of the endpoint", || async move {
+            let _ = call(client, target, "POST").await;
+            let changes = mesh.metric(2, "sycamoreflow_ejection_changes_total").await;
+            changes > Some(0.0)
+        })
+        .await?;
+        announcing.cancel().await;
         Ok(())
     })
 }
 
+/// Starts an upstream that sends `raw_response`, and checks the responses to callers until requests
+/// of both methods have reached it, through the daemon on its host and through another one.
+async fn check_raw_response(
+    mesh: &ProcessMesh,
+    case: &str,
+    raw_response: &'static str,
+    check: impl Fn(&Response<Bytes>),
+) -> eyre::Result<()> {
+    let client = &caller::client();
+    let announcement = announcement(start_truncating_upstream(raw_response)?, 8);
+    let announcing = task::spawn(announce(announcement, mesh.announce_address(3), || true));
+    let check = &check;
+    for (index, method) in [(3, "GET"), (3, "POST"), (4, "GET"), (4, "POST")] {
+        let target = mesh.calls_address(index);
+        // While the upstream is ejected or not yet known, calls are refused as not run.
+        wait_for(
+            &format!("{case}: a run of {method} through {index}"),
+            || async move {
+                let Ok(response) = call(client, target, method).await else {
+                    return false;
+                };
+                check(&response);
+                let verdict = header(&response, "sycamoreflow-verdict");
+                verdict == Some("may-have-run") || verdict == Some("ran")
+            },
+        )
+        .await?;
+    }
+    announcing.cancel().await;
+    Ok(())
+}
+
 /// Scenario: an upstream with many slots answers every request with a body without end.
 ///
 /// Guards against a daemon that keeps all of them and exceeds the memory of its host, and against
@@ -202,14 +260,7 @@
     run(async {
         let mesh = mesh(5)?;
         approve_everywhere(&mesh, 1).await?;
-        let announcement = Announcement {
-            service: "orders".into(),
-            version: "v1".into(),
-            address: start_endless_upstream()?,
-            slots: CALLS as u32,
-            health_path: None,
-            load_path: None,
-        };
+        let announcement = announcement(start_endless_upstream()?, CALLS as u32);
         let announcing = task::spawn(announce(announcement, mesh.announce_address(3), || true));
         let client = caller::client();
         let (client, mesh) = (&client, &mesh);
@@ -232,6 +283,17 @@
     })
 }
 
+fn announcement(address: SocketAddr, slots: u32) -> Announcement {
+    Announcement {
+        service: "orders".into(),
+        version: "v1".into(),
+        address,
+        slots,
+        health_path: None,
+        load_path: None,
+    }
+}
+
 /// Starts an upstream that answers every request with a body without end.
 fn start_endless_upstream() -> eyre::Result<SocketAddr> {
     let listener = TcpListener::bind("127.0.0.1:0")?;
--- a/crates/protocol/src/call.rs
+++ b/crates/protocol/src/call.rs
@@ -6,6 +6,8 @@
 //! Field names are single letters on the wire: most calls are shorter than 1 KiB, and full names
 //! would make up a tenth of that.
 
+use std::ops::RangeInclusive;
+
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
 use sycamoreflow_coordination::fingerprint::Fingerprint;
@@ -16,6 +18,10 @@
 #[cfg(test)]
 mod tests;
 
+/// Statuses that a final HTTP response may have (RFC 9110, section 15). Lower ones are invalid or
+/// belong to interim responses, and higher ones are invalid.
+pub const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// Headers in the order in which they were received, with values as raw bytes.
 pub type Headers = Vec<(String, ByteBuf)>;
 
--- a/crates/transport/src/http/client/connection.rs
+++ b/crates/transport/src/http/client/connection.rs
@@ -14,9 +14,10 @@
 use bytes::Bytes;
 use futures::io::{AsyncRead, AsyncWrite};
 use http::header::TRANSFER_ENCODING;
-use http::{HeaderValue, Request, Response, StatusCode};
+use http::{HeaderValue, Request, Response};
 use http_body_util::Full;
 use hyper::client::conn::http1;
+use sycamoreflow_protocol::call::FINAL_STATUSES;
 use sycamoreflow_state::verdict::{Failure, Reason};
 
 use super::Limits;
@@ -201,8 +202,9 @@
             })?;
         self.counters.remove_read_limit();
         let (mut parts, body) = response.into_parts();
-        let is_upgrade = parts.status == StatusCode::SWITCHING_PROTOCOLS;
-        if is_upgrade || !has_supported_coding(&parts) {
+        // hyper skips interim responses except 101, and accepts statuses up to 999.
+        let is_final = FINAL_STATUSES.contains(&parts.status.as_u16());
+        if !is_final || !has_supported_coding(&parts) {
             return Err(ExchangeError::Failed(Reason::BadAnswer));
         }
         let body = pin!(read_body(body, limits.max_body_bytes, budget));
--- a/crates/transport/src/http/client/tests.rs
+++ b/crates/transport/src/http/client/tests.rs
@@ -10,6 +10,7 @@
 use crate::http::server::tests as server;
 
 mod cut;
+mod status;
 
 /// Maximum time that a test waits for a timeout to take effect. The timeouts under test are much
 /// shorter, and without them the exchange would never end. The margin is for busy machines, which
