Reject answers of other daemons and stored ones with an invalid status

An answer with a status outside 200 to 599 that came over a call link passed for the answer of an upstream. Callers got, for the statuses 100 to 199, a 502 with the headers of the answer, signature included; for 600 to 999 the status itself; for all others a 502 without them. `call_result` counts any status below 500 as a success of the endpoint, so it was neither ejected nor the request retried. The same statuses passed in answers that key holders store.

Cause: `Answer::status` is any u16 on the wire, and only the conversion to the caller's response looked at it. The link now checks it where it receives the answer, as the HTTP client does: `bad-answer`, may have run. Other calls on the link go on, since a daemon of an earlier version may send a status above 599 for one of its upstreams. A stored answer is reported as one that can't be read back.

--- a/crates/daemon/src/proxy/keys.rs
+++ b/crates/daemon/src/proxy/keys.rs
@@ -33,6 +33,9 @@
 use crate::rpc::RpcClient;
 use crate::traffic::Traffic;
 
+#[cfg(test)]
+mod tests;
+
 /// Interval at which a claim checks its timeouts.
 const CLAIM_TICK: Duration = Duration::from_millis(5);
 
@@ -377,7 +380,10 @@
 }
 
 fn decode(answer: &[u8]) -> Result<Answer> {
-    codec::decode(answer).map_err(|_| codec_failure())
+    let answer = codec::decode(answer).ok();
+    answer
+        .filter(Answer::has_final_status)
+        .ok_or(codec_failure())
 }
 
 /// Returns the failure for an answer that cannot be stored at the holders or read back.
--- a/crates/protocol/src/call.rs
+++ b/crates/protocol/src/call.rs
@@ -158,3 +158,11 @@
     #[serde(rename = "b", with = "serde_bytes")]
     pub body: Vec<u8>,
 }
+
+impl Answer {
+    /// Returns whether the status is one that a final HTTP response may have. The encoding admits
+    /// any number, so receivers check it.
+    pub fn has_final_status(&self) -> bool {
+        FINAL_STATUSES.contains(&self.status)
+    }
+}
--- a/crates/transport/src/call_link.rs
+++ b/crates/transport/src/call_link.rs
@@ -64,8 +64,8 @@
     /// # Errors
     ///
     /// The verdict is `NotRun` if the call was never queued for writing, and `MayHaveRun` if the
-    /// link ended or the deadline passed after the call was queued. If the other end refuses the
-    /// call, the verdict is the one that it sends.
+    /// link ended or the deadline passed after the call was queued, or if the status of the answer
+    /// is invalid. If the other end refuses the call, the verdict is the one that it sends.
     pub async fn call(&self, call: Call, deadline: Instant) -> Result<Answer> {
         self.call_with_load(call, deadline).await.0
     }
@@ -79,6 +79,10 @@
     ) -> (Result<Answer>, Option<Load>) {
         match self.call_reply(call, deadline).await {
             Ok(reply) => match reply.result {
+                CallResult::Answer(answer) if !answer.has_final_status() => {
+                    let failure = Failure::may_have_run(Reason::BadAnswer);
+                    (Err(failure), reply.load)
+                }
                 CallResult::Answer(answer) => (Ok(answer), reply.load),
                 CallResult::Refused(failure) => (Err(failure), reply.load),
             },
--- a/crates/transport/src/call_link/tests.rs
+++ b/crates/transport/src/call_link/tests.rs
@@ -100,6 +100,32 @@
     }
 }
 
+/// Guards against an answer whose status is invalid that passes for the answer of an upstream, and
+/// against other calls on the link that fail with it.
+#[async_std::test]
+async fn call_answer_with_invalid_status() {
+    let ((a_tx, a_rx), (b_tx, b_rx)) = open(&limits(), &limits()).await;
+    task::spawn(serve(b_tx, b_rx, 10, |call, _| async move {
+        let status = u16::from_be_bytes([call.body[0], call.body[1]]);
+        CallResult::Answer(Answer {
+            status,
+            headers: vec![("response-signature".into(), b"3e1b.07".to_vec().into())],
+            body: Vec::new(),
+        })
+    }));
+    let client = CallClient::start(a_tx, a_rx);
+    for status in [0, 99, 100, 101, 199, 600, 999, 1_000, u16::MAX] {
+        let outcome = client.call(call(&status.to_be_bytes()), deadline()).await;
+        let bad = Failure::may_have_run(Reason::BadAnswer);
+        assert_eq!(outcome, Err(bad), "{status}");
+    }
+    for status in [200_u16, 599] {
+        let outcome = client.call(call(&status.to_be_bytes()), deadline()).await;
+        assert_eq!(outcome.map(|answer| answer.status), Ok(status));
+    }
+    assert!(!client.is_closed());
+}
+
 /// Guards against the verdict `NotRun` for a call that the other end received before the link
 /// ended.
 #[async_std::test]
