Search the logs of replica_frozen_tried_last from the freeze on

The test searched the whole log of each daemon for an attempt at the frozen replica that timed out. On a busy machine attempts time out while the 18 processes start and none of them is frozen: in one run all five lines stood 12 s before the freeze. Such lines say nothing about the frozen replica. What is checked after the freeze is unchanged.

--- a/crates/daemon/tests/processes/replicas.rs
+++ b/crates/daemon/tests/processes/replicas.rs
@@ -101,6 +101,7 @@
             // Subscriptions move to the home replicas in the first seconds.
             task::sleep(MOVE_TIME).await;
             let suspended = (leader_of(&mesh, &operator).await? + weight) % 3;
+            let logged: Vec<usize> = (0..mesh.len()).map(|i| mesh.log(i).len()).collect();
             mesh.suspend(suspended)?;
             let request = format!("tried-last-{weight}");
             let approved = operator.approve(&request, &answers(weight), LIMIT).await?;
@@ -109,7 +110,8 @@
             let frozen = mesh.settings(suspended).daemon.as_str();
             let waited = |index: &usize| {
                 let log = mesh.log(*index);
-                let mut lines = log.lines().filter(|line| line.contains(frozen));
+                let lines = log[logged[*index]..].lines();
+                let mut lines = lines.filter(|line| line.contains(frozen));
                 lines.any(|line| line.contains("opening the link timed out"))
             };
             let waited: Vec<usize> = others.into_iter().filter(waited).collect();
