Bound every attempt of a stopping entry by its stop, and report its end

Callers of requests that a stopping entry had accepted got 504 (deadline-exceeded) at the end of the stop, and the stop counted none of them (exit code 0).

Cause: the stop ends a request in three places, and Proxy::serve knew one of them. A bounded deadline that passed also counted as a timeout of the upstream in the evidence of a rollout.

Change: the deadline is bounded when an attempt is made. One that passes has the reason draining. A request that ends so when its result is due is counted, wherever it ended, and isn't sent again.

--- a/crates/coordination/src/stop.rs
+++ b/crates/coordination/src/stop.rs
@@ -42,7 +42,7 @@
         self.answers_due
     }
 
-    /// Returns the deadline of a request that is accepted during the stop.
+    /// Returns the deadline of an attempt that is made during the stop.
     pub fn bounded(&self, deadline: Millis) -> Millis {
         deadline.min(self.answers_due)
     }
@@ -51,7 +51,8 @@
     /// whether the other daemons know of the stop.
     ///
     /// Most requests end long before their deadline, so an idempotent one is accepted until callers
-    /// have had time to turn to other daemons. Its deadline is then [`Stop::bounded`].
+    /// have had time to turn to other daemons. The deadlines of its attempts are then
+    /// [`Stop::bounded`].
     pub fn accepts_request(&self, deadline: Millis, idempotent: bool, is_announced: bool) -> bool {
         deadline <= self.answers_due || (idempotent && !is_announced)
     }
--- a/crates/daemon/src/planned_stop.rs
+++ b/crates/daemon/src/planned_stop.rs
@@ -48,6 +48,13 @@
         *self.stop.lock()
     }
 
+    /// Returns whether the stop has begun and requires the results of all work by now. Deadlines on
+    /// links are rounded down to milliseconds, so the result of a call may come one earlier.
+    pub fn is_due(&self) -> bool {
+        let stop = self.get();
+        stop.is_some_and(|stop| clock::now().after(Millis(1)) >= stop.answers_due())
+    }
+
     /// Counts a request of a caller or a call of another daemon that the stop has ended.
     pub fn record_ended(&self) {
         self.ended.fetch_add(1, Ordering::Relaxed);
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -292,13 +292,12 @@
         let id_header = self.dialect.request_id.clone();
         let id_header = id_header.and_then(|name| Some((req.headers().get(&name)?.clone(), name)));
         let run = self.run(req, &mut log.trace);
-        let result = match self.owner.stop().run_until_due(run).await {
-            Some(result) => result,
-            None => {
-                self.owner.stop().record_ended();
-                Err(log.trace.failure_at_stop())
-            }
-        };
+        let result = self.owner.stop().run_until_due(run).await;
+        let result = result.unwrap_or_else(|| Err(log.trace.failure_at_stop()));
+        let is_ended = matches!(&result, Err(f) if f.reason == Reason::Draining);
+        if is_ended && log.trace.may_have_run && self.owner.stop().is_due() {
+            self.owner.stop().record_ended();
+        }
         let elapsed = log.end(&result);
         let tenant = log.trace.tenant.take();
         let tenant = tenant.unwrap_or_else(|| TenantName::from(DEFAULT_TENANT));
@@ -538,12 +537,11 @@
         // idempotent.
         let by_method = delivery.max_attempts.is_none() && req.method().is_idempotent();
         let idempotent = route.config.idempotent || by_method;
-        let mut deadline = arrived.after(remaining);
-        if let Some(stop) = self.owner.stop().get() {
-            if !stop.accepts_request(deadline, idempotent, self.owner.is_leaving()) {
-                return Err(Failure::not_run(Reason::Draining));
-            }
-            deadline = stop.bounded(deadline);
+        let deadline = arrived.after(remaining);
+        let stop = self.owner.stop().get();
+        let is_announced = self.owner.is_leaving();
+        if stop.is_some_and(|stop| !stop.accepts_request(deadline, idempotent, is_announced)) {
+            return Err(Failure::not_run(Reason::Draining));
         }
         Ok(AdmittedRequest {
             route: route.name.clone(),
--- a/crates/daemon/src/proxy/attempts.rs
+++ b/crates/daemon/src/proxy/attempts.rs
@@ -136,6 +136,10 @@
             };
             last_reason = failure.reason;
             match service.failed(&mut attempts, failure) {
+                // The stop of this daemon ends the request now.
+                RetryDecision::Retry if self.owner.stop().is_due() => {
+                    return Err(attempts.failure(Reason::Draining));
+                }
                 RetryDecision::Retry => admitted.log_retry(&target, failure, sends),
                 RetryDecision::Fail(failure) => {
                     trace.retry_after = Some(service.retry_after(failure.reason));
@@ -165,7 +169,10 @@
             evidence_number,
             ended: false,
         };
-        let deadline = admitted.deadline;
+        // A stop of this daemon may have begun since the request was admitted. The owner must know
+        // of it, since it would keep the call in its queue for longer.
+        let stop = self.owner.stop().get();
+        let deadline = stop.map_or(admitted.deadline, |stop| stop.bounded(admitted.deadline));
         let (result, load) = if target.daemon == self.daemon {
             let mut call = call;
             call.remaining_ms = deadline.since(clock::now()).0 as u32;
@@ -176,6 +183,13 @@
                 .call(&target.daemon, target.address, call, limit)
                 .await
         };
+        let result = result.map_err(|failure| match failure.reason {
+            Reason::DeadlineExceeded if deadline < admitted.deadline => Failure {
+                reason: Reason::Draining,
+                ..failure
+            },
+            _ => failure,
+        });
         pending.ended = true;
         if let Some(load) = load {
             admitted.service.observe_load(target, &admitted.route, load);
