Bound the wait of a stop for the control replica's storage

A daemon that received SIGTERM while the disk of its control replica did not respond never exited: after the drain, `Control::stop` joined the thread of the replica, which waits for its write or sync. The process outlived the grace period and was killed, without its line `stop`.

The stop now waits until the end of the drain timeout, or 200 ms if that is over, and then lets the process exit. Nothing confirmed can be lost by it, since the replica confirms only what it has synced; what it was writing ends as in a crash. `Daemon::kill` and dropping a `Control` still wait for the storage, as a daemon in the same process may open it next.

--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -3,8 +3,8 @@
 
 use std::path::Path;
 use std::sync::Arc;
-use std::sync::mpsc;
-use std::thread::{self, JoinHandle};
+use std::sync::mpsc::{self, RecvTimeoutError};
+use std::thread;
 use std::time::Duration;
 
 use async_std::task;
@@ -44,14 +44,19 @@
 /// process: the log is read again, so nothing depends on what the failed operation left behind.
 const REOPEN_INTERVAL: Duration = Duration::from_millis(1_000);
 
+/// Name of the thread that runs the replica.
+const THREAD_NAME: &str = "control-replica";
+
 /// Subdirectory of the data folder that holds the log if replicas are discovered through seeds.
 const LOG_FOLDER: &str = "log";
 
-/// A running control replica. Dropping it stops the replica.
+/// A running control replica. Dropping it stops the replica and blocks until its storage is closed,
+/// unless [`Control::stop`] was called before.
 #[derive(Debug)]
 pub struct Control {
     hub: Arc<Hub>,
-    thread: Option<JoinHandle<()>>,
+    /// Disconnected when the thread of the replica ends. No message is ever sent on it.
+    thread_end: Option<mpsc::Receiver<()>>,
 }
 
 impl Control {
@@ -114,9 +119,11 @@
         peers.start();
         task::spawn(peers.clone().follow_leader(hub.clone()));
         let shared_hub = hub.clone();
-        let thread = thread::Builder::new()
-            .name("control-replica".into())
+        let (thread_end_tx, thread_end) = mpsc::channel();
+        thread::Builder::new()
+            .name(THREAD_NAME.into())
             .spawn(move || {
+                let _thread_end_tx = thread_end_tx;
                 let mut opened = opened;
                 while let Some(init) = opened.take().or_else(|| reopen(&rx, &open)) {
                     let replica = Replica::new(init, shared_hub.clone(), peers.clone());
@@ -128,7 +135,7 @@
             .wrap_err("failed to start the control replica thread")?;
         Ok(Self {
             hub,
-            thread: Some(thread),
+            thread_end: Some(thread_end),
         })
     }
 
@@ -153,19 +160,26 @@
         self.hub.send(Event::TransferLeadership);
     }
 
-    /// Stops the replica and blocks until its storage is closed.
-    pub fn stop(&mut self) {
+    /// Stops the replica and blocks until its storage is closed, but for `limit` at most, since a
+    /// disk that does not respond can block the replica for any time. The process may exit then:
+    /// all that the replica has confirmed is on the disk, as before a crash.
+    pub fn stop(&mut self, limit: Duration) {
         self.hub.send(Event::Stop);
-        if let Some(thread) = self.thread.take() {
-            // The panic hook has already reported a panic of the thread.
-            let _ = thread.join();
+        let Some(thread_end) = self.thread_end.take() else {
+            return;
+        };
+        if thread_end.recv_timeout(limit) == Err(RecvTimeoutError::Timeout) {
+            tracing::warn!(
+                event = "storage_not_closed",
+                waited_ms = limit.as_millis() as u64
+            );
         }
     }
 }
 
 impl Drop for Control {
     fn drop(&mut self) {
-        self.stop();
+        self.stop(Duration::MAX);
     }
 }
 
--- a/crates/daemon/src/control/tests.rs
+++ b/crates/daemon/src/control/tests.rs
@@ -3,6 +3,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Instant;
 
+use parking_lot::Mutex;
 use rstest::rstest;
 use sycamoreflow_protocol::handshake::MeshKey;
 use sycamoreflow_transport::storage::{InjectedFault, Operation};
@@ -17,6 +18,18 @@
     folder: &Path,
     is_faulty: &Arc<AtomicBool>,
     fault: InjectedFault,
+) -> eyre::Result<Control> {
+    let is_faulty = is_faulty.clone();
+    start_with_hook(folder, move || match is_faulty.load(Ordering::SeqCst) {
+        true => fault,
+        false => InjectedFault::None,
+    })
+}
+
+/// Starts a replica that calls `hook` before each file operation.
+fn start_with_hook(
+    folder: &Path,
+    hook: impl Fn() -> InjectedFault + Clone + Send + 'static,
 ) -> eyre::Result<Control> {
     let settings = Settings::parse(VALID)?;
     let mut control = settings.control.clone().unwrap();
@@ -26,15 +39,9 @@
         daemon: settings.daemon.clone(),
         key: MeshKey::new([7; 32])?,
     };
-    let is_faulty = is_faulty.clone();
     let files = move || {
-        let is_faulty = is_faulty.clone();
-        Files::with_hook(Box::new(move |_: Operation, _: &Path| {
-            match is_faulty.load(Ordering::SeqCst) {
-                true => fault,
-                false => InjectedFault::None,
-            }
-        }))
+        let hook = hook.clone();
+        Files::with_hook(Box::new(move |_: Operation, _: &Path| hook()))
     };
     let limits = link::Limits::default();
     Control::start_with(&settings, &control, &identity, &limits, 7, files)
@@ -68,3 +75,33 @@
     let is_faulty = Arc::new(AtomicBool::new(true));
     assert!(start(folder.path(), &is_faulty, fault).is_err());
 }
+
+/// Guards against a stop that waits for a disk that does not respond, so that the process outlives
+/// its grace period and is killed.
+#[test]
+fn stop_stalled_disk() {
+    let folder = tempfile::tempdir().unwrap();
+    let disk = Arc::new(Mutex::new(()));
+    let stalled = disk.lock();
+    let (tx, replica_waits) = mpsc::channel();
+    let hook_disk = disk.clone();
+    let hook = move || {
+        // The test itself opens the data folder.
+        if thread::current().name() == Some(THREAD_NAME) {
+            let _ = tx.send(());
+            drop(hook_disk.lock());
+        }
+        InjectedFault::None
+    };
+    let mut control = start_with_hook(folder.path(), hook).unwrap();
+    replica_waits.recv_timeout(MAX_WAIT).unwrap();
+    let (tx, stopped) = mpsc::channel();
+    let stop = thread::spawn(move || {
+        control.stop(Duration::from_millis(100));
+        let _ = tx.send(());
+    });
+    let is_stopped = stopped.recv_timeout(MAX_WAIT / 6).is_ok();
+    drop(stalled);
+    stop.join().unwrap();
+    assert!(is_stopped, "the stop waits for the disk");
+}
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -74,6 +74,10 @@
 /// other daemons, so that its drain mark reaches them before its link listener closes.
 const MIN_LINK_SERVING_TIME: Duration = Duration::from_millis(1_000);
 
+/// Minimum time that a graceful stop waits for the storage of the control replica to close, also
+/// after the drain timeout.
+const MIN_STORAGE_CLOSE_TIME: Duration = Duration::from_millis(200);
+
 /// How long before it closes the listener for callers a stopping daemon marks its endpoints as
 /// draining. It covers the distribution of the mark to the other daemons.
 const DRAIN_MARK_LEAD_TIME: Duration = Duration::from_millis(600);
@@ -360,22 +364,24 @@
             running = cut.running,
             queued = cut.queued
         );
-        self.stop_tasks().await;
+        let remaining = deadline.saturating_duration_since(Instant::now());
+        self.stop_tasks(remaining.max(MIN_STORAGE_CLOSE_TIME)).await;
         aborted_calls
     }
 
     /// Stops immediately, as a crash would: links are closed and calls are aborted.
     pub async fn kill(mut self) {
-        self.stop_tasks().await;
+        self.stop_tasks(Duration::MAX).await;
     }
 
-    async fn stop_tasks(&mut self) {
+    /// Stops all tasks and waits for `limit` at most until the storage of the replica is closed.
+    async fn stop_tasks(&mut self, limit: Duration) {
         self.interfaces.clear();
         for task in std::mem::take(&mut self.tasks) {
             task.cancel().await;
         }
         if let Some(control) = self.control.take() {
-            control.lock().stop();
+            control.lock().stop(limit);
         }
     }
 }
