--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -9,6 +9,7 @@
 
 use async_std::task;
 use eyre::WrapErr;
+use parking_lot::Mutex;
 use sycamoreflow_coordination::machine::ControlState;
 use sycamoreflow_coordination::quota::Tolerance;
 use sycamoreflow_coordination::raft::{Incarnation, Raft};
@@ -56,7 +57,7 @@
 pub struct Control {
     hub: Arc<Hub>,
     /// Disconnected when the thread of the replica ends. No message is ever sent on it.
-    thread_end: Option<mpsc::Receiver<()>>,
+    thread_end: Option<Mutex<mpsc::Receiver<()>>>,
 }
 
 impl Control {
@@ -135,7 +136,7 @@
             .wrap_err("failed to start the control replica thread")?;
         Ok(Self {
             hub,
-            thread_end: Some(thread_end),
+            thread_end: Some(Mutex::new(thread_end)),
         })
     }
 
@@ -168,7 +169,7 @@
         let Some(thread_end) = self.thread_end.take() else {
             return;
         };
-        if thread_end.recv_timeout(limit) == Err(RecvTimeoutError::Timeout) {
+        if thread_end.into_inner().recv_timeout(limit) == Err(RecvTimeoutError::Timeout) {
             tracing::warn!(
                 event = "storage_not_closed",
                 waited_ms = limit.as_millis() as u64
