--- a/crates/daemon/src/proxy/owner.rs
+++ b/crates/daemon/src/proxy/owner.rs
@@ -404,7 +404,7 @@
 
     /// Begins a planned stop, which ends after `drain_timeout`: the daemon reports to callers that
     /// it is not ready. The upstreams still get work that ends in time. Calls that are left when the
-    /// stop requires their results are ended ([`Stop::answers_due`]).
+    /// stop requires their results are ended ([`PlannedStop::is_due`]).
     pub fn begin_stop(&self, drain_timeout: Millis) {
         self.stop.begin(drain_timeout);
         let Some(stop) = self.stop.get() else {
