Keep the ports of a mesh from other test programs

Daemons of two meshes talked to each other when two test programs ran at the same time: ports were chosen by the process id, 50 programs shared 20,000 ports, and the ports of a daemon that is down looked free to the other program. All meshes have the same names and the same key. floor_restart_without_control_group then reported "versions decreased: daemon 1: 1 after 2" for daemons of the other mesh, whose version is 1 at that time.

A program now claims blocks of 100 ports. It listens on the first port of each block until it ends.

--- a/crates/testbed/src/mesh.rs
+++ b/crates/testbed/src/mesh.rs
@@ -4,8 +4,8 @@
 use std::fs;
 use std::net::{SocketAddr, TcpListener};
 use std::path::Path;
-use std::sync::atomic::{AtomicU32, Ordering};
 
+use parking_lot::Mutex;
 use sycamoreflow_daemon::Daemon;
 use sycamoreflow_daemon::settings::{
     ControlSettings, FloorSettings, Limits, Listen, LogSettings, ReplicaAddress, Settings,
@@ -14,6 +14,9 @@
 
 use crate::operator::Operator;
 
+#[cfg(test)]
+mod tests;
+
 /// Mesh key of all meshes of the testbed. It may be public, as they listen on loopback addresses
 /// only.
 const MESH_KEY: &str = "a mesh key for the testbed only";
@@ -21,11 +24,10 @@
 pub(crate) const OPERATOR_TOKEN: &str = "an operator token for the testbed";
 /// First port that meshes listen on.
 const FIRST_PORT: u16 = 12_000;
-/// Number of ports, from [`FIRST_PORT`] on, that meshes listen on.
-const PORT_COUNT: u16 = 20_000;
-/// Distance between the first ports of processes with consecutive identifiers, so that test
-/// programs that run at the same time use different ports.
-const PORTS_PER_PROCESS: u32 = 400;
+/// Number of blocks of ports, from [`FIRST_PORT`] on, that meshes listen on.
+const BLOCK_COUNT: u16 = 200;
+/// Number of ports of a block. The first one shows which process uses the block.
+const BLOCK_PORTS: u16 = 100;
 /// Number of control replicas that vote, and of all control replicas if no other number is given.
 pub(crate) const REPLICAS: usize = 3;
 /// Number of witnesses of each daemon's version floor.
@@ -203,22 +205,27 @@
     Ok(settings)
 }
 
-/// Returns `count` loopback addresses whose ports are free at present.
+/// Returns `count` loopback addresses whose ports are free and stay so until this process ends,
+/// also while a daemon is down: another mesh must not listen on its ports.
 ///
 /// The ports lie below the system's range of ephemeral ports. Otherwise an outgoing connection
 /// could take the port of a daemon that is down.
 fn free_addresses(count: usize) -> eyre::Result<Vec<SocketAddr>> {
-    static NEXT: AtomicU32 = AtomicU32::new(0);
-    let first = std::process::id().wrapping_mul(PORTS_PER_PROCESS);
+    static CLAIMS: Mutex<Vec<TcpListener>> = Mutex::new(Vec::new());
+    let address = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
+    let first = std::process::id() % u32::from(BLOCK_COUNT);
     let mut addresses = Vec::new();
-    for _ in 0..PORT_COUNT {
-        let step = first.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
-        let port = FIRST_PORT + (step % u32::from(PORT_COUNT)) as u16;
-        let address = SocketAddr::from(([127, 0, 0, 1], port));
-        if TcpListener::bind(address).is_ok() {
-            addresses.push(address);
-        }
-        if addresses.len() == count {
+    for step in 0..BLOCK_COUNT {
+        let block = (first as u16 + step) % BLOCK_COUNT;
+        let port = FIRST_PORT + block * BLOCK_PORTS;
+        let Ok(claim) = TcpListener::bind(address(port)) else {
+            continue;
+        };
+        CLAIMS.lock().push(claim);
+        let ports = (port + 1..port + BLOCK_PORTS).map(address);
+        addresses.extend(ports.filter(|address| TcpListener::bind(address).is_ok()));
+        if addresses.len() >= count {
+            addresses.truncate(count);
             return Ok(addresses);
         }
     }
