Return the kept server error when a stopping entry sends no further attempt

A server error of an upstream that was kept for the caller was replaced by draining if the stop of the entry was due at the next retry. Every other end of the attempts returns it, as the documentation of Proxy::attempt says.

--- a/crates/daemon/src/proxy/attempts.rs
+++ b/crates/daemon/src/proxy/attempts.rs
@@ -138,7 +138,7 @@
             match service.failed(&mut attempts, failure) {
                 // The stop of this daemon ends the request now.
                 RetryDecision::Retry if self.owner.stop().is_due() => {
-                    return Err(attempts.failure(Reason::Draining));
+                    return error_answer.ok_or(attempts.failure(Reason::Draining));
                 }
                 RetryDecision::Retry => admitted.log_retry(&target, failure, sends),
                 RetryDecision::Fail(failure) => {
