Read the planned stop without a lock, and compute service times in one place

Every request reads the stop several times, and it is set once, so it is a OnceLock. The expected service time of a queued call was computed by the same closure in defer_late and bound_queue.

--- a/crates/coordination/src/admission.rs
+++ b/crates/coordination/src/admission.rs
@@ -416,8 +416,8 @@
             return;
         };
         let pace = &self.pace;
-        let service = |call: &QueuedCall| Millis((pace.stretched(now, call.work) / 1_000.0) as u64);
-        self.queue.bound(end, service);
+        self.queue
+            .bound(end, |call| waits::service_time(pace, now, call));
     }
 
     /// Accepts new calls again after [`Admission::drain`].
--- a/crates/coordination/src/admission/waits.rs
+++ b/crates/coordination/src/admission/waits.rs
@@ -5,6 +5,7 @@
 
 use super::queue::QueuedCall;
 use super::{Admission, Released};
+use crate::pace::PaceHistory;
 use crate::routing::DEFAULT_SERVICE_TIME;
 use crate::shedding::AnswerValue;
 
@@ -14,6 +15,11 @@
 /// One call per this number of slots may always wait in the queue.
 const SLOTS_PER_WAITING: usize = 4;
 
+/// Returns the expected service time of a queued call at the present pace of the host.
+pub(super) fn service_time(pace: &PaceHistory, now: Millis, call: &QueuedCall) -> Millis {
+    Millis((pace.stretched(now, call.work) / 1_000.0) as u64)
+}
+
 impl Admission {
     /// Removes the queued calls that are better off elsewhere than behind the calls before them.
     pub(super) fn displace(&mut self, now: Millis) -> Vec<Released> {
@@ -49,9 +55,8 @@
     /// Moves the queued calls that can only be late behind those that can be in time.
     pub(super) fn defer_late(&mut self, now: Millis) {
         let pace = &self.pace;
-        let service = |call: &QueuedCall| pace.stretched(now, call.work) / 1_000.0;
-        let service = |call: &QueuedCall| Millis(service(call) as u64);
-        self.queue.defer_late(now, service);
+        self.queue
+            .defer_late(now, |call| service_time(pace, now, call));
     }
 
     /// Returns the mean time in microseconds for which calls hold their slots at usual pace. Until
--- a/crates/daemon/src/planned_stop.rs
+++ b/crates/daemon/src/planned_stop.rs
@@ -2,12 +2,12 @@
 
 use std::future::Future;
 use std::pin::pin;
+use std::sync::OnceLock;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use async_std::channel;
 use async_std::future::timeout;
 use futures::future::{Either, select};
-use parking_lot::Mutex;
 use sycamoreflow_coordination::stop::Stop;
 use sycamoreflow_state::ids::Millis;
 
@@ -16,7 +16,7 @@
 /// Whether and when the daemon stops. The decisions are those of [`Stop`].
 #[derive(Debug)]
 pub struct PlannedStop {
-    stop: Mutex<Option<Stop>>,
+    stop: OnceLock<Stop>,
     /// Closed when the stop begins. No message is ever sent on it.
     begin: channel::Sender<()>,
     begun: channel::Receiver<()>,
@@ -27,7 +27,7 @@
     fn default() -> Self {
         let (begin, begun) = channel::bounded(1);
         Self {
-            stop: Mutex::default(),
+            stop: OnceLock::new(),
             begin,
             begun,
             ended: AtomicUsize::new(0),
@@ -38,14 +38,14 @@
 impl PlannedStop {
     /// Begins the stop, which ends after `drain_timeout`. Has no effect if it has begun before.
     pub fn begin(&self, drain_timeout: Millis) {
-        let mut stop = self.stop.lock();
-        stop.get_or_insert_with(|| Stop::new(clock::now(), drain_timeout));
+        self.stop
+            .get_or_init(|| Stop::new(clock::now(), drain_timeout));
         self.begin.close();
     }
 
     /// Returns the stop if it has begun.
     pub fn get(&self) -> Option<Stop> {
-        *self.stop.lock()
+        self.stop.get().copied()
     }
 
     /// Returns whether the stop has begun and requires the results of all work by now. Deadlines on
