--- a/review/standins-2/client.rs
+++ b/review/standins-2/client.rs
@@ -32,6 +32,12 @@
 pub fn is_ready(address: SocketAddr) -> bool {
     let host = address.to_string();
     let headers = [("Host", host.as_str())];
-    let answer = exchange(address, "GET /ready HTTP/1.1", &headers, b"", Duration::from_secs(1));
+    let answer = exchange(
+        address,
+        "GET /ready HTTP/1.1",
+        &headers,
+        b"",
+        Duration::from_secs(1),
+    );
     answer.is_ok_and(|answer| answer.status() == 200)
 }
--- a/review/standins-2/departures.rs
+++ b/review/standins-2/departures.rs
@@ -59,7 +59,11 @@
             }
         });
     }
-    let cores: Vec<_> = deployment.cores().iter().map(|c| deployment.admin(*c)).collect();
+    let cores: Vec<_> = deployment
+        .cores()
+        .iter()
+        .map(|c| deployment.admin(*c))
+        .collect();
     let routes = [Route {
         name: "r-1".into(),
         prefix: "/lepu270/".into(),
@@ -86,7 +90,8 @@
         let (address, stop, record) = (deployment.outbound(*machine), stop.clone(), record.clone());
         clients.push(thread::spawn(move || {
             while !stop.load(Ordering::SeqCst) {
-                let (id, answer) = attempt(address, "GET", "/lepu270/2f", Duration::from_millis(1500));
+                let (id, answer) =
+                    attempt(address, "GET", "/lepu270/2f", Duration::from_millis(1500));
                 match answer {
                     Ok(answer) if answer.status() == 200 => {}
                     Ok(answer) => record.line(&format!("{id} answered {}", answer.status())),
@@ -126,7 +131,9 @@
     let back = record.now();
     thread::sleep(late_at.saturating_duration_since(Instant::now()));
     let acknowledged = leaving.deliver(&late_body);
-    record.line(&format!("the late heartbeat arrives, acknowledged: {acknowledged}"));
+    record.line(&format!(
+        "the late heartbeat arrives, acknowledged: {acknowledged}"
+    ));
     thread::sleep(exits_at.saturating_duration_since(Instant::now()));
     leaving.end();
     record.line("the endpoint exits");
@@ -149,7 +156,10 @@
     let after_drain = runs.iter().filter(|run| run.at > left + DRAIN_S).count();
     let broken: Vec<_> = runs.iter().filter(|run| run.at > from).collect();
     for run in &broken {
-        record.line(&format!("{} reached the endpoint that had left, at {:.3}", run.id, run.at));
+        record.line(&format!(
+            "{} reached the endpoint that had left, at {:.3}",
+            run.id, run.at
+        ));
     }
     record.line(&format!(
         "requests at the endpoint that had left: {} in all, {after_drain} later than drain, {} of \
