Log what a new leader takes over and what a restarted daemon learns of departures

`leading` counts the endpoints and departures with which a term begins, and `departures_learned` names the departures in the first view of a process.

--- a/crates/daemon/src/control/replica/leading.rs
+++ b/crates/daemon/src/control/replica/leading.rs
@@ -91,6 +91,16 @@
             accepted,
             &self.hinted_endpoints,
         );
+        let leases = leader.leases();
+        tracing::info!(
+            event = "leading",
+            term = self.term,
+            endpoints = leases.endpoints().count(),
+            departures = leases
+                .departures()
+                .map(|(_, of_daemon)| of_daemon.len())
+                .sum::<usize>()
+        );
         self.leader = Some(leader);
         let tolerance = self.quota_tolerance;
         self.quotas = Some(LeaderQuotas::new(clock::now(), self.term, tolerance));
--- a/crates/daemon/src/proxy/owner.rs
+++ b/crates/daemon/src/proxy/owner.rs
@@ -302,7 +302,10 @@
             tracing::info!(event = "upstream_departed", %service, by = "view");
             upstream.stop_new_work();
         }
-        self.departures_known.store(true, Ordering::SeqCst);
+        if !self.departures_known.swap(true, Ordering::SeqCst) {
+            let departures = departures.recent(clock::now());
+            tracing::info!(event = "departures_learned", ?departures);
+        }
     }
 
     /// Returns whether a report is of a departed instance, or older than the latest report from the
