Record departures of endpoints in the log before they are acknowledged

Cause: the acknowledgement rested on memory. The departure was in the leader's table, in views and at the daemon beside the endpoint. It was also given too early: once the leader had published the departure, which is the loss of two processes, or after 0.6 s without any control group.

Change: departures are entries of the log, in batches of at most one entry per publication. The leader adds to the view only what is committed, and a new leader takes the departures from the log. This works because a report that is acknowledged is then on the disks of a majority, and any later leader has applied it before its first view, without which a restarted daemon announces nothing.

--- a/crates/coordination/src/departures.rs
+++ b/crates/coordination/src/departures.rs
@@ -1,18 +1,23 @@
 //! Instances of upstreams that drain or have left, kept so that a late report does not bring one of
 //! them back into use.
 //!
-//! The daemon beside an upstream records each departure, and so does the leader, which distributes
-//! it in the view. A daemon that restarts has forgotten its departures and learns them from its
-//! first view (`docs/design.md`, section 2.2).
+//! The daemon beside an upstream records each departure. The leader has it recorded in the log and
+//! then distributes it in the view. A daemon that restarts has forgotten its departures and learns
+//! them from its first view (`docs/design/departures.md`).
 
 use std::collections::VecDeque;
 
+use serde::{Deserialize, Serialize};
 use sycamoreflow_state::endpoint::Departure;
 use sycamoreflow_state::ids::Millis;
 
+mod recorder;
+
 #[cfg(test)]
 mod tests;
 
+pub use recorder::Recorder;
+
 /// Time for which departures are distributed. Reports arrive seconds late, not minutes.
 pub const DEPARTURE_RETENTION: Millis = Millis(60_000);
 
@@ -20,7 +25,8 @@
 const MAX_DEPARTURES: usize = 64;
 
 /// The latest departures at one daemon, oldest first, at most one per instance.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
 pub struct Departures {
     entries: VecDeque<(Departure, Millis)>,
 }
@@ -42,6 +48,13 @@
         true
     }
 
+    /// Returns whether the departure has been recorded.
+    pub fn contains(&self, departure: &Departure) -> bool {
+        self.entries
+            .iter()
+            .any(|(known, _)| known.covers(departure))
+    }
+
     /// Removes the departures whose retention has ended. Returns whether there were any.
     pub fn expire(&mut self, now: Millis) -> bool {
         let before = self.entries.len();
--- a/crates/coordination/src/leases.rs
+++ b/crates/coordination/src/leases.rs
@@ -102,30 +102,25 @@
         self.last_tick = now;
     }
 
-    /// Adds the departures in the copy of the former leader. Their retention starts again, since the
-    /// copy does not tell when they were recorded.
-    pub fn take_over_departures<'a>(
-        &mut self,
-        now: Millis,
-        copy: impl IntoIterator<Item = (&'a DaemonId, &'a [Departure])>,
-    ) {
-        for (daemon, departures) in copy {
-            self.depart(now, daemon, departures);
-        }
-    }
-
-    /// Records departures at `daemon`; invalid ones are ignored. Returns whether a change is visible
-    /// to proxies.
-    pub fn depart(&mut self, now: Millis, daemon: &DaemonId, departures: &[Departure]) -> bool {
-        let mut changed = false;
-        for departure in departures.iter().filter(|d| d.check().is_ok()) {
-            let known = self.departures.entry(daemon.clone()).or_default();
-            changed |= known.record(now, departure);
+    /// Adds a departure at `daemon` that the log has recorded; an invalid one is ignored. Its
+    /// retention starts now, also if an earlier leader has recorded it. Returns whether a change is
+    /// visible to proxies.
+    pub fn depart(&mut self, now: Millis, daemon: &DaemonId, departure: &Departure) -> bool {
+        if departure.check().is_err() {
+            return false;
         }
+        let known = self.departures.entry(daemon.clone()).or_default();
+        let changed = known.record(now, departure);
         self.bump_version_if(changed);
         changed
     }
 
+    /// Returns whether the table contains a departure at `daemon`.
+    pub fn has_departure(&self, daemon: &DaemonId, departure: &Departure) -> bool {
+        let known = self.departures.get(daemon);
+        known.is_some_and(|known| known.contains(departure))
+    }
+
     /// Renews the leases of the endpoints of `daemon`; endpoints of other daemons and invalid ones
     /// are ignored. An endpoint that is no longer announced is removed immediately, since its
     /// upstream has shut down gracefully. Returns whether a change is visible to proxies.
--- a/crates/coordination/src/leases/tests.rs
+++ b/crates/coordination/src/leases/tests.rs
@@ -199,15 +199,15 @@
     };
     let mut leases = Leases::default();
     let version = leases.version();
-    assert!(leases.depart(Millis(0), &daemon, std::slice::from_ref(&departure)));
+    assert!(leases.depart(Millis(0), &daemon, &departure));
     assert!(leases.version() > version);
-    assert!(!leases.depart(Millis(10), &daemon, std::slice::from_ref(&departure)));
+    assert!(!leases.depart(Millis(10), &daemon, &departure));
 
     let mut next = Leases::default();
     next.take_over(Millis(20_000), 4, []);
-    for (daemon, departures) in leases.departures() {
-        next.take_over_departures(Millis(20_000), [(daemon, departures.as_slice())]);
-    }
+    assert!(!next.has_departure(&daemon, &departure));
+    next.depart(Millis(20_000), &daemon, &departure);
+    assert!(next.has_departure(&daemon, &departure));
     let known: Vec<_> = next.departures().collect();
     assert_eq!(known, [(&daemon, vec![departure])]);
 
--- a/crates/coordination/src/machine.rs
+++ b/crates/coordination/src/machine.rs
@@ -1,5 +1,5 @@
-//! The replicated state machine: the configuration in force, rollouts, key holders and the outcomes
-//! of operator requests.
+//! The replicated state machine: the configuration in force, rollouts, key holders, the departures
+//! of instances and the outcomes of operator requests.
 //!
 //! [`ControlState::apply`] is deterministic: it depends on the state and the command only, so all
 //! replicas reach the same state. Invariants:
@@ -15,6 +15,7 @@
 use sycamoreflow_state::view::{KeyHolder, KeyHolders, Resource, ResourceKey, config_resources};
 
 mod check;
+pub mod departures;
 pub mod document;
 pub mod evacuation;
 mod history;
@@ -25,6 +26,7 @@
 
 use crate::rollout::{ApprovalEffect, OrderEffect, RolloutCommand, Rollouts};
 use check::check_key_holders;
+use departures::{DepartureBatch, RecordedDepartures};
 use document::{Documents, Replacement, ReplacementCheck};
 use evacuation::{EvacuationOrder, Evacuations};
 use history::History;
@@ -90,6 +92,8 @@
         /// Members of the group. At most one member of the previous group is missing.
         daemons: Vec<KeyHolder>,
     },
+    /// Records instances of upstreams that drain or have left.
+    Depart(DepartureBatch),
     /// Has no effect on the state.
     Noop,
 }
@@ -116,6 +120,7 @@
             | Self::Evacuate(_)
             | Self::Introduce { .. }
             | Self::Rollout(_)
+            | Self::Depart(_)
             | Self::Noop => Vec::new(),
         }
     }
@@ -208,6 +213,8 @@
     documents: Documents,
     #[serde(default)]
     evacuations: Evacuations,
+    #[serde(default)]
+    departures: RecordedDepartures,
     key_holders: BTreeMap<ServiceName, KeyHolders>,
     /// Highest epoch of the key holders of any removed service. If a removed service is added
     /// again, the epochs of its groups start above this one, so that claims granted by earlier
@@ -243,6 +250,7 @@
                 epoch,
                 daemons,
             } => self.apply_key_holders(service, *epoch, daemons),
+            Command::Depart(batch) => self.apply_departures(batch),
             Command::Noop => self.done(false),
         }
     }
@@ -508,6 +516,11 @@
         &self.evacuations
     }
 
+    /// Returns the instances of upstreams that have recently left.
+    pub fn departures(&self) -> &RecordedDepartures {
+        &self.departures
+    }
+
     /// Returns the rollouts of all services.
     pub fn rollouts(&self) -> &Rollouts {
         &self.rollouts
--- a/crates/coordination/src/publication.rs
+++ b/crates/coordination/src/publication.rs
@@ -40,7 +40,7 @@
             self.replace_config(state);
             self.config = Some(state.version());
         }
-        self.replace_soft_state(leases);
+        self.replace_endpoint_state(leases);
         self.view.set_version(ViewVersion {
             config: state.version(),
             endpoints: leases.version(),
@@ -55,7 +55,7 @@
             .view
             .iter()
             .map(|(key, _)| key)
-            .filter(|key| !key.is_soft_state() && !keep.contains(key))
+            .filter(|key| !key.has_endpoint_version() && !keep.contains(key))
             .cloned()
             .collect();
         for key in stale {
@@ -66,7 +66,7 @@
         }
     }
 
-    fn replace_soft_state(&mut self, leases: &Leases) {
+    fn replace_endpoint_state(&mut self, leases: &Leases) {
         let mut keep = BTreeSet::new();
         for endpoint in leases.endpoints() {
             let key = ResourceKey::Endpoint(endpoint.daemon.clone(), endpoint.service.clone());
@@ -84,7 +84,7 @@
             .view
             .iter()
             .map(|(key, _)| key)
-            .filter(|key| key.is_soft_state() && !keep.contains(key))
+            .filter(|key| key.has_endpoint_version() && !keep.contains(key))
             .cloned()
             .collect();
         for key in stale {
--- a/crates/daemon/src/control/leader.rs
+++ b/crates/daemon/src/control/leader.rs
@@ -5,10 +5,12 @@
 use std::collections::BTreeMap;
 use std::fmt::Write;
 
+use sycamoreflow_coordination::departures::Recorder;
 use sycamoreflow_coordination::evidence::VersionEvidence;
 use sycamoreflow_coordination::evidence::comparison::{Comparison, RouteSummary};
 use sycamoreflow_coordination::key_holders::{EndpointIndex, HolderMonitor};
 use sycamoreflow_coordination::leases::{LEASE_DURATION, Leases, RENEW_INTERVAL};
+use sycamoreflow_coordination::machine::departures::DepartureBatch;
 use sycamoreflow_coordination::machine::{Command, ControlState, HistoryEvent};
 use sycamoreflow_coordination::pacing::{Capacity, Pacer, TICK_INTERVAL};
 use sycamoreflow_coordination::publication::Publication;
@@ -16,7 +18,7 @@
 use sycamoreflow_coordination::shares::Grant;
 use sycamoreflow_protocol::replica::{Forwarded, ToLeader};
 use sycamoreflow_state::config::Share;
-use sycamoreflow_state::endpoint::Endpoint;
+use sycamoreflow_state::endpoint::{Departure, Endpoint};
 use sycamoreflow_state::ids::{
     ConfigVersion, DaemonId, Millis, ServiceName, VersionName, ViewVersion,
 };
@@ -54,6 +56,7 @@
 #[derive(Debug)]
 pub struct Leader {
     leases: Leases,
+    recorder: Recorder,
     pacer: Pacer,
     holder_monitor: HolderMonitor,
     daemons: BTreeMap<DaemonId, DaemonState>,
@@ -86,20 +89,21 @@
 }
 
 impl Leader {
-    /// Creates the state from the view that this replica distributed as a follower.
+    /// Creates the state from the replicated state and from the view that this replica distributed as
+    /// a follower. `unix_now` is the time since the Unix epoch.
     ///
-    /// `accepted` is the newest accepted version, and `hinted_endpoints` are the endpoints that the
-    /// replica saved before its restart. They are used if `followed_view` is empty. If both are
-    /// empty although a version has been accepted, the mesh has endpoints that this leader does not
-    /// know yet, so it delays its first publication.
+    /// `hinted_endpoints` are the endpoints that the replica saved before its restart. They are used
+    /// if `followed_view` is empty. If both are empty although a version has been accepted, the mesh
+    /// has endpoints that this leader does not know yet, so it delays its first publication.
     pub fn new(
         now: Millis,
+        unix_now: Millis,
         term: u64,
         followed_view: &View,
-        accepted: ConfigVersion,
+        state: &ControlState,
         hinted_endpoints: &[Endpoint],
     ) -> Self {
-        let is_new_mesh = accepted == ConfigVersion::default();
+        let is_new_mesh = state.version() == ConfigVersion::default();
         let knows_endpoints = !followed_view.is_empty() || !hinted_endpoints.is_empty();
         let publish_not_before = match knows_endpoints || is_new_mesh {
             true => now,
@@ -110,9 +114,14 @@
             true => leases.take_over(now, term, hinted_endpoints.iter().cloned()),
             false => leases.take_over(now, term, followed_view.endpoints().cloned()),
         }
-        leases.take_over_departures(now, followed_view.departures());
+        for (daemon, departures) in state.departures().recent(unix_now) {
+            for departure in &departures {
+                leases.depart(now, daemon, departure);
+            }
+        }
         Self {
             leases,
+            recorder: Recorder::default(),
             pacer: Pacer::new(term),
             holder_monitor: HolderMonitor::default(),
             daemons: BTreeMap::new(),
@@ -145,7 +154,7 @@
                 let invalid = endpoints.iter().filter(is_invalid).count();
                 metrics::counter!("sycamoreflow_invalid_endpoints_total").increment(invalid as u64);
                 self.dirty |= self.leases.renew(now, &daemon, &endpoints);
-                self.dirty |= self.leases.depart(now, &daemon, &departures);
+                self.add_departures(&daemon, &departures);
             }
             ToLeader::InForce(version) => {
                 state.in_force = version;
@@ -161,6 +170,34 @@
         }
     }
 
+    /// Adds the departures at `daemon` that the log does not contain yet; invalid ones are ignored.
+    fn add_departures(&mut self, daemon: &DaemonId, departures: &[Departure]) {
+        for departure in departures {
+            if departure.check().is_err() || self.leases.has_departure(daemon, departure) {
+                continue;
+            }
+            self.recorder.add(daemon, departure);
+        }
+    }
+
+    /// Returns the command that records departures, if one has to be proposed now. `unix_now` is the
+    /// time since the Unix epoch.
+    pub fn departure_command(&mut self, now: Millis, unix_now: Millis) -> Option<Command> {
+        let departures = self.recorder.next_batch(now)?;
+        Some(Command::Depart(DepartureBatch {
+            departures,
+            at: unix_now,
+        }))
+    }
+
+    /// Adds departures of a committed entry to those that the next view distributes.
+    pub fn departures_committed(&mut self, now: Millis, batch: &DepartureBatch) {
+        for (daemon, departure) in &batch.departures {
+            self.dirty |= self.leases.depart(now, daemon, departure);
+        }
+        self.recorder.committed(&batch.departures);
+    }
+
     /// Marks the published view as outdated because the replicated state has changed.
     pub fn mark_dirty(&mut self) {
         self.dirty = true;
@@ -321,15 +358,18 @@
     }
 
     /// Returns the view to publish if it has changed since the last publication and neither the
-    /// delay after the election nor the interval between endpoint changes holds it back.
+    /// delay after the election, the interval between endpoint changes nor the recording of
+    /// departures holds it back.
     pub fn publication(&mut self, now: Millis, state: &ControlState) -> Option<View> {
         if !self.dirty || now < self.publish_not_before {
             return None;
         }
-        if self.publication.has_config(state) && now < self.endpoints_not_before {
+        let must_wait = now < self.endpoints_not_before || self.recorder.holds_publication(now);
+        if self.publication.has_config(state) && must_wait {
             return None;
         }
         self.dirty = false;
+        self.recorder.published();
         self.endpoints_not_before = now.after(ENDPOINT_PUBLICATION_INTERVAL);
         if state.approved().version > self.accepted.version {
             self.accepted = AcceptedVersion {
--- a/crates/daemon/src/control/replica.rs
+++ b/crates/daemon/src/control/replica.rs
@@ -312,7 +312,8 @@
             return Ok(());
         };
         leader.tick(now, &self.state);
-        let commands = leader.next_commands(now, unix_now, &self.state);
+        let mut commands = leader.next_commands(now, unix_now, &self.state);
+        commands.extend(leader.departure_command(now, unix_now));
         let grants = leader.grants(unix_now);
         self.send_grants(grants);
         self.send_quota_grants(now);
--- a/crates/daemon/src/control/replica/apply.rs
+++ b/crates/daemon/src/control/replica/apply.rs
@@ -86,6 +86,7 @@
         };
         if let Some(Ok(command)) = &command {
             self.log_rollout(command);
+            self.distribute_departures(command);
         }
         self.complete_proposals(index, entry.term, &outcome);
         self.lead_if_ready(entry.term);
@@ -110,6 +111,14 @@
             version = %self.state.version());
     }
 
+    /// Has the departures that an entry records distributed with the next view. A replica that begins
+    /// to lead later takes them from the state.
+    fn distribute_departures(&mut self, command: &Command) {
+        if let (Command::Depart(batch), Some(leader)) = (command, &mut self.leader) {
+            leader.departures_committed(clock::now(), batch);
+        }
+    }
+
     fn install_snapshot(&mut self, snapshot: &Snapshot) -> StorageResult {
         self.state = ControlState::decode(&snapshot.data).map_err(|error| codec_error(&error))?;
         self.state.advance_applied(snapshot.index);
--- a/crates/daemon/src/control/replica/leading.rs
+++ b/crates/daemon/src/control/replica/leading.rs
@@ -83,12 +83,12 @@
             return;
         }
         let followed_view = self.hub.view();
-        let accepted = self.state.version();
         let leader = Leader::new(
             clock::now(),
+            clock::unix_now(),
             self.term,
             &followed_view,
-            accepted,
+            &self.state,
             &self.hinted_endpoints,
         );
         let leases = leader.leases();
--- a/crates/daemon/src/control/replica/tests.rs
+++ b/crates/daemon/src/control/replica/tests.rs
@@ -2,12 +2,16 @@
 
 use std::path::Path;
 use std::sync::mpsc;
+use std::thread;
 
 use futures::channel::oneshot;
 use sycamoreflow_coordination::raft::{Entry, Payload};
 use sycamoreflow_protocol::handshake::{Identity, MeshKey};
+use sycamoreflow_protocol::replica::ToLeader;
 use sycamoreflow_state::config::{MeshConfig, RouteConfig, ServiceConfig, Share, TenantConfig};
+use sycamoreflow_state::endpoint::Departure;
 use sycamoreflow_state::ids::ConfigVersion;
+use sycamoreflow_state::view::View;
 use sycamoreflow_transport::link;
 use sycamoreflow_transport::storage::Files;
 
@@ -134,3 +138,68 @@
     let view = replica.hub.view();
     assert!(view.endpoints().eq([&endpoint]), "{view:?}");
 }
+
+/// Runs a replica until its published view meets a condition.
+fn run_until(replica: &mut Replica, condition: impl Fn(&View) -> bool) {
+    let end = Instant::now() + Duration::from_secs(20);
+    while !condition(&replica.hub.view()) {
+        assert!(Instant::now() < end, "{:?}", replica.hub.view());
+        replica.process(Vec::new(), true).unwrap();
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+fn departure() -> Departure {
+    Departure {
+        instance: "i-1".to_owned(),
+        started_at: 1_000,
+        is_final: true,
+    }
+}
+
+/// Returns the renewal of a daemon whose only instance has left.
+fn renewal_with_departure() -> Forwarded {
+    Forwarded {
+        daemon: "host-2".into(),
+        content: ToLeader::Renew {
+            endpoints: Vec::new(),
+            departures: vec![departure()],
+            in_force: None,
+        },
+    }
+}
+
+fn is_published(view: &View) -> bool {
+    view.version().endpoints.term > 0
+}
+
+/// Guards against a departure that was acknowledged, because a view contained it, and is forgotten
+/// when all processes are killed.
+#[test]
+fn departure_all_killed() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut killed = replica(folder.path());
+    run_until(&mut killed, is_published);
+    killed.handle_forwarded(None, vec![renewal_with_departure()]);
+    run_until(&mut killed, |view| view.departures().next().is_some());
+    drop(killed);
+    let mut restarted = replica(folder.path());
+    run_until(&mut restarted, is_published);
+    let view = restarted.hub.view();
+    let known: Vec<_> = view.departures().collect();
+    assert_eq!(known, [(&"host-2".into(), [departure()].as_slice())]);
+}
+
+/// Guards against a departure that a daemon acknowledges while only the leader knows it.
+#[test]
+fn departure_uncommitted() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut replica = replica(folder.path());
+    run_until(&mut replica, is_published);
+    // Longer than the interval between publications.
+    thread::sleep(Duration::from_millis(300));
+    replica.handle_forwarded(None, vec![renewal_with_departure()]);
+    replica.publish();
+    assert_eq!(replica.hub.view().departures().count(), 0);
+    run_until(&mut replica, |view| view.departures().next().is_some());
+}
--- a/crates/daemon/src/proxy/owner.rs
+++ b/crates/daemon/src/proxy/owner.rs
@@ -65,9 +65,8 @@
 /// Timeout of one probe of an upstream that has closed a connection during a request.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// Longest wait for a departure to become part of the view. Instances give a report up after 1 s,
-/// and while the control group has no leader a departure is acknowledged nevertheless: the daemon
-/// itself observes it.
+/// Longest wait for a departure to become part of the view. Instances give a report up after 1 s, so
+/// that an instance learns in time that it has to send the report again.
 const DISTRIBUTION_TIMEOUT: Millis = Millis(600);
 
 /// Interval at which the view is checked for a departure.
@@ -95,7 +94,7 @@
     dialect: Arc<Dialect>,
     /// Instances that have left, so that a late report does not add them again.
     departures: Mutex<Departures>,
-    /// Departures that a view contained, so that they outlive this process.
+    /// Departures in the latest view, which the log contains.
     distributed: Mutex<Vec<Departure>>,
     /// Whether the daemon has had a view since its start, and so knows its earlier departures.
     departures_known: AtomicBool,
@@ -257,15 +256,22 @@
         self.departures.lock().recent(clock::now())
     }
 
-    /// Waits until all recent departures are part of the view, so that this daemon learns them
-    /// again after a restart, but for 0.6 s at most. Returns whether they are.
+    /// Waits until the departure of an instance is part of the view, but for 0.6 s at most. Returns
+    /// whether it is; then the log of the control group contains it, and this daemon learns it again
+    /// after a restart.
     ///
-    /// An acknowledgement that was sent before could be forgotten with this process.
-    pub async fn wait_for_distribution(&self) -> bool {
+    /// A report that is acknowledged without waiting could be forgotten with the processes that know
+    /// it, and a report that is acknowledged is not sent again (`docs/design/departures.md`).
+    pub async fn wait_for_distribution(&self, instance: &str, started_at: u64) -> bool {
         let end = clock::now().after(DISTRIBUTION_TIMEOUT);
-        while !self.are_departures_distributed() {
+        while !self.is_departure_distributed(instance, started_at) {
             if clock::now() >= end {
-                tracing::warn!(event = "departures_not_distributed", departures = ?self.departures());
+                metrics::counter!("sycamoreflow_departures_not_recorded_total").increment(1);
+                tracing::warn!(
+                    event = "departure_not_recorded",
+                    instance,
+                    born = started_at
+                );
                 return false;
             }
             task::sleep(DISTRIBUTION_POLL).await;
@@ -273,10 +279,17 @@
         true
     }
 
-    fn are_departures_distributed(&self) -> bool {
-        let distributed = self.distributed.lock();
+    /// Returns whether the view contains the departure of an instance, or there is none to be
+    /// distributed.
+    pub fn is_departure_distributed(&self, instance: &str, started_at: u64) -> bool {
         let mut departures = self.departures().into_iter();
-        departures.all(|departure| distributed.contains(&departure))
+        let departure = departures
+            .find(|departure| departure.instance == instance && departure.started_at == started_at);
+        let Some(departure) = departure else {
+            return true;
+        };
+        let distributed = self.distributed.lock();
+        distributed.iter().any(|known| known.covers(&departure))
     }
 
     /// Adds the departures at this daemon in `view` to its own, and stops work to instances that
--- a/crates/daemon/tests/owner.rs
+++ b/crates/daemon/tests/owner.rs
@@ -474,22 +474,24 @@
 }
 
 /// Guards against a departure that is acknowledged before the daemon will learn it again after a
-/// restart, and against an acknowledgement that never comes while there is no leader.
+/// restart, and against reports of other instances that wait for it.
 #[rstest]
 #[case::departed(|owner: &Owner| owner.depart("i-1", 1_000))]
 #[case::draining(|owner: &Owner| owner.report(report(2, true)))]
 #[async_std::test]
 async fn wait_for_distribution_view(#[case] leave: fn(&Owner) -> bool) {
     let owner = owner(SocketAddr::from(([127, 0, 0, 1], 1)));
-    assert!(owner.wait_for_distribution().await, "nothing has departed");
+    let wait = || owner.wait_for_distribution("i-1", 1_000);
+    assert!(wait().await, "nothing has departed");
     owner.report(report(1, false));
     assert!(leave(&owner));
-    assert!(!owner.wait_for_distribution().await);
+    assert!(!wait().await);
+    assert!(owner.is_departure_distributed("i-2", 1_000));
     let mut view = View::new(Interest::All);
     let key = ResourceKey::Departures("sfax-a-1".into());
     view.insert(key, Arc::new(Resource::Departures(owner.departures())));
     owner.apply_departures(&view);
-    assert!(owner.wait_for_distribution().await);
+    assert!(wait().await);
 }
 
 fn evacuated_view(data_centre: &str) -> View {
--- a/crates/state/src/endpoint.rs
+++ b/crates/state/src/endpoint.rs
@@ -104,9 +104,10 @@
 
 /// An instance of an upstream that drains or has left, as the daemon on its host was told.
 ///
-/// The daemon may restart and then get a report that the instance sent before it left. Its
-/// departures are therefore part of the view, so that the daemon learns them again.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// The daemon may restart and then get a report that the instance sent before it left. Departures
+/// are therefore recorded in the log of the control group and distributed with the view, so that
+/// the daemon learns them again (`docs/design/departures.md`).
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case")]
 pub struct Departure {
     /// Identifier of the instance.
@@ -131,6 +132,11 @@
     pub fn is_same_instance(&self, other: &Self) -> bool {
         self.instance == other.instance && self.started_at == other.started_at
     }
+
+    /// Returns whether whoever knows this departure needs not be told of `other`.
+    pub fn covers(&self, other: &Self) -> bool {
+        self.is_same_instance(other) && (self.is_final || !other.is_final)
+    }
 }
 
 /// An upstream that other daemons can send requests to.
--- a/crates/state/src/view.rs
+++ b/crates/state/src/view.rs
@@ -70,9 +70,9 @@
 }
 
 impl ResourceKey {
-    /// Returns whether the resource comes from the reports of daemons rather than from the
-    /// replicated state. No other resource refers to it.
-    pub fn is_soft_state(&self) -> bool {
+    /// Returns whether a change of the resource changes the version of the endpoint table rather than
+    /// that of the configuration. No other resource refers to it.
+    pub fn has_endpoint_version(&self) -> bool {
         matches!(self, Self::Endpoint(..) | Self::Departures(_))
     }
 }
--- a/crates/state/src/view/delta.rs
+++ b/crates/state/src/view/delta.rs
@@ -45,7 +45,7 @@
             .iter()
             .map(|(key, _)| key)
             .chain(&self.removals)
-            .any(|key| !key.is_soft_state())
+            .any(|key| !key.has_endpoint_version())
     }
 }
 
--- a/crates/testbed/examples/capacity/leader.rs
+++ b/crates/testbed/examples/capacity/leader.rs
@@ -107,7 +107,8 @@
     let size = count as f64;
     let state = world::state(&world::config(world::SERVICES));
     let empty = View::new(Interest::All);
-    let mut leader = Leader::new(Millis(1_000), 1, &empty, ConfigVersion(0), &[]);
+    let initial = ControlState::default();
+    let mut leader = Leader::new(Millis(1_000), Millis(1), 1, &empty, &initial, &[]);
     let renew = |index: usize| {
         let endpoint = world::endpoint(index, world::SERVICES);
         Forwarded {
