Admit a restarted daemon only with a view of the present leader

Departures don't change that version, so right after a change of leader a restarted daemon could begin with the view of the earlier leader. That may lack a departure which the daemon had seen and acknowledged before it was lost with that leader, and a late report would be believed until the next view.

The linearizable read of an admission now returns the lowest version of the present leader's views, its term included. Daemons without a view wait for it; daemons with a view know their departures and are admitted as before.

The tests of confirmed versions compare the same configuration versions as before.

--- a/crates/coordination/src/leases.rs
+++ b/crates/coordination/src/leases.rs
@@ -98,7 +98,7 @@
             };
             self.entries.insert(key_of(&lease.endpoint), lease);
         }
-        self.version = EndpointVersion { term, seq: 1 };
+        self.version = EndpointVersion::first(term);
         self.last_tick = now;
     }
 
--- a/crates/daemon/src/control/hub.rs
+++ b/crates/daemon/src/control/hub.rs
@@ -251,9 +251,10 @@
         self.joins.lock().admit(clock::now())
     }
 
-    /// Returns the newest accepted configuration version, confirmed by a quorum, or `None` if no
-    /// quorum can be reached.
-    pub async fn confirm_version(&self) -> Option<ConfigVersion> {
+    /// Returns the lowest version of the views that the present leader publishes, with the newest
+    /// accepted configuration version, confirmed by a quorum. Returns `None` if no quorum can be
+    /// reached.
+    pub async fn confirm_version(&self) -> Option<ViewVersion> {
         let (tx, rx) = oneshot::channel();
         self.events.send(Event::ConfirmVersion(tx)).ok()?;
         rx.await.ok().flatten()
@@ -380,7 +381,8 @@
                     continue;
                 };
                 match confirmed {
-                    Some(config) => {
+                    Some(version) => {
+                        let config = version.config;
                         let confirmed = SessionCommand::Confirmed { number, config };
                         let _ = session.commands.try_send(confirmed);
                     }
--- a/crates/daemon/src/control/hub/tests.rs
+++ b/crates/daemon/src/control/hub/tests.rs
@@ -1,17 +1,22 @@
 use std::sync::mpsc::Receiver;
 
+use sycamoreflow_state::ids::EndpointVersion;
+
 use super::*;
 
 const TIMEOUT: std::time::Duration = std::time::Duration::from_secs(10);
 
 /// Answers the next read of the replica, and returns how many other reads were requested.
 fn answer_read(events: &Receiver<Event>, confirmed: Option<u64>) -> usize {
+    let confirmed = confirmed.map(|config| ViewVersion {
+        config: ConfigVersion(config),
+        endpoints: EndpointVersion::first(1),
+    });
     let event = events.recv_timeout(TIMEOUT).expect("a read is requested");
     let Event::ConfirmVersion(tx) = event else {
         panic!("another event than a read");
     };
-    tx.send(confirmed.map(ConfigVersion))
-        .expect("the read has not timed out");
+    tx.send(confirmed).expect("the read has not timed out");
     events.try_iter().count()
 }
 
--- a/crates/daemon/src/control/replica.rs
+++ b/crates/daemon/src/control/replica.rs
@@ -17,7 +17,7 @@
 };
 use sycamoreflow_protocol::replica::{Forwarded, ReplicaMessage};
 use sycamoreflow_state::endpoint::Endpoint;
-use sycamoreflow_state::ids::{DaemonId, Millis};
+use sycamoreflow_state::ids::{DaemonId, EndpointVersion, Millis, ViewVersion};
 use sycamoreflow_transport::storage::{Storage, StorageError};
 
 use crate::clock;
@@ -460,12 +460,20 @@
 
     fn read_ready(&mut self, token: Token) {
         match self.waiters.remove(&token) {
-            Some(Waiter::ConfirmedVersion(tx)) => drop(tx.send(Some(self.state.version()))),
+            Some(Waiter::ConfirmedVersion(tx)) => drop(tx.send(Some(self.lowest_version()))),
             Some(Waiter::Read(read)) => read(Ok(self)),
             _ => {}
         }
     }
 
+    /// Returns the lowest version of the views that the present leader publishes.
+    fn lowest_version(&self) -> ViewVersion {
+        ViewVersion {
+            config: self.state.version(),
+            endpoints: EndpointVersion::first(self.term),
+        }
+    }
+
     fn refuse(&mut self, token: Token, refusal: Refusal, leader: Option<DaemonId>) {
         let Some(waiter) = self.waiters.remove(&token) else {
             return;
--- a/crates/daemon/src/control/replica/event.rs
+++ b/crates/daemon/src/control/replica/event.rs
@@ -9,7 +9,7 @@
 use sycamoreflow_coordination::shares::Grant;
 use sycamoreflow_coordination::suspect::SuspectReport;
 use sycamoreflow_protocol::replica::Forwarded;
-use sycamoreflow_state::ids::{ConfigVersion, DaemonId};
+use sycamoreflow_state::ids::{DaemonId, ViewVersion};
 
 use super::Replica;
 
@@ -58,9 +58,9 @@
         /// Whether the report comes from a subscriber of this replica, not from another replica.
         from_subscriber: bool,
     },
-    /// Requests the newest accepted version, confirmed by a quorum. The reply is `None` if no
-    /// quorum confirms it.
-    ConfirmVersion(oneshot::Sender<Option<ConfigVersion>>),
+    /// Requests the lowest version of the views that the present leader publishes, confirmed by a
+    /// quorum. The reply is `None` if no quorum confirms it.
+    ConfirmVersion(oneshot::Sender<Option<ViewVersion>>),
     /// Proposes a command. The reply is its outcome.
     Propose(Box<Command>, oneshot::Sender<Result<Outcome>>),
     /// Proposes a document as the configuration. The reply is its outcome.
@@ -79,7 +79,7 @@
 
 /// The party that waits for the reply to an event.
 pub(super) enum Waiter {
-    ConfirmedVersion(oneshot::Sender<Option<ConfigVersion>>),
+    ConfirmedVersion(oneshot::Sender<Option<ViewVersion>>),
     Read(ReadState),
     Outcome(oneshot::Sender<Result<Outcome>>),
     Members(oneshot::Sender<Result<()>>),
--- a/crates/daemon/src/control/replica/tests.rs
+++ b/crates/daemon/src/control/replica/tests.rs
@@ -101,7 +101,8 @@
         slices += 1;
     }
     assert!(slices > 3, "{ENTRIES} entries in {slices} slices");
-    assert_eq!(rx.try_recv(), Ok(Some(Some(ConfigVersion(ENTRIES)))));
+    let confirmed = rx.try_recv().unwrap().flatten();
+    assert_eq!(confirmed.unwrap().config, ConfigVersion(ENTRIES));
 }
 
 /// Scenario: all replicas restart, and the first leader loses its leadership before it has published
--- a/crates/daemon/src/control/sessions.rs
+++ b/crates/daemon/src/control/sessions.rs
@@ -9,13 +9,16 @@
 use futures::FutureExt;
 use sycamoreflow_protocol::distribution::{FromReplica, FromSubscriber};
 use sycamoreflow_protocol::replica::ToLeader;
-use sycamoreflow_state::ids::{ConfigVersion, DaemonId, Millis, ViewVersion};
+use sycamoreflow_state::ids::{DaemonId, Millis, ViewVersion};
 use sycamoreflow_state::view::Interest;
 use sycamoreflow_transport::link::{Receiver, SendError, Sender};
 
 use crate::control::hub::{Hub, Registration, SessionCommand};
 use crate::control::replica::Event;
 
+#[cfg(test)]
+mod tests;
+
 /// Time limit for the first message of a subscriber.
 const SUBSCRIBE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -61,7 +64,7 @@
         _ => return,
     };
     let refusal = match hub.admit() {
-        Ok(()) => wait_for_admission(&hub).await.err(),
+        Ok(()) => wait_for_admission(&hub, have).await.err(),
         Err(wait) => {
             metrics::counter!("sycamoreflow_joins_deferred_total").increment(1);
             Some(FromReplica::RetryAfter(wait))
@@ -107,12 +110,19 @@
     let _ = session.serve_updates(&registration, rx).await;
 }
 
-/// Waits until the published view has reached the version that a quorum confirms, and returns that
-/// version. The error is the refusal to send to the subscriber.
+/// Waits until the published view has reached the configuration version that a quorum confirms. The
+/// error is the refusal to send to the subscriber, which reported the version `have`.
+///
+/// A subscriber without a view has restarted, and learns from its first view which endpoints have
+/// left. It is admitted only with a view of the present leader, since that of an earlier one may lack
+/// departures that this subscriber acknowledged before its restart (`docs/design/departures.md`).
 ///
 /// Subscribers wait while an election may be in progress. If they connected to one replica after
 /// another instead, the load on all replicas would exceed the cost of the election.
-async fn wait_for_admission(hub: &Hub) -> std::result::Result<ConfigVersion, FromReplica> {
+async fn wait_for_admission(
+    hub: &Hub,
+    have: Option<ViewVersion>,
+) -> std::result::Result<(), FromReplica> {
     let deadline = Instant::now() + CONFIRM_TIMEOUT;
     let floor = loop {
         if let Some(floor) = hub.confirm_version().await {
@@ -125,13 +135,20 @@
         task::sleep(CONFIRM_RETRY_INTERVAL).await;
     };
     let deadline = Instant::now() + CATCH_UP_TIMEOUT;
-    while hub.view().version().config < floor {
+    loop {
+        let version = hub.view().version();
+        let is_current = match have {
+            Some(_) => version.config >= floor.config,
+            None => version.is_at_least(&floor),
+        };
+        if is_current {
+            return Ok(());
+        }
         if Instant::now() > deadline {
             return Err(FromReplica::NoQuorum);
         }
         task::sleep(Duration::from_millis(5)).await;
     }
-    Ok(floor)
 }
 
 impl Session {
--- a/crates/state/src/ids.rs
+++ b/crates/state/src/ids.rs
@@ -135,6 +135,13 @@
     pub endpoints: EndpointVersion,
 }
 
+impl EndpointVersion {
+    /// Returns the first version of the leader of `term`.
+    pub fn first(term: u64) -> Self {
+        Self { term, seq: 1 }
+    }
+}
+
 impl fmt::Display for EndpointVersion {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}.{}", self.term, self.seq)
