Record an operator's order to drain in the log before it is acknowledged

What an operator would see: `sycamoreflow drain` is acknowledged, all replicas are killed within 2 s and come back, and the endpoint gets new work again.

Cause: the order was soft state of the leader. Its copy on disk is that of the endpoint table, which a replica writes at most once in 2 s. The end of an order was lost in the same way.

Change: the order is a command of the log, acknowledged once it is committed and published. A new leader takes the drained hosts from the state; marks in a copy of the endpoint table no longer count. The leader ends the order of a daemon that announces no endpoints with an entry, as it did in memory before.

Test: leaving_operator_drain_replicas_killed, with real processes, failed before (the drained endpoint was listed as in use) and passes now. take_over_outdated_copy guards both directions of an outdated copy.

--- a/crates/coordination/src/leases.rs
+++ b/crates/coordination/src/leases.rs
@@ -6,8 +6,9 @@
 //! Invariants: the version increases with every change that is visible to proxies, and an expiry
 //! never reduces a service below the minimum set in its configuration.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
+use indexmap::IndexSet;
 use serde::{Deserialize, Serialize};
 use sycamoreflow_state::config::Share;
 use sycamoreflow_state::endpoint::{Departure, Endpoint};
@@ -47,7 +48,7 @@
     version: EndpointVersion,
     entries: BTreeMap<EndpointKey, Lease>,
     baselines: BTreeMap<ServiceName, Baseline>,
-    draining_daemons: BTreeSet<DaemonId>,
+    draining_daemons: IndexSet<DaemonId>,
     departures: BTreeMap<DaemonId, Departures>,
     last_tick: Millis,
 }
@@ -76,22 +77,30 @@
 }
 
 impl Leases {
-    /// Replaces the table with a copy of the former leader's table, as the leader of `term`.
+    /// Replaces the table with a copy of the former leader's table, as the leader of `term`. `drained`
+    /// are the daemons that operators have drained, which the copy may not have or may still have.
     ///
     /// Every lease starts a new period, since the daemons could not renew their leases without a
     /// leader.
-    pub fn take_over(&mut self, now: Millis, term: u64, copy: impl IntoIterator<Item = Endpoint>) {
+    pub fn take_over(
+        &mut self,
+        now: Millis,
+        term: u64,
+        copy: impl IntoIterator<Item = Endpoint>,
+        drained: &IndexSet<DaemonId>,
+    ) {
         self.entries.clear();
         self.baselines.clear();
-        self.draining_daemons.clear();
-        for endpoint in copy {
+        self.draining_daemons = drained.clone();
+        for mut endpoint in copy {
             if endpoint.check().is_err() {
                 continue;
             }
+            let is_drained = drained.contains(&endpoint.daemon);
             // An endpoint may also drain because its daemon stops, which a restarted one withdraws.
-            if endpoint.drained_by_operator {
-                self.draining_daemons.insert(endpoint.daemon.clone());
-            }
+            endpoint.draining &= !endpoint.drained_by_operator;
+            endpoint.draining |= is_drained;
+            endpoint.drained_by_operator = is_drained;
             let lease = Lease {
                 endpoint,
                 expires: now.after(LEASE_DURATION),
@@ -141,19 +150,24 @@
             changed |= self.renew_one(now, endpoint);
         }
         if announced.is_empty() {
-            self.draining_daemons.remove(daemon);
+            self.draining_daemons.shift_remove(daemon);
         }
         self.bump_version_if(changed);
         changed
     }
 
+    /// Returns whether the endpoints of `daemon` have a drain mark.
+    pub fn is_drained(&self, daemon: &DaemonId) -> bool {
+        self.draining_daemons.contains(daemon)
+    }
+
     /// Sets or clears the drain mark of all endpoints of `daemon`. Returns whether a change is
     /// visible to proxies.
     pub fn set_draining(&mut self, daemon: &DaemonId, draining: bool) -> bool {
         if draining {
             self.draining_daemons.insert(daemon.clone());
         } else {
-            self.draining_daemons.remove(daemon);
+            self.draining_daemons.shift_remove(daemon);
         }
         let mut changed = false;
         for key in self.keys_of(daemon) {
--- a/crates/coordination/src/leases/tests.rs
+++ b/crates/coordination/src/leases/tests.rs
@@ -1,3 +1,4 @@
+use indexmap::IndexSet;
 use rstest::rstest;
 use sycamoreflow_state::config::Share;
 use sycamoreflow_state::endpoint::{Departure, Endpoint};
@@ -114,14 +115,14 @@
 #[test]
 fn take_over_later_term() {
     let mut leases = Leases::default();
-    leases.take_over(Millis(0), 3, []);
+    leases.take_over(Millis(0), 3, [], &IndexSet::new());
     for i in 0..50 {
         renew(&mut leases, i, &format!("d{i}"));
     }
     let old = leases.version();
     let copy: Vec<Endpoint> = leases.endpoints().cloned().collect();
     let mut next = Leases::default();
-    next.take_over(Millis(0), 4, copy);
+    next.take_over(Millis(0), 4, copy, &IndexSet::new());
     assert!(next.version() > old);
     assert_eq!(next.version(), EndpointVersion { term: 4, seq: 1 });
     assert_eq!(next.endpoints().count(), 50);
@@ -148,7 +149,8 @@
     }
     let copy: Vec<Endpoint> = leases.endpoints().cloned().collect();
     let mut next = Leases::default();
-    next.take_over(Millis(0), 4, copy);
+    let drained = ordered.then(|| daemon.clone()).into_iter().collect();
+    next.take_over(Millis(0), 4, copy, &drained);
     assert!(next.endpoints().all(|endpoint| endpoint.draining));
     next.renew(Millis(10), &daemon, &[endpoint("a")]);
     assert!(
@@ -157,6 +159,26 @@
     );
 }
 
+/// Guards against an order that the copy of the endpoint table does not have yet, and against one
+/// that it still has although it was withdrawn.
+#[rstest]
+#[case::ordered(true)]
+#[case::withdrawn(false)]
+fn take_over_outdated_copy(#[case] ordered: bool) {
+    let daemon = DaemonId::from("a");
+    let outdated = Endpoint {
+        draining: !ordered,
+        drained_by_operator: !ordered,
+        ..endpoint("a")
+    };
+    let drained = ordered.then(|| daemon.clone()).into_iter().collect();
+    let mut leases = Leases::default();
+    leases.take_over(Millis(0), 4, [outdated], &drained);
+    assert_eq!(leases.is_drained(&daemon), ordered);
+    let mut endpoints = leases.endpoints();
+    assert!(endpoints.all(|e| e.draining == ordered && e.drained_by_operator == ordered));
+}
+
 /// Guards against one invalid entry that reaches all daemons, or that removes the entries beside
 /// it, and against a daemon that is not believed again after it has reported one.
 #[test]
@@ -183,7 +205,7 @@
     let mut leases = Leases::default();
     let mut odd = endpoint("b");
     odd.version = "v".repeat(2_000_000).into();
-    leases.take_over(Millis(0), 3, [endpoint("a"), odd]);
+    leases.take_over(Millis(0), 3, [endpoint("a"), odd], &IndexSet::new());
     assert!(leases.endpoints().eq([&endpoint("a")]));
 }
 
@@ -204,7 +226,7 @@
     assert!(!leases.depart(Millis(10), &daemon, &departure));
 
     let mut next = Leases::default();
-    next.take_over(Millis(20_000), 4, []);
+    next.take_over(Millis(20_000), 4, [], &IndexSet::new());
     assert!(!next.has_departure(&daemon, &departure));
     next.depart(Millis(20_000), &daemon, &departure);
     assert!(next.has_departure(&daemon, &departure));
--- a/crates/coordination/src/machine.rs
+++ b/crates/coordination/src/machine.rs
@@ -1,5 +1,5 @@
 //! The replicated state machine: the configuration in force, rollouts, key holders, the departures
-//! of instances and the outcomes of operator requests.
+//! of instances, orders to drain hosts and the outcomes of operator requests.
 //!
 //! [`ControlState::apply`] is deterministic: it depends on the state and the command only, so all
 //! replicas reach the same state. Invariants:
@@ -9,9 +9,12 @@
 
 use std::collections::BTreeMap;
 
+use indexmap::IndexSet;
 use serde::{Deserialize, Serialize};
 use sycamoreflow_state::config::MeshConfig;
-use sycamoreflow_state::ids::{ConfigVersion, Millis, RequestId, ServiceName, VersionName};
+use sycamoreflow_state::ids::{
+    ConfigVersion, DaemonId, Millis, RequestId, ServiceName, VersionName,
+};
 use sycamoreflow_state::view::{KeyHolder, KeyHolders, Resource, ResourceKey, config_resources};
 
 mod check;
@@ -94,6 +97,13 @@
     },
     /// Records instances of upstreams that drain or have left.
     Depart(DepartureBatch),
+    /// Gives the endpoints at a daemon no new work, or ends that.
+    Drain {
+        /// The daemon on the host of the endpoints.
+        daemon: DaemonId,
+        /// Whether they get no new work.
+        draining: bool,
+    },
     /// Has no effect on the state.
     Noop,
 }
@@ -121,6 +131,7 @@
             | Self::Introduce { .. }
             | Self::Rollout(_)
             | Self::Depart(_)
+            | Self::Drain { .. }
             | Self::Noop => Vec::new(),
         }
     }
@@ -215,6 +226,8 @@
     evacuations: Evacuations,
     #[serde(default)]
     departures: RecordedDepartures,
+    #[serde(default)]
+    drained: IndexSet<DaemonId>,
     key_holders: BTreeMap<ServiceName, KeyHolders>,
     /// Highest epoch of the key holders of any removed service. If a removed service is added
     /// again, the epochs of its groups start above this one, so that claims granted by earlier
@@ -251,6 +264,13 @@
                 daemons,
             } => self.apply_key_holders(service, *epoch, daemons),
             Command::Depart(batch) => self.apply_departures(batch),
+            Command::Drain { daemon, draining } => {
+                let changed = match draining {
+                    true => self.drained.insert(daemon.clone()),
+                    false => self.drained.shift_remove(daemon),
+                };
+                self.done(changed)
+            }
             Command::Noop => self.done(false),
         }
     }
@@ -521,6 +541,11 @@
         &self.departures
     }
 
+    /// Returns the daemons whose endpoints get no new work because operators have ordered it.
+    pub fn drained(&self) -> &IndexSet<DaemonId> {
+        &self.drained
+    }
+
     /// Returns the rollouts of all services.
     pub fn rollouts(&self) -> &Rollouts {
         &self.rollouts
--- a/crates/coordination/tests/subscribers/replica.rs
+++ b/crates/coordination/tests/subscribers/replica.rs
@@ -47,7 +47,9 @@
     pub(crate) fn become_leader(&mut self, now: Millis, term: u64) {
         let followed = self.distribution.view().as_ref().clone();
         let mut leases = Leases::default();
-        leases.take_over(now, term, followed.endpoints().cloned());
+        let drained = followed.endpoints().filter(|e| e.drained_by_operator);
+        let drained = drained.map(|endpoint| endpoint.daemon.clone()).collect();
+        leases.take_over(now, term, followed.endpoints().cloned(), &drained);
         self.leader = Some(Leader {
             leases,
             publication: Publication::new(followed),
--- a/crates/daemon/src/control/leader.rs
+++ b/crates/daemon/src/control/leader.rs
@@ -110,10 +110,11 @@
             false => now.after(RENEWAL_COLLECTION_TIME),
         };
         let mut leases = Leases::default();
-        match followed_view.is_empty() {
-            true => leases.take_over(now, term, hinted_endpoints.iter().cloned()),
-            false => leases.take_over(now, term, followed_view.endpoints().cloned()),
-        }
+        let copy: Vec<Endpoint> = match followed_view.is_empty() {
+            true => hinted_endpoints.to_vec(),
+            false => followed_view.endpoints().cloned().collect(),
+        };
+        leases.take_over(now, term, copy, state.drained());
         for (daemon, departures) in state.departures().recent(unix_now) {
             for departure in &departures {
                 leases.depart(now, daemon, departure);
@@ -164,9 +165,6 @@
             // `LeaderQuotas` processes these.
             ToLeader::Quota(_) => {}
             ToLeader::Report(report) => self.pacer.report(unix_now, &daemon, &report),
-            ToLeader::Drain(draining) => {
-                self.dirty |= self.leases.set_draining(&daemon, draining);
-            }
         }
     }
 
@@ -198,6 +196,14 @@
         self.recorder.committed(&batch.departures);
     }
 
+    /// Adds a committed order to drain the endpoints at a daemon, or its end, to the next view.
+    pub fn drain_committed(&mut self, daemon: &DaemonId, draining: bool) {
+        // The end of an order whose endpoints have left must not change those announced since.
+        if self.leases.is_drained(daemon) != draining {
+            self.dirty |= self.leases.set_draining(daemon, draining);
+        }
+    }
+
     /// Marks the published view as outdated because the replicated state has changed.
     pub fn mark_dirty(&mut self) {
         self.dirty = true;
@@ -254,6 +260,13 @@
             }
             commands.push(Command::Rollout(step));
         }
+        // The endpoints to which an order applied have left if their daemon announces none.
+        let ended = state.drained().iter();
+        let ended = ended.filter(|daemon| !self.leases.is_drained(daemon));
+        commands.extend(ended.map(|daemon| Command::Drain {
+            daemon: daemon.clone(),
+            draining: false,
+        }));
         // A mesh that is configured with documents uses no idempotency keys, so it needs no key
         // holders.
         if state.documents().number() == 0 {
--- a/crates/daemon/src/control/operator_api.rs
+++ b/crates/daemon/src/control/operator_api.rs
@@ -9,7 +9,6 @@
 use serde::de::DeserializeOwned;
 use sycamoreflow_coordination::machine::{Command, Outcome};
 use sycamoreflow_coordination::raft::Refusal;
-use sycamoreflow_protocol::replica::ToLeader;
 use sycamoreflow_state::ids::{DaemonId, DataCentre, RequestId, ServiceName, is_valid_name};
 use sycamoreflow_state::operator::{
     APPROVE_PATH, ApproveRequest, ApproveResponse, CONFIG_PATH, ConfigResponse, DRAIN_PATH,
@@ -19,6 +18,7 @@
 use tide::{Request, Response, StatusCode};
 
 use crate::clock;
+use crate::control::documents::with_timeout;
 use crate::control::evacuations::{self, Ordered};
 use crate::control::hub::Hub;
 use crate::control::replica::{Event, Replica, Unavailable};
@@ -198,9 +198,12 @@
         );
         return Err(ErrorResponse::new(ErrorCode::NotFound, message));
     }
-    let read = |replica: &Replica| replica.leader().is_some();
-    read_leader(&hub, read).await?;
-    hub.forward(&body.daemon, ToLeader::Drain(body.draining));
+    let command = Command::Drain {
+        daemon: body.daemon.clone(),
+        draining: body.draining,
+    };
+    let ordered = with_timeout(hub.ask(|tx| Event::Propose(Box::new(command), tx))).await;
+    ordered.map_err(|error| unavailable(&error))?;
     // The leader publishes the drain state within a few ticks.
     for _ in 0..100 {
         let view = hub.view();
--- a/crates/daemon/src/control/replica/apply.rs
+++ b/crates/daemon/src/control/replica/apply.rs
@@ -86,7 +86,7 @@
         };
         if let Some(Ok(command)) = &command {
             self.log_rollout(command);
-            self.distribute_departures(command);
+            self.update_endpoint_table(command);
         }
         self.complete_proposals(index, entry.term, &outcome);
         self.lead_if_ready(entry.term);
@@ -111,11 +111,16 @@
             version = %self.state.version());
     }
 
-    /// Has the departures that an entry records distributed with the next view. A replica that begins
-    /// to lead later takes them from the state.
-    fn distribute_departures(&mut self, command: &Command) {
-        if let (Command::Depart(batch), Some(leader)) = (command, &mut self.leader) {
-            leader.departures_committed(clock::now(), batch);
+    /// Updates the endpoint table of the leader with what an entry records about endpoints. A replica
+    /// that begins to lead later takes that from the state.
+    fn update_endpoint_table(&mut self, command: &Command) {
+        let Some(leader) = &mut self.leader else {
+            return;
+        };
+        match command {
+            Command::Depart(batch) => leader.departures_committed(clock::now(), batch),
+            Command::Drain { daemon, draining } => leader.drain_committed(daemon, *draining),
+            _ => {}
         }
     }
 
--- a/crates/daemon/tests/processes/leaving.rs
+++ b/crates/daemon/tests/processes/leaving.rs
@@ -273,6 +273,39 @@
     })
 }
 
+/// Guards against orders to drain, or to end that, that are forgotten although they were acknowledged
+/// when all replicas are killed at once.
+#[test]
+fn leaving_operator_drain_replicas_killed() -> eyre::Result<()> {
+    run(async {
+        let mut mesh = mesh(5)?;
+        approve_everywhere(&mesh, 1).await?;
+        let _upstreams = start_upstreams(&mesh, &[3, 4], SERVICE_TIME).await?;
+        let operator = mesh.operator();
+        let [restored, drained] = [3, 4].map(|index| mesh.settings(index).daemon.clone());
+        // Replicas save a copy of the endpoint table, but not again within 2 s.
+        operator.drain(restored.as_str(), true, LIMIT).await?;
+        operator.drain(restored.as_str(), false, LIMIT).await?;
+        operator.drain(drained.as_str(), true, LIMIT).await?;
+        let replicas = [0, 1, 2];
+        replicas.iter().for_each(|index| mesh.kill(*index));
+        for index in replicas {
+            mesh.spawn(index)?;
+        }
+        let operator = &operator;
+        wait_for("all endpoints", || async move {
+            let listed = operator.endpoints(LIMIT).await;
+            listed.is_ok_and(|listed| listed.endpoints.len() == 2)
+        })
+        .await?;
+        for endpoint in operator.endpoints(LIMIT).await?.endpoints {
+            let expected = endpoint.daemon == drained;
+            ensure!(endpoint.draining == expected, "{endpoint:?}");
+        }
+        Ok(())
+    })
+}
+
 async fn load(targets: Vec<std::net::SocketAddr>, duration: Duration, results: Arc<Results>) {
     let client = caller::client();
     caller::run(&client, &targets, &CALLS, RATE, duration, &results).await;
--- a/crates/protocol/src/replica.rs
+++ b/crates/protocol/src/replica.rs
@@ -64,6 +64,4 @@
     Report(EvidenceReport),
     /// Use of the quotas of client accounts.
     Quota(QuotaReport),
-    /// An operator asked to drain the daemon's endpoints (`true`) or to use them again (`false`).
-    Drain(bool),
 }
--- a/crates/testbed/examples/capacity/leader.rs
+++ b/crates/testbed/examples/capacity/leader.rs
@@ -89,7 +89,8 @@
         .map(|index| world::endpoint(index, 880))
         .collect();
     let mut leases = Leases::default();
-    leases.take_over(Millis(1_000), 1, endpoints.iter().cloned());
+    let copy = endpoints.iter().cloned();
+    leases.take_over(Millis(1_000), 1, copy, &Default::default());
     let meter = Meter::thread();
     for endpoint in &endpoints {
         let announced = std::slice::from_ref(endpoint);
