End an order to drain only if it is the one whose endpoints have left

The state keeps the index of the entry with the latest order of each host, and the leader names the order that it ends. A later order stays in force.

--- a/crates/coordination/src/leases.rs
+++ b/crates/coordination/src/leases.rs
@@ -15,6 +15,7 @@
 use sycamoreflow_state::ids::{DaemonId, EndpointVersion, Millis, ServiceName};
 
 use crate::departures::Departures;
+use crate::machine::drains::DrainOrders;
 
 #[cfg(test)]
 mod tests;
@@ -77,8 +78,8 @@
 }
 
 impl Leases {
-    /// Replaces the table with a copy of the former leader's table, as the leader of `term`. `drained`
-    /// are the daemons that operators have drained, which the copy may not have or may still have.
+    /// Replaces the table with a copy of the former leader's table, as the leader of `term`. `drains`
+    /// are the orders in force, which the copy may lack or may outlive.
     ///
     /// Every lease starts a new period, since the daemons could not renew their leases without a
     /// leader.
@@ -87,16 +88,16 @@
         now: Millis,
         term: u64,
         copy: impl IntoIterator<Item = Endpoint>,
-        drained: &IndexSet<DaemonId>,
+        drains: &DrainOrders,
     ) {
         self.entries.clear();
         self.baselines.clear();
-        self.draining_daemons = drained.clone();
+        self.draining_daemons = drains.iter().map(|(daemon, _)| daemon.clone()).collect();
         for mut endpoint in copy {
             if endpoint.check().is_err() {
                 continue;
             }
-            let is_drained = drained.contains(&endpoint.daemon);
+            let is_drained = drains.contains(&endpoint.daemon);
             // An endpoint may also drain because its daemon stops, which a restarted one withdraws.
             endpoint.draining &= !endpoint.drained_by_operator;
             endpoint.draining |= is_drained;
--- a/crates/coordination/src/leases/tests.rs
+++ b/crates/coordination/src/leases/tests.rs
@@ -1,10 +1,11 @@
-use indexmap::IndexSet;
 use rstest::rstest;
 use sycamoreflow_state::config::Share;
 use sycamoreflow_state::endpoint::{Departure, Endpoint};
 use sycamoreflow_state::ids::{DaemonId, EndpointVersion, Millis, ServiceName};
 
 use super::{LEASE_DURATION, Leases};
+use crate::machine::drains::DrainOrders;
+use crate::machine::{Command, ControlState};
 
 fn endpoint(daemon: &str) -> Endpoint {
     Endpoint {
@@ -19,6 +20,19 @@
     }
 }
 
+/// Returns the orders to drain these daemons.
+fn drain_orders<'a>(daemons: impl IntoIterator<Item = &'a DaemonId>) -> DrainOrders {
+    let mut state = ControlState::default();
+    for (index, daemon) in daemons.into_iter().enumerate() {
+        let order = Command::Drain {
+            daemon: daemon.clone(),
+            draining: true,
+        };
+        state.apply(index as u64 + 1, &order);
+    }
+    state.drains().clone()
+}
+
 fn renew(leases: &mut Leases, now: u64, daemon: &str) -> bool {
     leases.renew(Millis(now), &DaemonId::from(daemon), &[endpoint(daemon)])
 }
@@ -115,14 +129,14 @@
 #[test]
 fn take_over_later_term() {
     let mut leases = Leases::default();
-    leases.take_over(Millis(0), 3, [], &IndexSet::new());
+    leases.take_over(Millis(0), 3, [], &DrainOrders::default());
     for i in 0..50 {
         renew(&mut leases, i, &format!("d{i}"));
     }
     let old = leases.version();
     let copy: Vec<Endpoint> = leases.endpoints().cloned().collect();
     let mut next = Leases::default();
-    next.take_over(Millis(0), 4, copy, &IndexSet::new());
+    next.take_over(Millis(0), 4, copy, &DrainOrders::default());
     assert!(next.version() > old);
     assert_eq!(next.version(), EndpointVersion { term: 4, seq: 1 });
     assert_eq!(next.endpoints().count(), 50);
@@ -149,8 +163,8 @@
     }
     let copy: Vec<Endpoint> = leases.endpoints().cloned().collect();
     let mut next = Leases::default();
-    let drained = ordered.then(|| daemon.clone()).into_iter().collect();
-    next.take_over(Millis(0), 4, copy, &drained);
+    let drains = drain_orders(ordered.then_some(&daemon));
+    next.take_over(Millis(0), 4, copy, &drains);
     assert!(next.endpoints().all(|endpoint| endpoint.draining));
     next.renew(Millis(10), &daemon, &[endpoint("a")]);
     assert!(
@@ -171,9 +185,9 @@
         drained_by_operator: !ordered,
         ..endpoint("a")
     };
-    let drained = ordered.then(|| daemon.clone()).into_iter().collect();
+    let drains = drain_orders(ordered.then_some(&daemon));
     let mut leases = Leases::default();
-    leases.take_over(Millis(0), 4, [outdated], &drained);
+    leases.take_over(Millis(0), 4, [outdated], &drains);
     assert_eq!(leases.is_drained(&daemon), ordered);
     let mut endpoints = leases.endpoints();
     assert!(endpoints.all(|e| e.draining == ordered && e.drained_by_operator == ordered));
@@ -205,7 +219,7 @@
     let mut leases = Leases::default();
     let mut odd = endpoint("b");
     odd.version = "v".repeat(2_000_000).into();
-    leases.take_over(Millis(0), 3, [endpoint("a"), odd], &IndexSet::new());
+    leases.take_over(Millis(0), 3, [endpoint("a"), odd], &DrainOrders::default());
     assert!(leases.endpoints().eq([&endpoint("a")]));
 }
 
@@ -226,7 +240,7 @@
     assert!(!leases.depart(Millis(10), &daemon, &departure));
 
     let mut next = Leases::default();
-    next.take_over(Millis(20_000), 4, [], &IndexSet::new());
+    next.take_over(Millis(20_000), 4, [], &DrainOrders::default());
     assert!(!next.has_departure(&daemon, &departure));
     next.depart(Millis(20_000), &daemon, &departure);
     assert!(next.has_departure(&daemon, &departure));
--- a/crates/coordination/src/machine.rs
+++ b/crates/coordination/src/machine.rs
@@ -9,7 +9,6 @@
 
 use std::collections::BTreeMap;
 
-use indexmap::IndexSet;
 use serde::{Deserialize, Serialize};
 use sycamoreflow_state::config::MeshConfig;
 use sycamoreflow_state::ids::{
@@ -20,6 +19,7 @@
 mod check;
 pub mod departures;
 pub mod document;
+pub mod drains;
 pub mod evacuation;
 mod history;
 mod requests;
@@ -31,6 +31,7 @@
 use check::check_key_holders;
 use departures::{DepartureBatch, RecordedDepartures};
 use document::{Documents, Replacement, ReplacementCheck};
+use drains::DrainOrders;
 use evacuation::{EvacuationOrder, Evacuations};
 use history::History;
 use requests::Requests;
@@ -104,6 +105,13 @@
         /// Whether they get no new work.
         draining: bool,
     },
+    /// Ends an order to drain whose endpoints have left.
+    EndDrain {
+        /// The daemon on the host of the endpoints.
+        daemon: DaemonId,
+        /// Index of the log entry with the order.
+        order: u64,
+    },
     /// Has no effect on the state.
     Noop,
 }
@@ -132,6 +140,7 @@
             | Self::Rollout(_)
             | Self::Depart(_)
             | Self::Drain { .. }
+            | Self::EndDrain { .. }
             | Self::Noop => Vec::new(),
         }
     }
@@ -227,7 +236,7 @@
     #[serde(default)]
     departures: RecordedDepartures,
     #[serde(default)]
-    drained: IndexSet<DaemonId>,
+    drains: DrainOrders,
     key_holders: BTreeMap<ServiceName, KeyHolders>,
     /// Highest epoch of the key holders of any removed service. If a removed service is added
     /// again, the epochs of its groups start above this one, so that claims granted by earlier
@@ -264,13 +273,8 @@
                 daemons,
             } => self.apply_key_holders(service, *epoch, daemons),
             Command::Depart(batch) => self.apply_departures(batch),
-            Command::Drain { daemon, draining } => {
-                let changed = match draining {
-                    true => self.drained.insert(daemon.clone()),
-                    false => self.drained.shift_remove(daemon),
-                };
-                self.done(changed)
-            }
+            Command::Drain { daemon, draining } => self.apply_drain(daemon, *draining),
+            Command::EndDrain { daemon, order } => self.end_drain(daemon, *order),
             Command::Noop => self.done(false),
         }
     }
@@ -541,9 +545,9 @@
         &self.departures
     }
 
-    /// Returns the daemons whose endpoints get no new work because operators have ordered it.
-    pub fn drained(&self) -> &IndexSet<DaemonId> {
-        &self.drained
+    /// Returns the orders of operators to give the endpoints at daemons no new work.
+    pub fn drains(&self) -> &DrainOrders {
+        &self.drains
     }
 
     /// Returns the rollouts of all services.
--- a/crates/coordination/tests/subscribers/replica.rs
+++ b/crates/coordination/tests/subscribers/replica.rs
@@ -5,6 +5,7 @@
 
 use sycamoreflow_coordination::distribution::Distribution;
 use sycamoreflow_coordination::leases::Leases;
+use sycamoreflow_coordination::machine::drains::DrainOrders;
 use sycamoreflow_coordination::machine::{Command, ControlState};
 use sycamoreflow_coordination::publication::Publication;
 use sycamoreflow_state::config::Share;
@@ -47,9 +48,13 @@
     pub(crate) fn become_leader(&mut self, now: Millis, term: u64) {
         let followed = self.distribution.view().as_ref().clone();
         let mut leases = Leases::default();
+        let endpoints = followed.endpoints().cloned();
+        leases.take_over(now, term, endpoints, &DrainOrders::default());
+        // This model keeps the orders of operators with the endpoints instead of in the log.
         let drained = followed.endpoints().filter(|e| e.drained_by_operator);
-        let drained = drained.map(|endpoint| endpoint.daemon.clone()).collect();
-        leases.take_over(now, term, followed.endpoints().cloned(), &drained);
+        for endpoint in drained {
+            leases.set_draining(&endpoint.daemon, true);
+        }
         self.leader = Some(Leader {
             leases,
             publication: Publication::new(followed),
--- a/crates/daemon/src/control/leader.rs
+++ b/crates/daemon/src/control/leader.rs
@@ -11,6 +11,7 @@
 use sycamoreflow_coordination::key_holders::{EndpointIndex, HolderMonitor};
 use sycamoreflow_coordination::leases::{LEASE_DURATION, Leases, RENEW_INTERVAL};
 use sycamoreflow_coordination::machine::departures::DepartureBatch;
+use sycamoreflow_coordination::machine::drains::DrainOrders;
 use sycamoreflow_coordination::machine::{Command, ControlState, HistoryEvent};
 use sycamoreflow_coordination::pacing::{Capacity, Pacer, TICK_INTERVAL};
 use sycamoreflow_coordination::publication::Publication;
@@ -114,7 +115,7 @@
             true => hinted_endpoints.to_vec(),
             false => followed_view.endpoints().cloned().collect(),
         };
-        leases.take_over(now, term, copy, state.drained());
+        leases.take_over(now, term, copy, state.drains());
         for (daemon, departures) in state.departures().recent(unix_now) {
             for departure in &departures {
                 leases.depart(now, daemon, departure);
@@ -196,8 +197,9 @@
         self.recorder.committed(&batch.departures);
     }
 
-    /// Adds a committed order to drain the endpoints at a daemon, or its end, to the next view.
-    pub fn drain_committed(&mut self, daemon: &DaemonId, draining: bool) {
+    /// Adds a change of the orders for `daemon` to the next view.
+    pub fn drains_changed(&mut self, daemon: &DaemonId, drains: &DrainOrders) {
+        let draining = drains.contains(daemon);
         // The end of an order whose endpoints have left must not change those announced since.
         if self.leases.is_drained(daemon) != draining {
             self.dirty |= self.leases.set_draining(daemon, draining);
@@ -261,11 +263,11 @@
             commands.push(Command::Rollout(step));
         }
         // The endpoints to which an order applied have left if their daemon announces none.
-        let ended = state.drained().iter();
-        let ended = ended.filter(|daemon| !self.leases.is_drained(daemon));
-        commands.extend(ended.map(|daemon| Command::Drain {
+        let ended = state.drains().iter();
+        let ended = ended.filter(|(daemon, _)| !self.leases.is_drained(daemon));
+        commands.extend(ended.map(|(daemon, order)| Command::EndDrain {
             daemon: daemon.clone(),
-            draining: false,
+            order,
         }));
         // A mesh that is configured with documents uses no idempotency keys, so it needs no key
         // holders.
--- a/crates/daemon/src/control/replica/apply.rs
+++ b/crates/daemon/src/control/replica/apply.rs
@@ -119,7 +119,9 @@
         };
         match command {
             Command::Depart(batch) => leader.departures_committed(clock::now(), batch),
-            Command::Drain { daemon, draining } => leader.drain_committed(daemon, *draining),
+            Command::Drain { daemon, .. } | Command::EndDrain { daemon, .. } => {
+                leader.drains_changed(daemon, self.state.drains());
+            }
             _ => {}
         }
     }
