--- a/crates/daemon/tests/owner.rs
+++ b/crates/daemon/tests/owner.rs
@@ -6,7 +6,8 @@
 
 use std::net::SocketAddr;
 use std::pin::pin;
-use std::sync::Arc;
+use std::sync::{Arc, mpsc};
+use std::thread;
 use std::time::Duration;
 
 use async_std::channel;
@@ -494,6 +495,36 @@
     assert!(wait().await);
 }
 
+/// Guards against a view and a report that wait for each other's locks, so that the daemon follows no
+/// view any more.
+#[test]
+fn wait_for_distribution_concurrent_views() {
+    const ROUNDS: usize = 20_000;
+    let owner = Arc::new(owner(SocketAddr::from(([127, 0, 0, 1], 1))));
+    owner.depart("i-1", 1_000);
+    let mut view = View::new(Interest::All);
+    let key = ResourceKey::Departures("sfax-a-1".into());
+    view.insert(key, Arc::new(Resource::Departures(owner.departures())));
+    owner.apply_departures(&view);
+    let (tx, ended) = mpsc::channel();
+    let (reporting, reports_ended) = (owner.clone(), tx.clone());
+    thread::spawn(move || {
+        for _ in 0..ROUNDS {
+            task::block_on(reporting.wait_for_distribution("i-1", 1_000));
+        }
+        let _ = reports_ended.send("reports");
+    });
+    thread::spawn(move || {
+        for _ in 0..ROUNDS {
+            owner.apply_departures(&view);
+        }
+        let _ = tx.send("views");
+    });
+    for _ in 0..2 {
+        ended.recv_timeout(Duration::from_secs(30)).unwrap();
+    }
+}
+
 fn evacuated_view(data_centre: &str) -> View {
     let mut view = View::new(Interest::All);
     let key = ResourceKey::Evacuation(data_centre.into());
