--- a/crates/coordination/src/leases.rs
+++ b/crates/coordination/src/leases.rs
@@ -1,7 +1,8 @@
 //! The leader's endpoint table: leases of announced endpoints, drain marks, departures and expiry.
 //!
-//! The table is soft state that renewals rebuild. A new leader starts with the copy that it
+//! The endpoints are soft state that renewals rebuild. A new leader starts with the copy that it
 //! received as a subscriber and extends every lease by one period (`docs/design.md`, section 2.2).
+//! Drain marks and departures are acknowledged, so they come from the log.
 //!
 //! Invariants: the version increases with every change that is visible to proxies, and an expiry
 //! never reduces a service below the minimum set in its configuration.
--- a/crates/daemon/src/proxy/owner.rs
+++ b/crates/daemon/src/proxy/owner.rs
@@ -65,8 +65,8 @@
 /// Timeout of one probe of an upstream that has closed a connection during a request.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// Longest wait for a departure to become part of the view. Instances give a report up after 1 s, so
-/// that an instance learns in time that it has to send the report again.
+/// Longest wait for a departure to become part of the view. It is shorter than the 1 s after which
+/// instances give a report up, so that they are told to send it again.
 const DISTRIBUTION_TIMEOUT: Millis = Millis(600);
 
 /// Interval at which the view is checked for a departure.
