Log full batches of a replica's events and dropped notices of sessions

A replica now logs the events by kind in each second in which its queue stayed full, and the notices that a full queue of a session has dropped. Both are counted.

--- a/crates/daemon/src/control/hub.rs
+++ b/crates/daemon/src/control/hub.rs
@@ -412,8 +412,20 @@
 
     /// Queues a command for all sessions. Sessions whose queue is full miss it.
     pub fn broadcast(&self, command: &SessionCommand) {
+        let mut dropped = 0;
         for session in self.sessions.lock().by_id.values() {
-            let _ = session.commands.try_send(command.clone());
+            dropped += u64::from(session.commands.try_send(command.clone()).is_err());
+        }
+        if dropped == 0 {
+            return;
+        }
+        metrics::counter!("sycamoreflow_session_commands_dropped_total").increment(dropped);
+        if !matches!(command, SessionCommand::Suspects(_)) {
+            tracing::warn!(
+                event = "session_notice_dropped",
+                ?command,
+                sessions = dropped
+            );
         }
     }
 
--- a/crates/daemon/src/control/replica.rs
+++ b/crates/daemon/src/control/replica.rs
@@ -28,6 +28,7 @@
 use crate::control::quotas::LeaderQuotas;
 
 mod apply;
+mod backlog;
 mod event;
 mod leading;
 
@@ -37,6 +38,7 @@
 mod tests;
 
 use apply::Unapplied;
+use backlog::Backlog;
 use event::Waiter;
 
 /// Duration of an event from which it is logged. It is the interval of heartbeats, which are sent
@@ -92,6 +94,7 @@
     unapplied: VecDeque<Unapplied>,
     /// Documents that were proposed while `unapplied` was not empty.
     delayed: Vec<(Document, Waiter)>,
+    backlog: Backlog,
     last_snapshot: u64,
     last_snapshot_bytes: usize,
     hints: EndpointHints,
@@ -163,6 +166,7 @@
             next_token: 1,
             unapplied: VecDeque::new(),
             delayed: Vec::new(),
+            backlog: Backlog::new(),
             last_snapshot: init.snapshot_index,
             last_snapshot_bytes: init.snapshot_bytes,
             hints: init.hints,
@@ -193,6 +197,8 @@
             }
             let queued = events.try_iter().take(MAX_EVENTS_PER_SLICE);
             let batch: Vec<Event> = event.into_iter().chain(queued).collect();
+            self.backlog
+                .record(&batch, batch.len() > MAX_EVENTS_PER_SLICE);
             let stops = batch.iter().any(|event| matches!(event, Event::Stop));
             let result = self.process(batch, is_tick_due);
             self.log_slow_step(started, applied);
--- /dev/null
+++ b/crates/daemon/src/control/replica/backlog.rs
@@ -0,0 +1,65 @@
+//! Log of the events that a replica handles while more of them are queued than it takes at a time.
+
+use std::time::{Duration, Instant};
+
+use super::Event;
+
+/// Minimum time between two log lines.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Events handled since the last log line, by kind. Raft messages wait behind all others, so the
+/// kind that fills the queue is what delays heartbeats and elections.
+#[derive(Debug)]
+pub(super) struct Backlog {
+    since: Instant,
+    /// Number of batches that were full, after which further events were queued.
+    full_batches: u64,
+    raft: u64,
+    forwarded: u64,
+    suspects: u64,
+    others: u64,
+}
+
+impl Backlog {
+    pub(super) fn new() -> Self {
+        Self {
+            since: Instant::now(),
+            full_batches: 0,
+            raft: 0,
+            forwarded: 0,
+            suspects: 0,
+            others: 0,
+        }
+    }
+
+    /// Counts the events of a batch, and logs the counts if a batch was full.
+    pub(super) fn record(&mut self, batch: &[Event], is_full: bool) {
+        for event in batch {
+            match event {
+                Event::Raft { .. } => self.raft += 1,
+                Event::Forwarded { .. } => self.forwarded += 1,
+                Event::Suspects { .. } => self.suspects += 1,
+                _ => self.others += 1,
+            }
+        }
+        self.full_batches += u64::from(is_full);
+        let elapsed = self.since.elapsed();
+        if elapsed < LOG_INTERVAL {
+            return;
+        }
+        let counts = std::mem::replace(self, Self::new());
+        if counts.full_batches == 0 {
+            return;
+        }
+        metrics::counter!("sycamoreflow_replica_full_batches_total").increment(counts.full_batches);
+        tracing::warn!(
+            event = "replica_backlog",
+            ms = elapsed.as_millis() as u64,
+            full_batches = counts.full_batches,
+            raft = counts.raft,
+            forwarded = counts.forwarded,
+            suspects = counts.suspects,
+            others = counts.others
+        );
+    }
+}
