Let only the observer of a crash report it, and relay records in batches

Cause: a daemon that learned a crash record reported it again, so each record and each clearing was reported by all daemons, and each report went to all daemons: about n * n messages a crash. They took the event queue of the replicas, without a bound, and the command queues of sessions, 64 deep, in which notices of views wait.

In the 56 s in which a replica had a full queue, 10,937 of 18,523 events were crash records; 922 notices of views were dropped.

Now a daemon reports what it has observed itself. Replicas merge the reports into a log of changes (SuspectRelay), from which each subscriber and each other replica gets at most one batch of 32 records a second, refusals first. Records use none of the queues. What is lost with a link is sent again over the next one. A record is sent to a receiver at most four times, so dissemination ends.

report_by_observers_only failed before (60 and 200 reports for 30 and 100 daemons in place of 2).

--- a/crates/coordination/src/suspect.rs
+++ b/crates/coordination/src/suspect.rs
@@ -14,8 +14,10 @@
 //!
 //! Daemons exchange crash records in [`SuspectReport`]s. Each crash has an identifier and counts
 //! once, clearing a record sets a flag, and of two expiry times the earlier one is kept. Merging is
-//! therefore idempotent, commutative and associative, so relays may repeat and reorder reports.
+//! therefore idempotent, commutative and associative, so relays may repeat and reorder reports. A
+//! daemon reports only what it has observed itself; control replicas pass it on ([`relay`]).
 
+pub mod relay;
 #[cfg(test)]
 mod tests;
 
@@ -106,14 +108,33 @@
     completions: Completions,
 }
 
-type CrashRecords = BTreeMap<CrashId, CrashRecord>;
+type CrashRecords = BTreeMap<CrashId, KnownRecord>;
 
+/// The part of a crash record on which daemons and replicas agree.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct CrashRecord {
     expires: Millis,
     alone: bool,
     cleared: bool,
-    reported: bool,
+}
+
+/// A crash record at a daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct KnownRecord {
+    record: CrashRecord,
+    report: ReportState,
+}
+
+/// Whether a daemon reports a record. If it also reported what it has learned, each record would be
+/// sent from every daemon to every other one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ReportState {
+    /// The daemon has learned the record, and has observed neither the crash nor a completion.
+    Learned,
+    /// The daemon has observed the crash or a completion and has to report it.
+    Pending,
+    /// The daemon has reported the record to the replica that serves it.
+    Reported,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -142,7 +163,8 @@
         let Some(records) = self.requests.get(request) else {
             return CrashStatus::Clear;
         };
-        let active = records.values().filter(|r| !r.cleared && r.expires > now);
+        let active = records.values().map(|known| known.record);
+        let active = active.filter(|r| !r.cleared && r.expires > now);
         let (mut total, mut alone, mut recent) = (0, 0, 0);
         for record in active {
             total += 1;
@@ -196,7 +218,7 @@
     pub fn completed(&mut self, now: Millis, request: Fingerprint) {
         self.completions.record(now, request);
         if let Some(records) = self.requests.get_mut(&request) {
-            records.values_mut().for_each(CrashRecord::clear);
+            records.values_mut().for_each(KnownRecord::clear);
         }
     }
 
@@ -220,9 +242,9 @@
                 expires: now.after(CRASH_RETENTION),
                 alone: only_one || (running.suspect && suspects == 1),
                 cleared: false,
-                reported: false,
             };
-            self.add_record(now, request, crash.clone(), record);
+            let report = ReportState::Pending;
+            self.add_record(now, request, crash.clone(), KnownRecord { record, report });
             let reason = match self.status(now, &request) {
                 CrashStatus::Clear => Reason::ConnectionLost,
                 CrashStatus::Suspect | CrashStatus::Refused => Reason::CrashesUpstreams,
@@ -232,28 +254,40 @@
         failures
     }
 
-    /// Merges the records that another daemon reports. Reports may be repeated and reordered.
+    /// Merges the records that a replica passes on. Reports may be repeated and reordered.
     pub fn merge(&mut self, now: Millis, report: &SuspectReport) {
         for entry in &report.entries {
-            let record = CrashRecord {
-                expires: now.after(entry.remaining.min(CRASH_RETENTION)),
-                alone: entry.alone,
-                cleared: entry.cleared,
-                reported: false,
+            let known = KnownRecord {
+                record: CrashRecord::of_entry(now, entry),
+                report: ReportState::Learned,
             };
-            self.add_record(now, entry.request, entry.crash.clone(), record);
+            self.add_record(now, entry.request, entry.crash.clone(), known);
         }
     }
 
-    /// Returns at most `limit` records that are new or changed since they were last reported. The
-    /// rest follows in the next report.
+    /// Returns at most `limit` records that this daemon has observed, or seen completed, since they
+    /// were last reported. The rest follows in the next report.
     pub fn report(&mut self, now: Millis, limit: usize) -> SuspectReport {
-        self.entries(now, limit, |record| {
-            !std::mem::replace(&mut record.reported, true)
+        self.entries(now, limit, |known| {
+            let is_pending = known.report == ReportState::Pending;
+            if is_pending {
+                known.report = ReportState::Reported;
+            }
+            is_pending
         })
     }
 
-    /// Returns all records, for a daemon that has just joined.
+    /// Reports all observations again. To be called for each new subscription, since the replica of
+    /// the previous one may have stopped before it passed the last report on.
+    pub fn report_again(&mut self) {
+        for known in self.requests.values_mut().flat_map(|r| r.values_mut()) {
+            if known.report == ReportState::Reported {
+                known.report = ReportState::Pending;
+            }
+        }
+    }
+
+    /// Returns all records, whether they have been reported or not.
     pub fn snapshot(&mut self, now: Millis) -> SuspectReport {
         self.entries(now, usize::MAX, |_| true)
     }
@@ -261,7 +295,7 @@
     /// Removes expired records. Call it about once per second.
     pub fn tick(&mut self, now: Millis) {
         self.requests.retain(|_, records| {
-            records.retain(|_, record| record.expires > now);
+            records.retain(|_, known| known.record.expires > now);
             !records.is_empty()
         });
         self.completions.expire(now);
@@ -282,30 +316,34 @@
         now: Millis,
         request: Fingerprint,
         crash: CrashId,
-        mut record: CrashRecord,
+        mut new: KnownRecord,
     ) {
-        if record.expires <= now {
+        if new.record.expires <= now {
             return;
         }
-        record.cleared |= self.completions.contains(now, &request);
+        if self.completions.contains(now, &request) {
+            new.clear();
+        }
         self.evict_for(&request);
         let records = self.requests.entry(request).or_default();
         if let Some(known) = records.get_mut(&crash) {
-            known.merge(record);
+            if known.record.merge(new.record) && new.report == ReportState::Pending {
+                known.report = ReportState::Pending;
+            }
             return;
         }
         if records.len() >= MAX_CRASHES_PER_REQUEST {
             // A cleared record no longer counts, so the new one may replace it.
             let Some(cleared) = records
                 .iter()
-                .find(|(_, r)| r.cleared)
+                .find(|(_, known)| known.record.cleared)
                 .map(|(id, _)| id.clone())
             else {
                 return;
             };
             records.remove(&cleared);
         }
-        records.insert(crash, record);
+        records.insert(crash, new);
     }
 
     /// If the limit is reached and `request` is new, removes the request whose last record expires
@@ -314,7 +352,7 @@
         if self.requests.len() < MAX_REQUESTS || self.requests.contains_key(request) {
             return;
         }
-        let end = |records: &CrashRecords| records.values().map(|r| r.expires).max();
+        let end = |records: &CrashRecords| records.values().map(|known| known.record.expires).max();
         let first = self.requests.iter().min_by_key(|(_, records)| end(records));
         if let Some(first) = first.map(|(request, _)| *request) {
             self.requests.remove(&first);
@@ -325,47 +363,67 @@
         &mut self,
         now: Millis,
         limit: usize,
-        mut select: impl FnMut(&mut CrashRecord) -> bool,
+        mut select: impl FnMut(&mut KnownRecord) -> bool,
     ) -> SuspectReport {
         let mut entries = Vec::new();
         for (request, records) in &mut self.requests {
-            for (crash, record) in records {
-                let remaining = record.expires.since(now);
-                if entries.len() >= limit || remaining < MIN_REPORTED_REMAINING || !select(record) {
+            for (crash, known) in records {
+                let Some(entry) = known.record.to_entry(now, request, crash) else {
                     continue;
+                };
+                if entries.len() < limit && select(known) {
+                    entries.push(entry);
                 }
-                entries.push(SuspectEntry {
-                    request: *request,
-                    crash: crash.clone(),
-                    remaining,
-                    alone: record.alone,
-                    cleared: record.cleared,
-                });
             }
         }
         SuspectReport { entries }
     }
 }
 
+impl KnownRecord {
+    /// Clears the record after a completion that this daemon has observed.
+    fn clear(&mut self) {
+        if !std::mem::replace(&mut self.record.cleared, true) {
+            self.report = ReportState::Pending;
+        }
+    }
+}
+
 impl CrashRecord {
+    fn of_entry(now: Millis, entry: &SuspectEntry) -> Self {
+        Self {
+            expires: now.after(entry.remaining.min(CRASH_RETENTION)),
+            alone: entry.alone,
+            cleared: entry.cleared,
+        }
+    }
+
+    /// Returns the entry to send, or `None` if the record is about to expire.
+    fn to_entry(self, now: Millis, request: &Fingerprint, crash: &CrashId) -> Option<SuspectEntry> {
+        let remaining = self.expires.since(now);
+        (remaining >= MIN_REPORTED_REMAINING).then(|| SuspectEntry {
+            request: *request,
+            crash: crash.clone(),
+            remaining,
+            alone: self.alone,
+            cleared: self.cleared,
+        })
+    }
+
     fn is_recent(&self, now: Millis) -> bool {
         let until = Millis(self.expires.0 + SHARED_CRASH_PERIOD.0);
         until > now.after(CRASH_RETENTION)
     }
 
-    fn clear(&mut self) {
-        self.reported &= self.cleared;
-        self.cleared = true;
-    }
-
-    fn merge(&mut self, other: Self) {
+    /// Merges another copy of the record. Returns whether that has set a flag.
+    fn merge(&mut self, other: Self) -> bool {
         let flags = (self.alone, self.cleared);
         self.alone |= other.alone;
         self.cleared |= other.cleared;
         // A report carries the remaining time, so delays in transit can only make the expiry time
         // later than the original one. The earlier time is the more accurate one.
         self.expires = self.expires.min(other.expires);
-        self.reported &= flags == (self.alone, self.cleared);
+        flags != (self.alone, self.cleared)
     }
 }
 
--- a/crates/coordination/src/suspect/tests.rs
+++ b/crates/coordination/src/suspect/tests.rs
@@ -173,6 +173,41 @@
     assert!(changed[0].cleared);
 }
 
+/// Guards against a flood of crash records, in which each daemon reports what others have reported
+/// (`docs/incidents/crash-record-flood.md`).
+#[rstest]
+#[case::few_daemons(30)]
+#[case::many_daemons(100)]
+fn report_by_observers_only(#[case] count: usize) {
+    let mut daemons: Vec<Suspects> = (0..count).map(suspects).collect();
+    crash(&mut daemons[0], 0, &[1, 2, 3]);
+    let mut reports = 0;
+    for now in 1..20 {
+        if now == 10 {
+            daemons[1].completed(Millis(now), request(2));
+        }
+        for from in 0..count {
+            let report = daemons[from].report(Millis(now), 30);
+            if report.entries.is_empty() {
+                continue;
+            }
+            reports += 1;
+            daemons
+                .iter_mut()
+                .for_each(|daemon| daemon.merge(Millis(now), &report));
+        }
+    }
+    assert_eq!(
+        reports, 2,
+        "one report of the crash and one of the completion"
+    );
+    for daemon in &daemons {
+        let status = |number| daemon.status(Millis(20), &request(number));
+        assert_eq!(status(1), CrashStatus::Suspect);
+        assert_eq!(status(2), CrashStatus::Clear);
+    }
+}
+
 fn any_entry() -> impl Strategy<Value = SuspectEntry> {
     (
         0..4_usize,
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -32,6 +32,7 @@
 pub mod replica;
 pub mod sessions;
 pub mod status;
+pub mod suspects;
 
 use hints::EndpointHints;
 use hub::Hub;
@@ -94,7 +95,8 @@
         let (tx, rx) = mpsc::channel();
         let hub = Arc::new(Hub::new(control.joins_per_second, tx));
         let configured = settings.configured_replicas();
-        let peers = Arc::new(Peers::new(&configured, identity, limits));
+        let suspects = hub.suspects().clone();
+        let peers = Arc::new(Peers::new(&configured, identity, limits, suspects));
         let replicas: Vec<_> = configured.iter().map(|r| r.daemon.clone()).collect();
         let uses_seeds = !settings.seeds.is_empty();
         let group = GroupSettings {
--- a/crates/daemon/src/control/hub.rs
+++ b/crates/daemon/src/control/hub.rs
@@ -15,7 +15,6 @@
 use sycamoreflow_coordination::key_lease::COLLECTION_TIME;
 use sycamoreflow_coordination::quota::QuotaGrants;
 use sycamoreflow_coordination::shares::Grant;
-use sycamoreflow_coordination::suspect::SuspectReport;
 use sycamoreflow_protocol::distribution::FromReplica;
 use sycamoreflow_protocol::replica::{Forwarded, ToLeader};
 use sycamoreflow_state::ids::{ConfigVersion, DaemonId, Millis, ViewVersion};
@@ -23,6 +22,7 @@
 
 use crate::clock;
 use crate::control::replica::{self as event, Event, Replica, Unavailable};
+use crate::control::suspects::SuspectExchange;
 
 #[cfg(test)]
 mod tests;
@@ -48,8 +48,6 @@
     },
     /// The leader grants the subscriber parts of the quotas of client accounts.
     QuotaGrants(QuotaGrants),
-    /// Requests that have crashed upstreams of other daemons, to be sent to the subscriber.
-    Suspects(Arc<SuspectReport>),
     /// The members of the group have changed: send them to the subscriber.
     MembersChanged,
     /// The replica has lost the quorum: the session ends and the subscriber has to connect to
@@ -68,6 +66,7 @@
     members: Mutex<Arc<Vec<DaemonId>>>,
     leaderless: Mutex<Leaderless>,
     questions: Mutex<Questions>,
+    suspects: Arc<SuspectExchange>,
     events: mpsc::Sender<Event>,
 }
 
@@ -128,6 +127,7 @@
                 waiters: Vec::new(),
             }),
             questions: Mutex::default(),
+            suspects: Arc::default(),
             events,
         }
     }
@@ -172,6 +172,11 @@
         self.members.lock().clone()
     }
 
+    /// Returns the crash records that this replica passes on.
+    pub fn suspects(&self) -> &Arc<SuspectExchange> {
+        &self.suspects
+    }
+
     /// Records whether the replica knows a leader, and wakes the tasks that wait for one.
     pub fn set_leader_known(&self, known: bool) {
         let mut leaderless = self.leaderless.lock();
@@ -420,13 +425,11 @@
             return;
         }
         metrics::counter!("sycamoreflow_session_commands_dropped_total").increment(dropped);
-        if !matches!(command, SessionCommand::Suspects(_)) {
-            tracing::warn!(
-                event = "session_notice_dropped",
-                ?command,
-                sessions = dropped
-            );
-        }
+        tracing::warn!(
+            event = "session_notice_dropped",
+            ?command,
+            sessions = dropped
+        );
     }
 
     fn update_session_gauge(&self) {
--- a/crates/daemon/src/control/peers.rs
+++ b/crates/daemon/src/control/peers.rs
@@ -8,6 +8,7 @@
 use async_std::task;
 use futures::FutureExt;
 use parking_lot::Mutex;
+use sycamoreflow_coordination::suspect::relay::Source;
 use sycamoreflow_protocol::distribution::{FromReplica, FromSubscriber};
 use sycamoreflow_protocol::handshake::{Identity, Purpose};
 use sycamoreflow_protocol::replica::ReplicaMessage;
@@ -16,6 +17,7 @@
 
 use crate::control::hub::Hub;
 use crate::control::replica::Event;
+use crate::control::suspects::SuspectExchange;
 use crate::replicas;
 use crate::settings::ReplicaAddress;
 
@@ -35,12 +37,18 @@
     links: Mutex<BTreeMap<DaemonId, Sender>>,
     leader: Mutex<Option<DaemonId>>,
     leader_changed: (channel::Sender<()>, channel::Receiver<()>),
+    suspects: Arc<SuspectExchange>,
 }
 
 impl Peers {
     /// Creates the set of peers from `replicas` without opening links. The entry of this daemon is
-    /// ignored.
-    pub fn new(replicas: &[ReplicaAddress], identity: &Identity, limits: &link::Limits) -> Self {
+    /// ignored. `suspects` are the crash records of this replica, which it sends to the others.
+    pub fn new(
+        replicas: &[ReplicaAddress],
+        identity: &Identity,
+        limits: &link::Limits,
+        suspects: Arc<SuspectExchange>,
+    ) -> Self {
         let others = replicas.iter().filter(|r| r.daemon != identity.daemon);
         Self {
             identity: identity.clone(),
@@ -49,6 +57,7 @@
             links: Mutex::default(),
             leader: Mutex::default(),
             leader_changed: channel::bounded(1),
+            suspects,
         }
     }
 
@@ -82,7 +91,13 @@
         addresses.retain(|id, _| replicas::address_of(id).is_none() || wanted(id));
         let known: Vec<DaemonId> = addresses.keys().cloned().collect();
         drop(addresses);
-        self.links.lock().retain(|id, _| known.contains(id));
+        self.links.lock().retain(|id, link| {
+            let is_known = known.contains(id);
+            if !is_known {
+                link.close();
+            }
+            is_known
+        });
     }
 
     fn connect_to(self: &Arc<Self>, address: ReplicaAddress) {
@@ -126,10 +141,16 @@
             {
                 tracing::info!(event = "replica_link", replica = %address.daemon, up = true);
                 failure_logged = false;
-                self.links.lock().insert(address.daemon.clone(), tx);
+                self.links.lock().insert(address.daemon.clone(), tx.clone());
                 // The other replica sends over its own link. Receiving here only detects that this
                 // link has closed.
-                while rx.receive_encoded().await.is_ok() {}
+                let closed = async { while rx.receive_encoded().await.is_ok() {} }.fuse();
+                let suspects = self.suspects.serve_replica(&tx).fuse();
+                futures::pin_mut!(closed, suspects);
+                futures::select! {
+                    () = closed => {}
+                    _ = suspects => {}
+                }
                 self.links.lock().remove(&address.daemon);
             }
             if !failure_logged {
@@ -220,10 +241,10 @@
             },
             ReplicaMessage::QuotaGrants(grants) => Event::QuotaGrants(grants),
             ReplicaMessage::Grants(grants) => Event::Grants(grants),
-            ReplicaMessage::Suspects(report) => Event::Suspects {
-                report,
-                from_subscriber: false,
-            },
+            ReplicaMessage::Suspects(report) => {
+                hub.suspects().merge(&report, Source::Replica);
+                continue;
+            }
         };
         if !hub.send(event) {
             return;
--- a/crates/daemon/src/control/replica.rs
+++ b/crates/daemon/src/control/replica.rs
@@ -280,13 +280,6 @@
                 self.hub.deliver_grants(grants);
                 Ok(())
             }
-            Event::Suspects {
-                report,
-                from_subscriber,
-            } => {
-                self.broadcast_suspects(report, from_subscriber);
-                Ok(())
-            }
             Event::ConfirmVersion(tx) => self.read_index(Waiter::ConfirmedVersion(tx)),
             Event::Read(read) => self.read_index(Waiter::Read(read)),
             Event::Propose(command, tx) => self.propose(&command, Waiter::Outcome(tx)),
--- a/crates/daemon/src/control/replica/backlog.rs
+++ b/crates/daemon/src/control/replica/backlog.rs
@@ -16,7 +16,6 @@
     full_batches: u64,
     raft: u64,
     forwarded: u64,
-    suspects: u64,
     others: u64,
 }
 
@@ -27,7 +26,6 @@
             full_batches: 0,
             raft: 0,
             forwarded: 0,
-            suspects: 0,
             others: 0,
         }
     }
@@ -38,7 +36,6 @@
             match event {
                 Event::Raft { .. } => self.raft += 1,
                 Event::Forwarded { .. } => self.forwarded += 1,
-                Event::Suspects { .. } => self.suspects += 1,
                 _ => self.others += 1,
             }
         }
@@ -58,7 +55,6 @@
             full_batches = counts.full_batches,
             raft = counts.raft,
             forwarded = counts.forwarded,
-            suspects = counts.suspects,
             others = counts.others
         );
     }
--- a/crates/daemon/src/control/replica/event.rs
+++ b/crates/daemon/src/control/replica/event.rs
@@ -7,7 +7,6 @@
 use sycamoreflow_coordination::raft::message::Message;
 use sycamoreflow_coordination::raft::{MemberChange, Refusal};
 use sycamoreflow_coordination::shares::Grant;
-use sycamoreflow_coordination::suspect::SuspectReport;
 use sycamoreflow_protocol::replica::Forwarded;
 use sycamoreflow_state::ids::{DaemonId, ViewVersion};
 
@@ -50,14 +49,6 @@
     QuotaGrants(Vec<(DaemonId, QuotaGrants)>),
     /// Grants from the leader to be delivered to subscribers of this replica.
     Grants(Vec<(DaemonId, Grant)>),
-    /// A report of requests that have crashed upstreams, to be sent to all subscribers. A report
-    /// from a subscriber is also sent to the other replicas.
-    Suspects {
-        /// The reported requests.
-        report: SuspectReport,
-        /// Whether the report comes from a subscriber of this replica, not from another replica.
-        from_subscriber: bool,
-    },
     /// Requests the lowest version of the views that the present leader publishes, confirmed by a
     /// quorum. The reply is `None` if no quorum confirms it.
     ConfirmVersion(oneshot::Sender<Option<ViewVersion>>),
@@ -122,7 +113,6 @@
             | Self::Forwarded { .. }
             | Self::QuotaGrants(_)
             | Self::Grants(_)
-            | Self::Suspects { .. }
             | Self::SetContacts(_)
             | Self::TransferLeadership
             | Self::Stop => Waiter::Nobody,
--- a/crates/daemon/src/control/replica/leading.rs
+++ b/crates/daemon/src/control/replica/leading.rs
@@ -2,12 +2,9 @@
 //! grants and admits replicas; as a follower, it forwards messages from subscribers to the leader,
 //! and it disconnects subscribers if there is no leader.
 
-use std::sync::Arc;
-
 use sycamoreflow_coordination::open_group;
 use sycamoreflow_coordination::raft::{Input, MemberChange, ReplicaState};
 use sycamoreflow_coordination::shares::Grant;
-use sycamoreflow_coordination::suspect::SuspectReport;
 use sycamoreflow_protocol::replica::{Forwarded, ReplicaMessage, ToLeader};
 use sycamoreflow_state::ids::{DaemonId, Millis};
 use sycamoreflow_state::view::View;
@@ -188,15 +185,4 @@
             }
         }
     }
-
-    /// Distributes a report of requests that crash upstreams to all subscribers of the group. This
-    /// needs neither the leader nor an order of reports, because merging them is idempotent.
-    pub(super) fn broadcast_suspects(&self, report: SuspectReport, from_subscriber: bool) {
-        if from_subscriber {
-            self.peers
-                .send_to_all(&ReplicaMessage::Suspects(report.clone()));
-        }
-        let command = SessionCommand::Suspects(Arc::new(report));
-        self.hub.broadcast(&command);
-    }
 }
--- a/crates/daemon/src/control/replica/tests.rs
+++ b/crates/daemon/src/control/replica/tests.rs
@@ -37,7 +37,7 @@
         daemon: id,
         key: MeshKey::new([7; 32]).unwrap(),
     };
-    let peers = Peers::new(&[], &identity, &link::Limits::default());
+    let peers = Peers::new(&[], &identity, &link::Limits::default(), Arc::default());
     Replica::new(init, Arc::new(Hub::new(200, tx)), Arc::new(peers))
 }
 
--- a/crates/daemon/src/control/sessions.rs
+++ b/crates/daemon/src/control/sessions.rs
@@ -7,6 +7,7 @@
 use async_std::future::timeout;
 use async_std::task;
 use futures::FutureExt;
+use sycamoreflow_coordination::suspect::relay::Source;
 use sycamoreflow_protocol::distribution::{FromReplica, FromSubscriber};
 use sycamoreflow_protocol::replica::ToLeader;
 use sycamoreflow_state::ids::{DaemonId, Millis, ViewVersion};
@@ -14,7 +15,6 @@
 use sycamoreflow_transport::link::{Receiver, SendError, Sender};
 
 use crate::control::hub::{Hub, Registration, SessionCommand};
-use crate::control::replica::Event;
 
 #[cfg(test)]
 mod tests;
@@ -157,7 +157,15 @@
         let floor = self.hub.view().version().config;
         self.tx.send(&FromReplica::Admitted { floor })?;
         self.send_members()?;
-        self.serve_updates(&registration, rx).await
+        let suspects = self.hub.suspects().clone();
+        let tx = self.tx.clone();
+        let suspects = suspects.serve_subscriber(&tx).fuse();
+        let updates = self.serve_updates(&registration, rx).fuse();
+        futures::pin_mut!(suspects, updates);
+        futures::select! {
+            result = suspects => result,
+            result = updates => result,
+        }
     }
 
     async fn serve_updates(&mut self, registration: &Registration, mut rx: Receiver) -> Result<()> {
@@ -193,10 +201,6 @@
             SessionCommand::QuotaGrants(grants) => {
                 self.tx.send(&FromReplica::QuotaGrants(grants))?;
             }
-            SessionCommand::Suspects(report) => {
-                self.tx
-                    .send(&FromReplica::Suspects(report.as_ref().clone()))?;
-            }
             SessionCommand::NoQuorum => {
                 self.tx.send(&FromReplica::NoQuorum)?;
                 return Ok(false);
@@ -225,10 +229,7 @@
             FromSubscriber::Report(report) => ToLeader::Report(report),
             FromSubscriber::Quota(report) => ToLeader::Quota(report),
             FromSubscriber::Suspects(report) => {
-                self.hub.send(Event::Suspects {
-                    report,
-                    from_subscriber: true,
-                });
+                self.hub.suspects().merge(&report, Source::Subscriber);
                 return Ok(());
             }
             FromSubscriber::Confirm { number } => {
--- a/crates/daemon/src/control/sessions/tests.rs
+++ b/crates/daemon/src/control/sessions/tests.rs
@@ -5,6 +5,7 @@
 use sycamoreflow_state::view::View;
 
 use super::*;
+use crate::control::replica::Event;
 
 const NEW_TERM: u64 = 2;
 
--- a/crates/daemon/src/proxy/crashes.rs
+++ b/crates/daemon/src/proxy/crashes.rs
@@ -95,8 +95,13 @@
         self.suspects.lock().merge(clock::now(), report);
     }
 
-    /// Removes expired records, and returns those that were not reported to other daemons yet, if
-    /// there are any.
+    /// Reports everything again that this daemon has observed, to the replica of a new subscription.
+    pub fn report_again(&self) {
+        self.suspects.lock().report_again();
+    }
+
+    /// Removes expired records, and returns the observations that were not reported yet, if there are
+    /// any.
     pub fn report(&self) -> Option<SuspectReport> {
         let mut suspects = self.suspects.lock();
         suspects.tick(clock::now());
--- a/crates/daemon/src/subscriber.rs
+++ b/crates/daemon/src/subscriber.rs
@@ -372,6 +372,7 @@
         rx: Receiver,
         meter: &LinkMeter,
     ) -> Result<Subscription> {
+        self.proxy.crashes().report_again();
         let updates = self.receive_updates(tx, rx).fuse();
         let renewals = self.send_renewals(tx).fuse();
         let reports = self.send_reports(tx, meter).fuse();
--- a/crates/testbed/examples/capacity/main.rs
+++ b/crates/testbed/examples/capacity/main.rs
@@ -13,6 +13,7 @@
 mod baseline;
 mod calls;
 mod convergence;
+mod crashes;
 mod departures;
 mod keys;
 mod leader;
@@ -33,7 +34,7 @@
 
 /// All groups, in the order in which they run. Groups that measure memory run first: memory that
 /// earlier groups have freed is reused by the allocator without a growth of the resident memory.
-const GROUPS: [Group; 11] = [
+const GROUPS: [Group; 12] = [
     ("convergence", convergence::convergence),
     ("view-memory", leader::view_memory),
     ("proxies", proxies::proxies),
@@ -43,6 +44,7 @@
     ("leader", leader::leader),
     ("reports", reports::reports),
     ("departures", departures::departures),
+    ("crashes", crashes::crashes),
     ("storage", storage::storage),
     ("calls", calls::calls),
 ];
