Give notices a place of their own in the commands of a session

The comment took an earlier notice to be queued still; other commands filled it.

A session now has a mailbox in which each notice takes one place, as only the newest state counts, and precedes grants. publish_behind_grants failed before: no notice among the commands after 1,000 grants.

--- a/crates/daemon/src/control/hub.rs
+++ b/crates/daemon/src/control/hub.rs
@@ -4,7 +4,6 @@
 use std::collections::HashMap;
 use std::sync::mpsc;
 
-use async_std::channel;
 use async_std::future::timeout;
 use async_std::task;
 use bytes::Bytes;
@@ -17,43 +16,20 @@
 use sycamoreflow_coordination::shares::Grant;
 use sycamoreflow_protocol::distribution::FromReplica;
 use sycamoreflow_protocol::replica::{Forwarded, ToLeader};
-use sycamoreflow_state::ids::{ConfigVersion, DaemonId, Millis, ViewVersion};
+use sycamoreflow_state::ids::{DaemonId, Millis, ViewVersion};
 use sycamoreflow_state::view::{Delta, Interest, View};
 
 use crate::clock;
 use crate::control::replica::{self as event, Event, Replica, Unavailable};
 use crate::control::suspects::SuspectExchange;
 
+mod mailbox;
 #[cfg(test)]
 mod tests;
 
-/// Maximum number of commands queued for a session. Grants that do not fit are dropped, which is
-/// harmless because grants are cumulative. A change notification that does not fit is not needed,
-/// because an earlier one is still queued.
-const SESSION_QUEUE: usize = 64;
-
-/// A command from the replica to a subscriber session.
-#[derive(Clone, Debug)]
-pub enum SessionCommand {
-    /// The published view has changed: send the subscriber an update.
-    ViewChanged,
-    /// The leader grants the subscriber calls to the candidate of a rollout.
-    Grant(Grant),
-    /// A quorum has confirmed the newest configuration after a question of the subscriber.
-    Confirmed {
-        /// Number of the question.
-        number: u64,
-        /// Version of the newest configuration.
-        config: ConfigVersion,
-    },
-    /// The leader grants the subscriber parts of the quotas of client accounts.
-    QuotaGrants(QuotaGrants),
-    /// The members of the group have changed: send them to the subscriber.
-    MembersChanged,
-    /// The replica has lost the quorum: the session ends and the subscriber has to connect to
-    /// another replica.
-    NoQuorum,
-}
+pub use mailbox::SessionCommand;
+
+use mailbox::Mailbox;
 
 /// The shared state of a control replica. Tasks use it to send events to the replica thread and to
 /// read the published view without that thread.
@@ -94,7 +70,7 @@
 #[derive(Debug)]
 struct Session {
     daemon: DaemonId,
-    commands: channel::Sender<SessionCommand>,
+    commands: Arc<Mailbox>,
 }
 
 /// The registration of a session with its hub. Dropping it removes the session.
@@ -102,8 +78,14 @@
 pub struct Registration {
     hub: Arc<Hub>,
     id: u64,
-    /// Commands that the session has to execute.
-    pub commands: channel::Receiver<SessionCommand>,
+    commands: Arc<Mailbox>,
+}
+
+impl Registration {
+    /// Waits for the next command that the session has to execute.
+    pub async fn next_command(&self) -> SessionCommand {
+        self.commands.take().await
+    }
 }
 
 impl Drop for Registration {
@@ -323,13 +305,13 @@
     /// Registers the session of a subscriber, which then receives commands until the registration
     /// is dropped.
     pub fn register(self: &Arc<Self>, daemon: &DaemonId) -> Registration {
-        let (tx, rx) = channel::bounded(SESSION_QUEUE);
+        let commands = Arc::new(Mailbox::default());
         let mut sessions = self.sessions.lock();
         let id = sessions.next_id;
         sessions.next_id += 1;
         let session = Session {
             daemon: daemon.clone(),
-            commands: tx,
+            commands: commands.clone(),
         };
         sessions.by_id.insert(id, session);
         drop(sessions);
@@ -337,7 +319,7 @@
         Registration {
             hub: self.clone(),
             id,
-            commands: rx,
+            commands,
         }
     }
 
@@ -349,7 +331,7 @@
         for (daemon, grant) in grants {
             let session = sessions.by_id.values().find(|s| s.daemon == daemon);
             match session {
-                Some(session) => drop(session.commands.try_send(SessionCommand::Grant(grant))),
+                Some(session) => session.commands.put(SessionCommand::Grant(grant)),
                 None => undelivered.push((daemon, grant)),
             }
         }
@@ -389,7 +371,7 @@
                     Some(version) => {
                         let config = version.config;
                         let confirmed = SessionCommand::Confirmed { number, config };
-                        let _ = session.commands.try_send(confirmed);
+                        session.commands.put(confirmed);
                     }
                     // A later question of the session takes precedence.
                     None => {
@@ -409,27 +391,16 @@
             sessions.by_id.values().map(|s| (&s.daemon, s)).collect();
         for (daemon, grants) in grants {
             if let Some(session) = by_daemon.get(&daemon) {
-                let command = SessionCommand::QuotaGrants(grants);
-                drop(session.commands.try_send(command));
+                session.commands.put(SessionCommand::QuotaGrants(grants));
             }
         }
     }
 
-    /// Queues a command for all sessions. Sessions whose queue is full miss it.
+    /// Gives a command to all sessions.
     pub fn broadcast(&self, command: &SessionCommand) {
-        let mut dropped = 0;
         for session in self.sessions.lock().by_id.values() {
-            dropped += u64::from(session.commands.try_send(command.clone()).is_err());
-        }
-        if dropped == 0 {
-            return;
+            session.commands.put(command.clone());
         }
-        metrics::counter!("sycamoreflow_session_commands_dropped_total").increment(dropped);
-        tracing::warn!(
-            event = "session_notice_dropped",
-            ?command,
-            sessions = dropped
-        );
     }
 
     fn update_session_gauge(&self) {
--- a/crates/daemon/src/control/hub/tests.rs
+++ b/crates/daemon/src/control/hub/tests.rs
@@ -1,6 +1,7 @@
 use std::sync::mpsc::Receiver;
 
-use sycamoreflow_state::ids::EndpointVersion;
+use futures::FutureExt;
+use sycamoreflow_state::ids::{ConfigVersion, EndpointVersion};
 
 use super::*;
 
@@ -22,8 +23,8 @@
 
 /// Returns the number and the version of the next answer.
 fn next_answer(registration: &Registration) -> (u64, u64) {
-    let command = task::block_on(timeout(TIMEOUT, registration.commands.recv()));
-    match command.expect("an answer in time").expect("a session") {
+    let command = task::block_on(timeout(TIMEOUT, registration.next_command()));
+    match command.expect("an answer in time") {
         SessionCommand::Confirmed { number, config } => (number, config.0),
         command => panic!("{command:?}"),
     }
@@ -50,5 +51,35 @@
     assert_eq!(answer_read(&events, Some(7)), 0);
     assert_eq!(next_answer(&first), (5, 7));
     assert_eq!(next_answer(&second), (9, 7));
-    assert!(first.commands.is_empty() && second.commands.is_empty());
+    assert_eq!(first.next_command().now_or_never(), None);
+    assert_eq!(second.next_command().now_or_never(), None);
+}
+
+/// Guards against a subscriber that serves dropped routes for seconds because grants have filled the
+/// queue of its session when a view was published.
+#[test]
+fn publish_behind_grants() {
+    let (tx, _events) = mpsc::channel();
+    let hub = Arc::new(Hub::new(200, tx));
+    let daemon = DaemonId::from("sfax-a-1");
+    let registration = hub.register(&daemon);
+    for credits in 0..1_000 {
+        let grant = Grant {
+            term: 1,
+            incarnation: 1,
+            rollout: 1,
+            share: 10_000,
+            credits,
+            valid_for: Millis(1_000),
+        };
+        hub.deliver_grants(vec![(daemon.clone(), grant)]);
+    }
+    let mut view = View::new(Interest::All);
+    view.set_version(ViewVersion {
+        config: ConfigVersion(3),
+        endpoints: EndpointVersion::first(1),
+    });
+    hub.publish(view);
+    let mut commands = std::iter::from_fn(|| registration.next_command().now_or_never());
+    assert!(commands.any(|command| command == SessionCommand::ViewChanged));
 }
--- a/crates/daemon/src/control/sessions.rs
+++ b/crates/daemon/src/control/sessions.rs
@@ -171,12 +171,11 @@
     async fn serve_updates(&mut self, registration: &Registration, mut rx: Receiver) -> Result<()> {
         self.send_update()?;
         loop {
-            let command = registration.commands.recv().fuse();
+            let command = registration.next_command().fuse();
             let message = rx.receive::<FromSubscriber>().fuse();
             futures::pin_mut!(command, message);
             futures::select! {
                 command = command => {
-                    let Ok(command) = command else { return Ok(()) };
                     if !self.execute(command)? {
                         return Ok(());
                     }
