Handle Raft messages and changes before the soft state of daemons

The queue now has two lanes. Raft messages, reads and changes are handled first; a quarter of a slice is left to soft state, of which at most 16,384 events wait, the oldest giving way. Daemons repeat it.

--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -37,7 +37,7 @@
 use hints::EndpointHints;
 use hub::Hub;
 use peers::Peers;
-use replica::{Event, Exit, GroupSettings, Replica, ReplicaInit};
+use replica::{Event, EventReceiver, Exit, GroupSettings, Replica, ReplicaInit};
 
 #[cfg(test)]
 mod tests;
@@ -92,7 +92,7 @@
         seed: u64,
         files: impl Fn() -> Files + Send + 'static,
     ) -> eyre::Result<Self> {
-        let (tx, rx) = mpsc::channel();
+        let (tx, rx) = replica::event_queue();
         let hub = Arc::new(Hub::new(control.joins_per_second, tx));
         let configured = settings.configured_replicas();
         let suspects = hub.suspects().clone();
@@ -189,7 +189,7 @@
 /// Retries until the data folder can be opened again after its storage failed. Until then, all
 /// requests to the replica are refused. Returns `None` if the replica has to stop.
 fn reopen(
-    events: &mpsc::Receiver<Event>,
+    events: &EventReceiver,
     open: impl Fn() -> eyre::Result<ReplicaInit>,
 ) -> Option<ReplicaInit> {
     loop {
--- a/crates/daemon/src/control/hub.rs
+++ b/crates/daemon/src/control/hub.rs
@@ -2,7 +2,6 @@
 //! members of the group and the sessions of subscribers.
 
 use std::collections::HashMap;
-use std::sync::mpsc;
 
 use async_std::future::timeout;
 use async_std::task;
@@ -20,7 +19,7 @@
 use sycamoreflow_state::view::{Delta, Interest, View};
 
 use crate::clock;
-use crate::control::replica::{self as event, Event, Replica, Unavailable};
+use crate::control::replica::{self as event, Event, EventSender, Replica, Unavailable};
 use crate::control::suspects::SuspectExchange;
 
 mod mailbox;
@@ -43,7 +42,7 @@
     leaderless: Mutex<Leaderless>,
     questions: Mutex<Questions>,
     suspects: Arc<SuspectExchange>,
-    events: mpsc::Sender<Event>,
+    events: EventSender,
 }
 
 /// The time since which the replica has known no leader, and the tasks that wait for one.
@@ -97,7 +96,7 @@
 
 impl Hub {
     /// Creates a hub with an empty view. `events` is the event queue of the replica thread.
-    pub fn new(joins_per_second: u32, events: mpsc::Sender<Event>) -> Self {
+    pub fn new(joins_per_second: u32, events: EventSender) -> Self {
         Self {
             distribution: Mutex::default(),
             updates: Mutex::default(),
@@ -243,8 +242,12 @@
     /// reached.
     pub async fn confirm_version(&self) -> Option<ViewVersion> {
         let (tx, rx) = oneshot::channel();
-        self.events.send(Event::ConfirmVersion(tx)).ok()?;
-        rx.await.ok().flatten()
+        self.events
+            .send(Event::ConfirmVersion(tx))
+            .then_some(rx)?
+            .await
+            .ok()
+            .flatten()
     }
 
     /// Performs a linearizable read: runs `read` on the replica thread after a quorum has confirmed
@@ -290,8 +293,7 @@
             daemon: daemon.clone(),
             content,
         };
-        // Fails only while the process is stopping.
-        let _ = self.events.send(Event::Forwarded {
+        self.events.send(Event::Forwarded {
             via: None,
             messages: vec![forwarded],
         });
@@ -299,7 +301,7 @@
 
     /// Queues an event for the replica thread. Returns `false` if the replica has stopped.
     pub fn send(&self, event: Event) -> bool {
-        self.events.send(event).is_ok()
+        self.events.send(event)
     }
 
     /// Registers the session of a subscriber, which then receives commands until the registration
--- a/crates/daemon/src/control/hub/tests.rs
+++ b/crates/daemon/src/control/hub/tests.rs
@@ -1,14 +1,15 @@
-use std::sync::mpsc::Receiver;
+use std::time::Duration;
 
 use futures::FutureExt;
 use sycamoreflow_state::ids::{ConfigVersion, EndpointVersion};
 
 use super::*;
+use crate::control::replica::{EventReceiver, event_queue};
 
-const TIMEOUT: std::time::Duration = std::time::Duration::from_secs(10);
+const TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Answers the next read of the replica, and returns how many other reads were requested.
-fn answer_read(events: &Receiver<Event>, confirmed: Option<u64>) -> usize {
+fn answer_read(events: &EventReceiver, confirmed: Option<u64>) -> usize {
     let confirmed = confirmed.map(|config| ViewVersion {
         config: ConfigVersion(config),
         endpoints: EndpointVersion::first(1),
@@ -18,7 +19,9 @@
         panic!("another event than a read");
     };
     tx.send(confirmed).expect("the read has not timed out");
-    events.try_iter().count()
+    events
+        .next_batch(Duration::ZERO)
+        .map_or(0, |batch| batch.len())
 }
 
 /// Returns the number and the version of the next answer.
@@ -34,7 +37,7 @@
 /// reaches another daemon, and against questions that are lost while there is no leader.
 #[test]
 fn confirm_shared_read() {
-    let (tx, events) = mpsc::channel();
+    let (tx, events) = event_queue();
     let hub = Arc::new(Hub::new(200, tx));
     let first = hub.register(&"sfax-a-1".into());
     let second = hub.register(&"sfax-b-1".into());
@@ -59,7 +62,7 @@
 /// queue of its session when a view was published.
 #[test]
 fn publish_behind_grants() {
-    let (tx, _events) = mpsc::channel();
+    let (tx, _events) = event_queue();
     let hub = Arc::new(Hub::new(200, tx));
     let daemon = DaemonId::from("sfax-a-1");
     let registration = hub.register(&daemon);
--- a/crates/daemon/src/control/replica.rs
+++ b/crates/daemon/src/control/replica.rs
@@ -6,9 +6,9 @@
 
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
-use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::time::{Duration, Instant};
 
+use crossbeam_channel::RecvTimeoutError;
 use sycamoreflow_coordination::machine::document::Document;
 use sycamoreflow_coordination::machine::{CodecError, Command, ControlState, Outcome};
 use sycamoreflow_coordination::quota::Tolerance;
@@ -31,8 +31,10 @@
 mod backlog;
 mod event;
 mod leading;
+mod queue;
 
 pub use event::{Event, ReadState, Result, Unavailable};
+pub use queue::{EventReceiver, EventSender, event_queue};
 
 #[cfg(test)]
 mod tests;
@@ -40,14 +42,12 @@
 use apply::Unapplied;
 use backlog::Backlog;
 use event::Waiter;
+use queue::MAX_EVENTS_PER_SLICE;
 
 /// Duration of an event from which it is logged. It is the interval of heartbeats, which are sent
 /// by the same thread.
 const SLOW_STEP: Duration = Duration::from_millis(150);
 
-/// Maximum number of events that are handled before committed entries are applied.
-const MAX_EVENTS_PER_SLICE: usize = 64;
-
 /// Result of an operation that may write to storage. After an error the replica must stop.
 type StorageResult = std::result::Result<(), StorageError>;
 
@@ -176,7 +176,7 @@
 
     /// Processes events until the replica is told to stop or its storage fails. Blocks the current
     /// thread.
-    pub fn run(mut self, events: &Receiver<Event>) -> Exit {
+    pub fn run(mut self, events: &EventReceiver) -> Exit {
         let tick = Duration::from_millis(TICK_MS);
         let mut next_tick = Instant::now();
         loop {
@@ -184,10 +184,8 @@
                 true => next_tick.saturating_duration_since(Instant::now()),
                 false => Duration::ZERO,
             };
-            let event = match events.recv_timeout(wait) {
-                Ok(Event::Stop) | Err(RecvTimeoutError::Disconnected) => return Exit::Stopped,
-                Ok(event) => Some(event),
-                Err(RecvTimeoutError::Timeout) => None,
+            let Ok(batch) = events.next_batch(wait) else {
+                return Exit::Stopped;
             };
             let started = Instant::now();
             let applied = self.state.applied();
@@ -195,10 +193,8 @@
             if is_tick_due {
                 next_tick = started + tick;
             }
-            let queued = events.try_iter().take(MAX_EVENTS_PER_SLICE);
-            let batch: Vec<Event> = event.into_iter().chain(queued).collect();
             self.backlog
-                .record(&batch, batch.len() > MAX_EVENTS_PER_SLICE);
+                .record(&batch, batch.len() >= MAX_EVENTS_PER_SLICE);
             let stops = batch.iter().any(|event| matches!(event, Event::Stop));
             let result = self.process(batch, is_tick_due);
             self.log_slow_step(started, applied);
@@ -485,7 +481,7 @@
 }
 
 /// Refuses all requests for the given time. Returns `false` if the replica has to stop.
-pub(super) fn refuse_events_for(events: &Receiver<Event>, time: Duration) -> bool {
+pub(super) fn refuse_events_for(events: &EventReceiver, time: Duration) -> bool {
     let end = Instant::now() + time;
     loop {
         let left = end.saturating_duration_since(Instant::now());
--- a/crates/daemon/src/control/replica/backlog.rs
+++ b/crates/daemon/src/control/replica/backlog.rs
@@ -7,8 +7,8 @@
 /// Minimum time between two log lines.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Events handled since the last log line, by kind. Raft messages wait behind all others, so the
-/// kind that fills the queue is what delays heartbeats and elections.
+/// Events handled since the last log line, by kind. The kind that fills the queue is what occupies
+/// the thread that also sends heartbeats.
 #[derive(Debug)]
 pub(super) struct Backlog {
     since: Instant,
--- /dev/null
+++ b/crates/daemon/src/control/replica/queue.rs
@@ -0,0 +1,130 @@
+//! The event queue of a replica.
+//!
+//! It has two bounded lanes. Raft messages, reads and changes of operators never wait behind the
+//! soft state that subscribers report, however much of it arrives (`docs/design/control-queues.md`).
+
+use std::time::Duration;
+
+use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, TrySendError};
+
+use super::Event;
+
+#[cfg(test)]
+mod tests;
+
+/// Maximum number of events that are handled before committed entries are applied.
+pub(super) const MAX_EVENTS_PER_SLICE: usize = 64;
+
+/// Part of a slice that is left to soft state while other events are queued.
+const SOFT_EVENTS_PER_SLICE: usize = 16;
+
+/// Maximum number of queued events with soft state. The oldest gives way, since daemons repeat what
+/// they report. At the target scale a leader receives 2,400 a second, so the limit allows for a
+/// disk that stalls for as long as a lease of 6 s.
+pub(super) const MAX_SOFT_EVENTS: usize = 16_384;
+
+/// Creates an event queue.
+pub fn event_queue() -> (EventSender, EventReceiver) {
+    let (control, control_rx) = crossbeam_channel::unbounded();
+    let (soft, soft_rx) = crossbeam_channel::bounded(MAX_SOFT_EVENTS);
+    let sender = EventSender {
+        control,
+        soft,
+        oldest_soft: soft_rx.clone(),
+    };
+    let receiver = EventReceiver {
+        control: control_rx,
+        soft: soft_rx,
+    };
+    (sender, receiver)
+}
+
+/// Sending half of an event queue.
+#[derive(Clone, Debug)]
+pub struct EventSender {
+    control: Sender<Event>,
+    soft: Sender<Event>,
+    oldest_soft: Receiver<Event>,
+}
+
+/// Receiving half of an event queue.
+#[derive(Debug)]
+pub struct EventReceiver {
+    control: Receiver<Event>,
+    soft: Receiver<Event>,
+}
+
+impl EventSender {
+    /// Queues an event. Returns `false` if the replica has stopped.
+    pub fn send(&self, event: Event) -> bool {
+        if !event.is_soft() {
+            return self.control.send(event).is_ok();
+        }
+        let mut event = event;
+        while let Err(TrySendError::Full(rejected)) = self.soft.try_send(event) {
+            metrics::counter!("sycamoreflow_replica_events_dropped_total").increment(1);
+            // The replica may have made room meanwhile.
+            let _ = self.oldest_soft.try_recv();
+            event = rejected;
+        }
+        true
+    }
+}
+
+impl EventReceiver {
+    /// Waits up to `wait` for an event, and returns it with those that are queued behind it, up to
+    /// [`MAX_EVENTS_PER_SLICE`]. Returns an empty batch after a timeout.
+    ///
+    /// # Errors
+    ///
+    /// If all senders were dropped.
+    pub fn next_batch(&self, wait: Duration) -> Result<Vec<Event>, RecvTimeoutError> {
+        let mut batch = Vec::new();
+        match self.recv_timeout(wait) {
+            Ok(event) => batch.push(event),
+            Err(RecvTimeoutError::Timeout) => return Ok(batch),
+            Err(error) => return Err(error),
+        }
+        let control = MAX_EVENTS_PER_SLICE - SOFT_EVENTS_PER_SLICE;
+        batch.extend(self.control.try_iter().take(control - 1));
+        let left = MAX_EVENTS_PER_SLICE - batch.len();
+        batch.extend(self.soft.try_iter().take(left));
+        Ok(batch)
+    }
+
+    /// Waits up to `timeout` for an event.
+    ///
+    /// # Errors
+    ///
+    /// If there was none, or all senders were dropped.
+    pub fn recv_timeout(&self, timeout: Duration) -> Result<Event, RecvTimeoutError> {
+        crossbeam_channel::select_biased! {
+            recv(self.control) -> event => event.map_err(|_| RecvTimeoutError::Disconnected),
+            recv(self.soft) -> event => event.map_err(|_| RecvTimeoutError::Disconnected),
+            default(timeout) => Err(RecvTimeoutError::Timeout),
+        }
+    }
+
+    /// Returns whether no event is queued.
+    pub fn is_empty(&self) -> bool {
+        self.control.is_empty() && self.soft.is_empty()
+    }
+}
+
+impl Event {
+    /// Returns whether the event only carries state that its sender repeats.
+    fn is_soft(&self) -> bool {
+        match self {
+            Self::Forwarded { .. } | Self::Grants(_) | Self::QuotaGrants(_) => true,
+            Self::Raft { .. }
+            | Self::ConfirmVersion(_)
+            | Self::Propose(..)
+            | Self::Replace(..)
+            | Self::SetContacts(_)
+            | Self::ChangeMembers(..)
+            | Self::Read(_)
+            | Self::TransferLeadership
+            | Self::Stop => false,
+        }
+    }
+}
--- a/crates/daemon/src/control/replica/tests.rs
+++ b/crates/daemon/src/control/replica/tests.rs
@@ -1,7 +1,6 @@
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 use std::path::Path;
-use std::sync::mpsc;
 use std::thread;
 
 use futures::channel::oneshot;
@@ -31,7 +30,7 @@
     let data = folder.join("data");
     let tolerance = Limits::default().quota_tolerance();
     let init = crate::control::open(&data, &id, group, tolerance, 1, Files::default()).unwrap();
-    let (tx, _events) = mpsc::channel();
+    let (tx, _events) = event_queue();
     let identity = Identity {
         mesh: "sfax".to_owned(),
         daemon: id,
--- a/crates/daemon/src/control/sessions/tests.rs
+++ b/crates/daemon/src/control/sessions/tests.rs
@@ -1,11 +1,10 @@
-use std::sync::mpsc;
 use std::thread;
 
 use sycamoreflow_state::ids::{ConfigVersion, EndpointVersion};
 use sycamoreflow_state::view::View;
 
 use super::*;
-use crate::control::replica::Event;
+use crate::control::replica::{Event, event_queue};
 
 const NEW_TERM: u64 = 2;
 
@@ -25,9 +24,9 @@
 /// Returns a hub that distributes the view of an earlier leader, and whose quorum confirms the
 /// present one.
 fn hub() -> Arc<Hub> {
-    let (tx, events) = mpsc::channel();
+    let (tx, events) = event_queue();
     thread::spawn(move || {
-        for event in events {
+        while let Ok(event) = events.recv_timeout(Duration::from_secs(60)) {
             if let Event::ConfirmVersion(tx) = event {
                 let _ = tx.send(Some(version(NEW_TERM)));
             }
--- a/crates/testbed/examples/capacity/leader.rs
+++ b/crates/testbed/examples/capacity/leader.rs
@@ -1,12 +1,13 @@
 //! Costs at the leader as the number of endpoints grows, and costs of views at replicas and
 //! daemons.
 
-use std::sync::{Arc, mpsc};
+use std::sync::Arc;
 
 use sycamoreflow_coordination::leases::Leases;
 use sycamoreflow_coordination::machine::ControlState;
 use sycamoreflow_daemon::control::hub::Hub;
 use sycamoreflow_daemon::control::leader::Leader;
+use sycamoreflow_daemon::control::replica::event_queue;
 use sycamoreflow_protocol::codec;
 use sycamoreflow_protocol::distribution::FromReplica;
 use sycamoreflow_protocol::replica::{Forwarded, ToLeader};
@@ -233,7 +234,7 @@
     }
     new.set_version(world::version(2, 1));
     let have = Some(old.version());
-    let (events, _kept) = mpsc::channel();
+    let (events, _kept) = event_queue();
     let hub = Hub::new(200, events);
     hub.publish(old.clone());
     let meter = Meter::thread();
