Encode the remaining times of crash records anew each second

Found when reading the relay afresh: an encoded batch was kept until the next change, so a daemon that subscribed minutes after the last crash got the remaining times of then, and refused the request for up to twice the 10 minutes for which a record is valid. Expired records also stayed until the next report.

Batches are now encoded anew at least each second, when expired records are removed as well. batch_for_subscriber_remaining_times covers it; that it fails before is by reading, not by a run.

--- a/crates/daemon/src/control/suspects.rs
+++ b/crates/daemon/src/control/suspects.rs
@@ -25,8 +25,9 @@
 #[cfg(test)]
 mod tests;
 
-/// Interval at which expired records are removed.
-const EXPIRY_INTERVAL: Millis = Millis(1_000);
+/// Interval at which expired records are removed, and maximum age of an encoded batch. Batches
+/// contain the remaining times of their records.
+const REFRESH_INTERVAL: Millis = Millis(1_000);
 
 /// Maximum number of encoded batches that are kept for subscribers at the same position.
 const MAX_CACHED_BATCHES: usize = 64;
@@ -44,9 +45,10 @@
 #[derive(Debug, Default)]
 struct State {
     relay: SuspectRelay,
-    /// Encoded batches for subscribers by the position before them, since the last change.
+    /// Encoded batches for subscribers by the position before them, since the last change or
+    /// refresh.
     batches: IndexMap<RelayCursor, Batch>,
-    last_expiry: Millis,
+    last_refresh: Millis,
 }
 
 /// The next batch for a receiver.
@@ -122,11 +124,7 @@
 
 impl State {
     fn merge(&mut self, now: Millis, report: &SuspectReport, source: Source) -> bool {
-        if now.since(self.last_expiry) >= EXPIRY_INTERVAL {
-            self.last_expiry = now;
-            self.relay.tick(now);
-            metrics::gauge!("sycamoreflow_crash_records").set(self.relay.len() as f64);
-        }
+        self.refresh(now);
         let changed = self.relay.merge(now, report, source);
         if changed {
             self.batches.clear();
@@ -134,7 +132,18 @@
         changed
     }
 
+    fn refresh(&mut self, now: Millis) {
+        if now.since(self.last_refresh) < REFRESH_INTERVAL {
+            return;
+        }
+        self.last_refresh = now;
+        self.relay.tick(now);
+        self.batches.clear();
+        metrics::gauge!("sycamoreflow_crash_records").set(self.relay.len() as f64);
+    }
+
     fn batch_for_subscriber(&mut self, now: Millis, from: RelayCursor) -> codec::Result<Batch> {
+        self.refresh(now);
         if let Some(batch) = self.batches.get(&from) {
             return Ok(batch.clone());
         }
--- a/crates/daemon/src/control/suspects/tests.rs
+++ b/crates/daemon/src/control/suspects/tests.rs
@@ -93,6 +93,28 @@
     );
 }
 
+/// Guards against a request that is refused for longer than its records are valid, because a daemon
+/// that starts later receives the remaining times of an earlier batch.
+#[test]
+fn batch_for_subscriber_remaining_times() {
+    let mut state = State::default();
+    state.merge(Millis(0), &crash(0, 1), Source::Subscriber);
+    let mut remaining = |now| {
+        let cursor = RelayCursor::of_subscriber();
+        let frame = state
+            .batch_for_subscriber(Millis(now), cursor)
+            .unwrap()
+            .frame;
+        match FromReplica::from_frame(&frame.unwrap()).unwrap() {
+            FromReplica::Suspects(batch) => batch.entries[0].remaining,
+            message => panic!("{message:?}"),
+        }
+    };
+    assert_eq!(remaining(1_000), Millis(599_000));
+    assert!(remaining(1_500) <= Millis(599_000));
+    assert_eq!(remaining(500_000), Millis(100_000));
+}
+
 /// Guards against one encoding per subscriber of a batch that is the same for all of them.
 #[test]
 fn batch_for_subscriber_shared() {
