Log a backlog by what is still queued

A batch of 48 Raft messages with nothing else to take was not counted as a backlog, however many were queued behind it. Also asks for a confirmed version through Hub::send, like all other events.

--- a/crates/daemon/src/control/hub.rs
+++ b/crates/daemon/src/control/hub.rs
@@ -2,13 +2,13 @@
 //! members of the group and the sessions of subscribers.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 
 use async_std::future::timeout;
 use async_std::task;
 use bytes::Bytes;
 use futures::channel::oneshot;
 use parking_lot::Mutex;
-use std::sync::Arc;
 use sycamoreflow_coordination::distribution::{Distribution, JoinLimiter, UpdateCache};
 use sycamoreflow_coordination::key_lease::COLLECTION_TIME;
 use sycamoreflow_coordination::quota::QuotaGrants;
@@ -242,12 +242,10 @@
     /// reached.
     pub async fn confirm_version(&self) -> Option<ViewVersion> {
         let (tx, rx) = oneshot::channel();
-        self.events
-            .send(Event::ConfirmVersion(tx))
-            .then_some(rx)?
-            .await
-            .ok()
-            .flatten()
+        if !self.send(Event::ConfirmVersion(tx)) {
+            return None;
+        }
+        rx.await.ok().flatten()
     }
 
     /// Performs a linearizable read: runs `read` on the replica thread after a quorum has confirmed
--- a/crates/daemon/src/control/replica.rs
+++ b/crates/daemon/src/control/replica.rs
@@ -42,7 +42,6 @@
 use apply::Unapplied;
 use backlog::Backlog;
 use event::Waiter;
-use queue::MAX_EVENTS_PER_SLICE;
 
 /// Duration of an event from which it is logged. It is the interval of heartbeats, which are sent
 /// by the same thread.
@@ -193,8 +192,7 @@
             if is_tick_due {
                 next_tick = started + tick;
             }
-            self.backlog
-                .record(&batch, batch.len() >= MAX_EVENTS_PER_SLICE);
+            self.backlog.record(&batch, events.has_backlog());
             let stops = batch.iter().any(|event| matches!(event, Event::Stop));
             let result = self.process(batch, is_tick_due);
             self.log_slow_step(started, applied);
--- a/crates/daemon/src/control/replica/backlog.rs
+++ b/crates/daemon/src/control/replica/backlog.rs
@@ -12,8 +12,8 @@
 #[derive(Debug)]
 pub(super) struct Backlog {
     since: Instant,
-    /// Number of batches that were full, after which further events were queued.
-    full_batches: u64,
+    /// Number of batches after which more events were queued than are handled at a time.
+    delayed_batches: u64,
     raft: u64,
     forwarded: u64,
     others: u64,
@@ -23,15 +23,15 @@
     pub(super) fn new() -> Self {
         Self {
             since: Instant::now(),
-            full_batches: 0,
+            delayed_batches: 0,
             raft: 0,
             forwarded: 0,
             others: 0,
         }
     }
 
-    /// Counts the events of a batch, and logs the counts if a batch was full.
-    pub(super) fn record(&mut self, batch: &[Event], is_full: bool) {
+    /// Counts the events of a batch, and logs the counts if there was a backlog after a batch.
+    pub(super) fn record(&mut self, batch: &[Event], has_backlog: bool) {
         for event in batch {
             match event {
                 Event::Raft { .. } => self.raft += 1,
@@ -39,20 +39,21 @@
                 _ => self.others += 1,
             }
         }
-        self.full_batches += u64::from(is_full);
+        self.delayed_batches += u64::from(has_backlog);
         let elapsed = self.since.elapsed();
         if elapsed < LOG_INTERVAL {
             return;
         }
         let counts = std::mem::replace(self, Self::new());
-        if counts.full_batches == 0 {
+        if counts.delayed_batches == 0 {
             return;
         }
-        metrics::counter!("sycamoreflow_replica_full_batches_total").increment(counts.full_batches);
+        metrics::counter!("sycamoreflow_replica_delayed_batches_total")
+            .increment(counts.delayed_batches);
         tracing::warn!(
             event = "replica_backlog",
             ms = elapsed.as_millis() as u64,
-            full_batches = counts.full_batches,
+            delayed_batches = counts.delayed_batches,
             raft = counts.raft,
             forwarded = counts.forwarded,
             others = counts.others
--- a/crates/daemon/src/control/replica/queue.rs
+++ b/crates/daemon/src/control/replica/queue.rs
@@ -13,15 +13,14 @@
 mod tests;
 
 /// Maximum number of events that are handled before committed entries are applied.
-pub(super) const MAX_EVENTS_PER_SLICE: usize = 64;
+const MAX_EVENTS_PER_SLICE: usize = 64;
 
 /// Part of a slice that is left to soft state while other events are queued.
 const SOFT_EVENTS_PER_SLICE: usize = 16;
 
 /// Maximum number of queued events with soft state. The oldest gives way, since daemons repeat what
-/// they report. At the target scale a leader receives 2,400 a second, so the limit allows for a
-/// disk that stalls for as long as a lease of 6 s.
-pub(super) const MAX_SOFT_EVENTS: usize = 16_384;
+/// they report (`docs/CAPACITY.md`).
+const MAX_SOFT_EVENTS: usize = 16_384;
 
 /// Creates an event queue.
 pub fn event_queue() -> (EventSender, EventReceiver) {
@@ -105,9 +104,9 @@
         }
     }
 
-    /// Returns whether no event is queued.
-    pub fn is_empty(&self) -> bool {
-        self.control.is_empty() && self.soft.is_empty()
+    /// Returns whether more events are queued than are handled at a time.
+    pub(super) fn has_backlog(&self) -> bool {
+        self.control.len() + self.soft.len() > MAX_EVENTS_PER_SLICE
     }
 }
 
