--- a/crates/daemon/src/control/replica/queue.rs
+++ b/crates/daemon/src/control/replica/queue.rs
@@ -71,8 +71,8 @@
 }
 
 impl EventReceiver {
-    /// Waits up to `wait` for an event, and returns it with those that are queued behind it, up to
-    /// [`MAX_EVENTS_PER_SLICE`]. Returns an empty batch after a timeout.
+    /// Waits up to `wait` for an event, and returns it with those queued behind it that are handled
+    /// before committed entries are applied. Returns an empty batch after a timeout.
     ///
     /// # Errors
     ///
