Build crash entries only for reports that send them, and allocate queued events on demand

Found when reading the change afresh. A report built an entry for each of up to 32,768 records before it looked at the limit and at what is pending. What is sent, and what gives way, is the same.

--- a/crates/coordination/src/suspect.rs
+++ b/crates/coordination/src/suspect.rs
@@ -368,11 +368,8 @@
         let mut entries = Vec::new();
         for (request, records) in &mut self.requests {
             for (crash, known) in records {
-                let Some(entry) = known.record.to_entry(now, request, crash) else {
-                    continue;
-                };
-                if entries.len() < limit && select(known) {
-                    entries.push(entry);
+                if entries.len() < limit && known.record.is_reportable(now) && select(known) {
+                    entries.push(known.record.to_entry(now, request, crash));
                 }
             }
         }
@@ -398,16 +395,19 @@
         }
     }
 
-    /// Returns the entry to send, or `None` if the record is about to expire.
-    fn to_entry(self, now: Millis, request: &Fingerprint, crash: &CrashId) -> Option<SuspectEntry> {
-        let remaining = self.expires.since(now);
-        (remaining >= MIN_REPORTED_REMAINING).then(|| SuspectEntry {
+    /// Returns whether the record is sent to others, which it is not if it is about to expire.
+    fn is_reportable(&self, now: Millis) -> bool {
+        self.expires.since(now) >= MIN_REPORTED_REMAINING
+    }
+
+    fn to_entry(self, now: Millis, request: &Fingerprint, crash: &CrashId) -> SuspectEntry {
+        SuspectEntry {
             request: *request,
             crash: crash.clone(),
-            remaining,
+            remaining: self.expires.since(now),
             alone: self.alone,
             cleared: self.cleared,
-        })
+        }
     }
 
     fn is_recent(&self, now: Millis) -> bool {
--- a/crates/coordination/src/suspect/relay.rs
+++ b/crates/coordination/src/suspect/relay.rs
@@ -140,22 +140,23 @@
                 break;
             }
             cursor.refusals = revision;
-            let known = self.get(key).filter(|known| known.is_for(cursor, revision));
-            entries.extend(known.and_then(|known| known.record.to_entry(now, &key.0, &key.1)));
+            if let Some(known) = self.get(key).filter(|k| k.is_for(now, cursor, revision)) {
+                entries.push(known.record.to_entry(now, &key.0, &key.1));
+            }
         }
         for (&revision, key) in self.changes.range(cursor.changes + 1..) {
             if entries.len() >= BATCH_ENTRIES {
                 break;
             }
             cursor.changes = revision;
-            let Some(known) = self.get(key).filter(|known| known.is_for(cursor, revision)) else {
+            let Some(known) = self.get(key).filter(|k| k.is_for(now, cursor, revision)) else {
                 continue;
             };
             let was_sent = |refusal| refusal > revision && refusal <= cursor.refusals;
             if known.refusal.is_some_and(was_sent) {
                 continue;
             }
-            entries.extend(known.record.to_entry(now, &key.0, &key.1));
+            entries.push(known.record.to_entry(now, &key.0, &key.1));
         }
         (!entries.is_empty()).then_some(SuspectReport { entries })
     }
@@ -253,7 +254,8 @@
 
 impl RelayedRecord {
     /// Returns whether a receiver gets the change of this record at `revision`.
-    fn is_for(&self, cursor: &RelayCursor, revision: u64) -> bool {
-        revision <= cursor.all_until || self.from_subscriber
+    fn is_for(&self, now: Millis, cursor: &RelayCursor, revision: u64) -> bool {
+        let is_wanted = revision <= cursor.all_until || self.from_subscriber;
+        is_wanted && self.record.is_reportable(now)
     }
 }
--- a/crates/daemon/src/control/replica/queue.rs
+++ b/crates/daemon/src/control/replica/queue.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, TrySendError};
+use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
 
 use super::Event;
 
@@ -25,7 +25,8 @@
 /// Creates an event queue.
 pub fn event_queue() -> (EventSender, EventReceiver) {
     let (control, control_rx) = crossbeam_channel::unbounded();
-    let (soft, soft_rx) = crossbeam_channel::bounded(MAX_SOFT_EVENTS);
+    // A bounded channel would allocate the space for all events in advance.
+    let (soft, soft_rx) = crossbeam_channel::unbounded();
     let sender = EventSender {
         control,
         soft,
@@ -59,14 +60,10 @@
         if !event.is_soft() {
             return self.control.send(event).is_ok();
         }
-        let mut event = event;
-        while let Err(TrySendError::Full(rejected)) = self.soft.try_send(event) {
+        if self.soft.len() >= MAX_SOFT_EVENTS && self.oldest_soft.try_recv().is_ok() {
             metrics::counter!("sycamoreflow_replica_events_dropped_total").increment(1);
-            // The replica may have made room meanwhile.
-            let _ = self.oldest_soft.try_recv();
-            event = rejected;
         }
-        true
+        self.soft.send(event).is_ok()
     }
 }
 
