--- a/crates/coordination/src/suspect/relay.rs
+++ b/crates/coordination/src/suspect/relay.rs
@@ -10,9 +10,10 @@
 //! of other requests may be pending for a while after the loss of many upstreams.
 //!
 //! Dissemination ends: a record is sent again only after one of its two flags was set, which are
-//! never reset, or once when its request is to be refused. A receiver therefore gets a record at
-//! most four times from a replica, and no receiver sends anything back that it has learned. A
-//! record that is evicted and reported again counts as a new one.
+//! never reset, once when its request is to be refused, and once when a subscriber first reports
+//! what another replica had sent. A receiver therefore gets a record at most five times from a
+//! replica, and no receiver sends anything back that it has learned. A record that is evicted and
+//! reported again counts as a new one.
 //!
 //! Nothing is lost with a link or a process: a cursor starts with all records of the replica when
 //! its link opens, and a daemon reports its observations again to each replica that it subscribes
--- a/crates/coordination/src/suspect/relay/tests.rs
+++ b/crates/coordination/src/suspect/relay/tests.rs
@@ -314,7 +314,7 @@
         for event in events {
             world.apply(event);
         }
-        // Each record is sent at most four times.
+        // At most four times each: `alone` does not change once a crash is recorded.
         let rounds = 4 + (4 * world.records).div_ceil(BATCH_ENTRIES);
         for _ in 0..rounds {
             world.deliver();
