Record a crash record that a new link between replicas can miss

Found when reading the relay once more: next_batch takes a record for sent once its refusal has passed the cursor, also where the receiver, a replica, was not to get the refusal.

--- a/crates/coordination/src/suspect/relay/tests.rs
+++ b/crates/coordination/src/suspect/relay/tests.rs
@@ -67,6 +67,22 @@
     assert_eq!(batch, Some(report(&[(1, 1, false)])));
 }
 
+/// Guards against a replica that never receives a record because its request was to be refused
+/// before the record's turn came in the first batches of a new link.
+#[test]
+fn next_batch_first_batches_refused_later() {
+    let now = Millis(0);
+    let mut relay = SuspectRelay::default();
+    let others: Vec<_> = (1..=BATCH_ENTRIES).map(|n| (n, 1, false)).collect();
+    relay.merge(now, &report(&others), Source::Replica);
+    relay.merge(now, &report(&[(0, 1, false)]), Source::Replica);
+    let mut cursor = relay.cursor_of_replica();
+    relay.next_batch(now, &mut cursor);
+    relay.merge(now, &report(&[(0, 2, false)]), Source::Replica);
+    let rest = relay.next_batch(now, &mut cursor);
+    assert_eq!(rest, Some(report(&[(0, 1, false)])));
+}
+
 /// Guards against a request that crashes further upstreams while the records that refuse it wait
 /// behind those of the requests that a mass crash has interrupted.
 #[test]
