--- a/review/standins-3.rs
+++ b/review/standins-3.rs
@@ -657,13 +657,34 @@
     }
 }
 
+/// A route of a configuration.
+#[derive(Clone)]
+struct Route {
+    name: String,
+    host: String,
+    prefix: String,
+    service: String,
+    timeout_ms: u64,
+}
+
+impl Route {
+    fn new(name: &str, host: &str, prefix: &str, service: &str) -> Self {
+        Self {
+            name: name.to_owned(),
+            host: host.to_owned(),
+            prefix: prefix.to_owned(),
+            service: service.to_owned(),
+            timeout_ms: 2_000,
+        }
+    }
+}
+
 /// A complete configuration.
 #[derive(Clone, Default)]
 struct Config {
     version: u64,
     base: u64,
-    /// Name, host, prefix, type and service of each route.
-    routes: Vec<(String, String, String, String, String)>,
+    routes: Vec<Route>,
     services: Vec<String>,
 }
 
@@ -673,12 +694,19 @@
             "{{\"version\":{},\"baseVersion\":{},\"resources\":[",
             self.version, self.base
         );
-        for (name, host, prefix, kind, service) in &self.routes {
+        for route in &self.routes {
+            let Route {
+                name,
+                host,
+                prefix,
+                service,
+                timeout_ms,
+            } = route;
             let _ = write!(
                 text,
                 "{{\"resourceType\":\"routes\",\"metadata\":{{\"name\":\"{name}\"}},\"spec\":{{\
-                 \"host\":\"{host}\",\"prefix\":\"{prefix}\",\"type\":\"{kind}\",\
-                 \"timeout\":\"2000ms\",\"targetLatency\":\"600ms\",\"priority\":1,\
+                 \"host\":\"{host}\",\"prefix\":\"{prefix}\",\"type\":\"safe\",\
+                 \"timeout\":\"{timeout_ms}ms\",\"targetLatency\":\"600ms\",\"priority\":1,\
                  \"service\":\"{service}\",\"maxAttempts\":2}}}},"
             );
         }
@@ -702,13 +730,10 @@
         for _ in 0..count {
             let n = self.routes.len();
             let service = self.services[n % self.services.len()].clone();
-            self.routes.push((
-                format!("r-g{n:06}"),
-                format!("hulo{}.example", n % 90),
-                format!("/xapu{}/ny{n}/", n % 700),
-                "safe".to_owned(),
-                service,
-            ));
+            let host = format!("hulo{}.example", n % 90);
+            let prefix = format!("/xapu{}/ny{n}/", n % 700);
+            self.routes
+                .push(Route::new(&format!("r-g{n:06}"), &host, &prefix, &service));
         }
     }
 }
@@ -787,11 +812,7 @@
 
 /// The first configuration, with a route to each of two services.
 fn first_config() -> Config {
-    let route = |name: &str, prefix: &str, service: &str| {
-        let texts = [name, "jepu9.example", prefix, "safe", service];
-        let [a, b, c, d, e] = texts.map(str::to_owned);
-        (a, b, c, d, e)
-    };
+    let route = |name, prefix, service| Route::new(name, "jepu9.example", prefix, service);
     Config {
         version: 5,
         base: 0,
@@ -904,7 +925,7 @@
     thread::sleep(ms(8_000));
     config.base = config.version;
     config.version += 1;
-    config.routes[0].4 = "kafi81c".to_owned();
+    config.routes[0].service = "kafi81c".to_owned();
     if operator.replace(&config, ms(10_000)) != Some(200) {
         return Err("the last change has no acknowledgement".to_owned());
     }
@@ -945,6 +966,110 @@
     Ok(stale > 0)
 }
 
+/// A configuration that has grown as in [`large_view`], but less. Then one change reaches all routes;
+/// without the disruption, it reaches as many as a change has added before. Rule Acks.
+fn change_of_all_routes(record: &Record) -> Res<bool> {
+    let services = ["huvo11a", "kafi81c"];
+    let mut mesh = Mesh::start(record, &services)?;
+    let operator = Operator::new(&mesh);
+    let mut endpoints = Vec::new();
+    for index in mesh.sidecars() {
+        endpoints.push(Endpoint::start(&mesh, index, "v1", ms(5))?);
+    }
+    let mut config = first_config();
+    grow_config(&operator, &mut config, 14)?;
+    thread::sleep(ms(2_000));
+    config.base = config.version;
+    config.version += 1;
+    let all = config.routes.len();
+    let count = if has_trouble() { all } else { 462 };
+    for route in config.routes.iter_mut().rev().take(count) {
+        route.timeout_ms = 1_900;
+    }
+    record.line(&format!(
+        "version {} changes the time-outs of {count} of {all} routes",
+        config.version
+    ));
+    // The bound `ack`, with 3 ms more for each route, and as much again.
+    let ack = ms(4_000 + 3 * all as u64);
+    let sent = Instant::now();
+    let status = operator.replace(&config, 2 * ack);
+    record.line(&format!(
+        "{status:?} after {:?}, bound {ack:?}",
+        sent.elapsed()
+    ));
+    let head = "POST /Config.Replace HTTP/1.1\r\nhost: p\r\ncontent-type: application/json\r\n";
+    for core in &operator.core {
+        let reply = call(*core, head, config.json().as_bytes(), ms(3_000));
+        let reply = reply.ok().flatten();
+        let location = reply
+            .as_ref()
+            .and_then(|r| r.header("location"))
+            .unwrap_or_default();
+        let status = reply.as_ref().map(|reply| reply.status);
+        record.line(&format!("{core}: {status:?} {location}"));
+    }
+    record.line(&format!(
+        "processes that ended by themselves: {:?}",
+        mesh.ended()
+    ));
+    Ok(status.is_none())
+}
+
+/// Two routes whose prefixes differ in their last slash only. Rule ROUTE.
+fn longest_prefix(record: &Record) -> Res<bool> {
+    let services = ["huvo11a", "kafi81c"];
+    let mut mesh = Mesh::start(record, &services)?;
+    let operator = Operator::new(&mesh);
+    let mut endpoints = Vec::new();
+    for index in mesh.sidecars() {
+        endpoints.push(Endpoint::start(&mesh, index, "v1", ms(5))?);
+    }
+    let mut config = first_config();
+    config.routes[1].prefix = if has_trouble() {
+        "/lepu270//"
+    } else {
+        "/lepu270/a/"
+    }
+    .to_owned();
+    let path = format!("{}x", config.routes[1].prefix);
+    if operator.replace(&config, ms(20_000)) != Some(200) {
+        return Err("the configuration has no acknowledgement".to_owned());
+    }
+    for index in mesh.sidecars() {
+        mesh.wait_ready(index, ms(5_000));
+    }
+    thread::sleep(ms(3_000));
+    let mut wrong = 0;
+    for round in 0..10 {
+        for index in mesh.sidecars() {
+            let id = format!("{round:08x}{index:08x}");
+            let head = format!(
+                "GET {path} HTTP/1.1\r\nhost: jepu9.example\r\nattempt-id: {id}\r\ndeadline-ms: 1500\r\n"
+            );
+            let _ = call(mesh.address(index, OUTBOUND), &head, b"", ms(1_500));
+            let ran = |e: &&Arc<Endpoint>| e.runs.lock().is_ok_and(|runs| runs.contains_key(&id));
+            let by = endpoints
+                .iter()
+                .find(ran)
+                .map_or("nobody", |e| e.service.as_str());
+            wrong += u32::from(by == "huvo11a");
+            record.line(&format!(
+                "GET {path} at {}: run by {by}",
+                mesh.machines[index].name
+            ));
+        }
+    }
+    record.line(&format!(
+        "{wrong} of 20 requests run by huvo11a; the longest prefix leads to kafi81c"
+    ));
+    record.line(&format!(
+        "processes that ended by themselves: {:?}",
+        mesh.ended()
+    ));
+    Ok(wrong > 0)
+}
+
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
     let (Some(scenario), Some(folder)) = (arguments.get(1), arguments.get(2)) else {
@@ -964,6 +1089,8 @@
     ));
     let result = match scenario.as_str() {
         "large-view" => large_view(&record),
+        "change-of-all-routes" => change_of_all_routes(&record),
+        "longest-prefix" => longest_prefix(&record),
         "large-view-stale" => large_view_stale(&record),
         _ => Err("no such scenario".to_owned()),
     };
