--- a/review/standins-3.rs
+++ b/review/standins-3.rs
@@ -22,6 +22,8 @@
 /// Program of both roles in `deploy/system.toml`, relative to the repository.
 const PROGRAM: &str = "target/release/sycamoreflowd-platform";
 const MESH_KEY: &str = "key of the links of one deployment";
+/// Longest time that the changes of a configuration may take, so that a run ends within 120 s.
+const GROWTH_LIMIT: Duration = Duration::from_secs(50);
 const HEARTBEAT: Duration = Duration::from_millis(1_500);
 
 fn ms(millis: u64) -> Duration {
@@ -832,6 +834,9 @@
         return Err(format!("the first configuration got {first:?}"));
     }
     for _ in 0..changes {
+        if operator.record.started.elapsed() > GROWTH_LIMIT {
+            return Err("this machine is too slow: the changes take too long".to_owned());
+        }
         config.grow(462);
         let status = operator.replace(config, ms(8_000));
         if status != Some(200) {
